Skeleton: workspace, lints, contracts and design to build against

The parts are built side by side against docs/CONTRACTS.md and docs/DESIGN.md; the shared types of documents and group records come first.

--- /dev/null
+++ b/src/clock.rs
@@ -0,0 +1,120 @@
+//! The process's clock, which tests pause and advance.
+//!
+//! The runtime has no clock that can be paused, so this is a thin layer over its timers. Readings
+//! are [`Duration`]s since an origin of the process's own; they mean nothing to another process.
+//! The real clock keeps running while the process or its VM is frozen, so a lease that lapsed in a
+//! freeze is found lapsed on waking.
+
+use std::{cell::Cell, future, rc::Rc, time::Duration};
+
+use rustix::time::{self as system, ClockId};
+
+/// A source of readings and timers.
+///
+/// # Example
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use bramleypier::clock::Clock;
+///
+/// let clock = Clock::paused();
+/// clock.advance(Duration::from_secs(1));
+/// assert_eq!(clock.now(), Duration::from_secs(1));
+/// ```
+#[derive(Clone, Debug)]
+pub struct Clock {
+    paused: Option<Rc<Cell<Duration>>>,
+}
+
+impl Clock {
+    /// Creates the real clock: the time since the machine's boot, freezes included.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::clock::Clock;
+    ///
+    /// let clock = Clock::real();
+    /// assert!(clock.now() <= clock.now());
+    /// ```
+    pub fn real() -> Self {
+        Self { paused: None }
+    }
+
+    /// Creates a clock that stands at zero until it is advanced.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::clock::Clock;
+    ///
+    /// assert!(Clock::paused().now().is_zero());
+    /// ```
+    pub fn paused() -> Self {
+        Self {
+            paused: Some(Rc::default()),
+        }
+    }
+
+    /// Returns the reading now.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::clock::Clock;
+    ///
+    /// assert!(Clock::paused().now().is_zero());
+    /// ```
+    pub fn now(&self) -> Duration {
+        match &self.paused {
+            Some(reading) => reading.get(),
+            None => boot_time(),
+        }
+    }
+
+    /// Moves a paused clock forward; the real clock takes no notice.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier::clock::Clock;
+    ///
+    /// let clock = Clock::paused();
+    /// clock.advance(Duration::from_millis(5));
+    /// assert_eq!(clock.now().as_millis(), 5);
+    /// ```
+    pub fn advance(&self, by: Duration) {
+        if let Some(reading) = &self.paused {
+            reading.set(reading.get() + by);
+        }
+    }
+
+    /// Waits until `span` has passed on this clock.
+    ///
+    /// On a paused clock it yields until another task has advanced the clock far enough.
+    pub async fn sleep(&self, span: Duration) {
+        let Some(reading) = &self.paused else {
+            return compio::time::sleep(span).await;
+        };
+        let due = reading.get() + span;
+        future::poll_fn(|context| {
+            if reading.get() >= due {
+                return std::task::Poll::Ready(());
+            }
+            context.waker().wake_by_ref();
+            std::task::Poll::Pending
+        })
+        .await;
+    }
+}
+
+/// Reads the clock that counts suspension too.
+fn boot_time() -> Duration {
+    let reading = system::clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(reading.tv_sec).unwrap_or(0);
+    let nanos = u32::try_from(reading.tv_nsec).unwrap_or(0);
+    Duration::new(seconds, nanos)
+}
--- /dev/null
+++ b/src/group/mod.rs
@@ -0,0 +1,71 @@
+//! Groups: targets that hold a slice of the hash space, and the record that says who owns what.
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    document::Fencing,
+    id::{BootId, DomainId, Epoch, GroupId, LeaseId, TargetId, VmId},
+    range::Range,
+};
+
+/// A group's record: one value in the platform's service, changed only by compare-and-swap.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Record {
+    /// The group.
+    pub group: GroupId,
+    /// The targets that may hold grants.
+    pub members: IndexMap<TargetId, Member>,
+    /// The grantors of each failure domain's targets.
+    pub trios: IndexMap<DomainId, Vec<Grantor>>,
+    /// The ranges, in order, without gaps or overlaps.
+    pub ranges: Vec<Entry>,
+    /// The VM that wrote this version, with its count of writes, so that a lost answer can be
+    /// settled by reading back.
+    pub writer: VmId,
+    /// The writer's count of writes.
+    pub sequence: u64,
+}
+
+/// A target as a holder of grants.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Member {
+    /// `IP:port`.
+    pub address: String,
+    /// The failure domain it stands in.
+    pub domain: DomainId,
+    /// Whether it checks grants.
+    pub fencing: Fencing,
+    /// The start of the target that may hold grants; empty until one is known.
+    pub boot: BootId,
+    /// Whether it hands its ranges over.
+    pub leaving: bool,
+    /// How many requests it runs at a time.
+    pub slots: u32,
+}
+
+/// A VM named to grant to a failure domain's targets.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Grantor {
+    /// The VM.
+    pub vm: VmId,
+    /// Its session: a lease in the platform's service. Another session is another grantor.
+    pub session: LeaseId,
+}
+
+/// A range with its owner and heirs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Entry {
+    /// The range.
+    pub range: Range,
+    /// The epoch at which the first of the chain owns it.
+    pub epoch: Epoch,
+    /// The owner, then its heirs in order.
+    pub chain: Vec<TargetId>,
+    /// Whether the owner is being asked to hand it to the first heir.
+    pub moving: bool,
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,8 @@
+//! A router for servers that own keys exclusively.
+pub mod clock;
+pub mod document;
+pub mod group;
+pub mod id;
+pub mod key;
+pub mod range;
+pub mod util;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,2 @@
+//! The one binary.
+fn main() {}
--- /dev/null
+++ b/src/util/mod.rs
@@ -0,0 +1,1 @@
+//! Private helpers of the crate.
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Test tool of bramleypier.
