--- a/src/clock.rs
+++ b/src/clock.rs
@@ -5,8 +5,9 @@
 //! The real clock keeps running while the process or its VM is frozen, so a lease that lapsed in a
 //! freeze is found lapsed on waking.
 
-use std::{cell::Cell, future, rc::Rc, time::Duration};
+use std::{cell::Cell, future, pin::pin, rc::Rc, time::Duration};
 
+use futures_util::future::{self as select, Either};
 use rustix::time::{self as system, ClockId};
 
 /// A source of readings and timers.
@@ -109,8 +110,29 @@
         })
         .await;
     }
+
+    /// Waits for a future, but no longer than `span` on this clock.
+    ///
+    /// # Errors
+    ///
+    /// [`Elapsed`] when the span has passed first; the future is dropped.
+    pub async fn timeout<F>(&self, span: Duration, future: F) -> Result<F::Output, Elapsed>
+    where
+        F: Future,
+    {
+        let wait = pin!(self.sleep(span));
+        let work = pin!(future);
+        match select::select(work, wait).await {
+            Either::Left((output, _)) => Ok(output),
+            Either::Right(_) => Err(Elapsed),
+        }
+    }
 }
 
+/// Why a wait ended without its result.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Elapsed;
+
 /// Reads the clock that counts suspension too.
 fn boot_time() -> Duration {
     let reading = system::clock_gettime(ClockId::Boottime);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,5 +4,7 @@
 pub mod group;
 pub mod id;
 pub mod key;
+pub mod peer;
+pub mod platform;
 pub mod range;
 pub mod util;
--- /dev/null
+++ b/src/platform.rs
@@ -0,0 +1,385 @@
+//! The platform's service, as bramleypier sees it: `docs/CONTRACTS.md`, section "Platform".
+//!
+//! This file is the only one that knows the platform's protocol. A write whose answer was lost is
+//! reported as [`Error::Doubt`]: it may have taken effect, and only reading back can tell.
+
+use std::{net::SocketAddr, time::Duration};
+
+use http::{HeaderName, Method, StatusCode};
+use hyper::{Request, body::Bytes};
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+use crate::{
+    clock::Clock,
+    id::{DomainId, LeaseId, Version, VmId},
+    util::{
+        body::{self, Body},
+        client::{self, Client},
+    },
+};
+
+/// The most connections to the platform; a waiting watch holds one.
+const CONNECTIONS: usize = 8;
+/// How long a call may take.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a watch may wait.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(25);
+/// The largest value, in bytes.
+pub const VALUE_LIMIT: usize = 1_000_000;
+/// The largest answer that is read, in bytes.
+const ANSWER_LIMIT: usize = 16 * 1024 * 1024;
+/// Carries a value's version in an answer.
+const VERSION: HeaderName = HeaderName::from_static("version");
+/// Carries the version that a write is based on.
+const IF_VERSION: HeaderName = HeaderName::from_static("if-version");
+/// Carries the lease that a key is put under.
+const LEASE: HeaderName = HeaderName::from_static("lease");
+/// Carries the name of the VM that calls.
+const FROM: HeaderName = HeaderName::from_static("bramleypier-from");
+
+quick_error! {
+    /// Why a call to the platform did not succeed.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The call can't have taken effect.
+        Failed(step: &'static str, peer: SocketAddr, cause: String) {
+            display("step={step} peer={peer} outcome=not-run cause={cause:?}")
+        }
+        /// The call may or may not have taken effect.
+        Doubt(step: &'static str, peer: SocketAddr, cause: String) {
+            display("step={step} peer={peer} outcome=unknown cause={cause:?}")
+        }
+    }
+}
+
+/// What became of a compare-and-swap.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Put {
+    /// The value is in place at this version.
+    Won(Version),
+    /// The value stands at another version (0: there is none); nothing was changed.
+    Lost(Version),
+}
+
+/// A key and the version of its value.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyVersion {
+    /// The key.
+    pub key: String,
+    /// Its version; 0 when it was deleted.
+    pub version: Version,
+}
+
+/// Keys below a prefix, as of a revision of the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listing {
+    /// The store's revision.
+    pub revision: Version,
+    /// The keys.
+    pub keys: Vec<KeyVersion>,
+}
+
+/// A VM in the platform's list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListedVm {
+    /// Its name: a VM's id, or a target's name.
+    pub name: VmId,
+    /// The address at which peers reach it.
+    pub address: String,
+    /// The failure domain it stands in.
+    pub domain: DomainId,
+    /// What runs on it.
+    pub kind: Kind,
+    /// Whether it is going.
+    pub state: State,
+}
+
+/// What runs on a VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    /// A process of ours.
+    Entry,
+    /// A target.
+    Target,
+}
+
+/// A VM's state in the platform's list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum State {
+    /// It runs.
+    Live,
+    /// It is about to go.
+    Leaving,
+}
+
+#[derive(Deserialize)]
+struct Granted {
+    id: LeaseId,
+}
+
+/// A client of the platform's service.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    address: SocketAddr,
+    from: String,
+    clock: Clock,
+    client: Client,
+}
+
+/// An answer, read whole.
+struct Answer {
+    status: StatusCode,
+    version: Version,
+    body: Bytes,
+}
+
+impl Platform {
+    /// Creates a client; it connects when first used. `from` names the caller to the platform.
+    pub fn new(clock: Clock, address: SocketAddr, from: String) -> Self {
+        Self {
+            address,
+            from,
+            client: Client::new(clock.clone(), CONNECTIONS),
+            clock,
+        }
+    }
+
+    /// Reads a value.
+    ///
+    /// # Errors
+    ///
+    /// The service did not answer.
+    pub async fn get(&self, key: &str) -> Result<Option<(Version, Bytes)>, Error> {
+        let answer = self
+            .call(
+                "get",
+                Method::GET,
+                &format!("/v1/kv/{key}"),
+                &[],
+                Bytes::new(),
+            )
+            .await?;
+        match answer.status {
+            StatusCode::OK => Ok(Some((answer.version, answer.body))),
+            StatusCode::NOT_FOUND => Ok(None),
+            status => Err(self.unexpected("get", status)),
+        }
+    }
+
+    /// Lists the keys below a prefix.
+    ///
+    /// # Errors
+    ///
+    /// The service did not answer.
+    pub async fn list(&self, prefix: &str) -> Result<Listing, Error> {
+        self.read("list", &format!("/v1/list?prefix={prefix}"))
+            .await
+    }
+
+    /// Waits until a key below a prefix has changed after a revision, or some 20 s have passed.
+    ///
+    /// # Errors
+    ///
+    /// The service did not answer.
+    pub async fn watch(&self, prefix: &str, since: Version) -> Result<Listing, Error> {
+        self.read("watch", &format!("/v1/watch?prefix={prefix}&since={since}"))
+            .await
+    }
+
+    /// Lists the VMs, with a lag.
+    ///
+    /// # Errors
+    ///
+    /// The service did not answer.
+    pub async fn vms(&self) -> Result<Vec<ListedVm>, Error> {
+        self.read("vms", "/v1/vms").await
+    }
+
+    /// Puts a value where the key stands at `base` (0: it must not exist).
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Doubt`] when the write may have taken effect.
+    pub async fn put(&self, key: &str, base: Version, value: Bytes) -> Result<Put, Error> {
+        self.write(
+            "put",
+            Method::PUT,
+            key,
+            &[(IF_VERSION, base.to_string())],
+            value,
+        )
+        .await
+    }
+
+    /// Puts a value under a lease; it goes when the lease lapses.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Doubt`] when the write may have taken effect.
+    pub async fn put_leased(&self, key: &str, lease: &LeaseId, value: Bytes) -> Result<Put, Error> {
+        let headers = [(IF_VERSION, "0".to_owned()), (LEASE, lease.clone())];
+        self.write("put", Method::PUT, key, &headers, value).await
+    }
+
+    /// Deletes a value where the key stands at `base`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Doubt`] when the write may have taken effect.
+    pub async fn delete(&self, key: &str, base: Version) -> Result<Put, Error> {
+        let headers = [(IF_VERSION, base.to_string())];
+        self.write("delete", Method::DELETE, key, &headers, Bytes::new())
+            .await
+    }
+
+    /// Creates a lease of `ttl`.
+    ///
+    /// # Errors
+    ///
+    /// The service did not answer.
+    pub async fn lease(&self, ttl: Duration) -> Result<LeaseId, Error> {
+        let path = format!("/v1/lease?ttl_ms={}", ttl.as_millis());
+        let answer = self
+            .call("lease", Method::POST, &path, &[], Bytes::new())
+            .await?;
+        let granted: Granted = self.parse("lease", &answer)?;
+        Ok(granted.id)
+    }
+
+    /// Renews a lease; `false` when it has lapsed, which is for good.
+    ///
+    /// # Errors
+    ///
+    /// The service did not answer.
+    pub async fn renew(&self, lease: &LeaseId) -> Result<bool, Error> {
+        let path = format!("/v1/lease/{lease}/renew");
+        let answer = self
+            .call("renew", Method::POST, &path, &[], Bytes::new())
+            .await?;
+        self.exists("renew", answer.status)
+    }
+
+    /// Ends a lease.
+    ///
+    /// # Errors
+    ///
+    /// The service did not answer.
+    pub async fn revoke(&self, lease: &LeaseId) -> Result<bool, Error> {
+        let path = format!("/v1/lease/{lease}");
+        let answer = self
+            .call("revoke", Method::DELETE, &path, &[], Bytes::new())
+            .await?;
+        self.exists("revoke", answer.status)
+    }
+
+    fn exists(&self, step: &'static str, status: StatusCode) -> Result<bool, Error> {
+        match status {
+            StatusCode::OK => Ok(true),
+            StatusCode::NOT_FOUND => Ok(false),
+            status => Err(self.unexpected(step, status)),
+        }
+    }
+
+    async fn read<T>(&self, step: &'static str, path: &str) -> Result<T, Error>
+    where
+        T: DeserializeOwned,
+    {
+        let answer = self
+            .call(step, Method::GET, path, &[], Bytes::new())
+            .await?;
+        self.parse(step, &answer)
+    }
+
+    fn parse<T>(&self, step: &'static str, answer: &Answer) -> Result<T, Error>
+    where
+        T: DeserializeOwned,
+    {
+        if answer.status != StatusCode::OK {
+            return Err(self.unexpected(step, answer.status));
+        }
+        serde_json::from_slice(&answer.body)
+            .map_err(|cause| Error::Doubt(step, self.address, cause.to_string()))
+    }
+
+    async fn write(
+        &self,
+        step: &'static str,
+        method: Method,
+        key: &str,
+        headers: &[(HeaderName, String)],
+        value: Bytes,
+    ) -> Result<Put, Error> {
+        let answer = self
+            .call(step, method, &format!("/v1/kv/{key}"), headers, value)
+            .await?;
+        match answer.status {
+            StatusCode::OK => Ok(Put::Won(answer.version)),
+            StatusCode::PRECONDITION_FAILED => Ok(Put::Lost(answer.version)),
+            // An error of the service's own: it doesn't say whether the write took effect.
+            status => Err(Error::Doubt(step, self.address, format!("status {status}"))),
+        }
+    }
+
+    async fn call(
+        &self,
+        step: &'static str,
+        method: Method,
+        path: &str,
+        headers: &[(HeaderName, String)],
+        value: Bytes,
+    ) -> Result<Answer, Error> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(http::header::HOST, self.address.to_string())
+            .header(FROM, &self.from);
+        for (name, text) in headers {
+            request = request.header(name, text);
+        }
+        let request = request
+            .body(Body::from(value))
+            .map_err(|cause| Error::Failed(step, self.address, cause.to_string()))?;
+        let span = if step == "watch" {
+            WATCH_TIMEOUT
+        } else {
+            CALL_TIMEOUT
+        };
+        let response = self
+            .client
+            .send(self.address, request, span)
+            .await
+            .map_err(|cause| self.broken(step, &cause))?;
+        let status = response.status();
+        let version = response
+            .headers()
+            .get(VERSION)
+            .and_then(|value| value.to_str().ok()?.parse().ok())
+            .unwrap_or(0);
+        let body = self
+            .clock
+            .timeout(CALL_TIMEOUT, body::read(response.into_body(), ANSWER_LIMIT))
+            .await
+            .unwrap_or_else(|_| Err("timed out".into()))
+            .map_err(|cause| Error::Doubt(step, self.address, cause.to_string()))?;
+        Ok(Answer {
+            status,
+            version,
+            body,
+        })
+    }
+
+    fn broken(&self, step: &'static str, cause: &client::Error) -> Error {
+        if cause.unsent() {
+            Error::Failed(step, self.address, cause.to_string())
+        } else {
+            Error::Doubt(step, self.address, cause.to_string())
+        }
+    }
+
+    fn unexpected(&self, step: &'static str, status: StatusCode) -> Error {
+        Error::Failed(step, self.address, format!("status {status}"))
+    }
+}
--- /dev/null
+++ b/src/util/client.rs
@@ -0,0 +1,302 @@
+//! An HTTP/1.1 client that knows whether a byte of a request left.
+//!
+//! A connection's task owns the socket; this side talks to it by hyper's channel. Connections are
+//! kept and used again, and their number per address is bounded.
+
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use compio::net::TcpStream;
+use cyper_core::HyperStream;
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+    rt::{Read, ReadBufCursor, Write},
+};
+use indexmap::IndexMap;
+use quick_error::quick_error;
+
+use crate::{clock::Clock, util::body::Body};
+
+/// How long a new connection may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+quick_error! {
+    /// Why a request got no answer.
+    #[derive(Debug)]
+    pub enum Error {
+        /// No connection came about; nothing was sent.
+        Connect(peer: SocketAddr, cause: io::Error) {
+            display("connect to {peer}: {cause}")
+            source(cause)
+        }
+        /// Every connection that may be open is in use; nothing was sent.
+        Busy(peer: SocketAddr) {
+            display("connect to {peer}: all connections are in use")
+        }
+        /// The connection failed before a byte of the request left.
+        Unsent(peer: SocketAddr, cause: hyper::Error) {
+            display("send to {peer}: {cause}; nothing was sent")
+            source(cause)
+        }
+        /// The connection failed after some of the request may have arrived.
+        Broken(peer: SocketAddr, cause: hyper::Error) {
+            display("answer from {peer}: {cause}")
+            source(cause)
+        }
+        /// The time ran out; `sent` tells whether a byte left.
+        Timeout(peer: SocketAddr, sent: bool) {
+            display("answer from {peer}: timed out, sent={sent}")
+        }
+    }
+}
+
+impl Error {
+    /// Returns whether it is certain that no byte of the request left.
+    pub fn unsent(&self) -> bool {
+        match self {
+            Self::Connect(..) | Self::Busy(_) | Self::Unsent(..) => true,
+            Self::Broken(..) => false,
+            Self::Timeout(_, sent) => !sent,
+        }
+    }
+}
+
+/// A connection's sending side.
+struct Connection {
+    sender: SendRequest<Body>,
+    written: Rc<Cell<u64>>,
+}
+
+/// Connections by address.
+#[derive(Clone)]
+pub struct Client {
+    clock: Clock,
+    limit: usize,
+    opened: Rc<Cell<u64>>,
+    connections: Rc<RefCell<IndexMap<SocketAddr, Vec<Connection>>>>,
+    connecting: Rc<RefCell<IndexMap<SocketAddr, usize>>>,
+}
+
+impl std::fmt::Debug for Client {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Client")
+            .field("limit", &self.limit)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Client {
+    /// Creates a client that opens at most `limit` connections to an address.
+    pub fn new(clock: Clock, limit: usize) -> Self {
+        Self {
+            clock,
+            limit,
+            opened: Rc::default(),
+            connections: Rc::default(),
+            connecting: Rc::default(),
+        }
+    }
+
+    /// Returns how many connections were opened so far.
+    pub fn opened(&self) -> u64 {
+        self.opened.get()
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// See [`Error`]; [`Error::unsent`] tells whether the peer can't have seen any of it.
+    pub async fn send(
+        &self,
+        peer: SocketAddr,
+        request: Request<Body>,
+        span: Duration,
+    ) -> Result<Response<Incoming>, Error> {
+        let sent = Rc::new(Cell::new(false));
+        let work = self.exchange(peer, request, sent.clone());
+        match self.clock.timeout(span, work).await {
+            Ok(result) => result,
+            Err(_) => Err(Error::Timeout(peer, sent.get())),
+        }
+    }
+
+    /// Sends on a kept connection, or on a new one.
+    async fn exchange(
+        &self,
+        peer: SocketAddr,
+        request: Request<Body>,
+        sent: Rc<Cell<bool>>,
+    ) -> Result<Response<Incoming>, Error> {
+        let mut connection = match self.kept(peer) {
+            Some(connection) => connection,
+            None => self.open(peer).await?,
+        };
+        // From here on a byte may leave at any time; when this future is dropped half-way
+        // only the count of written bytes could tell, so `sent` errs towards having sent.
+        let before = connection.written.get();
+        sent.set(true);
+        let result = connection.sender.try_send_request(request).await;
+        let unsent = connection.written.get() == before;
+        match result {
+            Ok(response) => {
+                self.keep(peer, connection);
+                Ok(response)
+            }
+            Err(failure) => {
+                let cause = failure.into_error();
+                if unsent {
+                    Err(Error::Unsent(peer, cause))
+                } else {
+                    Err(Error::Broken(peer, cause))
+                }
+            }
+        }
+    }
+
+    /// Takes a kept connection that is ready for another request.
+    fn kept(&self, peer: SocketAddr) -> Option<Connection> {
+        let mut connections = self.connections.borrow_mut();
+        let list = connections.get_mut(&peer)?;
+        list.retain(|connection| !connection.sender.is_closed());
+        let index = list
+            .iter()
+            .rposition(|connection| connection.sender.is_ready())?;
+        Some(list.swap_remove(index))
+    }
+
+    /// Gives a connection back; it becomes ready once its answer has been read.
+    fn keep(&self, peer: SocketAddr, connection: Connection) {
+        let mut connections = self.connections.borrow_mut();
+        connections.entry(peer).or_default().push(connection);
+    }
+
+    /// Opens a connection, unless too many are open.
+    async fn open(&self, peer: SocketAddr) -> Result<Connection, Error> {
+        let permit = Permit::take(self, peer).ok_or(Error::Busy(peer))?;
+        let stream = self
+            .clock
+            .timeout(CONNECT_TIMEOUT, TcpStream::connect(peer))
+            .await
+            .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+            .map_err(|cause| Error::Connect(peer, cause))?;
+        let _ = stream.set_nodelay(true);
+        let written = Rc::new(Cell::new(0));
+        let counted = Counted {
+            stream: HyperStream::new_plain(stream),
+            written: written.clone(),
+        };
+        let (sender, task) = http1::handshake(counted)
+            .await
+            .map_err(|cause| Error::Unsent(peer, cause))?;
+        self.opened.set(self.opened.get() + 1);
+        compio::runtime::spawn(async move {
+            // The sender hears of a failure by itself.
+            let _ = task.await;
+            drop(permit);
+        })
+        .detach();
+        Ok(Connection { sender, written })
+    }
+}
+
+/// The right to one open connection; given back when its task ends.
+struct Permit {
+    peer: SocketAddr,
+    connecting: Rc<RefCell<IndexMap<SocketAddr, usize>>>,
+}
+
+impl Permit {
+    fn take(client: &Client, peer: SocketAddr) -> Option<Self> {
+        let mut open = client.connecting.borrow_mut();
+        let count = open.entry(peer).or_insert(0);
+        if *count >= client.limit {
+            return None;
+        }
+        *count += 1;
+        Some(Self {
+            peer,
+            connecting: client.connecting.clone(),
+        })
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        if let Some(count) = self.connecting.borrow_mut().get_mut(&self.peer) {
+            *count -= 1;
+        }
+    }
+}
+
+/// A stream that counts what it has written.
+struct Counted<S> {
+    stream: S,
+    written: Rc<Cell<u64>>,
+}
+
+impl<S> Counted<S> {
+    fn count(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(bytes)) = &result {
+            self.written.set(self.written.get() + *bytes as u64);
+        }
+        result
+    }
+}
+
+impl<S> Read for Counted<S>
+where
+    S: Read + Unpin,
+{
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl<S> Write for Counted<S>
+where
+    S: Write + Unpin,
+{
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.count(result)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
+        self.count(result)
+    }
+}
--- /dev/null
+++ b/src/util/server.rs
@@ -0,0 +1,110 @@
+//! An HTTP/1.1 server: one task a connection, each with its own socket.
+
+use std::{cell::Cell, convert::Infallible, rc::Rc, time::Duration};
+
+use compio::net::{TcpListener, TcpStream};
+use cyper_core::{CompioTimer, HyperStream};
+use futures_util::future::{self, Either};
+use hyper::{Request, Response, body::Incoming, server::conn::http1, service};
+
+use crate::util::body::Body;
+
+/// How long a caller may take over the head of a request.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// The most headers a request may have.
+const HEADERS: usize = 100;
+/// The most bytes of a head; hyper answers 431 beyond it.
+const HEAD_BYTES: usize = 32 * 1024;
+/// How often a connection looks whether the server stops.
+const STOP_POLL: Duration = Duration::from_millis(50);
+
+/// What a server and its connections share.
+#[derive(Clone, Debug, Default)]
+pub struct Control {
+    stopping: Rc<Cell<bool>>,
+    open: Rc<Cell<usize>>,
+}
+
+impl Control {
+    /// Tells the server to take no more connections and to end each after its request.
+    pub fn stop(&self) {
+        self.stopping.set(true);
+    }
+
+    /// Returns how many connections are open.
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+}
+
+/// Counts one open connection for as long as it lives.
+struct Open(Control);
+
+impl Open {
+    fn new(control: Control) -> Self {
+        control.open.set(control.open.get() + 1);
+        Self(control)
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+/// Accepts connections until told to stop, and answers each request with `handler`.
+pub async fn serve<H, F>(listener: TcpListener, control: Control, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + 'static,
+    F: Future<Output = Response<Body>> + 'static,
+{
+    while !control.stopping.get() {
+        let accept = Box::pin(listener.accept());
+        let pause = Box::pin(compio::time::sleep(STOP_POLL));
+        let stream = match future::select(accept, pause).await {
+            Either::Left((Ok((stream, _)), _)) => stream,
+            // Out of descriptors, or a connection gone before it was taken: go on.
+            Either::Left((Err(_), _)) => {
+                compio::time::sleep(STOP_POLL).await;
+                continue;
+            }
+            Either::Right(_) => continue,
+        };
+        let open = Open::new(control.clone());
+        compio::runtime::spawn(connection(stream, open, handler.clone())).detach();
+    }
+}
+
+/// Serves one connection to its end.
+async fn connection<H, F>(stream: TcpStream, open: Open, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + 'static,
+    F: Future<Output = Response<Body>> + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let answer = service::service_fn(move |request| {
+        let answer = handler(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let mut connection = Box::pin(
+        http1::Builder::new()
+            .timer(CompioTimer)
+            .header_read_timeout(HEAD_TIMEOUT)
+            .max_headers(HEADERS)
+            .max_buf_size(HEAD_BYTES)
+            .serve_connection(HyperStream::new_plain(stream), answer),
+    );
+    loop {
+        let pause = Box::pin(compio::time::sleep(STOP_POLL));
+        match future::select(connection, pause).await {
+            Either::Left(_) => return,
+            Either::Right(((), rest)) => connection = rest,
+        }
+        if open.0.stopping.get() {
+            connection.as_mut().graceful_shutdown();
+            let _ = connection.await;
+            return;
+        }
+    }
+}
