Requests: callers' input, deadlines, life cycle and verdicts

Aim: the words 'not run' must be provable. A typestate (received, admitted, started, finished) hands out the proof that a request did not run only before the first byte leaves, or from a target's own refusal; verdicts that say not-run can be made from such a proof alone. Ruled out: a plain enum of proofs, which anyone could build after the start; matching classes on the path as sent, where another spelling would turn an order into a look-up that is retried.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod id;
 pub mod key;
 pub mod range;
+pub mod request;
 pub mod util;
--- /dev/null
+++ b/src/request/answer.rs
@@ -0,0 +1,135 @@
+//! What a target says of its own answer.
+
+use std::time::Duration;
+
+use http::{HeaderMap, StatusCode};
+
+use super::{OUTCOME, Outcome, RETRY_MS};
+
+/// A target's own word that it did not start a request.
+///
+/// Only [`read`] makes one, so a refusal is always something that a target said.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    status: StatusCode,
+    retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// Returns the status that the target gave.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::request::answer::{self, Answer};
+    /// use http::{HeaderMap, HeaderValue, StatusCode};
+    ///
+    /// let mut headers = HeaderMap::new();
+    /// headers.insert("bramleypier-outcome", HeaderValue::from_static("not-run"));
+    /// let Answer::Refused(refusal) = answer::read(StatusCode::SERVICE_UNAVAILABLE, &headers) else {
+    ///     panic!("a refusal");
+    /// };
+    /// assert_eq!(refusal.status(), StatusCode::SERVICE_UNAVAILABLE);
+    /// ```
+    pub fn status(&self) -> StatusCode {
+        self.status
+    }
+
+    /// Returns whether the target said that it doesn't own the key.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::request::answer::{self, Answer};
+    /// use http::{HeaderMap, HeaderValue, StatusCode};
+    ///
+    /// let mut headers = HeaderMap::new();
+    /// headers.insert("bramleypier-outcome", HeaderValue::from_static("not-run"));
+    /// let Answer::Refused(refusal) = answer::read(StatusCode::MISDIRECTED_REQUEST, &headers) else {
+    ///     panic!("a refusal");
+    /// };
+    /// assert!(refusal.is_misdirected());
+    /// ```
+    pub fn is_misdirected(&self) -> bool {
+        self.status == StatusCode::MISDIRECTED_REQUEST
+    }
+
+    /// Returns how long the target asks to be left alone, if it says so.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::request::answer::{self, Answer};
+    /// use http::{HeaderMap, HeaderValue, StatusCode};
+    ///
+    /// let mut headers = HeaderMap::new();
+    /// headers.insert("bramleypier-outcome", HeaderValue::from_static("not-run"));
+    /// headers.insert("bramleypier-retry-ms", HeaderValue::from_static("250"));
+    /// let Answer::Refused(refusal) = answer::read(StatusCode::SERVICE_UNAVAILABLE, &headers) else {
+    ///     panic!("a refusal");
+    /// };
+    /// assert_eq!(refusal.retry_after().unwrap().as_millis(), 250);
+    /// ```
+    pub fn retry_after(&self) -> Option<Duration> {
+        self.retry_after
+    }
+}
+
+/// What the head of a target's answer says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The target ran the request, well or not.
+    Ran,
+    /// The target refused it before it started.
+    Refused(Refusal),
+    /// The target itself doesn't know.
+    Unknown,
+}
+
+/// Reads the head of a target's answer.
+///
+/// A refusal needs both a status of an error and the outcome `not-run`. An answer without an
+/// outcome ran. A word that contradicts itself (a success that did not run, several outcomes, an
+/// outcome that nobody knows) proves nothing.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier::request::answer::{self, Answer};
+/// use http::{HeaderMap, HeaderValue, StatusCode};
+///
+/// assert_eq!(answer::read(StatusCode::SERVICE_UNAVAILABLE, &HeaderMap::new()), Answer::Ran);
+/// let mut headers = HeaderMap::new();
+/// headers.insert("bramleypier-outcome", HeaderValue::from_static("not-run"));
+/// assert_eq!(answer::read(StatusCode::OK, &headers), Answer::Unknown);
+/// ```
+pub fn read(status: StatusCode, headers: &HeaderMap) -> Answer {
+    let mut words = headers.get_all(OUTCOME).iter();
+    let (word, second) = (words.next(), words.next());
+    let Some(word) = word else {
+        return Answer::Ran;
+    };
+    let refused = status.is_client_error() || status.is_server_error();
+    if second.is_some() {
+        Answer::Unknown
+    } else if word == Outcome::Ran.as_str() {
+        Answer::Ran
+    } else if word == Outcome::NotRun.as_str() && refused {
+        Answer::Refused(Refusal {
+            status,
+            retry_after: retry_after(headers),
+        })
+    } else {
+        Answer::Unknown
+    }
+}
+
+/// Reads how long the target asks to be left alone; the finer header goes first.
+fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let number = |name| headers.get(name)?.to_str().ok()?.parse::<u32>().ok();
+    let exact = number(RETRY_MS).map(|ms| Duration::from_millis(u64::from(ms)));
+    exact.or_else(|| {
+        let seconds = number(http::header::RETRY_AFTER.as_str())?;
+        Some(Duration::from_secs(u64::from(seconds)))
+    })
+}
--- /dev/null
+++ b/src/request/mod.rs
@@ -0,0 +1,140 @@
+//! Requests: what callers ask, how long it may take, and what is said of how it ended.
+//!
+//! - [`call`] reads and checks what a caller sent;
+//! - [`deadline`] is the time that is left;
+//! - [`attempt`] is the life cycle of one request, which alone proves that it did not run;
+//! - [`verdict`] is the final word to the caller;
+//! - [`answer`] reads what a target says of its own answer.
+
+pub mod answer;
+pub mod attempt;
+pub mod call;
+pub mod deadline;
+pub mod verdict;
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+pub use answer::Answer;
+pub use attempt::{Admitted, Attempt, Finished, Proof, Received, Started};
+pub use call::Call;
+pub use deadline::Deadline;
+pub use verdict::Verdict;
+
+/// Header: whether the request ran.
+pub const OUTCOME: &str = "bramleypier-outcome";
+/// Header: the step at which the outcome arose.
+pub const STEP: &str = "bramleypier-step";
+/// Header: the VM or target at which the outcome arose.
+pub const PEER: &str = "bramleypier-peer";
+/// Header: how long to wait before trying again, in milliseconds.
+pub const RETRY_MS: &str = "bramleypier-retry-ms";
+/// Header: how long the caller waits, in milliseconds.
+pub const DEADLINE: &str = "bramleypier-deadline";
+/// Header: the caller's id of a request.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// Whether a request ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// The target ran it and its answer is whole.
+    Ran,
+    /// It is proved that no target ran it.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+impl Outcome {
+    /// Returns the text of the header.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::request::Outcome;
+    ///
+    /// assert_eq!(Outcome::NotRun.as_str(), "not-run");
+    /// ```
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Ran => "ran",
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// A step of a request's way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Step {
+    /// Reading what the caller sent.
+    Parse,
+    /// Finding the service, the class and the target.
+    Route,
+    /// Admission against a target's limit.
+    Limit,
+    /// Waiting for a slot.
+    Queue,
+    /// The target's ownership of the key.
+    Grant,
+    /// Connecting to the target.
+    Connect,
+    /// Sending to the target.
+    Send,
+    /// The target's answer.
+    Answer,
+    /// The record of orders.
+    Order,
+    /// The check for requests that kill their target.
+    Quarantine,
+    /// The end of the time the caller gave.
+    Deadline,
+    /// A VM or target that is leaving.
+    Drain,
+    /// The end of the retries.
+    Retry,
+}
+
+impl Step {
+    /// Returns the text of the header.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::request::Step;
+    ///
+    /// assert_eq!(Step::Quarantine.as_str(), "quarantine");
+    /// ```
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Parse => "parse",
+            Self::Route => "route",
+            Self::Limit => "limit",
+            Self::Queue => "queue",
+            Self::Grant => "grant",
+            Self::Connect => "connect",
+            Self::Send => "send",
+            Self::Answer => "answer",
+            Self::Order => "order",
+            Self::Quarantine => "quarantine",
+            Self::Deadline => "deadline",
+            Self::Drain => "drain",
+            Self::Retry => "retry",
+        }
+    }
+}
+
+impl fmt::Display for Step {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
