--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod peer;
 pub mod platform;
 pub mod range;
+pub mod request;
 pub mod util;
