Read settings from INI, checked against one table of keys

Aim: a process learns all it needs from one file, and an operator reads one line that names file, line, section, key and reason. The INI library joins lines that lack a '=' and keeps no line numbers, so the shape of each line is checked first; a parser of our own was ruled out. The table of keys also yields the documentation's table.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod id;
 pub mod key;
 pub mod range;
+pub mod settings;
 pub mod util;
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,368 @@
+//! The settings of one process, read once from an INI file and checked as a whole.
+
+use std::{fs, net::SocketAddr, path::PathBuf, time::Duration};
+
+use log::LevelFilter;
+
+use crate::{
+    id::DomainId,
+    util::{
+        fields::{self, Checked, Field, Kind, Preset},
+        ini::Fault,
+    },
+};
+
+/// The longest span that any setting allows: a day.
+const DAY_MS: u64 = 86_400_000;
+
+/// Everything that one process is told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// The VM's name; a start's id is this name and a number.
+    pub name: String,
+    /// The failure domain the VM stands in.
+    pub domain: DomainId,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where other processes and operators reach it.
+    pub peers: SocketAddr,
+    /// Where the platform's service answers.
+    pub platform: SocketAddr,
+    /// Peers to try first, before the platform's list is known.
+    pub seeds: Vec<SocketAddr>,
+    /// The least grave kind of line to log.
+    pub log_level: LevelFilter,
+    /// The log's file; standard error without one.
+    pub log_file: Option<PathBuf>,
+    /// Where metrics go, over UDP; nowhere without one.
+    pub statsd: Option<SocketAddr>,
+    /// Spans of time.
+    pub timing: Timing,
+    /// Bounds on what is kept and taken.
+    pub limits: Limits,
+}
+
+/// Spans of time that the protocols use. All processes must agree on the first three.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Timing {
+    /// How long a session in the platform's service lives without renewal.
+    pub session: Duration,
+    /// How long a grantor's word for another counts.
+    pub word: Duration,
+    /// How long a grant counts.
+    pub grant: Duration,
+    /// How often a grant is renewed.
+    pub renew: Duration,
+    /// How often peers are probed.
+    pub probe: Duration,
+    /// How long a call to the platform's service may take.
+    pub platform: Duration,
+    /// How long a connection may take to open.
+    pub connect: Duration,
+    /// How long requests in flight may take to end when the process stops.
+    pub drain: Duration,
+}
+
+/// Bounds on what one process keeps and takes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Events kept for the time line.
+    pub events: usize,
+    /// Callers' connections open at a time.
+    pub callers: usize,
+    /// Outcomes of orders remembered at a time.
+    pub orders: usize,
+}
+
+const fn field(
+    section: &'static str,
+    key: &'static str,
+    kind: Kind,
+    preset: Preset,
+    meaning: &'static str,
+) -> Field {
+    Field {
+        section,
+        key,
+        kind,
+        preset,
+        meaning,
+    }
+}
+
+const fn span(
+    key: &'static str,
+    preset: &'static str,
+    min: u64,
+    max: u64,
+    meaning: &'static str,
+) -> Field {
+    field(
+        "timing",
+        key,
+        Kind::Number("ms", min, max),
+        Preset::Value(preset),
+        meaning,
+    )
+}
+
+const fn bound(
+    key: &'static str,
+    unit: &'static str,
+    preset: &'static str,
+    max: u64,
+    meaning: &'static str,
+) -> Field {
+    field(
+        "limits",
+        key,
+        Kind::Number(unit, 1, max),
+        Preset::Value(preset),
+        meaning,
+    )
+}
+
+/// Every key of the settings.
+pub static FIELDS: &[Field] = &[
+    field(
+        "vm",
+        "name",
+        Kind::Name,
+        Preset::Required,
+        "The VM's name, its own among all VMs.",
+    ),
+    field(
+        "vm",
+        "domain",
+        Kind::Name,
+        Preset::Required,
+        "The failure domain the VM stands in.",
+    ),
+    field(
+        "listen",
+        "callers",
+        Kind::Address,
+        Preset::Required,
+        "Where callers and the balancer's health check reach it.",
+    ),
+    field(
+        "listen",
+        "peers",
+        Kind::Address,
+        Preset::Required,
+        "Where other processes and operators reach it.",
+    ),
+    field(
+        "platform",
+        "address",
+        Kind::Address,
+        Preset::Required,
+        "Where the platform's service answers.",
+    ),
+    field(
+        "peers",
+        "seeds",
+        Kind::Addresses,
+        Preset::Value(""),
+        "Peers to try before the platform's list is known.",
+    ),
+    field(
+        "log",
+        "level",
+        Kind::Word(&["error", "warn", "info", "debug", "trace"]),
+        Preset::Value("info"),
+        "The least grave kind of line to log.",
+    ),
+    field(
+        "log",
+        "file",
+        Kind::Path,
+        Preset::Nothing,
+        "The log's file; standard error without one.",
+    ),
+    field(
+        "metrics",
+        "statsd",
+        Kind::Address,
+        Preset::Nothing,
+        "Where metrics go, over UDP; nowhere without one.",
+    ),
+    span(
+        "session_ms",
+        "1500",
+        100,
+        DAY_MS,
+        "How long a session in the platform's service lives without renewal; the same on all VMs.",
+    ),
+    span(
+        "word_ms",
+        "800",
+        50,
+        DAY_MS,
+        "How long a grantor's word for another counts; the same on all VMs.",
+    ),
+    span(
+        "grant_ms",
+        "1000",
+        50,
+        DAY_MS,
+        "How long a grant counts; the same on all VMs.",
+    ),
+    span(
+        "renew_ms",
+        "200",
+        10,
+        DAY_MS,
+        "How often a grant is renewed; at most a third of `grant_ms`.",
+    ),
+    span("probe_ms", "200", 10, DAY_MS, "How often peers are probed."),
+    span(
+        "platform_ms",
+        "1000",
+        10,
+        DAY_MS,
+        "How long a call to the platform's service may take.",
+    ),
+    span(
+        "connect_ms",
+        "500",
+        10,
+        DAY_MS,
+        "How long a connection may take to open.",
+    ),
+    span(
+        "drain_ms",
+        "30000",
+        0,
+        DAY_MS,
+        "How long requests in flight may take to end when the process stops.",
+    ),
+    bound(
+        "events",
+        "events",
+        "20000",
+        1_000_000,
+        "Events kept for the time line.",
+    ),
+    bound(
+        "callers",
+        "connections",
+        "4096",
+        1_000_000,
+        "Callers' connections open at a time.",
+    ),
+    bound(
+        "orders",
+        "orders",
+        "200000",
+        100_000_000,
+        "Outcomes of orders remembered at a time.",
+    ),
+];
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+///
+/// Returns one [`Fault`] that names file, line, key and reason.
+///
+/// # Example
+///
+/// ```
+/// use std::path::Path;
+///
+/// use bramleypier::settings;
+///
+/// let fault = settings::load(Path::new("missing.ini")).unwrap_err();
+/// assert!(fault.to_string().starts_with("missing.ini: cannot be read: "));
+/// ```
+pub fn load(path: &std::path::Path) -> Result<Settings, Fault> {
+    let file = path.display().to_string();
+    let text = fs::read_to_string(path).map_err(|error| Fault {
+        file: file.clone(),
+        reason: format!("cannot be read: {error}"),
+        ..Fault::default()
+    })?;
+    parse(&file, &text)
+}
+
+/// Checks the text of a settings file.
+///
+/// # Errors
+///
+/// Returns one [`Fault`] that names file, line, key and reason.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier::settings;
+///
+/// let text = "
+/// [vm]
+/// name = vm-1
+/// domain = uio-norte
+/// [listen]
+/// callers = 127.0.0.1:0
+/// peers = 127.0.0.1:0
+/// [platform]
+/// address = 127.0.0.1:7000
+/// ";
+/// let settings = settings::parse("vm.ini", text).unwrap();
+/// assert_eq!(settings.name, "vm-1");
+/// assert_eq!(settings.timing.grant.as_millis(), 1000);
+/// ```
+pub fn parse(file: &str, text: &str) -> Result<Settings, Fault> {
+    let checked = fields::check(file, text, FIELDS)?;
+    let settings = Settings {
+        name: checked.value("vm", "name")?,
+        domain: checked.value("vm", "domain")?,
+        callers: checked.value("listen", "callers")?,
+        peers: checked.value("listen", "peers")?,
+        platform: checked.value("platform", "address")?,
+        seeds: checked.list("peers", "seeds")?,
+        log_level: checked.value("log", "level")?,
+        log_file: checked.optional("log", "file")?,
+        statsd: checked.optional("metrics", "statsd")?,
+        timing: timing(&checked)?,
+        limits: limits(&checked)?,
+    };
+    cross(&checked, &settings)?;
+    Ok(settings)
+}
+
+fn timing(checked: &Checked) -> Result<Timing, Fault> {
+    Ok(Timing {
+        session: checked.millis("timing", "session_ms")?,
+        word: checked.millis("timing", "word_ms")?,
+        grant: checked.millis("timing", "grant_ms")?,
+        renew: checked.millis("timing", "renew_ms")?,
+        probe: checked.millis("timing", "probe_ms")?,
+        platform: checked.millis("timing", "platform_ms")?,
+        connect: checked.millis("timing", "connect_ms")?,
+        drain: checked.millis("timing", "drain_ms")?,
+    })
+}
+
+fn limits(checked: &Checked) -> Result<Limits, Fault> {
+    Ok(Limits {
+        events: checked.value("limits", "events")?,
+        callers: checked.value("limits", "callers")?,
+        orders: checked.value("limits", "orders")?,
+    })
+}
+
+/// Checks what no key can tell alone.
+fn cross(checked: &Checked, settings: &Settings) -> Result<(), Fault> {
+    if settings.timing.renew * 3 > settings.timing.grant {
+        let reason = "is more than a third of grant_ms: one lost renewal would end a grant";
+        return Err(checked.fault_at("timing", "renew_ms", reason));
+    }
+    let same = settings.callers == settings.peers && settings.peers.port() != 0;
+    if same {
+        return Err(checked.fault_at("listen", "peers", "is the address for callers"));
+    }
+    if settings.platform.port() == 0 {
+        return Err(checked.fault_at("platform", "address", "port 0 cannot be called"));
+    }
+    Ok(())
+}
--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -1,1 +1,4 @@
-//! Private helpers of the crate.
+//! Helpers of the crate that know nothing of routing.
+
+pub mod fields;
+pub mod ini;
