--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod platform;
 pub mod range;
 pub mod request;
+pub mod settings;
 pub mod util;
