--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod range;
 pub mod request;
 pub mod settings;
+pub mod target;
 pub mod util;
--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -1,9 +1,7 @@
-//! Private helpers of the crate.
+//! Helpers of the crate that know nothing of routing.
 
 pub mod body;
 pub mod client;
-pub mod server;
-//! Helpers of the crate that know nothing of routing.
-
 pub mod fields;
 pub mod ini;
+pub mod server;
