Membership: bounded view by probes, as pure logic

Aim: every VM must know who probably lives, at a cost per VM that does not grow with the fleet. The view keeps the first members by rank of each failure domain and a few further ones; suspicions are refuted by incarnation, restarts are new identities. It advises only; authority is by lease.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod group;
 pub mod id;
 pub mod key;
+pub mod membership;
 pub mod range;
 pub mod util;
--- /dev/null
+++ b/src/membership/calls.rs
@@ -0,0 +1,359 @@
+//! The calls a process makes of itself: rounds of probes, attempts to reach, comparisons.
+
+use std::time::Duration;
+
+use indexmap::IndexSet;
+use rand::{Rng, seq::SliceRandom};
+
+use super::{
+    Body, CallId, Effect, Listed, Membership, Message, Peer, Standing, Update, name, view,
+};
+use crate::{id::VmId, key};
+
+/// A process that has not run for so many periods was paused.
+const PAUSED: u32 = 4;
+/// Addresses kept to be tried.
+const MOST_CONTACTS: usize = 64;
+/// Attempts at once while no other member is known.
+const FIRST_CONTACTS: usize = 3;
+/// News waits in a queue of at most this length.
+const MOST_NEWS: usize = 1024;
+/// How often an update of a duty member is sent, for each doubling of the fleet.
+const SENDS: u32 = 3;
+/// How often an update of a further member is sent.
+const FEW_SENDS: usize = 3;
+
+/// Why a call was made.
+#[derive(Clone, Debug)]
+pub(super) enum Call {
+    /// To see whether a member is there.
+    Probe(VmId),
+    /// To reach a process that is not a live member.
+    Contact,
+    /// To have a member probed by another.
+    Relay(VmId),
+    /// To probe a member for another, who numbered its call so.
+    Behalf(CallId),
+    /// To compare or mend views, or to say a word.
+    Other,
+}
+
+/// An address to be tried.
+#[derive(Clone, Debug)]
+pub(super) struct Contact {
+    /// `IP:port`.
+    pub(super) address: String,
+    /// Whether it came from the settings; these stay.
+    seed: bool,
+}
+
+impl Membership {
+    /// Runs what is due.
+    pub(super) fn tick(&mut self, now: Duration, effects: &mut Vec<Effect>) {
+        self.notice_pause(now);
+        self.declare_losses(now, effects);
+        self.view.forget(now, self.timing.forget);
+        self.queue.bound(MOST_NEWS);
+        if now < self.next_round {
+            return;
+        }
+        self.next_round = now + self.timing.period;
+        for _ in 0..self.timing.probes {
+            self.probe_next(effects);
+        }
+        self.try_contacts(now, effects);
+    }
+
+    /// After a pause, forgets calls and suspicions that ran out meanwhile: the fault was here.
+    fn notice_pause(&mut self, now: Duration) {
+        let last = self.last_tick.replace(now).unwrap_or(now);
+        let gap = now.saturating_sub(last);
+        if gap <= self.timing.period * PAUSED {
+            return;
+        }
+        self.calls.retain(|_, call| matches!(call, Call::Behalf(_)));
+        self.inquiries.clear();
+        self.view.postpone(gap);
+    }
+
+    /// Turns suspicions that stood long enough into losses.
+    fn declare_losses(&mut self, now: Duration, effects: &mut Vec<Effect>) {
+        let doublings = self.view.size().max(16).ilog2();
+        let patience = self.timing.suspicion * doublings / 4;
+        let lost: Vec<Update> = self
+            .view
+            .members()
+            .filter(|it| it.standing == Standing::Suspect && now >= it.since + patience)
+            .map(view::Member::update)
+            .collect();
+        for mut update in lost {
+            update.standing = Standing::Gone;
+            self.learn(now, &update, effects);
+        }
+    }
+
+    /// Probes the next member of a shuffled round.
+    fn probe_next(&mut self, effects: &mut Vec<Effect>) {
+        let Some(peer) = self.next_target() else {
+            return;
+        };
+        let call = Call::Probe(peer.vm.clone());
+        let message = self.message_to(&peer, Body::Probe);
+        self.ask(call, &peer.address, message, self.timing.direct, effects);
+    }
+
+    /// Chooses whom to probe, so that each VM of the fleet is probed equally often.
+    ///
+    /// All know the duty members, few know each of the others: a duty member is passed over as
+    /// often as it would be probed too much.
+    fn next_target(&mut self) -> Option<Peer> {
+        for _ in 0..self.view.len() {
+            let Some(vm) = self.order.pop() else {
+                self.shuffle();
+                continue;
+            };
+            let Some(member) = self.view.get(&vm).filter(|it| it.is_present()) else {
+                continue;
+            };
+            let peer = member.peer.clone();
+            if self.view.is_duty(&vm) && self.passes_over() {
+                continue;
+            }
+            return Some(peer);
+        }
+        None
+    }
+
+    /// Decides at random whether a duty member is passed over.
+    fn passes_over(&mut self) -> bool {
+        let known = self.view.live().count();
+        let size = self.view.size();
+        if size <= known * 5 / 4 {
+            return false;
+        }
+        let share = self.timing.others * 100 / size.max(1);
+        self.random.random_range(0..100) >= share.max(1)
+    }
+
+    /// Starts a new round over all present members.
+    fn shuffle(&mut self) {
+        let me = &self.view.me().vm;
+        self.order = self
+            .view
+            .members()
+            .filter(|it| it.is_present() && it.peer.vm != *me)
+            .map(|it| it.peer.vm.clone())
+            .collect();
+        self.order.shuffle(&mut self.random);
+    }
+
+    /// Tries addresses of the list, the settings and of lost members.
+    fn try_contacts(&mut self, now: Duration, effects: &mut Vec<Effect>) {
+        if now < self.next_retry {
+            return;
+        }
+        let alone = self.view.live().count() < 2;
+        let wait = if alone {
+            self.timing.period
+        } else {
+            self.timing.retry
+        };
+        self.next_retry = now + wait;
+        let mut addresses = self.unreached();
+        addresses.shuffle(&mut self.random);
+        let count = if alone { FIRST_CONTACTS } else { 1 };
+        for address in addresses.into_iter().take(count) {
+            let message = self.message(Body::Probe);
+            let call = Call::Contact;
+            self.ask(call, &address, message, self.timing.direct, effects);
+        }
+    }
+
+    /// Returns the addresses at which no present member stands.
+    fn unreached(&self) -> Vec<String> {
+        let present: IndexSet<&str> = self
+            .view
+            .members()
+            .filter(|it| it.is_present())
+            .map(|it| it.peer.address.as_str())
+            .collect();
+        let lost = self
+            .view
+            .members()
+            .filter(|it| it.standing == Standing::Gone)
+            .map(|it| it.peer.address.clone());
+        let mut addresses: IndexSet<String> = self
+            .contacts
+            .iter()
+            .map(|contact| contact.address.clone())
+            .chain(lost)
+            .collect();
+        addresses.retain(|address| !present.contains(address.as_str()));
+        addresses.into_iter().collect()
+    }
+
+    /// Takes the platform's list in: addresses to try, and who is leaving.
+    pub(super) fn list(&mut self, now: Duration, list: &[Listed], effects: &mut Vec<Effect>) {
+        let me = self.view.me().vm.clone();
+        let mut listed: Vec<&Listed> = list.iter().filter(|it| !it.leaving).collect();
+        listed.sort_by_cached_key(|it| key::weight(&me, &it.name));
+        self.contacts.retain(|contact| contact.seed);
+        let room = MOST_CONTACTS.saturating_sub(self.contacts.len());
+        let contacts = listed.into_iter().take(room).map(|it| Contact {
+            address: it.address.clone(),
+            seed: false,
+        });
+        self.contacts.extend(contacts);
+        self.mark_leaving(now, list, effects);
+    }
+
+    /// Says of members that the list newly shows as leaving that they are.
+    fn mark_leaving(&mut self, now: Duration, list: &[Listed], effects: &mut Vec<Effect>) {
+        let leaving: IndexSet<String> = list
+            .iter()
+            .filter(|it| it.leaving)
+            .map(|it| it.name.clone())
+            .collect();
+        let marked: Vec<Update> = self
+            .view
+            .members()
+            .filter(|it| it.standing == Standing::Live)
+            .filter(|it| leaving.contains(name(&it.peer.vm)))
+            .filter(|it| !self.leaving.contains(name(&it.peer.vm)))
+            .map(view::Member::update)
+            .collect();
+        self.leaving = leaving;
+        for mut update in marked {
+            update.standing = Standing::Leaving;
+            self.learn(now, &update, effects);
+        }
+    }
+
+    /// Takes addresses from the settings in.
+    pub(super) fn seeds(&mut self, seeds: Vec<String>) {
+        let me = self.view.me().address.clone();
+        let seeds = seeds.into_iter().filter(|seed| *seed != me);
+        self.contacts.extend(seeds.map(|address| Contact {
+            address,
+            seed: true,
+        }));
+        self.contacts.truncate(MOST_CONTACTS);
+    }
+
+    /// Says of this process that it is leaving or has left.
+    pub(super) fn announce(
+        &mut self,
+        now: Duration,
+        standing: Standing,
+        effects: &mut Vec<Effect>,
+    ) {
+        let mut own = self.view.own();
+        own.standing = standing;
+        self.learn(now, &own, effects);
+    }
+
+    /// Says that this process ends, to a few members at once: it sends no more probes.
+    pub(super) fn stop(&mut self, now: Duration, effects: &mut Vec<Effect>) {
+        self.announce(now, Standing::Left, effects);
+        for peer in self.others(self.timing.helpers * 2) {
+            let message = self.message_to(&peer, Body::Probe);
+            self.ask(
+                Call::Other,
+                &peer.address,
+                message,
+                self.timing.direct,
+                effects,
+            );
+        }
+    }
+
+    /// Compares views with a peer whose hash differs, if that is due.
+    pub(super) fn compare(&mut self, now: Duration, peer: &Peer, effects: &mut Vec<Effect>) {
+        if now < self.next_compare {
+            return;
+        }
+        self.next_compare = now + self.timing.compare;
+        let message = self.message_to(peer, Body::Compare(self.view.hashes()));
+        self.ask(
+            Call::Other,
+            &peer.address,
+            message,
+            self.timing.indirect,
+            effects,
+        );
+    }
+
+    /// Returns up to `count` present members at random.
+    pub(super) fn others(&mut self, count: usize) -> Vec<Peer> {
+        let me = &self.view.me().vm;
+        let mut others: Vec<Peer> = self
+            .view
+            .members()
+            .filter(|it| it.standing <= Standing::Leaving && it.peer.vm != *me)
+            .map(|it| it.peer.clone())
+            .collect();
+        others.shuffle(&mut self.random);
+        others.truncate(count);
+        others
+    }
+
+    /// Takes news in, and passes it on if it changed anything.
+    pub(super) fn learn(&mut self, now: Duration, update: &Update, effects: &mut Vec<Effect>) {
+        if !self.view.merge(now, self.timing.hold, update) {
+            return;
+        }
+        let doublings = (self.view.size() + 1).ilog2() + 1;
+        let keeps_whole = self.view.size() <= self.view.len();
+        let times = if keeps_whole || self.view.is_duty(&update.peer.vm) || !is_present(update) {
+            (doublings * SENDS) as usize
+        } else {
+            FEW_SENDS
+        };
+        self.queue.push(update.clone(), times);
+        effects.push(Effect::Changed(update.clone()));
+    }
+
+    /// Makes a message with the news that is due.
+    pub(super) fn message(&mut self, body: Body) -> Message {
+        Message {
+            sender: self.view.own(),
+            view: self.view.hash(),
+            body,
+            updates: self.queue.take(self.timing.updates),
+        }
+    }
+
+    /// Makes a message that also tells the receiver what is held against it.
+    pub(super) fn message_to(&mut self, peer: &Peer, body: Body) -> Message {
+        let mut message = self.message(body);
+        let held = self.view.get(&peer.vm).map(view::Member::update);
+        message
+            .updates
+            .extend(held.filter(|update| update.standing > Standing::Leaving));
+        message
+    }
+
+    /// Makes a call.
+    pub(super) fn ask(
+        &mut self,
+        call: Call,
+        address: &str,
+        message: Message,
+        within: Duration,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.next_call += 1;
+        self.calls.insert(self.next_call, call);
+        effects.push(Effect::Ask {
+            call: self.next_call,
+            address: address.to_owned(),
+            message,
+            within,
+        });
+    }
+}
+
+/// Returns whether an update says that its subject runs.
+fn is_present(update: &Update) -> bool {
+    update.standing <= Standing::Suspect
+}
--- /dev/null
+++ b/src/membership/view.rs
@@ -0,0 +1,387 @@
+//! The bounded view: members by rank within their failure domains.
+
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+use xxhash_rust::xxh3;
+
+use super::{Incarnation, Peer, Standing, Update, name};
+use crate::{
+    id::{DomainId, VmId},
+    key,
+};
+
+/// Subject of the rank that makes duty members.
+const DUTY: &str = "duty";
+/// A hold is doubled at most so many times.
+const MOST_DOUBLINGS: u32 = 4;
+/// Losses kept, as a multiple of the members kept.
+const LOST_FACTOR: usize = 1;
+
+/// A member of the view.
+#[derive(Clone, Debug)]
+pub(super) struct Member {
+    pub(super) peer: Peer,
+    pub(super) incarnation: Incarnation,
+    pub(super) standing: Standing,
+    /// When the standing was taken up.
+    pub(super) since: Duration,
+    /// How often it came back after a loss.
+    returns: u32,
+    /// It is no candidate before this.
+    held_until: Duration,
+    /// Place among the members of its failure domain; the highest are duty members.
+    rank: u64,
+    /// Place among the further members at this process.
+    affinity: u64,
+}
+
+impl Member {
+    /// Returns whether it is thought to run.
+    pub(super) fn is_present(&self) -> bool {
+        self.standing <= Standing::Suspect
+    }
+
+    /// Returns whether it counts as live: it runs and is not leaving.
+    fn is_live(&self) -> bool {
+        matches!(self.standing, Standing::Live | Standing::Suspect)
+    }
+
+    /// Returns it as news.
+    pub(super) fn update(&self) -> Update {
+        Update {
+            peer: self.peer.clone(),
+            incarnation: self.incarnation,
+            standing: self.standing,
+        }
+    }
+}
+
+/// Duty members of one failure domain, the highest rank first.
+#[derive(Debug, Default)]
+struct Domain {
+    duty: IndexSet<VmId>,
+    hash: u64,
+    size: usize,
+}
+
+/// Members, and what is derived of them.
+#[derive(Debug)]
+pub(super) struct View {
+    me: Peer,
+    duty: usize,
+    others: usize,
+    members: IndexMap<VmId, Member>,
+    domains: IndexMap<DomainId, Domain>,
+    hash: u64,
+}
+
+impl View {
+    /// Creates a view that holds only its own process.
+    pub(super) fn new(me: Peer, duty: usize, others: usize) -> Self {
+        let mut view = Self {
+            me: me.clone(),
+            duty: duty.max(1),
+            others,
+            members: IndexMap::new(),
+            domains: IndexMap::new(),
+            hash: 0,
+        };
+        let update = Update {
+            peer: me,
+            incarnation: 0,
+            standing: Standing::Live,
+        };
+        view.insert(Duration::ZERO, update);
+        view.refresh();
+        view
+    }
+
+    /// Returns this process.
+    pub(super) fn me(&self) -> &Peer {
+        &self.me
+    }
+
+    /// Returns this process's word on itself.
+    pub(super) fn own(&self) -> Update {
+        self.members[&self.me.vm].update()
+    }
+
+    /// Returns a member.
+    pub(super) fn get(&self, vm: &str) -> Option<&Member> {
+        self.members.get(vm)
+    }
+
+    /// Returns how many members are held.
+    pub(super) fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Returns the members, this process among them.
+    pub(super) fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// Returns the members as news.
+    pub(super) fn updates(&self) -> impl Iterator<Item = Update> {
+        self.members.values().map(Member::update)
+    }
+
+    /// Returns the live members.
+    pub(super) fn live(&self) -> impl Iterator<Item = &Peer> {
+        self.members
+            .values()
+            .filter(|member| member.is_live())
+            .map(|member| &member.peer)
+    }
+
+    /// Returns the failure domains with a live member, sorted.
+    pub(super) fn domains(&self) -> Vec<DomainId> {
+        let mut domains: IndexSet<DomainId> = self.live().map(|peer| peer.domain.clone()).collect();
+        domains.sort();
+        domains.into_iter().collect()
+    }
+
+    /// Returns whether a member is one of the duty members.
+    pub(super) fn is_duty(&self, vm: &str) -> bool {
+        self.get(vm)
+            .and_then(|member| self.domains.get(&member.peer.domain))
+            .is_some_and(|domain| domain.duty.contains(vm))
+    }
+
+    /// Returns the hash of the duty members.
+    pub(super) fn hash(&self) -> u64 {
+        self.hash
+    }
+
+    /// Returns the hash of each failure domain's duty members.
+    pub(super) fn hashes(&self) -> IndexMap<DomainId, u64> {
+        self.domains
+            .iter()
+            .map(|(id, domain)| (id.clone(), domain.hash))
+            .collect()
+    }
+
+    /// Returns the members of the failure domains whose hashes differ: duty members and losses.
+    pub(super) fn differing(&self, hashes: &IndexMap<DomainId, u64>) -> Vec<Update> {
+        let differs =
+            |id: &DomainId| self.domains.get(id).map(|it| it.hash) != hashes.get(id).copied();
+        self.members
+            .values()
+            .filter(|member| differs(&member.peer.domain))
+            .filter(|member| !member.is_present() || self.is_duty(&member.peer.vm))
+            .map(Member::update)
+            .collect()
+    }
+
+    /// Returns how many VMs are live in the fleet.
+    pub(super) fn size(&self) -> usize {
+        let known = self.live().count();
+        let estimate = self.domains.values().map(|domain| domain.size).sum();
+        known.max(estimate).max(1)
+    }
+
+    /// Returns whether fewer than half of the remembered members are present.
+    pub(super) fn is_minority(&self) -> bool {
+        let counted = |standing| standing != Standing::Left;
+        let known = self
+            .members
+            .values()
+            .filter(|it| counted(it.standing))
+            .count();
+        let present = self.members.values().filter(|it| it.is_present()).count();
+        present * 2 < known
+    }
+
+    /// Takes news in and returns whether it changed anything.
+    pub(super) fn merge(&mut self, now: Duration, hold: Duration, update: &Update) -> bool {
+        let Some(member) = self.members.get_mut(&update.peer.vm) else {
+            self.insert(now, update.clone());
+            self.refresh();
+            return self.members.contains_key(&update.peer.vm);
+        };
+        let known = (member.incarnation, member.standing);
+        if (update.incarnation, update.standing) <= known || member.standing == Standing::Left {
+            return false;
+        }
+        let was_present = member.is_present();
+        member.incarnation = update.incarnation;
+        if member.standing != update.standing {
+            member.standing = update.standing;
+            member.since = now;
+        }
+        if !was_present && member.is_present() {
+            let doublings = member.returns.min(MOST_DOUBLINGS);
+            member.held_until = now + hold * 2_u32.pow(doublings);
+            member.returns += 1;
+        }
+        self.refresh();
+        true
+    }
+
+    /// Moves the times of the suspicions by a pause of this process.
+    pub(super) fn postpone(&mut self, by: Duration) {
+        let suspects = |it: &&mut Member| it.standing == Standing::Suspect;
+        for member in self.members.values_mut().filter(suspects) {
+            member.since += by;
+        }
+    }
+
+    /// Drops losses that are older than `age`.
+    pub(super) fn forget(&mut self, now: Duration, age: Duration) {
+        let before = self.members.len();
+        self.members
+            .retain(|_, member| member.is_present() || now < member.since + age);
+        if self.members.len() != before {
+            self.refresh();
+        }
+    }
+
+    /// Returns up to `count` candidates in different failure domains where there are enough.
+    pub(super) fn candidates(
+        &self,
+        now: Duration,
+        subject: &str,
+        count: usize,
+        outside: Option<&str>,
+    ) -> Vec<Peer> {
+        let ranked = self.ranked(now, subject, |peer| Some(peer.domain.as_str()) != outside);
+        let mut domains = IndexSet::new();
+        let (first, rest): (Vec<&Peer>, Vec<&Peer>) = ranked
+            .into_iter()
+            .partition(|peer| domains.insert(peer.domain.clone()));
+        first.into_iter().chain(rest).take(count).cloned().collect()
+    }
+
+    /// Returns up to `count` candidates of one failure domain.
+    pub(super) fn candidates_in(
+        &self,
+        now: Duration,
+        subject: &str,
+        count: usize,
+        domain: &str,
+    ) -> Vec<Peer> {
+        let ranked = self.ranked(now, subject, |peer| peer.domain == domain);
+        ranked.into_iter().take(count).cloned().collect()
+    }
+
+    /// Returns the candidates that pass, the highest weight for the subject first.
+    fn ranked<F>(&self, now: Duration, subject: &str, passes: F) -> Vec<&Peer>
+    where
+        F: Fn(&Peer) -> bool,
+    {
+        let mut ranked: Vec<&Peer> = self
+            .domains
+            .values()
+            .flat_map(|domain| &domain.duty)
+            .filter_map(|vm| self.get(vm))
+            .filter(|member| member.is_live() && member.held_until <= now && passes(&member.peer))
+            .map(|member| &member.peer)
+            .collect();
+        ranked.sort_by_cached_key(|peer| {
+            let weight = key::weight(subject, name(&peer.vm));
+            (std::cmp::Reverse(weight), peer.vm.clone())
+        });
+        ranked
+    }
+
+    /// Adds a member; the caller refreshes.
+    fn insert(&mut self, now: Duration, update: Update) {
+        let member = Member {
+            rank: key::weight(DUTY, name(&update.peer.vm)),
+            affinity: key::weight(&self.me.vm, &update.peer.vm),
+            peer: update.peer,
+            incarnation: update.incarnation,
+            standing: update.standing,
+            since: now,
+            returns: 0,
+            held_until: Duration::ZERO,
+        };
+        self.members.insert(member.peer.vm.clone(), member);
+    }
+
+    /// Derives the duty members anew, and drops members beyond the bounds.
+    fn refresh(&mut self) {
+        self.rank_domains();
+        self.trim_others();
+        self.trim_lost();
+        let mut whole = 0;
+        for (id, domain) in &self.domains {
+            whole ^= xxh3::xxh3_64_with_seed(id.as_bytes(), domain.hash);
+        }
+        self.hash = whole;
+    }
+
+    /// Chooses each failure domain's duty members.
+    fn rank_domains(&mut self) {
+        let mut present: Vec<&Member> = self
+            .members
+            .values()
+            .filter(|member| member.is_present())
+            .collect();
+        present.sort_by(|a, b| (b.rank, &b.peer.vm).cmp(&(a.rank, &a.peer.vm)));
+        self.domains = IndexMap::new();
+        for member in present {
+            let domain = self.domains.entry(member.peer.domain.clone()).or_default();
+            if domain.duty.len() < self.duty {
+                domain.duty.insert(member.peer.vm.clone());
+                domain.hash ^= statement_hash(member);
+                domain.size = estimate(domain.duty.len(), self.duty, member.rank);
+            }
+        }
+    }
+
+    /// Drops the further members that suit this process least.
+    fn trim_others(&mut self) {
+        let mut others: Vec<(u64, VmId)> = self
+            .members
+            .values()
+            .filter(|it| it.is_present() && it.peer != self.me && !self.is_duty(&it.peer.vm))
+            .map(|it| (it.affinity, it.peer.vm.clone()))
+            .collect();
+        others.sort_by(|a, b| b.cmp(a));
+        for (_, vm) in others.into_iter().skip(self.others) {
+            self.members.swap_remove(&vm);
+        }
+    }
+
+    /// Drops the oldest losses beyond the bound.
+    fn trim_lost(&mut self) {
+        let bound = LOST_FACTOR * (self.duty * self.domains.len().max(3) + self.others);
+        let mut lost: Vec<(Duration, VmId)> = self
+            .members
+            .values()
+            .filter(|member| !member.is_present())
+            .map(|member| (member.since, member.peer.vm.clone()))
+            .collect();
+        lost.sort_by(|a, b| b.cmp(a));
+        for (_, vm) in lost.into_iter().skip(bound) {
+            self.members.swap_remove(&vm);
+        }
+    }
+}
+
+/// Returns the hash of what is held of a present member, suspicions apart: they pass.
+fn statement_hash(member: &Member) -> u64 {
+    let leaving = u64::from(member.standing == Standing::Leaving);
+    let seed = member.incarnation * 2 + leaving;
+    xxh3::xxh3_64_with_seed(member.peer.vm.as_bytes(), seed)
+}
+
+/// Estimates how many members have a rank, from the lowest rank among the `count` highest.
+///
+/// Ranks are uniform: `count` of them in the top part `p` of the space speak for `count / p`.
+#[allow(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "an estimate of a small positive number"
+)]
+fn estimate(count: usize, full: usize, lowest: u64) -> usize {
+    if count < full {
+        return count;
+    }
+    let part = 1.0 - lowest as f64 / u64::MAX as f64;
+    let others = (count as f64 - 1.0) / part.max(f64::EPSILON);
+    others.round().max(count as f64) as usize
+}
