--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod key;
 pub mod peer;
 pub mod platform;
+pub mod membership;
 pub mod range;
 pub mod request;
 pub mod settings;
