--- a/src/membership/calls.rs
+++ b/src/membership/calls.rs
@@ -125,8 +125,8 @@
     }
 
     /// Decides at random whether a duty member is passed over.
-    fn passes_over(&mut self) -> bool {
-        let known = self.view.live().count();
+    pub(super) fn passes_over(&mut self) -> bool {
+        let known = self.view.live_count();
         let size = self.view.size();
         if size <= known * 5 / 4 {
             return false;
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -449,6 +449,16 @@
         self.view.candidates_in(now, subject, count, domain)
     }
 
+    /// Returns up to `count` members at random, for news.
+    ///
+    /// Each VM of the fleet is chosen about equally often, though few know each of the others.
+    pub fn sample(&mut self, count: usize) -> Vec<Peer> {
+        let mut peers = self.others(usize::MAX);
+        peers.retain(|peer| !self.view.is_duty(&peer.vm) || !self.passes_over());
+        peers.truncate(count);
+        peers
+    }
+
     /// Returns how many live VMs the fleet has, estimated where the view is not whole.
     ///
     /// # Example
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -74,6 +74,8 @@
     members: IndexMap<VmId, Member>,
     domains: IndexMap<DomainId, Domain>,
     hash: u64,
+    live: usize,
+    size: usize,
 }
 
 impl View {
@@ -86,6 +88,8 @@
             members: IndexMap::new(),
             domains: IndexMap::new(),
             hash: 0,
+            live: 0,
+            size: 0,
         };
         let update = Update {
             peer: me,
@@ -176,9 +180,12 @@
 
     /// Returns how many VMs are live in the fleet.
     pub(super) fn size(&self) -> usize {
-        let known = self.live().count();
-        let estimate = self.domains.values().map(|domain| domain.size).sum();
-        known.max(estimate).max(1)
+        self.size
+    }
+
+    /// Returns how many live members are held.
+    pub(super) fn live_count(&self) -> usize {
+        self.live
     }
 
     /// Returns whether fewer than half of the remembered members are present.
@@ -310,6 +317,9 @@
             whole ^= xxh3::xxh3_64_with_seed(id.as_bytes(), domain.hash);
         }
         self.hash = whole;
+        self.live = self.live().count();
+        let estimate: usize = self.domains.values().map(|domain| domain.size).sum();
+        self.size = self.live.max(estimate).max(1);
     }
 
     /// Chooses each failure domain's duty members.
--- /dev/null
+++ b/src/spread/store.rs
@@ -0,0 +1,532 @@
+//! The items that a process holds, and what it exchanges with others about them.
+
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+
+use super::{
+    CallId, Content, Digest, Effect, Event, Id, Item, Kind, Known, Limits, Message,
+    buckets::Buckets,
+};
+use crate::id::Version;
+
+/// Others remembered to have had nothing newer.
+const MOST_AGREED: usize = 8;
+
+/// An item in force here.
+#[derive(Clone, Debug)]
+struct Held {
+    version: Version,
+    content: Content,
+    expires: Option<Duration>,
+}
+
+/// A call under way.
+#[derive(Clone, Debug)]
+enum Call {
+    Compare { address: String },
+    Fetch { ids: Vec<Id> },
+}
+
+/// The items of one process.
+///
+/// # Example
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use bramleypier::spread::{Event, Id, Item, Kind, Limits, Store};
+///
+/// let mut store = Store::new(Limits::default());
+/// let id = Id::new(Kind::Document, "tracking");
+/// let newer = Item::new(id.clone(), 8, b"newer".to_vec());
+/// let older = Item::new(id.clone(), 7, b"older".to_vec());
+/// store.on(Duration::ZERO, Event::Put(newer));
+/// assert!(store.on(Duration::ZERO, Event::Put(older)).is_empty());
+/// assert_eq!(store.version(&id), Some(8));
+/// ```
+#[derive(Debug)]
+pub struct Store {
+    limits: Limits,
+    items: IndexMap<Id, Held>,
+    buckets: Buckets,
+    unwanted: IndexSet<Kind>,
+    calls: IndexMap<CallId, Call>,
+    fetching: IndexSet<Id>,
+    next_call: CallId,
+    next_compare: Duration,
+    next_expiry: Option<Duration>,
+    agreed: IndexSet<String>,
+    turn: usize,
+}
+
+impl Store {
+    /// Creates an empty store.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::spread::{Limits, Store};
+    ///
+    /// assert!(Store::new(Limits::default()).in_force().is_empty());
+    /// ```
+    pub fn new(limits: Limits) -> Self {
+        Self {
+            limits,
+            items: IndexMap::new(),
+            buckets: Buckets::default(),
+            unwanted: IndexSet::new(),
+            calls: IndexMap::new(),
+            fetching: IndexSet::new(),
+            next_call: 0,
+            next_compare: Duration::ZERO,
+            next_expiry: None,
+            agreed: IndexSet::new(),
+            turn: 0,
+        }
+    }
+
+    /// Has announced values of a kind not fetched; their versions are held all the same.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::spread::{Kind, Limits, Store};
+    ///
+    /// let mut store = Store::new(Limits::default());
+    /// store.leave_out(Kind::Record);
+    /// ```
+    pub fn leave_out(&mut self, kind: Kind) {
+        self.unwanted.insert(kind);
+    }
+
+    /// Takes an event in and returns what is to be done, in order.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier::spread::{Event, Limits, Store};
+    ///
+    /// let mut store = Store::new(Limits::default());
+    /// assert!(store.on(Duration::ZERO, Event::Tick).is_empty());
+    /// ```
+    pub fn on(&mut self, now: Duration, event: Event) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        match event {
+            Event::Tick => self.expire(now, &mut effects),
+            Event::Put(item) => self.take(now, vec![item], None, &mut effects),
+            Event::Asked {
+                call,
+                address,
+                message,
+            } => self.asked(now, call, &address, message, &mut effects),
+            Event::Answered { call, message } => self.answered(now, call, message, &mut effects),
+            Event::Failed { call } => self.failed(call),
+            Event::Digest { address, digest } => {
+                self.compare(now, address, digest, &mut effects);
+            }
+        }
+        effects
+    }
+
+    /// Returns the hash of all versions held; it travels on every probe.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::spread::{Limits, Store};
+    ///
+    /// assert_eq!(Store::new(Limits::default()).digest(), 0);
+    /// ```
+    pub fn digest(&self) -> Digest {
+        self.buckets.whole()
+    }
+
+    /// Returns the version of an item that is in force here.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::spread::{Id, Kind, Limits, Store};
+    ///
+    /// let store = Store::new(Limits::default());
+    /// assert_eq!(store.version(&Id::new(Kind::Document, "tracking")), None);
+    /// ```
+    pub fn version(&self, id: &Id) -> Option<Version> {
+        self.items.get(id).map(|held| held.version)
+    }
+
+    /// Returns the value of an item that is in force here.
+    pub fn value(&self, id: &Id) -> Option<&[u8]> {
+        match &self.items.get(id)?.content {
+            Content::Value(bytes) => Some(bytes),
+            Content::Announced(_) | Content::Removed => None,
+        }
+    }
+
+    /// Returns what is in force here.
+    pub fn in_force(&self) -> Vec<Known> {
+        self.items
+            .iter()
+            .map(|(id, held)| Known {
+                id: id.clone(),
+                version: held.version,
+            })
+            .collect()
+    }
+
+    /// Returns how many others, up to 8, were found to have nothing newer since the start.
+    ///
+    /// A process that has just started may lack everything while this is 0.
+    pub fn agreed(&self) -> usize {
+        self.agreed.len()
+    }
+
+    /// Returns how many bytes of values are held.
+    pub fn bytes(&self) -> usize {
+        self.items.values().map(|held| size(&held.content)).sum()
+    }
+
+    /// Takes items in; what is new is in force, and goes to others.
+    fn take(
+        &mut self,
+        now: Duration,
+        items: Vec<Item>,
+        from: Option<&str>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let mut news = Vec::new();
+        let mut wanted = Vec::new();
+        for item in items {
+            if !self.is_newer(&item) {
+                continue;
+            }
+            if self.has_to_fetch(&item) {
+                wanted.push(item.id);
+                continue;
+            }
+            self.accept(now, &item);
+            news.push(self.announcement(&item));
+            effects.push(Effect::Accepted(item));
+        }
+        if let Some(address) = from {
+            self.fetch(address, wanted, effects);
+        }
+        for items in news.chunks(self.limits.list.max(1)) {
+            effects.push(Effect::Push {
+                count: self.limits.fanout,
+                message: Message::News(items.to_vec()),
+            });
+        }
+        if !news.is_empty() {
+            self.bound(effects);
+        }
+    }
+
+    /// Returns whether an item is to take the place of what is held.
+    fn is_newer(&self, item: &Item) -> bool {
+        if item.left.is_some_and(|left| left.is_zero()) {
+            return false;
+        }
+        match self.items.get(&item.id) {
+            None => true,
+            Some(held) if held.version != item.version => item.version > held.version,
+            Some(held) => {
+                matches!(held.content, Content::Announced(_))
+                    && matches!(item.content, Content::Value(_))
+            }
+        }
+    }
+
+    /// Returns whether an item was only announced and is wanted.
+    fn has_to_fetch(&self, item: &Item) -> bool {
+        let announced = matches!(item.content, Content::Announced(_));
+        announced && !self.unwanted.contains(&item.id.kind)
+    }
+
+    /// Puts an item in force.
+    fn accept(&mut self, now: Duration, item: &Item) {
+        let tombstone = match item.content {
+            Content::Removed => Some(self.limits.tombstone),
+            Content::Value(_) | Content::Announced(_) => None,
+        };
+        let held = Held {
+            version: item.version,
+            content: item.content.clone(),
+            expires: item.left.or(tombstone).map(|left| now + left),
+        };
+        self.next_expiry = self.next_expiry.into_iter().chain(held.expires).min();
+        if let Some(old) = self.items.insert(item.id.clone(), held) {
+            self.buckets.toggle(&item.id, old.version);
+        }
+        self.buckets.toggle(&item.id, item.version);
+    }
+
+    /// Returns an item as it is told to others: big values are announced.
+    fn announcement(&self, item: &Item) -> Item {
+        let mut item = item.clone();
+        let size = size(&item.content);
+        if size > self.limits.inline {
+            item.content = Content::Announced(size);
+        }
+        item
+    }
+
+    /// Fetches items that are not being fetched already.
+    fn fetch(&mut self, address: &str, mut ids: Vec<Id>, effects: &mut Vec<Effect>) {
+        ids.retain(|id| !self.fetching.contains(id));
+        ids.truncate(self.limits.list);
+        if ids.is_empty() {
+            return;
+        }
+        self.fetching.extend(ids.iter().cloned());
+        let message = Message::Fetch(ids.clone());
+        self.ask(Call::Fetch { ids }, address, message, effects);
+    }
+
+    /// Compares with another whose hash differs, if that is due.
+    fn compare(
+        &mut self,
+        now: Duration,
+        address: String,
+        digest: Digest,
+        effects: &mut Vec<Effect>,
+    ) {
+        if digest == self.digest() {
+            self.agree(address);
+            return;
+        }
+        if now < self.next_compare {
+            return;
+        }
+        self.next_compare = now + self.limits.compare;
+        let message = Message::Compare(self.buckets.hashes());
+        let target = address.clone();
+        self.ask(Call::Compare { address }, &target, message, effects);
+    }
+
+    /// Notes that another process had nothing newer.
+    fn agree(&mut self, address: String) {
+        if self.agreed.len() < MOST_AGREED {
+            self.agreed.insert(address);
+        }
+    }
+
+    /// Answers another process.
+    fn asked(
+        &mut self,
+        now: Duration,
+        call: CallId,
+        address: &str,
+        message: Message,
+        effects: &mut Vec<Effect>,
+    ) {
+        let answer = match message {
+            Message::News(items) => {
+                self.take(now, items, Some(address), effects);
+                Message::Done
+            }
+            Message::Fetch(ids) => Message::News(self.give(now, &ids)),
+            Message::Compare(hashes) => Message::Versions(self.differing(now, &hashes)),
+            Message::Versions(_) | Message::Done => Message::Done,
+        };
+        effects.push(Effect::Answer {
+            call,
+            message: answer,
+        });
+    }
+
+    /// Takes the answer to a call in.
+    fn answered(
+        &mut self,
+        now: Duration,
+        call: CallId,
+        message: Message,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(call) = self.calls.swap_remove(&call) else {
+            return;
+        };
+        match (call, message) {
+            (Call::Fetch { ids }, Message::News(items)) => {
+                self.end_fetch(&ids);
+                self.take(now, items, None, effects);
+            }
+            (Call::Fetch { ids }, _) => self.end_fetch(&ids),
+            (Call::Compare { address }, Message::Versions(theirs)) => {
+                self.settle(now, &address, &theirs, effects);
+            }
+            (Call::Compare { .. }, _) => {}
+        }
+    }
+
+    /// Fetches what another has newer, and tells it what it lacks.
+    fn settle(
+        &mut self,
+        now: Duration,
+        address: &str,
+        theirs: &[Known],
+        effects: &mut Vec<Effect>,
+    ) {
+        let lacks = |known: &&Known| {
+            self.version(&known.id)
+                .is_none_or(|own| own < known.version)
+        };
+        let wanted: Vec<Id> = theirs
+            .iter()
+            .filter(lacks)
+            .map(|known| known.id.clone())
+            .collect();
+        if wanted.is_empty() && theirs.len() < self.limits.list {
+            self.agree(address.to_owned());
+        }
+        self.fetch(address, wanted, effects);
+        let newer: Vec<Id> = theirs
+            .iter()
+            .filter(|known| self.version(&known.id) > Some(known.version))
+            .map(|known| known.id.clone())
+            .collect();
+        let items: Vec<Item> = self
+            .give(now, &newer)
+            .iter()
+            .map(|item| self.announcement(item))
+            .collect();
+        if items.is_empty() {
+            return;
+        }
+        let call = Call::Fetch { ids: Vec::new() };
+        self.ask(call, address, Message::News(items), effects);
+    }
+
+    /// Forgets a call that failed; the next comparison finds what it was for.
+    fn failed(&mut self, call: CallId) {
+        if let Some(Call::Fetch { ids }) = self.calls.swap_remove(&call) {
+            self.end_fetch(&ids);
+        }
+    }
+
+    /// Notes that items are no longer being fetched.
+    fn end_fetch(&mut self, ids: &[Id]) {
+        for id in ids {
+            self.fetching.swap_remove(id);
+        }
+    }
+
+    /// Returns items up to the bound of an answer.
+    fn give(&self, now: Duration, ids: &[Id]) -> Vec<Item> {
+        let mut items = Vec::new();
+        let mut total = 0;
+        for id in ids {
+            let Some(item) = self.offer(now, id) else {
+                continue;
+            };
+            total += size(&item.content);
+            if total > self.limits.answer && !items.is_empty() {
+                break;
+            }
+            items.push(item);
+        }
+        items
+    }
+
+    /// Returns an item for another, unless it is about to end.
+    fn offer(&self, now: Duration, id: &Id) -> Option<Item> {
+        let held = self.items.get(id)?;
+        let left = held.expires.map(|at| at.saturating_sub(now));
+        if left.is_some_and(|left| left < self.limits.fading) {
+            return None;
+        }
+        Some(Item {
+            id: id.clone(),
+            version: held.version,
+            content: held.content.clone(),
+            left,
+        })
+    }
+
+    /// Returns the versions in the buckets where another's hashes differ.
+    ///
+    /// Where they are more than a message holds, each answer goes on where the last one ended.
+    fn differing(&mut self, now: Duration, hashes: &IndexMap<Kind, Vec<u64>>) -> Vec<Known> {
+        let fades = |held: &Held| held.expires.is_some_and(|at| at < now + self.limits.fading);
+        let mut versions: Vec<Known> = self
+            .items
+            .iter()
+            .filter(|(id, held)| self.buckets.differ(hashes, id) && !fades(held))
+            .map(|(id, held)| Known {
+                id: id.clone(),
+                version: held.version,
+            })
+            .collect();
+        if versions.len() > self.limits.list {
+            let start = self.turn % versions.len();
+            versions.rotate_left(start);
+            versions.truncate(self.limits.list);
+            self.turn = self.turn.wrapping_add(self.limits.list);
+        }
+        versions
+    }
+
+    /// Drops what has lasted its time.
+    fn expire(&mut self, now: Duration, effects: &mut Vec<Effect>) {
+        if self.next_expiry.is_none_or(|at| now < at) {
+            return;
+        }
+        let ended: Vec<Id> = self
+            .items
+            .iter()
+            .filter(|(_, held)| held.expires.is_some_and(|at| at <= now))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in ended {
+            self.drop_item(id, effects);
+        }
+        self.next_expiry = self.items.values().filter_map(|held| held.expires).min();
+    }
+
+    /// Drops the lasting items that end first, beyond the bound.
+    fn bound(&mut self, effects: &mut Vec<Effect>) {
+        let mut lasting: Vec<(Duration, Id)> = self
+            .items
+            .iter()
+            .filter_map(|(id, held)| held.expires.map(|at| (at, id.clone())))
+            .collect();
+        if lasting.len() <= self.limits.lasting {
+            return;
+        }
+        lasting.sort();
+        let excess = lasting.len() - self.limits.lasting;
+        for (_, id) in lasting.into_iter().take(excess) {
+            self.drop_item(id, effects);
+        }
+    }
+
+    /// Stops holding an item.
+    fn drop_item(&mut self, id: Id, effects: &mut Vec<Effect>) {
+        if let Some(held) = self.items.swap_remove(&id) {
+            self.buckets.toggle(&id, held.version);
+            effects.push(Effect::Expired(id));
+        }
+    }
+
+    /// Makes a call.
+    fn ask(&mut self, call: Call, address: &str, message: Message, effects: &mut Vec<Effect>) {
+        self.next_call += 1;
+        self.calls.insert(self.next_call, call);
+        effects.push(Effect::Ask {
+            call: self.next_call,
+            address: address.to_owned(),
+            message,
+        });
+    }
+}
+
+/// Returns the bytes of a value, here or announced.
+fn size(content: &Content) -> usize {
+    match content {
+        Content::Value(bytes) => bytes.len(),
+        Content::Announced(_) | Content::Removed => 0,
+    }
+}
