--- a/src/membership/body.rs
+++ b/src/membership/body.rs
@@ -19,12 +19,13 @@
             Body::Relay(peer) => return self.probe_for(call, &peer, effects),
             Body::Compare(hashes) => Body::Members(self.view.differing(&hashes)),
             Body::Members(members) => {
-                self.learn_all(now, &members, effects);
+                self.take(now, &members, effects);
                 Body::Answer
             }
             Body::Probe | Body::Answer | Body::Relayed(_) => Body::Answer,
         };
-        let message = self.message_to(&sender, body);
+        let mut message = self.message_to(&sender, body);
+        self.introduce(&mut message);
         effects.push(Effect::Answer { call, message });
     }
 
@@ -149,7 +150,7 @@
 
     /// Takes a peer's members in and returns to it what it lacks.
     fn mend(&mut self, now: Duration, peer: &Peer, members: &[Update], effects: &mut Vec<Effect>) {
-        self.learn_all(now, members, effects);
+        self.take(now, members, effects);
         let news: Vec<Update> = self.newer_than(members);
         if news.is_empty() {
             return;
@@ -184,8 +185,8 @@
     /// Takes a message's news in.
     fn hear(&mut self, now: Duration, message: &Message, effects: &mut Vec<Effect>) {
         self.settle_start(now, &message.sender, effects);
-        self.learn_all(now, std::slice::from_ref(&message.sender), effects);
-        self.learn_all(now, &message.updates, effects);
+        self.take(now, std::slice::from_ref(&message.sender), effects);
+        self.take(now, &message.updates, effects);
     }
 
     /// Declares older starts at the sender's address lost.
@@ -204,17 +205,31 @@
         }
     }
 
-    /// Takes news in; news against this process is refuted.
-    fn learn_all(&mut self, now: Duration, updates: &[Update], effects: &mut Vec<Effect>) {
-        for update in updates {
-            if update.peer.vm == self.view.me().vm {
-                self.refute(now, update, effects);
-            } else {
-                self.learn(now, update, effects);
-            }
+    /// Takes news from others in; news against this process is refuted.
+    fn take(&mut self, now: Duration, updates: &[Update], effects: &mut Vec<Effect>) {
+        let me = self.view.me().vm.clone();
+        self.learn_others(now, updates, &me, effects);
+        for update in updates.iter().filter(|it| it.peer.vm == me) {
+            self.refute(now, update, effects);
         }
     }
 
+    /// Takes news in, but for what is said of this process.
+    fn learn_others(
+        &mut self,
+        now: Duration,
+        updates: &[Update],
+        me: &str,
+        effects: &mut Vec<Effect>,
+    ) {
+        let others: Vec<Update> = updates
+            .iter()
+            .filter(|update| update.peer.vm != me)
+            .cloned()
+            .collect();
+        self.learn_all(now, &others, effects);
+    }
+
     /// Answers news about this process with a higher incarnation where it is wrong.
     fn refute(&mut self, now: Duration, update: &Update, effects: &mut Vec<Effect>) {
         let mut own = self.view.own();
--- a/src/membership/calls.rs
+++ b/src/membership/calls.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use indexmap::IndexSet;
-use rand::{Rng, seq::SliceRandom};
+use rand::{
+    Rng,
+    seq::{IndexedRandom, SliceRandom},
+};
 
 use super::{
     Body, CallId, Effect, Listed, Membership, Message, Peer, Standing, Update, name, view,
@@ -52,11 +55,11 @@
     pub(super) fn tick(&mut self, now: Duration, effects: &mut Vec<Effect>) {
         self.notice_pause(now);
         self.declare_losses(now, effects);
-        self.view.forget(now, self.timing.forget);
-        self.queue.bound(MOST_NEWS);
         if now < self.next_round {
             return;
         }
+        self.view.forget(now, self.timing.forget);
+        self.queue.bound(MOST_NEWS);
         self.next_round = now + self.timing.period;
         for _ in 0..self.timing.probes {
             self.probe_next(effects);
@@ -126,13 +129,10 @@
 
     /// Decides at random whether a duty member is passed over.
     pub(super) fn passes_over(&mut self) -> bool {
-        let known = self.view.live_count();
-        let size = self.view.size();
-        if size <= known * 5 / 4 {
+        if self.is_whole() {
             return false;
         }
-        let share = self.timing.others * 100 / size.max(1);
-        self.random.random_range(0..100) >= share.max(1)
+        self.random.random_range(0..self.view.size()) >= self.timing.others.max(1)
     }
 
     /// Starts a new round over all present members.
@@ -297,20 +297,39 @@
         others
     }
 
-    /// Takes news in, and passes it on if it changed anything.
+    /// Takes one piece of news in, and passes it on if it changed anything.
     pub(super) fn learn(&mut self, now: Duration, update: &Update, effects: &mut Vec<Effect>) {
-        if !self.view.merge(now, self.timing.hold, update) {
-            return;
+        self.learn_all(now, std::slice::from_ref(update), effects);
+    }
+
+    /// Takes news in, and passes on what changed anything.
+    pub(super) fn learn_all(
+        &mut self,
+        now: Duration,
+        updates: &[Update],
+        effects: &mut Vec<Effect>,
+    ) {
+        for update in self.view.merge(now, self.timing.hold, updates) {
+            let times = self.sends(&update);
+            self.queue.push(update.clone(), times);
+            effects.push(Effect::Changed(update));
         }
+    }
+
+    /// Returns how often an update is to be sent: to all where all hold the member, else to a few.
+    fn sends(&self, update: &Update) -> usize {
         let doublings = (self.view.size() + 1).ilog2() + 1;
-        let keeps_whole = self.view.size() <= self.view.len();
-        let times = if keeps_whole || self.view.is_duty(&update.peer.vm) || !is_present(update) {
+        let is_for_all = self.is_whole() || self.view.is_duty(&update.peer.vm);
+        if is_for_all || update.standing > Standing::Suspect {
             (doublings * SENDS) as usize
         } else {
             FEW_SENDS
-        };
-        self.queue.push(update.clone(), times);
-        effects.push(Effect::Changed(update.clone()));
+        }
+    }
+
+    /// Returns whether the view holds about the whole fleet.
+    fn is_whole(&self) -> bool {
+        self.view.size() <= self.view.live_count() * 5 / 4
     }
 
     /// Makes a message with the news that is due.
@@ -333,6 +352,20 @@
         message
     }
 
+    /// Adds a further member to an answer where views are not whole, so that all hear of others.
+    pub(super) fn introduce(&mut self, message: &mut Message) {
+        if self.is_whole() || message.updates.len() >= self.timing.updates {
+            return;
+        }
+        let others: Vec<&view::Member> = self
+            .view
+            .members()
+            .filter(|it| it.standing == Standing::Live && !self.view.is_duty(&it.peer.vm))
+            .collect();
+        let chosen = others.choose(&mut self.random).map(|it| it.update());
+        message.updates.extend(chosen);
+    }
+
     /// Makes a call.
     pub(super) fn ask(
         &mut self,
@@ -352,8 +385,3 @@
         });
     }
 }
-
-/// Returns whether an update says that its subject runs.
-fn is_present(update: &Update) -> bool {
-    update.standing <= Standing::Suspect
-}
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -62,6 +62,7 @@
 struct Domain {
     duty: IndexSet<VmId>,
     hash: u64,
+    lowest: u64,
     size: usize,
 }
 
@@ -76,6 +77,8 @@
     hash: u64,
     live: usize,
     size: usize,
+    others_count: usize,
+    least_affinity: u64,
 }
 
 impl View {
@@ -90,6 +93,8 @@
             hash: 0,
             live: 0,
             size: 0,
+            others_count: 0,
+            least_affinity: 0,
         };
         let update = Update {
             peer: me,
@@ -200,12 +205,34 @@
         present * 2 < known
     }
 
-    /// Takes news in and returns whether it changed anything.
-    pub(super) fn merge(&mut self, now: Duration, hold: Duration, update: &Update) -> bool {
-        let Some(member) = self.members.get_mut(&update.peer.vm) else {
-            self.insert(now, update.clone());
+    /// Takes news in and returns what of it changed anything.
+    pub(super) fn merge(
+        &mut self,
+        now: Duration,
+        hold: Duration,
+        updates: &[Update],
+    ) -> Vec<Update> {
+        let mut changed: Vec<Update> = Vec::new();
+        for update in updates {
+            if self.merge_one(now, hold, update) {
+                changed.push(update.clone());
+            }
+        }
+        if !changed.is_empty() {
             self.refresh();
-            return self.members.contains_key(&update.peer.vm);
+            changed.retain(|update| self.members.contains_key(&update.peer.vm));
+        }
+        changed
+    }
+
+    /// Takes one piece of news in and returns whether it changed anything; the caller refreshes.
+    fn merge_one(&mut self, now: Duration, hold: Duration, update: &Update) -> bool {
+        let Some(member) = self.members.get_mut(&update.peer.vm) else {
+            let admits = self.admits(update);
+            if admits {
+                self.insert(now, update.clone());
+            }
+            return admits;
         };
         let known = (member.incarnation, member.standing);
         if (update.incarnation, update.standing) <= known || member.standing == Standing::Left {
@@ -222,10 +249,21 @@
             member.held_until = now + hold * 2_u32.pow(doublings);
             member.returns += 1;
         }
-        self.refresh();
         true
     }
 
+    /// Returns whether a member that is not held has a place in the view.
+    fn admits(&self, update: &Update) -> bool {
+        if update.standing > Standing::Suspect || self.others_count < self.others {
+            return true;
+        }
+        let vm = &update.peer.vm;
+        let rank = key::weight(DUTY, name(vm));
+        let domain = self.domains.get(&update.peer.domain);
+        let is_duty = domain.is_none_or(|it| it.duty.len() < self.duty || rank > it.lowest);
+        is_duty || key::weight(&self.me.vm, vm) > self.least_affinity
+    }
+
     /// Moves the times of the suspicions by a pause of this process.
     pub(super) fn postpone(&mut self, by: Duration) {
         let suspects = |it: &&mut Member| it.standing == Standing::Suspect;
@@ -238,7 +276,7 @@
     pub(super) fn forget(&mut self, now: Duration, age: Duration) {
         let before = self.members.len();
         self.members
-            .retain(|_, member| member.is_present() || now < member.since + age);
+            .retain(|_, it| it.is_present() || now < it.since + age || it.peer == self.me);
         if self.members.len() != before {
             self.refresh();
         }
@@ -336,6 +374,7 @@
             if domain.duty.len() < self.duty {
                 domain.duty.insert(member.peer.vm.clone());
                 domain.hash ^= statement_hash(member);
+                domain.lowest = member.rank;
                 domain.size = estimate(domain.duty.len(), self.duty, member.rank);
             }
         }
@@ -350,9 +389,11 @@
             .map(|it| (it.affinity, it.peer.vm.clone()))
             .collect();
         others.sort_by(|a, b| b.cmp(a));
-        for (_, vm) in others.into_iter().skip(self.others) {
+        for (_, vm) in others.drain(self.others.min(others.len())..) {
             self.members.swap_remove(&vm);
         }
+        self.others_count = others.len();
+        self.least_affinity = others.last().map_or(0, |(affinity, _)| *affinity);
     }
 
     /// Drops the oldest losses beyond the bound.
@@ -361,7 +402,7 @@
         let mut lost: Vec<(Duration, VmId)> = self
             .members
             .values()
-            .filter(|member| !member.is_present())
+            .filter(|member| !member.is_present() && member.peer != self.me)
             .map(|member| (member.since, member.peer.vm.clone()))
             .collect();
         lost.sort_by(|a, b| b.cmp(a));
--- a/src/spread/mod.rs
+++ b/src/spread/mod.rs
@@ -15,6 +15,7 @@
 //! that lasts; memory stays bounded.
 
 mod buckets;
+mod exchange;
 mod store;
 
 use std::time::Duration;
--- /dev/null
+++ b/tests/membership.rs
@@ -0,0 +1,361 @@
+//! Who is there: under faults, and once they have passed.
+
+mod fleet;
+
+use std::{env, time::Duration};
+
+use bramleypier::{
+    gossip::Event,
+    membership::{Listed, Membership, Peer, Standing, Timing},
+    spread::Limits,
+};
+use fleet::{Faults, Flaw, Fleet};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngAlgorithm, RngSeed, TestRunner},
+};
+
+const MILLIS: Duration = Duration::from_millis(1);
+const SECOND: Duration = Duration::from_secs(1);
+
+fn new_fleet(count: usize, seed: u64) -> Fleet {
+    Fleet::new(count, 3, Timing::default(), Limits::default(), seed)
+}
+
+fn config() -> Config {
+    let cases = env::var("BRAMLEYPIER_CASES")
+        .ok()
+        .and_then(|it| it.parse().ok());
+    Config {
+        cases: cases.unwrap_or(24),
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(12),
+        failure_persistence: None,
+        max_shrink_iters: 200,
+        ..Config::default()
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Op {
+    Run(u64),
+    Cut(usize, usize),
+    Split(usize),
+    Heal,
+    Crash(usize),
+    Restart(usize),
+    Pause(usize, u64),
+    Weather(u32, u32, u64),
+    Stop(usize),
+}
+
+fn op(count: usize) -> impl Strategy<Value = Op> {
+    prop_oneof![
+        6 => (100..4_000_u64).prop_map(Op::Run),
+        3 => (0..count, 0..count).prop_map(|(a, b)| Op::Cut(a, b)),
+        1 => (1..count).prop_map(Op::Split),
+        2 => Just(Op::Heal),
+        2 => (0..count).prop_map(Op::Crash),
+        2 => (0..count).prop_map(Op::Restart),
+        2 => (0..count, 100..6_000_u64).prop_map(|(it, ms)| Op::Pause(it, ms)),
+        2 => (0..40_u32, 0..20_u32, 0..400_u64).prop_map(|(a, b, c)| Op::Weather(a, b, c)),
+        1 => (0..count).prop_map(Op::Stop),
+    ]
+}
+
+fn apply(fleet: &mut Fleet, op: &Op) {
+    match *op {
+        Op::Run(ms) => fleet.run(MILLIS * u32::try_from(ms).unwrap_or(0)),
+        Op::Cut(a, b) => {
+            fleet.cuts.insert((a, b));
+        }
+        Op::Split(at) => {
+            let all = fleet.nodes.len();
+            let pairs = (0..at).flat_map(|a| (at..all).flat_map(move |b| [(a, b), (b, a)]));
+            fleet.cuts.extend(pairs);
+        }
+        Op::Heal => fleet.cuts.clear(),
+        Op::Crash(it) => fleet.crash(it),
+        Op::Restart(it) => fleet.restart(it),
+        Op::Pause(it, ms) => fleet.pause(it, Duration::from_millis(ms)),
+        Op::Weather(lost, doubled, delay) => {
+            fleet.faults = Faults {
+                lost,
+                doubled,
+                delay: Duration::from_millis(delay),
+            };
+        }
+        Op::Stop(it) => {
+            fleet.put(it, Event::Stop);
+            fleet.run(100 * MILLIS);
+            fleet.crash(it);
+        }
+    }
+}
+
+fn calm(fleet: &mut Fleet, span: Duration) {
+    fleet.cuts.clear();
+    fleet.faults = Faults::default();
+    fleet.run(span);
+}
+
+/// Checks that all that run, and they alone, are live to each other.
+fn agreed(fleet: &Fleet) -> Result<(), String> {
+    let running = fleet.running();
+    for a in &running {
+        let members = fleet.nodes[*a].gossip.members();
+        let mut live: Vec<Peer> = members.live();
+        let mut expected: Vec<Peer> = running.iter().map(|b| fleet.peer(*b)).collect();
+        live.sort_by(|x, y| x.vm.cmp(&y.vm));
+        expected.sort_by(|x, y| x.vm.cmp(&y.vm));
+        if live != expected {
+            return Err(format!("vm {a} holds {live:?}, not {expected:?}"));
+        }
+    }
+    let digests = running
+        .iter()
+        .map(|it| fleet.nodes[*it].gossip.members().digest());
+    let mut digests: Vec<u64> = digests.collect();
+    digests.dedup();
+    if digests.len() > 1 {
+        return Err(format!("views differ: {digests:x?}"));
+    }
+    Ok(())
+}
+
+fn survives(ops: &[Op], seed: u64, flaw: Option<Flaw>) -> Result<(), String> {
+    let mut fleet = new_fleet(7, seed);
+    fleet.flaw = flaw;
+    for op in ops {
+        apply(&mut fleet, op);
+        for node in &fleet.nodes {
+            let held = node.gossip.members().held();
+            if held > 2 * (3 * 32 + 32) {
+                return Err(format!("{held} members held"));
+            }
+        }
+    }
+    calm(&mut fleet, 30 * SECOND);
+    agreed(&fleet)
+}
+
+#[test]
+fn after_any_faults_all_agree_on_who_is_there() {
+    let ops = proptest::collection::vec(op(7), 1..24);
+    let mut runner = TestRunner::new(config());
+    runner
+        .run(&(ops, any::<u64>()), |(ops, seed)| {
+            survives(&ops, seed, None).map_err(TestCaseError::fail)
+        })
+        .unwrap();
+}
+
+#[test]
+fn without_refutation_the_check_fails() {
+    let ops = [
+        Op::Run(3_000),
+        Op::Split(3),
+        Op::Run(6_000),
+        Op::Heal,
+        Op::Run(3_000),
+    ];
+    assert_eq!(survives(&ops, 1, None), Ok(()));
+    assert!(survives(&ops, 1, Some(Flaw::NoRefutation)).is_err());
+}
+
+#[test]
+fn without_faults_nobody_is_declared_lost() {
+    for seed in 0..8 {
+        let mut fleet = new_fleet(12, seed);
+        fleet.faults.delay = 20 * MILLIS;
+        fleet.run(60 * SECOND);
+        assert_eq!(agreed(&fleet), Ok(()));
+        assert!(
+            fleet
+                .told
+                .iter()
+                .all(|it| it.update.standing == Standing::Live)
+        );
+    }
+}
+
+#[test]
+fn one_cut_between_two_declares_nobody_lost() {
+    for cuts in [vec![(1, 2)], vec![(2, 1)], vec![(1, 2), (2, 1)]] {
+        let mut fleet = new_fleet(6, 5);
+        fleet.run(3 * SECOND);
+        fleet.cuts.extend(cuts);
+        fleet.run(60 * SECOND);
+        assert_eq!(agreed(&fleet), Ok(()));
+        assert!(
+            fleet
+                .told
+                .iter()
+                .all(|it| it.update.standing < Standing::Gone)
+        );
+    }
+}
+
+#[test]
+fn a_lost_vm_is_declared_by_all_and_a_restart_replaces_it_at_once() {
+    let mut fleet = new_fleet(12, 3);
+    fleet.run(5 * SECOND);
+    let old = fleet.peer(4).vm;
+    fleet.crash(4);
+    fleet.restart(4);
+    fleet.run(SECOND);
+    for number in fleet.running() {
+        assert!(!fleet.nodes[number].gossip.members().is_live(&old));
+    }
+    fleet.crash(4);
+    fleet.run(4 * SECOND);
+    assert_eq!(agreed(&fleet), Ok(()));
+}
+
+#[test]
+fn a_pause_of_one_blames_nobody_else() {
+    let mut fleet = new_fleet(6, 9);
+    fleet.run(3 * SECOND);
+    fleet.pause(2, 10 * SECOND);
+    fleet.run(20 * SECOND);
+    let blamed = |it: &fleet::Told| it.update.standing >= Standing::Gone;
+    let others = fleet.told.iter().filter(|it| blamed(it));
+    assert!(others.clone().all(|it| it.update.peer.vm == "vm-2#0"));
+    assert!(others.count() > 0);
+    assert_eq!(agreed(&fleet), Ok(()));
+}
+
+#[test]
+fn one_that_comes_back_often_is_no_candidate_for_a_while() {
+    let mut fleet = new_fleet(4, 9);
+    fleet.run(3 * SECOND);
+    for _ in 0..3 {
+        fleet.pause(2, 5 * SECOND);
+        fleet.run(7 * SECOND);
+    }
+    let now = fleet.now;
+    let members = fleet.nodes[0].gossip.members();
+    let offers = |now| {
+        let candidates = members.candidates(now, "group-1", 4, None);
+        candidates.iter().any(|it| it.vm == "vm-2#0")
+    };
+    assert!(members.is_live("vm-2#0"));
+    assert!(!offers(now));
+    assert!(offers(now + 90 * SECOND));
+}
+
+#[test]
+fn candidates_stand_in_different_domains_and_all_choose_the_same() {
+    let mut fleet = new_fleet(9, 2);
+    fleet.run(5 * SECOND);
+    let chosen = |number: usize, outside| {
+        let members = fleet.nodes[number].gossip.members();
+        members.candidates(fleet.now, "group-1", 3, outside)
+    };
+    let mut domains: Vec<String> = chosen(0, None).into_iter().map(|it| it.domain).collect();
+    domains.sort();
+    domains.dedup();
+    assert_eq!(domains.len(), 3);
+    assert!(
+        chosen(0, Some("domain-1"))
+            .iter()
+            .all(|it| it.domain != "domain-1")
+    );
+    assert_eq!(chosen(0, Some("domain-1")).len(), 3);
+    for number in 1..9 {
+        assert_eq!(chosen(number, None), chosen(0, None));
+    }
+}
+
+#[test]
+fn a_leaving_vm_takes_no_duty_and_a_stopped_one_is_gone() {
+    let mut fleet = new_fleet(5, 4);
+    fleet.run(3 * SECOND);
+    fleet.put(3, Event::Leave);
+    fleet.run(2 * SECOND);
+    let members = fleet.nodes[0].gossip.members();
+    assert!(members.is_live("vm-3#0"));
+    assert_eq!(members.candidates(fleet.now, "x", 9, None).len(), 4);
+    fleet.put(3, Event::Stop);
+    fleet.run(200 * MILLIS);
+    fleet.crash(3);
+    fleet.run(SECOND);
+    let members = fleet.nodes[0].gossip.members();
+    assert_eq!(members.standing("vm-3#0"), Some(Standing::Left));
+    assert_eq!(agreed(&fleet), Ok(()));
+}
+
+#[test]
+fn the_list_leads_to_members_that_no_seed_names() {
+    let peer = |name: &str, port: u16| Listed {
+        name: name.to_owned(),
+        address: format!("127.0.0.1:{port}"),
+        domain: "uio-sur".to_owned(),
+        leaving: false,
+    };
+    let mut members = Membership::new(Peer::default(), Timing::default(), 1);
+    let list = vec![peer("vm-1", 1), peer("vm-2", 2)];
+    members.on(SECOND, bramleypier::membership::Event::List(list));
+    let effects = members.on(SECOND, bramleypier::membership::Event::Tick);
+    assert_eq!(effects.len(), 2);
+}
+
+#[test]
+fn the_smaller_side_of_a_partition_says_so() {
+    let mut fleet = new_fleet(6, 8);
+    fleet.run(5 * SECOND);
+    apply(&mut fleet, &Op::Split(2));
+    fleet.run(6 * SECOND);
+    assert!(fleet.nodes[0].gossip.members().is_minority());
+    assert!(!fleet.nodes[4].gossip.members().is_minority());
+}
+
+/// Views bounded far below the fleet's size, so that the bounds matter at a size that runs fast.
+fn bounded(count: usize, seed: u64) -> Fleet {
+    let timing = Timing {
+        duty: 4,
+        others: 8,
+        ..Timing::default()
+    };
+    Fleet::new(count, 3, timing, Limits::default(), seed)
+}
+
+fn choices(fleet: &Fleet, number: usize) -> Vec<Peer> {
+    let members = fleet.nodes[number].gossip.members();
+    members.candidates(fleet.now, "group-1", 6, None)
+}
+
+#[test]
+fn bounded_views_agree_on_the_candidates_and_replace_lost_ones() {
+    let mut fleet = bounded(60, 6);
+    fleet.run(20 * SECOND);
+    for round in 0..2 {
+        let first = choices(&fleet, 0);
+        for number in fleet.running() {
+            let members = fleet.nodes[number].gossip.members();
+            assert!(members.held() <= 3 * 4 + 8 + 3 * 4 + 8);
+            assert_eq!(choices(&fleet, number), first, "round {round} at {number}");
+        }
+        let lost: Vec<usize> = first.iter().map(number).filter(|it| *it != 0).collect();
+        for number in &lost {
+            fleet.crash(*number);
+        }
+        fleet.run(30 * SECOND);
+        let now = choices(&fleet, 0);
+        assert!(now.iter().all(|peer| !lost.contains(&number(peer))));
+        assert_eq!(now.len(), 6);
+    }
+}
+
+fn number(peer: &Peer) -> usize {
+    let name = bramleypier::membership::name(&peer.vm);
+    name.trim_start_matches("vm-").parse().unwrap()
+}
+
+#[test]
+fn the_size_of_a_fleet_beyond_the_view_is_estimated() {
+    let mut fleet = bounded(60, 6);
+    fleet.run(20 * SECOND);
+    let size = fleet.nodes[5].gossip.members().size();
+    assert!((30..120).contains(&size), "{size}");
+}
