--- a/src/membership/body.rs
+++ b/src/membership/body.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use indexmap::{IndexMap, IndexSet};
+
 use super::{Body, CallId, Effect, Membership, Message, Peer, Standing, Update, calls::Call, view};
 
 impl Membership {
@@ -56,6 +58,7 @@
             }
             (Call::Relay(vm), _) => self.unheard(now, &vm, effects),
             (Call::Behalf(asker), _) => self.report(asker, true, effects),
+            (Call::Contact(address), _) => self.reached(now, &address, &sender.vm, effects),
             (_, Body::Members(members)) => self.mend(now, &sender, &members, effects),
             _ => {}
         }
@@ -70,7 +73,7 @@
             Some(Call::Probe(vm)) => self.inquire(now, &vm, effects),
             Some(Call::Relay(vm)) => self.unheard(now, &vm, effects),
             Some(Call::Behalf(asker)) => self.report(asker, false, effects),
-            Some(Call::Contact | Call::Other) | None => {}
+            Some(Call::Contact(_) | Call::Other) | None => {}
         }
     }
 
@@ -167,18 +170,22 @@
 
     /// Returns what is held of the failure domains of `members` beyond what they say.
     fn newer_than(&self, members: &[Update]) -> Vec<Update> {
-        let same = |a: &Update, b: &Update| a.peer.vm == b.peer.vm;
-        let is_known = |update: &Update| {
-            members.iter().any(|it| {
-                same(it, update)
-                    && (it.incarnation, it.standing) >= (update.incarnation, update.standing)
+        let domains: IndexSet<&str> = members.iter().map(|it| it.peer.domain.as_str()).collect();
+        let theirs: IndexMap<&str, &Update> = members
+            .iter()
+            .map(|update| (update.peer.vm.as_str(), update))
+            .collect();
+        let is_newer = |update: &Update| {
+            theirs.get(update.peer.vm.as_str()).is_none_or(|it| {
+                (it.incarnation, it.standing) < (update.incarnation, update.standing)
             })
         };
         self.view
             .members()
-            .filter(|it| !it.is_present() || self.view.is_duty(&it.peer.vm))
+            .filter(|it| domains.contains(it.peer.domain.as_str()))
+            .filter(|it| !it.is_present() || it.is_duty)
             .map(view::Member::update)
-            .filter(|update| !is_known(update))
+            .filter(is_newer)
             .collect()
     }
 
--- a/src/membership/calls.rs
+++ b/src/membership/calls.rs
@@ -3,10 +3,7 @@
 use std::time::Duration;
 
 use indexmap::IndexSet;
-use rand::{
-    Rng,
-    seq::{IndexedRandom, SliceRandom},
-};
+use rand::{Rng, seq::SliceRandom};
 
 use super::{
     Body, CallId, Effect, Listed, Membership, Message, Peer, Standing, Update, name, view,
@@ -19,10 +16,12 @@
 const MOST_CONTACTS: usize = 64;
 /// Attempts at once while no other member is known.
 const FIRST_CONTACTS: usize = 3;
+/// VMs of the fleet that try an address every [`Timing::retry`](super::Timing::retry).
+const CONTACTING: usize = 64;
 /// News waits in a queue of at most this length.
 const MOST_NEWS: usize = 1024;
 /// How often an update of a duty member is sent, for each doubling of the fleet.
-const SENDS: u32 = 3;
+const SENDS: u32 = 2;
 /// How often an update of a further member is sent.
 const FEW_SENDS: usize = 3;
 
@@ -32,7 +31,7 @@
     /// To see whether a member is there.
     Probe(VmId),
     /// To reach a process that is not a live member.
-    Contact,
+    Contact(String),
     /// To have a member probed by another.
     Relay(VmId),
     /// To probe a member for another, who numbered its call so.
@@ -48,6 +47,8 @@
     pub(super) address: String,
     /// Whether it came from the settings; these stay.
     seed: bool,
+    /// Whether it has answered.
+    answered: bool,
 }
 
 impl Membership {
@@ -58,8 +59,7 @@
         if now < self.next_round {
             return;
         }
-        self.view.forget(now, self.timing.forget);
-        self.queue.bound(MOST_NEWS);
+        self.forget(now);
         self.next_round = now + self.timing.period;
         for _ in 0..self.timing.probes {
             self.probe_next(effects);
@@ -67,6 +67,16 @@
         self.try_contacts(now, effects);
     }
 
+    /// Drops old losses and too much news.
+    fn forget(&mut self, now: Duration) {
+        if now < self.next_forget {
+            return;
+        }
+        self.next_forget = now + self.timing.compare;
+        self.view.forget(now, self.timing.forget);
+        self.queue.bound(MOST_NEWS);
+    }
+
     /// After a pause, forgets calls and suspicions that ran out meanwhile: the fault was here.
     fn notice_pause(&mut self, now: Duration) {
         let last = self.last_tick.replace(now).unwrap_or(now);
@@ -83,13 +93,7 @@
     fn declare_losses(&mut self, now: Duration, effects: &mut Vec<Effect>) {
         let doublings = self.view.size().max(16).ilog2();
         let patience = self.timing.suspicion * doublings / 4;
-        let lost: Vec<Update> = self
-            .view
-            .members()
-            .filter(|it| it.standing == Standing::Suspect && now >= it.since + patience)
-            .map(view::Member::update)
-            .collect();
-        for mut update in lost {
+        for mut update in self.view.overdue(now, patience) {
             update.standing = Standing::Gone;
             self.learn(now, &update, effects);
         }
@@ -118,11 +122,10 @@
             let Some(member) = self.view.get(&vm).filter(|it| it.is_present()) else {
                 continue;
             };
-            let peer = member.peer.clone();
-            if self.view.is_duty(&vm) && self.passes_over() {
+            if member.is_duty && self.passes_over() {
                 continue;
             }
-            return Some(peer);
+            return self.view.get(&vm).map(|it| it.peer.clone());
         }
         None
     }
@@ -152,24 +155,30 @@
         if now < self.next_retry {
             return;
         }
-        let alone = self.view.live().count() < 2;
-        let wait = if alone {
-            self.timing.period
-        } else {
-            self.timing.retry
-        };
-        self.next_retry = now + wait;
+        let alone = self.view.live_count() < 2;
+        self.next_retry = now + self.retry(alone);
         let mut addresses = self.unreached();
         addresses.shuffle(&mut self.random);
         let count = if alone { FIRST_CONTACTS } else { 1 };
         for address in addresses.into_iter().take(count) {
             let message = self.message(Body::Probe);
-            let call = Call::Contact;
+            let call = Call::Contact(address.clone());
             self.ask(call, &address, message, self.timing.direct, effects);
         }
     }
 
-    /// Returns the addresses at which no present member stands.
+    /// Returns the wait between two attempts; the fleet's attempts together stay few.
+    fn retry(&self, alone: bool) -> Duration {
+        if alone {
+            return self.timing.period;
+        }
+        let share = (self.view.size() / CONTACTING).max(1);
+        self.timing.retry * u32::try_from(share).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the addresses to try: those that never answered, and those of lost members.
+    ///
+    /// A process that hears of few others tries those again that have answered before.
     fn unreached(&self) -> Vec<String> {
         let present: IndexSet<&str> = self
             .view
@@ -182,9 +191,11 @@
             .members()
             .filter(|it| it.standing == Standing::Gone)
             .map(|it| it.peer.address.clone());
+        let cut_off = self.view.live_count() < 2 || self.view.is_minority();
         let mut addresses: IndexSet<String> = self
             .contacts
             .iter()
+            .filter(|contact| cut_off || !contact.answered)
             .map(|contact| contact.address.clone())
             .chain(lost)
             .collect();
@@ -192,16 +203,47 @@
         addresses.into_iter().collect()
     }
 
+    /// Notes that an address answered; a lost member that stood there was replaced for good.
+    pub(super) fn reached(
+        &mut self,
+        now: Duration,
+        address: &str,
+        vm: &str,
+        effects: &mut Vec<Effect>,
+    ) {
+        for contact in &mut self.contacts {
+            contact.answered |= contact.address == address;
+        }
+        let replaced: Vec<Update> = self
+            .view
+            .members()
+            .filter(|it| it.standing == Standing::Gone && it.peer.address == address)
+            .filter(|it| it.peer.vm != vm)
+            .map(view::Member::update)
+            .collect();
+        for mut update in replaced {
+            update.standing = Standing::Left;
+            self.learn(now, &update, effects);
+        }
+    }
+
     /// Takes the platform's list in: addresses to try, and who is leaving.
     pub(super) fn list(&mut self, now: Duration, list: &[Listed], effects: &mut Vec<Effect>) {
         let me = self.view.me().vm.clone();
         let mut listed: Vec<&Listed> = list.iter().filter(|it| !it.leaving).collect();
         listed.sort_by_cached_key(|it| key::weight(&me, &it.name));
+        let answered: IndexSet<String> = self
+            .contacts
+            .iter()
+            .filter(|contact| contact.answered)
+            .map(|contact| contact.address.clone())
+            .collect();
         self.contacts.retain(|contact| contact.seed);
         let room = MOST_CONTACTS.saturating_sub(self.contacts.len());
         let contacts = listed.into_iter().take(room).map(|it| Contact {
             address: it.address.clone(),
             seed: false,
+            answered: answered.contains(&it.address),
         });
         self.contacts.extend(contacts);
         self.mark_leaving(now, list, effects);
@@ -236,6 +278,7 @@
         self.contacts.extend(seeds.map(|address| Contact {
             address,
             seed: true,
+            answered: false,
         }));
         self.contacts.truncate(MOST_CONTACTS);
     }
@@ -357,12 +400,8 @@
         if self.is_whole() || message.updates.len() >= self.timing.updates {
             return;
         }
-        let others: Vec<&view::Member> = self
-            .view
-            .members()
-            .filter(|it| it.standing == Standing::Live && !self.view.is_duty(&it.peer.vm))
-            .collect();
-        let chosen = others.choose(&mut self.random).map(|it| it.update());
+        let start = self.random.random_range(0..self.view.len());
+        let chosen = self.view.further_from(start);
         message.updates.extend(chosen);
     }
 
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -70,6 +70,7 @@
     next_round: Duration,
     next_retry: Duration,
     next_compare: Duration,
+    next_forget: Duration,
     last_tick: Option<Duration>,
     started: Option<Duration>,
 }
@@ -101,6 +102,7 @@
             next_round: Duration::ZERO,
             next_retry: Duration::ZERO,
             next_compare: Duration::ZERO,
+            next_forget: Duration::ZERO,
             last_tick: None,
             started: None,
         }
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -34,6 +34,19 @@
     rank: u64,
     /// Place among the further members at this process.
     affinity: u64,
+    /// Whether it is one of its failure domain's duty members.
+    pub(super) is_duty: bool,
+}
+
+/// How far news reaches into the view.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Reach {
+    /// It is old, or has no place.
+    Nothing,
+    /// It concerns a further member.
+    Others,
+    /// It may concern the duty members.
+    Duty,
 }
 
 impl Member {
@@ -66,6 +79,16 @@
     size: usize,
 }
 
+impl Domain {
+    /// Adds the member that ranks next.
+    fn add(&mut self, member: &Member, full: usize) {
+        self.duty.insert(member.peer.vm.clone());
+        self.hash ^= statement_hash(member);
+        self.lowest = member.rank;
+        self.size = estimate(self.duty.len(), full, member.rank);
+    }
+}
+
 /// Members, and what is derived of them.
 #[derive(Debug)]
 pub(super) struct View {
@@ -76,6 +99,7 @@
     domains: IndexMap<DomainId, Domain>,
     hash: u64,
     live: usize,
+    suspects: usize,
     size: usize,
     others_count: usize,
     least_affinity: u64,
@@ -92,6 +116,7 @@
             domains: IndexMap::new(),
             hash: 0,
             live: 0,
+            suspects: 0,
             size: 0,
             others_count: 0,
             least_affinity: 0,
@@ -102,7 +127,8 @@
             standing: Standing::Live,
         };
         view.insert(Duration::ZERO, update);
-        view.refresh();
+        view.rank_domains();
+        view.trim();
         view
     }
 
@@ -136,6 +162,17 @@
         self.members.values().map(Member::update)
     }
 
+    /// Returns the next live member after an index that is no duty member.
+    pub(super) fn further_from(&self, start: usize) -> Option<Update> {
+        let (before, after) = (0..start, start..self.members.len());
+        after
+            .chain(before)
+            .filter_map(|index| self.members.get_index(index))
+            .map(|(_, member)| member)
+            .find(|it| it.standing == Standing::Live && !it.is_duty)
+            .map(Member::update)
+    }
+
     /// Returns the live members.
     pub(super) fn live(&self) -> impl Iterator<Item = &Peer> {
         self.members
@@ -153,9 +190,7 @@
 
     /// Returns whether a member is one of the duty members.
     pub(super) fn is_duty(&self, vm: &str) -> bool {
-        self.get(vm)
-            .and_then(|member| self.domains.get(&member.peer.domain))
-            .is_some_and(|domain| domain.duty.contains(vm))
+        self.get(vm).is_some_and(|member| member.is_duty)
     }
 
     /// Returns the hash of the duty members.
@@ -178,7 +213,7 @@
         self.members
             .values()
             .filter(|member| differs(&member.peer.domain))
-            .filter(|member| !member.is_present() || self.is_duty(&member.peer.vm))
+            .filter(|member| !member.is_present() || member.is_duty)
             .map(Member::update)
             .collect()
     }
@@ -213,32 +248,39 @@
         updates: &[Update],
     ) -> Vec<Update> {
         let mut changed: Vec<Update> = Vec::new();
+        let mut reach = Reach::Nothing;
         for update in updates {
-            if self.merge_one(now, hold, update) {
+            let one = self.merge_one(now, hold, update);
+            if one > Reach::Nothing {
                 changed.push(update.clone());
             }
+            reach = reach.max(one);
         }
-        if !changed.is_empty() {
-            self.refresh();
+        if reach == Reach::Duty {
+            self.rank_domains();
+        }
+        if reach > Reach::Nothing {
+            self.trim();
             changed.retain(|update| self.members.contains_key(&update.peer.vm));
         }
         changed
     }
 
-    /// Takes one piece of news in and returns whether it changed anything; the caller refreshes.
-    fn merge_one(&mut self, now: Duration, hold: Duration, update: &Update) -> bool {
+    /// Takes one piece of news in; the caller ranks and trims as far as it reaches.
+    fn merge_one(&mut self, now: Duration, hold: Duration, update: &Update) -> Reach {
         let Some(member) = self.members.get_mut(&update.peer.vm) else {
-            let admits = self.admits(update);
-            if admits {
-                self.insert(now, update.clone());
+            if !self.admits(update) {
+                return Reach::Nothing;
             }
-            return admits;
+            self.insert(now, update.clone());
+            return self.reach(update);
         };
         let known = (member.incarnation, member.standing);
         if (update.incarnation, update.standing) <= known || member.standing == Standing::Left {
-            return false;
+            return Reach::Nothing;
         }
         let was_present = member.is_present();
+        let was_duty = member.is_duty;
         member.incarnation = update.incarnation;
         if member.standing != update.standing {
             member.standing = update.standing;
@@ -249,7 +291,27 @@
             member.held_until = now + hold * 2_u32.pow(doublings);
             member.returns += 1;
         }
-        true
+        if was_duty {
+            return Reach::Duty;
+        }
+        self.reach(update)
+    }
+
+    /// Returns whether a member that is not a duty member may become one by its standing.
+    fn reach(&self, update: &Update) -> Reach {
+        let is_present = update.standing <= Standing::Suspect;
+        if is_present && self.ranks(update) {
+            Reach::Duty
+        } else {
+            Reach::Others
+        }
+    }
+
+    /// Returns whether a present member ranks among its failure domain's duty members.
+    fn ranks(&self, update: &Update) -> bool {
+        let rank = key::weight(DUTY, name(&update.peer.vm));
+        let domain = self.domains.get(&update.peer.domain);
+        domain.is_none_or(|it| it.duty.len() < self.duty || rank > it.lowest)
     }
 
     /// Returns whether a member that is not held has a place in the view.
@@ -257,11 +319,19 @@
         if update.standing > Standing::Suspect || self.others_count < self.others {
             return true;
         }
-        let vm = &update.peer.vm;
-        let rank = key::weight(DUTY, name(vm));
-        let domain = self.domains.get(&update.peer.domain);
-        let is_duty = domain.is_none_or(|it| it.duty.len() < self.duty || rank > it.lowest);
-        is_duty || key::weight(&self.me.vm, vm) > self.least_affinity
+        self.ranks(update) || key::weight(&self.me.vm, &update.peer.vm) > self.least_affinity
+    }
+
+    /// Returns the members suspected for at least `patience`.
+    pub(super) fn overdue(&self, now: Duration, patience: Duration) -> Vec<Update> {
+        if self.suspects == 0 {
+            return Vec::new();
+        }
+        self.members
+            .values()
+            .filter(|it| it.standing == Standing::Suspect && now >= it.since + patience)
+            .map(Member::update)
+            .collect()
     }
 
     /// Moves the times of the suspicions by a pause of this process.
@@ -278,7 +348,7 @@
         self.members
             .retain(|_, it| it.is_present() || now < it.since + age || it.peer == self.me);
         if self.members.len() != before {
-            self.refresh();
+            self.trim();
         }
     }
 
@@ -335,6 +405,7 @@
         let member = Member {
             rank: key::weight(DUTY, name(&update.peer.vm)),
             affinity: key::weight(&self.me.vm, &update.peer.vm),
+            is_duty: false,
             peer: update.peer,
             incarnation: update.incarnation,
             standing: update.standing,
@@ -345,39 +416,37 @@
         self.members.insert(member.peer.vm.clone(), member);
     }
 
-    /// Derives the duty members anew, and drops members beyond the bounds.
-    fn refresh(&mut self) {
-        self.rank_domains();
+    /// Drops members beyond the bounds, and counts the rest.
+    fn trim(&mut self) {
         self.trim_others();
         self.trim_lost();
-        let mut whole = 0;
-        for (id, domain) in &self.domains {
-            whole ^= xxh3::xxh3_64_with_seed(id.as_bytes(), domain.hash);
-        }
-        self.hash = whole;
         self.live = self.live().count();
+        let is_suspect = |it: &&Member| it.standing == Standing::Suspect;
+        self.suspects = self.members.values().filter(is_suspect).count();
         let estimate: usize = self.domains.values().map(|domain| domain.size).sum();
         self.size = self.live.max(estimate).max(1);
     }
 
     /// Chooses each failure domain's duty members.
     fn rank_domains(&mut self) {
-        let mut present: Vec<&Member> = self
-            .members
-            .values()
-            .filter(|member| member.is_present())
-            .collect();
+        let mut present: Vec<&mut Member> = self.members.values_mut().collect();
         present.sort_by(|a, b| (b.rank, &b.peer.vm).cmp(&(a.rank, &a.peer.vm)));
         self.domains = IndexMap::new();
         for member in present {
+            member.is_duty = false;
+            if !member.is_present() {
+                continue;
+            }
             let domain = self.domains.entry(member.peer.domain.clone()).or_default();
             if domain.duty.len() < self.duty {
-                domain.duty.insert(member.peer.vm.clone());
-                domain.hash ^= statement_hash(member);
-                domain.lowest = member.rank;
-                domain.size = estimate(domain.duty.len(), self.duty, member.rank);
+                member.is_duty = true;
+                domain.add(member, self.duty);
             }
         }
+        self.hash = 0;
+        for (id, domain) in &self.domains {
+            self.hash ^= xxh3::xxh3_64_with_seed(id.as_bytes(), domain.hash);
+        }
     }
 
     /// Drops the further members that suit this process least.
@@ -385,7 +454,7 @@
         let mut others: Vec<(u64, VmId)> = self
             .members
             .values()
-            .filter(|it| it.is_present() && it.peer != self.me && !self.is_duty(&it.peer.vm))
+            .filter(|it| it.is_present() && it.peer != self.me && !it.is_duty)
             .map(|it| (it.affinity, it.peer.vm.clone()))
             .collect();
         others.sort_by(|a, b| b.cmp(a));
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -2,7 +2,11 @@
 //! test says. It carries messages and nothing else; it models no load and no machines.
 #![allow(dead_code, reason = "each test takes what it needs")]
 
-use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
+use std::{
+    cmp::Reverse,
+    collections::BinaryHeap,
+    time::{Duration, Instant},
+};
 
 use bramleypier::{
     gossip::{Content, Effect, Envelope, Event, Gossip},
@@ -100,6 +104,10 @@
     pub told: Vec<Told>,
     /// Whether message sizes are counted; that takes time.
     pub weighs: bool,
+    /// Whether what the processes tell is kept.
+    pub tells: bool,
+    /// Time that the decisions took.
+    pub spent: Duration,
     /// A fault put in.
     pub flaw: Option<Flaw>,
     /// The newest version that each start has had of each item.
@@ -126,6 +134,8 @@
             cuts: IndexSet::new(),
             told: Vec::new(),
             weighs: false,
+            tells: true,
+            spent: Duration::ZERO,
             flaw: None,
             newest: IndexMap::new(),
             went_back: false,
@@ -190,7 +200,9 @@
         if !self.nodes[number].runs {
             return;
         }
+        let begun = Instant::now();
         let effects = self.nodes[number].gossip.on(self.now, event);
+        self.spent += begun.elapsed();
         self.carry(number, effects);
     }
 
@@ -317,17 +329,20 @@
                     within,
                 } => self.ask(number, call, &address, envelope, within),
                 Effect::Answer { call, envelope } => self.answer(number, call, envelope),
-                Effect::Changed(update) => self.told.push(Told {
-                    at: self.now,
-                    node: number,
-                    update,
-                }),
+                Effect::Changed(update) => self.tell(number, update),
                 Effect::Accepted(item) => self.accepted(number, &item),
                 Effect::Expired(_) => {}
             }
         }
     }
 
+    fn tell(&mut self, node: usize, update: Update) {
+        if self.tells {
+            let at = self.now;
+            self.told.push(Told { at, node, update });
+        }
+    }
+
     fn ask(&mut self, from: usize, call: u64, address: &str, envelope: Envelope, within: Duration) {
         let flight = Flight {
             asker: from,
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -6,8 +6,9 @@
 
 use bramleypier::{
     gossip::Event,
-    membership::{Listed, Membership, Peer, Standing, Timing},
+    membership::{self, Listed, Membership, Peer, Standing, Timing},
     spread::Limits,
+    watcher,
 };
 use fleet::{Faults, Flaw, Fleet};
 use proptest::{
@@ -96,9 +97,35 @@
 fn calm(fleet: &mut Fleet, span: Duration) {
     fleet.cuts.clear();
     fleet.faults = Faults::default();
+    read_list(fleet);
     fleet.run(span);
 }
 
+/// Has each VM that holds the watch for its failure domain, in its own view, read the list.
+///
+/// Without it, VMs whose seeds are all gone have no way to hear of each other.
+fn read_list(fleet: &mut Fleet) {
+    let running = fleet.running();
+    let listed = |number: &usize| {
+        let peer = fleet.peer(*number);
+        Listed {
+            name: membership::name(&peer.vm).to_owned(),
+            address: peer.address,
+            domain: peer.domain,
+            leaving: false,
+        }
+    };
+    let list: Vec<Listed> = running.iter().map(listed).collect();
+    for number in running {
+        let me = fleet.peer(number);
+        let members = fleet.nodes[number].gossip.members();
+        let watchers = members.candidates_in(fleet.now, watcher::SUBJECT, 2, &me.domain);
+        if watchers.contains(&me) {
+            fleet.put(number, Event::List(list.clone()));
+        }
+    }
+}
+
 /// Checks that all that run, and they alone, are live to each other.
 fn agreed(fleet: &Fleet) -> Result<(), String> {
     let running = fleet.running();
@@ -295,8 +322,8 @@
     };
     let mut members = Membership::new(Peer::default(), Timing::default(), 1);
     let list = vec![peer("vm-1", 1), peer("vm-2", 2)];
-    members.on(SECOND, bramleypier::membership::Event::List(list));
-    let effects = members.on(SECOND, bramleypier::membership::Event::Tick);
+    members.on(SECOND, membership::Event::List(list));
+    let effects = members.on(SECOND, membership::Event::Tick);
     assert_eq!(effects.len(), 2);
 }
 
@@ -348,7 +375,7 @@
 }
 
 fn number(peer: &Peer) -> usize {
-    let name = bramleypier::membership::name(&peer.vm);
+    let name = membership::name(&peer.vm);
     name.trim_start_matches("vm-").parse().unwrap()
 }
 
