Service documents: text, checks, stamps and puts that settle lost answers

Aim: a team writes one INI text; a refused one changes nothing and names file, line, key and reason; of two operators one wins and the other sees the difference; a lost answer is settled by reading back. A name of a target stands for one server: its address, domain and fencing cannot change, and it leaves before it is removed. Ownership and groups of a service cannot change.

--- /dev/null
+++ b/src/document/check.rs
@@ -0,0 +1,181 @@
+//! What must hold of a whole document and of a change from one version to the next.
+
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
+
+use crate::document::{Class, Document, Target, TargetState};
+
+/// Paths of the process's own, which no service may take.
+const RESERVED: &[&str] = &["healthz"];
+
+/// What is wrong with a document, at a section and key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Flaw {
+    /// The section, as the text names it.
+    pub section: String,
+    /// The key; empty if the flaw is the section's.
+    pub key: &'static str,
+    /// What is wrong.
+    pub reason: String,
+}
+
+fn flaw(section: &str, key: &'static str, reason: impl Into<String>) -> Flaw {
+    Flaw {
+        section: section.to_owned(),
+        key,
+        reason: reason.into(),
+    }
+}
+
+/// Checks what must hold across the sections of a document.
+///
+/// # Errors
+///
+/// Returns the first [`Flaw`].
+///
+/// # Example
+///
+/// ```
+/// use bramleypier::document::{check, text};
+///
+/// let written = "[service]\nname = a\n[class all]\nidempotent = true\nshare = 100\n\
+///     [target t]\naddress = 127.0.0.1:1\ndomain = d";
+/// let mut document = text::parse("a.ini", written).unwrap();
+/// document.targets.clear();
+/// assert_eq!(check::whole(&document).unwrap_err().reason, "the service has no target");
+/// ```
+pub fn whole(document: &Document) -> Result<(), Flaw> {
+    if RESERVED.contains(&document.service.as_str()) {
+        return Err(flaw("service", "name", "is a path of the router's own"));
+    }
+    if document.targets.is_empty() {
+        return Err(flaw("service", "", "the service has no target"));
+    }
+    let targets = u64::try_from(document.targets.len()).unwrap_or(u64::MAX);
+    if u64::from(document.groups) > targets {
+        let reason = format!("is more than the {targets} targets");
+        return Err(flaw("service", "groups", reason));
+    }
+    classes(&document.classes)?;
+    addresses(&document.targets)
+}
+
+fn classes(classes: &IndexMap<String, Class>) -> Result<(), Flaw> {
+    if classes.is_empty() {
+        return Err(flaw("service", "", "the service has no class"));
+    }
+    let mut sum = 0;
+    for (index, (name, class)) in classes.iter().enumerate() {
+        let section = format!("class {name}");
+        sum += class.share;
+        if sum > 100 {
+            let reason = format!("the shares up to here are {sum} %, more than 100");
+            return Err(flaw(&section, "share", reason));
+        }
+        if class.queue > class.deadline {
+            return Err(flaw(&section, "queue_ms", "is more than deadline_ms"));
+        }
+        let mut earlier = classes.iter().take(index);
+        if let Some((taker, _)) = earlier.find(|(_, earlier)| covers(earlier, class)) {
+            let reason = format!("never takes a request: [class {taker}] takes them before");
+            return Err(flaw(&section, "", reason));
+        }
+    }
+    Ok(())
+}
+
+/// Returns whether the first class takes every request that the second would.
+fn covers(first: &Class, second: &Class) -> bool {
+    let methods = &first.methods;
+    let every = !second.methods.is_empty() && second.methods.iter().all(|m| methods.contains(m));
+    (methods.is_empty() || every) && second.path.starts_with(&first.path)
+}
+
+fn addresses(targets: &IndexMap<String, Target>) -> Result<(), Flaw> {
+    let mut seen: IndexMap<&str, &str> = IndexMap::new();
+    for (name, target) in targets {
+        let section = format!("target {name}");
+        let port = target
+            .address
+            .parse()
+            .map(|address: SocketAddr| address.port());
+        if port == Ok(0) {
+            return Err(flaw(&section, "address", "port 0 cannot be called"));
+        }
+        if let Some(other) = seen.insert(&target.address, name) {
+            let reason = format!("`{}` is the address of [target {other}]", target.address);
+            return Err(flaw(&section, "address", reason));
+        }
+    }
+    Ok(())
+}
+
+/// Checks that one document may follow another.
+///
+/// A service's name, ownership and groups stay: its ranges are laid out by them. The name of a
+/// target stands for one server, so its address, failure domain and fencing stay too; another server gets
+/// another name. A target leaves before it goes, so that no request in flight is cut off.
+///
+/// # Errors
+///
+/// Returns the first [`Flaw`], in the terms of the later document.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier::document::{check, text};
+///
+/// let written = "[service]\nname = a\n[class all]\nidempotent = true\nshare = 100\n\
+///     [target t]\naddress = 127.0.0.1:1\ndomain = d";
+/// let base = text::parse("a.ini", written).unwrap();
+/// let mut next = base.clone();
+/// next.targets["t"].address = "127.0.0.1:2".to_owned();
+/// assert_eq!(check::change(&base, &next).unwrap_err().key, "address");
+/// ```
+pub fn change(base: &Document, next: &Document) -> Result<(), Flaw> {
+    if next.service != base.service {
+        let reason = format!("cannot change from `{}`", base.service);
+        return Err(flaw("service", "name", reason));
+    }
+    if next.ownership != base.ownership {
+        return Err(flaw(
+            "service",
+            "ownership",
+            "cannot change; make another service",
+        ));
+    }
+    if next.groups != base.groups {
+        let reason = format!("cannot change from {}; make another service", base.groups);
+        return Err(flaw("service", "groups", reason));
+    }
+    base.targets
+        .iter()
+        .try_for_each(|(name, target)| target_change(name, target, next.targets.get(name)))
+}
+
+fn target_change(name: &str, base: &Target, next: Option<&Target>) -> Result<(), Flaw> {
+    let section = format!("target {name}");
+    let Some(next) = next else {
+        if base.state == TargetState::Leaving {
+            return Ok(());
+        }
+        let reason =
+            format!("[{section}] is gone, but it was not leaving: put `state = leaving` first");
+        return Err(flaw("service", "", reason));
+    };
+    let fixed = [
+        ("address", next.address == base.address),
+        ("domain", next.domain == base.domain),
+        ("fencing", next.fencing == base.fencing),
+    ];
+    let changed = fixed.into_iter().find(|(_, same)| !same);
+    match changed {
+        None => Ok(()),
+        Some((key, _)) => Err(flaw(
+            &section,
+            key,
+            "cannot change; give the server another name",
+        )),
+    }
+}
--- a/src/document/mod.rs
+++ b/src/document/mod.rs
@@ -1,5 +1,10 @@
 //! Service documents: what a service team writes and owns.
 
+pub mod check;
+pub mod put;
+pub mod stored;
+pub mod text;
+
 use std::time::Duration;
 
 use indexmap::IndexMap;
--- a/src/util/fields.rs
+++ b/src/util/fields.rs
@@ -319,6 +319,15 @@
         self.fault(line, section, key, reason)
     }
 
+    /// Returns the names of the sections `kind NAME`, in order.
+    pub(crate) fn named(&self, kind: &str) -> Vec<String> {
+        let names = self.sections.iter().filter_map(|section| {
+            let (found, name) = section.name.split_once(' ')?;
+            (found == kind).then(|| name.to_owned())
+        });
+        names.collect()
+    }
+
     /// Returns the value of a key, or its preset.
     pub(crate) fn text(&self, section: &str, key: &str) -> Option<&str> {
         let found = self
