Stand-ins for the platform and the targets

The contracts need another side that fails on demand. A mock inside each test was ruled out: the fleet is tested as real processes.

--- /dev/null
+++ b/standins/src/bin/standin-target.rs
@@ -0,0 +1,66 @@
+//! Runs a target's stand-in as a process.
+
+use std::{io, path::PathBuf, time::Duration};
+
+use bpaf::Bpaf;
+use bramleypier_standins::{
+    serve,
+    target::{self, Config},
+};
+
+/// A target's stand-in, for tests only.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options)]
+struct Options {
+    /// The target's name
+    #[bpaf(argument("NAME"))]
+    name: String,
+    /// Where to listen
+    #[bpaf(argument("ADDRESS"), fallback("127.0.0.1:0".to_owned()))]
+    listen: String,
+    /// Whether it checks grants
+    #[bpaf(argument("BOOL"), fallback(true))]
+    checks: bool,
+    /// How many requests it runs at a time
+    #[bpaf(argument("COUNT"), fallback(2))]
+    slots: usize,
+    /// How many requests wait before it sheds
+    #[bpaf(argument("COUNT"), fallback(256))]
+    queue: usize,
+    /// What a new connection costs
+    #[bpaf(argument("MS"), fallback(1))]
+    connect_ms: u64,
+    /// The mean time of work
+    #[bpaf(argument("MS"), fallback(10))]
+    work_ms: u64,
+    /// Work takes the same time each time
+    fixed: bool,
+    /// How long it is cold after its start
+    #[bpaf(argument("MS"), fallback(0))]
+    cold_ms: u64,
+    /// How much slower it is while cold
+    #[bpaf(argument("FACTOR"), fallback(3.0))]
+    cold_factor: f64,
+    /// The file of its log
+    #[bpaf(argument("FILE"), optional)]
+    log: Option<PathBuf>,
+}
+
+#[compio::main]
+async fn main() -> io::Result<()> {
+    let options = options().run();
+    let listener = serve::bind(&options.listen).await?;
+    let config = Config {
+        name: options.name,
+        checks: options.checks,
+        slots: options.slots,
+        queue: options.queue,
+        connect_cost: Duration::from_millis(options.connect_ms),
+        work_time: Duration::from_millis(options.work_ms),
+        exponential: !options.fixed,
+        cold_time: Duration::from_millis(options.cold_ms),
+        cold_factor: options.cold_factor,
+        log: options.log,
+    };
+    target::run(listener, config).await
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,1 +1,17 @@
-//! Test tool of bramleypier.
+//! Stand-ins for the platform and the targets, and tools that run a fleet of real processes.
+//!
+//! Test tools only: nothing here is part of the shipped binary. Tasks of one process share their
+//! state in a cell of the one thread, and hold no borrow over an await.
+
+pub mod clock;
+pub mod decimal;
+pub mod fault;
+pub mod holder;
+pub mod journal;
+pub mod payload;
+pub mod platform;
+pub mod serve;
+pub mod slots;
+pub mod store;
+pub mod target;
+pub mod work;
--- /dev/null
+++ b/standins/src/platform.rs
@@ -0,0 +1,378 @@
+//! The platform's stand-in: its key-value service, its list of VMs, and their faults.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::VecDeque,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use compio::{net::TcpListener, runtime};
+use http::{Method, Request, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::{Bytes, Incoming};
+use indexmap::IndexMap;
+use percent_encoding as percent;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    clock,
+    payload::Payload,
+    serve::{self, Hangup, Response},
+    store::{Refusal, Store},
+};
+
+/// The header by which a client names itself.
+pub const FROM: &str = "Bramleypier-From";
+/// The longest that a watch waits.
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// How often a waiting watch looks for changes and faults.
+const WATCH_STEP: Duration = Duration::from_millis(5);
+/// How many old states of the list of VMs are kept for a lagging view.
+const LIST_HISTORY: usize = 10_000;
+/// The largest value.
+const VALUE_LIMIT: usize = 1 << 20;
+
+/// A VM or target on the platform's list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listing {
+    /// Its name; taken from the path when the list is written.
+    #[serde(default)]
+    pub name: String,
+    /// `IP:port`.
+    pub address: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// `entry` or `target`.
+    pub kind: String,
+    /// `live` or `leaving`.
+    pub state: String,
+}
+
+/// The faults in force; setting them replaces all.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Connections are closed without an answer and without an effect.
+    pub down: bool,
+    /// As `down`, for the clients named only.
+    pub partial: Vec<String>,
+    /// Each call waits this long before it takes effect.
+    pub delay_ms: u64,
+    /// Each answer waits this long after the call took effect.
+    pub answer_delay_ms: u64,
+    /// How many writes take effect and are then closed without an answer.
+    pub lose_answers: u32,
+    /// How far the list of VMs lags.
+    pub list_lag_ms: u64,
+}
+
+impl Faults {
+    /// Returns whether a client is cut off.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_standins::platform::Faults;
+    ///
+    /// let mut faults = Faults::default();
+    /// faults.partial.push("vm-1".into());
+    /// assert!(faults.cuts("vm-1") && !faults.cuts("vm-2"));
+    /// ```
+    pub fn cuts(&self, client: &str) -> bool {
+        self.down || self.partial.iter().any(|name| name == client)
+    }
+}
+
+#[derive(Debug, Default)]
+struct State {
+    store: Store,
+    list: IndexMap<String, Listing>,
+    history: VecDeque<(Duration, Vec<Listing>)>,
+    faults: Faults,
+    counts: IndexMap<String, u64>,
+}
+
+/// The platform, shared by the tasks of one thread.
+#[derive(Clone, Debug, Default)]
+pub struct Platform {
+    state: Rc<RefCell<State>>,
+    watches: Rc<Cell<u64>>,
+}
+
+/// Runs the platform on a listener for ever.
+pub async fn run(listener: TcpListener) {
+    let platform = Platform::default();
+    serve::run(listener, Duration::ZERO, move |request, _link| {
+        platform.clone().answer(request)
+    })
+    .await;
+}
+
+/// Starts the platform on a free port of this runtime and returns its address.
+///
+/// # Errors
+///
+/// Fails when no port can be bound.
+pub async fn spawn() -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    runtime::spawn(run(listener)).detach();
+    Ok(address)
+}
+
+impl Platform {
+    async fn answer(self, request: Request<Incoming>) -> Result<Response, Hangup> {
+        let (parts, body) = request.into_parts();
+        let body = body.collect().await.map_err(|_| Hangup)?.to_bytes();
+        let request = Request::from_parts(parts, body);
+        if !request.uri().path().starts_with("/v1/") {
+            return Ok(self.control(&request));
+        }
+        let client = serve::header(&request, FROM).unwrap_or("").to_owned();
+        self.pass(&client)?;
+        self.wait(|faults| faults.delay_ms).await;
+        self.pass(&client)?;
+        self.count(kind(&request));
+        if request.uri().path() == "/v1/watch" {
+            return self.watch(&request, &client).await;
+        }
+        let response = self.call(&request);
+        if request.method() != Method::GET && response.status().is_success() {
+            self.keep_answer()?;
+        }
+        self.wait(|faults| faults.answer_delay_ms).await;
+        self.pass(&client)?;
+        Ok(response)
+    }
+
+    /// Fails while the client is cut off.
+    fn pass(&self, client: &str) -> Result<(), Hangup> {
+        if !self.state.borrow().faults.cuts(client) {
+            return Ok(());
+        }
+        self.count("cut");
+        Err(Hangup)
+    }
+
+    /// Fails while answers to writes are to be lost.
+    fn keep_answer(&self) -> Result<(), Hangup> {
+        let faults = &mut self.state.borrow_mut().faults;
+        if faults.lose_answers == 0 {
+            return Ok(());
+        }
+        faults.lose_answers -= 1;
+        Err(Hangup)
+    }
+
+    async fn wait<F>(&self, span: F)
+    where
+        F: Fn(&Faults) -> u64,
+    {
+        let span = span(&self.state.borrow().faults);
+        if span > 0 {
+            compio::time::sleep(Duration::from_millis(span)).await;
+        }
+    }
+
+    fn count(&self, kind: &str) {
+        let counts = &mut self.state.borrow_mut().counts;
+        *counts.entry(kind.to_owned()).or_default() += 1;
+    }
+
+    /// Answers a call on the service that neither waits nor fails.
+    fn call(&self, request: &Request<Bytes>) -> Response {
+        let path = request.uri().path();
+        let now = clock::now();
+        if let Some(key) = path.strip_prefix("/v1/kv/") {
+            return self.value(now, &decode(key), request);
+        }
+        if let Some(id) = path.strip_prefix("/v1/lease/") {
+            return self.lease(now, &decode(id), request);
+        }
+        let query = serve::query(request.uri());
+        match (request.method().as_str(), path) {
+            ("GET", "/v1/list") => {
+                let prefix = query.get("prefix").map_or("", String::as_str);
+                serve::json(
+                    StatusCode::OK,
+                    &self.state.borrow_mut().store.list(now, prefix),
+                )
+            }
+            ("POST", "/v1/lease") => {
+                let Some(ttl) = query.get("ttl_ms").and_then(|text| text.parse().ok()) else {
+                    return serve::empty(StatusCode::BAD_REQUEST);
+                };
+                let ttl = Duration::from_millis(ttl);
+                let id = self.state.borrow_mut().store.lease(now, ttl);
+                serve::json(StatusCode::OK, &serde_json::json!({ "id": id }))
+            }
+            ("GET", "/v1/vms") => {
+                serve::json(StatusCode::OK, &self.state.borrow().lagging_list(now))
+            }
+            _ => serve::empty(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn value(&self, now: Duration, key: &str, request: &Request<Bytes>) -> Response {
+        let store = &mut self.state.borrow_mut().store;
+        if request.method() == Method::GET {
+            let Some(item) = store.get(now, key) else {
+                return serve::empty(StatusCode::NOT_FOUND);
+            };
+            let mut response = Response::new(Payload::whole(item.value.clone()));
+            set_version(&mut response, item.version);
+            return response;
+        }
+        let expected = serve::header(request, "If-Version").and_then(|text| text.parse().ok());
+        let Some(expected) = expected else {
+            return serve::empty(StatusCode::BAD_REQUEST);
+        };
+        match *request.method() {
+            Method::PUT if request.body().len() > VALUE_LIMIT => {
+                serve::empty(StatusCode::PAYLOAD_TOO_LARGE)
+            }
+            Method::PUT => {
+                let lease = serve::header(request, "Lease");
+                written(store.put(now, key, request.body().to_vec(), expected, lease))
+            }
+            Method::DELETE => written(store.delete(now, key, expected).map(|()| 0)),
+            _ => serve::empty(StatusCode::METHOD_NOT_ALLOWED),
+        }
+    }
+
+    fn lease(&self, now: Duration, path: &str, request: &Request<Bytes>) -> Response {
+        let store = &mut self.state.borrow_mut().store;
+        match (request.method().as_str(), path.strip_suffix("/renew")) {
+            ("POST", Some(id)) if store.renew(now, id) => serve::empty(StatusCode::OK),
+            ("DELETE", None) => {
+                store.revoke(now, path);
+                serve::empty(StatusCode::OK)
+            }
+            _ => serve::empty(StatusCode::NOT_FOUND),
+        }
+    }
+
+    async fn watch(&self, request: &Request<Bytes>, client: &str) -> Result<Response, Hangup> {
+        let query = serve::query(request.uri());
+        let prefix = query.get("prefix").map_or("", String::as_str);
+        let since = query.get("since").and_then(|text| text.parse().ok());
+        let since = since.unwrap_or(0);
+        let end = clock::now() + WATCH_WAIT;
+        self.watches.set(self.watches.get() + 1);
+        let page = loop {
+            let now = clock::now();
+            if self.state.borrow().faults.cuts(client) {
+                break Err(Hangup);
+            }
+            let page = self.state.borrow_mut().store.changed(now, prefix, since);
+            if !page.keys.is_empty() || now >= end {
+                break Ok(page);
+            }
+            compio::time::sleep(WATCH_STEP).await;
+        };
+        self.watches.set(self.watches.get() - 1);
+        page.map(|page| serve::json(StatusCode::OK, &page))
+    }
+
+    /// Answers what only tests ask: faults, the real list, the counts.
+    fn control(&self, request: &Request<Bytes>) -> Response {
+        let path = request.uri().path();
+        let body = request.body();
+        let state = &mut *self.state.borrow_mut();
+        match (request.method().as_str(), path.strip_prefix("/vms/")) {
+            ("PUT", Some(name)) => {
+                let Ok(mut listing) = serde_json::from_slice::<Listing>(body) else {
+                    return serve::empty(StatusCode::BAD_REQUEST);
+                };
+                listing.name = decode(name);
+                state.list.insert(listing.name.clone(), listing);
+                state.keep_history();
+                serve::empty(StatusCode::OK)
+            }
+            ("DELETE", Some(name)) => {
+                state.list.shift_remove(&decode(name));
+                state.keep_history();
+                serve::empty(StatusCode::OK)
+            }
+            ("POST", None) if path == "/fault" => match serde_json::from_slice(body) {
+                Ok(faults) => {
+                    state.faults = faults;
+                    serve::empty(StatusCode::OK)
+                }
+                Err(_) => serve::empty(StatusCode::BAD_REQUEST),
+            },
+            ("GET", None) if path == "/counts" => serve::json(StatusCode::OK, &state.counts),
+            _ => serve::empty(StatusCode::NOT_FOUND),
+        }
+    }
+}
+
+impl State {
+    fn keep_history(&mut self) {
+        let list = self.list.values().cloned().collect();
+        self.history.push_back((clock::now(), list));
+        if self.history.len() > LIST_HISTORY {
+            self.history.pop_front();
+        }
+    }
+
+    fn lagging_list(&self, now: Duration) -> Vec<Listing> {
+        let lag = Duration::from_millis(self.faults.list_lag_ms);
+        let at = now.saturating_sub(lag);
+        let states = self.history.iter().rev();
+        states
+            .clone()
+            .find(|(since, _)| *since <= at)
+            .map(|(_, list)| list.clone())
+            .unwrap_or_default()
+    }
+}
+
+/// Returns the kind under which a call is counted.
+fn kind(request: &Request<Bytes>) -> &'static str {
+    let path = request.uri().path();
+    let kinds = [
+        ("GET", "/v1/kv/", "get"),
+        ("PUT", "/v1/kv/", "put"),
+        ("DELETE", "/v1/kv/", "delete"),
+        ("GET", "/v1/list", "list"),
+        ("GET", "/v1/watch", "watch"),
+        ("GET", "/v1/vms", "vms"),
+        ("POST", "/v1/lease/", "renew"),
+        ("DELETE", "/v1/lease/", "revoke"),
+        ("POST", "/v1/lease", "lease"),
+    ];
+    kinds
+        .iter()
+        .find(|(method, start, _)| request.method() == *method && path.starts_with(start))
+        .map_or("other", |(_, _, kind)| kind)
+}
+
+fn written(result: Result<u64, Refusal>) -> Response {
+    match result {
+        Ok(version) => {
+            let mut response = serve::empty(StatusCode::OK);
+            set_version(&mut response, version);
+            response
+        }
+        Err(Refusal::Version(version)) => {
+            let mut response = serve::empty(StatusCode::PRECONDITION_FAILED);
+            set_version(&mut response, version);
+            response
+        }
+        Err(Refusal::Lease) => serve::empty(StatusCode::NOT_FOUND),
+    }
+}
+
+fn set_version(response: &mut Response, version: u64) {
+    response.headers_mut().insert("Version", version.into());
+}
+
+fn decode(text: &str) -> String {
+    percent::percent_decode_str(text)
+        .decode_utf8_lossy()
+        .into_owned()
+}
--- /dev/null
+++ b/standins/src/serve.rs
@@ -0,0 +1,160 @@
+//! The HTTP server under both stand-ins: one task for each connection.
+
+use std::{cell::Cell, fmt, io, rc::Rc, time::Duration};
+
+use compio::{
+    net::{TcpListener, TcpStream},
+    runtime,
+};
+use cyper_core::{CompioTimer, HyperStream};
+use http::{Request, StatusCode};
+use hyper::{body::Incoming, server::conn::http1, service};
+use indexmap::IndexMap;
+use serde::Serialize;
+
+use crate::payload::Payload;
+
+/// An answer of a stand-in.
+pub type Response = http::Response<Payload>;
+
+/// What a handler returns to close the connection without an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Hangup;
+
+impl fmt::Display for Hangup {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("closed without an answer")
+    }
+}
+
+impl std::error::Error for Hangup {}
+
+/// The connection that a request came over.
+#[derive(Clone, Debug)]
+pub struct Link {
+    stream: TcpStream,
+    requests: Rc<Cell<u64>>,
+}
+
+impl Link {
+    /// Makes the close of this connection a reset.
+    pub fn reset(&self) {
+        drop(self.stream.set_zero_linger());
+    }
+
+    /// Returns how many requests came over this connection so far.
+    pub fn requests(&self) -> u64 {
+        self.requests.get()
+    }
+}
+
+/// Binds a listener and prints the line by which a parent learns the port.
+///
+/// # Errors
+///
+/// Fails when the address can't be bound.
+pub async fn bind(listen: &str) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(listen).await?;
+    println!("listening {}", listener.local_addr()?);
+    Ok(listener)
+}
+
+/// Accepts connections for ever and gives each request to the handler.
+///
+/// Each new connection costs `accept_cost`, one after the other.
+pub async fn run<H, F>(listener: TcpListener, accept_cost: Duration, handler: H)
+where
+    H: Fn(Request<Incoming>, Link) -> F + Clone + 'static,
+    F: Future<Output = Result<Response, Hangup>> + 'static,
+{
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            compio::time::sleep(Duration::from_millis(1)).await;
+            continue;
+        };
+        if !accept_cost.is_zero() {
+            compio::time::sleep(accept_cost).await;
+        }
+        runtime::spawn(connection(stream, handler.clone())).detach();
+    }
+}
+
+/// Serves one connection until either side closes it.
+async fn connection<H, F>(stream: TcpStream, handler: H)
+where
+    H: Fn(Request<Incoming>, Link) -> F + 'static,
+    F: Future<Output = Result<Response, Hangup>> + 'static,
+{
+    drop(stream.set_nodelay(true));
+    let link = Link {
+        stream: stream.clone(),
+        requests: Rc::default(),
+    };
+    let service = service::service_fn(move |request| {
+        link.requests.set(link.requests.get() + 1);
+        handler(request, link.clone())
+    });
+    let served = http1::Builder::new()
+        .timer(CompioTimer)
+        .serve_connection(HyperStream::new_plain(stream), service)
+        .await;
+    drop(served);
+}
+
+/// Returns an answer without a body.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier_standins::serve;
+/// use http::StatusCode;
+///
+/// assert_eq!(serve::empty(StatusCode::NOT_FOUND).status(), 404);
+/// ```
+pub fn empty(status: StatusCode) -> Response {
+    let mut response = Response::new(Payload::default());
+    *response.status_mut() = status;
+    response
+}
+
+/// Returns an answer with a JSON body.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier_standins::serve;
+/// use http::StatusCode;
+///
+/// assert_eq!(serve::json(StatusCode::OK, &[1, 2]).status(), 200);
+/// ```
+pub fn json<T>(status: StatusCode, value: &T) -> Response
+where
+    T: Serialize,
+{
+    let bytes = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = Response::new(Payload::whole(bytes));
+    *response.status_mut() = status;
+    response
+}
+
+/// Returns the parameters of a request's query.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier_standins::serve;
+///
+/// let uri = "/v1/watch?since=7".parse().unwrap();
+/// assert_eq!(serve::query(&uri)["since"], "7");
+/// ```
+pub fn query(uri: &http::Uri) -> IndexMap<String, String> {
+    let text = uri.query().unwrap_or_default();
+    form_urlencoded::parse(text.as_bytes())
+        .into_owned()
+        .collect()
+}
+
+/// Returns a header of a request as text.
+pub fn header<'a, B>(request: &'a Request<B>, name: &str) -> Option<&'a str> {
+    request.headers().get(name)?.to_str().ok()
+}
