--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,9 +3,13 @@
 //! Test tools only: nothing here is part of the shipped binary. Tasks of one process share their
 //! state in a cell of the one thread, and hold no borrow over an await.
 
+pub mod child;
+pub mod client;
 pub mod clock;
+pub mod cut;
 pub mod decimal;
 pub mod fault;
+pub mod fleet;
 pub mod holder;
 pub mod journal;
 pub mod payload;
