--- a/src/document/put.rs
+++ b/src/document/put.rs
@@ -137,7 +137,7 @@
     /// let text = "[service]\nname = a\n[class all]\nidempotent = true\nshare = 100\n\
     ///     [target t]\naddress = 127.0.0.1:1\ndomain = d\n";
     /// let (put, _) = Process::start("a.ini", text, Stamp::new("w1", 0, 5, "ana")).unwrap();
-    /// assert_eq!(put.key(), "documents/a");
+    /// assert_eq!(put.key(), "bramleypier/documents/a");
     /// ```
     pub fn key(&self) -> String {
         stored::key(&self.document.service)
--- a/src/document/stored.rs
+++ b/src/document/stored.rs
@@ -6,7 +6,10 @@
 
 use std::fmt::{self, Write as _};
 
-use crate::id::{ServiceId, Version};
+use crate::{
+    id::{ServiceId, Version},
+    platform,
+};
 
 /// How many stamps a value carries.
 pub const STAMPS_MAX: usize = 64;
@@ -24,10 +27,10 @@
 /// ```
 /// use bramleypier::document::stored;
 ///
-/// assert_eq!(stored::key(&"tracking".to_owned()), "documents/tracking");
+/// assert_eq!(stored::key(&"tracking".to_owned()), "bramleypier/documents/tracking");
 /// ```
 pub fn key(service: &ServiceId) -> String {
-    format!("documents/{service}")
+    format!("{}{service}", platform::DOCUMENTS)
 }
 
 /// Who put a version, and on which.
--- /dev/null
+++ b/src/entry/forward.rs
@@ -0,0 +1,324 @@
+//! Sends a request to a target, again where that is allowed, and classifies what came back.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use futures_channel::oneshot;
+use http::header;
+use hyper::{
+    Response,
+    body::{Body as _, Bytes, Incoming},
+};
+use uuid::Uuid;
+
+use super::{
+    Context, Job, desk,
+    passing::Passing,
+    payload::{self, Payload},
+    reply,
+    router::{self, Permit, Report},
+};
+use crate::{
+    request::{
+        Admitted, Answer, Attempt, Finished, Outcome, Received, Started, Step, Verdict, answer,
+        answer::Refusal,
+    },
+    target::Work,
+    util::{
+        body::{self, Body},
+        client,
+    },
+};
+
+/// The largest answer that is read whole before its head goes to the caller, in bytes: up to
+/// here a cut answer can be asked for again, or be told as an error with a status.
+const WHOLE_ANSWER: u64 = 64 * 1024;
+
+/// A target's answer, with the right to the slot that it still holds.
+#[derive(Debug)]
+pub struct Answered {
+    /// The answer; its body may still be under way.
+    pub response: Response<Body>,
+    /// The target's name.
+    pub target: String,
+}
+
+/// Answers a request that may run more than once.
+pub async fn plain(
+    context: &Context,
+    attempt: Attempt<Received>,
+    job: Job,
+    body: Incoming,
+) -> Result<Response<Body>, Verdict> {
+    let payload = payload::any(context, &attempt, &job, body).await?;
+    let answered = run(context, attempt.admit(), &job, payload).await?;
+    Ok(answered.response)
+}
+
+/// Answers a request that must run at most once.
+///
+/// It runs in a task of its own, so that it ends, and its outcome is kept, when the caller is
+/// gone half-way.
+pub async fn order(
+    context: &Context,
+    attempt: Attempt<Received>,
+    job: Job,
+    body: Incoming,
+) -> Result<Response<Body>, Verdict> {
+    let bytes = payload::whole(context, &attempt, &job, body).await?;
+    let (sender, receiver) = oneshot::channel();
+    let context = context.clone();
+    compio::runtime::spawn(async move {
+        let result = desk::run(&context, attempt, job, bytes).await;
+        // The caller may be gone; the outcome is kept all the same.
+        let _ = sender.send(result);
+    })
+    .detach();
+    let lost = || Verdict::unknown(500, Step::Order, "self", "the order's task ended early");
+    receiver.await.unwrap_or_else(|_| Err(lost()))
+}
+
+/// Sends a request until a target answers, or until it is given up.
+///
+/// Every refusal leads back to the router, which decides whether, when and where to send it again.
+/// Once an attempt has ended without an answer, no later refusal can make the request `not-run`.
+///
+/// # Errors
+///
+/// The final word, when no target answered.
+pub async fn run(
+    context: &Context,
+    attempt: Attempt<Admitted>,
+    job: &Job,
+    mut payload: Payload,
+) -> Result<Answered, Verdict> {
+    let mut admitted = attempt;
+    let mut history = router::History::default();
+    loop {
+        let permit = router::admit(context, job, &history, admitted.proof())
+            .await
+            .map_err(|verdict| history.judge(verdict))?;
+        let started = admitted.start(&permit.target);
+        let Some(body) = payload.take() else {
+            let verdict = Verdict::not_run(
+                &Attempt::new().admit().proof(),
+                502,
+                Step::Send,
+                &permit.target,
+                "the body can't be sent again",
+            );
+            return Err(history.judge(verdict));
+        };
+        let is_left = payload.is_left();
+        match send(context, job, started, permit, body).await {
+            Ended::Answered(answered) => return Ok(answered),
+            Ended::Refused(next, refusal, permit) => {
+                history.refused(&permit.target, &refusal);
+                permit.finish(Report::Refused(refusal));
+                admitted = next;
+            }
+            Ended::Unsent(next, error, permit) => {
+                history.unsent(&permit.target, &error);
+                permit.finish(Report::Unsent);
+                admitted = next;
+            }
+            Ended::Lost(_, verdict, permit) => {
+                permit.finish(Report::Lost);
+                history.lost(verdict.clone());
+                if !job.plan.idempotent || !is_left {
+                    return Err(verdict);
+                }
+                admitted = Attempt::new().admit();
+            }
+        }
+    }
+}
+
+/// How one attempt ended.
+enum Ended {
+    Answered(Answered),
+    Refused(Attempt<Admitted>, Refusal, Permit),
+    Unsent(Attempt<Admitted>, client::Error, Permit),
+    Lost(Attempt<Finished>, Verdict, Permit),
+}
+
+/// Makes one attempt.
+async fn send(
+    context: &Context,
+    job: &Job,
+    started: Attempt<Started>,
+    permit: Permit,
+    body: Body,
+) -> Ended {
+    let Some(left) = job.deadline.remaining(context.clock.now()) else {
+        let verdict = Verdict::unknown(504, Step::Deadline, &permit.target, "the deadline passed");
+        return Ended::Lost(started.lost(), verdict, permit);
+    };
+    let work = Work {
+        method: job.head.method.clone(),
+        uri: job.call.uri.clone(),
+        headers: job.head.headers.clone(),
+        attempt: Uuid::now_v7().to_string(),
+        key: job.call.key.clone(),
+        point: job.call.point,
+        epoch: permit.epoch,
+        left: left.min(permit.within.unwrap_or(left)),
+    };
+    let mut cancel = Cancel::new(context, permit.address, work.attempt.clone());
+    match context.sender.send(permit.address, &work, body).await {
+        Ok(response) => {
+            let ended = classify(context, job, started, permit, response, &mut cancel).await;
+            if !matches!(ended, Ended::Lost(..)) {
+                cancel.disarm();
+            }
+            ended
+        }
+        Err(error) => {
+            if error.unsent() {
+                cancel.disarm();
+            }
+            failed(started, permit, error)
+        }
+    }
+}
+
+/// Classifies a failure to send.
+fn failed(started: Attempt<Started>, permit: Permit, error: client::Error) -> Ended {
+    match started.failed(&error) {
+        Ok(admitted) => Ended::Unsent(admitted, error, permit),
+        Err(finished) => {
+            let late = matches!(error, client::Error::Timeout(..));
+            let status = if late { 504 } else { 502 };
+            let verdict =
+                Verdict::unknown(status, Step::Answer, &permit.target, &error.to_string());
+            Ended::Lost(finished, verdict, permit)
+        }
+    }
+}
+
+/// Classifies the head of an answer, and reads small answers whole.
+async fn classify(
+    context: &Context,
+    job: &Job,
+    started: Attempt<Started>,
+    permit: Permit,
+    response: Response<Incoming>,
+    cancel: &mut Cancel,
+) -> Ended {
+    match answer::read(response.status(), response.headers()) {
+        Answer::Refused(refusal) => {
+            let admitted = started.refused(&refusal);
+            Ended::Refused(admitted, refusal, permit)
+        }
+        Answer::Unknown => {
+            let reason = "the target doesn't know";
+            let verdict = Verdict::unknown(502, Step::Answer, &permit.target, reason);
+            Ended::Lost(started.lost(), verdict, permit)
+        }
+        Answer::Ran => ran(context, job, started, permit, response, cancel).await,
+    }
+}
+
+/// Passes on an answer of work that ran.
+async fn ran(
+    context: &Context,
+    job: &Job,
+    started: Attempt<Started>,
+    permit: Permit,
+    response: Response<Incoming>,
+    cancel: &mut Cancel,
+) -> Ended {
+    let (mut head, body) = response.into_parts();
+    let target = permit.target.clone();
+    reply::pass_on(&mut head.headers, &target);
+    permit.head(head.status);
+    let size = body.size_hint().exact();
+    let is_head = job.head.method == http::Method::HEAD;
+    if !is_head && !size.is_some_and(|size| size <= WHOLE_ANSWER) {
+        let body = Passing::new(context, body, permit, job.deadline, cancel.take());
+        let response = Response::from_parts(head, Body::stream(body));
+        return Ended::Answered(Answered { response, target });
+    }
+    match read_whole(context, job, body).await {
+        Ok(bytes) => {
+            if !is_head {
+                head.headers.remove(header::CONTENT_LENGTH);
+            }
+            permit.finish(Report::Answered(head.status));
+            let response = Response::from_parts(head, Body::from(bytes));
+            Ended::Answered(Answered { response, target })
+        }
+        Err(reason) => {
+            let verdict = Verdict::unknown(502, Step::Answer, &target, reason);
+            Ended::Lost(started.lost(), verdict, permit)
+        }
+    }
+}
+
+async fn read_whole(context: &Context, job: &Job, body: Incoming) -> Result<Bytes, &'static str> {
+    let left = job.deadline.remaining(context.clock.now()).unwrap_or_default();
+    let limit = usize::try_from(WHOLE_ANSWER).unwrap_or(usize::MAX);
+    match context.clock.timeout(left, body::read(body, limit)).await {
+        Ok(Ok(bytes)) => Ok(bytes),
+        Ok(Err(_)) => Err("the answer was cut short"),
+        Err(_) => Err("the answer came too slowly"),
+    }
+}
+
+/// Tells the target that nobody waits any more, unless it is disarmed first.
+#[derive(Debug)]
+pub struct Cancel {
+    armed: Option<Armed>,
+}
+
+#[derive(Debug)]
+struct Armed {
+    context: Rc<Context>,
+    address: SocketAddr,
+    attempt: String,
+}
+
+impl Cancel {
+    fn new(context: &Context, address: SocketAddr, attempt: String) -> Self {
+        Self {
+            armed: Some(Armed {
+                context: Rc::new(context.clone()),
+                address,
+                attempt,
+            }),
+        }
+    }
+
+    /// Lets the attempt be: it has ended.
+    pub fn disarm(&mut self) {
+        self.armed = None;
+    }
+
+    /// Hands the duty to cancel to another owner.
+    pub fn take(&mut self) -> Self {
+        Self {
+            armed: self.armed.take(),
+        }
+    }
+}
+
+impl Drop for Cancel {
+    fn drop(&mut self) {
+        let Some(armed) = self.armed.take() else {
+            return;
+        };
+        compio::runtime::spawn(async move {
+            let span = router::CANCEL_TIMEOUT;
+            let sender = &armed.context.sender;
+            sender.cancel(armed.address, &armed.attempt, span).await;
+        })
+        .detach();
+    }
+}
+
+/// Returns what a target's answer says of an order.
+pub fn outcome(result: &Result<Answered, Verdict>) -> Outcome {
+    match result {
+        Ok(_) => Outcome::Ran,
+        Err(verdict) => verdict.outcome(),
+    }
+}
--- /dev/null
+++ b/src/entry/passing.rs
@@ -0,0 +1,97 @@
+//! A target's answer on its way to the caller.
+
+use std::{
+    future::Future,
+    pin::Pin,
+    task::{Context as Wake, Poll},
+    time::Duration,
+};
+
+use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
+
+use super::{
+    Context,
+    forward::Cancel,
+    router::{Permit, Report},
+};
+use crate::{request::Deadline, util::body::Cause};
+
+/// Passes a body on frame by frame, holding the target's slot until it ends.
+///
+/// When the body is cut, or the deadline passes, it ends in an error, which makes hyper break the
+/// caller's connection: an answer cut short never looks whole.
+pub struct Passing {
+    body: Incoming,
+    permit: Option<Permit>,
+    cancel: Cancel,
+    timer: Pin<Box<dyn Future<Output = ()>>>,
+}
+
+impl Passing {
+    /// Takes over a body, with the slot that it holds and the duty to cancel it.
+    pub fn new(
+        context: &Context,
+        body: Incoming,
+        permit: Permit,
+        deadline: Deadline,
+        cancel: Cancel,
+    ) -> Self {
+        let left = deadline.remaining(context.clock.now()).unwrap_or(Duration::ZERO);
+        let clock = context.clock.clone();
+        Self {
+            body,
+            permit: Some(permit),
+            cancel,
+            timer: Box::pin(async move { clock.sleep(left).await }),
+        }
+    }
+
+    fn end(&mut self, report: Report) {
+        if let Some(permit) = self.permit.take() {
+            permit.finish(report);
+        }
+    }
+}
+
+impl Body for Passing {
+    type Data = Bytes;
+    type Error = Cause;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Wake<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cause>>> {
+        let this = self.get_mut();
+        match Pin::new(&mut this.body).poll_frame(context) {
+            Poll::Ready(None) => {
+                this.cancel.disarm();
+                this.end(Report::Ended);
+                Poll::Ready(None)
+            }
+            Poll::Ready(Some(Ok(frame))) => {
+                // Of a body of known length hyper doesn't ask for the end.
+                if this.body.is_end_stream() {
+                    this.cancel.disarm();
+                    this.end(Report::Ended);
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(Some(Err(cause))) => {
+                this.end(Report::Lost);
+                Poll::Ready(Some(Err(cause.into())))
+            }
+            Poll::Pending if this.timer.as_mut().poll(context).is_ready() => {
+                this.end(Report::Lost);
+                Poll::Ready(Some(Err("the deadline passed".into())))
+            }
+            Poll::Pending => Poll::Pending,
+        }
+    }
+
+    // `is_end_stream` is left at its default, so that hyper asks for the end, and the slot is freed
+    // then.
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 //! A router for servers that own keys exclusively.
 pub mod clock;
 pub mod document;
+pub mod entry;
 pub mod gossip;
 pub mod group;
 pub mod id;
@@ -14,4 +15,5 @@
 pub mod spread;
 pub mod target;
 pub mod util;
+pub mod vm;
 pub mod watcher;
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -19,6 +19,14 @@
     },
 };
 
+/// The start of all our keys.
+pub const ROOT: &str = "bramleypier/";
+/// The start of the keys of service documents.
+pub const DOCUMENTS: &str = "bramleypier/documents/";
+/// The start of the keys of groups' records.
+pub const GROUPS: &str = "bramleypier/groups/";
+/// The key of the views of orders.
+pub const ORDERS: &str = "bramleypier/orders";
 /// The most connections to the platform; a waiting watch holds one.
 const CONNECTIONS: usize = 8;
 /// How long a call may take.
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -12,6 +12,7 @@
 //! ```
 
 use super::{Outcome, answer::Refusal};
+use crate::util::client;
 
 /// The request was read; nothing was decided yet.
 #[derive(Debug)]
@@ -27,6 +28,7 @@
 #[derive(Debug)]
 pub struct Started {
     peer: String,
+    refused: bool,
 }
 
 /// The request has ended.
@@ -160,7 +162,10 @@
     /// ```
     pub fn start(self, peer: &str) -> Attempt<Started> {
         Attempt {
-            state: Started { peer: peer.into() },
+            state: Started {
+                peer: peer.into(),
+                refused: self.state.refused,
+            },
         }
     }
 }
@@ -201,6 +206,32 @@
         }
     }
 
+    /// Takes a failure to send: back to [`Admitted`] when no byte left, else ended as unknown.
+    ///
+    /// # Errors
+    ///
+    /// Some of the request may have arrived; it has ended without an answer.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::{request::Attempt, util::client};
+    ///
+    /// let started = Attempt::new().admit().start("target-1");
+    /// let busy = client::Error::Busy("127.0.0.1:9".parse().unwrap());
+    /// assert!(started.failed(&busy).is_ok());
+    /// ```
+    pub fn failed(self, error: &client::Error) -> Result<Attempt<Admitted>, Attempt<Finished>> {
+        if error.unsent() {
+            return Ok(Attempt {
+                state: Admitted {
+                    refused: self.state.refused,
+                },
+            });
+        }
+        Err(self.lost())
+    }
+
     /// Ends the request with a whole answer of the target.
     ///
     /// # Example
--- /dev/null
+++ b/src/vm/mail.rs
@@ -0,0 +1,55 @@
+//! The task that sends messages to other VMs by their names.
+
+use std::net::SocketAddr;
+
+use futures_channel::mpsc;
+use futures_util::StreamExt;
+use indexmap::IndexMap;
+
+use super::wire;
+use crate::{clock::Clock, id::VmId, membership, peer};
+
+/// A message to the task.
+#[derive(Debug)]
+pub enum Message {
+    /// Send this to a VM; dropped when its address isn't known.
+    Send(VmId, wire::Message),
+    /// Send this to an address.
+    SendTo(SocketAddr, wire::Message),
+    /// The VMs that are there now.
+    Live(Vec<membership::Peer>),
+    /// A VM wrote from this address.
+    Seen(VmId, SocketAddr),
+}
+
+/// Runs the task until nobody can ask any more.
+pub async fn run(
+    clock: Clock,
+    vm: VmId,
+    address: SocketAddr,
+    mut messages: mpsc::UnboundedReceiver<Message>,
+) {
+    let mut outbox = peer::Outbox::new(clock, vm, address);
+    let mut addresses: IndexMap<VmId, SocketAddr> = IndexMap::new();
+    while let Some(message) = messages.next().await {
+        match message {
+            Message::Send(vm, message) => {
+                if let Some(address) = addresses.get(&vm) {
+                    outbox.send(*address, message);
+                }
+            }
+            Message::SendTo(address, message) => outbox.send(address, message),
+            Message::Seen(vm, address) => {
+                addresses.insert(vm, address);
+            }
+            Message::Live(peers) => {
+                let known = peers.into_iter().filter_map(|peer| {
+                    let address = peer.address.parse().ok()?;
+                    Some((peer.vm, address))
+                });
+                addresses = known.collect();
+                outbox.retain(|address| addresses.values().any(|known| known == address));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/vm/owners.rs
@@ -0,0 +1,378 @@
+//! The task that owns this VM's grantors, one a group, and gives the router its routes.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use futures_channel::{mpsc, oneshot};
+use futures_util::StreamExt;
+use hyper::body::Bytes;
+use indexmap::{IndexMap, IndexSet};
+use serde::Serialize;
+
+use super::{Tasks, mail, news::{self, Fleet}, wire};
+use crate::{
+    clock::Clock,
+    document::{Document, Ownership},
+    entry::router,
+    grant::{Grant, TargetState},
+    grantor::{self, Effect, Event, Grantor, Outcome, Timing},
+    group::{Record, build},
+    handover::Handover,
+    id::{GroupId, ServiceId, TargetId, Version, VmId},
+    membership, peer,
+    platform::{self, Platform, Put},
+    spread::{Id, Item, Kind},
+    target::Control,
+};
+
+/// How often grantors are woken.
+const TICK: Duration = Duration::from_millis(50);
+/// How long a grant or a probe of a target may take; a later answer would be of little use.
+const GRANT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// A message to the task.
+#[derive(Debug)]
+pub enum Message {
+    /// Time has passed.
+    Tick,
+    /// The fleet has changed.
+    Fleet(Fleet),
+    /// A document is in force.
+    Document(Version, Rc<Document>),
+    /// A group's record was read.
+    Record(GroupId, Version, Bytes),
+    /// A handover was heard of.
+    Fact(Handover),
+    /// Another VM writes.
+    Peer(VmId, GroupId, grantor::Message),
+    /// Something that this task asked for has ended.
+    Ended(GroupId, Event),
+    /// The platform's list of VMs was read.
+    Listed(Vec<platform::ListedVm>),
+    /// This VM stops: it hands its duties over.
+    Leave,
+    /// Tell the groups as known here.
+    Status(oneshot::Sender<Status>),
+}
+
+/// The groups as known here, for operators.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Status {
+    /// By group.
+    pub groups: IndexMap<GroupId, GroupStatus>,
+}
+
+/// A group as known here.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct GroupStatus {
+    /// The record's version.
+    pub version: Version,
+    /// Whether this VM is one of its grantors.
+    pub is_grantor: bool,
+    /// The record.
+    pub record: Option<Record>,
+}
+
+/// The task's state.
+#[derive(Debug)]
+pub struct Owners {
+    clock: Clock,
+    vm: VmId,
+    platform: Platform,
+    control: Control,
+    tasks: Tasks,
+    groups: IndexMap<GroupId, Grantor>,
+    documents: IndexMap<ServiceId, Rc<Document>>,
+    fleet: Option<Fleet>,
+    /// The versions that the others were told.
+    told: IndexMap<GroupId, Version>,
+}
+
+impl Owners {
+    /// Creates the task's state.
+    pub fn new(clock: Clock, vm: VmId, platform: Platform, tasks: Tasks) -> Self {
+        Self {
+            control: Control::new(clock.clone()),
+            clock,
+            vm,
+            platform,
+            tasks,
+            groups: IndexMap::new(),
+            documents: IndexMap::new(),
+            fleet: None,
+            told: IndexMap::new(),
+        }
+    }
+
+    /// Serves messages until nobody can send any more.
+    pub async fn run(mut self, mut messages: mpsc::UnboundedReceiver<Message>) {
+        let clock = self.clock.clone();
+        let ticks = self.tasks.owners.clone();
+        compio::runtime::spawn(async move {
+            while ticks.unbounded_send(Message::Tick).is_ok() {
+                clock.sleep(TICK).await;
+            }
+        })
+        .detach();
+        while let Some(message) = messages.next().await {
+            self.on(message);
+        }
+    }
+
+    fn on(&mut self, message: Message) {
+        match message {
+            Message::Tick => self.feed_all(&Event::Tick),
+            Message::Fleet(fleet) => self.fleet(fleet),
+            Message::Document(version, document) => self.document(version, &document),
+            Message::Record(group, version, bytes) => self.record(&group, version, &bytes),
+            Message::Fact(fact) => {
+                let group = fact.group.clone();
+                let message = grantor::Message::Handover(fact);
+                self.peer(self.vm.clone(), &group, message);
+            }
+            Message::Peer(from, group, message) => self.peer(from, &group, message),
+            Message::Ended(group, event) => self.feed(&group, event),
+            Message::Listed(list) => self.listed(&list),
+            Message::Leave => self.feed_all(&Event::Retire),
+            Message::Status(reply) => {
+                let _ = reply.send(self.status());
+            }
+        }
+    }
+
+    fn fleet(&mut self, fleet: Fleet) {
+        let vms = candidates(&fleet);
+        self.fleet = Some(fleet);
+        self.feed_all(&Event::Live { vms });
+    }
+
+    /// Tells grantors which of the VMs they name are gone for certain.
+    ///
+    /// A VM is gone when the platform's list, which lags but doesn't err, no longer has its name,
+    /// or when another start answers at its address.
+    fn listed(&mut self, list: &[platform::ListedVm]) {
+        let records = self.groups.values().filter_map(Grantor::record);
+        let named: IndexSet<VmId> = records
+            .flat_map(|(_, record)| record.trios.values().flatten())
+            .map(|grantor| grantor.vm.clone())
+            .collect();
+        let is_gone = |vm: &VmId| !list.iter().any(|listed| listed.name == membership::name(vm));
+        let gone: Vec<VmId> = named.into_iter().filter(is_gone).collect();
+        if !gone.is_empty() {
+            self.feed_all(&Event::Listed { gone });
+        }
+    }
+
+    /// Takes a document: each group of an exclusive service gets a grantor.
+    fn document(&mut self, version: Version, document: &Rc<Document>) {
+        self.documents.insert(document.service.clone(), document.clone());
+        if document.ownership == Ownership::Shared {
+            return;
+        }
+        for index in 0..document.groups {
+            let group = build::group(&document.service, index);
+            self.ensure(&group);
+            let document = (**document).clone();
+            self.feed(&group, Event::Document { version, document });
+        }
+    }
+
+    fn ensure(&mut self, group: &GroupId) {
+        if self.groups.contains_key(group) {
+            return;
+        }
+        let grantor = Grantor::new(self.vm.clone(), group.clone(), Timing::default());
+        self.groups.insert(group.clone(), grantor);
+        if let Some(fleet) = &self.fleet {
+            let vms = candidates(fleet);
+            self.feed(group, Event::Live { vms });
+        }
+    }
+
+    fn record(&mut self, group: &GroupId, version: Version, bytes: &Bytes) {
+        match peer::decode::<Record>(bytes) {
+            Ok(record) => {
+                self.ensure(group);
+                self.feed(group, Event::Record { version, record });
+            }
+            Err(cause) => log::error!("step=record peer={group} version={version} cause={cause:?}"),
+        }
+    }
+
+    fn feed_all(&mut self, event: &Event) {
+        let groups: Vec<GroupId> = self.groups.keys().cloned().collect();
+        for group in groups {
+            self.feed(&group, event.clone());
+        }
+    }
+
+    fn feed(&mut self, group: &GroupId, event: Event) {
+        let now = self.clock.now();
+        let Some(grantor) = self.groups.get_mut(group) else {
+            return;
+        };
+        let effects = grantor.on(now, event);
+        for effect in effects {
+            self.act(now, group, effect);
+        }
+        self.tell_record(group);
+    }
+
+    fn act(&mut self, now: Duration, group: &GroupId, effect: Effect) {
+        match effect {
+            Effect::Grant { target, address, grant } => {
+                self.grant(now, group, target, &address, Some(grant));
+            }
+            Effect::Probe { target, address } => self.grant(now, group, target, &address, None),
+            Effect::Send { to, message } => {
+                let message = wire::Message::Grantor(group.clone(), message);
+                let _ = self.tasks.mail.unbounded_send(mail::Message::Send(to, message));
+            }
+            Effect::Write { base, sequence, record } => self.write(group, base, sequence, &record),
+            Effect::Read => self.read(group),
+            Effect::Fact(fact) => {
+                self.tell_fact(fact.clone());
+                let _ = self.tasks.news.unbounded_send(news::Message::Fact(fact));
+            }
+            Effect::Note(note) => {
+                log::info!(
+                    "step={:?} peer={} group={group} detail={:?}",
+                    note.kind,
+                    note.subject,
+                    note.detail
+                );
+            }
+            Effect::AskSession { .. } => {}
+        }
+    }
+
+    /// Sends a grant, or reads the state, and feeds the answer back.
+    fn grant(
+        &self,
+        asked: Duration,
+        group: &GroupId,
+        target: TargetId,
+        address: &str,
+        grant: Option<Grant>,
+    ) {
+        let control = self.control.clone();
+        let owners = self.tasks.owners.clone();
+        let group = group.clone();
+        let address = address.parse::<SocketAddr>();
+        compio::runtime::spawn(async move {
+            let state: Option<TargetState> = match (address, grant) {
+                (Ok(peer), Some(grant)) => control.grant(peer, &grant, GRANT_TIMEOUT).await.ok(),
+                (Ok(peer), None) => control.state(peer, GRANT_TIMEOUT).await.ok(),
+                (Err(_), _) => None,
+            };
+            let event = match state {
+                Some(state) => Event::Target { target, asked, state },
+                None => Event::TargetFailed { target, asked },
+            };
+            let _ = owners.unbounded_send(Message::Ended(group, event));
+        })
+        .detach();
+    }
+
+    /// Writes a record by compare-and-swap, and feeds the result back.
+    fn write(&self, group: &GroupId, base: Version, sequence: u64, record: &Record) {
+        let platform = self.platform.clone();
+        let owners = self.tasks.owners.clone();
+        let group = group.clone();
+        let bytes = peer::encode(record);
+        compio::runtime::spawn(async move {
+            let result = match bytes {
+                Ok(bytes) => outcome(platform.put(&news::record_key(&group), base, bytes).await),
+                Err(_) => Outcome::Lost(base),
+            };
+            let event = Event::Written { sequence, result };
+            let _ = owners.unbounded_send(Message::Ended(group, event));
+        })
+        .detach();
+    }
+
+    /// Reads the record, and feeds it back.
+    fn read(&self, group: &GroupId) {
+        let platform = self.platform.clone();
+        let owners = self.tasks.owners.clone();
+        let group = group.clone();
+        compio::runtime::spawn(async move {
+            let value = platform.get(&news::record_key(&group)).await;
+            if let Ok(Some((version, bytes))) = value {
+                let _ = owners.unbounded_send(Message::Record(group, version, bytes));
+            }
+        })
+        .detach();
+    }
+
+    /// Gives the router, and everyone else, a record that is newer than what they know.
+    fn tell_record(&mut self, group: &GroupId) {
+        let Some((version, record)) = self.groups.get(group).and_then(Grantor::record) else {
+            return;
+        };
+        let told = self.told.entry(group.clone()).or_default();
+        if *told >= version {
+            return;
+        }
+        *told = version;
+        let record = Box::new(record.clone());
+        if let Ok(bytes) = peer::encode(&record) {
+            let id = Id::new(Kind::Record, group.clone());
+            let item = Item::new(id, version, bytes.to_vec());
+            let _ = self.tasks.news.unbounded_send(news::Message::Put(item));
+        }
+        let message = router::Message::Record(group.clone(), version, record);
+        let _ = self.tasks.router.unbounded_send(message);
+    }
+
+    /// Takes a message of another VM; handovers and leases are for the router too.
+    fn peer(&mut self, from: VmId, group: &GroupId, message: grantor::Message) {
+        match &message {
+            grantor::Message::Handover(fact) => self.tell_fact(fact.clone()),
+            grantor::Message::Lease { asked, routes } => {
+                let message = router::Message::Lease(group.clone(), *asked, routes.clone());
+                let _ = self.tasks.router.unbounded_send(message);
+            }
+            _ => {}
+        }
+        self.feed(group, Event::Peer { from, message });
+    }
+
+    fn tell_fact(&self, fact: Handover) {
+        let message = router::Message::Fact(fact);
+        let _ = self.tasks.router.unbounded_send(message);
+    }
+
+    fn status(&self) -> Status {
+        let groups = self.groups.iter().map(|(group, grantor)| {
+            let status = GroupStatus {
+                version: grantor.record().map_or(0, |(version, _)| version),
+                is_grantor: grantor.is_named(),
+                record: grantor.record().map(|(_, record)| record.clone()),
+            };
+            (group.clone(), status)
+        });
+        Status {
+            groups: groups.collect(),
+        }
+    }
+}
+
+/// Returns the VMs that may take duties.
+fn candidates(fleet: &Fleet) -> Vec<build::Candidate> {
+    let stays = |peer: &&membership::Peer| !fleet.leaving.contains(peer);
+    let candidate = |peer: &membership::Peer| build::Candidate {
+        vm: peer.vm.clone(),
+        domain: peer.domain.clone(),
+        session: String::new(),
+    };
+    fleet.live.iter().filter(stays).map(candidate).collect()
+}
+
+fn outcome(result: Result<Put, platform::Error>) -> Outcome {
+    match result {
+        Ok(Put::Won(version)) => Outcome::Won(version),
+        Ok(Put::Lost(version)) => Outcome::Lost(version),
+        // Even a write that surely failed is settled by reading back: one way for all.
+        Err(_) => Outcome::Doubt,
+    }
+}
