--- /dev/null
+++ b/src/grant.rs
@@ -0,0 +1,432 @@
+//! Grants: how a target is told what it owns, and how it keeps to it.
+//!
+//! A grant's end is a reading of the target's own clock, so one that was delayed on its way is
+//! expired on arrival, and one that lapses while its holder is frozen is found lapsed on waking.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    id::{BootId, Epoch},
+    key::Point,
+    range::Range,
+    util::decimal,
+};
+
+/// What a grantor sends to a target.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// The start of the target that may take this grant.
+    pub boot: BootId,
+    /// Until when the target may start work, in milliseconds of its own clock.
+    pub until_ms: u64,
+    /// The ranges it owns.
+    pub ranges: Vec<Claim>,
+    /// The ranges it is to let go of.
+    pub release: Vec<Claim>,
+}
+
+/// A range at an epoch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Claim {
+    /// The first point.
+    #[serde(with = "decimal")]
+    pub start: Point,
+    /// The last point.
+    #[serde(with = "decimal")]
+    pub end: Point,
+    /// The epoch.
+    pub epoch: Epoch,
+}
+
+impl Claim {
+    /// Creates the claim of a range at an epoch.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::{grant::Claim, range::Range};
+    ///
+    /// assert_eq!(Claim::new(Range::ALL, 1).range(), Range::ALL);
+    /// ```
+    pub fn new(range: Range, epoch: Epoch) -> Self {
+        Self {
+            start: range.start,
+            end: range.end,
+            epoch,
+        }
+    }
+
+    /// Returns the range.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::{grant::Claim, range::Range};
+    ///
+    /// assert!(Claim::new(Range::ALL, 1).range().contains(7));
+    /// ```
+    pub fn range(&self) -> Range {
+        Range {
+            start: self.start,
+            end: self.end,
+        }
+    }
+}
+
+/// What a target says about itself.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TargetState {
+    /// The target's start.
+    pub boot: BootId,
+    /// The reading of its clock when it answered, in milliseconds.
+    pub clock_ms: u64,
+    /// Whether it is ready for work.
+    pub phase: Phase,
+    /// The load it reports; it may lag or lie.
+    pub load: f64,
+    /// What it holds.
+    pub held: Vec<Held>,
+    /// What it let go of, with nothing left in flight.
+    pub released: Vec<Claim>,
+    /// What it refused of the grant that this answers.
+    pub refused: Vec<Claim>,
+    /// How many requests run.
+    pub running: u32,
+}
+
+/// Whether a target takes work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Phase {
+    /// It is starting.
+    Cold,
+    /// It takes work.
+    Ready,
+    /// It ends what it has and takes no more.
+    Draining,
+}
+
+/// A range that a target holds until a reading of its clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    /// The first point.
+    #[serde(with = "decimal")]
+    pub start: Point,
+    /// The last point.
+    #[serde(with = "decimal")]
+    pub end: Point,
+    /// The epoch.
+    pub epoch: Epoch,
+    /// Until when, in milliseconds of the target's clock.
+    pub until_ms: u64,
+}
+
+/// The rules of a target that checks grants.
+///
+/// It keeps the highest epoch seen of each point. A range of a lower epoch, or of one that it let
+/// go of, is refused.
+///
+/// # Example
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use bramleypier::{
+///     grant::{Claim, Grant, Holder},
+///     range::Range,
+/// };
+///
+/// let mut holder = Holder::new("boot-1".into());
+/// let now = Duration::from_secs(5);
+/// holder.on_grant(now, &Grant {
+///     boot: "boot-1".into(),
+///     until_ms: 6000,
+///     ranges: vec![Claim::new(Range::ALL, 3)],
+///     release: vec![],
+/// });
+/// assert_eq!(holder.epoch(7, now), Some(3));
+/// assert_eq!(holder.epoch(7, Duration::from_secs(6)), None);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Holder {
+    boot: BootId,
+    pieces: Vec<Piece>,
+    running: Vec<Point>,
+}
+
+/// What the holder knows of a part of the hash space.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Piece {
+    range: Range,
+    epoch: Epoch,
+    until: Duration,
+    released: bool,
+}
+
+impl Piece {
+    /// Returns what is known where this piece and a newer statement meet.
+    fn meet(&self, newer: &Self) -> Self {
+        if self.epoch > newer.epoch {
+            return *self;
+        }
+        if self.epoch < newer.epoch {
+            return *newer;
+        }
+        Self {
+            until: self.until.max(newer.until),
+            released: self.released || newer.released,
+            ..*self
+        }
+    }
+}
+
+impl Holder {
+    /// Creates the holder of a new start: it holds nothing.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier::grant::Holder;
+    ///
+    /// assert_eq!(Holder::new("boot-1".into()).epoch(7, Duration::ZERO), None);
+    /// ```
+    pub fn new(boot: BootId) -> Self {
+        Self {
+            boot,
+            pieces: Vec::new(),
+            running: Vec::new(),
+        }
+    }
+
+    /// Takes a grant and returns what of it was refused.
+    ///
+    /// A grant for another start is refused whole.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier::{
+    ///     grant::{Claim, Grant, Holder},
+    ///     range::Range,
+    /// };
+    ///
+    /// let mut holder = Holder::new("boot-2".into());
+    /// let grant = Grant {
+    ///     boot: "boot-1".into(),
+    ///     until_ms: 6000,
+    ///     ranges: vec![Claim::new(Range::ALL, 3)],
+    ///     release: vec![],
+    /// };
+    /// assert_eq!(holder.on_grant(Duration::ZERO, &grant), grant.ranges);
+    /// ```
+    pub fn on_grant(&mut self, now: Duration, grant: &Grant) -> Vec<Claim> {
+        if grant.boot != self.boot {
+            return grant.ranges.clone();
+        }
+        let until = Duration::from_millis(grant.until_ms);
+        let mut refused = Vec::new();
+        for claim in &grant.release {
+            self.set(claim, Duration::ZERO, true);
+        }
+        for claim in &grant.ranges {
+            self.set(claim, until, false);
+            if until > now && !self.holds(claim, now) {
+                refused.push(*claim);
+            }
+        }
+        refused
+    }
+
+    /// Returns the epoch at which it owns the point now, if it does.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier::grant::Holder;
+    ///
+    /// assert_eq!(Holder::new("boot-1".into()).epoch(7, Duration::ZERO), None);
+    /// ```
+    pub fn epoch(&self, point: Point, now: Duration) -> Option<Epoch> {
+        self.pieces
+            .iter()
+            .find(|piece| piece.range.contains(point))
+            .filter(|piece| !piece.released && now < piece.until)
+            .map(|piece| piece.epoch)
+    }
+
+    /// Starts a request if it owns the point now at that very epoch, and returns whether it did.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier::grant::Holder;
+    ///
+    /// assert!(!Holder::new("boot-1".into()).begin(7, 1, Duration::ZERO));
+    /// ```
+    pub fn begin(&mut self, point: Point, epoch: Epoch, now: Duration) -> bool {
+        let owns = self.epoch(point, now) == Some(epoch);
+        if owns {
+            self.running.push(point);
+        }
+        owns
+    }
+
+    /// Ends a request that was started.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::grant::Holder;
+    ///
+    /// Holder::new("boot-1".into()).finish(7);
+    /// ```
+    pub fn finish(&mut self, point: Point) {
+        if let Some(index) = self.running.iter().position(|other| *other == point) {
+            self.running.swap_remove(index);
+        }
+    }
+
+    /// Returns what it says about itself.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier::grant::Holder;
+    ///
+    /// let state = Holder::new("boot-1".into()).state(Duration::from_secs(2));
+    /// assert_eq!(state.clock_ms, 2000);
+    /// ```
+    pub fn state(&self, now: Duration) -> TargetState {
+        let free = |range: Range| !self.running.iter().any(|point| range.contains(*point));
+        let released = self.pieces.iter().filter(|piece| piece.released);
+        let held = self
+            .pieces
+            .iter()
+            .filter(|piece| !piece.released && now < piece.until);
+        TargetState {
+            boot: self.boot.clone(),
+            clock_ms: millis(now),
+            phase: Phase::Ready,
+            load: 0.0,
+            held: held.map(Piece::held).collect(),
+            released: released
+                .filter(|piece| free(piece.range))
+                .map(|piece| Claim::new(piece.range, piece.epoch))
+                .collect(),
+            refused: Vec::new(),
+            running: u32::try_from(self.running.len()).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Returns whether it owns the whole claim now, at that epoch or a higher one.
+    fn holds(&self, claim: &Claim, now: Duration) -> bool {
+        self.pieces
+            .iter()
+            .filter(|piece| piece.range.overlaps(&claim.range()))
+            .all(|piece| !piece.released && now < piece.until && piece.epoch == claim.epoch)
+    }
+
+    /// Lays a newer statement over what is known.
+    fn set(&mut self, claim: &Claim, until: Duration, released: bool) {
+        let newer = Piece {
+            range: claim.range(),
+            epoch: claim.epoch,
+            until,
+            released,
+        };
+        self.pieces = overlay(&self.pieces, &newer);
+    }
+}
+
+impl Piece {
+    fn held(&self) -> Held {
+        Held {
+            start: self.range.start,
+            end: self.range.end,
+            epoch: self.epoch,
+            until_ms: millis(self.until),
+        }
+    }
+
+    /// Returns whether the next piece can be joined to this one.
+    fn joins(&self, next: &Self) -> bool {
+        self.range.end.checked_add(1) == Some(next.range.start)
+            && self.epoch == next.epoch
+            && self.until == next.until
+            && self.released == next.released
+    }
+}
+
+/// Lays a statement over pieces that are in order and do not overlap.
+fn overlay(pieces: &[Piece], newer: &Piece) -> Vec<Piece> {
+    let mut parts = Vec::with_capacity(pieces.len() + 2);
+    let mut open = Some(newer.range.start);
+    for piece in pieces {
+        if !piece.range.overlaps(&newer.range) {
+            if piece.range.start > newer.range.end {
+                fill(&mut parts, newer, &mut open, newer.range.end);
+            }
+            parts.push(*piece);
+            continue;
+        }
+        let start = piece.range.start.max(newer.range.start);
+        let end = piece.range.end.min(newer.range.end);
+        if piece.range.start < start {
+            parts.push(cut(piece, piece.range.start, start - 1));
+        }
+        if start > 0 {
+            fill(&mut parts, newer, &mut open, start - 1);
+        }
+        parts.push(cut(&piece.meet(newer), start, end));
+        open = end.checked_add(1);
+        if piece.range.end > end {
+            parts.push(cut(piece, end + 1, piece.range.end));
+        }
+    }
+    fill(&mut parts, newer, &mut open, newer.range.end);
+    join(parts)
+}
+
+/// Adds the statement from the open point up to `end`, where nothing was known.
+fn fill(parts: &mut Vec<Piece>, newer: &Piece, open: &mut Option<Point>, end: Point) {
+    if let Some(start) = *open
+        && start <= end
+    {
+        parts.push(cut(newer, start, end));
+        *open = end.checked_add(1);
+    }
+}
+
+fn cut(piece: &Piece, start: Point, end: Point) -> Piece {
+    Piece {
+        range: Range { start, end },
+        ..*piece
+    }
+}
+
+fn join(parts: Vec<Piece>) -> Vec<Piece> {
+    let mut joined: Vec<Piece> = Vec::with_capacity(parts.len());
+    for part in parts {
+        match joined.last_mut() {
+            Some(last) if last.joins(&part) => last.range.end = part.range.end,
+            _ => joined.push(part),
+        }
+    }
+    joined
+}
+
+fn millis(reading: Duration) -> u64 {
+    u64::try_from(reading.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/grantor/event.rs
@@ -0,0 +1,195 @@
+//! What reaches a grantor, and what it wants done.
+
+use std::time::Duration;
+
+use crate::{
+    document::Document,
+    grant::{Grant, TargetState},
+    grantor::message::Message,
+    group::{self, Record, build::Candidate},
+    handover::Handover,
+    id::{LeaseId, TargetId, Version, VmId},
+    range::Range,
+};
+
+/// What reaches a grantor.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Time has passed; several times a second.
+    Tick,
+    /// A record of the group, from the platform's service.
+    Record {
+        /// Its version.
+        version: Version,
+        /// The record.
+        record: Record,
+    },
+    /// The own session in the platform's service was renewed.
+    Session {
+        /// The session.
+        id: LeaseId,
+        /// Until when it lasts, counted from when the renewal was sent.
+        until: Duration,
+    },
+    /// The own session is known to be over.
+    SessionLost,
+    /// A target answered.
+    Target {
+        /// The target.
+        target: TargetId,
+        /// When it was asked.
+        asked: Duration,
+        /// Its answer.
+        state: TargetState,
+    },
+    /// A target didn't answer.
+    TargetFailed {
+        /// The target.
+        target: TargetId,
+        /// When it was asked.
+        asked: Duration,
+    },
+    /// A message of another VM.
+    Peer {
+        /// The VM.
+        from: VmId,
+        /// The message.
+        message: Message,
+    },
+    /// The outcome of an own write.
+    Written {
+        /// The write.
+        sequence: u64,
+        /// Its outcome.
+        result: Outcome,
+    },
+    /// The platform's service says that another's session is over, for good.
+    SessionGone {
+        /// The grantor whose session it was.
+        grantor: group::Grantor,
+    },
+    /// VMs that the platform's list no longer shows.
+    Listed {
+        /// These VMs.
+        gone: Vec<VmId>,
+    },
+    /// The VMs that may be named as grantors.
+    Live {
+        /// These VMs.
+        vms: Vec<Candidate>,
+    },
+    /// A document is in force.
+    Document {
+        /// Its version.
+        version: Version,
+        /// The document.
+        document: Document,
+    },
+    /// What the senders measured lately.
+    Load {
+        /// Requests a second, by range.
+        loads: Vec<Load>,
+    },
+    /// The VM is to stop: it grants no more, and names another in its place.
+    Retire,
+}
+
+/// The load of a part of the hash space.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Load {
+    /// The part: a range, or a single hot point.
+    pub range: Range,
+    /// Work a second, in slots kept busy or requests; all of one unit.
+    pub rate: f64,
+}
+
+/// How a write ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It took effect and made this version.
+    Won(Version),
+    /// Another write came first; the value stands at this version.
+    Lost(Version),
+    /// Its answer was lost: it may have taken effect, or may still.
+    Doubt,
+}
+
+/// What a grantor wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Send a grant; the answer comes back as [`Event::Target`].
+    Grant {
+        /// The target.
+        target: TargetId,
+        /// Its address.
+        address: String,
+        /// The grant.
+        grant: Grant,
+    },
+    /// Read a target's state; the answer comes back as [`Event::Target`].
+    Probe {
+        /// The target.
+        target: TargetId,
+        /// Its address.
+        address: String,
+    },
+    /// Send a message to a VM.
+    Send {
+        /// The VM.
+        to: VmId,
+        /// The message.
+        message: Message,
+    },
+    /// Write the record by compare-and-swap; ends as [`Event::Written`].
+    Write {
+        /// The version that it replaces; 0 for none.
+        base: Version,
+        /// The write.
+        sequence: u64,
+        /// The record.
+        record: Box<Record>,
+    },
+    /// Read the record from the platform's service; ends as [`Event::Record`].
+    Read,
+    /// Ask the platform's service whether a session is over.
+    AskSession {
+        /// The grantor whose session it is.
+        grantor: group::Grantor,
+    },
+    /// Spread a handover to all VMs.
+    Fact(Handover),
+    /// Put an event on the time line.
+    Note(Note),
+}
+
+/// An event for the operators' time line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Note {
+    /// What happened.
+    pub kind: Kind,
+    /// The target, VM or range that it is about.
+    pub subject: String,
+    /// What else there is to say.
+    pub detail: String,
+}
+
+/// What happened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Kind {
+    /// This grantor stopped renewing a target.
+    Stop,
+    /// This grantor renews a target again.
+    Resume,
+    /// The target's grants have lapsed for certain; its ranges go to their heirs.
+    Release,
+    /// A range has a new owner.
+    Handover,
+    /// This grantor withholds its word from another.
+    Withhold,
+    /// This grantor asks for a write that replaces others.
+    Strike,
+    /// A write of the record ended.
+    Write,
+    /// This grantor grants no more.
+    Retire,
+}
--- /dev/null
+++ b/src/grantor/house.rs
@@ -0,0 +1,415 @@
+//! What a grantor writes into the record, and how the outcome is settled.
+
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+
+use crate::{
+    balance,
+    grantor::{Effect, Event, Grantor, Kind, Outcome, Pending, flaw::Flaw, note},
+    group::{self, Entry, Record, build, build::Candidate, heirs},
+    id::{DomainId, TargetId, Version},
+    key,
+    range::Range,
+};
+
+/// How often the record is looked over.
+const LOOK: Duration = Duration::from_millis(100);
+/// How long an imbalance must last, and how far moves for balance lie apart.
+const BALANCE: Duration = Duration::from_secs(10);
+/// After how many retry spans a write without any answer is sent again.
+const SILENT_RETRIES: u32 = 10;
+
+impl Grantor {
+    /// Writes what the record lacks, one write at a time.
+    pub(super) fn tick_house(&mut self, now: Duration, effects: &mut Vec<Effect>) {
+        if self.retry(now, effects) || now < self.housed + LOOK {
+            return;
+        }
+        self.housed = now;
+        self.trim_ended();
+        self.ask_strangers(effects);
+        let wanted = match &self.record {
+            Some(_) => self.desired(now),
+            None => self.founding(),
+        };
+        let Some((record, urgent)) = wanted else {
+            self.wanting = None;
+            return;
+        };
+        let since = *self.wanting.get_or_insert(now);
+        let rank = if urgent { 0 } else { self.rank(now) };
+        if now >= since + self.timing.rank * rank {
+            self.write(now, record, effects);
+        }
+    }
+
+    /// Sends a write again that has no outcome; returns whether there is one.
+    fn retry(&mut self, now: Duration, effects: &mut Vec<Effect>) -> bool {
+        let retry = self.timing.retry;
+        let Some(pending) = self.pending.as_mut() else {
+            return false;
+        };
+        if now >= pending.sent + retry * SILENT_RETRIES {
+            pending.sent = now;
+            effects.push(Effect::Read);
+            effects.push(Effect::Write {
+                base: pending.base,
+                sequence: pending.sequence,
+                record: Box::new(pending.record.clone()),
+            });
+        }
+        true
+    }
+
+    fn write(&mut self, now: Duration, mut record: Record, effects: &mut Vec<Effect>) {
+        let sequence = self.next_sequence();
+        record.writer.clone_from(&self.vm);
+        record.sequence = sequence;
+        let base = self.version();
+        self.wanting = None;
+        let touched = touched(&self.view, &record);
+        if !touched.is_empty() {
+            self.balanced = now + BALANCE;
+        }
+        self.pending = Some(Pending {
+            sequence,
+            base,
+            record: record.clone(),
+            sent: now,
+            touched,
+        });
+        effects.push(Effect::Write {
+            base,
+            sequence,
+            record: Box::new(record),
+        });
+    }
+
+    /// Takes the outcome of an own write. In doubt, or lost, the value itself settles it.
+    pub(super) fn on_written(
+        &mut self,
+        now: Duration,
+        sequence: u64,
+        result: Outcome,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(pending) = self.pending.as_mut().filter(|own| own.sequence == sequence) else {
+            return;
+        };
+        match result {
+            Outcome::Won(version) => {
+                let record = pending.record.clone();
+                effects.extend(self.on(now, Event::Record { version, record }));
+            }
+            Outcome::Lost(_) => effects.push(Effect::Read),
+            Outcome::Doubt => {
+                let waits = self.timing.retry * (SILENT_RETRIES - 1);
+                pending.sent = now.saturating_sub(waits);
+                effects.push(Effect::Read);
+            }
+        }
+    }
+
+    /// Settles an own write by a record newer than its base: either it is that write, or that
+    /// write can't take effect any more.
+    pub(super) fn settle(&mut self, version: Version, record: &Record, effects: &mut Vec<Effect>) {
+        let Some(pending) = self.pending.take_if(|pending| version > pending.base) else {
+            return;
+        };
+        let won = record.writer == self.vm && record.sequence == pending.sequence;
+        let detail = format!("won={won} version={version}");
+        effects.push(note(Kind::Write, &self.group, detail));
+    }
+
+    /// How many live VMs come before this one for a write that any of them could make.
+    fn rank(&self, now: Duration) -> u32 {
+        if self.record.is_none() {
+            let weight = key::weight(&self.group, &self.vm);
+            let before = |live: &&Candidate| key::weight(&self.group, &live.vm) > weight;
+            return count(self.live.iter().filter(before));
+        }
+        let rank = |domain: &DomainId| {
+            let trio = self.trio(domain).iter();
+            let before = trio.take_while(|grantor| grantor.vm != self.vm);
+            count(before.filter(|grantor| self.hears_peer(now, &grantor.vm)))
+        };
+        self.domains().map(rank).min().unwrap_or(3)
+    }
+
+    fn founding(&self) -> Option<(Record, bool)> {
+        let (version, document) = self.document.as_ref()?;
+        let record = build::first(&self.group, *version, document, &self.live)?;
+        Some((record, false))
+    }
+
+    /// Returns the record as it should be, if that differs, and whether the change is this VM's
+    /// alone to make.
+    fn desired(&self, now: Duration) -> Option<(Record, bool)> {
+        let (_, base) = self.record.as_ref()?;
+        let mut next = self.view.clone();
+        next.serial += 1;
+        if !self.is_named() {
+            self.replace_vanished(&mut next);
+            return differs(base, &next).then_some((next, false));
+        }
+        self.rename(&mut next);
+        let urgent = next.trios != self.view.trios;
+        self.follow(&mut next);
+        self.replace_lost(now, &mut next);
+        self.admit_starts(now, &mut next);
+        self.assign_orphans(&mut next);
+        self.balance(now, &mut next);
+        self.repair_heirs(&mut next);
+        self.readmit(now, &mut next);
+        self.dismiss(&mut next);
+        differs(base, &next).then_some((next, urgent))
+    }
+
+    /// Names the own session where the record names another, or none.
+    fn rename(&self, next: &mut Record) {
+        let Some((session, _)) = self.session.as_ref().filter(|_| !self.retired) else {
+            return;
+        };
+        for grantor in next.trios.values_mut().flatten() {
+            if grantor.vm == self.vm {
+                grantor.session.clone_from(session);
+            }
+        }
+    }
+
+    fn follow(&self, next: &mut Record) {
+        if let Some((version, document)) = &self.document {
+            build::admit(next, *version, document);
+        }
+    }
+
+    /// Drops grantors that are certain to grant no more, and fills the trios up.
+    fn replace_lost(&self, now: Duration, next: &mut Record) {
+        let domains: Vec<DomainId> = self.domains().cloned().collect();
+        let lost = |domain: &str, grantor: &group::Grantor| {
+            let own = grantor.vm == self.vm;
+            (own && self.retired) || (!own && self.is_lost(now, domain, grantor))
+        };
+        let before = next.trios.clone();
+        for (domain, trio) in &mut next.trios {
+            if domains.contains(domain) {
+                trio.retain(|grantor| !lost(domain, grantor));
+            }
+        }
+        build::name(next, &self.candidates(now));
+        for (domain, trio) in &mut next.trios {
+            if trio.is_empty()
+                && let Some(known) = before.get(domain)
+            {
+                trio.clone_from(known);
+            }
+        }
+    }
+
+    fn is_lost(&self, now: Duration, domain: &str, grantor: &group::Grantor) -> bool {
+        !self.hears_peer(now, &grantor.vm) && self.may_strike(now, domain, grantor)
+    }
+
+    /// Replaces the grantors of failure domains whose whole trio is gone from the platform's list.
+    fn replace_vanished(&self, next: &mut Record) {
+        let gone = |grantor: &group::Grantor| self.vanished(grantor);
+        let over = |grantor: &group::Grantor| {
+            grantor.session.is_empty() || self.ended.contains(&grantor.session)
+        };
+        let mut found = false;
+        for trio in next.trios.values_mut() {
+            if !trio.is_empty() && trio.iter().all(|grantor| gone(grantor) && over(grantor)) {
+                trio.clear();
+                found = true;
+            }
+        }
+        if found {
+            build::name(next, &self.live);
+        }
+    }
+
+    fn vanished(&self, grantor: &group::Grantor) -> bool {
+        self.gone.contains(&grantor.vm)
+    }
+
+    /// Asks for the sessions of trios that are gone from the platform's list as a whole.
+    fn ask_strangers(&self, effects: &mut Vec<Effect>) {
+        for (domain, trio) in &self.view.trios {
+            if self.myself(domain).is_some() || !trio.iter().all(|other| self.vanished(other)) {
+                continue;
+            }
+            let unknown = |other: &&group::Grantor| !self.ended.contains(&other.session);
+            effects.extend(
+                trio.iter()
+                    .filter(unknown)
+                    .map(|grantor| Effect::AskSession {
+                        grantor: grantor.clone(),
+                    }),
+            );
+        }
+    }
+
+    /// The VMs that may be named in another's place.
+    fn candidates(&self, now: Duration) -> Vec<Candidate> {
+        let fit = |candidate: &&Candidate| {
+            let own = candidate.vm == self.vm;
+            let silent =
+                self.peers.contains_key(&candidate.vm) && !self.hears_peer(now, &candidate.vm);
+            !(self.gone.contains(&candidate.vm) || silent || own && self.retired)
+        };
+        self.live.iter().filter(fit).cloned().collect()
+    }
+
+    /// Names the first start heard of each target, and notes the releases.
+    fn admit_starts(&self, now: Duration, next: &mut Record) {
+        for (target, watch) in &self.watches {
+            let Some(member) = next.members.get_mut(target) else {
+                continue;
+            };
+            if member.term != watch.term {
+                continue;
+            }
+            member.released |= watch.released;
+            let heard = watch.fresh(now, self.timing.hearing);
+            if let Some(state) = heard
+                && member.boot.is_empty()
+            {
+                member.boot.clone_from(&state.boot);
+            }
+        }
+    }
+
+    /// Gives the ranges of released owners without heirs to fit targets, or back to the target's
+    /// new start when there is none.
+    ///
+    /// No handover can exist for these: a handover needs an heir, and a released owner gets none.
+    fn assign_orphans(&self, next: &mut Record) {
+        for index in 0..next.ranges.len() {
+            let entry = &next.ranges[index];
+            if entry.chain.len() > 1 || !self.is_released(&entry.chain[0]) {
+                continue;
+            }
+            let owner = entry.chain[0].clone();
+            let mut chain = heirs::repair(next, entry);
+            chain.retain(|heir| *heir != owner);
+            if !chain.is_empty() {
+                next.ranges[index].epoch += 1;
+                next.ranges[index].chain = chain;
+                next.ranges[index].moving = false;
+            }
+        }
+    }
+
+    /// Lets targets back in that answer, under a new term: released ones, and new starts.
+    ///
+    /// No chain may name the target, so no handover to its old term can still come about. One
+    /// whose ranges found no other owner takes them back at higher epochs.
+    fn readmit(&self, now: Duration, next: &mut Record) {
+        for (target, watch) in &self.watches {
+            let Some(state) = watch.fresh(now, self.timing.hearing) else {
+                continue;
+            };
+            let serial = next.serial;
+            let Some(member) = next.members.get_mut(target) else {
+                continue;
+            };
+            let back = member.released || (member.boot != state.boot && !member.boot.is_empty());
+            if !back || member.term != watch.term {
+                continue;
+            }
+            let held = |entry: &&mut Entry| entry.chain.contains(target);
+            let named: Vec<&mut Entry> = next.ranges.iter_mut().filter(held).collect();
+            let alone = watch.released && named.iter().all(|entry| entry.chain.len() == 1);
+            let kept = self.flaw == Flaw::TermKept;
+            if !named.is_empty() && !alone && !kept {
+                continue;
+            }
+            for entry in named.into_iter().filter(|_| alone) {
+                entry.epoch += 1;
+                entry.moving = false;
+            }
+            member.boot.clone_from(&state.boot);
+            member.released = false;
+            member.term = serial;
+        }
+    }
+
+    /// Returns whether this VM may change the heirs and the bounds of a target's ranges: it
+    /// grants to the target and has not stopped it.
+    fn tends(&self, target: &str) -> bool {
+        let watch = self.watches.get(target);
+        watch.is_some_and(|watch| watch.own.is_none() && !watch.released)
+    }
+
+    fn repair_heirs(&self, next: &mut Record) {
+        for index in 0..next.ranges.len() {
+            let entry = &next.ranges[index];
+            if !entry.moving && self.tends(&entry.chain[0]) {
+                next.ranges[index].chain = heirs::repair(next, entry);
+            }
+        }
+    }
+
+    fn balance(&self, now: Duration, next: &mut Record) {
+        let Some((_, document)) = &self.document else {
+            return;
+        };
+        let tends = |target: &str| self.tends(target);
+        let drains = |target: &str| self.drains(now, target);
+        balance::leave(next, tends, drains);
+        if now < self.balanced {
+            return;
+        }
+        let steps = balance::plan(next, &self.loads, document, tends);
+        balance::apply(next, &steps);
+    }
+
+    /// Returns whether a target says that it takes no more work.
+    fn drains(&self, now: Duration, target: &str) -> bool {
+        let watch = self.watches.get(target);
+        let state = watch.and_then(|watch| watch.fresh(now, self.timing.hearing));
+        state.is_some_and(|state| state.phase == crate::grant::Phase::Draining)
+    }
+
+    fn dismiss(&self, next: &mut Record) {
+        if let Some((version, document)) = &self.document
+            && *version == next.document
+        {
+            build::dismiss(next, |target| document.targets.contains_key(target));
+        }
+    }
+}
+
+/// Returns the owners whose ranges, epochs or heirs differ between two records.
+fn touched(before: &Record, after: &Record) -> IndexSet<TargetId> {
+    let of = |record: &Record| -> IndexMap<Range, Entry> {
+        let pairs = record.ranges.iter();
+        pairs.map(|entry| (entry.range, entry.clone())).collect()
+    };
+    let (old, new) = (of(before), of(after));
+    let changed = |one: &IndexMap<Range, Entry>, other: &IndexMap<Range, Entry>| {
+        one.iter()
+            .filter(|(range, entry)| other.get(*range) != Some(*entry))
+            .filter_map(|(_, entry)| entry.chain.first().cloned())
+            .collect::<Vec<TargetId>>()
+    };
+    let mut touched: IndexSet<TargetId> = changed(&old, &new).into_iter().collect();
+    touched.extend(changed(&new, &old));
+    touched
+}
+
+/// Returns whether two records say different things, whoever wrote them.
+fn differs(base: &Record, next: &Record) -> bool {
+    base.members != next.members
+        || base.trios != next.trios
+        || base.ranges != next.ranges
+        || base.document != next.document
+}
+
+fn count<I>(items: I) -> u32
+where
+    I: Iterator,
+{
+    u32::try_from(items.count()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/src/grantor/message.rs
@@ -0,0 +1,108 @@
+//! Messages between grantors, and between grantors and senders.
+//!
+//! Each may be lost, late, doubled or out of order.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    group::{self, Record},
+    handover::Handover,
+    id::{DomainId, Epoch, TargetId, Term, Version},
+    range::Range,
+};
+
+/// A message about one group.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub enum Message {
+    /// Asks for a word, and tells what the asker has stopped.
+    Ask {
+        /// The asker's reading; it comes back with the word.
+        asked: Duration,
+        /// The newest record that the asker knows.
+        version: Version,
+        /// The targets that the asker has stopped.
+        stops: Vec<Stop>,
+    },
+    /// A word: the giver agrees that the asker grants.
+    Word {
+        /// The asker's reading when it asked.
+        asked: Duration,
+        /// The newest record that the giver knows.
+        version: Version,
+        /// The failure domains for which it holds; none when it is withheld.
+        domains: Vec<DomainId>,
+    },
+    /// Asks that a stop be erased.
+    Withdraw {
+        /// The stop.
+        stop: Stop,
+    },
+    /// The stop is erased; the sender had not acted on it.
+    Withdrawn {
+        /// The stop.
+        stop: Stop,
+        /// Whether the sender itself has no stop for the target.
+        clean: bool,
+    },
+    /// The sender gives no more words to a grantor, for good.
+    Withhold {
+        /// The grantor, with the session for which this holds.
+        grantor: group::Grantor,
+        /// How long ago it gave the last one.
+        age: Duration,
+    },
+    /// A record.
+    Record {
+        /// Its version.
+        version: Version,
+        /// The record.
+        record: Box<Record>,
+    },
+    /// A handover.
+    Handover(Handover),
+    /// A sender asks for leases of ranges whose owners don't check.
+    LeaseAsk {
+        /// The sender's reading; it comes back with the lease.
+        asked: Duration,
+    },
+    /// Leases for a sender, good for the span of a grant from when they were asked for.
+    Lease {
+        /// The sender's reading when it asked.
+        asked: Duration,
+        /// What it may send where.
+        routes: Vec<Leased>,
+    },
+}
+
+/// A grantor's promise not to renew a target until it has withdrawn this.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Stop {
+    /// The target.
+    pub target: TargetId,
+    /// Its term.
+    pub term: Term,
+    /// The serial of the write that named the grantor.
+    pub since: Term,
+    /// The grantor's count of stops; 0 for the one with which it starts.
+    pub sequence: u64,
+    /// The newest record that the grantor knew when it sent this.
+    pub version: Version,
+}
+
+/// A range that may be sent to a target.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Leased {
+    /// The range.
+    pub range: Range,
+    /// Its epoch.
+    pub epoch: Epoch,
+    /// Its owner.
+    pub target: TargetId,
+    /// The owner's term.
+    pub term: Term,
+}
--- /dev/null
+++ b/src/grantor/mod.rs
@@ -0,0 +1,419 @@
+//! The grantor: what one VM does for one group.
+//!
+//! The rules are on the design page, section "Ownership". This is a state machine free of I/O:
+//! [`Grantor::on`] takes what happened and returns what is to be done. Safety rests on no order
+//! or promptness of events, only on clocks that run at nearly the same rate.
+
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+
+use crate::{
+    document::Document,
+    group::{self, Record, build::Candidate, merge},
+    handover::{Facts, Handover},
+    id::{DomainId, Epoch, GroupId, LeaseId, TargetId, Term, Version, VmId},
+    range::Range,
+};
+
+pub mod event;
+#[doc(hidden)]
+pub mod flaw;
+mod house;
+pub mod message;
+mod peers;
+mod routes;
+mod targets;
+pub mod timing;
+mod watch;
+
+pub use event::{Effect, Event, Kind, Load, Note, Outcome};
+pub use message::{Leased, Message, Stop};
+pub use routes::Route;
+pub use timing::Timing;
+
+use flaw::Flaw;
+use watch::Watch;
+
+/// The most handovers that wait for the record to carry them.
+const FACTS: usize = 16_384;
+
+/// One VM's part in granting to one group's targets.
+///
+/// # Example
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use bramleypier::grantor::{Event, Grantor, Timing};
+///
+/// let mut grantor = Grantor::new("vm-1#1".into(), "tracking/0".into(), Timing::default());
+/// assert!(grantor.on(Duration::ZERO, Event::Tick).is_empty());
+/// ```
+#[derive(Clone, Debug)]
+pub struct Grantor {
+    vm: VmId,
+    group: GroupId,
+    timing: Timing,
+    flaw: Flaw,
+    /// The newest record known.
+    record: Option<(Version, Record)>,
+    /// The record with the facts laid over it.
+    view: Record,
+    /// Handovers that the record doesn't carry yet.
+    facts: Facts,
+    /// When facts were last spread again.
+    spread: Duration,
+    session: Option<(LeaseId, Duration)>,
+    /// Words got, by giver and failure domain, with their ends.
+    words: IndexMap<(VmId, DomainId), Duration>,
+    peers: IndexMap<VmId, Peer>,
+    /// When the trio of a failure domain was last seen to change.
+    changed: IndexMap<DomainId, Duration>,
+    watches: IndexMap<TargetId, Watch>,
+    /// Marked ranges of owners that don't check: since when all of the trio know.
+    marked: IndexMap<(Range, Epoch), Mark>,
+    pending: Option<Pending>,
+    document: Option<(Version, Document)>,
+    live: Vec<Candidate>,
+    gone: IndexSet<VmId>,
+    /// Sessions that are over, by the platform's word.
+    ended: IndexSet<LeaseId>,
+    loads: Vec<Load>,
+    /// Since when the record has wanted a write.
+    wanting: Option<Duration>,
+    /// Before when no move for balance is made.
+    balanced: Duration,
+    /// The last write or stop.
+    sequence: u64,
+    asked: Duration,
+    housed: Duration,
+    retired: bool,
+}
+
+/// What is known of another grantor.
+#[derive(Clone, Debug, Default)]
+struct Peer {
+    /// When it was last heard.
+    heard: Duration,
+    /// When the last word was given to it.
+    given: Option<Duration>,
+    /// The session for which words are withheld from it.
+    withheld: Option<LeaseId>,
+    /// From when on its withholding counts, by the grantor that it is about.
+    withholds: IndexMap<(VmId, LeaseId), Duration>,
+    /// The newest record that it knows.
+    version: Version,
+    /// When it was last sent a record.
+    updated: Option<Duration>,
+}
+
+/// An own write whose outcome isn't known.
+#[derive(Clone, Debug)]
+struct Pending {
+    sequence: u64,
+    base: Version,
+    record: Record,
+    sent: Duration,
+    /// The targets whose ranges or heirs it changes.
+    touched: IndexSet<TargetId>,
+}
+
+/// A range on its way from an owner that doesn't check.
+#[derive(Clone, Copy, Debug)]
+struct Mark {
+    version: Version,
+    known: Option<Duration>,
+}
+
+impl Grantor {
+    /// Creates the grantor of one VM for one group. It knows nothing yet.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::grantor::{Grantor, Timing};
+    ///
+    /// let grantor = Grantor::new("vm-1#1".into(), "tracking/0".into(), Timing::default());
+    /// assert!(grantor.record().is_none());
+    /// ```
+    pub fn new(vm: VmId, group: GroupId, timing: Timing) -> Self {
+        Self {
+            vm,
+            group,
+            timing,
+            flaw: Flaw::None,
+            record: None,
+            view: Record::default(),
+            facts: Facts::new(),
+            spread: Duration::ZERO,
+            session: None,
+            words: IndexMap::new(),
+            peers: IndexMap::new(),
+            changed: IndexMap::new(),
+            watches: IndexMap::new(),
+            marked: IndexMap::new(),
+            pending: None,
+            document: None,
+            live: Vec::new(),
+            gone: IndexSet::new(),
+            ended: IndexSet::new(),
+            loads: Vec::new(),
+            wanting: None,
+            balanced: Duration::ZERO,
+            sequence: 0,
+            asked: Duration::ZERO,
+            housed: Duration::ZERO,
+            retired: false,
+        }
+    }
+
+    /// Leaves out a rule, for tests that show what it prevents.
+    #[doc(hidden)]
+    #[must_use]
+    pub fn with_flaw(mut self, flaw: Flaw) -> Self {
+        self.flaw = flaw;
+        self
+    }
+
+    /// Takes an event and returns what is to be done, in order.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier::grantor::{Event, Grantor, Timing};
+    ///
+    /// let mut grantor = Grantor::new("vm-1#1".into(), "tracking/0".into(), Timing::default());
+    /// let until = Duration::from_secs(2);
+    /// let event = Event::Session { id: "lease-1".into(), until };
+    /// assert!(grantor.on(Duration::from_millis(500), event).is_empty());
+    /// ```
+    pub fn on(&mut self, now: Duration, event: Event) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        match event {
+            Event::Tick => self.tick(now, &mut effects),
+            Event::Record { version, record } => self.on_record(now, version, record, &mut effects),
+            Event::Session { id, until } => self.session = Some((id, until)),
+            Event::SessionLost => self.session = None,
+            Event::Target { target, state, .. } => {
+                self.on_target(now, &target, state, &mut effects);
+            }
+            Event::TargetFailed { .. } => {}
+            Event::Peer { from, message } => self.on_peer(now, &from, message, &mut effects),
+            Event::Written { sequence, result } => {
+                self.on_written(now, sequence, result, &mut effects);
+            }
+            Event::SessionGone { grantor } => {
+                self.ended.insert(grantor.session);
+            }
+            Event::Listed { gone } => self.gone = gone.into_iter().collect(),
+            Event::Live { vms } => self.live = vms,
+            Event::Document { version, document } => {
+                let newer = self
+                    .document
+                    .as_ref()
+                    .is_none_or(|(known, _)| *known < version);
+                if newer && document.service == self.service() {
+                    self.document = Some((version, document));
+                }
+            }
+            Event::Load { loads } => self.loads = loads,
+            Event::Retire => self.retire(&mut effects),
+        }
+        effects
+    }
+
+    /// Returns the newest record known, with its version.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::grantor::{Grantor, Timing};
+    ///
+    /// let grantor = Grantor::new("vm-1#1".into(), "tracking/0".into(), Timing::default());
+    /// assert!(grantor.record().is_none());
+    /// ```
+    pub fn record(&self) -> Option<(Version, &Record)> {
+        let (version, record) = self.record.as_ref()?;
+        Some((*version, record))
+    }
+
+    /// Returns the handovers that the record doesn't carry yet.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::grantor::{Grantor, Timing};
+    ///
+    /// let grantor = Grantor::new("vm-1#1".into(), "tracking/0".into(), Timing::default());
+    /// assert_eq!(grantor.facts().count(), 0);
+    /// ```
+    pub fn facts(&self) -> impl Iterator<Item = &Handover> {
+        self.facts.values()
+    }
+
+    /// Returns whether the newest record names this VM as a grantor.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::grantor::{Grantor, Timing};
+    ///
+    /// let grantor = Grantor::new("vm-1#1".into(), "tracking/0".into(), Timing::default());
+    /// assert!(!grantor.is_named());
+    /// ```
+    pub fn is_named(&self) -> bool {
+        self.domains().next().is_some()
+    }
+
+    fn service(&self) -> &str {
+        let name = self.group.rsplit_once('/');
+        name.map_or(self.group.as_str(), |(service, _)| service)
+    }
+
+    fn version(&self) -> Version {
+        self.record.as_ref().map_or(0, |(version, _)| *version)
+    }
+
+    /// The failure domains whose trio names this VM.
+    fn domains(&self) -> impl Iterator<Item = &DomainId> {
+        let named = |trio: &Vec<group::Grantor>| trio.iter().any(|grantor| grantor.vm == self.vm);
+        self.view
+            .trios
+            .iter()
+            .filter(move |(_, trio)| named(trio))
+            .map(|(domain, _)| domain)
+    }
+
+    fn trio(&self, domain: &str) -> &[group::Grantor] {
+        self.view.trios.get(domain).map_or(&[], Vec::as_slice)
+    }
+
+    /// This VM, as the trio of a failure domain names it.
+    fn myself(&self, domain: &str) -> Option<&group::Grantor> {
+        self.trio(domain)
+            .iter()
+            .find(|grantor| grantor.vm == self.vm)
+    }
+
+    /// The other grantors of a failure domain's targets.
+    fn fellows(&self, domain: &str) -> Vec<group::Grantor> {
+        let others = self
+            .trio(domain)
+            .iter()
+            .filter(|grantor| grantor.vm != self.vm);
+        others.cloned().collect()
+    }
+
+    /// The failure domain of a target.
+    fn domain(&self, target: &str) -> Option<DomainId> {
+        let member = self.view.members.get(target)?;
+        Some(member.domain.clone())
+    }
+
+    fn tick(&mut self, now: Duration, effects: &mut Vec<Effect>) {
+        self.tick_peers(now, effects);
+        self.tick_targets(now, effects);
+        self.tick_house(now, effects);
+        self.spread_facts(now, effects);
+    }
+
+    /// Takes a newer record; an older one changes nothing.
+    fn on_record(
+        &mut self,
+        now: Duration,
+        version: Version,
+        record: Record,
+        effects: &mut Vec<Effect>,
+    ) {
+        if version <= self.version() || record.group != self.group {
+            return;
+        }
+        self.settle(version, &record, effects);
+        self.note_trios(now, &record);
+        self.facts.retain(|_, fact| !merge::carries(&record, fact));
+        self.record = Some((version, record));
+        self.refresh(now);
+        self.derive(now, effects);
+    }
+
+    /// Notes which trios a record changes.
+    fn note_trios(&mut self, now: Duration, record: &Record) {
+        for (domain, trio) in &record.trios {
+            let known = self.view.trios.get(domain);
+            let same = known.is_some_and(|known| {
+                known.len() == trio.len()
+                    && known
+                        .iter()
+                        .zip(trio)
+                        .all(|(a, b)| a.vm == b.vm && a.since == b.since)
+            });
+            if !same {
+                self.changed.insert(domain.clone(), now);
+            }
+        }
+    }
+
+    /// Takes a handover; returns whether it is new.
+    fn learn(&mut self, now: Duration, fact: Handover) -> bool {
+        let key = (fact.range, fact.epoch);
+        let known = self.facts.contains_key(&key) || self.facts.len() >= FACTS;
+        let carried = self
+            .record
+            .as_ref()
+            .is_some_and(|(_, record)| merge::carries(record, &fact));
+        if known || carried || fact.group != self.group {
+            return false;
+        }
+        self.facts.insert(key, fact);
+        self.refresh(now);
+        true
+    }
+
+    /// Works out the view and the watches again.
+    fn refresh(&mut self, now: Duration) {
+        if let Some((_, record)) = &self.record {
+            self.view = merge::view(record, &self.facts);
+        }
+        self.refresh_watches(now);
+        self.refresh_marks();
+    }
+
+    /// Spreads the facts again that no record carries yet.
+    fn spread_facts(&mut self, now: Duration, effects: &mut Vec<Effect>) {
+        if now < self.spread + self.timing.grant {
+            return;
+        }
+        self.spread = now;
+        effects.extend(self.facts.values().cloned().map(Effect::Fact));
+    }
+
+    /// Takes back no promise, but makes none any more.
+    fn retire(&mut self, effects: &mut Vec<Effect>) {
+        if !self.retired {
+            self.retired = true;
+            effects.push(note(Kind::Retire, &self.vm, String::new()));
+        }
+    }
+
+    fn next_sequence(&mut self) -> u64 {
+        self.sequence += 1;
+        self.sequence
+    }
+}
+
+/// Builds a note for the time line.
+fn note(kind: Kind, subject: &str, detail: String) -> Effect {
+    Effect::Note(Note {
+        kind,
+        subject: subject.to_owned(),
+        detail,
+    })
+}
+
+/// The serial below which a grantor starts as stopped.
+fn starts_stopped(term: Term, since: Term) -> bool {
+    term < since
+}
--- /dev/null
+++ b/src/grantor/targets.rs
@@ -0,0 +1,540 @@
+//! Renewing grants, stopping, withdrawing a stop, and the release of a lost target's ranges.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::{
+    document::Fencing,
+    grant::{Claim, Grant, TargetState},
+    grantor::{
+        Effect, Grantor, Kind, Mark, Message, Stop, flaw::Flaw, note, starts_stopped, watch::Watch,
+    },
+    group::{self, Entry, Member},
+    handover::{Handover, Heir},
+    id::{DomainId, TargetId, Term, VmId},
+};
+
+impl Grantor {
+    /// Begins watches, and ends those whose target or term is gone.
+    pub(super) fn refresh_watches(&mut self, now: Duration) {
+        let domains: Vec<DomainId> = self.domains().cloned().collect();
+        let mut watches = IndexMap::new();
+        for (target, member) in &self.view.members {
+            if !domains.contains(&member.domain) {
+                continue;
+            }
+            let since = self.myself(&member.domain).map_or(0, |myself| myself.since);
+            let known = self.watches.shift_remove(target);
+            let watch = known
+                .filter(|watch| watch.term == member.term && watch.since == since)
+                .unwrap_or_else(|| self.begin(now, member.term, since));
+            watches.insert(target.clone(), watch);
+        }
+        self.watches = watches;
+    }
+
+    /// Begins a watch; a grantor that was named later than the term starts as stopped.
+    fn begin(&self, now: Duration, term: Term, since: Term) -> Watch {
+        let mut watch = Watch::new(term, since, self.version(), now);
+        if starts_stopped(term, since) && self.flaw != Flaw::NewUnstopped {
+            watch.stop(now, 0);
+        }
+        watch
+    }
+
+    /// Takes a target's answer.
+    pub(super) fn on_target(
+        &mut self,
+        now: Duration,
+        target: &TargetId,
+        state: TargetState,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(member) = self.view.members.get(target) else {
+            return;
+        };
+        let ignored = self.flaw == Flaw::BootIgnored;
+        let named = (state.boot == member.boot || ignored) && !member.boot.is_empty();
+        let term = member.term;
+        let Some(watch) = self.watches.get_mut(target) else {
+            return;
+        };
+        let released = state.released.clone();
+        watch.on_state(now, state, named, self.timing.hearing);
+        if named {
+            self.on_released(now, target, term, &released, effects);
+        }
+    }
+
+    /// Turns an owner's confirmation that it let go of a marked range into its handover.
+    fn on_released(
+        &mut self,
+        now: Duration,
+        target: &TargetId,
+        term: Term,
+        released: &[Claim],
+        effects: &mut Vec<Effect>,
+    ) {
+        let gone = |entry: &&Entry| {
+            let free = released.iter().any(|claim| {
+                claim.epoch == entry.epoch
+                    && claim.start <= entry.range.start
+                    && entry.range.end <= claim.end
+            });
+            free || self.flaw == Flaw::UnconfirmedMove
+        };
+        let member = self.view.members.get(target);
+        if member.is_none_or(|member| member.term != term || member.fencing != Fencing::Checked) {
+            return;
+        }
+        let entries: Vec<Entry> = self
+            .view
+            .ranges
+            .iter()
+            .filter(|entry| entry.moving && entry.chain.first() == Some(target))
+            .filter(gone)
+            .cloned()
+            .collect();
+        for entry in entries {
+            self.hand_over(now, &entry, effects);
+        }
+        self.derive(now, effects);
+    }
+
+    /// Probes, grants, stops, withdraws and releases.
+    pub(super) fn tick_targets(&mut self, now: Duration, effects: &mut Vec<Effect>) {
+        let targets: Vec<TargetId> = self.watches.keys().cloned().collect();
+        for target in &targets {
+            self.tick_stop(now, target, effects);
+            self.tick_withdraw(now, target, effects);
+            self.tick_grant(now, target, effects);
+            self.tick_release(now, target, effects);
+        }
+        self.tick_marks(now, effects);
+        self.derive(now, effects);
+    }
+
+    /// Stops a target that isn't heard, unless an own write about it is under way.
+    fn tick_stop(&mut self, now: Duration, target: &TargetId, effects: &mut Vec<Effect>) {
+        let patience = self.patience(target);
+        let Some(watch) = self.watches.get(target) else {
+            return;
+        };
+        let heard = watch.heard.unwrap_or(watch.born);
+        let touched = self
+            .pending
+            .as_ref()
+            .is_some_and(|pending| pending.touched.contains(target));
+        let blocked = touched && self.flaw != Flaw::StopInDoubt;
+        if now < heard + patience || blocked {
+            return;
+        }
+        let resumed = watch.own.as_ref().is_some_and(|own| own.erased.is_some());
+        if watch.own.is_some() && !resumed {
+            return;
+        }
+        let sequence = self.next_sequence();
+        if let Some(watch) = self.watches.get_mut(target) {
+            watch.stop(now, sequence);
+        }
+        effects.push(note(Kind::Stop, target, String::new()));
+    }
+
+    /// How long a target may be silent. One that never was heard may be starting.
+    fn patience(&self, target: &str) -> Duration {
+        let member = self.view.members.get(target);
+        if member.is_some_and(|member| member.boot.is_empty()) {
+            return self.timing.session * 4;
+        }
+        self.timing.hearing
+    }
+
+    /// The stops to tell a fellow of.
+    pub(super) fn stops_for(&mut self, to: &VmId) -> Vec<Stop> {
+        let version = self.version();
+        let mut stops = Vec::new();
+        for (target, member) in &self.view.members {
+            let trio = self.view.trios.get(&member.domain);
+            let shared = trio.is_some_and(|trio| trio.iter().any(|grantor| grantor.vm == *to));
+            if let Some(watch) = self.watches.get_mut(target)
+                && shared
+            {
+                stops.extend(watch.told(target, version, to));
+            }
+        }
+        stops
+    }
+
+    /// Takes another's stop.
+    pub(super) fn on_stop(&mut self, now: Duration, from: &VmId, stop: Stop) {
+        if let Some(watch) = self.watches.get_mut(&stop.target) {
+            watch.on_stop(now, from, stop);
+        }
+    }
+
+    /// Starts to withdraw an own stop once the target is heard again, and repeats the question.
+    fn tick_withdraw(&mut self, now: Duration, target: &TargetId, effects: &mut Vec<Effect>) {
+        let Some(domain) = self.domain(target) else {
+            return;
+        };
+        let authority = self.has_authority(now, &domain);
+        let version = self.version();
+        let fellows = self.fellows(&domain);
+        let timing = self.timing;
+        let alone = self.flaw == Flaw::LoneWithdraw;
+        let Some(watch) = self.watches.get_mut(target) else {
+            return;
+        };
+        let steady = watch
+            .steady
+            .is_some_and(|since| now >= since + timing.renew);
+        let hears = watch.hears(now, timing.hearing);
+        let Some(own) = watch.own.as_mut() else {
+            return;
+        };
+        if watch.released || !steady || !hears || !authority {
+            return;
+        }
+        let stop = Stop {
+            target: target.clone(),
+            term: watch.term,
+            since: watch.since,
+            sequence: own.sequence,
+            version,
+        };
+        own.erased.get_or_insert_default();
+        if fellows.is_empty() || alone {
+            self.try_resume(now, target, effects);
+            return;
+        }
+        let due = own
+            .withdrawn
+            .is_none_or(|last| now >= last + timing.word_ask);
+        if !due {
+            return;
+        }
+        own.withdrawn = Some(now);
+        for fellow in fellows {
+            let stop = stop.clone();
+            let message = Message::Withdraw { stop };
+            effects.push(Effect::Send {
+                to: fellow.vm,
+                message,
+            });
+        }
+    }
+
+    /// Erases another's stop, unless it was acted upon.
+    ///
+    /// The answer counts from a record at least as new as the asker's, so that whoever answers
+    /// tells its later stops to the same trio.
+    pub(super) fn on_withdraw(&mut self, from: &VmId, stop: Stop, effects: &mut Vec<Effect>) {
+        let Some(domain) = self.domain(&stop.target) else {
+            return;
+        };
+        let named = self
+            .trio(&domain)
+            .iter()
+            .any(|grantor| grantor.vm == *from && grantor.since == stop.since);
+        if !named || self.version() < stop.version {
+            return;
+        }
+        let Some(watch) = self.watches.get_mut(&stop.target) else {
+            return;
+        };
+        if watch.term != stop.term || watch.released {
+            return;
+        }
+        watch.erase(from, &stop);
+        let clean = watch.own.is_none();
+        effects.push(Effect::Send {
+            to: from.clone(),
+            message: Message::Withdrawn { stop, clean },
+        });
+    }
+
+    /// Takes another's word that it has erased an own stop.
+    pub(super) fn on_withdrawn(
+        &mut self,
+        now: Duration,
+        from: &VmId,
+        stop: &Stop,
+        clean: bool,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(watch) = self.watches.get_mut(&stop.target) else {
+            return;
+        };
+        let same = watch.term == stop.term && watch.since == stop.since;
+        let Some(own) = watch
+            .own
+            .as_mut()
+            .filter(|own| same && own.sequence == stop.sequence)
+        else {
+            return;
+        };
+        let Some(erased) = own.erased.as_mut() else {
+            return;
+        };
+        erased.insert(from.clone(), (clean, stop.version));
+        own.told.shift_remove(from);
+        self.try_resume(now, &stop.target, effects);
+    }
+
+    /// Ends an own stop once every grantor that may know of it has erased it.
+    ///
+    /// A struck one can't be asked. It could only have acted on the stops of its whole trio, so
+    /// then some fellow must be without a stop; the same goes for the stop of a new grantor.
+    fn try_resume(&mut self, now: Duration, target: &TargetId, effects: &mut Vec<Effect>) {
+        let Some(domain) = self.domain(target) else {
+            return;
+        };
+        let version = self.version();
+        let fellows = self.fellows(&domain);
+        let flaw = self.flaw;
+        let Some(watch) = self.watches.get_mut(target) else {
+            return;
+        };
+        let Some(own) = watch.own.as_ref().filter(|_| !watch.released) else {
+            return;
+        };
+        let Some(erased) = own.erased.as_ref() else {
+            return;
+        };
+        let current = |vm: &VmId| erased.get(vm).filter(|(_, at)| *at >= version);
+        let all = fellows.iter().all(|fellow| current(&fellow.vm).is_some());
+        let clean = fellows
+            .iter()
+            .any(|fellow| current(&fellow.vm).is_some_and(|(clean, _)| *clean));
+        let struck = own
+            .told
+            .iter()
+            .any(|vm| !fellows.iter().any(|fellow| fellow.vm == *vm));
+        let needs = (struck || own.initial) && flaw != Flaw::StruckForgotten;
+        if flaw == Flaw::LoneWithdraw || (all && (clean || !needs)) {
+            watch.own = None;
+            effects.push(note(Kind::Resume, target, format!("after={now:?}")));
+        }
+    }
+
+    /// Renews a target's grant, or asks for its state.
+    fn tick_grant(&mut self, now: Duration, target: &TargetId, effects: &mut Vec<Effect>) {
+        let Some(member) = self.view.members.get(target).cloned() else {
+            return;
+        };
+        let Some(watch) = self.watches.get_mut(target) else {
+            return;
+        };
+        if watch
+            .asked
+            .is_some_and(|asked| now < asked + self.timing.renew)
+        {
+            return;
+        }
+        watch.asked = Some(now);
+        let probe = Effect::Probe {
+            target: target.clone(),
+            address: member.address.clone(),
+        };
+        let grant = self.grant(now, target, &member);
+        effects.push(grant.map_or(probe, |grant| Effect::Grant {
+            target: target.clone(),
+            address: member.address,
+            grant,
+        }));
+    }
+
+    /// Builds a grant, if this VM may renew the target and knows the reading of its clock.
+    fn grant(&self, now: Duration, target: &TargetId, member: &Member) -> Option<Grant> {
+        let watch = self.watches.get(target)?;
+        let state = watch.fresh(now, self.timing.grant)?;
+        let ignored = self.flaw == Flaw::BootIgnored;
+        if member.fencing != Fencing::Checked
+            || !self.renews(now, target, member)
+            || (state.boot != member.boot && !ignored)
+        {
+            return None;
+        }
+        let owned = |entry: &&Entry| entry.chain.first() == Some(target);
+        let claim = |entry: &Entry| Claim::new(entry.range, entry.epoch);
+        let (moving, kept): (Vec<&Entry>, Vec<&Entry>) = self
+            .view
+            .ranges
+            .iter()
+            .filter(owned)
+            .partition(|entry| entry.moving && self.flaw != Flaw::UnconfirmedMove);
+        let span = self.timing.shorter(self.timing.grant);
+        Some(Grant {
+            boot: state.boot.clone(),
+            until_ms: state.clock_ms + u64::try_from(span.as_millis()).unwrap_or(0),
+            ranges: kept.into_iter().map(claim).collect(),
+            release: moving.into_iter().map(claim).collect(),
+        })
+    }
+
+    /// Returns whether this VM may renew a target now.
+    pub(super) fn renews(&self, now: Duration, target: &str, member: &Member) -> bool {
+        let stopped = |watch: &Watch| watch.own.is_some() || watch.released;
+        self.watches
+            .get(target)
+            .is_some_and(|watch| !stopped(watch))
+            && !member.boot.is_empty()
+            && self.has_authority(now, &member.domain)
+    }
+
+    /// Decides a release once the whole trio has stopped and every grant has lapsed for certain.
+    fn tick_release(&mut self, now: Duration, target: &TargetId, effects: &mut Vec<Effect>) {
+        let Some(since) = self.stopped_since(target) else {
+            return;
+        };
+        let wait = self.timing.longer(self.timing.grant);
+        if now < since + wait && self.flaw != Flaw::NoWait {
+            return;
+        }
+        let Some(watch) = self.watches.get_mut(target) else {
+            return;
+        };
+        if !watch.released {
+            watch.released = true;
+            effects.push(note(Kind::Release, target, format!("term={}", watch.term)));
+        }
+    }
+
+    /// Returns since when the whole trio is known to have stopped a target.
+    ///
+    /// A stop counts only with a record at least as new as its sender's: that record names the
+    /// trio, and the heirs that the sender last agreed to.
+    fn stopped_since(&self, target: &TargetId) -> Option<Duration> {
+        let domain = self.domain(target)?;
+        let watch = self.watches.get(target)?;
+        let own = watch.own.as_ref()?;
+        let mut since = own.at;
+        if self.flaw == Flaw::LoneStop {
+            return Some(since);
+        }
+        for fellow in self.fellows(&domain) {
+            since = since.max(self.stop_of(watch, &fellow)?);
+        }
+        let changed = self.changed.get(&domain).copied().unwrap_or_default();
+        Some(since.max(changed))
+    }
+
+    /// Returns when a fellow's stop became known.
+    fn stop_of(&self, watch: &Watch, fellow: &group::Grantor) -> Option<Duration> {
+        let explicit = watch.others.get(&fellow.vm);
+        let explicit = explicit.filter(|(_, stop)| stop.since == fellow.since);
+        if let Some((at, stop)) = explicit {
+            let known = self.version() >= stop.version || self.flaw == Flaw::OldHeirs;
+            return known.then_some(*at);
+        }
+        let starts = starts_stopped(watch.term, fellow.since) && fellow.since >= watch.since;
+        let kept = watch.floor(&fellow.vm) <= (fellow.since, 0);
+        (starts && kept).then_some(Duration::ZERO)
+    }
+
+    /// Derives the handovers that follow from releases, until there are no more.
+    pub(super) fn derive(&mut self, now: Duration, effects: &mut Vec<Effect>) {
+        loop {
+            let lost = |entry: &&Entry| entry.chain.len() > 1 && self.is_released(&entry.chain[0]);
+            let entries: Vec<Entry> = self.view.ranges.iter().filter(lost).cloned().collect();
+            let learned: Vec<bool> = entries
+                .iter()
+                .map(|entry| self.hand_over(now, entry, effects))
+                .collect();
+            if !learned.contains(&true) {
+                return;
+            }
+        }
+    }
+
+    /// Returns whether this VM knows that a target was released under its present term.
+    pub(super) fn is_released(&self, target: &str) -> bool {
+        self.watches.get(target).is_some_and(|watch| watch.released)
+    }
+
+    /// Makes the next heir the owner, as a fact; returns whether it is new.
+    fn hand_over(&mut self, now: Duration, entry: &Entry, effects: &mut Vec<Effect>) -> bool {
+        let heir = |target: &TargetId| {
+            let member = self.view.members.get(target)?;
+            Some(Heir {
+                target: target.clone(),
+                term: member.term,
+            })
+        };
+        let chain: Option<Vec<Heir>> = entry.chain.iter().skip(1).map(heir).collect();
+        let Some(chain) = chain.filter(|chain| !chain.is_empty()) else {
+            return false;
+        };
+        let raise = u64::from(self.flaw != Flaw::EpochKept);
+        let fact = Handover {
+            group: self.group.clone(),
+            range: entry.range,
+            epoch: entry.epoch + raise,
+            chain,
+        };
+        if !self.learn(now, fact.clone()) {
+            return false;
+        }
+        let owner = &fact.chain[0].target;
+        let detail = format!(
+            "range={:?} epoch={} from={}",
+            fact.range, fact.epoch, entry.chain[0]
+        );
+        effects.push(note(Kind::Handover, owner, detail));
+        effects.push(Effect::Fact(fact));
+        true
+    }
+
+    /// Forgets the marks of ranges that have moved.
+    pub(super) fn refresh_marks(&mut self) {
+        let version = self.version();
+        let unchecked = |target: &TargetId| {
+            let member = self.view.members.get(target);
+            member.is_some_and(|member| member.fencing == Fencing::Unchecked)
+        };
+        let mut marked = IndexMap::new();
+        for entry in &self.view.ranges {
+            if entry.moving && entry.chain.first().is_some_and(unchecked) {
+                let key = (entry.range, entry.epoch);
+                let fresh = Mark {
+                    version,
+                    known: None,
+                };
+                let mark = self.marked.get(&key).copied().unwrap_or(fresh);
+                marked.insert(key, mark);
+            }
+        }
+        self.marked = marked;
+    }
+
+    /// Hands marked ranges over once no sender can hold a lease of them, nor work in flight.
+    fn tick_marks(&mut self, now: Duration, effects: &mut Vec<Effect>) {
+        let wait = self.timing.longer(self.timing.grant) + self.timing.longer(self.timing.drain);
+        let mut due = Vec::new();
+        for (key, mark) in self.marked.clone() {
+            let owner = |entry: &&Entry| (entry.range, entry.epoch) == key;
+            let Some(entry) = self.view.ranges.iter().find(owner).cloned() else {
+                continue;
+            };
+            let Some(domain) = self.domain(&entry.chain[0]) else {
+                continue;
+            };
+            let told = self.fellows(&domain).iter().all(|fellow| {
+                let peer = self.peers.get(&fellow.vm);
+                peer.is_some_and(|peer| peer.version >= mark.version)
+            });
+            let known = mark.known.or(told.then_some(now));
+            if let Some(mark) = self.marked.get_mut(&key) {
+                mark.known = known;
+            }
+            let changed = self.changed.get(&domain).copied().unwrap_or_default();
+            if known.is_some_and(|known| now >= known.max(changed) + wait) {
+                due.push(entry);
+            }
+        }
+        for entry in due {
+            self.hand_over(now, &entry, effects);
+        }
+    }
+}
--- /dev/null
+++ b/src/grantor/timing.rs
@@ -0,0 +1,88 @@
+//! The spans of time on which ownership rests, in one place.
+
+use std::time::Duration;
+
+/// How long promises last and how often they are renewed.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier::grantor::timing::Timing;
+///
+/// let timing = Timing::default();
+/// assert!(timing.renew * 2 < timing.hearing);
+/// assert!(timing.longer(timing.grant) > timing.grant);
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Timing {
+    /// How long a grant, or a sender's lease, lasts from the reading it is counted from.
+    pub grant: Duration,
+    /// How often a grant is renewed.
+    pub renew: Duration,
+    /// After how much silence a target or a peer counts as not heard.
+    pub hearing: Duration,
+    /// How long a session in the platform's service lasts.
+    pub session: Duration,
+    /// How often a session is renewed.
+    pub session_renew: Duration,
+    /// How long a word lasts, counted from when it was asked for.
+    pub word: Duration,
+    /// How often a word is asked for.
+    pub word_ask: Duration,
+    /// How long what is in flight to an unchecked target may run on after a planned move.
+    pub drain: Duration,
+    /// How long a lower-ranked grantor leaves a write to a higher-ranked one.
+    pub rank: Duration,
+    /// How long a write without an answer waits before it is sent again.
+    pub retry: Duration,
+    /// The share by which one clock may run ahead of another.
+    pub drift: f64,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            grant: Duration::from_secs(1),
+            renew: Duration::from_millis(250),
+            hearing: Duration::from_millis(700),
+            session: Duration::from_millis(1500),
+            session_renew: Duration::from_millis(400),
+            word: Duration::from_millis(700),
+            word_ask: Duration::from_millis(200),
+            drain: Duration::from_secs(5),
+            rank: Duration::from_millis(300),
+            retry: Duration::from_millis(200),
+            drift: 0.02,
+        }
+    }
+}
+
+impl Timing {
+    /// Returns the span as its giver counts it: never shorter than its holder does.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::grantor::timing::Timing;
+    ///
+    /// let timing = Timing::default();
+    /// assert!(timing.longer(timing.word) > timing.word);
+    /// ```
+    pub fn longer(&self, span: Duration) -> Duration {
+        span.mul_f64(1.0 + self.drift)
+    }
+
+    /// Returns the span as its holder counts it: never longer than its giver does.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::grantor::timing::Timing;
+    ///
+    /// let timing = Timing::default();
+    /// assert!(timing.shorter(timing.word) < timing.word);
+    /// ```
+    pub fn shorter(&self, span: Duration) -> Duration {
+        span.mul_f64(1.0 - self.drift)
+    }
+}
--- /dev/null
+++ b/src/grantor/watch.rs
@@ -0,0 +1,159 @@
+//! What a grantor knows of one target: whether it is heard, and who has stopped it.
+
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+
+use crate::{
+    grant::TargetState,
+    grantor::message::Stop,
+    id::{TargetId, Term, Version, VmId},
+};
+
+/// One target under one term, as one grantor sees it.
+#[derive(Clone, Debug)]
+pub(super) struct Watch {
+    /// The term.
+    pub term: Term,
+    /// The serial of the write that named the grantor.
+    pub since: Term,
+    /// The newest record known when the watch began; stops told by an older one are void.
+    pub version: Version,
+    /// When the watch began.
+    pub born: Duration,
+    /// When the start that the record names was last heard.
+    pub heard: Option<Duration>,
+    /// Since when it has been heard without a break.
+    pub steady: Option<Duration>,
+    /// When any start of it was last heard, and what it said.
+    pub state: Option<(Duration, TargetState)>,
+    /// When it was last asked.
+    pub asked: Option<Duration>,
+    /// The own stop.
+    pub own: Option<Own>,
+    /// The stops of the others, and when they were heard of.
+    pub others: IndexMap<VmId, (Duration, Stop)>,
+    /// Stops below these were withdrawn.
+    pub floors: IndexMap<VmId, (Term, u64)>,
+    /// Whether the release was decided; for good.
+    pub released: bool,
+}
+
+/// An own stop.
+#[derive(Clone, Debug)]
+pub(super) struct Own {
+    /// When it began.
+    pub at: Duration,
+    /// Its number; 0 for the stop with which a grantor starts.
+    pub sequence: u64,
+    /// Who may have heard of it and hasn't erased it.
+    pub told: IndexSet<VmId>,
+    /// Who has erased it since it is being withdrawn, whether they had no stop themselves, and
+    /// by which record they answered.
+    pub erased: Option<IndexMap<VmId, (bool, Version)>>,
+    /// Whether it goes back to the stop with which a grantor starts.
+    pub initial: bool,
+    /// When the others were last asked to erase it.
+    pub withdrawn: Option<Duration>,
+}
+
+impl Watch {
+    /// Begins to watch.
+    pub fn new(term: Term, since: Term, version: Version, now: Duration) -> Self {
+        Self {
+            term,
+            since,
+            version,
+            born: now,
+            heard: None,
+            steady: None,
+            state: None,
+            asked: None,
+            own: None,
+            others: IndexMap::new(),
+            floors: IndexMap::new(),
+            released: false,
+        }
+    }
+
+    /// Notes an answer, and whether it came from the start that the record names.
+    pub fn on_state(&mut self, now: Duration, state: TargetState, named: bool, gap: Duration) {
+        if named {
+            let fresh = self.heard.is_some_and(|heard| now < heard + gap);
+            if !fresh || self.steady.is_none() {
+                self.steady = Some(now);
+            }
+            self.heard = Some(now);
+        }
+        self.state = Some((now, state));
+    }
+
+    /// Returns whether the named start was heard within the span.
+    pub fn hears(&self, now: Duration, span: Duration) -> bool {
+        self.heard.is_some_and(|heard| now < heard + span)
+    }
+
+    /// Returns what the target said last, if it said it within the span.
+    pub fn fresh(&self, now: Duration, span: Duration) -> Option<&TargetState> {
+        let (at, state) = self.state.as_ref()?;
+        (now < *at + span).then_some(state)
+    }
+
+    /// Takes another's stop, unless it was withdrawn or a newer one is known.
+    pub fn on_stop(&mut self, now: Duration, from: &VmId, stop: Stop) {
+        let number = (stop.since, stop.sequence);
+        let void = stop.term != self.term || stop.version < self.version;
+        if void || self.floor(from) > number {
+            return;
+        }
+        let known = self.others.get(from);
+        if known.is_none_or(|(_, known)| (known.since, known.sequence) < number) {
+            self.others.insert(from.clone(), (now, stop));
+        }
+    }
+
+    /// Erases another's stop, and whatever of it may still be on its way.
+    pub fn erase(&mut self, from: &VmId, stop: &Stop) {
+        let number = (stop.since, stop.sequence);
+        let known = self.others.get(from);
+        if known.is_some_and(|(_, known)| (known.since, known.sequence) <= number) {
+            self.others.shift_remove(from);
+        }
+        let floor = self.floor(from).max((stop.since, stop.sequence + 1));
+        self.floors.insert(from.clone(), floor);
+    }
+
+    /// Returns the number below which another's stops are withdrawn.
+    pub fn floor(&self, from: &VmId) -> (Term, u64) {
+        self.floors.get(from).copied().unwrap_or((0, 0))
+    }
+
+    /// Stops the target, for good until this is withdrawn.
+    pub fn stop(&mut self, now: Duration, sequence: u64) {
+        let before = self.own.take();
+        let initial = sequence == 0 || before.as_ref().is_some_and(|own| own.initial);
+        self.own = Some(Own {
+            at: now,
+            sequence,
+            told: before.map(|own| own.told).unwrap_or_default(),
+            initial,
+            erased: None,
+            withdrawn: None,
+        });
+        self.steady = None;
+    }
+
+    /// Returns the own stop as it is told to others, unless it is being withdrawn.
+    pub fn told(&mut self, target: &TargetId, version: Version, to: &VmId) -> Option<Stop> {
+        let (term, since) = (self.term, self.since);
+        let own = self.own.as_mut().filter(|own| own.erased.is_none())?;
+        own.told.insert(to.clone());
+        Some(Stop {
+            target: target.clone(),
+            term,
+            since,
+            sequence: own.sequence,
+            version,
+        })
+    }
+}
--- /dev/null
+++ b/src/group/build.rs
@@ -0,0 +1,327 @@
+//! Making the first record of a group, and letting a record follow its document.
+
+use std::cmp::Reverse;
+
+use indexmap::IndexSet;
+
+use crate::{
+    document::{Document, Target, TargetState},
+    group::{Entry, Grantor, Member, Record, check, heirs},
+    id::{DomainId, GroupId, LeaseId, TargetId, Term, Version, VmId},
+    key,
+    range::Range,
+};
+
+/// A live VM that may be named as a grantor.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Candidate {
+    /// The VM.
+    pub vm: VmId,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Its session; empty while unknown. A VM that was named so names its session itself.
+    pub session: LeaseId,
+}
+
+/// Returns the name of a service's group.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier::group::build;
+///
+/// assert_eq!(build::group("tracking", 0), "tracking/0");
+/// ```
+pub fn group(service: &str, index: u32) -> GroupId {
+    format!("{service}/{index}")
+}
+
+/// Returns the slice of the hash space that a group covers.
+///
+/// A name that is no group of the document gives the last slice.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier::{group::build, range::Range};
+///
+/// assert_eq!(build::slice(1, "tracking/0"), Range::ALL);
+/// ```
+pub fn slice(groups: u32, group: &str) -> Range {
+    let index = group.rsplit('/').next().and_then(|text| text.parse().ok());
+    let mut parts = Range::ALL.split(u64::from(groups));
+    let last = parts.len() - 1;
+    parts.swap_remove(index.unwrap_or(last).min(last))
+}
+
+/// Returns the group that a target belongs to, by rendezvous hash.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier::group::build;
+///
+/// assert_eq!(build::home("tracking", 1, "server-7"), "tracking/0");
+/// ```
+pub fn home(service: &str, groups: u32, target: &str) -> GroupId {
+    let names = (0..groups.max(1)).map(|index| group(service, index));
+    names
+        .max_by_key(|name| key::weight(target, name))
+        .unwrap_or_else(|| group(service, 0))
+}
+
+/// Makes the first record of a group.
+///
+/// Ranges are spread evenly over the serving targets. Without such a target, or without a live
+/// VM, there is none.
+///
+/// # Example
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use bramleypier::{
+///     document::{Document, Fencing, Ownership, Target, TargetState},
+///     group::build::{self, Candidate},
+/// };
+///
+/// let target = |domain: &str| Target {
+///     address: "127.0.0.1:1".into(),
+///     domain: domain.into(),
+///     fencing: Fencing::Checked,
+///     slots: 2,
+///     connections: 130,
+///     state: TargetState::Serving,
+/// };
+/// let document = Document {
+///     service: "tracking".into(),
+///     ownership: Ownership::Exclusive,
+///     groups: 1,
+///     ranges: 4,
+///     unavailable_weight: 1.0,
+///     churn_weight: 1.0,
+///     body_limit: 1 << 20,
+///     classes: Default::default(),
+///     targets: [("a".into(), target("north")), ("b".into(), target("south"))].into(),
+/// };
+/// let vm = Candidate { vm: "vm-1".into(), domain: "north".into(), session: "".into() };
+/// let record = build::first("tracking/0", 7, &document, &[vm]).unwrap();
+/// assert_eq!(record.ranges.len(), 8);
+/// ```
+pub fn first(
+    group: &str,
+    version: Version,
+    document: &Document,
+    live: &[Candidate],
+) -> Option<Record> {
+    let mut record = Record {
+        group: group.to_owned(),
+        serial: 1,
+        ..Record::default()
+    };
+    admit(&mut record, version, document);
+    name(&mut record, live);
+    let fit = record
+        .members
+        .iter()
+        .filter(|(_, member)| heirs::fit(member));
+    let owners: Vec<TargetId> = fit.map(|(target, _)| target.clone()).collect();
+    if owners.is_empty() || record.trios.values().any(Vec::is_empty) {
+        return None;
+    }
+    let count = owners.len() * usize::try_from(document.ranges.max(1)).unwrap_or(1);
+    let count = count.min(check::RANGES / 2);
+    let parts = slice(document.groups, group).split(count as u64);
+    for (index, range) in parts.into_iter().enumerate() {
+        record.ranges.push(Entry {
+            range,
+            epoch: 1,
+            chain: vec![owners[index % owners.len()].clone()],
+            moving: false,
+        });
+    }
+    for index in 0..record.ranges.len() {
+        record.ranges[index].chain = heirs::repair(&record, &record.ranges[index]);
+    }
+    Some(record)
+}
+
+/// Lets the members follow a newer document.
+///
+/// New targets join under the serial of the write that is being made; those that are gone from
+/// the document are leaving, and go once no chain names them.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier::{document::{Document, Ownership}, group::{Record, build}};
+///
+/// let document = Document {
+///     service: "tracking".into(),
+///     ownership: Ownership::Exclusive,
+///     groups: 1,
+///     ranges: 4,
+///     unavailable_weight: 1.0,
+///     churn_weight: 1.0,
+///     body_limit: 1 << 20,
+///     classes: Default::default(),
+///     targets: Default::default(),
+/// };
+/// let mut record = Record::default();
+/// build::admit(&mut record, 3, &document);
+/// assert_eq!(record.document, 3);
+/// ```
+pub fn admit(record: &mut Record, version: Version, document: &Document) {
+    if version <= record.document && record.serial > 1 {
+        return;
+    }
+    record.document = version;
+    let term = record.serial;
+    let named = named(record);
+    for (id, target) in &document.targets {
+        if home(&document.service, document.groups, id) != record.group {
+            continue;
+        }
+        let room = record.members.len() < check::MEMBERS;
+        match record.members.get_mut(id) {
+            Some(known) if named.contains(id) || stands(known, target) => follow(known, target),
+            Some(known) => *known = member(target, term),
+            None if room => {
+                record.members.insert(id.clone(), member(target, term));
+            }
+            None => {}
+        }
+    }
+    for (id, member) in &mut record.members {
+        if !document.targets.contains_key(id) {
+            member.leaving = true;
+        }
+    }
+}
+
+/// Drops the members that are leaving for good: no chain names them, nor does the document.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier::group::{Record, build};
+///
+/// let mut record = Record::default();
+/// build::dismiss(&mut record, |_| false);
+/// assert!(record.members.is_empty());
+/// ```
+pub fn dismiss<F>(record: &mut Record, listed: F)
+where
+    F: Fn(&str) -> bool,
+{
+    let named: IndexSet<&TargetId> = record
+        .ranges
+        .iter()
+        .flat_map(|entry| &entry.chain)
+        .collect();
+    let keep = |id: &TargetId| named.contains(id) || listed(id);
+    let gone: Vec<TargetId> = record
+        .members
+        .keys()
+        .filter(|id| !keep(id))
+        .cloned()
+        .collect();
+    for id in gone {
+        record.members.shift_remove(&id);
+    }
+}
+
+/// Fills the trio of each failure domain up, under the serial of the write that is being made.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier::group::{Record, build};
+///
+/// let mut record = Record::default();
+/// build::name(&mut record, &[]);
+/// assert!(record.trios.is_empty());
+/// ```
+pub fn name(record: &mut Record, live: &[Candidate]) {
+    let domains: IndexSet<DomainId> = record
+        .members
+        .values()
+        .map(|member| member.domain.clone())
+        .collect();
+    record.trios.retain(|domain, _| domains.contains(domain));
+    for domain in domains {
+        let mut trio = record.trios.get(&domain).cloned().unwrap_or_default();
+        fill(&record.group, &domain, &mut trio, live, record.serial);
+        record.trios.insert(domain, trio);
+    }
+}
+
+/// Fills one trio up from live VMs outside the failure domain.
+///
+/// They come by rendezvous hash of the group, so that its trios share VMs; first from failure
+/// domains that the trio lacks. Only when there is none outside, one VM inside serves.
+fn fill(group: &str, domain: &str, trio: &mut Vec<Grantor>, live: &[Candidate], since: Term) {
+    let mut order: Vec<&Candidate> = live.iter().collect();
+    order.sort_by_key(|candidate| Reverse(key::weight(group, &candidate.vm)));
+    while trio.len() < check::TRIO {
+        let Some(candidate) = next(domain, trio, &order) else {
+            return;
+        };
+        trio.push(Grantor {
+            vm: candidate.vm.clone(),
+            session: candidate.session.clone(),
+            since,
+        });
+    }
+}
+
+/// Returns the best VM that the trio lacks.
+fn next<'live>(
+    domain: &str,
+    trio: &[Grantor],
+    order: &[&'live Candidate],
+) -> Option<&'live Candidate> {
+    let named = |vm: &VmId| trio.iter().any(|grantor| grantor.vm == *vm);
+    let present: IndexSet<&DomainId> = order
+        .iter()
+        .filter(|candidate| named(&candidate.vm))
+        .map(|candidate| &candidate.domain)
+        .collect();
+    let free = || order.iter().filter(|candidate| !named(&candidate.vm));
+    let outside = || free().filter(|candidate| candidate.domain != domain);
+    let fresh = outside().find(|candidate| !present.contains(&candidate.domain));
+    let inside = || trio.is_empty().then(|| free().next()).flatten();
+    fresh.or_else(|| outside().next()).or_else(inside).copied()
+}
+
+/// The targets that some chain names.
+fn named(record: &Record) -> IndexSet<TargetId> {
+    let chains = record.ranges.iter().flat_map(|entry| &entry.chain);
+    chains.cloned().collect()
+}
+
+/// Returns whether a member still stands where the document says, and checks as it says.
+fn stands(member: &Member, target: &Target) -> bool {
+    member.domain == target.domain && member.fencing == target.fencing
+}
+
+fn member(target: &Target, term: Term) -> Member {
+    Member {
+        address: target.address.clone(),
+        domain: target.domain.clone(),
+        fencing: target.fencing,
+        boot: String::new(),
+        term,
+        released: false,
+        leaving: target.state == TargetState::Leaving,
+        slots: target.slots,
+    }
+}
+
+/// Takes over what the document says; the failure domain and the fencing stay while it is named.
+fn follow(member: &mut Member, target: &Target) {
+    member.address.clone_from(&target.address);
+    member.leaving = target.state == TargetState::Leaving;
+    member.slots = target.slots;
+}
--- /dev/null
+++ b/src/group/check.rs
@@ -0,0 +1,115 @@
+//! What must hold in every record.
+
+use quick_error::quick_error;
+
+use crate::{
+    group::{Entry, Member, Record, heirs},
+    id::{DomainId, GroupId, TargetId},
+    range::Range,
+};
+
+/// The most members of a group.
+pub const MEMBERS: usize = 256;
+/// The most ranges of a group.
+pub const RANGES: usize = 4096;
+/// The most grantors of a failure domain's targets.
+pub const TRIO: usize = 3;
+
+quick_error! {
+    /// Why a record is refused.
+    #[derive(Debug, PartialEq, Eq)]
+    pub enum Error {
+        /// Too many members, ranges or grantors.
+        Size(group: GroupId) {
+            display("step=check group={group}: too many members, ranges or grantors")
+        }
+        /// The ranges leave a gap, overlap, or do not cover the group's slice.
+        Ranges(group: GroupId, range: Range) {
+            display("step=check group={group}: gap or overlap at {range:?}")
+        }
+        /// A chain is empty, too long, or names a target twice.
+        Chain(group: GroupId, range: Range) {
+            display("step=check group={group}: bad chain at {range:?}")
+        }
+        /// A chain names a target that is no member.
+        Stranger(group: GroupId, target: TargetId) {
+            display("step=check group={group}: {target} is no member")
+        }
+        /// A failure domain with members has no grantors, or one is named twice.
+        Grantors(group: GroupId, domain: DomainId) {
+            display("step=check group={group}: bad grantors for {domain}")
+        }
+    }
+}
+
+/// Checks a record against the slice that it is to cover.
+///
+/// # Errors
+///
+/// The first rule that is broken.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier::{group::{Record, check}, range::Range};
+///
+/// assert!(check::check(&Record::default(), Range::ALL).is_err());
+/// ```
+pub fn check(record: &Record, slice: Range) -> Result<(), Error> {
+    let group = || record.group.clone();
+    let long = |trio: &Vec<_>| trio.len() > TRIO;
+    if record.members.len() > MEMBERS
+        || record.ranges.len() > RANGES
+        || record.trios.values().any(long)
+    {
+        return Err(Error::Size(group()));
+    }
+    cover(record, slice)?;
+    for entry in &record.ranges {
+        chain(record, entry)?;
+    }
+    record
+        .members
+        .values()
+        .try_for_each(|member| grantors(record, member))
+}
+
+/// Checks that the ranges cover the slice once.
+fn cover(record: &Record, slice: Range) -> Result<(), Error> {
+    let mut open = Some(slice.start);
+    for entry in &record.ranges {
+        if open != Some(entry.range.start) || entry.range.end < entry.range.start {
+            return Err(Error::Ranges(record.group.clone(), entry.range));
+        }
+        open = entry.range.end.checked_add(1);
+    }
+    if record.ranges.last().map(|entry| entry.range.end) == Some(slice.end) {
+        return Ok(());
+    }
+    Err(Error::Ranges(record.group.clone(), slice))
+}
+
+fn chain(record: &Record, entry: &Entry) -> Result<(), Error> {
+    let twice = (1..entry.chain.len()).any(|at| entry.chain[..at].contains(&entry.chain[at]));
+    if entry.chain.is_empty() || entry.chain.len() > heirs::CHAIN || twice {
+        return Err(Error::Chain(record.group.clone(), entry.range));
+    }
+    for target in &entry.chain {
+        if !record.members.contains_key(target) {
+            return Err(Error::Stranger(record.group.clone(), target.clone()));
+        }
+    }
+    Ok(())
+}
+
+fn grantors(record: &Record, member: &Member) -> Result<(), Error> {
+    let trio = record
+        .trios
+        .get(&member.domain)
+        .map_or(&[][..], Vec::as_slice);
+    let twice = (1..trio.len()).any(|at| trio[..at].iter().any(|other| other.vm == trio[at].vm));
+    if trio.is_empty() || twice {
+        return Err(Error::Grantors(record.group.clone(), member.domain.clone()));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/group/heirs.rs
@@ -0,0 +1,106 @@
+//! Who is to own a range next, should its owner be lost.
+
+use std::cmp::Reverse;
+
+use indexmap::IndexSet;
+
+use crate::{
+    group::{Entry, Member, Record},
+    id::TargetId,
+    key,
+};
+
+/// The longest chain: the owner and its heirs.
+pub const CHAIN: usize = 4;
+
+/// Returns the entry's chain with unfit heirs replaced.
+///
+/// The owner stays, and so do the heirs that are fit, in their order, so that a repair of a sound
+/// chain changes nothing. New heirs come by rendezvous hash, from failure domains that the chain
+/// doesn't have yet where there are such.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier::{group::{Entry, Record, heirs}, range::Range};
+///
+/// let chain = vec!["a".to_owned(), "gone".to_owned()];
+/// let entry = Entry { range: Range::ALL, epoch: 1, chain, moving: false };
+/// assert_eq!(heirs::repair(&Record::default(), &entry), ["a"]);
+/// ```
+pub fn repair(record: &Record, entry: &Entry) -> Vec<TargetId> {
+    let Some(owner) = entry.chain.first() else {
+        return Vec::new();
+    };
+    let domain = record.members.get(owner).map(|member| &member.domain);
+    let elsewhere = record
+        .members
+        .values()
+        .any(|member| fit(member) && Some(&member.domain) != domain);
+    let mut chain = vec![owner.clone()];
+    for heir in &entry.chain[1..] {
+        let keep = record
+            .members
+            .get(heir)
+            .is_some_and(|member| fit(member) && (!elsewhere || Some(&member.domain) != domain));
+        if keep && !chain.contains(heir) && chain.len() < CHAIN {
+            chain.push(heir.clone());
+        }
+    }
+    extend(record, entry, &mut chain);
+    chain
+}
+
+/// Returns whether a member may be an heir.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier::{document::Fencing, group::{Member, heirs}};
+///
+/// let member = Member {
+///     address: "127.0.0.1:1".into(),
+///     domain: "a".into(),
+///     fencing: Fencing::Checked,
+///     boot: "boot-1".into(),
+///     term: 1,
+///     released: false,
+///     leaving: false,
+///     slots: 2,
+/// };
+/// assert!(heirs::fit(&member));
+/// ```
+pub fn fit(member: &Member) -> bool {
+    !member.released && !member.leaving
+}
+
+/// Fills the chain up, from failure domains it lacks as long as there are such.
+fn extend(record: &Record, entry: &Entry, chain: &mut Vec<TargetId>) {
+    let subject = entry.range.start.to_string();
+    let mut order: Vec<&TargetId> = record
+        .members
+        .iter()
+        .filter(|(_, member)| fit(member))
+        .map(|(target, _)| target)
+        .collect();
+    order.sort_by_key(|target| Reverse(key::weight(&subject, target)));
+    while chain.len() < CHAIN {
+        let Some(heir) = next(record, &order, chain) else {
+            return;
+        };
+        chain.push(heir);
+    }
+}
+
+/// Returns the best heir that the chain lacks.
+fn next(record: &Record, order: &[&TargetId], chain: &[TargetId]) -> Option<TargetId> {
+    let domain = |target: &TargetId| record.members.get(target).map(|member| &member.domain);
+    let owner = chain.first().and_then(domain);
+    let present: IndexSet<_> = chain.iter().filter_map(domain).collect();
+    let free = || order.iter().filter(|target| !chain.contains(target));
+    let fresh =
+        free().find(|target| domain(target).is_some_and(|domain| !present.contains(domain)));
+    let other = || free().find(|target| domain(target) != owner);
+    let heir = fresh.or_else(other).or_else(|| free().next())?;
+    Some((*heir).clone())
+}
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -5,16 +5,26 @@
 
 use crate::{
     document::Fencing,
-    id::{BootId, DomainId, Epoch, GroupId, LeaseId, TargetId, VmId},
+    id::{BootId, DomainId, Epoch, GroupId, LeaseId, TargetId, Term, Version, VmId},
     range::Range,
 };
 
+pub mod build;
+pub mod check;
+pub mod heirs;
+pub mod merge;
+pub mod resize;
+
 /// A group's record: one value in the platform's service, changed only by compare-and-swap.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Record {
     /// The group.
     pub group: GroupId,
+    /// How many writes made this record; it grows by one with each.
+    pub serial: u64,
+    /// The version of the document that it follows.
+    pub document: Version,
     /// The targets that may hold grants.
     pub members: IndexMap<TargetId, Member>,
     /// The grantors of each failure domain's targets.
@@ -40,6 +50,11 @@
     pub fencing: Fencing,
     /// The start of the target that may hold grants; empty until one is known.
     pub boot: BootId,
+    /// The serial of the write that admitted this start. A start that was released comes back
+    /// under a new term, and only while no chain names it.
+    pub term: Term,
+    /// Whether its grantors released it: it holds nothing, and no chain should name it.
+    pub released: bool,
     /// Whether it hands its ranges over.
     pub leaving: bool,
     /// How many requests it runs at a time.
@@ -54,6 +69,8 @@
     pub vm: VmId,
     /// Its session: a lease in the platform's service. Another session is another grantor.
     pub session: LeaseId,
+    /// The serial of the write that named it. It starts as stopped for each earlier term.
+    pub since: Term,
 }
 
 /// A range with its owner and heirs.
--- a/src/id.rs
+++ b/src/id.rs
@@ -23,3 +23,5 @@
 pub type Epoch = u64;
 /// The version of a value in the platform's service; it only grows.
 pub type Version = u64;
+/// The serial of a record's write from which a target's start, or a grantor, counts.
+pub type Term = u64;
--- /dev/null
+++ b/src/route.rs
@@ -0,0 +1,212 @@
+//! Where each point of the hash space is owned, as the senders know it.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::{
+    document::Fencing,
+    grantor::{Leased, Timing},
+    group::{Entry, Record, merge},
+    handover::{Facts, Handover},
+    id::{BootId, Epoch, TargetId, Term, Version},
+    key::Point,
+    range::Range,
+};
+
+/// The owner of a point.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Owner {
+    /// The range that the point lies in.
+    pub range: Range,
+    /// Its epoch.
+    pub epoch: Epoch,
+    /// The owner.
+    pub target: TargetId,
+    /// The owner's term.
+    pub term: Term,
+    /// The owner's start.
+    pub boot: BootId,
+    /// The owner's address.
+    pub address: String,
+    /// Whether the owner checks grants.
+    pub fencing: Fencing,
+    /// Whether the range is on its way to another owner.
+    pub moving: bool,
+}
+
+/// One group's owners: the newest record, with newer handovers laid over it.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier::{group::Record, handover::Facts, route::Table};
+///
+/// let table = Table::from((1, Record::default(), Facts::new()));
+/// assert!(table.owner(7).is_none());
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    version: Version,
+    record: Record,
+    facts: Facts,
+    view: Record,
+    leases: IndexMap<(Range, Epoch, TargetId, Term), Duration>,
+}
+
+impl From<(Version, Record, Facts)> for Table {
+    fn from((version, record, facts): (Version, Record, Facts)) -> Self {
+        let mut table = Self::default();
+        table.on_record(version, record);
+        for fact in facts.into_values() {
+            table.on_handover(fact);
+        }
+        table
+    }
+}
+
+impl Table {
+    /// Takes a record; an older one changes nothing.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::{group::Record, route::Table};
+    ///
+    /// let mut table = Table::default();
+    /// table.on_record(2, Record::default());
+    /// assert_eq!(table.version(), 2);
+    /// ```
+    pub fn on_record(&mut self, version: Version, record: Record) {
+        if version <= self.version {
+            return;
+        }
+        self.version = version;
+        self.facts.retain(|_, fact| !merge::carries(&record, fact));
+        self.record = record;
+        self.view = merge::view(&self.record, &self.facts);
+    }
+
+    /// Takes a handover; one that is known changes nothing.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::{handover::Handover, range::Range, route::Table};
+    ///
+    /// let mut table = Table::default();
+    /// table.on_handover(Handover {
+    ///     group: "tracking/0".into(),
+    ///     range: Range::ALL,
+    ///     epoch: 2,
+    ///     chain: vec![],
+    /// });
+    /// assert!(table.owner(7).is_none());
+    /// ```
+    pub fn on_handover(&mut self, fact: Handover) {
+        let other = self.version > 0 && fact.group != self.record.group;
+        if other || (self.version > 0 && merge::carries(&self.record, &fact)) {
+            return;
+        }
+        self.facts.insert((fact.range, fact.epoch), fact);
+        self.view = merge::view(&self.record, &self.facts);
+    }
+
+    /// Returns the version of the newest record.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::route::Table;
+    ///
+    /// assert_eq!(Table::default().version(), 0);
+    /// ```
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    /// Returns the owner of a point, if the group covers it.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::route::Table;
+    ///
+    /// assert!(Table::default().owner(7).is_none());
+    /// ```
+    pub fn owner(&self, point: Point) -> Option<Owner> {
+        let entries = &self.view.ranges;
+        let index = entries.partition_point(|entry| entry.range.end < point);
+        let entry = entries
+            .get(index)
+            .filter(|entry| entry.range.contains(point))?;
+        self.owner_of(entry)
+    }
+
+    fn owner_of(&self, entry: &Entry) -> Option<Owner> {
+        let target = entry.chain.first()?;
+        let member = self.view.members.get(target)?;
+        Some(Owner {
+            range: entry.range,
+            epoch: entry.epoch,
+            target: target.clone(),
+            term: member.term,
+            boot: member.boot.clone(),
+            address: member.address.clone(),
+            fencing: member.fencing,
+            moving: entry.moving,
+        })
+    }
+
+    /// Takes leases of ranges whose owners don't check, counted from when they were asked for.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier::{grantor::Timing, route::Table};
+    ///
+    /// Table::default().on_lease(&Timing::default(), Duration::ZERO, vec![]);
+    /// ```
+    pub fn on_lease(&mut self, timing: &Timing, asked: Duration, routes: Vec<Leased>) {
+        let until = asked + timing.shorter(timing.grant);
+        self.leases.retain(|_, end| *end > asked);
+        for leased in routes {
+            let key = (leased.range, leased.epoch, leased.target, leased.term);
+            let end = self.leases.entry(key).or_default();
+            *end = until.max(*end);
+        }
+    }
+
+    /// Returns until when a request may be sent to an owner and run there.
+    ///
+    /// For an owner that checks this is without end: the owner itself refuses. For one that
+    /// doesn't, it is the end of the lease of the very range that the owner holds now; what is in
+    /// flight by then is to be cancelled, unless the range is only moving.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::{document::Fencing, range::Range, route::{Owner, Table}};
+    ///
+    /// let owner = Owner {
+    ///     range: Range::ALL,
+    ///     epoch: 1,
+    ///     target: "a".into(),
+    ///     term: 1,
+    ///     boot: "boot-1".into(),
+    ///     address: "127.0.0.1:1".into(),
+    ///     fencing: Fencing::Unchecked,
+    ///     moving: false,
+    /// };
+    /// assert_eq!(Table::default().until(&owner), None);
+    /// ```
+    pub fn until(&self, owner: &Owner) -> Option<Duration> {
+        if owner.fencing == Fencing::Checked {
+            return Some(Duration::MAX);
+        }
+        let key = (owner.range, owner.epoch, owner.target.clone(), owner.term);
+        self.leases.get(&key).copied()
+    }
+}
--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod body;
 pub mod client;
+pub mod decimal;
 pub mod fields;
 pub mod ini;
 pub mod server;
