--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -6,10 +6,10 @@
 
 use super::{Context, Job, forward, payload::Payload};
 use crate::{
-    id::{Version, VmId},
+    id::Version,
     request::{Attempt, Received, Verdict},
     util::body::Body,
-    vm::{Tasks, news::Fleet},
+    vm::news::Fleet,
 };
 
 /// A message to the desk.
@@ -22,16 +22,13 @@
 }
 
 /// The task's state.
-#[derive(Debug)]
-pub struct Desk {
-    vm: VmId,
-    tasks: Tasks,
-}
+#[derive(Debug, Default)]
+pub struct Desk {}
 
 impl Desk {
     /// Creates the task's state.
-    pub fn new(vm: VmId, tasks: Tasks) -> Self {
-        Self { vm, tasks }
+    pub fn new() -> Self {
+        Self {}
     }
 
     /// Serves messages until nobody can send any more.
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -19,7 +19,7 @@
 };
 use crate::{
     request::{
-        Admitted, Answer, Attempt, Finished, Outcome, Received, Started, Step, Verdict, answer,
+        Admitted, Answer, Attempt, Outcome, Received, Started, Step, Verdict, answer,
         answer::Refusal,
     },
     target::Work,
@@ -40,9 +40,15 @@
     pub response: Response<Body>,
     /// The target's name.
     pub target: String,
+    /// How the attempt ended.
+    pub outcome: Outcome,
 }
 
 /// Answers a request that may run more than once.
+///
+/// # Errors
+///
+/// The final word, when no target answered.
 pub async fn plain(
     context: &Context,
     attempt: Attempt<Received>,
@@ -58,6 +64,10 @@
 ///
 /// It runs in a task of its own, so that it ends, and its outcome is kept, when the caller is
 /// gone half-way.
+///
+/// # Errors
+///
+/// The final word, when no target answered.
 pub async fn order(
     context: &Context,
     attempt: Attempt<Received>,
@@ -121,7 +131,7 @@
                 permit.finish(Report::Unsent);
                 admitted = next;
             }
-            Ended::Lost(_, verdict, permit) => {
+            Ended::Lost(verdict, permit) => {
                 permit.finish(Report::Lost);
                 history.lost(verdict.clone());
                 if !job.plan.idempotent || !is_left {
@@ -138,7 +148,7 @@
     Answered(Answered),
     Refused(Attempt<Admitted>, Refusal, Permit),
     Unsent(Attempt<Admitted>, client::Error, Permit),
-    Lost(Attempt<Finished>, Verdict, Permit),
+    Lost(Verdict, Permit),
 }
 
 /// Makes one attempt.
@@ -151,7 +161,7 @@
 ) -> Ended {
     let Some(left) = job.deadline.remaining(context.clock.now()) else {
         let verdict = Verdict::unknown(504, Step::Deadline, &permit.target, "the deadline passed");
-        return Ended::Lost(started.lost(), verdict, permit);
+        return Ended::Lost(verdict, permit);
     };
     let work = Work {
         method: job.head.method.clone(),
@@ -183,16 +193,13 @@
 
 /// Classifies a failure to send.
 fn failed(started: Attempt<Started>, permit: Permit, error: client::Error) -> Ended {
-    match started.failed(&error) {
-        Ok(admitted) => Ended::Unsent(admitted, error, permit),
-        Err(finished) => {
-            let late = matches!(error, client::Error::Timeout(..));
-            let status = if late { 504 } else { 502 };
-            let verdict =
-                Verdict::unknown(status, Step::Answer, &permit.target, &error.to_string());
-            Ended::Lost(finished, verdict, permit)
-        }
+    if let Ok(admitted) = started.failed(&error) {
+        return Ended::Unsent(admitted, error, permit);
     }
+    let late = matches!(error, client::Error::Timeout(..));
+    let status = if late { 504 } else { 502 };
+    let verdict = Verdict::unknown(status, Step::Answer, &permit.target, &error.to_string());
+    Ended::Lost(verdict, permit)
 }
 
 /// Classifies the head of an answer, and reads small answers whole.
@@ -212,7 +219,7 @@
         Answer::Unknown => {
             let reason = "the target doesn't know";
             let verdict = Verdict::unknown(502, Step::Answer, &permit.target, reason);
-            Ended::Lost(started.lost(), verdict, permit)
+            Ended::Lost(verdict, permit)
         }
         Answer::Ran => ran(context, job, started, permit, response, cancel).await,
     }
@@ -229,14 +236,19 @@
 ) -> Ended {
     let (mut head, body) = response.into_parts();
     let target = permit.target.clone();
+    let outcome = started.answered().outcome();
     reply::pass_on(&mut head.headers, &target);
     permit.head(head.status);
     let size = body.size_hint().exact();
     let is_head = job.head.method == http::Method::HEAD;
-    if !is_head && !size.is_some_and(|size| size <= WHOLE_ANSWER) {
+    if !is_head && size.is_none_or(|size| size > WHOLE_ANSWER) {
         let body = Passing::new(context, body, permit, job.deadline, cancel.take());
         let response = Response::from_parts(head, Body::stream(body));
-        return Ended::Answered(Answered { response, target });
+        return Ended::Answered(Answered {
+            response,
+            target,
+            outcome,
+        });
     }
     match read_whole(context, job, body).await {
         Ok(bytes) => {
@@ -245,17 +257,24 @@
             }
             permit.finish(Report::Answered(head.status));
             let response = Response::from_parts(head, Body::from(bytes));
-            Ended::Answered(Answered { response, target })
+            Ended::Answered(Answered {
+                response,
+                target,
+                outcome,
+            })
         }
         Err(reason) => {
             let verdict = Verdict::unknown(502, Step::Answer, &target, reason);
-            Ended::Lost(started.lost(), verdict, permit)
+            Ended::Lost(verdict, permit)
         }
     }
 }
 
 async fn read_whole(context: &Context, job: &Job, body: Incoming) -> Result<Bytes, &'static str> {
-    let left = job.deadline.remaining(context.clock.now()).unwrap_or_default();
+    let left = job
+        .deadline
+        .remaining(context.clock.now())
+        .unwrap_or_default();
     let limit = usize::try_from(WHOLE_ANSWER).unwrap_or(usize::MAX);
     match context.clock.timeout(left, body::read(body, limit)).await {
         Ok(Ok(bytes)) => Ok(bytes),
@@ -294,6 +313,7 @@
     }
 
     /// Hands the duty to cancel to another owner.
+    #[must_use]
     pub fn take(&mut self) -> Self {
         Self {
             armed: self.armed.take(),
@@ -318,7 +338,7 @@
 /// Returns what a target's answer says of an order.
 pub fn outcome(result: &Result<Answered, Verdict>) -> Outcome {
     match result {
-        Ok(_) => Outcome::Ran,
+        Ok(answered) => answered.outcome,
         Err(verdict) => verdict.outcome(),
     }
 }
--- a/src/entry/passing.rs
+++ b/src/entry/passing.rs
@@ -1,7 +1,7 @@
 //! A target's answer on its way to the caller.
 
 use std::{
-    future::Future,
+    fmt,
     pin::Pin,
     task::{Context as Wake, Poll},
     time::Duration,
@@ -36,7 +36,9 @@
         deadline: Deadline,
         cancel: Cancel,
     ) -> Self {
-        let left = deadline.remaining(context.clock.now()).unwrap_or(Duration::ZERO);
+        let left = deadline
+            .remaining(context.clock.now())
+            .unwrap_or(Duration::ZERO);
         let clock = context.clock.clone();
         Self {
             body,
@@ -53,6 +55,14 @@
     }
 }
 
+impl fmt::Debug for Passing {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Passing")
+            .field("permit", &self.permit)
+            .finish_non_exhaustive()
+    }
+}
+
 impl Body for Passing {
     type Data = Bytes;
     type Error = Cause;
--- a/src/entry/payload.rs
+++ b/src/entry/payload.rs
@@ -84,7 +84,7 @@
     body: Incoming,
 ) -> Result<Bytes, Verdict> {
     check_length(attempt, job)?;
-    let refuse = |status, reason: &str| refusal(&attempt.proof(), status, reason);
+    let refuse = |status, reason: &str| refusal(attempt.proof(), status, reason);
     let now = entry.clock.now();
     let left = job.deadline.remaining(now).unwrap_or_default();
     let limit = usize::try_from(job.plan.body_limit).unwrap_or(usize::MAX);
@@ -105,13 +105,13 @@
     let length = stated.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
     if length.is_some_and(|length| length > job.plan.body_limit) {
         let reason = "the body is over the service's limit";
-        return Err(refusal(&attempt.proof(), 413, reason));
+        return Err(refusal(attempt.proof(), 413, reason));
     }
     Ok(())
 }
 
-fn refusal(proof: &Proof, status: u16, reason: &str) -> Verdict {
-    Verdict::not_run(proof, status, Step::Parse, CALLER, reason)
+fn refusal(proof: Proof, status: u16, reason: &str) -> Verdict {
+    Verdict::not_run(&proof, status, Step::Parse, CALLER, reason)
 }
 
 /// A body passed on as it comes, up to a limit.
@@ -136,7 +136,11 @@
             return Poll::Ready(None);
         };
         let frame = frame.map_err(Cause::from);
-        let size = frame.as_ref().ok().and_then(Frame::data_ref).map_or(0, Bytes::len) as u64;
+        let size = frame
+            .as_ref()
+            .ok()
+            .and_then(Frame::data_ref)
+            .map_or(0, Bytes::len) as u64;
         if size > self.left {
             return Poll::Ready(Some(Err("the body is over the service's limit".into())));
         }
--- a/src/entry/router.rs
+++ b/src/entry/router.rs
@@ -131,7 +131,10 @@
 impl Permit {
     /// Tells that the head of the answer came.
     pub fn head(&self, status: StatusCode) {
-        let message = Message::Head { ticket: self.ticket, status };
+        let message = Message::Head {
+            ticket: self.ticket,
+            status,
+        };
         let _ = self.router.unbounded_send(message);
     }
 
@@ -143,7 +146,10 @@
     fn report(&mut self, report: Report) {
         if !self.reported {
             self.reported = true;
-            let message = Message::Done { ticket: self.ticket, report };
+            let message = Message::Done {
+                ticket: self.ticket,
+                report,
+            };
             // The router ends after the last request.
             let _ = self.router.unbounded_send(message);
         }
@@ -225,7 +231,7 @@
     let (reply, answer) = oneshot::channel();
     let message = Message::Classify { call, proof, reply };
     let _ = context.router.unbounded_send(message);
-    answer.await.unwrap_or_else(|_| Err(stopped(&proof)))
+    answer.await.unwrap_or_else(|_| Err(stopped(proof)))
 }
 
 /// Asks for the right to send an attempt; waits for a slot where that is worth it.
@@ -241,7 +247,7 @@
 ) -> Result<Permit, Verdict> {
     let now = context.clock.now();
     let Some(left) = job.deadline.remaining(now) else {
-        return Err(give_up(history, &proof));
+        return Err(give_up(history, proof));
     };
     let ask = Ask {
         call: job.call.clone(),
@@ -251,25 +257,28 @@
         proof,
     };
     let (reply, answer) = oneshot::channel();
-    let message = Message::Admit { ask: Box::new(ask), reply };
+    let message = Message::Admit {
+        ask: Box::new(ask),
+        reply,
+    };
     let _ = context.router.unbounded_send(message);
     let waiting = context.clock.timeout(left, answer);
     match waiting.await {
-        Ok(answer) => answer.unwrap_or_else(|_| Err(stopped(&proof))),
-        Err(_) => Err(give_up(history, &proof)),
+        Ok(answer) => answer.unwrap_or_else(|_| Err(stopped(proof))),
+        Err(_) => Err(give_up(history, proof)),
     }
 }
 
-fn stopped(proof: &Proof) -> Verdict {
-    Verdict::not_run(proof, 503, Step::Drain, "self", "the process stops").retry_after(COME_BACK)
+fn stopped(proof: Proof) -> Verdict {
+    Verdict::not_run(&proof, 503, Step::Drain, "self", "the process stops").retry_after(COME_BACK)
 }
 
-fn give_up(history: &History, proof: &Proof) -> Verdict {
+fn give_up(history: &History, proof: Proof) -> Verdict {
     let (peer, reason) = match &history.last {
         Some((peer, reason)) => (peer.as_str(), reason.as_str()),
         None => ("self", "no target took it before its deadline"),
     };
-    Verdict::not_run(proof, 503, Step::Deadline, peer, reason).retry_after(COME_BACK)
+    Verdict::not_run(&proof, 503, Step::Deadline, peer, reason).retry_after(COME_BACK)
 }
 
 /// The router's state.
@@ -306,15 +315,17 @@
     fn on(&mut self, message: Message) {
         match message {
             Message::Classify { call, proof, reply } => {
-                let _ = reply.send(self.plan(&call, &proof));
+                let _ = reply.send(self.plan(&call, proof));
             }
             Message::Admit { ask, reply } => self.admit(*ask, reply),
-            Message::Head { .. } | Message::Done { .. } => {}
             Message::Document(document) => {
                 self.documents.insert(document.service.clone(), document);
             }
             Message::Record(group, version, record) => {
-                self.tables.entry(group).or_default().on_record(version, *record);
+                self.tables
+                    .entry(group)
+                    .or_default()
+                    .on_record(version, *record);
             }
             Message::Fact(fact) => {
                 let table = self.tables.entry(fact.group.clone()).or_default();
@@ -324,16 +335,18 @@
                 let table = self.tables.entry(group).or_default();
                 table.on_lease(&Timing::default(), asked, routes);
             }
-            Message::Suspect(_) => {}
+            Message::Suspect(_) | Message::Head { .. } | Message::Done { .. } => {}
         }
     }
 
-    fn plan(&self, call: &Call, proof: &Proof) -> Result<Plan, Verdict> {
+    fn plan(&self, call: &Call, proof: Proof) -> Result<Plan, Verdict> {
         let Some(document) = self.documents.get(&call.service) else {
             let reason = "no document in force names this service";
-            return Err(Verdict::not_run(proof, 404, Step::Route, &self.vm, reason));
+            return Err(Verdict::not_run(&proof, 404, Step::Route, &self.vm, reason));
         };
-        let (name, class) = call.class(document).map_err(|error| error.verdict(proof))?;
+        let (name, class) = call
+            .class(document)
+            .map_err(|error| error.verdict(&proof))?;
         Ok(Plan {
             class: name.to_owned(),
             idempotent: class.idempotent,
@@ -352,7 +365,10 @@
                 clock.sleep(ROUTE_PAUSE).await;
                 let mut ask = ask;
                 ask.history.tried.clear();
-                let _ = sender.unbounded_send(Message::Admit { ask: Box::new(ask), reply });
+                let _ = sender.unbounded_send(Message::Admit {
+                    ask: Box::new(ask),
+                    reply,
+                });
             })
             .detach();
             return;
@@ -371,7 +387,10 @@
         let refuse = |reason: &str| {
             Verdict::not_run(&ask.proof, 503, Step::Route, &self.vm, reason).retry_after(COME_BACK)
         };
-        let document = self.documents.get(service).ok_or_else(|| refuse("no document"))?;
+        let document = self
+            .documents
+            .get(service)
+            .ok_or_else(|| refuse("no document"))?;
         let (target, address, epoch) = match document.ownership {
             Ownership::Exclusive => {
                 let owner = self
@@ -380,7 +399,8 @@
                 (owner.target, owner.address, Some(owner.epoch))
             }
             Ownership::Shared => {
-                let index = usize::try_from(self.tickets).unwrap_or(0) % document.targets.len().max(1);
+                let index =
+                    usize::try_from(self.tickets).unwrap_or(0) % document.targets.len().max(1);
                 let (name, target) = document
                     .targets
                     .get_index(index)
@@ -388,7 +408,9 @@
                 (name.clone(), target.address.clone(), None)
             }
         };
-        let address = address.parse().map_err(|_| refuse("the target's address is no address"))?;
+        let address = address
+            .parse()
+            .map_err(|_| refuse("the target's address is no address"))?;
         self.tickets += 1;
         Ok(Permit {
             target,
