--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,6 +3,7 @@
 //! Test tools only: nothing here is part of the shipped binary. Tasks of one process share their
 //! state in a cell of the one thread, and hold no borrow over an await.
 
+pub mod audit;
 pub mod child;
 pub mod client;
 pub mod clock;
--- /dev/null
+++ b/standins/tests/holder.rs
@@ -0,0 +1,164 @@
+//! The rules of a target that holds grants, as tables.
+
+use std::time::Duration;
+
+use bramleypier_standins::holder::{Grant, Holder, Span};
+
+fn span((start, end, epoch): (u64, u64, u64)) -> Span {
+    Span { start, end, epoch }
+}
+
+fn grant(until_ms: u64, ranges: &[(u64, u64, u64)], release: &[(u64, u64, u64)]) -> Grant {
+    Grant {
+        boot: String::new(),
+        until_ms,
+        ranges: ranges.iter().copied().map(span).collect(),
+        release: release.iter().copied().map(span).collect(),
+    }
+}
+
+/// Ranges, then releases, then how many of the ranges are refused.
+type Step = (
+    &'static [(u64, u64, u64)],
+    &'static [(u64, u64, u64)],
+    usize,
+);
+
+/// A name, steps, then work: a hash, an epoch, and whether it is admitted.
+type Case = (&'static str, &'static [Step], &'static [(u64, u64, bool)]);
+
+#[test]
+fn epochs() {
+    let table: &[Case] = &[
+        ("nothing held", &[], &[(5, 0, false), (5, 1, false)]),
+        (
+            "bounds are inclusive",
+            &[(&[(10, 20, 1)], &[], 0)],
+            &[(9, 1, false), (10, 1, true), (20, 1, true), (21, 1, false)],
+        ),
+        (
+            "work names the very epoch",
+            &[(&[(0, 9, 2)], &[], 0)],
+            &[(5, 1, false), (5, 2, true), (5, 3, false)],
+        ),
+        (
+            "a lower epoch is refused",
+            &[(&[(0, 9, 2)], &[], 0), (&[(0, 9, 1)], &[], 1)],
+            &[(5, 1, false), (5, 2, true)],
+        ),
+        (
+            "a higher epoch ends the lower",
+            &[(&[(0, 9, 1)], &[], 0), (&[(0, 9, 2)], &[], 0)],
+            &[(5, 1, false), (5, 2, true)],
+        ),
+        (
+            "a released epoch is refused for ever",
+            &[
+                (&[(0, 9, 1)], &[], 0),
+                (&[], &[(0, 9, 1)], 0),
+                (&[(0, 9, 1)], &[], 1),
+            ],
+            &[(5, 1, false)],
+        ),
+        (
+            "release and grant in one message: the release wins",
+            &[(&[(0, 9, 1)], &[(0, 9, 1)], 1)],
+            &[(5, 1, false)],
+        ),
+        (
+            "a release of what was never held binds too",
+            &[
+                (&[], &[(0, 9, 3)], 0),
+                (&[(0, 9, 3)], &[], 1),
+                (&[(0, 9, 4)], &[], 0),
+            ],
+            &[(5, 3, false), (5, 4, true)],
+        ),
+        (
+            "a late release of an older epoch leaves the newer",
+            &[(&[(0, 9, 4)], &[], 0), (&[], &[(0, 9, 3)], 0)],
+            &[(5, 4, true)],
+        ),
+        (
+            "a split above its parent",
+            &[(&[(0, 9, 1)], &[], 0), (&[(0, 4, 2), (5, 9, 3)], &[], 0)],
+            &[(3, 1, false), (3, 2, true), (7, 3, true), (7, 2, false)],
+        ),
+        (
+            "a part at the parent's epoch is refused",
+            &[(&[(0, 9, 1)], &[], 0), (&[(0, 4, 1)], &[], 1)],
+            &[(3, 1, true), (7, 1, true)],
+        ),
+        (
+            "a part below the parent's epoch is refused",
+            &[(&[(0, 9, 2)], &[], 0), (&[(5, 20, 1)], &[], 1)],
+            &[(7, 2, true), (15, 1, false)],
+        ),
+        (
+            "neighbours don't meet",
+            &[(&[(0, 9, 5), (10, 19, 1)], &[], 0)],
+            &[(9, 5, true), (10, 1, true)],
+        ),
+    ];
+    for (name, steps, work) in table {
+        let mut holder = Holder::default();
+        for (ranges, release, refused) in *steps {
+            let refusals = holder.grant(&grant(100, ranges, release));
+            assert_eq!(refusals.len(), *refused, "{name}");
+        }
+        for (hash, epoch, admitted) in *work {
+            let admits = holder.admits(Duration::from_millis(50), *hash, *epoch);
+            assert_eq!(admits, *admitted, "{name}: {hash} at {epoch}");
+        }
+    }
+}
+
+#[test]
+fn until() {
+    let table = [
+        ("one grant", vec![(1, 100)], (99, 1, true)),
+        ("lapses", vec![(1, 100)], (100, 1, false)),
+        (
+            "the latest counts",
+            vec![(1, 100), (1, 200)],
+            (150, 1, true),
+        ),
+        (
+            "an earlier one shortens nothing",
+            vec![(1, 200), (1, 100)],
+            (150, 1, true),
+        ),
+        (
+            "a new epoch has its own",
+            vec![(1, 200), (2, 100)],
+            (150, 2, false),
+        ),
+        (
+            "renewed after it lapsed",
+            vec![(1, 100), (1, 300)],
+            (250, 1, true),
+        ),
+        ("born lapsed", vec![(1, 10)], (50, 1, false)),
+    ];
+    for (name, grants, (now, epoch, admitted)) in table {
+        let mut holder = Holder::default();
+        for (epoch, until) in grants {
+            holder.grant(&grant(until, &[(0, 9, epoch)], &[]));
+        }
+        let admits = holder.admits(Duration::from_millis(now), 5, epoch);
+        assert_eq!(admits, admitted, "{name}");
+    }
+}
+
+#[test]
+fn released_once_nothing_is_in_flight() {
+    let mut holder = Holder::default();
+    holder.grant(&grant(100, &[(0, 9, 1), (10, 19, 1)], &[]));
+    holder.start(1, 5, 1);
+    holder.start(2, 15, 1);
+    holder.grant(&grant(100, &[], &[(0, 9, 1)]));
+    assert!(holder.released().is_empty(), "work for it still runs");
+    holder.end(1);
+    assert_eq!(holder.released(), [span((0, 9, 1))]);
+    assert_eq!(holder.running(), 1, "other ranges' work goes on");
+}
