A demonstration run with losses, and its callers

The run needs callers that are open loop, so that a stall shows as unavailable time and not as less traffic.

--- /dev/null
+++ b/standins/src/bin/bramleypier-demo.rs
@@ -0,0 +1,256 @@
+//! Runs the sample services on a fleet of real processes, breaks things, and checks the outcome.
+
+use std::{
+    fs, io,
+    path::{Path, PathBuf},
+    process::ExitCode,
+    time::Duration,
+};
+
+use bpaf::Bpaf;
+use bramleypier_standins::{
+    audit::{self, Findings},
+    caller::Callers,
+    clock,
+    document::Document,
+    fleet::Fleet,
+    measure,
+    platform::Faults,
+    services::{self, Setup, Traffic},
+};
+
+/// The VMs, with their failure domains.
+const VMS: [(&str, &str); 3] = [
+    ("vm-1", "uio-norte"),
+    ("vm-2", "uio-centro"),
+    ("vm-3", "uio-sur"),
+];
+/// The VM that is killed.
+const LOST_VM: &str = "vm-2";
+/// The keys of each service that callers ask for.
+const KEYS: usize = 6;
+/// How many further keys of each service are asked for, one after the other.
+const SPREAD: usize = 500;
+/// The size of a file.
+const FILE_SIZE: u64 = 200_000;
+
+type Fault = Box<dyn std::error::Error>;
+
+/// Starts platform, targets and three VMs, sends work, kills a target and a VM, cuts the platform
+/// off, and checks what callers were told against what targets ran.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options)]
+struct Options {
+    /// The directory of the sample documents
+    #[bpaf(argument("DIR"), fallback(PathBuf::from("examples")))]
+    examples: PathBuf,
+    /// The program of the VMs; found beside this one unless given
+    #[bpaf(argument("FILE"), optional)]
+    program: Option<PathBuf>,
+    /// Where the time line is written
+    #[bpaf(argument("FILE"), optional)]
+    timeline: Option<PathBuf>,
+}
+
+/// What came out of a run.
+struct Outcome {
+    findings: Findings,
+    measures: Vec<String>,
+    timeline: PathBuf,
+}
+
+#[compio::main]
+async fn main() -> ExitCode {
+    let options = options().run();
+    match run(&options).await {
+        Ok(outcome) => report(&outcome),
+        Err(fault) => {
+            eprintln!("demo failed: {fault}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn report(outcome: &Outcome) -> ExitCode {
+    let findings = &outcome.findings;
+    println!("cut or foreign answers: {}", findings.unsound.len());
+    println!("keys with two owners: {}", findings.two_owners.len());
+    println!("doubled: {}", findings.doubled.len());
+    println!("lost: {}", findings.lost.len());
+    println!("untrue not-run: {}", findings.untrue.len());
+    for measure in &outcome.measures {
+        println!("{measure}");
+    }
+    println!("time line: {}", outcome.timeline.display());
+    if findings.is_clean() {
+        return ExitCode::SUCCESS;
+    }
+    eprintln!("{findings:#?}");
+    ExitCode::FAILURE
+}
+
+async fn run(options: &Options) -> Result<Outcome, Fault> {
+    let mut fleet = Fleet::start(options.program.clone()).await?;
+    let documents = start_targets(&mut fleet, &options.examples).await?;
+    for (name, domain) in VMS {
+        fleet.add_vm(name, domain, false).await?;
+    }
+    for document in &documents {
+        services::put(&fleet, VMS[0].0, document).await?;
+    }
+    println!(
+        "started {} targets and {} VMs",
+        fleet.targets.len(),
+        fleet.vms.len()
+    );
+    let callers = Callers::new(fleet.callers(), Duration::from_secs(2));
+    for document in &documents {
+        let keys = services::keys(&document.service, KEYS);
+        let limit = Duration::from_secs(20);
+        services::wait_ready(&callers, &document.service, &keys, limit).await?;
+    }
+    println!("all services answer");
+    let traffic = Traffic::default();
+    for document in &documents {
+        send(&traffic, &callers, document);
+    }
+    let lost = documents
+        .iter()
+        .find(|document| document.targets.values().any(|target| target.checks))
+        .and_then(|document| document.targets.keys().next())
+        .ok_or("no document has a target that checks")?;
+    break_things(&mut fleet, &callers, lost).await?;
+    traffic.stop().await;
+    let timeline = write_timeline(&fleet, options).await?;
+    let runs = fleet.runs_of_targets()?;
+    let findings = audit::audit(&callers.calls(), &runs);
+    println!("{} calls, {} runs", callers.calls().len(), runs.len());
+    Ok(Outcome {
+        findings,
+        measures: measures(&callers, &runs, &documents, lost),
+        timeline,
+    })
+}
+
+async fn start_targets(fleet: &mut Fleet, examples: &Path) -> Result<Vec<Document>, Fault> {
+    let setup = Setup {
+        work_ms: 5,
+        fronted: false,
+    };
+    let mut documents = Vec::new();
+    for path in document_files(examples)? {
+        documents.push(services::start(fleet, &path, &setup).await?);
+    }
+    Ok(documents)
+}
+
+/// Lists the documents below the directory, one level deep, in order of their names.
+fn document_files(examples: &Path) -> io::Result<Vec<PathBuf>> {
+    let mut files = Vec::new();
+    for place in fs::read_dir(examples)? {
+        let place = place?.path();
+        if place.is_dir() {
+            let inside = fs::read_dir(place)?.filter_map(Result::ok);
+            files.extend(inside.map(|file| file.path()));
+        }
+    }
+    files.retain(|file| file.extension().is_some_and(|kind| kind == "ini"));
+    files.sort();
+    Ok(files)
+}
+
+fn send(traffic: &Traffic, callers: &Callers, document: &Document) {
+    let service = &document.service;
+    let keys = services::keys(service, KEYS);
+    services::look_up_keys(traffic, callers, service, &keys, Duration::from_millis(100));
+    let spread: Vec<String> = (0..SPREAD)
+        .map(|n| format!("{service}-spread-{n}"))
+        .collect();
+    services::look_up_round(
+        traffic,
+        callers,
+        service,
+        &spread,
+        Duration::from_millis(10),
+    );
+    if document.orders {
+        let callers = callers.with_deadline(Duration::from_secs(5));
+        services::order_keys(traffic, &callers, service, &keys, Duration::from_millis(50));
+    }
+    if document.files {
+        let callers = callers.with_deadline(Duration::from_secs(10));
+        let period = Duration::from_millis(500);
+        services::pull_files(traffic, &callers, service, &keys, period, FILE_SIZE);
+    }
+}
+
+/// Kills a target, then a VM, then cuts the platform off for a while.
+async fn break_things(fleet: &mut Fleet, callers: &Callers, target: &str) -> Result<(), Fault> {
+    let step = Duration::from_secs(4);
+    compio::time::sleep(step / 2).await;
+    println!("killing target {target}");
+    fleet.kill(target)?;
+    fleet.unlist(target).await?;
+    compio::time::sleep(step).await;
+    println!("killing VM {LOST_VM}");
+    fleet.kill(LOST_VM)?;
+    fleet.unlist(LOST_VM).await?;
+    callers.set_entries(fleet.callers());
+    compio::time::sleep(step).await;
+    println!("cutting the platform off");
+    let down = Faults {
+        down: true,
+        ..Faults::default()
+    };
+    fleet.platform_faults(&down).await?;
+    compio::time::sleep(step).await;
+    fleet.platform_faults(&Faults::default()).await?;
+    println!("the platform is back");
+    compio::time::sleep(step / 2).await;
+    Ok(())
+}
+
+async fn write_timeline(fleet: &Fleet, options: &Options) -> Result<PathBuf, Fault> {
+    let path = options.timeline.clone().unwrap_or_else(|| {
+        let name = format!("bramleypier-demo-{}.txt", std::process::id());
+        std::env::temp_dir().join(name)
+    });
+    let settings = fleet.settings(VMS[0].0)?.display().to_string();
+    let output = fleet
+        .operate(&["timeline", "--settings", &settings])
+        .await?;
+    if !output.status.success() {
+        return Err(String::from_utf8_lossy(&output.stderr).into());
+    }
+    fs::write(&path, &output.stdout)?;
+    Ok(path)
+}
+
+fn measures(
+    callers: &Callers,
+    runs: &[bramleypier_standins::journal::Run],
+    documents: &[Document],
+    lost: &str,
+) -> Vec<String> {
+    let serving = documents.iter().map(|document| {
+        let names = document.targets.keys().filter(|name| *name != lost);
+        let names: Vec<String> = names.cloned().collect();
+        measure::imbalance(runs, &names)
+    });
+    let imbalance = serving.fold(0.0, f64::max);
+    let mut samples = callers.samples();
+    samples.retain(|sample| !sample.key.contains("-spread-"));
+    let gaps = measure::gaps(&samples, clock::now());
+    let worst = gaps.values().max().copied().unwrap_or_default();
+    let total: Duration = gaps.values().sum();
+    vec![
+        format!("imbalance: {imbalance:.2} (greatest over mean runs of a service's targets)"),
+        format!("churn: {:.3} moves for each key", measure::churn(runs)),
+        format!(
+            "unavailable time: {:.2} s at the worst key, {:.2} s over all {} keys",
+            worst.as_secs_f64(),
+            total.as_secs_f64(),
+            gaps.len()
+        ),
+    ]
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,18 +4,22 @@
 //! state in a cell of the one thread, and hold no borrow over an await.
 
 pub mod audit;
+pub mod caller;
 pub mod child;
 pub mod client;
 pub mod clock;
 pub mod cut;
 pub mod decimal;
+pub mod document;
 pub mod fault;
 pub mod fleet;
 pub mod holder;
 pub mod journal;
+pub mod measure;
 pub mod payload;
 pub mod platform;
 pub mod serve;
+pub mod services;
 pub mod slots;
 pub mod store;
 pub mod target;
--- /dev/null
+++ b/standins/src/services.rs
@@ -0,0 +1,265 @@
+//! Services set up on a fleet, and the traffic of their callers.
+
+use std::{
+    cell::Cell,
+    fs, io,
+    path::{Path, PathBuf},
+    rc::Rc,
+    time::Duration,
+};
+
+use compio::runtime;
+use quick_error::quick_error;
+
+use crate::{
+    caller::Callers,
+    clock,
+    document::Document,
+    fleet::{self, Fleet},
+};
+
+/// How often keys are asked while their services come up.
+const READY_POLL: Duration = Duration::from_millis(100);
+
+quick_error! {
+    /// Why a service could not be set up.
+    #[derive(Debug)]
+    pub enum Error {
+        /// A step with the fleet failed.
+        Fleet(cause: fleet::Error) {
+            from()
+            display("{cause}")
+            source(cause)
+        }
+        /// A document can't be read or written.
+        File(path: PathBuf, cause: io::Error) {
+            display("{}: {cause}", path.display())
+            source(cause)
+        }
+        /// The operator's command refused a document.
+        Refused(service: String, said: String) {
+            display("document {service} refused: {said}")
+        }
+        /// A key was not served in time.
+        NotServed(service: String, key: String, reason: String) {
+            display("{service}/{key} is not served: {reason}")
+        }
+    }
+}
+
+/// How targets are started.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// The mean time of work.
+    pub work_ms: u64,
+    /// Whether a forwarder stands before each target.
+    pub fronted: bool,
+}
+
+/// Starts the targets of a document and returns it with their real addresses.
+///
+/// # Errors
+///
+/// Fails when the document can't be read or a target can't be started.
+pub async fn start(fleet: &mut Fleet, path: &Path, setup: &Setup) -> Result<Document, Error> {
+    let loaded = Document::load(path);
+    let mut document = loaded.map_err(|cause| Error::File(path.to_owned(), cause))?;
+    for (name, target) in document.targets.clone() {
+        let checks = format!("--checks={}", target.checks);
+        let slots = format!("--slots={}", target.slots);
+        let work = format!("--work-ms={}", setup.work_ms);
+        let arguments = [checks.as_str(), &slots, &work];
+        let started = fleet.add_target(&name, &target.domain, setup.fronted, &arguments);
+        document.set_address(&name, &started.await?);
+    }
+    Ok(document)
+}
+
+/// Puts a document with the operator's command of a VM.
+///
+/// # Errors
+///
+/// Fails when the command refuses it; the error carries what it said.
+pub async fn put(fleet: &Fleet, vm: &str, document: &Document) -> Result<(), Error> {
+    let path = fleet.dir().join(format!("{}.ini", document.service));
+    let text = document.text().and_then(|text| fs::write(&path, text));
+    text.map_err(|cause| Error::File(path.clone(), cause))?;
+    let settings = fleet.settings(vm)?.display().to_string();
+    let path = path.display().to_string();
+    let output = fleet
+        .operate(&["document", "put", "--settings", &settings, &path])
+        .await?;
+    if output.status.success() {
+        return Ok(());
+    }
+    let said = String::from_utf8_lossy(&output.stderr).into_owned();
+    Err(Error::Refused(document.service.clone(), said))
+}
+
+/// Returns the names of `count` keys of a service.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier_standins::services;
+///
+/// assert_eq!(services::keys("tracking", 2), ["tracking-key-0", "tracking-key-1"]);
+/// ```
+pub fn keys(service: &str, count: usize) -> Vec<String> {
+    let names = (0..count).map(|number| format!("{service}-key-{number}"));
+    names.collect()
+}
+
+/// Waits until each key has been served.
+///
+/// # Errors
+///
+/// Fails when one is not served in time.
+pub async fn wait_ready(
+    callers: &Callers,
+    service: &str,
+    keys: &[String],
+    span: Duration,
+) -> Result<(), Error> {
+    let end = clock::now() + span;
+    for key in keys {
+        loop {
+            let sample = callers.look_up(service, key).await;
+            if sample.served() {
+                break;
+            }
+            if clock::now() >= end {
+                let service = service.to_owned();
+                return Err(Error::NotServed(service, key.clone(), sample.reason));
+            }
+            compio::time::sleep(READY_POLL).await;
+        }
+    }
+    Ok(())
+}
+
+/// Traffic that goes on until it is stopped; each request starts on time, whether or not the ones
+/// before it have been answered.
+#[derive(Clone, Debug, Default)]
+pub struct Traffic {
+    stopped: Rc<Cell<bool>>,
+    open: Rc<Cell<usize>>,
+}
+
+impl Traffic {
+    /// Starts a request every `period`; `request` makes each from its number.
+    pub fn every<F, G>(&self, period: Duration, request: F)
+    where
+        F: Fn(usize) -> G + 'static,
+        G: Future<Output = ()> + 'static,
+    {
+        let traffic = self.clone();
+        runtime::spawn(async move {
+            let mut due = clock::now();
+            for number in 0.. {
+                if traffic.stopped.get() {
+                    return;
+                }
+                traffic.request(request(number));
+                due += period;
+                compio::time::sleep(due.saturating_sub(clock::now())).await;
+            }
+        })
+        .detach();
+    }
+
+    fn request<G>(&self, request: G)
+    where
+        G: Future<Output = ()> + 'static,
+    {
+        let open = Rc::clone(&self.open);
+        open.set(open.get() + 1);
+        runtime::spawn(async move {
+            request.await;
+            open.set(open.get() - 1);
+        })
+        .detach();
+    }
+
+    /// Starts no more requests and waits until those under way have been answered.
+    pub async fn stop(&self) {
+        self.stopped.set(true);
+        while self.open.get() > 0 {
+            compio::time::sleep(READY_POLL).await;
+        }
+    }
+}
+
+/// Looks each key up every `period`.
+pub fn look_up_keys(
+    traffic: &Traffic,
+    callers: &Callers,
+    service: &str,
+    keys: &[String],
+    period: Duration,
+) {
+    for key in keys {
+        let (callers, service, key) = (callers.clone(), service.to_owned(), key.clone());
+        traffic.every(period, move |_| {
+            let (callers, service, key) = (callers.clone(), service.clone(), key.clone());
+            async move {
+                callers.look_up(&service, &key).await;
+            }
+        });
+    }
+}
+
+/// Looks up one key after the other, one every `period`.
+pub fn look_up_round(
+    traffic: &Traffic,
+    callers: &Callers,
+    service: &str,
+    keys: &[String],
+    period: Duration,
+) {
+    let (callers, service, keys) = (callers.clone(), service.to_owned(), keys.to_vec());
+    traffic.every(period, move |number| {
+        let (callers, service) = (callers.clone(), service.clone());
+        let key = keys[number % keys.len()].clone();
+        async move {
+            callers.look_up(&service, &key).await;
+        }
+    });
+}
+
+/// Sends an order every `period`, for one key after the other.
+pub fn order_keys(
+    traffic: &Traffic,
+    callers: &Callers,
+    service: &str,
+    keys: &[String],
+    period: Duration,
+) {
+    let (callers, service, keys) = (callers.clone(), service.to_owned(), keys.to_vec());
+    traffic.every(period, move |number| {
+        let (callers, service) = (callers.clone(), service.clone());
+        let key = keys[number % keys.len()].clone();
+        async move {
+            callers.order(&service, &key).await;
+        }
+    });
+}
+
+/// Pulls a file of `size` bytes every `period`, for one key after the other.
+pub fn pull_files(
+    traffic: &Traffic,
+    callers: &Callers,
+    service: &str,
+    keys: &[String],
+    period: Duration,
+    size: u64,
+) {
+    let (callers, service, keys) = (callers.clone(), service.to_owned(), keys.to_vec());
+    traffic.every(period, move |number| {
+        let (callers, service) = (callers.clone(), service.clone());
+        let key = keys[number % keys.len()].clone();
+        async move {
+            callers.file(&service, &key, size).await;
+        }
+    });
+}
