Drills on real processes, and an address that peers are told

Each repetition has a fleet of its own, so that no run inherits another's losses. The lost VM leaves the callers' list at once, since the balancer's lag is not the system's, and the platform's list lags by 10 s, so that nothing can lean on it. A VM behind a forwarder must be told which address to give to its peers: the setting listen.advertise.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -26,6 +26,8 @@
     pub callers: SocketAddr,
     /// Where other processes and operators reach it.
     pub peers: SocketAddr,
+    /// Where other processes are told to reach it; the address it listens on without one.
+    pub advertise: Option<SocketAddr>,
     /// Where the platform's service answers.
     pub platform: SocketAddr,
     /// Peers to try first, before the platform's list is known.
@@ -152,6 +154,13 @@
         Preset::Required,
         "Where other processes and operators reach it.",
     ),
+    field(
+        "listen",
+        "advertise",
+        Kind::Address,
+        Preset::Nothing,
+        "Where other processes are told to reach it, if not where it listens.",
+    ),
     field(
         "platform",
         "address",
@@ -318,6 +327,7 @@
         domain: checked.value("vm", "domain")?,
         callers: checked.value("listen", "callers")?,
         peers: checked.value("listen", "peers")?,
+        advertise: checked.optional("listen", "advertise")?,
         platform: checked.value("platform", "address")?,
         seeds: checked.list("peers", "seeds")?,
         log_level: checked.value("log", "level")?,
--- /dev/null
+++ b/standins/src/drill.rs
@@ -0,0 +1,319 @@
+//! Losses, freezes and cuts on a fleet of real processes, and what each cost its keys.
+
+use std::time::Duration;
+
+use indexmap::IndexSet;
+
+use crate::{
+    audit::{self, Findings},
+    caller::Callers,
+    clock,
+    document::Document,
+    fleet::{self, Fleet},
+    journal::Run,
+    measure,
+    platform::Faults,
+    services::{self, Setup, Traffic},
+};
+
+mod scenario;
+
+pub use scenario::{SCENARIOS, Scenario, Step};
+
+/// The service that is drilled.
+const SERVICE: &str = "drill";
+/// The VMs with their failure domains: all but the first are grantors of the first domain.
+const VMS: [(&str, &str); 4] = [
+    ("vm-1", "uio-norte"),
+    ("vm-2", "uio-centro"),
+    ("vm-3", "uio-centro"),
+    ("vm-4", "uio-sur"),
+];
+/// The targets with their failure domains.
+const TARGETS: [(&str, &str); 6] = [
+    ("drill-1", "uio-norte"),
+    ("drill-2", "uio-centro"),
+    ("drill-3", "uio-sur"),
+    ("drill-4", "uio-norte"),
+    ("drill-5", "uio-centro"),
+    ("drill-6", "uio-sur"),
+];
+/// The target that is lost.
+const TARGET: &str = "drill-1";
+/// The grantor of that target that is lost.
+const GRANTOR: &str = "vm-4";
+/// The domain that is lost.
+const DOMAIN: &str = "uio-norte";
+/// How far the platform's list lags, so that nothing can lean on it.
+const LIST_LAG_MS: u64 = 10_000;
+/// The longest that the service may take until all keys are served.
+const READY: Duration = Duration::from_secs(20);
+/// How long traffic runs before anything breaks.
+const WARM_UP: Duration = Duration::from_secs(1);
+/// How often the balancer asks for a VM's health.
+const HEALTH_PERIOD: Duration = Duration::from_millis(50);
+
+/// How a drill is run.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The program of the VMs; found beside the running one unless given.
+    pub program: Option<std::path::PathBuf>,
+    /// Whether targets check grants.
+    pub checks: bool,
+    /// How many keys are looked up.
+    pub keys: usize,
+    /// How often each key is looked up, and an order sent.
+    pub period: Duration,
+    /// Sections added to the VMs' settings.
+    pub settings: String,
+}
+
+/// What one run of a scenario cost.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// The longest time without service of each key of what was lost.
+    pub lost: Vec<Duration>,
+    /// The same for all other keys.
+    pub others: Vec<Duration>,
+    /// From the first step until the last start of work at what was lost.
+    pub last_work: Duration,
+    /// Moves for each key.
+    pub churn: f64,
+    /// What the audit found.
+    pub findings: Findings,
+    /// Calls and runs that were audited.
+    pub audited: (usize, usize),
+}
+
+type Fault = Box<dyn std::error::Error>;
+
+struct Drill {
+    fleet: Fleet,
+    callers: Callers,
+    document: Document,
+    frozen: Option<&'static str>,
+}
+
+/// Runs a scenario once on a fleet of its own.
+///
+/// # Errors
+///
+/// Fails when the fleet can't be brought up or a step can't be taken; bad outcomes of the system
+/// are no errors but part of the [`Outcome`].
+pub async fn run(scenario: &Scenario, options: &Options) -> Result<Outcome, Fault> {
+    let mut drill = Drill::start(options).await?;
+    let keys = services::keys(SERVICE, options.keys);
+    services::wait_ready(&drill.callers, SERVICE, &keys, READY).await?;
+    drill.set_faults(false).await?;
+    let traffic = Traffic::default();
+    services::look_up_keys(&traffic, &drill.callers, SERVICE, &keys, options.period);
+    let orders = drill.callers.with_deadline(Duration::from_secs(5));
+    services::order_keys(&traffic, &orders, SERVICE, &keys, options.period);
+    compio::time::sleep(WARM_UP).await;
+    let begin = clock::now();
+    for step in scenario.steps {
+        drill.take(*step).await?;
+    }
+    let end = clock::now();
+    traffic.stop().await;
+    drill.outcome(scenario, begin, end)
+}
+
+impl Drill {
+    async fn start(options: &Options) -> Result<Self, Fault> {
+        let mut fleet = Fleet::start(options.program.clone()).await?;
+        fleet.add_settings(&options.settings);
+        let path = fleet.dir().join("drill-template.ini");
+        std::fs::write(&path, text(options.checks))?;
+        let setup = Setup {
+            work_ms: 2,
+            fronted: true,
+        };
+        let document = services::start(&mut fleet, &path, &setup).await?;
+        for (name, domain) in VMS {
+            fleet.add_vm(name, domain, true).await?;
+        }
+        services::put(&fleet, VMS[0].0, &document).await?;
+        let callers = Callers::new(fleet.callers(), measure::SERVED_WITHIN);
+        Ok(Self {
+            fleet,
+            callers,
+            document,
+            frozen: None,
+        })
+    }
+
+    async fn set_faults(&self, down: bool) -> Result<(), fleet::Error> {
+        let faults = Faults {
+            down,
+            list_lag_ms: LIST_LAG_MS,
+            ..Faults::default()
+        };
+        self.fleet.platform_faults(&faults).await
+    }
+
+    async fn take(&mut self, step: Step) -> Result<(), Fault> {
+        match step {
+            Step::Wait(ms) => compio::time::sleep(Duration::from_millis(ms)).await,
+            Step::KillTarget => self.kill(TARGET).await?,
+            Step::KillGrantor => self.kill(GRANTOR).await?,
+            Step::KillDomain => {
+                for (name, domain) in VMS.iter().chain(&TARGETS) {
+                    if *domain == DOMAIN {
+                        self.kill(name).await?;
+                    }
+                }
+            }
+            Step::FreezeTarget => self.freeze(TARGET)?,
+            Step::FreezeGrantor => self.freeze(GRANTOR)?,
+            Step::Resume => {
+                if let Some(name) = self.frozen.take() {
+                    self.fleet.resume(name)?;
+                }
+            }
+            Step::PlatformDown => self.set_faults(true).await?,
+            Step::PlatformUp => self.set_faults(false).await?,
+            Step::CutTarget { requests, answers } => self.cut(requests, answers)?,
+            Step::IsolateGrantor => {
+                self.leave_out(GRANTOR);
+                self.fleet.isolate(GRANTOR, true);
+            }
+            Step::Mend => {
+                self.cut(false, false)?;
+                self.fleet.isolate(GRANTOR, false);
+            }
+            Step::DrainTarget => {
+                let faults = crate::fault::Faults {
+                    drain: true,
+                    ..crate::fault::Faults::default()
+                };
+                self.fleet.target_faults(TARGET, &faults).await?;
+            }
+            Step::LeaveTarget => {
+                self.document.set_target(TARGET, "state", "leaving");
+                services::put(&self.fleet, VMS[0].0, &self.document).await?;
+            }
+            Step::StopGrantor => self.stop(GRANTOR).await?,
+        }
+        Ok(())
+    }
+
+    async fn kill(&mut self, name: &str) -> Result<(), fleet::Error> {
+        // The balancer's own lag is not the system's, so callers leave a dead VM at once.
+        self.leave_out(name);
+        self.fleet.kill(name)?;
+        self.fleet.unlist(name).await
+    }
+
+    fn freeze(&mut self, name: &'static str) -> Result<(), fleet::Error> {
+        self.leave_out(name);
+        self.frozen = Some(name);
+        self.fleet.freeze(name)
+    }
+
+    fn cut(&self, requests: bool, answers: bool) -> Result<(), fleet::Error> {
+        self.fleet.front(TARGET)?.change(|rules| {
+            rules.block_in = requests;
+            rules.block_out = answers;
+        });
+        Ok(())
+    }
+
+    /// Stops a VM while a balancer that asks for its health still sends callers to it.
+    async fn stop(&mut self, name: &'static str) -> Result<(), Fault> {
+        let Some(vm) = self.fleet.vms.get(name) else {
+            return Ok(());
+        };
+        let (client, caller) = (self.fleet.client().clone(), vm.caller.clone());
+        let entries: Vec<String> = self.entries_without(name);
+        let callers = self.callers.clone();
+        let balancer = compio::runtime::spawn(async move {
+            while let Ok(reply) = client.get(&caller, "/healthz").await {
+                if reply.status != 200 {
+                    break;
+                }
+                compio::time::sleep(HEALTH_PERIOD).await;
+            }
+            callers.set_entries(entries);
+        });
+        let status = self.fleet.stop(name).await?;
+        drop(balancer.await);
+        if !status.success() {
+            return Err(format!("{name} stopped with {status}").into());
+        }
+        Ok(())
+    }
+
+    fn entries_without(&self, name: &str) -> Vec<String> {
+        let vms = self.fleet.vms.iter();
+        vms.filter(|(other, _)| *other != name && self.fleet.runs(other))
+            .map(|(_, vm)| vm.caller.clone())
+            .collect()
+    }
+
+    fn leave_out(&self, name: &str) {
+        self.callers.set_entries(self.entries_without(name));
+    }
+
+    fn outcome(
+        &self,
+        scenario: &Scenario,
+        begin: Duration,
+        end: Duration,
+    ) -> Result<Outcome, Fault> {
+        let runs = self.fleet.runs_of_targets()?;
+        let samples = self.callers.samples();
+        let hit: IndexSet<String> = TARGETS
+            .iter()
+            .filter(|(name, domain)| *name == TARGET || scenario.domain && *domain == DOMAIN)
+            .map(|(name, _)| (*name).to_owned())
+            .collect();
+        let lost_keys = measure::keys_of(&samples, &hit, begin);
+        let mut after = samples;
+        after.retain(|sample| sample.sent + WARM_UP > begin);
+        let gaps = measure::gaps(&after, end);
+        let (lost, others) = gaps
+            .into_iter()
+            .partition::<Vec<_>, _>(|(key, _)| lost_keys.contains(key));
+        let calls = self.callers.calls();
+        Ok(Outcome {
+            lost: lost.into_iter().map(|(_, gap)| gap).collect(),
+            others: others.into_iter().map(|(_, gap)| gap).collect(),
+            last_work: last_work(&runs, &hit, begin),
+            churn: measure::churn(&runs),
+            findings: audit::audit(&calls, &runs),
+            audited: (calls.len(), runs.len()),
+        })
+    }
+}
+
+fn last_work(runs: &[Run], hit: &IndexSet<String>, begin: Duration) -> Duration {
+    let own = runs.iter().filter(|run| hit.contains(&run.target));
+    let last = own.map(|run| run.started_ms).max().unwrap_or(0);
+    Duration::from_millis(last).saturating_sub(begin)
+}
+
+/// Returns the document of the service, with addresses to be filled in.
+fn text(checks: bool) -> String {
+    let fencing = if checks { "checked" } else { "unchecked" };
+    let mut text = format!(
+        "[service]\nname = {SERVICE}\nownership = exclusive\ngroups = 1\nranges = 4\n\
+         unavailable_weight = 1\nchurn_weight = 1\nbody_limit = 1048576\n\n\
+         [class orders]\nmethods = POST\nidempotent = false\nshare = 40\n\
+         deadline_ms = 10000\nqueue_ms = 500\n\n\
+         [class lookups]\nmethods = GET, HEAD\nidempotent = true\nshare = 60\n\
+         deadline_ms = 2000\nqueue_ms = 300\n"
+    );
+    for (name, domain) in TARGETS {
+        let lines = [
+            format!("\n[target {name}]"),
+            "address = 127.0.0.1:1".to_owned(),
+            format!("domain = {domain}"),
+            format!("fencing = {fencing}"),
+            "slots = 2".to_owned(),
+            "connections = 120\n".to_owned(),
+        ];
+        text += &lines.join("\n");
+    }
+    text
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod cut;
 pub mod decimal;
 pub mod document;
+pub mod drill;
 pub mod fault;
 pub mod fleet;
 pub mod holder;
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -65,7 +65,7 @@
     pub answer_delay_ms: u64,
     /// How many writes take effect and are then closed without an answer.
     pub lose_answers: u32,
-    /// How far the list of VMs lags.
+    /// How far the list of VMs lags, from when this is set: the view stands still for that long.
     pub list_lag_ms: u64,
 }
 
@@ -92,6 +92,7 @@
     list: IndexMap<String, Listing>,
     history: VecDeque<(Duration, Vec<Listing>)>,
     faults: Faults,
+    lag_since: Duration,
     counts: IndexMap<String, u64>,
 }
 
@@ -299,7 +300,7 @@
             }
             ("POST", None) if path == "/fault" => match serde_json::from_slice(body) {
                 Ok(faults) => {
-                    state.faults = faults;
+                    state.set_faults(faults);
                     serve::empty(StatusCode::OK)
                 }
                 Err(_) => serve::empty(StatusCode::BAD_REQUEST),
@@ -311,6 +312,13 @@
 }
 
 impl State {
+    fn set_faults(&mut self, faults: Faults) {
+        if faults.list_lag_ms != self.faults.list_lag_ms {
+            self.lag_since = clock::now();
+        }
+        self.faults = faults;
+    }
+
     fn keep_history(&mut self) {
         let list = self.list.values().cloned().collect();
         self.history.push_back((clock::now(), list));
@@ -321,10 +329,9 @@
 
     fn lagging_list(&self, now: Duration) -> Vec<Listing> {
         let lag = Duration::from_millis(self.faults.list_lag_ms);
-        let at = now.saturating_sub(lag);
-        let states = self.history.iter().rev();
+        let at = now.saturating_sub(lag).max(self.lag_since.min(now));
+        let mut states = self.history.iter().rev();
         states
-            .clone()
             .find(|(since, _)| *since <= at)
             .map(|(_, list)| list.clone())
             .unwrap_or_default()
--- a/standins/src/services.rs
+++ b/standins/src/services.rs
@@ -20,6 +20,8 @@
 
 /// How often keys are asked while their services come up.
 const READY_POLL: Duration = Duration::from_millis(100);
+/// How long the answers to the last requests may take.
+const LAST_ANSWERS: Duration = Duration::from_mins(1);
 
 quick_error! {
     /// Why a service could not be set up.
@@ -181,10 +183,12 @@
         .detach();
     }
 
-    /// Starts no more requests and waits until those under way have been answered.
+    /// Starts no more requests and waits, for a minute at the most, until those under way have
+    /// been answered.
     pub async fn stop(&self) {
         self.stopped.set(true);
-        while self.open.get() > 0 {
+        let end = clock::now() + LAST_ANSWERS;
+        while self.open.get() > 0 && clock::now() < end {
             compio::time::sleep(READY_POLL).await;
         }
     }
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -49,6 +49,12 @@
     assert_eq!(settings.log_file.as_deref(), Some(Path::new("C:\\vm.log")));
     assert_eq!(settings.statsd.unwrap().port(), 8125);
     assert_eq!(settings.limits.events, 10);
+    let text = SOUND.replace(
+        "peers = 127.0.0.1:0",
+        "peers = 127.0.0.1:0\nadvertise = 127.0.0.1:9",
+    );
+    let settings = settings::parse("vm.ini", &text).unwrap();
+    assert_eq!(settings.advertise.unwrap().port(), 9);
 }
 
 /// What is replaced in the sound text, by what, and the fault that follows.
