--- a/standins/tests/holder.rs
+++ b/standins/tests/holder.rs
@@ -1,8 +1,12 @@
 //! The rules of a target that holds grants, as tables.
 
-use std::time::Duration;
+use std::{env, time::Duration};
 
 use bramleypier_standins::holder::{Grant, Holder, Span};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
 
 fn span((start, end, epoch): (u64, u64, u64)) -> Span {
     Span { start, end, epoch }
@@ -162,3 +166,53 @@
     assert_eq!(holder.released(), [span((0, 9, 1))]);
     assert_eq!(holder.running(), 1, "other ranges' work goes on");
 }
+
+fn config() -> Config {
+    let cases = env::var("BRAMLEYPIER_CASES").ok();
+    Config {
+        cases: cases.and_then(|cases| cases.parse().ok()).unwrap_or(256),
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+/// Ranges within a hash space of 16 points, at epochs from 1 to 6.
+fn any_span() -> impl Strategy<Value = (u64, u64, u64)> {
+    (0..16_u64, 0..16_u64, 1..=6_u64).prop_map(|(a, b, epoch)| (a.min(b), a.max(b), epoch))
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Whatever the order of messages, an epoch below one seen, or one released, admits nothing.
+    #[test]
+    fn old_epochs_never_come_back(steps in prop::collection::vec((any::<bool>(), any_span()), 1..40)) {
+        let mut holder = Holder::default();
+        let mut seen = [0_u64; 16];
+        let mut released = [0_u64; 16];
+        for (is_release, step) in steps {
+            let (start, end, epoch) = step;
+            let points = usize::try_from(start).unwrap()..=usize::try_from(end).unwrap();
+            let message = if is_release {
+                grant(100, &[], &[step])
+            } else {
+                grant(100, &[step], &[])
+            };
+            let refused = holder.grant(&message);
+            let map = if is_release { &mut released } else { &mut seen };
+            for point in points.filter(|_| refused.is_empty()) {
+                map[point] = map[point].max(epoch);
+            }
+            for (point, hash) in (0..16_u64).enumerate() {
+                let admitted = |epoch: &u64| holder.admits(Duration::ZERO, hash, *epoch);
+                let admitted: Vec<u64> = (1..=6).filter(admitted).collect();
+                prop_assert!(admitted.len() <= 1, "{hash} under {admitted:?}");
+                for epoch in admitted {
+                    prop_assert!(epoch >= seen[point], "{hash} under {epoch}, {} was seen", seen[point]);
+                    prop_assert!(epoch > released[point], "{hash} under {epoch}, released");
+                }
+            }
+        }
+    }
+}
