--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,13 @@
 //! A router for servers that own keys exclusively.
+pub mod balance;
 pub mod clock;
 pub mod document;
+pub mod entry;
+pub mod gossip;
+pub mod grant;
+pub mod grantor;
 pub mod group;
+pub mod handover;
 pub mod id;
 pub mod key;
 pub mod membership;
@@ -9,6 +15,10 @@
 pub mod platform;
 pub mod range;
 pub mod request;
+pub mod route;
 pub mod settings;
+pub mod spread;
 pub mod target;
 pub mod util;
+pub mod vm;
+pub mod watcher;
