--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -255,7 +255,10 @@
 }
 
 async fn read_whole(context: &Context, job: &Job, body: Incoming) -> Result<Bytes, &'static str> {
-    let left = job.deadline.remaining(context.clock.now()).unwrap_or_default();
+    let left = job
+        .deadline
+        .remaining(context.clock.now())
+        .unwrap_or_default();
     let limit = usize::try_from(WHOLE_ANSWER).unwrap_or(usize::MAX);
     match context.clock.timeout(left, body::read(body, limit)).await {
         Ok(Ok(bytes)) => Ok(bytes),
--- a/src/entry/passing.rs
+++ b/src/entry/passing.rs
@@ -36,7 +36,9 @@
         deadline: Deadline,
         cancel: Cancel,
     ) -> Self {
-        let left = deadline.remaining(context.clock.now()).unwrap_or(Duration::ZERO);
+        let left = deadline
+            .remaining(context.clock.now())
+            .unwrap_or(Duration::ZERO);
         let clock = context.clock.clone();
         Self {
             body,
--- a/src/entry/payload.rs
+++ b/src/entry/payload.rs
@@ -136,7 +136,11 @@
             return Poll::Ready(None);
         };
         let frame = frame.map_err(Cause::from);
-        let size = frame.as_ref().ok().and_then(Frame::data_ref).map_or(0, Bytes::len) as u64;
+        let size = frame
+            .as_ref()
+            .ok()
+            .and_then(Frame::data_ref)
+            .map_or(0, Bytes::len) as u64;
         if size > self.left {
             return Poll::Ready(Some(Err("the body is over the service's limit".into())));
         }
--- a/src/entry/router.rs
+++ b/src/entry/router.rs
@@ -131,7 +131,10 @@
 impl Permit {
     /// Tells that the head of the answer came.
     pub fn head(&self, status: StatusCode) {
-        let message = Message::Head { ticket: self.ticket, status };
+        let message = Message::Head {
+            ticket: self.ticket,
+            status,
+        };
         let _ = self.router.unbounded_send(message);
     }
 
@@ -143,7 +146,10 @@
     fn report(&mut self, report: Report) {
         if !self.reported {
             self.reported = true;
-            let message = Message::Done { ticket: self.ticket, report };
+            let message = Message::Done {
+                ticket: self.ticket,
+                report,
+            };
             // The router ends after the last request.
             let _ = self.router.unbounded_send(message);
         }
@@ -251,7 +257,10 @@
         proof,
     };
     let (reply, answer) = oneshot::channel();
-    let message = Message::Admit { ask: Box::new(ask), reply };
+    let message = Message::Admit {
+        ask: Box::new(ask),
+        reply,
+    };
     let _ = context.router.unbounded_send(message);
     let waiting = context.clock.timeout(left, answer);
     match waiting.await {
@@ -314,7 +323,10 @@
                 self.documents.insert(document.service.clone(), document);
             }
             Message::Record(group, version, record) => {
-                self.tables.entry(group).or_default().on_record(version, *record);
+                self.tables
+                    .entry(group)
+                    .or_default()
+                    .on_record(version, *record);
             }
             Message::Fact(fact) => {
                 let table = self.tables.entry(fact.group.clone()).or_default();
@@ -352,7 +364,10 @@
                 clock.sleep(ROUTE_PAUSE).await;
                 let mut ask = ask;
                 ask.history.tried.clear();
-                let _ = sender.unbounded_send(Message::Admit { ask: Box::new(ask), reply });
+                let _ = sender.unbounded_send(Message::Admit {
+                    ask: Box::new(ask),
+                    reply,
+                });
             })
             .detach();
             return;
@@ -371,7 +386,10 @@
         let refuse = |reason: &str| {
             Verdict::not_run(&ask.proof, 503, Step::Route, &self.vm, reason).retry_after(COME_BACK)
         };
-        let document = self.documents.get(service).ok_or_else(|| refuse("no document"))?;
+        let document = self
+            .documents
+            .get(service)
+            .ok_or_else(|| refuse("no document"))?;
         let (target, address, epoch) = match document.ownership {
             Ownership::Exclusive => {
                 let owner = self
@@ -380,7 +398,8 @@
                 (owner.target, owner.address, Some(owner.epoch))
             }
             Ownership::Shared => {
-                let index = usize::try_from(self.tickets).unwrap_or(0) % document.targets.len().max(1);
+                let index =
+                    usize::try_from(self.tickets).unwrap_or(0) % document.targets.len().max(1);
                 let (name, target) = document
                     .targets
                     .get_index(index)
@@ -388,7 +407,9 @@
                 (name.clone(), target.address.clone(), None)
             }
         };
-        let address = address.parse().map_err(|_| refuse("the target's address is no address"))?;
+        let address = address
+            .parse()
+            .map_err(|_| refuse("the target's address is no address"))?;
         self.tickets += 1;
         Ok(Permit {
             target,
--- a/src/main.rs
+++ b/src/main.rs
@@ -13,7 +13,11 @@
             return ExitCode::from(2);
         }
     };
-    let _ = simplelog::WriteLogger::init(settings.log_level, simplelog::Config::default(), std::io::stderr());
+    let _ = simplelog::WriteLogger::init(
+        settings.log_level,
+        simplelog::Config::default(),
+        std::io::stderr(),
+    );
     let runtime = compio::runtime::Runtime::new().expect("a runtime");
     match runtime.block_on(vm::run(settings)) {
         Ok(_) => ExitCode::SUCCESS,
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -7,6 +7,7 @@
 
 use http::{HeaderName, Method, StatusCode};
 use hyper::{Request, body::Bytes};
+use percent_encoding::{self as percent, AsciiSet};
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
@@ -46,6 +47,14 @@
 /// Carries the name of the VM that calls.
 const FROM: HeaderName = HeaderName::from_static("bramleypier-from");
 
+/// What is escaped in a path or a query: a bare `#` would cut the rest off.
+const ESCAPED: &AsciiSet = &percent::NON_ALPHANUMERIC
+    .remove(b'/')
+    .remove(b'-')
+    .remove(b'.')
+    .remove(b'_')
+    .remove(b'~');
+
 quick_error! {
     /// Why a call to the platform did not succeed.
     #[derive(Debug)]
@@ -165,7 +174,7 @@
             .call(
                 "get",
                 Method::GET,
-                &format!("/v1/kv/{key}"),
+                &format!("/v1/kv/{}", escape(key)),
                 &[],
                 Bytes::new(),
             )
@@ -183,7 +192,7 @@
     ///
     /// The service did not answer.
     pub async fn list(&self, prefix: &str) -> Result<Listing, Error> {
-        self.read("list", &format!("/v1/list?prefix={prefix}"))
+        self.read("list", &format!("/v1/list?prefix={}", escape(prefix)))
             .await
     }
 
@@ -193,8 +202,11 @@
     ///
     /// The service did not answer.
     pub async fn watch(&self, prefix: &str, since: Version) -> Result<Listing, Error> {
-        self.read("watch", &format!("/v1/watch?prefix={prefix}&since={since}"))
-            .await
+        self.read(
+            "watch",
+            &format!("/v1/watch?prefix={}&since={since}", escape(prefix)),
+        )
+        .await
     }
 
     /// Lists the VMs, with a lag.
@@ -321,7 +333,13 @@
         value: Bytes,
     ) -> Result<Put, Error> {
         let answer = self
-            .call(step, method, &format!("/v1/kv/{key}"), headers, value)
+            .call(
+                step,
+                method,
+                &format!("/v1/kv/{}", escape(key)),
+                headers,
+                value,
+            )
             .await?;
         match answer.status {
             StatusCode::OK => Ok(Put::Won(answer.version)),
@@ -391,3 +409,8 @@
         Error::Failed(step, self.address, format!("status {status}"))
     }
 }
+
+/// Returns a key or a prefix as it is written in a path or a query.
+fn escape(key: &str) -> percent::PercentEncode<'_> {
+    percent::utf8_percent_encode(key, ESCAPED)
+}
--- a/src/vm/admin.rs
+++ b/src/vm/admin.rs
@@ -90,7 +90,10 @@
             return reply::plain(StatusCode::BAD_REQUEST, "not a probe or news\n");
         };
         let (sender, answer) = oneshot::channel();
-        let _ = self.tasks.news.unbounded_send(news::Message::Asked(word, sender));
+        let _ = self
+            .tasks
+            .news
+            .unbounded_send(news::Message::Asked(word, sender));
         match answer.await.map(|answer| peer::encode(&answer)) {
             Ok(Ok(bytes)) => Response::new(Body::from(bytes)),
             _ => reply::plain(StatusCode::SERVICE_UNAVAILABLE, "no answer\n"),
@@ -99,9 +102,15 @@
 
     async fn status(self) -> Response<Body> {
         let (sender, news) = oneshot::channel();
-        let _ = self.tasks.news.unbounded_send(news::Message::Status(sender));
+        let _ = self
+            .tasks
+            .news
+            .unbounded_send(news::Message::Status(sender));
         let (sender, owners) = oneshot::channel();
-        let _ = self.tasks.owners.unbounded_send(owners::Message::Status(sender));
+        let _ = self
+            .tasks
+            .owners
+            .unbounded_send(owners::Message::Status(sender));
         let status = Status {
             vm: self.vm,
             clock_ms: u64::try_from(self.clock.now().as_millis()).unwrap_or(u64::MAX),
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -30,14 +30,13 @@
 use crate::{
     clock::Clock,
     entry::{self, desk, router},
-    id::VmId,
     gossip::Gossip,
+    id::VmId,
     key,
     membership::{self, Peer},
     platform::Platform,
     settings::Settings,
-    spread,
-    target,
+    spread, target,
     util::server::{self, Control},
 };
 
@@ -115,7 +114,10 @@
     let answer = move |request| admin.clone().handle(request);
     compio::runtime::spawn(server::serve(peers, peer_control.clone(), answer)).detach();
     ready(&vm, local(&callers, settings.callers), address);
-    log::info!("step=start peer={vm} callers={}", local(&callers, settings.callers));
+    log::info!(
+        "step=start peer={vm} callers={}",
+        local(&callers, settings.callers)
+    );
     signal().await;
     let ending = stop(&settings, &clock, &tasks, &health, &caller_control).await;
     peer_control.stop();
@@ -152,7 +154,13 @@
     let (owners, owners_in) = mpsc::unbounded();
     let (router, router_in) = mpsc::unbounded();
     let (desk, desk_in) = mpsc::unbounded();
-    let tasks = Tasks { mail, news, owners, router, desk };
+    let tasks = Tasks {
+        mail,
+        news,
+        owners,
+        router,
+        desk,
+    };
     let vm = me.vm.clone();
     let platform = Platform::new(clock.clone(), settings.platform, vm.clone());
     let sender = target::Sender::new(clock.clone(), TARGET_CONNECTIONS);
@@ -166,7 +174,12 @@
     };
     let address = settings_address(&me, settings.peers);
     let seed = key::point(&vm);
-    let gossip = Gossip::new(me, membership::Timing::default(), spread::Limits::default(), seed);
+    let gossip = Gossip::new(
+        me,
+        membership::Timing::default(),
+        spread::Limits::default(),
+        seed,
+    );
     let known = news::News::new(clock.clone(), platform.clone(), tasks.clone(), gossip, seed);
     let routing = router::Router::new(vm.clone(), clock.clone(), tasks.router.clone());
     let grants = owners::Owners::new(clock.clone(), vm.clone(), platform, tasks.clone());
@@ -211,7 +224,11 @@
     let cut = callers.open();
     let _ = tasks.news.unbounded_send(news::Message::Stop);
     clock.sleep(STOP_POLL * 5).await;
-    if cut == 0 { Ending::Graceful } else { Ending::Cut(cut) }
+    if cut == 0 {
+        Ending::Graceful
+    } else {
+        Ending::Cut(cut)
+    }
 }
 
 async fn drain(clock: &Clock, callers: &Control) {
--- a/src/vm/news.rs
+++ b/src/vm/news.rs
@@ -228,7 +228,9 @@
         let address = address.parse::<SocketAddr>();
         compio::runtime::spawn(async move {
             let answer = match address {
-                Ok(to) => peer::call(&client, to, GOSSIP_PATH, &envelope, within).await.ok(),
+                Ok(to) => peer::call(&client, to, GOSSIP_PATH, &envelope, within)
+                    .await
+                    .ok(),
                 Err(_) => None,
             };
             let _ = news.unbounded_send(Message::Answered(call, answer));
@@ -248,9 +250,18 @@
         let watchers = members.candidates_in(now, watcher::SUBJECT, usize::MAX, &me.domain);
         let place = watchers.iter().position(|peer| peer.vm == me.vm);
         let size = members.size();
-        let _ = self.tasks.mail.unbounded_send(mail::Message::Live(fleet.live.clone()));
-        let _ = self.tasks.desk.unbounded_send(desk::Message::Fleet(fleet.clone()));
-        let _ = self.tasks.owners.unbounded_send(owners::Message::Fleet(fleet));
+        let _ = self
+            .tasks
+            .mail
+            .unbounded_send(mail::Message::Live(fleet.live.clone()));
+        let _ = self
+            .tasks
+            .desk
+            .unbounded_send(desk::Message::Fleet(fleet.clone()));
+        let _ = self
+            .tasks
+            .owners
+            .unbounded_send(owners::Message::Fleet(fleet));
         self.watch(watcher::Event::Duty { place, size });
     }
 
@@ -349,14 +360,20 @@
         let suspects = |update: &Update| update.standing == Standing::Suspect;
         let misses = self.gossip.members().members().iter().any(suspects);
         let is_short = self.watcher.is_on_duty() || misses;
-        let period = if is_short { LIST_PERIOD_SHORT } else { LIST_PERIOD };
+        let period = if is_short {
+            LIST_PERIOD_SHORT
+        } else {
+            LIST_PERIOD
+        };
         self.next_list = self.clock.now() + period;
         let Some(list) = list else {
             return;
         };
         let message = owners::Message::Listed(list.clone());
         let _ = self.tasks.owners.unbounded_send(message);
-        let vms = list.into_iter().filter(|vm| vm.kind == platform::Kind::Entry);
+        let vms = list
+            .into_iter()
+            .filter(|vm| vm.kind == platform::Kind::Entry);
         let listed = vms.map(|vm| Listed {
             name: vm.name,
             address: vm.address,
@@ -398,7 +415,10 @@
             }
             Kind::Handover => match peer::decode::<Handover>(bytes) {
                 Ok(fact) => {
-                    let _ = self.tasks.owners.unbounded_send(owners::Message::Fact(fact));
+                    let _ = self
+                        .tasks
+                        .owners
+                        .unbounded_send(owners::Message::Fact(fact));
                 }
                 Err(cause) => log::error!("step=news peer={} cause={cause:?}", item.id.name),
             },
@@ -410,7 +430,10 @@
             }
             Kind::Suspect => {
                 let bytes = Bytes::copy_from_slice(bytes);
-                let _ = self.tasks.router.unbounded_send(router::Message::Suspect(bytes));
+                let _ = self
+                    .tasks
+                    .router
+                    .unbounded_send(router::Message::Suspect(bytes));
             }
         }
     }
@@ -426,7 +449,10 @@
     }
 
     fn enforce(&mut self, version: Version, document: Document) {
-        log::info!("step=document peer={} version={version} in_force=true", document.service);
+        log::info!(
+            "step=document peer={} version={version} in_force=true",
+            document.service
+        );
         let document = Rc::new(document);
         let message = router::Message::Document(document.clone());
         let _ = self.tasks.router.unbounded_send(message);
--- a/src/vm/owners.rs
+++ b/src/vm/owners.rs
@@ -8,7 +8,11 @@
 use indexmap::{IndexMap, IndexSet};
 use serde::Serialize;
 
-use super::{Tasks, mail, news::{self, Fleet}, wire};
+use super::{
+    Tasks, mail,
+    news::{self, Fleet},
+    wire,
+};
 use crate::{
     clock::Clock,
     document::{Document, Ownership},
@@ -155,7 +159,11 @@
             .flat_map(|(_, record)| record.trios.values().flatten())
             .map(|grantor| grantor.vm.clone())
             .collect();
-        let is_gone = |vm: &VmId| !list.iter().any(|listed| listed.name == membership::name(vm));
+        let is_gone = |vm: &VmId| {
+            !list
+                .iter()
+                .any(|listed| listed.name == membership::name(vm))
+        };
         let gone: Vec<VmId> = named.into_iter().filter(is_gone).collect();
         if !gone.is_empty() {
             self.feed_all(&Event::Listed { gone });
@@ -164,7 +172,8 @@
 
     /// Takes a document: each group of an exclusive service gets a grantor.
     fn document(&mut self, version: Version, document: &Rc<Document>) {
-        self.documents.insert(document.service.clone(), document.clone());
+        self.documents
+            .insert(document.service.clone(), document.clone());
         if document.ownership == Ownership::Shared {
             return;
         }
@@ -219,15 +228,26 @@
 
     fn act(&mut self, now: Duration, group: &GroupId, effect: Effect) {
         match effect {
-            Effect::Grant { target, address, grant } => {
+            Effect::Grant {
+                target,
+                address,
+                grant,
+            } => {
                 self.grant(now, group, target, &address, Some(grant));
             }
             Effect::Probe { target, address } => self.grant(now, group, target, &address, None),
             Effect::Send { to, message } => {
                 let message = wire::Message::Grantor(group.clone(), message);
-                let _ = self.tasks.mail.unbounded_send(mail::Message::Send(to, message));
+                let _ = self
+                    .tasks
+                    .mail
+                    .unbounded_send(mail::Message::Send(to, message));
             }
-            Effect::Write { base, sequence, record } => self.write(group, base, sequence, &record),
+            Effect::Write {
+                base,
+                sequence,
+                record,
+            } => self.write(group, base, sequence, &record),
             Effect::Read => self.read(group),
             Effect::Fact(fact) => {
                 self.tell_fact(fact.clone());
@@ -265,7 +285,11 @@
                 (Err(_), _) => None,
             };
             let event = match state {
-                Some(state) => Event::Target { target, asked, state },
+                Some(state) => Event::Target {
+                    target,
+                    asked,
+                    state,
+                },
                 None => Event::TargetFailed { target, asked },
             };
             let _ = owners.unbounded_send(Message::Ended(group, event));
--- a/standins/src/work.rs
+++ b/standins/src/work.rs
@@ -6,6 +6,7 @@
 use futures_util::future::{Either, select};
 use http::{Request, StatusCode};
 use hyper::body::Bytes;
+use percent_encoding as percent;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use uuid::Uuid;
@@ -87,7 +88,9 @@
         boot: target.boot.to_string(),
         request: text("Bramleypier-Request"),
         idempotency: text("Idempotency-Key"),
-        key: text("Bramleypier-Key"),
+        key: percent::percent_decode_str(&text("Bramleypier-Key"))
+            .decode_utf8_lossy()
+            .into_owned(),
         hash: number("Bramleypier-Hash").unwrap_or(0),
         epoch: number("Bramleypier-Epoch").unwrap_or(0),
         class: text("Bramleypier-Class"),
