--- /dev/null
+++ b/src/chart/mod.rs
@@ -0,0 +1,386 @@
+//! State charts in files that the code interprets.
+//!
+//! The files under `charts/` are part of the binary; [`check_all`] checks them at the start. Their
+//! states and events must be just those of the enumerations in [`charts`], so code and files
+//! cannot drift apart.
+//!
+//! A task owns a [`Machine`] for each life cycle it drives, and tells it what happened:
+//!
+//! ```
+//! use bramleypier::chart::charts::{self, vm};
+//!
+//! let mut machine = charts::vm().unwrap().machine();
+//! let change = machine.on(vm::Event::Listening).unwrap();
+//! assert_eq!((change.from, change.to), (vm::State::Starting, vm::State::Joining));
+//! assert!(machine.on(vm::Event::Ended).is_err());
+//! ```
+
+pub mod charts;
+
+use std::{fmt, rc::Rc};
+
+use indexmap::{IndexMap, IndexSet};
+use quick_error::quick_error;
+
+use crate::util::{
+    fields,
+    ini::{self, Fault, Section},
+    names::Names,
+};
+
+const HEAD: &str = "chart";
+
+quick_error! {
+    /// An event that a state has no transition for.
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    pub enum Error {
+        /// The machine stays in its state.
+        Refused(chart: &'static str, state: &'static str, event: &'static str) {
+            display("step=chart peer={chart} state={state} event={event} cause=\"no transition\"")
+        }
+    }
+}
+
+/// A change of state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Change<S> {
+    /// The state before.
+    pub from: S,
+    /// The state after.
+    pub to: S,
+}
+
+impl<S> fmt::Display for Change<S>
+where
+    S: Names,
+{
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "from={} to={}", self.from.name(), self.to.name())
+    }
+}
+
+/// A chart whose states and events are those of two enumerations.
+#[derive(Clone, Debug)]
+pub struct Chart<S, E> {
+    name: &'static str,
+    initial: S,
+    ends: IndexSet<S>,
+    transitions: IndexMap<(S, E), S>,
+}
+
+impl<S, E> Chart<S, E>
+where
+    S: Names,
+    E: Names,
+{
+    /// Reads a chart and checks it.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Fault`] for a state or event that is unknown, missing or never used, a state that
+    /// can't be reached, a final state that goes on, and any other state that doesn't.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::chart::{Chart, charts::vm};
+    ///
+    /// let fault = Chart::<vm::State, vm::Event>::parse("vm", "[chart]\ninitial = nowhere");
+    /// assert_eq!(
+    ///     fault.unwrap_err().to_string(),
+    ///     "charts/vm.ini:2: [chart] initial: unknown state `nowhere`"
+    /// );
+    /// ```
+    pub fn parse(name: &'static str, text: &str) -> Result<Self, Fault> {
+        let file = format!("charts/{name}.ini");
+        let sections = ini::parse(&file, text)?;
+        let reader = Reader { file, sections };
+        let chart = Self {
+            name,
+            initial: reader.initial()?,
+            ends: reader.ends()?,
+            transitions: reader.transitions()?,
+        };
+        reader.declared::<E>()?;
+        chart.check_events(&reader)?;
+        chart.check_ends(&reader)?;
+        chart.check_reach(&reader)?;
+        Ok(chart)
+    }
+
+    /// Starts a machine in the initial state.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::chart::charts::{self, order};
+    ///
+    /// let machine = charts::order().unwrap().machine();
+    /// assert_eq!(machine.state(), order::State::Absent);
+    /// ```
+    pub fn machine(self: Rc<Self>) -> Machine<S, E> {
+        Machine {
+            state: self.initial,
+            chart: self,
+        }
+    }
+
+    /// Returns the state after an event in a state, if there is a transition.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::chart::charts::{self, duty::{Event, State}};
+    ///
+    /// let chart = charts::duty().unwrap();
+    /// assert_eq!(chart.next(State::Held, Event::Lapse), Some(State::Absent));
+    /// ```
+    pub fn next(&self, state: S, event: E) -> Option<S> {
+        self.transitions.get(&(state, event)).copied()
+    }
+
+    /// Returns whether a state is final.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::chart::charts::{self, vm};
+    ///
+    /// assert!(charts::vm().unwrap().ends(vm::State::Stopped));
+    /// ```
+    pub fn ends(&self, state: S) -> bool {
+        self.ends.contains(&state)
+    }
+
+    /// Finds events that no state has a transition for.
+    fn check_events(&self, reader: &Reader) -> Result<(), Fault> {
+        let used: IndexSet<E> = self.transitions.keys().map(|(_, event)| *event).collect();
+        match E::ALL.iter().find(|event| !used.contains(*event)) {
+            None => Ok(()),
+            Some(event) => {
+                let reason = format!("no state takes the event `{}`", event.name());
+                Err(reader.fault(HEAD, "events", &reason))
+            }
+        }
+    }
+
+    /// Finds final states that go on and other states that don't.
+    fn check_ends(&self, reader: &Reader) -> Result<(), Fault> {
+        for state in S::ALL {
+            let goes_on = self.transitions.keys().any(|(from, _)| from == state);
+            let section = format!("state {}", state.name());
+            if self.ends(*state) && goes_on {
+                return Err(reader.fault(&section, "", "is final, but has a transition"));
+            }
+            if !self.ends(*state) && !goes_on {
+                return Err(reader.fault(&section, "", "is not final, but has no transition"));
+            }
+        }
+        Ok(())
+    }
+
+    fn check_reach(&self, reader: &Reader) -> Result<(), Fault> {
+        let mut reached = IndexSet::from([self.initial]);
+        let mut next = 0;
+        while let Some(state) = reached.get_index(next).copied() {
+            let out = self
+                .transitions
+                .iter()
+                .filter(|((from, _), _)| *from == state);
+            reached.extend(out.map(|(_, to)| *to));
+            next += 1;
+        }
+        match S::ALL.iter().find(|state| !reached.contains(*state)) {
+            None => Ok(()),
+            Some(state) => {
+                let section = format!("state {}", state.name());
+                Err(reader.fault(&section, "", "cannot be reached"))
+            }
+        }
+    }
+}
+
+/// A life cycle under way.
+#[derive(Clone, Debug)]
+pub struct Machine<S, E> {
+    chart: Rc<Chart<S, E>>,
+    state: S,
+}
+
+impl<S, E> Machine<S, E>
+where
+    S: Names,
+    E: Names,
+{
+    /// Takes an event, and passes to the state that the chart gives.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Refused`], and stays, if the state has no transition for the event.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::chart::charts::{self, target};
+    ///
+    /// let mut machine = charts::target().unwrap().machine();
+    /// machine.on(target::Event::Ready).unwrap();
+    /// assert_eq!(machine.state(), target::State::Ready);
+    /// ```
+    pub fn on(&mut self, event: E) -> Result<Change<S>, Error> {
+        let from = self.state;
+        let refused = Error::Refused(self.chart.name, from.name(), event.name());
+        let to = self.chart.next(from, event).ok_or(refused)?;
+        self.state = to;
+        Ok(Change { from, to })
+    }
+
+    /// Returns the state.
+    ///
+    /// # Example
+    ///
+    /// See [`Machine::on`].
+    pub fn state(&self) -> S {
+        self.state
+    }
+
+    /// Returns whether the state is final.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::chart::charts;
+    ///
+    /// assert!(!charts::vm().unwrap().machine().ended());
+    /// ```
+    pub fn ended(&self) -> bool {
+        self.chart.ends(self.state)
+    }
+}
+
+/// Checks every chart; the process does so when it starts.
+///
+/// # Errors
+///
+/// Returns the first [`Fault`].
+///
+/// # Example
+///
+/// ```
+/// use bramleypier::chart;
+///
+/// assert!(chart::check_all().is_ok());
+/// ```
+pub fn check_all() -> Result<(), Fault> {
+    charts::vm()?;
+    charts::target()?;
+    charts::duty()?;
+    charts::order()?;
+    Ok(())
+}
+
+/// A chart's sections, while they are read.
+struct Reader {
+    file: String,
+    sections: Vec<Section>,
+}
+
+impl Reader {
+    fn fault(&self, section: &str, key: &str, reason: &str) -> Fault {
+        let found = self.section(section);
+        let place = found.and_then(|found| found.keys.iter().find(|other| other.name == key));
+        let header = found.map_or(0, |found| found.line);
+        Fault {
+            file: self.file.clone(),
+            line: place.map_or(header, |place| place.line),
+            section: section.to_owned(),
+            key: key.to_owned(),
+            reason: reason.to_owned(),
+        }
+    }
+
+    fn section(&self, name: &str) -> Option<&Section> {
+        self.sections.iter().find(|section| section.name == name)
+    }
+
+    fn head(&self, key: &str) -> Result<&str, Fault> {
+        let found = self.section(HEAD);
+        let found = found.and_then(|head| head.keys.iter().find(|other| other.name == key));
+        let missing = || self.fault(HEAD, key, "missing key");
+        found.map(|found| found.value.as_str()).ok_or_else(missing)
+    }
+
+    fn state<S>(&self, section: &str, key: &str, name: &str) -> Result<S, Fault>
+    where
+        S: Names,
+    {
+        let unknown = || self.fault(section, key, &format!("unknown state `{name}`"));
+        S::find(name).ok_or_else(unknown)
+    }
+
+    fn event<E>(&self, section: &str, key: &str, name: &str) -> Result<E, Fault>
+    where
+        E: Names,
+    {
+        let unknown = || self.fault(section, key, &format!("unknown event `{name}`"));
+        E::find(name).ok_or_else(unknown)
+    }
+
+    fn initial<S>(&self) -> Result<S, Fault>
+    where
+        S: Names,
+    {
+        self.state(HEAD, "initial", self.head("initial")?)
+    }
+
+    fn ends<S>(&self) -> Result<IndexSet<S>, Fault>
+    where
+        S: Names,
+    {
+        let names = fields::parts(self.head("final")?);
+        names.map(|name| self.state(HEAD, "final", name)).collect()
+    }
+
+    /// Checks that the file declares just the events that the code has.
+    fn declared<E>(&self) -> Result<(), Fault>
+    where
+        E: Names,
+    {
+        let names = fields::parts(self.head("events")?);
+        let mut declared = IndexSet::new();
+        for name in names {
+            let event: E = self.event(HEAD, "events", name)?;
+            if !declared.insert(event) {
+                let reason = format!("the event `{name}` stands twice");
+                return Err(self.fault(HEAD, "events", &reason));
+            }
+        }
+        match E::ALL.iter().find(|event| !declared.contains(*event)) {
+            None => Ok(()),
+            Some(event) => {
+                let reason = format!("the event `{}` is missing", event.name());
+                Err(self.fault(HEAD, "events", &reason))
+            }
+        }
+    }
+
+    fn transitions<S, E>(&self) -> Result<IndexMap<(S, E), S>, Fault>
+    where
+        S: Names,
+        E: Names,
+    {
+        let mut transitions = IndexMap::new();
+        for section in self.sections.iter().filter(|section| section.name != HEAD) {
+            let Some(name) = section.name.strip_prefix("state ") else {
+                return Err(self.fault(&section.name, "", "unknown section"));
+            };
+            let from = self.state(&section.name, "", name)?;
+            for key in &section.keys {
+                let event = self.event(&section.name, &key.name, &key.name)?;
+                let to = self.state(&section.name, &key.name, &key.value)?;
+                transitions.insert((from, event), to);
+            }
+        }
+        Ok(transitions)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,14 +1,19 @@
 //! A router for servers that own keys exclusively.
+pub mod chart;
 pub mod clock;
 pub mod document;
 pub mod group;
 pub mod id;
 pub mod key;
+pub mod logging;
+pub mod measure;
+pub mod membership;
+pub mod metrics;
 pub mod peer;
 pub mod platform;
-pub mod membership;
 pub mod range;
 pub mod request;
 pub mod settings;
 pub mod target;
+pub mod timeline;
 pub mod util;
--- /dev/null
+++ b/src/measure.rs
@@ -0,0 +1,249 @@
+//! What operators measure: imbalance, churn and unavailable time.
+//!
+//! Several processes report the same move or loss; epochs tell them apart, so each counts once.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    id::{Epoch, ServiceId},
+    range::Range,
+    timeline::{
+        event::{Event, Kind},
+        stamp,
+    },
+};
+
+/// Returns the greatest load over the mean; 1 is even, and without load it is 1 too.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier::measure;
+///
+/// assert!((measure::imbalance(&[1.0, 3.0]) - 1.5).abs() < 1e-9);
+/// assert!((measure::imbalance(&[]) - 1.0).abs() < 1e-9);
+/// ```
+#[allow(
+    clippy::cast_precision_loss,
+    reason = "there are fewer targets than 2^52"
+)]
+pub fn imbalance(loads: &[f64]) -> f64 {
+    let sum: f64 = loads.iter().sum();
+    if sum <= 0.0 {
+        return 1.0;
+    }
+    let greatest = loads.iter().copied().fold(0.0, f64::max);
+    greatest * loads.len() as f64 / sum
+}
+
+/// One service's measures over a span of the time line.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Measures {
+    /// How many ranges moved.
+    pub moves: u64,
+    /// The share of the hash space that moved; a range that moves twice counts twice.
+    pub churn: f64,
+    /// Seconds without an owner that serves, summed over ranges.
+    pub unavailable: f64,
+    /// How many ranges, or parts of ranges, have no owner that serves at the end.
+    pub open: u64,
+}
+
+impl Measures {
+    /// Returns the share of the hash space that moves in an hour, at the rate of a span.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier::measure::Measures;
+    ///
+    /// let measures = Measures { churn: 0.5, ..Measures::default() };
+    /// assert!((measures.churn_hourly(Duration::from_secs(1800)) - 1.0).abs() < 1e-9);
+    /// ```
+    pub fn churn_hourly(&self, span: Duration) -> f64 {
+        if span.is_zero() {
+            return 0.0;
+        }
+        self.churn * 3600.0 / span.as_secs_f64()
+    }
+}
+
+/// A range, or a part of one, that nobody serves.
+#[derive(Clone, Copy, Debug)]
+struct Gap {
+    range: Range,
+    since: Duration,
+    /// The part's share of the range that was lost, so that parts sum to one range.
+    weight: f64,
+}
+
+/// What is known of one service's ranges.
+#[derive(Clone, Debug, Default)]
+struct Ranges {
+    measures: Measures,
+    gaps: Vec<Gap>,
+    /// The epoch at which each range was last served.
+    served: IndexMap<Range, Epoch>,
+    /// The epoch at which each range last moved.
+    moved: IndexMap<Range, Epoch>,
+}
+
+/// Derives the measures from events, as they happen or from an account.
+///
+/// # Example
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use bramleypier::{
+///     measure::Meter,
+///     range::Range,
+///     timeline::{Duty, Event, Kind, Ring},
+/// };
+///
+/// let mut ring = Ring::new("vm-1#1".to_owned(), 9);
+/// let mut meter = Meter::default();
+/// for (second, kind, epoch) in [(10, Kind::RangeLost, 1), (12, Kind::RangeServed, 2)] {
+///     let event = Event::new(Duty::Grantor, "release", kind)
+///         .service("tracking")
+///         .range(Range::ALL)
+///         .epoch(epoch);
+///     meter.on(ring.record(Duration::from_secs(second), event));
+/// }
+/// let measures = meter.measures(Duration::from_secs(20));
+/// assert!((measures["tracking"].unavailable - 2.0).abs() < 1e-9);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Meter {
+    services: IndexMap<ServiceId, Ranges>,
+}
+
+impl Meter {
+    /// Takes one event; events of an account come in its order.
+    ///
+    /// # Example
+    ///
+    /// See [`Meter`].
+    pub fn on(&mut self, event: &Event) {
+        let (Some(service), Some(range), Some(epoch)) = (&event.service, event.range, event.epoch)
+        else {
+            return;
+        };
+        let ranges = self.services.entry(service.clone()).or_default();
+        match event.kind {
+            Kind::RangeMoved => ranges.moved(range, epoch),
+            Kind::RangeLost => ranges.lost(range, epoch, stamp::time(event.stamp)),
+            Kind::RangeServed => ranges.served(range, epoch, stamp::time(event.stamp)),
+            _ => {}
+        }
+    }
+
+    /// Returns each service's measures up to a time since 1970.
+    ///
+    /// # Example
+    ///
+    /// See [`Meter`].
+    pub fn measures(&self, until: Duration) -> IndexMap<ServiceId, Measures> {
+        let services = self.services.iter();
+        services
+            .map(|(service, ranges)| (service.clone(), ranges.measures(until)))
+            .collect()
+    }
+}
+
+impl Ranges {
+    fn moved(&mut self, range: Range, epoch: Epoch) {
+        if newest(&self.moved, range).is_some_and(|known| epoch <= known) {
+            return;
+        }
+        keep(&mut self.moved, range, epoch);
+        self.measures.moves += 1;
+        self.measures.churn += range.share();
+    }
+
+    fn lost(&mut self, range: Range, epoch: Epoch, at: Duration) {
+        let outdated = newest(&self.served, range).is_some_and(|known| epoch < known);
+        let known = self.gaps.iter().any(|gap| gap.range.overlaps(&range));
+        if outdated || known {
+            return;
+        }
+        self.gaps.push(Gap {
+            range,
+            since: at,
+            weight: 1.0,
+        });
+    }
+
+    fn served(&mut self, range: Range, epoch: Epoch, at: Duration) {
+        if newest(&self.served, range).is_some_and(|known| epoch < known) {
+            return;
+        }
+        keep(&mut self.served, range, epoch);
+        let mut open = Vec::new();
+        for gap in std::mem::take(&mut self.gaps) {
+            let rest = rest(&gap, range);
+            let left: f64 = rest.iter().map(|part| part.weight).sum();
+            let closed = (gap.weight - left).max(0.0);
+            self.measures.unavailable += closed * at.saturating_sub(gap.since).as_secs_f64();
+            open.extend(rest);
+        }
+        self.gaps = open;
+    }
+
+    fn measures(&self, until: Duration) -> Measures {
+        let waiting = self.gaps.iter().map(|gap| {
+            let span = until.saturating_sub(gap.since);
+            gap.weight * span.as_secs_f64()
+        });
+        Measures {
+            unavailable: self.measures.unavailable + waiting.sum::<f64>(),
+            open: u64::try_from(self.gaps.len()).unwrap_or(u64::MAX),
+            ..self.measures
+        }
+    }
+}
+
+/// Returns the highest epoch known of any part of a range.
+fn newest(known: &IndexMap<Range, Epoch>, range: Range) -> Option<Epoch> {
+    let overlapping = known.iter().filter(|(other, _)| other.overlaps(&range));
+    overlapping.map(|(_, epoch)| *epoch).max()
+}
+
+/// Notes a range's epoch, and forgets the older ranges that it covers whole.
+fn keep(known: &mut IndexMap<Range, Epoch>, range: Range, epoch: Epoch) {
+    known.retain(|other, _| other.start < range.start || range.end < other.end);
+    known.insert(range, epoch);
+}
+
+/// Returns what is left of a gap beside a range that is served.
+fn rest(gap: &Gap, served: Range) -> Vec<Gap> {
+    let whole = gap.range;
+    if !whole.overlaps(&served) {
+        return vec![*gap];
+    }
+    let mut parts = Vec::new();
+    if whole.start < served.start {
+        parts.push(Range {
+            start: whole.start,
+            end: served.start - 1,
+        });
+    }
+    if served.end < whole.end {
+        parts.push(Range {
+            start: served.end + 1,
+            end: whole.end,
+        });
+    }
+    let part = |range: Range| Gap {
+        range,
+        weight: gap.weight * range.share() / whole.share(),
+        ..*gap
+    };
+    parts.into_iter().map(part).collect()
+}
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,311 @@
+//! Counters and gauges, kept here and sent over UDP.
+//!
+//! Counting touches memory only; [`Metrics::flush`] sends what has gathered, so that the cost does
+//! not grow with the requests.
+
+use std::{cell::RefCell, io, net::SocketAddr, net::UdpSocket, rc::Rc};
+
+use cadence::{BufferedUdpMetricSink, Counted, Gauged, NopMetricSink, StatsdClient};
+use indexmap::IndexMap;
+use quick_error::quick_error;
+
+use crate::id::ServiceId;
+
+/// What precedes each metric's name.
+pub const PREFIX: &str = "bramleypier";
+
+quick_error! {
+    /// Why metrics can't be sent.
+    #[derive(Debug)]
+    pub enum Error {
+        /// No socket could be had.
+        Socket(peer: SocketAddr, cause: io::Error) {
+            display("step=metrics peer={peer} cause={cause}")
+            source(cause)
+        }
+        /// The sink could not be made.
+        Sink(peer: SocketAddr, cause: cadence::MetricError) {
+            display("step=metrics peer={peer} cause={cause}")
+            source(cause)
+        }
+    }
+}
+
+/// What a metric is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Form {
+    /// A count that only grows.
+    Counter,
+    /// A reading, sent as it stands.
+    Gauge,
+}
+
+/// One metric, as operators know it.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Metric {
+    /// The name, after the prefix.
+    pub name: &'static str,
+    /// What it is.
+    pub form: Form,
+    /// What it counts.
+    pub meaning: &'static str,
+    /// What an operator does about it.
+    pub action: &'static str,
+}
+
+/// Declares each metric as a constant, and the table of them all.
+macro_rules! metrics {
+    ($($const:ident $form:ident $name:literal, $meaning:literal, $action:literal;)+) => {
+        $(
+            #[doc = $meaning]
+            pub static $const: Metric = Metric {
+                name: $name,
+                form: Form::$form,
+                meaning: $meaning,
+                action: $action,
+            };
+        )+
+
+        /// Every metric.
+        pub static TABLE: &[&Metric] = &[$(&$const),+];
+    };
+}
+
+metrics! {
+    REQUESTS_RAN Counter "requests.ran", "Requests that ran and were answered whole.", "None.";
+    REQUESTS_NOT_RUN Counter "requests.not_run", "Requests refused, none of which ran.", "Look at the steps in the time line: `limit` and `queue` ask for more targets, `grant` for patience after a loss.";
+    REQUESTS_UNKNOWN Counter "requests.unknown", "Requests that may have run.", "Ask `timeline --request ID`; whoever sent an order looks up whether it took effect.";
+    REQUESTS_RETRIED Counter "requests.retried", "Attempts after the first.", "When it grows with `requests.not_run`, targets shed or are being moved.";
+    REQUESTS_CUT Counter "requests.cut", "Answers of targets that ended short; callers got an error.", "Look at the target named in the time line.";
+    REQUESTS_ACTIVE Gauge "requests.active", "Requests in flight.", "None; it must reach 0 before a planned stop ends.";
+    QUARANTINED Gauge "quarantine.held", "Requests refused because targets died of them.", "Find the request in the time line, and tell its sender and the service's team.";
+    ORDERS_DOUBLE Counter "orders.double", "Orders that came again and did not run again.", "None; many from one caller mean that it resends early.";
+    ORDERS_HELD Gauge "orders.held", "Outcomes of orders remembered.", "Near `[limits] orders` old outcomes are forgotten; raise it if memory allows.";
+    ORDERS_FORGOTTEN Counter "orders.forgotten", "Outcomes dropped for lack of room or age.", "Raise `[limits] orders`.";
+    GRANTS_RENEWED Counter "grants.renewed", "Grants that targets confirmed.", "None; 0 on a grantor means that it reaches no target.";
+    GRANTS_FAILED Counter "grants.failed", "Grants that got no answer.", "Look for a target that is frozen or cut off.";
+    RANGES_MOVED Counter "ranges.moved", "Ranges that got another owner.", "Unplanned growth is churn: look for targets that come and go.";
+    RANGES_LOST Gauge "ranges.lost", "Ranges without an owner that serves, as this grantor knows.", "Alarm above 0 for more than 4 s: look for `grantor-struck` and `platform-lost`.";
+    CHURN Gauge "ranges.churn", "Share of the hash space that moved in the last hour, in millionths.", "Compare with the service's `churn_weight`.";
+    UNAVAILABLE Gauge "ranges.unavailable_ms", "Time without an owner that serves, summed over ranges, in ms.", "Each growth is a loss: `timeline` tells its course.";
+    IMBALANCE Gauge "targets.imbalance", "Greatest load of a target over the mean, in thousandths.", "Above 2000 for minutes: a hot key stands alone already, or targets are unequal.";
+    PEERS_LIVE Gauge "peers.live", "VMs that this one takes for live.", "Less than the platform's list for minutes: a partition.";
+    PEERS_LOST Counter "peers.lost", "VMs taken for lost.", "Compare with planned replacements.";
+    MESSAGES_SENT Counter "messages.sent", "Messages to peers.", "None.";
+    MESSAGES_BYTES Counter "messages.bytes", "Bytes sent to peers.", "None; the budget is in docs/CAPACITY.md.";
+    MESSAGES_DROPPED Counter "messages.dropped", "Messages dropped because too many waited.", "A peer is slow or cut off; protocols repeat what matters.";
+    PLATFORM_CALLS Counter "platform.calls", "Calls to the platform's service, a waiting watch as one.", "Compare with what the platform allows.";
+    PLATFORM_FAILED Counter "platform.failed", "Calls that failed or got no answer in time.", "An outage: serving goes on; see the page of outages.";
+    PLATFORM_DOUBT Counter "platform.doubt", "Writes whose answer was lost, settled by reading back.", "None.";
+    DOCUMENTS_FORCED Counter "documents.forced", "Versions of documents that came into force here.", "None.";
+    DOCUMENTS_REFUSED Counter "documents.refused", "Documents in the platform's service that could not be read.", "Put a sound version with `document put`; the last sound one stays in force.";
+    EVENTS_DROPPED Counter "timeline.dropped", "Events that the time line no longer keeps.", "Raise `[limits] events` if accounts have gaps.";
+    STAMPS_IGNORED Counter "timeline.ignored", "Messages whose time was far ahead of the wall clock here.", "Set the wall clock of the VM that sends them.";
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Reading {
+    total: i64,
+    sent: i64,
+}
+
+#[derive(Debug)]
+struct State {
+    client: StatsdClient,
+    /// By name, then by service; the empty service stands for none.
+    readings: IndexMap<&'static str, IndexMap<ServiceId, Reading>>,
+}
+
+/// A process's metrics; clones share them.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier::metrics::{self, Metrics};
+///
+/// let metrics = Metrics::open(None).unwrap();
+/// metrics.count(&metrics::REQUESTS_RAN, Some("tracking"), 2);
+/// assert_eq!(metrics.totals()["requests.ran{service=tracking}"], 2);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    state: Rc<RefCell<State>>,
+}
+
+impl Metrics {
+    /// Opens metrics that are sent to an address, or nowhere.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] if no socket can be had.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::metrics::Metrics;
+    ///
+    /// assert!(Metrics::open(None).is_ok());
+    /// ```
+    pub fn open(statsd: Option<SocketAddr>) -> Result<Self, Error> {
+        let client = match statsd {
+            Some(address) => udp(address)?,
+            None => StatsdClient::from_sink(PREFIX, NopMetricSink),
+        };
+        let state = State {
+            client,
+            readings: IndexMap::new(),
+        };
+        Ok(Self {
+            state: Rc::new(RefCell::new(state)),
+        })
+    }
+
+    /// Adds to a counter, of a service if one is named.
+    ///
+    /// # Example
+    ///
+    /// See [`Metrics`].
+    pub fn count(&self, metric: &'static Metric, service: Option<&str>, by: u32) {
+        self.change(metric, service, |reading| reading.total += i64::from(by));
+    }
+
+    /// Sets a gauge, of a service if one is named.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::metrics::{self, Metrics};
+    ///
+    /// let metrics = Metrics::open(None).unwrap();
+    /// metrics.set(&metrics::PEERS_LIVE, None, 12);
+    /// assert_eq!(metrics.totals()["peers.live"], 12);
+    /// ```
+    pub fn set(&self, metric: &'static Metric, service: Option<&str>, to: u64) {
+        let to = i64::try_from(to).unwrap_or(i64::MAX);
+        self.change(metric, service, |reading| reading.total = to);
+    }
+
+    fn change<F>(&self, metric: &'static Metric, service: Option<&str>, change: F)
+    where
+        F: FnOnce(&mut Reading),
+    {
+        let mut state = self.state.borrow_mut();
+        let services = state.readings.entry(metric.name).or_default();
+        let service = service.unwrap_or_default();
+        // Looked up first, since an entry would need the name's copy each time.
+        match services.get_mut(service) {
+            Some(reading) => change(reading),
+            None => change(services.entry(service.to_owned()).or_default()),
+        }
+    }
+
+    /// Sends the counters' growth since the last flush, and the gauges as they stand.
+    ///
+    /// A datagram that can't be sent is lost: metrics never hold up the process.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::metrics::{self, Metrics};
+    ///
+    /// let metrics = Metrics::open(None).unwrap();
+    /// metrics.count(&metrics::PEERS_LOST, None, 1);
+    /// metrics.flush();
+    /// ```
+    pub fn flush(&self) {
+        let mut state = self.state.borrow_mut();
+        let State { client, readings } = &mut *state;
+        for (name, services) in readings {
+            for (service, reading) in services {
+                send(client, name, service, *reading);
+                reading.sent = reading.total;
+            }
+        }
+        // A full socket buffer or an absent receiver loses this round only.
+        let _ = client.flush();
+    }
+
+    /// Returns every reading by name and service.
+    ///
+    /// # Example
+    ///
+    /// See [`Metrics`].
+    pub fn totals(&self) -> IndexMap<String, i64> {
+        let state = self.state.borrow();
+        let all = state.readings.iter().flat_map(|(name, services)| {
+            let label = move |service: &str| match service {
+                "" => (*name).to_owned(),
+                service => format!("{name}{{service={service}}}"),
+            };
+            services
+                .iter()
+                .map(move |(service, reading)| (label(service), reading.total))
+        });
+        all.collect()
+    }
+}
+
+/// Opens a client that gathers lines into datagrams and never waits.
+fn udp(address: SocketAddr) -> Result<StatsdClient, Error> {
+    let local: SocketAddr = match address {
+        SocketAddr::V4(_) => ([0, 0, 0, 0], 0).into(),
+        SocketAddr::V6(_) => ([0_u16; 8], 0).into(),
+    };
+    let socket = UdpSocket::bind(local).map_err(|cause| Error::Socket(address, cause))?;
+    let set = socket.set_nonblocking(true);
+    set.map_err(|cause| Error::Socket(address, cause))?;
+    let sink = BufferedUdpMetricSink::from(address, socket);
+    let sink = sink.map_err(|cause| Error::Sink(address, cause))?;
+    Ok(StatsdClient::from_sink(PREFIX, sink))
+}
+
+/// Sends one reading; counters that did not grow are left out.
+fn send(client: &StatsdClient, name: &str, service: &str, reading: Reading) {
+    let form = TABLE
+        .iter()
+        .find(|metric| metric.name == name)
+        .map(|metric| metric.form);
+    let grown = reading.total - reading.sent;
+    if form == Some(Form::Gauge) {
+        let total = u64::try_from(reading.total).unwrap_or(0);
+        let mut line = client.gauge_with_tags(name, total);
+        if !service.is_empty() {
+            line = line.with_tag("service", service);
+        }
+        line.send();
+    } else if grown > 0 {
+        let mut line = client.count_with_tags(name, grown);
+        if !service.is_empty() {
+            line = line.with_tag("service", service);
+        }
+        line.send();
+    }
+}
+
+/// Returns the table as Markdown, as the operators' page carries it.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier::metrics;
+///
+/// assert!(metrics::markdown().contains("| `requests.ran` |"));
+/// ```
+pub fn markdown() -> String {
+    let mut page = "| metric | form | meaning | what to do |\n|---|---|---|---|\n".to_owned();
+    for metric in TABLE {
+        let form = match metric.form {
+            Form::Counter => "counter",
+            Form::Gauge => "gauge",
+        };
+        let Metric {
+            name,
+            meaning,
+            action,
+            ..
+        } = metric;
+        let row = format!("| `{name}` | {form} | {meaning} | {action} |\n");
+        page.push_str(&row);
+    }
+    page
+}
--- /dev/null
+++ b/src/timeline/account.rs
@@ -0,0 +1,121 @@
+//! One account of several processes' events, in causal order.
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    id::{RequestId, ServiceId, TargetId, VmId},
+    key::Point,
+    timeline::{event::Event, ring::Part, stamp::Stamp},
+};
+
+/// Which events are asked for; an empty filter passes all.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Filter {
+    /// The earliest stamp.
+    pub since: Stamp,
+    /// The service; events of no service pass.
+    pub service: Option<ServiceId>,
+    /// The key, as its point of the hash space.
+    pub point: Option<Point>,
+    /// The request.
+    pub request: Option<RequestId>,
+    /// The target.
+    pub target: Option<TargetId>,
+}
+
+impl Filter {
+    /// Returns whether an event passes.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::timeline::{Duty, Event, Filter, Kind};
+    ///
+    /// let filter = Filter {
+    ///     target: Some("tracking-3".to_owned()),
+    ///     ..Filter::default()
+    /// };
+    /// let event = Event::new(Duty::Grantor, "stop", Kind::GrantStopped);
+    /// assert!(!filter.passes(&event));
+    /// assert!(filter.passes(&event.target("tracking-3")));
+    /// ```
+    pub fn passes(&self, event: &Event) -> bool {
+        let same =
+            |wanted: &Option<String>, found: &Option<String>| wanted.is_none() || wanted == found;
+        let service = event.service.is_none() || same(&self.service, &event.service);
+        let point = self.point.is_none_or(|point| event.touches(point));
+        event.stamp >= self.since
+            && service
+            && point
+            && same(&self.request, &event.request)
+            && same(&self.target, &event.target)
+    }
+}
+
+/// The events of several processes, each cause before its effects.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Account {
+    /// The events, in the order of their stamps.
+    pub events: Vec<Event>,
+    /// The processes that answered.
+    pub answered: Vec<VmId>,
+    /// The VMs that could not be reached: what they know is missing.
+    pub unreached: Vec<VmId>,
+    /// How many events each process no longer keeps, and the stamp of the oldest that it does;
+    /// processes that dropped none are left out.
+    pub dropped: IndexMap<VmId, (u64, Stamp)>,
+}
+
+impl Account {
+    /// Merges what processes answered; `unreached` names the VMs that did not.
+    ///
+    /// A stamp follows every stamp that its process had seen, so the order of stamps is an order of
+    /// cause and effect; equal stamps are ordered by VM, so that every merge gives the same account.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier::timeline::{Account, Duty, Event, Filter, Kind, Ring};
+    ///
+    /// let mut one = Ring::new("vm-1#1".to_owned(), 9);
+    /// let mut two = Ring::new("vm-2#1".to_owned(), 9);
+    /// let wall = Duration::from_secs(60);
+    /// one.record(wall, Event::new(Duty::Grantor, "stop", Kind::GrantStopped));
+    /// let sent = one.stamp(wall);
+    /// // The second VM's wall clock is behind.
+    /// two.receive(Duration::from_secs(1), sent);
+    /// two.record(Duration::from_secs(1), Event::new(Duty::Grantor, "move", Kind::RangeMoved));
+    /// let parts = vec![two.part(&Filter::default()), one.part(&Filter::default())];
+    /// let account = Account::merge(parts, vec!["vm-3#1".to_owned()]);
+    /// assert_eq!(account.events[0].kind, Kind::GrantStopped);
+    /// ```
+    pub fn merge(parts: Vec<Part>, unreached: Vec<VmId>) -> Self {
+        let mut account = Self {
+            unreached,
+            ..Self::default()
+        };
+        for part in parts {
+            if account.answered.contains(&part.vm) {
+                continue;
+            }
+            if part.dropped > 0 {
+                let lost = (part.dropped, part.oldest);
+                account.dropped.insert(part.vm.clone(), lost);
+            }
+            account.answered.push(part.vm);
+            account.events.extend(part.events);
+        }
+        account.answered.sort();
+        account.dropped.sort_keys();
+        account.events.sort_by(|one, other| {
+            let stamps = one.stamp.cmp(&other.stamp);
+            stamps.then_with(|| one.vm.cmp(&other.vm))
+        });
+        account
+    }
+}
--- /dev/null
+++ b/src/timeline/mod.rs
@@ -0,0 +1,19 @@
+//! The time line: what each process did, and one account of all of them in causal order.
+//!
+//! - [`stamp`] is the hybrid logical time that orders events across processes;
+//! - [`event`] is one thing that happened;
+//! - [`ring`] keeps the last events of this process;
+//! - [`account`] merges what several processes kept;
+//! - [`render`] and [`draw`] show an account.
+
+pub mod account;
+pub mod draw;
+pub mod event;
+pub mod render;
+pub mod ring;
+pub mod stamp;
+
+pub use account::{Account, Filter};
+pub use event::{Duty, Event, Kind};
+pub use ring::{Part, Ring};
+pub use stamp::Stamp;
--- /dev/null
+++ b/src/timeline/render.rs
@@ -0,0 +1,92 @@
+//! An account as text.
+
+use std::fmt::Write as _;
+
+use time::{OffsetDateTime, format_description::well_known::Rfc3339};
+
+use crate::timeline::{
+    account::Account,
+    event::Event,
+    stamp::{self, Stamp},
+};
+
+/// Returns a stamp as a time in UTC and the count within its millisecond.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier::timeline::render;
+///
+/// assert_eq!(render::stamp((1 << 16) + 2), "1970-01-01T00:00:00.001Z+2");
+/// ```
+pub fn stamp(stamp: Stamp) -> String {
+    format!("{}+{}", utc(stamp), stamp::count(stamp))
+}
+
+/// Returns a stamp's time in UTC.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier::timeline::render;
+///
+/// assert_eq!(render::utc(1 << 16), "1970-01-01T00:00:00.001Z");
+/// ```
+pub fn utc(stamp: Stamp) -> String {
+    let time = OffsetDateTime::UNIX_EPOCH
+        .checked_add(time::Duration::try_from(stamp::time(stamp)).unwrap_or(time::Duration::ZERO));
+    let written = time.and_then(|time| time.format(&Rfc3339).ok());
+    written.unwrap_or_else(|| format!("{}ms", stamp::time(stamp).as_millis()))
+}
+
+/// Reads a time in UTC as the first stamp of its millisecond.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier::timeline::render;
+///
+/// assert_eq!(render::parse("1970-01-01T00:00:00.001Z"), Some(1 << 16));
+/// assert_eq!(render::parse("yesterday"), None);
+/// ```
+pub fn parse(text: &str) -> Option<Stamp> {
+    let time = OffsetDateTime::parse(text, &Rfc3339).ok()?;
+    let since = time - OffsetDateTime::UNIX_EPOCH;
+    Some(stamp::first(since.try_into().ok()?))
+}
+
+/// Writes an account as text, a line for each event, and what is missing from it.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier::timeline::{Account, render};
+///
+/// let account = Account::merge(Vec::new(), vec!["vm-3#1".to_owned()]);
+/// assert!(render::text(&account).contains("not reached: vm-3#1"));
+/// ```
+pub fn text(account: &Account) -> String {
+    let mut page = String::new();
+    for event in &account.events {
+        line(&mut page, event);
+    }
+    let count = account.events.len();
+    let processes = account.answered.len();
+    let _ = writeln!(page, "{count} events of {processes} processes");
+    for vm in &account.unreached {
+        let _ = writeln!(page, "not reached: {vm}; what it knows is missing");
+    }
+    for (vm, (dropped, oldest)) in &account.dropped {
+        let oldest = utc(*oldest);
+        let _ = writeln!(
+            page,
+            "dropped: {dropped} events of {vm}, those before {oldest}"
+        );
+    }
+    page
+}
+
+/// Writes one event; writing to a string cannot fail.
+fn line(page: &mut String, event: &Event) {
+    let _ = writeln!(page, "{} {} {event}", stamp(event.stamp), event.vm);
+}
--- /dev/null
+++ b/src/timeline/ring.rs
@@ -0,0 +1,149 @@
+//! The last events of one process, in bounded memory.
+
+use std::{collections::VecDeque, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    id::VmId,
+    timeline::{
+        account::Filter,
+        event::Event,
+        stamp::{Hybrid, Stamp},
+    },
+};
+
+/// The last events of this process; the oldest are dropped and counted.
+///
+/// # Example
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use bramleypier::timeline::{Duty, Event, Filter, Kind, Ring};
+///
+/// let mut ring = Ring::new("vm-1#1".to_owned(), 1);
+/// for kind in [Kind::Started, Kind::Stopped] {
+///     ring.record(Duration::from_secs(1), Event::new(Duty::Process, "run", kind));
+/// }
+/// let part = ring.part(&Filter::default());
+/// assert_eq!((part.events.len(), part.dropped), (1, 1));
+/// ```
+#[derive(Clone, Debug)]
+pub struct Ring {
+    vm: VmId,
+    hybrid: Hybrid,
+    events: VecDeque<Event>,
+    capacity: usize,
+    dropped: u64,
+}
+
+/// What one process answers when asked for its events.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Part {
+    /// The process.
+    pub vm: VmId,
+    /// The events that passed the filter.
+    pub events: Vec<Event>,
+    /// How many events are no longer kept.
+    pub dropped: u64,
+    /// The stamp of the oldest event that is kept, the filter aside; 0 if there is none.
+    pub oldest: Stamp,
+}
+
+impl Ring {
+    /// Creates an empty ring of a process that keeps up to `capacity` events.
+    ///
+    /// # Example
+    ///
+    /// See [`Ring`].
+    pub fn new(vm: VmId, capacity: usize) -> Self {
+        Self {
+            vm,
+            hybrid: Hybrid::default(),
+            events: VecDeque::new(),
+            capacity: capacity.max(1),
+            dropped: 0,
+        }
+    }
+
+    /// Records an event at a reading of the wall clock, and returns it as recorded.
+    ///
+    /// # Example
+    ///
+    /// See [`Ring`].
+    pub fn record(&mut self, wall: Duration, event: Event) -> &Event {
+        if self.events.len() == self.capacity {
+            self.events.pop_front();
+            self.dropped += 1;
+        }
+        self.events.push_back(Event {
+            stamp: self.hybrid.tick(wall),
+            vm: self.vm.clone(),
+            ..event
+        });
+        &self.events[self.events.len() - 1]
+    }
+
+    /// Returns the stamp for a message that is sent now.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier::timeline::Ring;
+    ///
+    /// let mut ring = Ring::new("vm-1#1".to_owned(), 1);
+    /// assert!(ring.stamp(Duration::ZERO) < ring.stamp(Duration::ZERO));
+    /// ```
+    pub fn stamp(&mut self, wall: Duration) -> Stamp {
+        self.hybrid.tick(wall)
+    }
+
+    /// Takes the stamp of a message that was received, so that what follows is ordered after it.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier::timeline::Ring;
+    ///
+    /// let mut ring = Ring::new("vm-1#1".to_owned(), 1);
+    /// ring.receive(Duration::ZERO, 9);
+    /// assert!(ring.stamp(Duration::ZERO) > 9);
+    /// ```
+    pub fn receive(&mut self, wall: Duration, stamp: Stamp) {
+        self.hybrid.merge(wall, stamp);
+    }
+
+    /// Returns the events that pass a filter, for one who asks.
+    ///
+    /// # Example
+    ///
+    /// See [`Ring`].
+    pub fn part(&self, filter: &Filter) -> Part {
+        let passing = self.events.iter().filter(|event| filter.passes(event));
+        Part {
+            vm: self.vm.clone(),
+            events: passing.cloned().collect(),
+            dropped: self.dropped,
+            oldest: self.events.front().map_or(0, |event| event.stamp),
+        }
+    }
+
+    /// Returns the events that are kept, the oldest first.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::timeline::Ring;
+    ///
+    /// assert_eq!(Ring::new("vm-1#1".to_owned(), 1).events().count(), 0);
+    /// ```
+    pub fn events(&self) -> impl Iterator<Item = &Event> {
+        self.events.iter()
+    }
+}
--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -4,4 +4,5 @@
 pub mod client;
 pub mod fields;
 pub mod ini;
+pub mod names;
 pub mod server;
--- /dev/null
+++ b/src/util/names.rs
@@ -0,0 +1,72 @@
+//! Enumerations whose variants have a name in files and on the wire, and a meaning for operators.
+
+/// The variants of an enumeration, by name.
+pub trait Names: Copy + Eq + std::hash::Hash + std::fmt::Debug + 'static {
+    /// Every variant, in order.
+    const ALL: &'static [Self];
+
+    /// Returns the variant's name.
+    fn name(self) -> &'static str;
+
+    /// Returns what the variant stands for, in one sentence.
+    fn meaning(self) -> &'static str;
+
+    /// Returns the variant of a name.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::{timeline::Duty, util::names::Names};
+    ///
+    /// assert_eq!(Duty::find("grantor"), Some(Duty::Grantor));
+    /// ```
+    fn find(name: &str) -> Option<Self> {
+        Self::ALL
+            .iter()
+            .copied()
+            .find(|variant| variant.name() == name)
+    }
+}
+
+/// Declares an enumeration with [`Names`]; a variant's doc comment is its meaning.
+macro_rules! names {
+    (
+        $(#[$outer:meta])*
+        pub enum $enum:ident {
+            $($(#[doc = $meaning:literal])+ $variant:ident = $name:literal,)+
+        }
+    ) => {
+        $(#[$outer])*
+        #[derive(
+            Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord,
+            serde::Serialize, serde::Deserialize,
+        )]
+        pub enum $enum {
+            $($(#[doc = $meaning])+ #[serde(rename = $name)] $variant,)+
+        }
+
+        impl $crate::util::names::Names for $enum {
+            const ALL: &'static [Self] = &[$(Self::$variant),+];
+
+            fn name(self) -> &'static str {
+                match self {
+                    $(Self::$variant => $name,)+
+                }
+            }
+
+            fn meaning(self) -> &'static str {
+                match self {
+                    $(Self::$variant => concat!($($meaning),+).trim_ascii(),)+
+                }
+            }
+        }
+
+        impl std::fmt::Display for $enum {
+            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                f.write_str($crate::util::names::Names::name(*self))
+            }
+        }
+    };
+}
+
+pub(crate) use names;
--- /dev/null
+++ b/tests/metrics.rs
@@ -0,0 +1,55 @@
+//! Metrics: what is counted goes out once, and names are unique.
+
+use std::{net::UdpSocket, time::Duration};
+
+use bramleypier::metrics::{self, Metrics};
+use indexmap::IndexSet;
+
+fn receive(socket: &UdpSocket) -> Vec<String> {
+    let mut buffer = [0; 2048];
+    let size = socket.recv(&mut buffer).unwrap();
+    let text = String::from_utf8_lossy(&buffer[..size]);
+    text.lines().map(str::to_owned).collect()
+}
+
+#[test]
+fn growth_goes_out_once_and_gauges_each_time() {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket
+        .set_read_timeout(Some(Duration::from_secs(10)))
+        .unwrap();
+    let metrics = Metrics::open(Some(socket.local_addr().unwrap())).unwrap();
+    metrics.count(&metrics::REQUESTS_RAN, Some("a"), 2);
+    metrics.count(&metrics::REQUESTS_RAN, Some("a"), 1);
+    metrics.set(&metrics::PEERS_LIVE, None, 3);
+    metrics.flush();
+    let first = [
+        "bramleypier.requests.ran:3|c|#service:a",
+        "bramleypier.peers.live:3|g",
+    ];
+    assert_eq!(receive(&socket), first);
+    metrics.count(&metrics::PEERS_LOST, None, 1);
+    metrics.flush();
+    let second = ["bramleypier.peers.live:3|g", "bramleypier.peers.lost:1|c"];
+    assert_eq!(receive(&socket), second);
+    assert_eq!(metrics.totals()["requests.ran{service=a}"], 3);
+}
+
+#[test]
+fn an_absent_receiver_holds_up_nothing() {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let address = socket.local_addr().unwrap();
+    drop(socket);
+    let metrics = Metrics::open(Some(address)).unwrap();
+    for _ in 0..100 {
+        metrics.count(&metrics::PEERS_LOST, None, 1);
+        metrics.flush();
+    }
+    assert_eq!(metrics.totals()["peers.lost"], 100);
+}
+
+#[test]
+fn each_metric_has_its_own_name() {
+    let names: IndexSet<&str> = metrics::TABLE.iter().map(|metric| metric.name).collect();
+    assert_eq!(names.len(), metrics::TABLE.len());
+}
--- /dev/null
+++ b/tests/timeline.rs
@@ -0,0 +1,332 @@
+//! The time line: cause before effect whatever the wall clocks say, in bounded memory, nothing hidden.
+
+use std::{env, time::Duration};
+
+use bramleypier::{
+    key,
+    measure::Meter,
+    range::Range,
+    timeline::{Account, Duty, Event, Filter, Kind, Ring, draw, render, stamp},
+};
+use indexmap::IndexMap;
+use proptest::{
+    collection,
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
+
+fn config() -> Config {
+    let cases = env::var("BRAMLEYPIER_CASES").ok();
+    Config {
+        cases: cases.and_then(|cases| cases.parse().ok()).unwrap_or(128),
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+fn event(kind: Kind) -> Event {
+    Event::new(Duty::Grantor, "test", kind)
+}
+
+#[test]
+fn filters_pass_what_they_name() {
+    let point = key::point("letter-1");
+    let here = Range {
+        start: point,
+        end: point,
+    };
+    let moved = event(Kind::RangeMoved)
+        .service("a")
+        .target("t1")
+        .range(here);
+    let sent = event(Kind::RequestUnknown)
+        .service("b")
+        .request("r1")
+        .point(point);
+    let filter = Filter::default();
+    let text = |text: &str| Some(text.to_owned());
+    let cases = [
+        (filter.clone(), true, true),
+        (
+            Filter {
+                since: 1,
+                ..filter.clone()
+            },
+            false,
+            false,
+        ),
+        (
+            Filter {
+                point: Some(point),
+                ..filter.clone()
+            },
+            true,
+            true,
+        ),
+        (
+            Filter {
+                point: Some(point ^ 1),
+                ..filter.clone()
+            },
+            false,
+            false,
+        ),
+        (
+            Filter {
+                service: text("a"),
+                ..filter.clone()
+            },
+            true,
+            false,
+        ),
+        (
+            Filter {
+                target: text("t1"),
+                ..filter.clone()
+            },
+            true,
+            false,
+        ),
+        (
+            Filter {
+                request: text("r1"),
+                ..filter.clone()
+            },
+            false,
+            true,
+        ),
+        (
+            Filter {
+                request: text("r1"),
+                target: text("t1"),
+                ..filter
+            },
+            false,
+            false,
+        ),
+    ];
+    for (filter, first, second) in cases {
+        assert_eq!(
+            (filter.passes(&moved), filter.passes(&sent)),
+            (first, second),
+            "{filter:?}"
+        );
+    }
+}
+
+#[test]
+fn an_account_says_what_is_missing() {
+    let mut ring = Ring::new("vm-1#1".to_owned(), 2);
+    for second in 1..=5 {
+        ring.record(Duration::from_secs(second), event(Kind::Phase).cause("a<b"));
+    }
+    let parts = vec![ring.part(&Filter::default()); 2];
+    let account = Account::merge(parts, vec!["vm-2#1".to_owned()]);
+    let text = render::text(&account);
+    assert!(
+        text.starts_with(
+            "1970-01-01T00:00:04Z+0 vm-1#1 duty=grantor step=test kind=phase cause=\"a<b\"\n"
+        ),
+        "{text}"
+    );
+    assert!(text.contains("2 events of 1 processes\n"), "{text}");
+    assert!(
+        text.contains("not reached: vm-2#1; what it knows is missing\n"),
+        "{text}"
+    );
+    assert!(
+        text.contains("dropped: 3 events of vm-1#1, those before 1970-01-01T00:00:04Z\n"),
+        "{text}"
+    );
+    let picture = draw::svg(&account);
+    assert!(
+        picture.contains("a&lt;b") && !picture.contains("a<b"),
+        "{picture}"
+    );
+    assert!(picture.contains("vm-2#1 (not reached)"), "{picture}");
+}
+
+#[test]
+fn a_wall_clock_that_is_far_ahead_pulls_nobody() {
+    let mut ring = Ring::new("vm-1#1".to_owned(), 9);
+    let wall = Duration::from_hours(1);
+    ring.receive(wall, stamp::first(wall * 2));
+    assert_eq!(stamp::time(ring.stamp(wall)), wall);
+}
+
+/// Events as (second, kind, range, epoch), and what they amount to after 100 s: moves, churn, seconds
+/// unavailable, ranges still open.
+type Case<'a> = (&'a [(u64, Kind, Range, u64)], u64, f64, f64, u64);
+
+#[test]
+fn measures_count_each_thing_once() {
+    use Kind::{RangeLost, RangeMoved, RangeServed};
+    let halves = Range::ALL.split(2);
+    let (all, low, high) = (Range::ALL, halves[0], halves[1]);
+    let cases: &[Case<'_>] = &[
+        (&[], 0, 0.0, 0.0, 0),
+        // Three grantors say the same, one of them late.
+        (
+            &[
+                (10, RangeLost, all, 1),
+                (11, RangeLost, all, 1),
+                (12, RangeMoved, all, 2),
+                (12, RangeMoved, all, 2),
+                (13, RangeServed, all, 2),
+                (14, RangeLost, all, 1),
+            ],
+            1,
+            1.0,
+            3.0,
+            0,
+        ),
+        // It is served at the same epoch again, and lost again.
+        (
+            &[
+                (10, RangeLost, all, 1),
+                (12, RangeServed, all, 1),
+                (20, RangeLost, all, 1),
+                (21, RangeServed, all, 1),
+            ],
+            0,
+            0.0,
+            3.0,
+            0,
+        ),
+        // It comes back in halves.
+        (
+            &[
+                (10, RangeLost, all, 1),
+                (12, RangeServed, low, 2),
+                (14, RangeServed, high, 2),
+            ],
+            0,
+            0.0,
+            3.0,
+            0,
+        ),
+        // It does not come back.
+        (&[(90, RangeLost, low, 1)], 0, 0.0, 10.0, 1),
+        // Two moves of a half.
+        (
+            &[
+                (1, RangeMoved, low, 2),
+                (2, RangeMoved, low, 3),
+                (3, RangeMoved, low, 2),
+            ],
+            2,
+            1.0,
+            0.0,
+            0,
+        ),
+    ];
+    for (events, moves, churn, unavailable, open) in cases {
+        let mut ring = Ring::new("vm-1#1".to_owned(), 99);
+        let mut meter = Meter::default();
+        for (second, kind, range, epoch) in *events {
+            let event = event(*kind).service("a").range(*range).epoch(*epoch);
+            meter.on(ring.record(Duration::from_secs(*second), event));
+        }
+        let all = meter.measures(Duration::from_secs(100));
+        let found = all.get("a").copied().unwrap_or_default();
+        assert_eq!((found.moves, found.open), (*moves, *open), "{events:?}");
+        assert!((found.churn - churn).abs() < 1e-9, "{events:?}: {found:?}");
+        assert!(
+            (found.unavailable - unavailable).abs() < 1e-9,
+            "{events:?}: {found:?}"
+        );
+    }
+}
+
+/// A step of a random run: a process records, sends to another, or takes what was sent.
+#[derive(Clone, Debug)]
+enum Move {
+    Record(usize),
+    Send(usize, usize),
+    Take(usize),
+    Turn(usize, i64),
+}
+
+fn moves() -> impl Strategy<Value = Vec<Move>> {
+    let vm = 0_usize..4;
+    let one = prop_oneof![
+        vm.clone().prop_map(Move::Record),
+        (vm.clone(), vm.clone()).prop_map(|(from, to)| Move::Send(from, to)),
+        (0_usize..8).prop_map(Move::Take),
+        (vm, -300_000_i64..300_000).prop_map(|(vm, by)| Move::Turn(vm, by)),
+    ];
+    collection::vec(one, 0..80)
+}
+
+/// Plays the moves, and returns the rings and, for each event, the events that it must follow.
+fn play(moves: &[Move]) -> (Vec<Ring>, IndexMap<String, Vec<String>>) {
+    let mut rings: Vec<Ring> = (0..4)
+        .map(|vm| Ring::new(format!("vm-{vm}#1"), 999))
+        .collect();
+    let mut walls = [1_000_000_i64; 4];
+    let mut known: Vec<Vec<String>> = vec![Vec::new(); 4];
+    let mut causes = IndexMap::new();
+    let mut wire: Vec<(usize, u64, Vec<String>)> = Vec::new();
+    let wall = |millis: i64| Duration::from_millis(u64::try_from(millis).unwrap());
+    for (index, step) in moves.iter().enumerate() {
+        match step {
+            Move::Record(vm) => {
+                let name = index.to_string();
+                rings[*vm].record(wall(walls[*vm]), event(Kind::Phase).cause(&name));
+                causes.insert(name.clone(), known[*vm].clone());
+                known[*vm].push(name);
+            }
+            Move::Send(from, to) => {
+                let stamp = rings[*from].stamp(wall(walls[*from]));
+                wire.push((*to, stamp, known[*from].clone()));
+            }
+            Move::Take(pick) if !wire.is_empty() => {
+                let (to, stamp, names) = wire.remove(pick % wire.len());
+                rings[to].receive(wall(walls[to]), stamp);
+                known[to].extend(names);
+            }
+            Move::Take(_) => {}
+            Move::Turn(vm, by) => walls[*vm] = 1_000_000 + by,
+        }
+    }
+    (rings, causes)
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn a_merged_account_is_causal(moves in moves(), turn in 0_usize..4) {
+        let (rings, causes) = play(&moves);
+        let mut parts: Vec<_> = rings.iter().map(|ring| ring.part(&Filter::default())).collect();
+        let account = Account::merge(parts.clone(), Vec::new());
+        let order: IndexMap<String, usize> = account
+            .events
+            .iter()
+            .enumerate()
+            .map(|(place, event)| (event.cause.clone().unwrap(), place))
+            .collect();
+        prop_assert_eq!(order.len(), causes.len());
+        for (effect, before) in &causes {
+            for cause in before {
+                prop_assert!(order[cause] < order[effect], "{} before {}", cause, effect);
+            }
+        }
+        parts.rotate_left(turn);
+        prop_assert_eq!(Account::merge(parts, Vec::new()), account);
+    }
+
+    #[test]
+    fn a_ring_keeps_the_last_and_counts_the_rest(capacity in 1_usize..20, count in 0_usize..60) {
+        let mut ring = Ring::new("vm-1#1".to_owned(), capacity);
+        for index in 0..count {
+            ring.record(Duration::ZERO, event(Kind::Phase).cause(&index.to_string()));
+        }
+        let part = ring.part(&Filter::default());
+        prop_assert_eq!(part.events.len(), count.min(capacity));
+        prop_assert_eq!(part.dropped, u64::try_from(count.saturating_sub(capacity)).unwrap());
+        let last = part.events.last().and_then(|event| event.cause.clone());
+        prop_assert_eq!(last, count.checked_sub(1).map(|last| last.to_string()));
+    }
+}
