Command line: check, document, status and timeline

Aim: operators put documents, see what is in force and read one account of what all VMs did, from any place that reaches the platform's service. VMs are found by the platform's list and by the settings' seeds, so an outage of the service leaves the commands usable; what was not reached is named and the exit code says so. The admin module holds the questions and answers, so that the process needs no more than to fill them in.

--- /dev/null
+++ b/src/admin.rs
@@ -0,0 +1,116 @@
+//! What operators ask of a running process: JSON over HTTP, on the address for peers.
+
+use hyper::{Method, body::Bytes};
+use indexmap::IndexMap;
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    id::{DomainId, ServiceId, Version, VmId},
+    measure::Measures,
+    timeline::Filter,
+};
+
+/// Answers [`Status`] to `GET`.
+pub const STATUS_PATH: &str = "/admin/status";
+/// Answers a [`Part`](crate::timeline::Part) to `POST` of a [`Filter`].
+pub const TIMELINE_PATH: &str = "/admin/timeline";
+/// What all paths for operators start with.
+pub const PREFIX: &str = "/admin/";
+
+quick_error! {
+    /// Why a question was not understood.
+    #[derive(Debug, PartialEq, Eq)]
+    pub enum Error {
+        /// There is no such question.
+        Unknown(method: String, path: String) {
+            display("step=admin peer=operator cause=\"no such question: {method} {path}\"")
+        }
+        /// The filter can't be read.
+        Filter(cause: String) {
+            display("step=admin peer=operator cause={cause:?}")
+        }
+    }
+}
+
+/// A question to a process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Question {
+    /// How it stands.
+    Status,
+    /// The events that pass a filter.
+    Timeline(Filter),
+}
+
+impl Question {
+    /// Reads a question.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] for a path, method or filter that is not known.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::admin::{self, Question};
+    /// use hyper::Method;
+    ///
+    /// let question = Question::read(&Method::GET, admin::STATUS_PATH, b"").unwrap();
+    /// assert_eq!(question, Question::Status);
+    /// ```
+    pub fn read(method: &Method, path: &str, body: &[u8]) -> Result<Self, Error> {
+        match (method, path) {
+            (&Method::GET, STATUS_PATH) => Ok(Self::Status),
+            (&Method::POST, TIMELINE_PATH) => serde_json::from_slice(body)
+                .map(Self::Timeline)
+                .map_err(|cause| Error::Filter(cause.to_string())),
+            _ => Err(Error::Unknown(method.to_string(), path.to_owned())),
+        }
+    }
+}
+
+/// How a process stands.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Status {
+    /// The process.
+    pub vm: VmId,
+    /// The failure domain it stands in.
+    pub domain: DomainId,
+    /// The state of its life cycle.
+    pub state: String,
+    /// Whether the platform's service answers it.
+    pub platform: bool,
+    /// How many other VMs it takes for live.
+    pub peers: u64,
+    /// The version in force of each service's document.
+    pub documents: IndexMap<ServiceId, Version>,
+    /// The duties it holds, as text.
+    pub duties: Vec<String>,
+    /// Requests in flight.
+    pub active: u64,
+    /// Each service's measures since the process started.
+    pub measures: IndexMap<ServiceId, Measures>,
+    /// Every metric's reading.
+    pub totals: IndexMap<String, i64>,
+}
+
+/// Writes an answer as JSON.
+///
+/// # Errors
+///
+/// Returns the error of a type that JSON can't hold.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier::admin::{self, Status};
+///
+/// assert!(admin::write(&Status::default()).is_ok());
+/// ```
+pub fn write<T>(answer: &T) -> Result<Bytes, serde_json::Error>
+where
+    T: Serialize,
+{
+    serde_json::to_vec(answer).map(Bytes::from)
+}
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,90 @@
+//! The command line.
+//!
+//! Each command is a module; [`parser`] reads the arguments, [`execute`] runs every command but
+//! `run`, which the binary starts itself.
+
+mod check;
+mod document;
+mod error;
+mod fleet;
+mod output;
+mod parser;
+mod status;
+mod timeline;
+
+use std::ffi::OsString;
+
+use bpaf::{Args, ParseFailure};
+use compio::runtime::Runtime;
+
+pub use error::Error;
+pub use output::{Exit, Output};
+pub use parser::{Command, Document, Timeline, command};
+
+/// The program's name in help texts.
+const NAME: &str = "bramleypier";
+
+/// Reads the arguments of the process, without the program's name.
+///
+/// # Errors
+///
+/// Returns the text to print and the exit code: a help text, or what is wrong with the usage.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier::cli::{self, Exit};
+///
+/// let output = cli::parse(["run".into()]).unwrap_err();
+/// assert_eq!(output.exit, Exit::Usage);
+/// ```
+pub fn parse<I>(arguments: I) -> Result<Command, Output>
+where
+    I: IntoIterator<Item = OsString>,
+{
+    let arguments: Vec<OsString> = arguments.into_iter().collect();
+    let parsed = command().run_inner(Args::from(arguments.as_slice()).set_name(NAME));
+    parsed.map_err(|failure| {
+        let exit = match failure {
+            ParseFailure::Stderr(_) => Exit::Usage,
+            ParseFailure::Stdout(..) | ParseFailure::Completion(_) => Exit::Done,
+        };
+        let text = match failure {
+            ParseFailure::Stdout(page, full) => page.monochrome(full),
+            ParseFailure::Stderr(page) => page.monochrome(true),
+            ParseFailure::Completion(text) => text,
+        };
+        Output::plain(exit, text)
+    })
+}
+
+/// Runs a command to its end; `run` is not one that ends, so it is refused.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier::cli::{self, Exit};
+///
+/// let command = cli::parse(["check".into(), "missing.ini".into()]).unwrap();
+/// assert_eq!(cli::execute(command).exit, Exit::Failed);
+/// ```
+pub fn execute(command: Command) -> Output {
+    let result = match Runtime::new() {
+        Ok(runtime) => runtime.block_on(perform(command)),
+        Err(cause) => Err(Error::Runtime(cause)),
+    };
+    result.unwrap_or_else(|error| Output::plain(error.exit(), error.to_string()))
+}
+
+async fn perform(command: Command) -> Result<Output, Error> {
+    match command {
+        Command::Run { .. } => Err(Error::Run),
+        Command::Check {
+            settings,
+            documents,
+        } => check::run(settings.as_deref(), &documents),
+        Command::Document(document) => document::run(document).await,
+        Command::Status { settings, json } => status::run(&settings, json).await,
+        Command::Timeline(timeline) => timeline::run(timeline).await,
+    }
+}
--- /dev/null
+++ b/src/cli/timeline.rs
@@ -0,0 +1,60 @@
+//! `timeline`.
+
+use std::{fs, time::Duration};
+
+use crate::{
+    admin,
+    cli::{Error, Exit, Output, fleet::Fleet, parser::Timeline},
+    key,
+    timeline::{Account, Filter, Part, Stamp, draw, render, stamp},
+};
+
+/// Asks every VM for its events and merges them.
+pub(super) async fn run(command: Timeline) -> Result<Output, Error> {
+    let filter = filter(&command)?;
+    let fleet = Fleet::open(&command.settings)?;
+    let question = admin::write(&filter).map_err(Error::Json)?;
+    let answers = fleet
+        .ask::<Part>(admin::TIMELINE_PATH, Some(question))
+        .await;
+    let account = Account::merge(answers.answers, answers.unreached);
+    if let Some(path) = command.svg {
+        let written = fs::write(&path, draw::svg(&account));
+        written.map_err(|cause| Error::File(path, cause))?;
+    }
+    let whole = account.unreached.is_empty() && !account.answered.is_empty();
+    let exit = if whole { Exit::Done } else { Exit::Unreached };
+    Output::either(exit, command.json, &account, render::text)
+}
+
+fn filter(command: &Timeline) -> Result<Filter, Error> {
+    let since = command.since.as_deref().map(since).transpose()?;
+    Ok(Filter {
+        since: since.unwrap_or_default(),
+        service: command.service.clone(),
+        point: command.key.as_deref().map(key::point),
+        request: command.request.clone(),
+        target: command.target.clone(),
+    })
+}
+
+/// Reads a span before now, or a time.
+fn since(text: &str) -> Result<Stamp, Error> {
+    if let Some(time) = render::parse(text) {
+        return Ok(time);
+    }
+    let before = span(text).ok_or_else(|| Error::Time(text.to_owned()))?;
+    Ok(stamp::first(stamp::wall().saturating_sub(before)))
+}
+
+fn span(text: &str) -> Option<Duration> {
+    let (digits, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
+    let count: u32 = digits.parse().ok()?;
+    let unit = match unit {
+        "s" => Duration::from_secs(1),
+        "m" => Duration::from_mins(1),
+        "h" => Duration::from_hours(1),
+        _ => return None,
+    };
+    unit.checked_mul(count)
+}
--- a/src/document/put.rs
+++ b/src/document/put.rs
@@ -3,6 +3,7 @@
 //! A put names the version it is based on. A write whose answer was lost is neither a success nor a
 //! failure until the value has been read back: the stamps in it tell.
 
+use serde::Serialize;
 use similar::TextDiff;
 
 use crate::{
@@ -65,7 +66,7 @@
 }
 
 /// Why a put lost, and to whom.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Conflict {
     /// The version that the put was based on.
     pub base: Version,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,7 @@
 //! A router for servers that own keys exclusively.
+pub mod admin;
 pub mod chart;
+pub mod cli;
 pub mod clock;
 pub mod document;
 pub mod gossip;
@@ -10,7 +12,6 @@
 pub mod measure;
 pub mod membership;
 pub mod metrics;
-pub mod membership;
 pub mod peer;
 pub mod platform;
 pub mod range;
