--- a/src/cli/parser.rs
+++ b/src/cli/parser.rs
@@ -11,12 +11,12 @@
 #[bpaf(
     options,
     version,
-    footer(
-        "Example:\n  bramleypier check --settings vm-1.ini\n\
-         A command ends with 0 if it succeeded, 1 if it failed, 2 for wrong usage or settings, 3 for \
+    header(
+        "A command ends with 0 if it succeeded, 1 if it failed, 2 for wrong usage or settings, 3 for \
          a conflict with another operator, 4 if somebody could not be reached, 5 if the outcome is \
          unknown."
-    )
+    ),
+    footer("Example:\n  bramleypier check --settings vm-1.ini tracking.ini")
 )]
 pub enum Command {
     /// Runs one VM until it is told to stop by SIGTERM or SIGINT
@@ -90,11 +90,11 @@
     /// Puts a document, unless another version than its base is in force
     #[bpaf(
         command,
-        footer(
-            "Example:\n  bramleypier document put tracking.ini --settings vm-1.ini --base 17\n\
-             The base is the version that `document get` wrote into the first line, if `--base` \
+        header(
+            "The base is the version that `document get` wrote into the first line, if `--base` \
              doesn't name one. A file with neither is a new service."
-        )
+        ),
+        footer("Example:\n  bramleypier document put tracking.ini --settings vm-1.ini --base 17")
     )]
     Put {
         /// The settings file of a VM
