--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -9,7 +9,7 @@
     id::Version,
     request::{Attempt, Received, Verdict},
     util::body::Body,
-    vm::news::Fleet,
+    vm::{Parts, news::Fleet},
 };
 
 /// A message to the desk.
@@ -17,6 +17,8 @@
 pub enum Message {
     /// The fleet has changed.
     Fleet(Fleet),
+    /// This VM stops: it hands its duties over.
+    Leave,
     /// The views of orders have changed.
     Views(Version, Bytes),
 }
@@ -27,7 +29,7 @@
 
 impl Desk {
     /// Creates the task's state.
-    pub fn new() -> Self {
+    pub fn new(_parts: Parts) -> Self {
         Self {}
     }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -28,6 +28,7 @@
     request::{Attempt, Call, Deadline, Received, Verdict},
     target,
     util::body::Body,
+    vm::recorder::Recorder,
 };
 
 /// Where the balancer's health check looks.
@@ -48,25 +49,27 @@
     pub sender: target::Sender,
     /// Whether the process takes new work.
     pub health: Health,
+    /// The time line, the metrics and the log.
+    pub recorder: Recorder,
 }
 
 /// Whether the process takes new work, for the balancer.
 #[derive(Clone, Debug, Default)]
 pub struct Health {
-    stopping: Rc<Cell<bool>>,
+    serving: Rc<Cell<bool>>,
 }
 
 impl Health {
-    /// Says that the process stops; requests that still arrive are served.
-    pub fn stop(&self) {
-        self.stopping.set(true);
+    /// Says whether the balancer should send requests; those that arrive all the same are served.
+    pub fn set(&self, is_serving: bool) {
+        self.serving.set(is_serving);
     }
 
     fn answer(&self) -> Response<Body> {
-        if self.stopping.get() {
-            reply::plain(StatusCode::SERVICE_UNAVAILABLE, "stopping\n")
-        } else {
+        if self.serving.get() {
             reply::plain(StatusCode::OK, "ok\n")
+        } else {
+            reply::plain(StatusCode::SERVICE_UNAVAILABLE, "takes no new work\n")
         }
     }
 }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -4,7 +4,7 @@
 //! takes whatever has gathered while the last batch was under way. A message that can't be sent
 //! is dropped and counted; every protocol above this one lives with lost messages.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{fmt, net::SocketAddr, rc::Rc, time::Duration};
 
 use futures_channel::mpsc;
 use futures_util::StreamExt;
@@ -17,6 +17,7 @@
 use crate::{
     clock::Clock,
     id::VmId,
+    timeline::Stamp,
     util::{
         body::{self, Body},
         client::{self, Client},
@@ -54,6 +55,30 @@
     }
 }
 
+/// Where batches get the stamps that order events across processes.
+#[derive(Clone)]
+pub struct StampSource(Rc<dyn Fn() -> Stamp>);
+
+impl StampSource {
+    /// Creates a source from a function.
+    pub fn new<F>(next: F) -> Self
+    where
+        F: Fn() -> Stamp + 'static,
+    {
+        Self(Rc::new(next))
+    }
+
+    fn next(&self) -> Stamp {
+        (self.0)()
+    }
+}
+
+impl fmt::Debug for StampSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("StampSource")
+    }
+}
+
 /// Who sends, and what.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -63,7 +88,7 @@
     /// The address at which the sender takes batches.
     pub address: SocketAddr,
     /// The sender's hybrid logical time, so that events order causally.
-    pub stamp: u64,
+    pub stamp: Stamp,
     /// The messages, in the order in which they were sent.
     pub messages: Vec<M>,
 }
@@ -98,6 +123,7 @@
     client: Client,
     from: VmId,
     address: SocketAddr,
+    stamp: StampSource,
     queues: IndexMap<SocketAddr, mpsc::Sender<M>>,
     dropped: u64,
 }
@@ -107,11 +133,14 @@
     M: Serialize + 'static,
 {
     /// Creates an outbox of the VM `from`, which takes batches at `address`.
-    pub fn new(clock: Clock, from: VmId, address: SocketAddr) -> Self {
+    ///
+    /// Each batch carries the stamp that `stamp` gives as it leaves.
+    pub fn new(clock: Clock, from: VmId, address: SocketAddr, stamp: StampSource) -> Self {
         Self {
             client: Client::new(clock, CONNECTIONS),
             from,
             address,
+            stamp,
             queues: IndexMap::new(),
             dropped: 0,
         }
@@ -126,6 +155,7 @@
                 from: self.from.clone(),
                 address: self.address,
                 to,
+                stamp: self.stamp.clone(),
             };
             compio::runtime::spawn(courier.run(receiver)).detach();
             sender
@@ -156,6 +186,7 @@
     from: VmId,
     address: SocketAddr,
     to: SocketAddr,
+    stamp: StampSource,
 }
 
 impl Sender {
@@ -183,7 +214,7 @@
         let batch = Batch {
             from: self.from.clone(),
             address: self.address,
-            stamp: 0,
+            stamp: self.stamp.next(),
             messages,
         };
         let _: Vec<u8> = exchange(&self.client, self.to, BATCH_PATH, &batch, SEND_TIMEOUT).await?;
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -4,15 +4,18 @@
 //!
 //! - [`news`] owns the view of the fleet and all that is spread, and watches the platform's service;
 //! - [`mail`] sends to other VMs;
-//! - [`owners`] owns the grantors of this VM, and the routes;
-//! - [`crate::entry::router`] owns limits and says where a request may go;
+//! - [`owners`] owns the grantors of this VM;
+//! - [`crate::entry::router`] owns routes and limits, and says where a request may go;
 //! - [`crate::entry::desk`] owns what is known of orders;
-//! - [`admin`] answers peers and operators.
+//! - [`admin`] answers peers and operators;
+//! - [`life`] is the process's own life cycle.
 
 pub mod admin;
+pub mod life;
 pub mod mail;
 pub mod news;
 pub mod owners;
+pub mod recorder;
 pub mod wire;
 
 use std::{
@@ -23,7 +26,6 @@
 
 use compio::net::TcpListener;
 use futures_channel::mpsc;
-use futures_util::future;
 use quick_error::quick_error;
 use uuid::Uuid;
 
@@ -34,22 +36,22 @@
     id::VmId,
     key,
     membership::{self, Peer},
+    metrics::{self, Metrics},
     platform::Platform,
     settings::Settings,
     spread, target,
-    util::server::{self, Control},
+    util::{
+        ini,
+        server::{self, Control},
+    },
 };
 
+pub use life::Ending;
+
 /// The most connections from this VM to one target: 12 VMs stay within its 120.
 const TARGET_CONNECTIONS: usize = 10;
-/// How often a stopping process looks whether its last request has ended.
-const STOP_POLL: Duration = Duration::from_millis(20);
-/// How long the balancer and the peers have to hear that this VM stops.
-const NOTICE: Duration = Duration::from_millis(500);
-/// The signal that asks for a stop.
-const SIGTERM: i32 = 15;
-/// The signal that a terminal sends.
-const SIGINT: i32 = 2;
+/// How often metrics are sent.
+const FLUSH_PERIOD: Duration = Duration::from_secs(1);
 
 quick_error! {
     /// Why a process did not start.
@@ -57,21 +59,23 @@
     pub enum Error {
         /// An address could not be bound.
         Bind(key: &'static str, address: SocketAddr, cause: io::Error) {
-            display("[listen] {key} = {address}: {cause}")
+            display("[listen] {key}: {address}: {cause}")
+            source(cause)
+        }
+        /// The metrics' socket could not be opened.
+        Metrics(cause: metrics::Error) {
+            display("[metrics] statsd: {cause}")
             source(cause)
+            from()
+        }
+        /// A state chart is unsound; the program is at fault.
+        Chart(cause: ini::Fault) {
+            display("{cause}")
+            from()
         }
     }
 }
 
-/// How a process ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Ending {
-    /// Every request in flight was answered.
-    Graceful,
-    /// A second signal, or the end of the drain time, cut off this many requests.
-    Cut(usize),
-}
-
 /// The senders to this process's tasks.
 #[derive(Clone, Debug)]
 pub struct Tasks {
@@ -87,42 +91,73 @@
     pub desk: mpsc::UnboundedSender<desk::Message>,
 }
 
+/// The receivers of this process's tasks.
+struct Inboxes {
+    mail: mpsc::UnboundedReceiver<mail::Message>,
+    news: mpsc::UnboundedReceiver<news::Message>,
+    owners: mpsc::UnboundedReceiver<owners::Message>,
+    router: mpsc::UnboundedReceiver<router::Message>,
+    desk: mpsc::UnboundedReceiver<desk::Message>,
+}
+
+/// What every task of a process is given.
+#[derive(Clone, Debug)]
+pub struct Parts {
+    /// This VM, as its peers know it.
+    pub me: Peer,
+    /// The process's clock.
+    pub clock: Clock,
+    /// The platform's service.
+    pub platform: Platform,
+    /// The other tasks.
+    pub tasks: Tasks,
+    /// The time line, the metrics and the log.
+    pub recorder: recorder::Recorder,
+}
+
 /// Runs a process until it is told to stop.
 ///
 /// # Errors
 ///
-/// An address could not be bound; nothing was started.
+/// An address could not be bound, or the metrics' socket not be opened; nothing was started.
 pub async fn run(settings: Settings) -> Result<Ending, Error> {
     let callers = bind("callers", settings.callers).await?;
     let peers = bind("peers", settings.peers).await?;
+    let metrics = Metrics::open(settings.statsd)?;
+    let caller = local(&callers, settings.callers);
     let address = local(&peers, settings.peers);
     let vm = format!("{}#{}", settings.name, Uuid::now_v7().simple());
+    let recorder = recorder::Recorder::new(vm.clone(), settings.limits.events, metrics);
+    let mut life = life::Life::new(recorder.clone())?;
+    let (tasks, inboxes) = channels();
     let clock = Clock::real();
-    let me = Peer {
-        vm: vm.clone(),
-        address: address.to_string(),
-        domain: settings.domain.clone(),
+    let parts = Parts {
+        me: Peer {
+            vm: vm.clone(),
+            address: address.to_string(),
+            domain: settings.domain.clone(),
+        },
+        platform: Platform::new(clock.clone(), settings.platform, vm.clone()),
+        clock,
+        tasks,
+        recorder,
+    };
+    let context = start(&parts, inboxes, address);
+    let served = life::Served {
+        health: context.health.clone(),
+        callers: Control::default(),
+        peers: Control::default(),
     };
-    let health = entry::Health::default();
-    let (tasks, context) = start(&settings, &clock, me, &health);
-    let caller_control = Control::default();
-    let peer_control = Control::default();
     let handle = move |request| entry::handle(context.clone(), request);
-    let entry = server::serve(callers.clone(), caller_control.clone(), handle);
-    compio::runtime::spawn(entry).detach();
-    let admin = admin::Admin::new(vm.clone(), tasks.clone(), clock.clone());
+    compio::runtime::spawn(server::serve(callers, served.callers.clone(), handle)).detach();
+    let admin = admin::Admin::new(parts.clone(), served.callers.clone(), life.state());
     let answer = move |request| admin.clone().handle(request);
-    compio::runtime::spawn(server::serve(peers, peer_control.clone(), answer)).detach();
-    ready(&vm, local(&callers, settings.callers), address);
-    log::info!(
-        "step=start peer={vm} callers={}",
-        local(&callers, settings.callers)
-    );
-    signal().await;
-    let ending = stop(&settings, &clock, &tasks, &health, &caller_control).await;
-    peer_control.stop();
-    log::info!("step=stop peer={vm} ending={ending:?}");
-    Ok(ending)
+    compio::runtime::spawn(server::serve(peers, served.peers.clone(), answer)).detach();
+    let seeds = settings.seeds.iter().map(SocketAddr::to_string).collect();
+    let _ = parts.tasks.news.unbounded_send(news::Message::Seeds(seeds));
+    life.listening();
+    ready(&vm, caller, address);
+    Ok(life.run(&settings, &parts, &served).await)
 }
 
 async fn bind(key: &'static str, address: SocketAddr) -> Result<TcpListener, Error> {
@@ -142,13 +177,7 @@
     let _ = out.flush();
 }
 
-/// Starts all tasks.
-fn start(
-    settings: &Settings,
-    clock: &Clock,
-    me: Peer,
-    health: &entry::Health,
-) -> (Tasks, entry::Context) {
+fn channels() -> (Tasks, Inboxes) {
     let (mail, mail_in) = mpsc::unbounded();
     let (news, news_in) = mpsc::unbounded();
     let (owners, owners_in) = mpsc::unbounded();
@@ -161,78 +190,46 @@
         router,
         desk,
     };
-    let vm = me.vm.clone();
-    let platform = Platform::new(clock.clone(), settings.platform, vm.clone());
-    let sender = target::Sender::new(clock.clone(), TARGET_CONNECTIONS);
-    let context = entry::Context {
-        clock: clock.clone(),
-        vm: vm.clone(),
-        router: tasks.router.clone(),
-        desk: tasks.desk.clone(),
-        sender,
-        health: health.clone(),
+    let inboxes = Inboxes {
+        mail: mail_in,
+        news: news_in,
+        owners: owners_in,
+        router: router_in,
+        desk: desk_in,
     };
-    let address = settings_address(&me, settings.peers);
-    let seed = key::point(&vm);
-    let gossip = Gossip::new(
-        me,
-        membership::Timing::default(),
-        spread::Limits::default(),
-        seed,
-    );
-    let known = news::News::new(clock.clone(), platform.clone(), tasks.clone(), gossip, seed);
-    let routing = router::Router::new(vm.clone(), clock.clone(), tasks.router.clone());
-    let grants = owners::Owners::new(clock.clone(), vm.clone(), platform, tasks.clone());
-    compio::runtime::spawn(known.run(news_in)).detach();
-    compio::runtime::spawn(mail::run(clock.clone(), vm.clone(), address, mail_in)).detach();
-    compio::runtime::spawn(grants.run(owners_in)).detach();
-    compio::runtime::spawn(routing.run(router_in)).detach();
-    compio::runtime::spawn(desk::Desk::new().run(desk_in)).detach();
-    let seeds = settings.seeds.iter().map(SocketAddr::to_string).collect();
-    let _ = tasks.news.unbounded_send(news::Message::Seeds(seeds));
-    (tasks, context)
-}
-
-fn settings_address(me: &Peer, asked: SocketAddr) -> SocketAddr {
-    me.address.parse().unwrap_or(asked)
-}
-
-/// Waits for a signal that asks for a stop.
-async fn signal() {
-    let term = Box::pin(compio::signal::unix::signal(SIGTERM));
-    let interrupt = Box::pin(compio::signal::unix::signal(SIGINT));
-    future::select(term, interrupt).await;
+    (tasks, inboxes)
 }
 
-/// Stops in order: says so, hands duties over, ends what is in flight.
-async fn stop(
-    settings: &Settings,
-    clock: &Clock,
-    tasks: &Tasks,
-    health: &entry::Health,
-    callers: &Control,
-) -> Ending {
-    health.stop();
-    let _ = tasks.news.unbounded_send(news::Message::Leave);
-    let _ = tasks.owners.unbounded_send(owners::Message::Leave);
-    clock.sleep(NOTICE).await;
-    callers.stop();
-    let drained = drain(clock, callers);
-    let bounded = clock.timeout(settings.timing.drain, drained);
-    let second = Box::pin(signal());
-    future::select(Box::pin(bounded), second).await;
-    let cut = callers.open();
-    let _ = tasks.news.unbounded_send(news::Message::Stop);
-    clock.sleep(STOP_POLL * 5).await;
-    if cut == 0 {
-        Ending::Graceful
-    } else {
-        Ending::Cut(cut)
+/// Starts all tasks, and returns what the tasks of connections need.
+fn start(parts: &Parts, inboxes: Inboxes, address: SocketAddr) -> entry::Context {
+    let seed = key::point(&parts.me.vm);
+    let timing = membership::Timing::default();
+    let gossip = Gossip::new(parts.me.clone(), timing, spread::Limits::default(), seed);
+    let news = news::News::new(parts.clone(), gossip, seed);
+    let owners = owners::Owners::new(parts.clone());
+    let router = router::Router::new(parts);
+    let desk = desk::Desk::new(parts.clone());
+    compio::runtime::spawn(news.run(inboxes.news)).detach();
+    compio::runtime::spawn(owners.run(inboxes.owners)).detach();
+    compio::runtime::spawn(router.run(inboxes.router)).detach();
+    compio::runtime::spawn(desk.run(inboxes.desk)).detach();
+    compio::runtime::spawn(mail::run(parts.clone(), address, inboxes.mail)).detach();
+    compio::runtime::spawn(flush(parts.clone())).detach();
+    entry::Context {
+        clock: parts.clock.clone(),
+        vm: parts.me.vm.clone(),
+        router: parts.tasks.router.clone(),
+        desk: parts.tasks.desk.clone(),
+        sender: target::Sender::new(parts.clock.clone(), TARGET_CONNECTIONS),
+        health: entry::Health::default(),
+        recorder: parts.recorder.clone(),
     }
 }
 
-async fn drain(clock: &Clock, callers: &Control) {
-    while callers.open() > 0 {
-        clock.sleep(STOP_POLL).await;
+/// Sends the metrics from time to time.
+async fn flush(parts: Parts) {
+    loop {
+        parts.clock.sleep(FLUSH_PERIOD).await;
+        parts.recorder.flush();
     }
 }
