--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -1,45 +1,333 @@
-//! The desk for orders: asks whether an order may run, and keeps its outcome.
+//! The desk for orders: its task owns what this VM knows of them, as entry VM and as home or
+//! standby of shards; requests ask it whether an order may run, and tell it how it ended.
 
-use futures_channel::mpsc;
+use std::time::Duration;
+
+use futures_channel::{mpsc, oneshot};
 use futures_util::StreamExt;
+use http::{HeaderValue, StatusCode, header};
+use http_body_util::{BodyExt, Collected};
 use hyper::{Response, body::Bytes};
+use indexmap::{IndexMap, IndexSet};
 
-use super::{Context, Job, forward, payload::Payload};
+use super::{Context, Job, forward, payload::Payload, reply};
 use crate::{
-    id::Version,
-    request::{Attempt, Received, Verdict},
+    id::{Version, VmId},
+    membership,
+    order::{
+        self, Answer, Effect, Ledger, Order, Starter, Views, ledger, memory, plan,
+        starter::{self, Decision, End, Why},
+    },
+    peer,
+    platform::{self, Put},
+    request::{Attempt, Outcome, Received, Step, Verdict, call},
+    spread::{Id, Item, Kind},
+    timeline::{self, Duty, stamp},
     util::body::Body,
-    vm::{Parts, news::Fleet},
+    vm::{Parts, mail, news, news::Fleet, wire},
 };
 
+/// How often the task is woken.
+const TICK: Duration = Duration::from_millis(50);
+/// The largest answer that is kept with an outcome, in bytes.
+const KEPT_ANSWER: usize = 4 * 1024;
+/// How long a caller is asked to wait before it asks again for an outcome.
+const COME_BACK: Duration = Duration::from_millis(500);
+/// Who is named when no target is to blame.
+const SELF: &str = "orders";
+
 /// A message to the desk.
 #[derive(Debug)]
 pub enum Message {
+    /// Time has passed.
+    Tick,
     /// The fleet has changed.
     Fleet(Fleet),
+    /// The platform's list of VMs was read.
+    Listed(Vec<platform::ListedVm>),
+    /// The views of orders were read, or heard of.
+    Views(Version, Bytes),
+    /// There are no views in the platform's service yet.
+    NoViews,
+    /// Another VM writes.
+    Peer(VmId, order::Message),
+    /// May this order run?
+    Begin {
+        /// The order.
+        order: Order,
+        /// How long the caller waits for the answer.
+        left: Duration,
+        /// Where the order's number at this VM and the decision go.
+        reply: oneshot::Sender<(u64, Decision)>,
+    },
+    /// An order that was to run has ended.
+    Ended(u64, End),
     /// This VM stops: it hands its duties over.
     Leave,
-    /// The views of orders have changed.
-    Views(Version, Bytes),
 }
 
 /// The task's state.
-#[derive(Debug, Default)]
-pub struct Desk {}
+#[derive(Debug)]
+pub struct Desk {
+    parts: Parts,
+    ledger: Ledger,
+    starter: Starter,
+    fleet: Option<Fleet>,
+    gone: IndexSet<VmId>,
+    version: Version,
+    views: Views,
+    is_leaving: bool,
+    next_token: u64,
+    waiting: IndexMap<u64, oneshot::Sender<(u64, Decision)>>,
+}
 
 impl Desk {
     /// Creates the task's state.
-    pub fn new(_parts: Parts) -> Self {
-        Self {}
+    pub fn new(parts: Parts) -> Self {
+        Self {
+            ledger: Ledger::new(&parts.me.vm, memory::Limits::default()),
+            starter: Starter::new(&parts.me.vm),
+            parts,
+            fleet: None,
+            gone: IndexSet::new(),
+            version: 0,
+            views: Views::default(),
+            is_leaving: false,
+            next_token: 0,
+            waiting: IndexMap::new(),
+        }
     }
 
     /// Serves messages until nobody can send any more.
-    pub async fn run(self, mut messages: mpsc::UnboundedReceiver<Message>) {
-        while messages.next().await.is_some() {}
+    pub async fn run(mut self, mut messages: mpsc::UnboundedReceiver<Message>) {
+        let clock = self.parts.clock.clone();
+        let ticks = self.parts.tasks.desk.clone();
+        compio::runtime::spawn(async move {
+            while ticks.unbounded_send(Message::Tick).is_ok() {
+                clock.sleep(TICK).await;
+            }
+        })
+        .detach();
+        self.read();
+        while let Some(message) = messages.next().await {
+            self.on(message);
+        }
+    }
+
+    fn on(&mut self, message: Message) {
+        match message {
+            Message::Tick => self.tick(),
+            Message::Fleet(fleet) => {
+                self.fleet = Some(fleet);
+                self.tell_peers();
+            }
+            Message::Listed(list) => self.listed(&list),
+            Message::Views(version, bytes) => self.views(version, &bytes),
+            Message::NoViews => self.tell_views(),
+            Message::Peer(from, message) => self.peer(from, message),
+            Message::Begin { order, left, reply } => self.begin(order, left, reply),
+            Message::Ended(token, end) => self.starter(starter::Event::Ended { token, end }),
+            Message::Leave => {
+                self.is_leaving = true;
+                self.tell_peers();
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let wall = stamp::wall();
+        self.ledger(ledger::Event::Tick { wall });
+        self.starter(starter::Event::Tick { wall });
+        // A caller that no longer waits needs no decision.
+        let left: Vec<u64> = self
+            .waiting
+            .iter()
+            .filter(|(_, reply)| reply.is_canceled())
+            .map(|(token, _)| *token)
+            .collect();
+        for token in left {
+            self.waiting.swap_remove(&token);
+            self.starter(starter::Event::Dropped { token });
+        }
+    }
+
+    fn begin(&mut self, order: Order, left: Duration, reply: oneshot::Sender<(u64, Decision)>) {
+        self.next_token += 1;
+        let token = self.next_token;
+        self.waiting.insert(token, reply);
+        let deadline = self.parts.clock.now() + left;
+        self.starter(starter::Event::Begin {
+            token,
+            order,
+            deadline,
+            wall: stamp::wall(),
+        });
+    }
+
+    /// Hands a message to the side that it is for; a question is for both.
+    fn peer(&mut self, from: VmId, message: order::Message) {
+        if message.is_for_starter() {
+            self.starter(starter::Event::Message { from, message });
+        } else {
+            self.ledger(ledger::Event::Message { from, message });
+        }
+    }
+
+    // --- What is known of the fleet and the views ---
+
+    /// Notes which members of views are gone for certain, by the platform's list, which doesn't err.
+    fn listed(&mut self, list: &[platform::ListedVm]) {
+        let is_listed = |vm: &VmId| list.iter().any(|it| it.name == membership::name(vm));
+        let members = self.views.shards.iter().flat_map(order::View::members);
+        let gone: IndexSet<VmId> = members.filter(|vm| !is_listed(vm)).cloned().collect();
+        if gone.iter().any(|vm| !self.gone.contains(vm)) {
+            self.gone = gone;
+            self.tell_peers();
+        }
+    }
+
+    fn tell_peers(&mut self) {
+        let Some(fleet) = &self.fleet else {
+            return;
+        };
+        let me = &self.parts.me.vm;
+        let vms = fleet.live.iter().map(|peer| {
+            let known = plan::Peer {
+                domain: peer.domain.clone(),
+                up: true,
+                leaving: fleet.leaving.contains(peer) || (peer.vm == *me && self.is_leaving),
+            };
+            (peer.vm.clone(), known)
+        });
+        let peers = plan::Peers {
+            vms: vms.collect(),
+            gone: self.gone.clone(),
+        };
+        self.ledger(ledger::Event::Peers(peers));
+    }
+
+    fn views(&mut self, version: Version, bytes: &Bytes) {
+        match peer::decode(bytes) {
+            Ok(views) if version > self.version => {
+                self.version = version;
+                self.views = views;
+                let id = Id::new(Kind::View, news::VIEWS);
+                let item = Item::new(id, version, bytes.to_vec());
+                let _ = self
+                    .parts
+                    .tasks
+                    .news
+                    .unbounded_send(news::Message::Put(item));
+            }
+            Ok(_) => {}
+            Err(cause) => {
+                log::error!("step=views peer=platform version={version} cause={cause:?}");
+                return;
+            }
+        }
+        self.tell_views();
+    }
+
+    fn tell_views(&mut self) {
+        let (version, views) = (self.version, self.views.clone());
+        self.ledger(ledger::Event::Views {
+            version,
+            views: views.clone(),
+        });
+        self.starter(starter::Event::Views { version, views });
+    }
+
+    // --- The machines ---
+
+    fn ledger(&mut self, event: ledger::Event) {
+        let effects = self.ledger.on(self.parts.clock.now(), event);
+        self.act(effects);
+    }
+
+    fn starter(&mut self, event: starter::Event) {
+        let effects = self.starter.on(self.parts.clock.now(), event);
+        self.act(effects);
+    }
+
+    fn act(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Send { to, message } => self.send(to, message),
+                Effect::Read => self.read(),
+                Effect::Write { base, views } => self.write(base, &views),
+                Effect::Note(note) => self.note(&note),
+                Effect::Decide { token, decision } => self.decide(token, decision),
+            }
+        }
+    }
+
+    /// Tells a request what was decided; an order whose caller has gone is given up before it starts.
+    fn decide(&mut self, token: u64, decision: Decision) {
+        let Some(reply) = self.waiting.swap_remove(&token) else {
+            return;
+        };
+        if let Err((token, Decision::Run)) = reply.send((token, decision)) {
+            self.starter(starter::Event::Dropped { token });
+        }
+    }
+
+    /// Sends a message; what this VM has to say to itself takes no wire.
+    fn send(&self, to: VmId, message: order::Message) {
+        if to == self.parts.me.vm {
+            let message = Message::Peer(to, message);
+            let _ = self.parts.tasks.desk.unbounded_send(message);
+            return;
+        }
+        let message = mail::Message::Send(to, wire::Message::Order(message));
+        let _ = self.parts.tasks.mail.unbounded_send(message);
+    }
+
+    fn read(&self) {
+        let parts = self.parts.clone();
+        compio::runtime::spawn(async move {
+            let message = match parts.platform.get(platform::ORDERS).await {
+                Ok(Some((version, bytes))) => Message::Views(version, bytes),
+                Ok(None) => Message::NoViews,
+                // The machines ask again.
+                Err(_) => return,
+            };
+            let _ = parts.tasks.desk.unbounded_send(message);
+        })
+        .detach();
+    }
+
+    /// Writes the views by compare-and-swap; whatever became of it, what stands is read then.
+    fn write(&self, base: Version, views: &Views) {
+        let parts = self.parts.clone();
+        let Ok(bytes) = peer::encode(views) else {
+            return;
+        };
+        compio::runtime::spawn(async move {
+            let put = parts
+                .platform
+                .put(platform::ORDERS, base, bytes.clone())
+                .await;
+            let message = match put {
+                Ok(Put::Won(version)) => Message::Views(version, bytes),
+                _ => match parts.platform.get(platform::ORDERS).await {
+                    Ok(Some((version, bytes))) => Message::Views(version, bytes),
+                    _ => return,
+                },
+            };
+            let _ = parts.tasks.desk.unbounded_send(message);
+        })
+        .detach();
+    }
+
+    fn note(&self, note: &order::Note) {
+        let event = timeline::Event::new(Duty::Orders, "view", timeline::Kind::ViewChanged);
+        let event = event.version(note.view);
+        let cause = format!("shard={} change={:?}", note.shard, note.change);
+        self.parts.recorder.event(event.cause(cause.as_str()));
     }
 }
 
-/// Runs an order unless it ran before.
+/// Runs an order unless it ran before; its outcome is kept either way.
 ///
 /// # Errors
 ///
@@ -50,6 +338,119 @@
     job: Job,
     bytes: Bytes,
 ) -> Result<Response<Body>, Verdict> {
-    let answered = forward::run(context, attempt.admit(), &job, Payload::Kept(bytes)).await?;
-    Ok(answered.response)
+    let Some(order) = order_of(&job, &bytes) else {
+        let reason = "work that is not idempotent needs an Idempotency-Key";
+        return Err(Verdict::not_run(
+            &attempt.proof(),
+            400,
+            Step::Parse,
+            "caller",
+            reason,
+        ));
+    };
+    let (token, decision) = begin(context, &job, order).await;
+    match decision {
+        Decision::Run => {}
+        Decision::Ran(answer) => return Ok(recorded(&answer)),
+        Decision::Mismatch => {
+            let reason = "the id was used for another request";
+            return Err(Verdict::not_run(
+                &attempt.proof(),
+                422,
+                Step::Order,
+                SELF,
+                reason,
+            ));
+        }
+        Decision::Unknown(why) => return Err(unknown(why)),
+    }
+    let result = forward::run(context, attempt.admit(), &job, Payload::Kept(bytes)).await;
+    let (result, end) = match result {
+        Ok(answered) => {
+            let (response, answer) = keep(answered.response).await;
+            (Ok(response), End::Ran(answer))
+        }
+        Err(verdict) => {
+            let end = verdict.proof().map_or(End::Unknown, End::NotRun);
+            (Err(verdict), end)
+        }
+    };
+    let _ = context.desk.unbounded_send(Message::Ended(token, end));
+    result
+}
+
+/// Returns the order that a request is; the same id at another service is another order.
+fn order_of(job: &Job, bytes: &Bytes) -> Option<Order> {
+    let id = job.call.id.as_ref()?;
+    Some(Order {
+        id: format!("{}/{id}", job.call.service),
+        made: call::made_at(id),
+        print: order::fingerprint(&job.call.method, &job.call.uri, bytes),
+    })
+}
+
+async fn begin(context: &Context, job: &Job, order: Order) -> (u64, Decision) {
+    let left = job
+        .deadline
+        .remaining(context.clock.now())
+        .unwrap_or_default();
+    let (reply, answer) = oneshot::channel();
+    let message = Message::Begin { order, left, reply };
+    let _ = context.desk.unbounded_send(message);
+    answer.await.unwrap_or((0, Decision::Unknown(Why::Silent)))
+}
+
+fn unknown(why: Why) -> Verdict {
+    let (status, reason) = match why {
+        Why::Lost => (502, "it may have run before; nobody knows any more"),
+        Why::Running => (409, "it is still running"),
+        Why::Silent => (
+            503,
+            "who remembers it did not answer; this attempt did not run",
+        ),
+        Why::Full => (
+            503,
+            "there is no room to remember it; this attempt did not run",
+        ),
+        Why::Ahead => (400, "its id is dated too far ahead"),
+    };
+    let verdict = Verdict::unknown(status, Step::Order, SELF, reason);
+    match why {
+        Why::Running | Why::Silent | Why::Full => verdict.retry_after(COME_BACK),
+        Why::Lost | Why::Ahead => verdict,
+    }
+}
+
+/// Makes the answer of an order that ran before.
+fn recorded(answer: &Answer) -> Response<Body> {
+    let body = answer.body.clone().unwrap_or_default();
+    let mut response = Response::new(Body::from(body));
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    let headers = response.headers_mut();
+    if let Ok(media) = HeaderValue::from_str(&answer.media) {
+        headers.insert(header::CONTENT_TYPE, media);
+    }
+    reply::mark(headers, Outcome::Ran, Step::Order, SELF);
+    response
+}
+
+/// Keeps what a later resend is to hear: the status, the media type and a small body.
+async fn keep(response: Response<Body>) -> (Response<Body>, Answer) {
+    let (head, body) = response.into_parts();
+    let media = head.headers.get(header::CONTENT_TYPE);
+    let media = media
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
+        .to_owned();
+    let status = head.status.as_u16();
+    let Body::Whole(whole) = body else {
+        let mut answer = Answer::new(status, &media, &[], KEPT_ANSWER);
+        answer.body = None;
+        return (Response::from_parts(head, body), answer);
+    };
+    // A whole body is in memory; collecting it can't fail.
+    let bytes = whole.collect().await.map(Collected::to_bytes);
+    let bytes = bytes.unwrap_or_default();
+    let answer = Answer::new(status, &media, &bytes, KEPT_ANSWER);
+    (Response::from_parts(head, Body::from(bytes)), answer)
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod measure;
 pub mod membership;
 pub mod metrics;
+pub mod order;
 pub mod peer;
 pub mod platform;
 pub mod range;
--- a/src/request/verdict.rs
+++ b/src/request/verdict.rs
@@ -27,6 +27,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Verdict {
     outcome: Outcome,
+    proof: Option<Proof>,
     /// The step at which the request ended.
     pub step: Step,
     /// The VM or target at which it ended.
@@ -61,8 +62,11 @@
     /// let verdict = Verdict::not_run(&proof, 404, Step::Route, "vm-1", "no such service");
     /// assert_eq!(verdict.status, 404);
     /// ```
-    pub fn not_run(_proof: &Proof, status: u16, step: Step, peer: &str, reason: &str) -> Self {
-        Self::new(Outcome::NotRun, status, step, peer, reason)
+    pub fn not_run(proof: &Proof, status: u16, step: Step, peer: &str, reason: &str) -> Self {
+        Self {
+            proof: Some(*proof),
+            ..Self::new(Outcome::NotRun, status, step, peer, reason)
+        }
     }
 
     /// Creates the verdict that the request may have run.
@@ -92,6 +96,20 @@
         Self::new(Outcome::Ran, status, Step::Answer, peer, "answered")
     }
 
+    /// Returns the proof that the request did not run; only `not-run` has one.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::request::{Step, Verdict};
+    ///
+    /// let verdict = Verdict::unknown(504, Step::Answer, "target-1", "it went silent");
+    /// assert!(verdict.proof().is_none());
+    /// ```
+    pub fn proof(&self) -> Option<Proof> {
+        self.proof
+    }
+
     /// Returns whether the request ran.
     ///
     /// # Example
@@ -176,6 +194,7 @@
     fn new(outcome: Outcome, status: u16, step: Step, peer: &str, reason: &str) -> Self {
         Self {
             outcome,
+            proof: None,
             step,
             peer: peer.into(),
             reason: reason.into(),
--- a/src/vm/admin.rs
+++ b/src/vm/admin.rs
@@ -8,7 +8,7 @@
 use super::{Parts, life::Shown, mail, news, owners, wire};
 use crate::{
     admin::{self, Question, Status},
-    entry::reply,
+    entry::{desk, reply},
     id::VmId,
     peer::{self, Batch},
     util::{
@@ -71,6 +71,10 @@
                 let message = owners::Message::Peer(from.clone(), group, message);
                 let _ = self.parts.tasks.owners.unbounded_send(message);
             }
+            wire::Message::Order(message) => {
+                let message = desk::Message::Peer(from.clone(), message);
+                let _ = self.parts.tasks.desk.unbounded_send(message);
+            }
         }
     }
 
--- a/src/vm/news.rs
+++ b/src/vm/news.rs
@@ -28,6 +28,8 @@
 
 /// Where probes and news go.
 pub const GOSSIP_PATH: &str = "/peer/gossip";
+/// The name of the item that holds the views of orders.
+pub const VIEWS: &str = "orders";
 /// How often the task is woken.
 const TICK: Duration = Duration::from_millis(50);
 /// The most connections to a peer for probes and news.
@@ -398,6 +400,8 @@
         let Some(list) = list else {
             return;
         };
+        let message = desk::Message::Listed(list.clone());
+        let _ = self.parts.tasks.desk.unbounded_send(message);
         let message = owners::Message::Listed(list.clone());
         let _ = self.parts.tasks.owners.unbounded_send(message);
         let vms = list
@@ -542,7 +546,7 @@
     if let Some(name) = key.strip_prefix(platform::GROUPS) {
         return Some(Id::new(Kind::Record, name));
     }
-    (key == platform::ORDERS).then(|| Id::new(Kind::View, "orders"))
+    (key == platform::ORDERS).then(|| Id::new(Kind::View, VIEWS))
 }
 
 /// Returns the key of the platform's service that an item stands for.
