Design: grantors without sessions; leases for targets that don't check; outcomes counted

Sessions would cost the platform's service 2.5 writes a second for each VM: 6,500 a second at 2,600 VMs, against several hundred that it takes. Words between grantors carry the authority; a grantor without words reads the record, which costs nothing while all is well. Senders ask for leases only for targets that don't check grants, and cancel what is in flight when the lease lapses.

--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, rc::Rc};
 
 use futures_channel::oneshot;
+use futures_util::future::{self, Either};
 use http::header;
 use hyper::{
     Response,
@@ -171,10 +172,20 @@
         key: job.call.key.clone(),
         point: job.call.point,
         epoch: permit.epoch,
-        left: left.min(permit.within.unwrap_or(left)),
+        left,
     };
     let mut cancel = Cancel::new(context, permit.address, work.attempt.clone());
-    match context.sender.send(permit.address, &work, body).await {
+    let lapse = router::lapse(context.clone(), job.call.clone(), permit.lease.clone());
+    let sending = Box::pin(context.sender.send(permit.address, &work, body));
+    let result = match future::select(sending, Box::pin(lapse)).await {
+        Either::Left((result, _)) => result,
+        Either::Right(_) => {
+            let reason = "the lease to send to the target lapsed";
+            let verdict = Verdict::unknown(502, Step::Grant, &permit.target, reason);
+            return Ended::Lost(verdict, permit);
+        }
+    };
+    match result {
         Ok(response) => {
             let ended = classify(context, job, started, permit, response, &mut cancel).await;
             if !matches!(ended, Ended::Lost(..)) {
@@ -242,7 +253,7 @@
     let size = body.size_hint().exact();
     let is_head = job.head.method == http::Method::HEAD;
     if !is_head && size.is_none_or(|size| size > WHOLE_ANSWER) {
-        let body = Passing::new(context, body, permit, job.deadline, cancel.take());
+        let body = Passing::new(context, job, body, permit, cancel.take());
         let response = Response::from_parts(head, Body::stream(body));
         return Ended::Answered(Answered {
             response,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -24,9 +24,11 @@
 
 use crate::{
     clock::Clock,
-    id::VmId,
-    request::{Attempt, Call, Deadline, Received, Verdict},
+    id::{RequestId, VmId},
+    metrics,
+    request::{self, Attempt, Call, Deadline, Outcome, Received, Step, Verdict},
     target,
+    timeline::{self, Duty},
     util::body::Body,
     vm::recorder::Recorder,
 };
@@ -93,9 +95,60 @@
         return context.health.answer();
     }
     let attempt = Attempt::new();
+    let subject = Subject::of(&request);
     match serve(&context, attempt, request).await {
-        Ok(response) => response,
-        Err(verdict) => reply::verdict(&verdict),
+        Ok(response) => {
+            let service = subject.service();
+            context.recorder.count(&metrics::REQUESTS_RAN, service);
+            response
+        }
+        Err(verdict) => {
+            subject.record(&context.recorder, &verdict);
+            reply::verdict(&verdict)
+        }
+    }
+}
+
+/// What the time line says of a request that was refused or lost.
+struct Subject {
+    path: String,
+    id: Option<RequestId>,
+}
+
+impl Subject {
+    fn of(request: &Request<Incoming>) -> Self {
+        let id = request.headers().get(request::IDEMPOTENCY_KEY);
+        Self {
+            path: request.uri().path().to_owned(),
+            id: id.and_then(|id| id.to_str().ok()).map(str::to_owned),
+        }
+    }
+
+    fn service(&self) -> Option<&str> {
+        self.path.split('/').nth(1)
+    }
+
+    fn record(&self, recorder: &Recorder, verdict: &Verdict) {
+        // A name that no document knows must not become a name in the metrics.
+        let is_known = verdict.step != Step::Parse && verdict.step != Step::Route;
+        let service = self.service().filter(|_| is_known);
+        let (metric, kind) = match verdict.outcome() {
+            Outcome::Unknown => (&metrics::REQUESTS_UNKNOWN, timeline::Kind::RequestUnknown),
+            _ => (&metrics::REQUESTS_NOT_RUN, timeline::Kind::RequestRefused),
+        };
+        recorder.count(metric, service);
+        let event = timeline::Event::new(Duty::Entry, verdict.step.as_str(), kind);
+        let event = event
+            .peer(verdict.peer.as_str())
+            .cause(verdict.reason.as_str());
+        let event = match service {
+            Some(service) => event.service(service),
+            None => event,
+        };
+        recorder.event(match &self.id {
+            Some(id) => event.request(id.as_str()),
+            None => event,
+        });
     }
 }
 
--- a/src/entry/passing.rs
+++ b/src/entry/passing.rs
@@ -7,18 +7,19 @@
     time::Duration,
 };
 
+use futures_util::future;
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
 
 use super::{
-    Context,
+    Context, Job,
     forward::Cancel,
-    router::{Permit, Report},
+    router::{self, Permit, Report},
 };
-use crate::{request::Deadline, util::body::Cause};
+use crate::util::body::Cause;
 
 /// Passes a body on frame by frame, holding the target's slot until it ends.
 ///
-/// When the body is cut, or the deadline passes, it ends in an error, which makes hyper break the
+/// When the body is cut, the deadline passes, or the right to send lapses, it ends in an error, which makes hyper break the
 /// caller's connection: an answer cut short never looks whole.
 pub struct Passing {
     body: Incoming,
@@ -31,20 +32,24 @@
     /// Takes over a body, with the slot that it holds and the duty to cancel it.
     pub fn new(
         context: &Context,
+        job: &Job,
         body: Incoming,
         permit: Permit,
-        deadline: Deadline,
         cancel: Cancel,
     ) -> Self {
-        let left = deadline
-            .remaining(context.clock.now())
-            .unwrap_or(Duration::ZERO);
+        let now = context.clock.now();
+        let left = job.deadline.remaining(now).unwrap_or(Duration::ZERO);
         let clock = context.clock.clone();
+        let late = Box::pin(async move { clock.sleep(left).await });
+        let lapse = router::lapse(context.clone(), job.call.clone(), permit.lease.clone());
+        let end = future::select(late, Box::pin(lapse));
         Self {
             body,
             permit: Some(permit),
             cancel,
-            timer: Box::pin(async move { clock.sleep(left).await }),
+            timer: Box::pin(async move {
+                end.await;
+            }),
         }
     }
 
@@ -92,7 +97,7 @@
             }
             Poll::Pending if this.timer.as_mut().poll(context).is_ready() => {
                 this.end(Report::Lost);
-                Poll::Ready(Some(Err("the deadline passed".into())))
+                Poll::Ready(Some(Err("the deadline passed, or the lease".into())))
             }
             Poll::Pending => Poll::Pending,
         }
--- a/src/entry/router.rs
+++ b/src/entry/router.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use futures_channel::{mpsc, oneshot};
-use futures_util::StreamExt;
+use futures_util::{StreamExt, future};
 use http::StatusCode;
 use hyper::body::Bytes;
 use indexmap::IndexMap;
@@ -11,7 +11,7 @@
 use super::{Context, Job};
 use crate::{
     clock::Clock,
-    document::{Document, Ownership},
+    document::{Document, Fencing, Ownership},
     grantor::{self, Timing},
     group::{Record, build},
     handover::Handover,
@@ -25,6 +25,8 @@
 
 /// How long the word that an attempt is given up may take to a target.
 pub const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
+/// The shortest pause between two looks at a lease.
+const LEASE_POLL: Duration = Duration::from_millis(10);
 /// How often a refused request asks again for a route.
 const ROUTE_PAUSE: Duration = Duration::from_millis(20);
 /// The time to come back when nothing is known that would tell it better.
@@ -122,8 +124,9 @@
     pub address: SocketAddr,
     /// The epoch of the key's range; none for a shared service.
     pub epoch: Option<Epoch>,
-    /// How long the right lasts, for a target that doesn't check grants.
-    pub within: Option<Duration>,
+    /// The ownership that the right rests on, for a target that doesn't check grants; it must be
+    /// watched for as long as the attempt lasts.
+    pub lease: Option<Owner>,
     ticket: u64,
     router: mpsc::UnboundedSender<Message>,
     reported: bool,
@@ -211,6 +214,17 @@
         /// How.
         report: Report,
     },
+    /// Until when may this VM send to the owner of a point, who doesn't check grants?
+    Until {
+        /// The service.
+        service: ServiceId,
+        /// The point.
+        point: Point,
+        /// The owner as it was when the attempt began.
+        owner: Box<Owner>,
+        /// Where the answer goes.
+        reply: oneshot::Sender<Option<Duration>>,
+    },
     /// A document is in force.
     Document(Rc<Document>),
     /// A group's record is known.
@@ -270,6 +284,35 @@
     }
 }
 
+/// Waits until the right to send to a target that doesn't check grants has lapsed.
+///
+/// For a target that checks, and for a shared service, it waits for ever.
+pub async fn lapse(context: Context, call: Call, lease: Option<Owner>) {
+    let Some(owner) = lease else {
+        return future::pending().await;
+    };
+    loop {
+        let (reply, answer) = oneshot::channel();
+        let message = Message::Until {
+            service: call.service.clone(),
+            point: call.point,
+            owner: Box::new(owner.clone()),
+            reply,
+        };
+        let _ = context.router.unbounded_send(message);
+        let until = answer.await.ok().flatten();
+        let left = until.and_then(|until| until.checked_sub(context.clock.now()));
+        let Some(left) = left.filter(|left| !left.is_zero()) else {
+            return;
+        };
+        // Half of what is left, at the least: a lease is renewed well before it ends.
+        context
+            .clock
+            .sleep((left / 2).max(LEASE_POLL).min(left))
+            .await;
+    }
+}
+
 fn stopped(proof: Proof) -> Verdict {
     Verdict::not_run(&proof, 503, Step::Drain, "self", "the process stops").retry_after(COME_BACK)
 }
@@ -319,6 +362,16 @@
                 let _ = reply.send(self.plan(&call, proof));
             }
             Message::Admit { ask, reply } => self.admit(*ask, reply),
+            Message::Until {
+                service,
+                point,
+                owner,
+                reply,
+            } => {
+                let document = self.documents.get(&service);
+                let until = document.and_then(|document| self.until(document, point, &owner));
+                let _ = reply.send(until);
+            }
             Message::Document(document) => {
                 self.documents.insert(document.service.clone(), document);
             }
@@ -383,21 +436,37 @@
         self.tables.get(&group)?.owner(point)
     }
 
+    /// Returns until when this VM may send to an owner.
+    fn until(&self, document: &Document, point: Point, owner: &Owner) -> Option<Duration> {
+        let group = group_of(document, point);
+        self.tables.get(&group)?.until(owner)
+    }
+
     fn permit(&mut self, ask: &Ask) -> Result<Permit, Verdict> {
         let service = &ask.call.service;
-        let refuse = |reason: &str| {
-            Verdict::not_run(&ask.proof, 503, Step::Route, &self.vm, reason).retry_after(COME_BACK)
+        let refuse_at = |step, reason: &str| {
+            Verdict::not_run(&ask.proof, 503, step, &self.vm, reason).retry_after(COME_BACK)
         };
+        let refuse = |reason: &str| refuse_at(Step::Route, reason);
         let document = self
             .documents
             .get(service)
             .ok_or_else(|| refuse("no document"))?;
-        let (target, address, epoch) = match document.ownership {
+        let (target, address, epoch, lease) = match document.ownership {
             Ownership::Exclusive => {
                 let owner = self
                     .owner(document, ask.call.point)
                     .ok_or_else(|| refuse("the key has no owner that is known here"))?;
-                (owner.target, owner.address, Some(owner.epoch))
+                let now = self.clock.now();
+                let until = self.until(document, ask.call.point, &owner);
+                if until.is_none_or(|until| until <= now) {
+                    return Err(refuse_at(
+                        Step::Grant,
+                        "no lease to send to the key's owner",
+                    ));
+                }
+                let lease = (owner.fencing == Fencing::Unchecked).then(|| owner.clone());
+                (owner.target, owner.address, Some(owner.epoch), lease)
             }
             Ownership::Shared => {
                 let index =
@@ -406,7 +475,7 @@
                     .targets
                     .get_index(index)
                     .ok_or_else(|| refuse("the service has no targets"))?;
-                (name.clone(), target.address.clone(), None)
+                (name.clone(), target.address.clone(), None, None)
             }
         };
         let address = address
@@ -417,7 +486,7 @@
             target,
             address,
             epoch,
-            within: None,
+            lease,
             ticket: self.tickets,
             router: self.sender.clone(),
             reported: false,
--- a/src/vm/owners.rs
+++ b/src/vm/owners.rs
@@ -14,7 +14,7 @@
     wire,
 };
 use crate::{
-    document::{Document, Ownership},
+    document::{Document, Fencing, Ownership},
     entry::router,
     grant::{Grant, TargetState},
     grantor::{self, Effect, Event, Grantor, Outcome, Timing},
@@ -31,6 +31,8 @@
 
 /// How often grantors are woken.
 const TICK: Duration = Duration::from_millis(50);
+/// How often the right to send to targets that don't check grants is asked for.
+const LEASE_PERIOD: Duration = Duration::from_millis(250);
 /// How long a grant or a probe of a target may take; a later answer would be of little use.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -85,6 +87,7 @@
     groups: IndexMap<GroupId, Grantor>,
     documents: IndexMap<ServiceId, Rc<Document>>,
     fleet: Option<Fleet>,
+    next_lease: Duration,
     /// Ranges that no target is known to serve.
     lost: IndexSet<(GroupId, Range)>,
     /// The versions that the others were told.
@@ -100,6 +103,7 @@
             groups: IndexMap::new(),
             documents: IndexMap::new(),
             fleet: None,
+            next_lease: Duration::ZERO,
             lost: IndexSet::new(),
             told: IndexMap::new(),
         }
@@ -122,7 +126,10 @@
 
     fn on(&mut self, message: Message) {
         match message {
-            Message::Tick => self.feed_all(&Event::Tick),
+            Message::Tick => {
+                self.feed_all(&Event::Tick);
+                self.ask_leases();
+            }
             Message::Fleet(fleet) => self.fleet(fleet),
             Message::Document(version, document) => self.document(version, &document),
             Message::Record(group, version, bytes) => self.record(&group, version, &bytes),
@@ -239,6 +246,11 @@
                 self.grant(now, group, target, &address, Some(grant));
             }
             Effect::Probe { target, address } => self.grant(now, group, target, &address, None),
+            // What this VM has to say to itself takes no wire.
+            Effect::Send { to, message } if to == self.parts.me.vm => {
+                let message = Message::Peer(to, group.clone(), message);
+                let _ = self.parts.tasks.owners.unbounded_send(message);
+            }
             Effect::Send { to, message } => {
                 let message = wire::Message::Grantor(group.clone(), message);
                 let _ = self
@@ -427,6 +439,31 @@
         let _ = self.parts.tasks.router.unbounded_send(message);
     }
 
+    /// Asks the grantors of targets that don't check grants for the right to send to them.
+    fn ask_leases(&mut self) {
+        let now = self.parts.clock.now();
+        if now < self.next_lease {
+            return;
+        }
+        self.next_lease = now + LEASE_PERIOD;
+        for (group, grantor) in &self.groups {
+            let Some((_, record)) = grantor.record() else {
+                continue;
+            };
+            for to in lenders(record) {
+                let message = grantor::Message::LeaseAsk { asked: now };
+                if to == self.parts.me.vm {
+                    let message = Message::Peer(to, group.clone(), message);
+                    let _ = self.parts.tasks.owners.unbounded_send(message);
+                } else {
+                    let message = wire::Message::Grantor(group.clone(), message);
+                    let message = mail::Message::Send(to, message);
+                    let _ = self.parts.tasks.mail.unbounded_send(message);
+                }
+            }
+        }
+    }
+
     /// Takes a message of another VM; handovers and leases are for the router too.
     fn peer(&mut self, from: VmId, group: &GroupId, message: grantor::Message) {
         match &message {
@@ -484,3 +521,16 @@
 fn service(group: &GroupId) -> &str {
     group.split_once('/').map_or(group, |(service, _)| service)
 }
+
+/// Returns the grantors of a group's targets that don't check grants.
+fn lenders(record: &Record) -> IndexSet<VmId> {
+    let unchecked = record
+        .members
+        .values()
+        .filter(|member| member.fencing == Fencing::Unchecked);
+    unchecked
+        .filter_map(|member| record.trios.get(&member.domain))
+        .flatten()
+        .map(|grantor| grantor.vm.clone())
+        .collect()
+}
