--- a/src/grantor/message.rs
+++ b/src/grantor/message.rs
@@ -39,6 +39,8 @@
     Withdraw {
         /// The stop.
         stop: Stop,
+        /// Whether only one that has itself no stop for the target may erase it.
+        needs: bool,
     },
     /// The stop is erased; the sender had not acted on it.
     Withdrawn {
--- a/src/grantor/peers.rs
+++ b/src/grantor/peers.rs
@@ -114,7 +114,7 @@
                 self.on_word(from, asked, domains);
                 self.on_version(now, from, version, effects);
             }
-            Message::Withdraw { stop } => self.on_withdraw(from, stop, effects),
+            Message::Withdraw { stop, needs } => self.on_withdraw(from, stop, needs, effects),
             Message::Withdrawn { stop, clean } => {
                 self.on_withdrawn(now, from, &stop, clean, effects);
             }
--- a/src/grantor/targets.rs
+++ b/src/grantor/targets.rs
@@ -130,7 +130,7 @@
         if now < heard + patience || blocked {
             return;
         }
-        let resumed = watch.own.as_ref().is_some_and(|own| own.erased.is_some());
+        let resumed = watch.own.as_ref().is_some_and(|own| !own.erased.is_empty());
         if watch.own.is_some() && !resumed {
             return;
         }
@@ -173,7 +173,7 @@
         }
     }
 
-    /// Starts to withdraw an own stop once the target is heard again, and repeats the question.
+    /// Asks the others to erase an own stop once the target is heard again.
     fn tick_withdraw(&mut self, now: Duration, target: &TargetId, effects: &mut Vec<Effect>) {
         let Some(domain) = self.domain(target) else {
             return;
@@ -182,7 +182,8 @@
         let version = self.version();
         let fellows = self.fellows(&domain);
         let timing = self.timing;
-        let alone = self.flaw == Flaw::LoneWithdraw;
+        let sequence = self.sequence + 1;
+        let needs = self.needs_clean(target, &fellows);
         let Some(watch) = self.watches.get_mut(target) else {
             return;
         };
@@ -190,46 +191,64 @@
             .steady
             .is_some_and(|since| now >= since + timing.renew);
         let hears = watch.hears(now, timing.hearing);
+        let (term, since) = (watch.term, watch.since);
         let Some(own) = watch.own.as_mut() else {
             return;
         };
         if watch.released || !steady || !hears || !authority {
             return;
         }
-        let stop = Stop {
-            target: target.clone(),
-            term: watch.term,
-            since: watch.since,
-            sequence: own.sequence,
-            version,
-        };
-        own.erased.get_or_insert_default();
-        if fellows.is_empty() || alone {
-            self.try_resume(now, target, effects);
+        let clean = own
+            .erased
+            .values()
+            .any(|(clean, at)| *clean && *at >= version);
+        if needs && !clean && !own.erased.is_empty() {
+            self.sequence = sequence;
+            watch.stop(now, sequence);
             return;
         }
-        let due = own
+        if own
             .withdrawn
-            .is_none_or(|last| now >= last + timing.word_ask);
-        if !due {
+            .is_some_and(|last| now < last + timing.word_ask)
+        {
             return;
         }
         own.withdrawn = Some(now);
+        let stop = Stop {
+            target: target.clone(),
+            term,
+            since,
+            sequence: own.sequence,
+            version,
+        };
         for fellow in fellows {
             let stop = stop.clone();
-            let message = Message::Withdraw { stop };
+            let needs = needs && !clean;
+            let message = Message::Withdraw { stop, needs };
             effects.push(Effect::Send {
                 to: fellow.vm,
                 message,
             });
         }
+        self.try_resume(now, target, effects);
+    }
+
+    fn needs_clean(&self, target: &str, fellows: &[group::Grantor]) -> bool {
+        let watch = self.watches.get(target);
+        watch.is_some_and(|watch| watch.needs_clean(fellows)) && self.flaw != Flaw::StruckForgotten
     }
 
     /// Erases another's stop, unless it was acted upon.
     ///
     /// The answer counts from a record at least as new as the asker's, so that whoever answers
     /// tells its later stops to the same trio.
-    pub(super) fn on_withdraw(&mut self, from: &VmId, stop: Stop, effects: &mut Vec<Effect>) {
+    pub(super) fn on_withdraw(
+        &mut self,
+        from: &VmId,
+        stop: Stop,
+        needs: bool,
+        effects: &mut Vec<Effect>,
+    ) {
         let Some(domain) = self.domain(&stop.target) else {
             return;
         };
@@ -246,8 +265,11 @@
         if watch.term != stop.term || watch.released {
             return;
         }
-        watch.erase(from, &stop);
         let clean = watch.own.is_none();
+        if needs && !clean {
+            return;
+        }
+        watch.erase(from, &stop);
         effects.push(Effect::Send {
             to: from.clone(),
             message: Message::Withdrawn { stop, clean },
@@ -274,47 +296,35 @@
         else {
             return;
         };
-        let Some(erased) = own.erased.as_mut() else {
-            return;
-        };
-        erased.insert(from.clone(), (clean, stop.version));
+        own.erased.insert(from.clone(), (clean, stop.version));
         own.told.shift_remove(from);
         self.try_resume(now, &stop.target, effects);
     }
 
     /// Ends an own stop once every grantor that may know of it has erased it.
-    ///
-    /// A struck one can't be asked. It could only have acted on the stops of its whole trio, so
-    /// then some fellow must be without a stop; the same goes for the stop of a new grantor.
     fn try_resume(&mut self, now: Duration, target: &TargetId, effects: &mut Vec<Effect>) {
         let Some(domain) = self.domain(target) else {
             return;
         };
         let version = self.version();
         let fellows = self.fellows(&domain);
-        let flaw = self.flaw;
+        let needs = self.needs_clean(target, &fellows);
+        let alone = self.flaw == Flaw::LoneWithdraw;
         let Some(watch) = self.watches.get_mut(target) else {
             return;
         };
         let Some(own) = watch.own.as_ref().filter(|_| !watch.released) else {
             return;
         };
-        let Some(erased) = own.erased.as_ref() else {
-            return;
+        let current = |fellow: &group::Grantor| {
+            let answer = own.erased.get(&fellow.vm);
+            answer.filter(|(_, at)| *at >= version)
         };
-        let current = |vm: &VmId| erased.get(vm).filter(|(_, at)| *at >= version);
-        let all = fellows.iter().all(|fellow| current(&fellow.vm).is_some());
-        let clean = fellows
-            .iter()
-            .any(|fellow| current(&fellow.vm).is_some_and(|(clean, _)| *clean));
-        let struck = own
-            .told
-            .iter()
-            .any(|vm| !fellows.iter().any(|fellow| fellow.vm == *vm));
-        let needs = (struck || own.initial) && flaw != Flaw::StruckForgotten;
-        if flaw == Flaw::LoneWithdraw || (all && (clean || !needs)) {
+        let all = fellows.iter().all(|fellow| current(fellow).is_some());
+        let clean = fellows.iter().filter_map(current).any(|(clean, _)| *clean);
+        if alone || (all && (clean || !needs)) {
             watch.own = None;
-            effects.push(note(Kind::Resume, target, format!("after={now:?}")));
+            effects.push(note(Kind::Resume, target, format!("now={now:?}")));
         }
     }
 
--- a/src/grantor/watch.rs
+++ b/src/grantor/watch.rs
@@ -7,6 +7,7 @@
 use crate::{
     grant::TargetState,
     grantor::message::Stop,
+    group,
     id::{TargetId, Term, Version, VmId},
 };
 
@@ -48,9 +49,8 @@
     pub sequence: u64,
     /// Who may have heard of it and hasn't erased it.
     pub told: IndexSet<VmId>,
-    /// Who has erased it since it is being withdrawn, whether they had no stop themselves, and
-    /// by which record they answered.
-    pub erased: Option<IndexMap<VmId, (bool, Version)>>,
+    /// Who has erased it, whether they had no stop themselves, and by which record they answered.
+    pub erased: IndexMap<VmId, (bool, Version)>,
     /// Whether it goes back to the stop with which a grantor starts.
     pub initial: bool,
     /// When the others were last asked to erase it.
@@ -137,16 +137,28 @@
             sequence,
             told: before.map(|own| own.told).unwrap_or_default(),
             initial,
-            erased: None,
+            erased: IndexMap::new(),
             withdrawn: None,
         });
         self.steady = None;
     }
 
+    /// Returns whether the own stop can only be withdrawn while some fellow has none.
+    ///
+    /// A grantor that was told of it and then struck can't be asked. It could only have acted on
+    /// the stops of its whole trio. The same goes for the one that a new grantor replaced.
+    pub fn needs_clean(&self, fellows: &[group::Grantor]) -> bool {
+        let named = |vm: &VmId| fellows.iter().any(|fellow| fellow.vm == *vm);
+        let struck = |own: &Own| own.told.iter().any(|vm| !named(vm));
+        self.own
+            .as_ref()
+            .is_some_and(|own| own.initial || struck(own))
+    }
+
     /// Returns the own stop as it is told to others, unless it is being withdrawn.
     pub fn told(&mut self, target: &TargetId, version: Version, to: &VmId) -> Option<Stop> {
         let (term, since) = (self.term, self.since);
-        let own = self.own.as_mut().filter(|own| own.erased.is_none())?;
+        let own = self.own.as_mut().filter(|own| own.erased.is_empty())?;
         own.told.insert(to.clone());
         Some(Stop {
             target: target.clone(),
--- /dev/null
+++ b/tests/model/faults.rs
@@ -0,0 +1,368 @@
+//! What fails, and when.
+
+use std::time::Duration;
+
+use bramleypier::{
+    document::{Fencing, TargetState},
+    grant::Holder,
+    grantor::{Event, Load},
+    range::Range,
+};
+use proptest::prelude::*;
+
+use super::{DOMAINS, Noise, STORE, Setup, Skewed, World};
+
+/// How long the calm after the last fault lasts.
+const CALM: Duration = Duration::from_secs(25);
+
+/// A fault; the number picks whom it strikes, the span how long it lasts, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub enum Fault {
+    KillVm(usize),
+    KillGrantor(usize),
+    ReplaceVm(usize),
+    PauseVm(usize, u64),
+    RetireVm(usize),
+    FreezeTarget(usize, u64),
+    KillTarget(usize),
+    RestartTarget(usize),
+    /// One way, from one process to another.
+    Cut(usize, usize, u64),
+    /// All that a VM sends, or all that it is sent.
+    Mute(usize, u64),
+    Deafen(usize, u64),
+    Outage(u64),
+    LoseAnswers(u32),
+    LoseDomain(usize, u64),
+    CutDomain(usize, u64),
+    Leave(usize),
+    Return(usize),
+    Hot(u64),
+}
+
+/// A run: faults at their times, over noise.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub seed: u64,
+    pub unchecked: bool,
+    pub noise: (u32, u32, u32),
+    pub faults: Vec<(u64, Fault)>,
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    let who = 0..64_usize;
+    let span = prop_oneof![200..2_500_u64, 1_000..8_000_u64];
+    prop_oneof![
+        2 => who.clone().prop_map(Fault::KillVm),
+        3 => who.clone().prop_map(Fault::KillGrantor),
+        2 => who.clone().prop_map(Fault::ReplaceVm),
+        4 => (who.clone(), span.clone()).prop_map(|(who, span)| Fault::PauseVm(who, span)),
+        1 => who.clone().prop_map(Fault::RetireVm),
+        4 => (who.clone(), span.clone()).prop_map(|(who, span)| Fault::FreezeTarget(who, span)),
+        2 => who.clone().prop_map(Fault::KillTarget),
+        3 => who.clone().prop_map(Fault::RestartTarget),
+        6 => (who.clone(), who.clone(), span.clone()).prop_map(|(a, b, span)| Fault::Cut(a, b, span)),
+        2 => (who.clone(), span.clone()).prop_map(|(who, span)| Fault::Mute(who, span)),
+        2 => (who.clone(), span.clone()).prop_map(|(who, span)| Fault::Deafen(who, span)),
+        3 => span.clone().prop_map(Fault::Outage),
+        3 => (1..6_u32).prop_map(Fault::LoseAnswers),
+        1 => (who.clone(), span.clone()).prop_map(|(who, span)| Fault::LoseDomain(who, span)),
+        2 => (who.clone(), span).prop_map(|(who, span)| Fault::CutDomain(who, span)),
+        2 => who.clone().prop_map(Fault::Leave),
+        1 => who.prop_map(Fault::Return),
+        1 => any::<u64>().prop_map(Fault::Hot),
+    ]
+}
+
+/// Faults in bursts of one to three, so that several fall together.
+pub fn plan() -> impl Strategy<Value = Plan> {
+    let burst = (
+        3_000..20_000_u64,
+        prop::collection::vec((0..1_500_u64, fault()), 1..=3),
+    );
+    let bursts = prop::collection::vec(burst, 1..=4);
+    let noise = prop_oneof![
+        1 => Just((0, 0, 0)),
+        2 => (0..30_u32, 0..40_u32, 0..50_u32),
+    ];
+    (any::<u64>(), prop::bool::weighted(0.25), noise, bursts).prop_map(
+        |(seed, unchecked, noise, bursts)| {
+            let spread = |(at, burst): (u64, Vec<(u64, Fault)>)| {
+                burst
+                    .into_iter()
+                    .map(move |(after, fault)| (at + after, fault))
+            };
+            let mut faults: Vec<(u64, Fault)> = bursts.into_iter().flat_map(spread).collect();
+            faults.sort_by_key(|(at, _)| *at);
+            Plan {
+                seed,
+                unchecked,
+                noise,
+                faults,
+            }
+        },
+    )
+}
+
+impl Plan {
+    /// Runs the faults and then a calm, at the end of which every point must be served.
+    pub fn run(&self, setup: Setup) -> Result<World, String> {
+        let (lost, late, doubled) = self.noise;
+        let mut world = World::new(Setup {
+            seed: self.seed,
+            unchecked: self.unchecked,
+            noise: Noise {
+                lost,
+                late,
+                doubled,
+            },
+            ..setup
+        });
+        let told = |world: &World, fault: String| format!("{fault}\n{}", world.story());
+        for (at, fault) in &self.faults {
+            let run = world.run(Duration::from_millis(*at));
+            run.map_err(|fault| told(&world, fault))?;
+            world.strike(*fault);
+        }
+        let last = world.time + Duration::from_secs(9);
+        world.run(last).map_err(|fault| told(&world, fault))?;
+        world.heal();
+        let end = world.time + CALM;
+        world.run(end).map_err(|fault| told(&world, fault))?;
+        world.settled().map_err(|fault| told(&world, fault))?;
+        Ok(world)
+    }
+}
+
+impl World {
+    fn pick_vm(&self, who: usize) -> String {
+        let index = who % self.vms.len();
+        self.vms.keys()[index].clone()
+    }
+
+    fn pick_target(&self, who: usize) -> String {
+        self.servers.keys()[who % self.servers.len()].clone()
+    }
+
+    /// A VM that the record names.
+    fn pick_grantor(&self, who: usize) -> String {
+        let trios = self
+            .store
+            .value
+            .iter()
+            .flat_map(|(_, record)| record.trios.values().flatten());
+        let named: Vec<&String> = trios.map(|grantor| &grantor.vm).collect();
+        let live = |vm: &&&String| self.vms.contains_key(**vm);
+        let named: Vec<&&String> = named.iter().filter(live).collect();
+        match named.len() {
+            0 => self.pick_vm(who),
+            count => named[who % count].to_string(),
+        }
+    }
+
+    fn pick_any(&self, who: usize) -> String {
+        match who % 16 {
+            0..=9 => self.pick_grantor(who),
+            10..=14 => self.pick_target(who),
+            _ => STORE.into(),
+        }
+    }
+
+    fn cut(&mut self, from: &str, to: &str, span: u64) {
+        let end = self.time + Duration::from_millis(span);
+        self.cuts.insert((from.into(), to.into()), end);
+    }
+
+    fn everyone(&self) -> Vec<String> {
+        let names = self.vms.keys().chain(self.servers.keys()).cloned();
+        names.chain([STORE.to_owned()]).collect()
+    }
+
+    pub fn strike(&mut self, fault: Fault) {
+        let time = self.time;
+        let after = |span: u64| time + Duration::from_millis(span);
+        match fault {
+            Fault::KillVm(who) => self.lose(&self.pick_vm(who)),
+            Fault::KillGrantor(who) => self.lose(&self.pick_grantor(who)),
+            Fault::ReplaceVm(who) => {
+                let vm = self.pick_grantor(who);
+                let domain = self.vms[&vm].domain.clone();
+                self.kill_vm(&vm);
+                self.start_vm(&domain);
+            }
+            Fault::PauseVm(who, span) => {
+                let vm = self.pick_grantor(who);
+                self.vms[&vm].awake = after(span);
+            }
+            Fault::RetireVm(who) => self.event(&self.pick_grantor(who), Event::Retire),
+            Fault::FreezeTarget(who, span) => {
+                let target = self.pick_target(who);
+                self.servers[&target].awake = after(span);
+            }
+            Fault::KillTarget(who) => {
+                let target = self.pick_target(who);
+                self.servers[&target].up = false;
+            }
+            Fault::RestartTarget(who) => {
+                self.restart(&self.pick_target(who), who.is_multiple_of(2))
+            }
+            Fault::Cut(from, to, span) => {
+                self.cut(&self.pick_any(from), &self.pick_any(to), span);
+            }
+            Fault::Mute(who, span) => {
+                let vm = self.pick_grantor(who);
+                for other in self.everyone() {
+                    self.cut(&vm, &other, span);
+                }
+            }
+            Fault::Deafen(who, span) => {
+                let vm = self.pick_grantor(who);
+                for other in self.everyone() {
+                    self.cut(&other, &vm, span);
+                }
+            }
+            Fault::Outage(span) => self.store.down = after(span),
+            Fault::LoseAnswers(count) => self.store.mute = count,
+            Fault::LoseDomain(who, span) => self.lose_domain(DOMAINS[who % 3], span),
+            Fault::CutDomain(who, span) => self.cut_domain(DOMAINS[who % 3], span),
+            Fault::Leave(who) => self.set_state(who, TargetState::Leaving),
+            Fault::Return(who) => self.set_state(who, TargetState::Serving),
+            Fault::Hot(point) => self.heat(point),
+        }
+    }
+
+    /// Loses a VM, unless too few would be left.
+    fn lose(&mut self, vm: &str) {
+        if self.vms.len() > 4 {
+            self.kill_vm(vm);
+        }
+    }
+
+    /// Starts a target anew; the old start may linger unseen, by its own clock.
+    fn restart(&mut self, target: &str, lingers: bool) {
+        let clock = Skewed::new(&mut self.rng);
+        let server = &mut self.servers[target];
+        server.starts += 1;
+        let holder = Holder::new(format!("{target}-{}", server.starts));
+        let old = std::mem::replace(&mut server.holder, holder);
+        let ticked = std::mem::replace(&mut server.clock, clock);
+        let was = server.up && server.fencing == Fencing::Checked;
+        server.up = true;
+        server.awake = self.time;
+        if lingers && was {
+            self.ghosts.push((target.to_owned(), old, ticked));
+        }
+    }
+
+    /// Freezes all targets of a failure domain and loses all its VMs; new ones start in it later.
+    fn lose_domain(&mut self, domain: &str, span: u64) {
+        let end = self.time + Duration::from_millis(span);
+        for server in self
+            .servers
+            .values_mut()
+            .filter(|server| server.domain == domain)
+        {
+            server.awake = end;
+        }
+        let inside = |(_, vm): &(&String, &super::Vm)| vm.domain == domain;
+        let vms: Vec<String> = self
+            .vms
+            .iter()
+            .filter(inside)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for vm in vms {
+            self.kill_vm(&vm);
+            self.start_vm(domain);
+        }
+    }
+
+    fn cut_domain(&mut self, domain: &str, span: u64) {
+        let of = |world: &Self, name: &str| {
+            let vm = world.vms.get(name).map(|vm| vm.domain.clone());
+            vm.or_else(|| world.servers.get(name).map(|server| server.domain.clone()))
+        };
+        for a in self.everyone() {
+            for b in self.everyone() {
+                let inside = |name: &str| of(self, name).as_deref() == Some(domain);
+                if inside(&a) != inside(&b) {
+                    self.cut(&a, &b, span);
+                }
+            }
+        }
+    }
+
+    fn set_state(&mut self, who: usize, state: TargetState) {
+        let mut document = self.document.clone();
+        let index = who % document.targets.len();
+        document.targets[index].state = state;
+        let serving = document
+            .targets
+            .values()
+            .filter(|target| target.state == TargetState::Serving);
+        if serving.count() > 2 {
+            self.change(document);
+        }
+    }
+
+    /// Half of all work falls on one key.
+    fn heat(&mut self, point: u64) {
+        let all = Load {
+            range: Range::ALL,
+            rate: 100.0,
+        };
+        let hot = Load {
+            range: Range {
+                start: point,
+                end: point,
+            },
+            rate: 100.0,
+        };
+        for vm in self.vms.keys().cloned().collect::<Vec<_>>() {
+            let loads = vec![all, hot];
+            self.event(&vm, Event::Load { loads });
+        }
+    }
+
+    /// Ends every fault; dead targets start anew.
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+        self.store.down = self.time;
+        self.store.mute = 0;
+        self.noise = Noise::default();
+        for vm in self.vms.values_mut() {
+            vm.awake = vm.awake.min(self.time);
+        }
+        for target in self.servers.keys().cloned().collect::<Vec<_>>() {
+            self.servers[&target].awake = self.time;
+            if !self.servers[&target].up {
+                self.restart(&target, false);
+            }
+        }
+    }
+
+    /// Checks that after a calm every point is served, by the newest owner that was told of.
+    pub fn settled(&self) -> Result<(), String> {
+        let unserved = self.unserved();
+        if !unserved.is_empty() {
+            let record = self.store.value.as_ref();
+            return Err(format!(
+                "unserved after the calm: {unserved:?}\n{record:#?}"
+            ));
+        }
+        let Some((_, record)) = &self.store.value else {
+            return Err("no record".into());
+        };
+        for point in super::watchdog::points() {
+            let entry = record
+                .ranges
+                .iter()
+                .find(|entry| entry.range.contains(point));
+            let epoch = entry.map_or(0, |entry| entry.epoch);
+            if epoch < self.watchdog.newest(point) {
+                return Err(format!("an assignment of {point} was forgotten: {entry:?}"));
+            }
+        }
+        Ok(())
+    }
+}
