--- a/standins/src/caller.rs
+++ b/standins/src/caller.rs
@@ -107,9 +107,15 @@
     /// Looks a key up once and notes how that went.
     pub async fn look_up(&self, service: &str, key: &str) -> Sample {
         let tag = Uuid::now_v7().to_string();
+        self.look_up_as(service, key, &tag).await
+    }
+
+    /// Looks a key up as [`look_up`](Self::look_up) does, under a tag of the caller's choice: the
+    /// same tag makes the same request again.
+    pub async fn look_up_as(&self, service: &str, key: &str, tag: &str) -> Sample {
         let path = format!("/{service}/{key}/status?tag={tag}");
         let sent = clock::now();
-        let heard = self.send(Method::GET, &path, &tag, key, true).await;
+        let heard = self.send(Method::GET, &path, tag, key, true).await;
         let sample = Sample {
             service: service.to_owned(),
             key: key.to_owned(),
--- a/standins/src/child.rs
+++ b/standins/src/child.rs
@@ -84,6 +84,11 @@
         found.or_else(|| words.by_ref().find(|word| *word == name).and(words.next()))
     }
 
+    /// Returns whether the process has not ended.
+    pub fn is_alive(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Sends a signal to this process only.
     ///
     /// # Errors
--- a/standins/src/drill/scenario.rs
+++ b/standins/src/drill/scenario.rs
@@ -38,6 +38,8 @@
     LeaveTarget,
     /// The grantor is stopped as planned.
     StopGrantor,
+    /// A request that crashes each target that runs it is sent again and again.
+    Crash,
 }
 
 /// A named course of steps.
@@ -188,4 +190,5 @@
     scenario("drain-target", &[Step::DrainTarget, Step::Wait(8_000)]),
     scenario("leave-target", &[Step::LeaveTarget, Step::Wait(8_000)]),
     scenario("stop-grantor", &[Step::StopGrantor, Step::Wait(4_000)]),
+    scenario("crashing-request", &[Step::Crash, Step::Wait(6_000)]),
 ];
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -353,6 +353,16 @@
         Ok(())
     }
 
+    /// Returns the targets that don't run, whether killed or ended by themselves.
+    pub fn dead_targets(&mut self) -> Vec<String> {
+        let targets = self.targets.iter_mut();
+        let dead = targets.filter_map(|(name, target)| {
+            let alive = target.process.as_mut().is_some_and(Process::is_alive);
+            (!alive).then(|| name.clone())
+        });
+        dead.collect()
+    }
+
     /// Freezes a VM or target.
     ///
     /// # Errors
--- a/standins/tests/audit.rs
+++ b/standins/tests/audit.rs
@@ -107,6 +107,12 @@
             vec![("o", 3)],
             "untrue",
         ),
+        (
+            "look-up ran, the same again refused",
+            vec![("look", 1, Unknown), ("look", 5, NotRun)],
+            vec![("look", 3)],
+            "",
+        ),
         (
             "first runs as second is refused",
             vec![("o", 1, Unknown), ("o", 5, NotRun)],
