--- a/src/entry/router.rs
+++ b/src/entry/router.rs
@@ -231,7 +231,7 @@
     let (reply, answer) = oneshot::channel();
     let message = Message::Classify { call, proof, reply };
     let _ = context.router.unbounded_send(message);
-    answer.await.unwrap_or_else(|_| Err(stopped(&proof)))
+    answer.await.unwrap_or_else(|_| Err(stopped(proof)))
 }
 
 /// Asks for the right to send an attempt; waits for a slot where that is worth it.
@@ -247,7 +247,7 @@
 ) -> Result<Permit, Verdict> {
     let now = context.clock.now();
     let Some(left) = job.deadline.remaining(now) else {
-        return Err(give_up(history, &proof));
+        return Err(give_up(history, proof));
     };
     let ask = Ask {
         call: job.call.clone(),
@@ -264,21 +264,21 @@
     let _ = context.router.unbounded_send(message);
     let waiting = context.clock.timeout(left, answer);
     match waiting.await {
-        Ok(answer) => answer.unwrap_or_else(|_| Err(stopped(&proof))),
-        Err(_) => Err(give_up(history, &proof)),
+        Ok(answer) => answer.unwrap_or_else(|_| Err(stopped(proof))),
+        Err(_) => Err(give_up(history, proof)),
     }
 }
 
-fn stopped(proof: &Proof) -> Verdict {
-    Verdict::not_run(proof, 503, Step::Drain, "self", "the process stops").retry_after(COME_BACK)
+fn stopped(proof: Proof) -> Verdict {
+    Verdict::not_run(&proof, 503, Step::Drain, "self", "the process stops").retry_after(COME_BACK)
 }
 
-fn give_up(history: &History, proof: &Proof) -> Verdict {
+fn give_up(history: &History, proof: Proof) -> Verdict {
     let (peer, reason) = match &history.last {
         Some((peer, reason)) => (peer.as_str(), reason.as_str()),
         None => ("self", "no target took it before its deadline"),
     };
-    Verdict::not_run(proof, 503, Step::Deadline, peer, reason).retry_after(COME_BACK)
+    Verdict::not_run(&proof, 503, Step::Deadline, peer, reason).retry_after(COME_BACK)
 }
 
 /// The router's state.
@@ -315,10 +315,9 @@
     fn on(&mut self, message: Message) {
         match message {
             Message::Classify { call, proof, reply } => {
-                let _ = reply.send(self.plan(&call, &proof));
+                let _ = reply.send(self.plan(&call, proof));
             }
             Message::Admit { ask, reply } => self.admit(*ask, reply),
-            Message::Head { .. } | Message::Done { .. } => {}
             Message::Document(document) => {
                 self.documents.insert(document.service.clone(), document);
             }
@@ -336,16 +335,18 @@
                 let table = self.tables.entry(group).or_default();
                 table.on_lease(&Timing::default(), asked, routes);
             }
-            Message::Suspect(_) => {}
+            Message::Suspect(_) | Message::Head { .. } | Message::Done { .. } => {}
         }
     }
 
-    fn plan(&self, call: &Call, proof: &Proof) -> Result<Plan, Verdict> {
+    fn plan(&self, call: &Call, proof: Proof) -> Result<Plan, Verdict> {
         let Some(document) = self.documents.get(&call.service) else {
             let reason = "no document in force names this service";
-            return Err(Verdict::not_run(proof, 404, Step::Route, &self.vm, reason));
+            return Err(Verdict::not_run(&proof, 404, Step::Route, &self.vm, reason));
         };
-        let (name, class) = call.class(document).map_err(|error| error.verdict(proof))?;
+        let (name, class) = call
+            .class(document)
+            .map_err(|error| error.verdict(&proof))?;
         Ok(Plan {
             class: name.to_owned(),
             idempotent: class.idempotent,
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -187,7 +187,7 @@
     compio::runtime::spawn(mail::run(clock.clone(), vm.clone(), address, mail_in)).detach();
     compio::runtime::spawn(grants.run(owners_in)).detach();
     compio::runtime::spawn(routing.run(router_in)).detach();
-    compio::runtime::spawn(desk::Desk::new(vm, tasks.clone()).run(desk_in)).detach();
+    compio::runtime::spawn(desk::Desk::new().run(desk_in)).detach();
     let seeds = settings.seeds.iter().map(SocketAddr::to_string).collect();
     let _ = tasks.news.unbounded_send(news::Message::Seeds(seeds));
     (tasks, context)
--- a/src/vm/owners.rs
+++ b/src/vm/owners.rs
@@ -305,7 +305,7 @@
         let bytes = peer::encode(record);
         compio::runtime::spawn(async move {
             let result = match bytes {
-                Ok(bytes) => outcome(platform.put(&news::record_key(&group), base, bytes).await),
+                Ok(bytes) => outcome(&platform.put(&news::record_key(&group), base, bytes).await),
                 Err(_) => Outcome::Lost(base),
             };
             let event = Event::Written { sequence, result };
@@ -392,10 +392,10 @@
     fleet.live.iter().filter(stays).map(candidate).collect()
 }
 
-fn outcome(result: Result<Put, platform::Error>) -> Outcome {
+fn outcome(result: &Result<Put, platform::Error>) -> Outcome {
     match result {
-        Ok(Put::Won(version)) => Outcome::Won(version),
-        Ok(Put::Lost(version)) => Outcome::Lost(version),
+        Ok(Put::Won(version)) => Outcome::Won(*version),
+        Ok(Put::Lost(version)) => Outcome::Lost(*version),
         // Even a write that surely failed is settled by reading back: one way for all.
         Err(_) => Outcome::Doubt,
     }
