--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,11 +1,16 @@
 //! A router for servers that own keys exclusively.
 pub mod admin;
+pub mod balance;
 pub mod chart;
 pub mod cli;
 pub mod clock;
 pub mod document;
+pub mod entry;
 pub mod gossip;
+pub mod grant;
+pub mod grantor;
 pub mod group;
+pub mod handover;
 pub mod id;
 pub mod key;
 pub mod logging;
@@ -16,9 +21,11 @@
 pub mod platform;
 pub mod range;
 pub mod request;
+pub mod route;
 pub mod settings;
 pub mod spread;
 pub mod target;
 pub mod timeline;
 pub mod util;
+pub mod vm;
 pub mod watcher;
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,10 +3,17 @@
 use std::{
     env,
     io::{self, Write as _},
+    path::Path,
     process::ExitCode,
 };
 
-use bramleypier::cli::{self, Command, Output};
+use bramleypier::{
+    chart,
+    cli::{self, Command, Exit, Output},
+    logging, settings,
+    vm::{self, Ending},
+};
+use compio::runtime::Runtime;
 
 fn main() -> ExitCode {
     let output = match cli::parse(env::args_os().skip(1)) {
@@ -19,11 +26,28 @@
     ExitCode::from(output.exit.code())
 }
 
-fn run(settings: &std::path::Path) -> Output {
-    Output::plain(
-        cli::Exit::Failed,
-        format!("cannot run {}", settings.display()),
-    )
+/// Runs a VM until it is told to stop.
+fn run(path: &Path) -> Output {
+    let wrong = |cause: &dyn std::fmt::Display| Output::plain(Exit::Usage, cause.to_string());
+    let settings = match settings::load(path) {
+        Ok(settings) => settings,
+        Err(fault) => return wrong(&fault),
+    };
+    if let Err(fault) = chart::check_all() {
+        return wrong(&fault);
+    }
+    if let Err(error) = logging::start(&settings) {
+        return wrong(&error);
+    }
+    let runtime = match Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(cause) => return Output::plain(Exit::Failed, cause.to_string()),
+    };
+    match runtime.block_on(vm::run(settings)) {
+        Ok(Ending::Graceful) => Output::plain(Exit::Done, ""),
+        Ok(Ending::Cut(count)) => Output::plain(Exit::Failed, format!("cut off {count} requests")),
+        Err(error) => wrong(&error),
+    }
 }
 
 fn print(output: &Output) -> io::Result<()> {
