Settings that the process honours, and documents that a record can hold

Cause: some settings had no reader, and a document could ask for more targets or ranges than one group's record takes. Timing now has what the grantor and membership use, with presets equal to theirs and conversions into them; the other keys went. hearing_ms must be more than twice renew_ms and at most grant_ms.

--- a/src/document/check.rs
+++ b/src/document/check.rs
@@ -4,7 +4,10 @@
 
 use indexmap::IndexMap;
 
-use crate::document::{Class, Document, Target, TargetState};
+use crate::{
+    document::{Class, Document, Target, TargetState},
+    group,
+};
 
 /// Paths of the process's own, which no service may take.
 const RESERVED: &[&str] = &["healthz"];
@@ -52,15 +55,37 @@
     if document.targets.is_empty() {
         return Err(flaw("service", "", "the service has no target"));
     }
-    let targets = u64::try_from(document.targets.len()).unwrap_or(u64::MAX);
+    let targets = as_u64(document.targets.len());
     if u64::from(document.groups) > targets {
         let reason = format!("is more than the {targets} targets");
         return Err(flaw("service", "groups", reason));
     }
+    sizes(document, targets)?;
     classes(&document.classes)?;
     addresses(&document.targets)
 }
 
+/// Checks that a group's record can hold its share of targets and ranges.
+fn sizes(document: &Document, targets: u64) -> Result<(), Flaw> {
+    let members = targets.div_ceil(u64::from(document.groups).max(1));
+    if members > as_u64(group::check::MEMBERS) {
+        let most = group::check::MEMBERS;
+        let reason = format!("leaves {members} targets to a group, more than {most}");
+        return Err(flaw("service", "groups", reason));
+    }
+    let ranges = members * u64::from(document.ranges);
+    if ranges > as_u64(group::check::RANGES) {
+        let most = group::check::RANGES;
+        let reason = format!("leaves {ranges} ranges to a group, more than {most}");
+        return Err(flaw("service", "ranges", reason));
+    }
+    Ok(())
+}
+
+fn as_u64(count: usize) -> u64 {
+    u64::try_from(count).unwrap_or(u64::MAX)
+}
+
 fn classes(classes: &IndexMap<String, Class>) -> Result<(), Flaw> {
     if classes.is_empty() {
         return Err(flaw("service", "", "the service has no class"));
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -80,13 +80,13 @@
     REQUESTS_ACTIVE Gauge "requests.active", "Requests in flight.", "None; it must reach 0 before a planned stop ends.";
     QUARANTINED Gauge "quarantine.held", "Requests refused because targets died of them.", "Find the request in the time line, and tell its sender and the service's team.";
     ORDERS_DOUBLE Counter "orders.double", "Orders that came again and did not run again.", "None; many from one caller mean that it resends early.";
-    ORDERS_HELD Gauge "orders.held", "Outcomes of orders remembered.", "Near `[limits] orders` old outcomes are forgotten; raise it if memory allows.";
-    ORDERS_FORGOTTEN Counter "orders.forgotten", "Outcomes dropped for lack of room or age.", "Raise `[limits] orders`.";
+    ORDERS_HELD Gauge "orders.held", "Orders remembered.", "When orders are forgotten early, raise `[limits] order_bytes`.";
+    ORDERS_FORGOTTEN Counter "orders.forgotten", "Orders dropped for lack of room or age.", "Raise `[limits] order_bytes`.";
     GRANTS_RENEWED Counter "grants.renewed", "Grants that targets confirmed.", "None; 0 on a grantor means that it reaches no target.";
     GRANTS_FAILED Counter "grants.failed", "Grants that got no answer.", "Look for a target that is frozen or cut off.";
     RANGES_MOVED Counter "ranges.moved", "Ranges that got another owner.", "Unplanned growth is churn: look for targets that come and go.";
     RANGES_LOST Gauge "ranges.lost", "Ranges without an owner that serves, as this grantor knows.", "Alarm above 0 for more than 4 s: look for `grantor-struck` and `platform-lost`.";
-    CHURN Gauge "ranges.churn", "Share of the hash space that moved in the last hour, in millionths.", "Compare with the service's `churn_weight`.";
+    CHURN Gauge "ranges.churn", "Share of the hash space that moved since the start, in millionths.", "Compare with the service's `churn_weight`.";
     UNAVAILABLE Gauge "ranges.unavailable_ms", "Time without an owner that serves, summed over ranges, in ms.", "Each growth is a loss: `timeline` tells its course.";
     IMBALANCE Gauge "targets.imbalance", "Greatest load of a target over the mean, in thousandths.", "Above 2000 for minutes: a hot key stands alone already, or targets are unequal.";
     PEERS_LIVE Gauge "peers.live", "VMs that this one takes for live.", "Less than the platform's list for minutes: a partition.";
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -5,7 +5,9 @@
 use log::LevelFilter;
 
 use crate::{
+    grantor,
     id::DomainId,
+    membership,
     util::{
         fields::{self, Checked, Field, Kind, Preset},
         ini::Fault,
@@ -44,7 +46,7 @@
     pub limits: Limits,
 }
 
-/// Spans of time that the protocols use. All processes must agree on the first three.
+/// Spans of time that the protocols use. All processes must agree on the first five.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Timing {
     /// How long a session in the platform's service lives without renewal.
@@ -55,14 +57,59 @@
     pub grant: Duration,
     /// How often a grant is renewed.
     pub renew: Duration,
+    /// After how much silence a target or grantor counts as not heard.
+    pub hearing: Duration,
     /// How often peers are probed.
     pub probe: Duration,
-    /// How long a call to the platform's service may take.
-    pub platform: Duration,
-    /// How long a connection may take to open.
-    pub connect: Duration,
     /// How long requests in flight may take to end when the process stops.
     pub drain: Duration,
+    /// How long an order whose id has no date is remembered at the least.
+    pub order: Duration,
+}
+
+impl Timing {
+    /// Returns the spans on which ownership rests.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::{grantor, settings};
+    ///
+    /// let text = "[vm]\nname = a\ndomain = d\n[listen]\ncallers = 127.0.0.1:0\n\
+    ///     peers = 127.0.0.1:0\n[platform]\naddress = 127.0.0.1:7000";
+    /// let settings = settings::parse("vm.ini", text).unwrap();
+    /// assert_eq!(settings.timing.grantor(), grantor::Timing::default());
+    /// ```
+    pub fn grantor(&self) -> grantor::Timing {
+        grantor::Timing {
+            grant: self.grant,
+            renew: self.renew,
+            hearing: self.hearing,
+            session: self.session,
+            word: self.word,
+            ..grantor::Timing::default()
+        }
+    }
+
+    /// Returns the spans of membership.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::{membership, settings};
+    ///
+    /// let text = "[vm]\nname = a\ndomain = d\n[listen]\ncallers = 127.0.0.1:0\n\
+    ///     peers = 127.0.0.1:0\n[platform]\naddress = 127.0.0.1:7000";
+    /// let settings = settings::parse("vm.ini", text).unwrap();
+    /// let membership = settings.timing.membership();
+    /// assert_eq!(membership.period, membership::Timing::default().period);
+    /// ```
+    pub fn membership(&self) -> membership::Timing {
+        membership::Timing {
+            period: self.probe,
+            ..membership::Timing::default()
+        }
+    }
 }
 
 /// Bounds on what one process keeps and takes.
@@ -70,10 +117,8 @@
 pub struct Limits {
     /// Events kept for the time line.
     pub events: usize,
-    /// Callers' connections open at a time.
-    pub callers: usize,
-    /// Outcomes of orders remembered at a time.
-    pub orders: usize,
+    /// Memory for the orders of one shard of request ids, in bytes.
+    pub order_bytes: usize,
 }
 
 const fn field(
@@ -205,7 +250,7 @@
     ),
     span(
         "word_ms",
-        "800",
+        "700",
         50,
         DAY_MS,
         "How long a grantor's word for another counts; the same on all VMs.",
@@ -219,26 +264,19 @@
     ),
     span(
         "renew_ms",
-        "200",
+        "250",
         10,
         DAY_MS,
-        "How often a grant is renewed; at most a third of `grant_ms`.",
+        "How often a grant is renewed; the same on all VMs.",
     ),
-    span("probe_ms", "200", 10, DAY_MS, "How often peers are probed."),
     span(
-        "platform_ms",
-        "1000",
-        10,
+        "hearing_ms",
+        "700",
+        30,
         DAY_MS,
-        "How long a call to the platform's service may take.",
-    ),
-    span(
-        "connect_ms",
-        "500",
-        10,
-        DAY_MS,
-        "How long a connection may take to open.",
+        "After how much silence a target or grantor counts as not heard; more than twice `renew_ms`, at most `grant_ms`; the same on all VMs.",
     ),
+    span("probe_ms", "200", 10, DAY_MS, "How often peers are probed."),
     span(
         "drain_ms",
         "30000",
@@ -246,6 +284,13 @@
         DAY_MS,
         "How long requests in flight may take to end when the process stops.",
     ),
+    span(
+        "order_ms",
+        "3600000",
+        1000,
+        DAY_MS,
+        "How long an order whose id has no date is remembered at the least.",
+    ),
     bound(
         "events",
         "events",
@@ -254,18 +299,11 @@
         "Events kept for the time line.",
     ),
     bound(
-        "callers",
-        "connections",
-        "4096",
-        1_000_000,
-        "Callers' connections open at a time.",
-    ),
-    bound(
-        "orders",
-        "orders",
-        "200000",
-        100_000_000,
-        "Outcomes of orders remembered at a time.",
+        "order_bytes",
+        "bytes",
+        "2097152",
+        1 << 30,
+        "Memory for the orders of one of the 64 shards of request ids.",
     ),
 ];
 
@@ -346,26 +384,30 @@
         word: checked.millis("timing", "word_ms")?,
         grant: checked.millis("timing", "grant_ms")?,
         renew: checked.millis("timing", "renew_ms")?,
+        hearing: checked.millis("timing", "hearing_ms")?,
         probe: checked.millis("timing", "probe_ms")?,
-        platform: checked.millis("timing", "platform_ms")?,
-        connect: checked.millis("timing", "connect_ms")?,
         drain: checked.millis("timing", "drain_ms")?,
+        order: checked.millis("timing", "order_ms")?,
     })
 }
 
 fn limits(checked: &Checked) -> Result<Limits, Fault> {
     Ok(Limits {
         events: checked.value("limits", "events")?,
-        callers: checked.value("limits", "callers")?,
-        orders: checked.value("limits", "orders")?,
+        order_bytes: checked.value("limits", "order_bytes")?,
     })
 }
 
 /// Checks what no key can tell alone.
 fn cross(checked: &Checked, settings: &Settings) -> Result<(), Fault> {
-    if settings.timing.renew * 3 > settings.timing.grant {
-        let reason = "is more than a third of grant_ms: one lost renewal would end a grant";
-        return Err(checked.fault_at("timing", "renew_ms", reason));
+    let timing = &settings.timing;
+    if timing.renew * 2 >= timing.hearing {
+        let reason = "is not more than twice renew_ms: one lost renewal would stop a target";
+        return Err(checked.fault_at("timing", "hearing_ms", reason));
+    }
+    if timing.hearing > timing.grant {
+        let reason = "is more than grant_ms: a grant would lapse unheard";
+        return Err(checked.fault_at("timing", "hearing_ms", reason));
     }
     let same = settings.callers == settings.peers && settings.peers.port() != 0;
     if same {
--- a/tests/document.rs
+++ b/tests/document.rs
@@ -2,7 +2,9 @@
 
 use std::{env, fs, path::Path, time::Duration};
 
-use bramleypier::document::{Class, Document, Fencing, Ownership, Target, TargetState, text};
+use bramleypier::document::{
+    Class, Document, Fencing, Ownership, Target, TargetState, check, text,
+};
 use indexmap::IndexMap;
 use proptest::{
     collection,
@@ -186,6 +188,33 @@
     assert_eq!(fault, "a.ini: has 900001 bytes, more than 900000");
 }
 
+#[test]
+fn a_group_takes_no_more_than_its_record_holds() {
+    let many = |count: usize, ranges: u32| {
+        let mut document = text::parse("a.ini", SOUND).unwrap();
+        let target = document.targets["t1"].clone();
+        document.ranges = ranges;
+        document.targets = (0..count)
+            .map(|index| {
+                let address = format!("127.0.0.1:{}", index + 1);
+                (
+                    format!("t{index}"),
+                    Target {
+                        address,
+                        ..target.clone()
+                    },
+                )
+            })
+            .collect();
+        check::whole(&document).map_err(|flaw| (flaw.key, flaw.reason))
+    };
+    assert_eq!(many(256, 16), Ok(()));
+    let reason = "leaves 257 targets to a group, more than 256".to_owned();
+    assert_eq!(many(257, 1), Err(("groups", reason)));
+    let reason = "leaves 4352 ranges to a group, more than 4096".to_owned();
+    assert_eq!(many(17, 256), Err(("ranges", reason)));
+}
+
 /// What is replaced in the next version, by what, and the fault that follows.
 const CHANGES: &[(&str, &str, &str)] = &[
     (
