Pages for operators and newcomers, compared with the code by tests

Aim: an operator finds start, stop, upgrade, every key, every counter with what to do, alarms and outages on one page; the tables are the code's own, and a test compares them. The spans on which ownership rests are no settings any more: a VM that counted a grant differently from the others could make a second owner, and a rolling change would do just that.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -5,7 +5,6 @@
 use log::LevelFilter;
 
 use crate::{
-    grantor,
     id::DomainId,
     membership,
     util::{
@@ -46,19 +45,12 @@
     pub limits: Limits,
 }
 
-/// Spans of time that the protocols use. All processes must agree on the first five.
+/// Spans of time that each process may choose for itself.
+///
+/// The spans on which ownership rests are [`grantor::Timing`](crate::grantor::Timing) and no settings: a VM that
+/// counted a grant differently from the others could make a second owner.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Timing {
-    /// How long a session in the platform's service lives without renewal.
-    pub session: Duration,
-    /// How long a grantor's word for another counts.
-    pub word: Duration,
-    /// How long a grant counts.
-    pub grant: Duration,
-    /// How often a grant is renewed.
-    pub renew: Duration,
-    /// After how much silence a target or grantor counts as not heard.
-    pub hearing: Duration,
     /// How often peers are probed.
     pub probe: Duration,
     /// How long requests in flight may take to end when the process stops.
@@ -68,29 +60,6 @@
 }
 
 impl Timing {
-    /// Returns the spans on which ownership rests.
-    ///
-    /// # Example
-    ///
-    /// ```
-    /// use bramleypier::{grantor, settings};
-    ///
-    /// let text = "[vm]\nname = a\ndomain = d\n[listen]\ncallers = 127.0.0.1:0\n\
-    ///     peers = 127.0.0.1:0\n[platform]\naddress = 127.0.0.1:7000";
-    /// let settings = settings::parse("vm.ini", text).unwrap();
-    /// assert_eq!(settings.timing.grantor(), grantor::Timing::default());
-    /// ```
-    pub fn grantor(&self) -> grantor::Timing {
-        grantor::Timing {
-            grant: self.grant,
-            renew: self.renew,
-            hearing: self.hearing,
-            session: self.session,
-            word: self.word,
-            ..grantor::Timing::default()
-        }
-    }
-
     /// Returns the spans of membership.
     ///
     /// # Example
@@ -241,41 +210,6 @@
         Preset::Nothing,
         "Where metrics go, over UDP; nowhere without one.",
     ),
-    span(
-        "session_ms",
-        "1500",
-        100,
-        DAY_MS,
-        "How long a session in the platform's service lives without renewal; the same on all VMs.",
-    ),
-    span(
-        "word_ms",
-        "700",
-        50,
-        DAY_MS,
-        "How long a grantor's word for another counts; the same on all VMs.",
-    ),
-    span(
-        "grant_ms",
-        "1000",
-        50,
-        DAY_MS,
-        "How long a grant counts; the same on all VMs.",
-    ),
-    span(
-        "renew_ms",
-        "250",
-        10,
-        DAY_MS,
-        "How often a grant is renewed; the same on all VMs.",
-    ),
-    span(
-        "hearing_ms",
-        "700",
-        30,
-        DAY_MS,
-        "After how much silence a target or grantor counts as not heard; more than twice `renew_ms`, at most `grant_ms`; the same on all VMs.",
-    ),
     span("probe_ms", "200", 10, DAY_MS, "How often peers are probed."),
     span(
         "drain_ms",
@@ -356,7 +290,7 @@
 /// ";
 /// let settings = settings::parse("vm.ini", text).unwrap();
 /// assert_eq!(settings.name, "vm-1");
-/// assert_eq!(settings.timing.grant.as_millis(), 1000);
+/// assert_eq!(settings.timing.drain.as_secs(), 30);
 /// ```
 pub fn parse(file: &str, text: &str) -> Result<Settings, Fault> {
     let checked = fields::check(file, text, FIELDS)?;
@@ -380,11 +314,6 @@
 
 fn timing(checked: &Checked) -> Result<Timing, Fault> {
     Ok(Timing {
-        session: checked.millis("timing", "session_ms")?,
-        word: checked.millis("timing", "word_ms")?,
-        grant: checked.millis("timing", "grant_ms")?,
-        renew: checked.millis("timing", "renew_ms")?,
-        hearing: checked.millis("timing", "hearing_ms")?,
         probe: checked.millis("timing", "probe_ms")?,
         drain: checked.millis("timing", "drain_ms")?,
         order: checked.millis("timing", "order_ms")?,
@@ -400,15 +329,6 @@
 
 /// Checks what no key can tell alone.
 fn cross(checked: &Checked, settings: &Settings) -> Result<(), Fault> {
-    let timing = &settings.timing;
-    if timing.renew * 2 >= timing.hearing {
-        let reason = "is not more than twice renew_ms: one lost renewal would stop a target";
-        return Err(checked.fault_at("timing", "hearing_ms", reason));
-    }
-    if timing.hearing > timing.grant {
-        let reason = "is more than grant_ms: a grant would lapse unheard";
-        return Err(checked.fault_at("timing", "hearing_ms", reason));
-    }
     let same = settings.callers == settings.peers && settings.peers.port() != 0;
     if same {
         return Err(checked.fault_at("listen", "peers", "is the address for callers"));
--- a/src/util/names.rs
+++ b/src/util/names.rs
@@ -28,6 +28,24 @@
     }
 }
 
+/// Returns names and meanings as a Markdown table, as the operators' page carries them.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier::{timeline::Duty, util::names};
+///
+/// assert!(names::markdown::<Duty>("duty").contains("| `entry` | Taking callers' requests. |"));
+/// ```
+pub fn markdown<N>(head: &str) -> String
+where
+    N: Names,
+{
+    let row = |name: &N| format!("| `{}` | {} |\n", name.name(), name.meaning());
+    let rows: String = N::ALL.iter().map(row).collect();
+    format!("| {head} | meaning |\n|---|---|\n{rows}")
+}
+
 /// Declares an enumeration with [`Names`]; a variant's doc comment is its meaning.
 macro_rules! names {
     (
