--- a/src/admin.rs
+++ b/src/admin.rs
@@ -6,9 +6,11 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    id::{DomainId, ServiceId, Version, VmId},
+    id::{DomainId, GroupId, ServiceId, Version, VmId},
     measure::Measures,
+    membership,
     timeline::Filter,
+    vm::owners,
 };
 
 /// Answers [`Status`] to `GET`.
@@ -93,6 +95,10 @@
     pub measures: IndexMap<ServiceId, Measures>,
     /// Every metric's reading.
     pub totals: IndexMap<String, i64>,
+    /// The fleet, as seen here.
+    pub members: Vec<membership::Update>,
+    /// The groups, as known here.
+    pub groups: IndexMap<GroupId, owners::GroupStatus>,
 }
 
 /// Writes an answer as JSON.
--- a/src/entry/router.rs
+++ b/src/entry/router.rs
@@ -20,6 +20,7 @@
     request::{Call, Outcome, Proof, Step, Verdict, answer::Refusal},
     route::{Owner, Table},
     util::client,
+    vm::Parts,
 };
 
 /// How long the word that an attempt is given up may take to a target.
@@ -294,11 +295,11 @@
 
 impl Router {
     /// Creates a router that knows no service yet.
-    pub fn new(vm: VmId, clock: Clock, sender: mpsc::UnboundedSender<Message>) -> Self {
+    pub fn new(parts: &Parts) -> Self {
         Self {
-            vm,
-            clock,
-            sender,
+            vm: parts.me.vm.clone(),
+            clock: parts.clock.clone(),
+            sender: parts.tasks.router.clone(),
             documents: IndexMap::new(),
             tables: IndexMap::new(),
             tickets: 0,
--- a/src/main.rs
+++ b/src/main.rs
@@ -26,27 +26,26 @@
     ExitCode::from(output.exit.code())
 }
 
-/// Runs a VM until it is told to stop.
+/// Runs a process until it is told to stop.
 fn run(path: &Path) -> Output {
-    let wrong = |cause: &dyn std::fmt::Display| Output::plain(Exit::Usage, cause.to_string());
     let settings = match settings::load(path) {
         Ok(settings) => settings,
-        Err(fault) => return wrong(&fault),
+        Err(fault) => return Output::plain(Exit::Usage, fault.to_string()),
     };
-    if let Err(fault) = chart::check_all() {
-        return wrong(&fault);
-    }
-    if let Err(error) = logging::start(&settings) {
-        return wrong(&error);
-    }
-    let runtime = match Runtime::new() {
+    let started = chart::check_all().map_err(|fault| fault.to_string());
+    let started = started.and_then(|()| logging::start(&settings).map_err(|it| it.to_string()));
+    let runtime = started.and_then(|()| Runtime::new().map_err(|cause| cause.to_string()));
+    let runtime = match runtime {
         Ok(runtime) => runtime,
-        Err(cause) => return Output::plain(Exit::Failed, cause.to_string()),
+        Err(cause) => return Output::plain(Exit::Usage, format!("{}: {cause}", path.display())),
     };
     match runtime.block_on(vm::run(settings)) {
-        Ok(Ending::Graceful) => Output::plain(Exit::Done, ""),
-        Ok(Ending::Cut(count)) => Output::plain(Exit::Failed, format!("cut off {count} requests")),
-        Err(error) => wrong(&error),
+        Ok(Ending::Graceful) => Output::plain(Exit::Done, String::new()),
+        Ok(Ending::Cut(count)) => Output::plain(
+            Exit::Failed,
+            format!("cut off {count} connections with a request"),
+        ),
+        Err(error) => Output::plain(Exit::Usage, format!("{}: {error}", path.display())),
     }
 }
 
--- a/src/vm/news.rs
+++ b/src/vm/news.rs
@@ -11,18 +11,17 @@
 use indexmap::IndexMap;
 use serde::Serialize;
 
-use super::{Tasks, mail, owners};
+use super::{Parts, Tasks, mail, owners};
 use crate::{
-    clock::Clock,
     document::{self, Document, stored::Stored},
     entry::{desk, router},
     gossip::{CallId, Effect, Envelope, Event, Gossip},
     handover::Handover,
-    id::{GroupId, Version},
+    id::{GroupId, ServiceId, Version},
     membership::{Listed, Peer, Standing, Update},
-    peer,
-    platform::{self, Platform},
-    spread::{Content, Id, Item, Kind, Known},
+    peer, platform,
+    spread::{Content, Id, Item, Kind},
+    timeline::{self, Duty},
     util::client::Client,
     watcher::{self, Watcher},
 };
@@ -69,6 +68,15 @@
     Stop,
     /// Tell what is known here.
     Status(oneshot::Sender<Status>),
+    /// Tell whether this process knows what is in force.
+    Joined(oneshot::Sender<bool>),
+}
+
+/// Asks whether this process knows what is in force.
+pub async fn is_joined(tasks: &Tasks) -> bool {
+    let (sender, answer) = oneshot::channel();
+    let _ = tasks.news.unbounded_send(Message::Joined(sender));
+    answer.await.unwrap_or(false)
 }
 
 /// What others hear of the fleet.
@@ -85,8 +93,8 @@
 pub struct Status {
     /// The members as seen here.
     pub members: Vec<Update>,
-    /// What is in force here.
-    pub in_force: Vec<Known>,
+    /// The documents in force here.
+    pub documents: IndexMap<ServiceId, Version>,
     /// Whether this VM watches the platform's service.
     pub is_watcher: bool,
     /// Whether the platform's service answered last time; none if it was not asked.
@@ -103,10 +111,8 @@
 /// The task's state.
 #[derive(Debug)]
 pub struct News {
-    clock: Clock,
+    parts: Parts,
     client: Client,
-    platform: Platform,
-    tasks: Tasks,
     gossip: Gossip,
     watcher: Watcher,
     waiting: IndexMap<CallId, oneshot::Sender<Envelope>>,
@@ -118,12 +124,10 @@
 
 impl News {
     /// Creates the task's state.
-    pub fn new(clock: Clock, platform: Platform, tasks: Tasks, gossip: Gossip, seed: u64) -> Self {
+    pub fn new(parts: Parts, gossip: Gossip, seed: u64) -> Self {
         Self {
-            client: Client::new(clock.clone(), CONNECTIONS),
-            clock,
-            platform,
-            tasks,
+            client: Client::new(parts.clock.clone(), CONNECTIONS),
+            parts,
             gossip,
             watcher: Watcher::new(watcher::Timing::default(), seed),
             waiting: IndexMap::new(),
@@ -136,8 +140,8 @@
 
     /// Serves messages until nobody can send any more.
     pub async fn run(mut self, mut messages: mpsc::UnboundedReceiver<Message>) {
-        let clock = self.clock.clone();
-        let ticks = self.tasks.news.clone();
+        let clock = self.parts.clock.clone();
+        let ticks = self.parts.tasks.news.clone();
         compio::runtime::spawn(async move {
             while ticks.unbounded_send(Message::Tick).is_ok() {
                 clock.sleep(TICK).await;
@@ -168,6 +172,9 @@
             Message::Status(reply) => {
                 let _ = reply.send(self.status());
             }
+            Message::Joined(reply) => {
+                let _ = reply.send(self.is_joined());
+            }
         }
     }
 
@@ -178,7 +185,7 @@
         }
         self.feed(Event::Tick);
         self.watch(watcher::Event::Tick);
-        if !self.is_listing && self.clock.now() >= self.next_list {
+        if !self.is_listing && self.parts.clock.now() >= self.next_list {
             self.is_listing = true;
             self.read_list();
         }
@@ -193,7 +200,7 @@
     }
 
     fn feed(&mut self, event: Event) {
-        let effects = self.gossip.on(self.clock.now(), event);
+        let effects = self.gossip.on(self.parts.clock.now(), event);
         let mut has_changed = false;
         for effect in effects {
             match effect {
@@ -210,7 +217,7 @@
                     }
                 }
                 Effect::Changed(update) => {
-                    note(&update);
+                    self.note(&update);
                     has_changed = true;
                 }
                 Effect::Accepted(item) => self.accepted(&item),
@@ -222,9 +229,22 @@
         }
     }
 
+    fn note(&self, update: &Update) {
+        let kind = match update.standing {
+            Standing::Live => timeline::Kind::PeerJoined,
+            Standing::Suspect => timeline::Kind::PeerSuspected,
+            Standing::Gone => timeline::Kind::PeerLost,
+            Standing::Leaving | Standing::Left => timeline::Kind::PeerLeft,
+        };
+        let event = timeline::Event::new(Duty::Member, "membership", kind);
+        self.parts
+            .recorder
+            .event(event.peer(update.peer.vm.as_str()));
+    }
+
     fn ask(&self, call: CallId, address: &str, envelope: Envelope, within: Duration) {
         let client = self.client.clone();
-        let news = self.tasks.news.clone();
+        let news = self.parts.tasks.news.clone();
         let address = address.parse::<SocketAddr>();
         compio::runtime::spawn(async move {
             let answer = match address {
@@ -246,19 +266,22 @@
         let leaving = live.iter().filter(is_leaving).cloned().collect();
         let fleet = Fleet { live, leaving };
         let me = members.me().clone();
-        let now = self.clock.now();
+        let now = self.parts.clock.now();
         let watchers = members.candidates_in(now, watcher::SUBJECT, usize::MAX, &me.domain);
         let place = watchers.iter().position(|peer| peer.vm == me.vm);
         let size = members.size();
         let _ = self
+            .parts
             .tasks
             .mail
             .unbounded_send(mail::Message::Live(fleet.live.clone()));
         let _ = self
+            .parts
             .tasks
             .desk
             .unbounded_send(desk::Message::Fleet(fleet.clone()));
         let _ = self
+            .parts
             .tasks
             .owners
             .unbounded_send(owners::Message::Fleet(fleet));
@@ -268,7 +291,7 @@
     // --- The platform's service ---
 
     fn watch(&mut self, event: watcher::Event) {
-        for effect in self.watcher.on(self.clock.now(), event) {
+        for effect in self.watcher.on(self.parts.clock.now(), event) {
             match effect {
                 watcher::Effect::List => self.list(None),
                 watcher::Effect::Watch(since) => self.list(Some(since)),
@@ -276,15 +299,21 @@
                 watcher::Effect::Removed(change) => self.removed(&change),
                 watcher::Effect::Mark => self.mark(),
                 watcher::Effect::Reached(is_reached) => {
-                    log::info!("step=watch peer=platform reached={is_reached}");
+                    let kind = if is_reached {
+                        timeline::Kind::PlatformBack
+                    } else {
+                        timeline::Kind::PlatformLost
+                    };
+                    let event = timeline::Event::new(Duty::Watcher, "watch", kind);
+                    self.parts.recorder.event(event.peer("platform"));
                 }
             }
         }
     }
 
     fn list(&self, since: Option<Version>) {
-        let platform = self.platform.clone();
-        let news = self.tasks.news.clone();
+        let platform = self.parts.platform.clone();
+        let news = self.parts.tasks.news.clone();
         compio::runtime::spawn(async move {
             let listing = match since {
                 None => platform.list(platform::ROOT).await,
@@ -302,8 +331,8 @@
     }
 
     fn read(&self, change: watcher::Change) {
-        let platform = self.platform.clone();
-        let news = self.tasks.news.clone();
+        let platform = self.parts.platform.clone();
+        let news = self.parts.tasks.news.clone();
         compio::runtime::spawn(async move {
             let message = match platform.get(&change.key).await {
                 Ok(Some((version, bytes))) => {
@@ -346,8 +375,8 @@
     }
 
     fn read_list(&self) {
-        let platform = self.platform.clone();
-        let news = self.tasks.news.clone();
+        let platform = self.parts.platform.clone();
+        let news = self.parts.tasks.news.clone();
         compio::runtime::spawn(async move {
             let list = platform.vms().await.ok();
             let _ = news.unbounded_send(Message::Listed(list));
@@ -365,12 +394,12 @@
         } else {
             LIST_PERIOD
         };
-        self.next_list = self.clock.now() + period;
+        self.next_list = self.parts.clock.now() + period;
         let Some(list) = list else {
             return;
         };
         let message = owners::Message::Listed(list.clone());
-        let _ = self.tasks.owners.unbounded_send(message);
+        let _ = self.parts.tasks.owners.unbounded_send(message);
         let vms = list
             .into_iter()
             .filter(|vm| vm.kind == platform::Kind::Entry);
@@ -411,11 +440,12 @@
                 let group = item.id.name.clone();
                 let bytes = Bytes::copy_from_slice(bytes);
                 let message = owners::Message::Record(group, item.version, bytes);
-                let _ = self.tasks.owners.unbounded_send(message);
+                let _ = self.parts.tasks.owners.unbounded_send(message);
             }
             Kind::Handover => match peer::decode::<Handover>(bytes) {
                 Ok(fact) => {
                     let _ = self
+                        .parts
                         .tasks
                         .owners
                         .unbounded_send(owners::Message::Fact(fact));
@@ -426,11 +456,12 @@
             Kind::View => {
                 let bytes = Bytes::copy_from_slice(bytes);
                 let message = desk::Message::Views(item.version, bytes);
-                let _ = self.tasks.desk.unbounded_send(message);
+                let _ = self.parts.tasks.desk.unbounded_send(message);
             }
             Kind::Suspect => {
                 let bytes = Bytes::copy_from_slice(bytes);
                 let _ = self
+                    .parts
                     .tasks
                     .router
                     .unbounded_send(router::Message::Suspect(bytes));
@@ -444,7 +475,14 @@
         match document::text::parse(service, &text) {
             Ok(document) => self.enforce(version, document),
             // `put` refuses such a text; whoever wrote it did so past us. The last good one stays.
-            Err(fault) => log::error!("step=document peer={service} version={version} {fault}"),
+            Err(fault) => {
+                let refused = timeline::Kind::DocumentRefused;
+                let event = timeline::Event::new(Duty::Watcher, "document", refused);
+                let event = event.service(service).version(version);
+                self.parts
+                    .recorder
+                    .event(event.cause(fault.to_string().as_str()));
+            }
         }
     }
 
@@ -455,15 +493,29 @@
         );
         let document = Rc::new(document);
         let message = router::Message::Document(document.clone());
-        let _ = self.tasks.router.unbounded_send(message);
+        let _ = self.parts.tasks.router.unbounded_send(message);
         let message = owners::Message::Document(version, document);
-        let _ = self.tasks.owners.unbounded_send(message);
+        let _ = self.parts.tasks.owners.unbounded_send(message);
+    }
+
+    fn documents(&self) -> IndexMap<ServiceId, Version> {
+        let known = self.gossip.store().in_force().into_iter();
+        known
+            .filter(|known| known.id.kind == Kind::Document)
+            .map(|known| (known.id.name, known.version))
+            .collect()
+    }
+
+    /// Returns whether this process knows what is in force: the platform told it, or it agrees with
+    /// a peer.
+    fn is_joined(&self) -> bool {
+        self.watcher.is_reached() == Some(true) || self.gossip.store().agreed() > 0
     }
 
     fn status(&self) -> Status {
         Status {
             members: self.gossip.members().members(),
-            in_force: self.gossip.store().in_force(),
+            documents: self.documents(),
             is_watcher: self.watcher.is_on_duty(),
             is_reached: self.watcher.is_reached(),
             asked: self.watcher.counts(),
@@ -502,12 +554,3 @@
         Kind::Handover | Kind::Suspect | Kind::Watch => None,
     }
 }
-
-fn note(update: &Update) {
-    log::info!(
-        "step=membership peer={} standing={:?} incarnation={}",
-        update.peer.vm,
-        update.standing,
-        update.incarnation
-    );
-}
--- a/src/vm/owners.rs
+++ b/src/vm/owners.rs
@@ -6,26 +6,27 @@
 use futures_util::StreamExt;
 use hyper::body::Bytes;
 use indexmap::{IndexMap, IndexSet};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use super::{
-    Tasks, mail,
+    Parts, mail,
     news::{self, Fleet},
     wire,
 };
 use crate::{
-    clock::Clock,
     document::{Document, Ownership},
     entry::router,
     grant::{Grant, TargetState},
     grantor::{self, Effect, Event, Grantor, Outcome, Timing},
     group::{Record, build},
     handover::Handover,
-    id::{GroupId, ServiceId, TargetId, Version, VmId},
+    id::{Epoch, GroupId, ServiceId, TargetId, Version, VmId},
     membership, peer,
-    platform::{self, Platform, Put},
+    platform::{self, Put},
+    range::Range,
     spread::{Id, Item, Kind},
     target::Control,
+    timeline::{self, Duty},
 };
 
 /// How often grantors are woken.
@@ -66,7 +67,7 @@
 }
 
 /// A group as known here.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct GroupStatus {
     /// The record's version.
     pub version: Version,
@@ -79,38 +80,35 @@
 /// The task's state.
 #[derive(Debug)]
 pub struct Owners {
-    clock: Clock,
-    vm: VmId,
-    platform: Platform,
+    parts: Parts,
     control: Control,
-    tasks: Tasks,
     groups: IndexMap<GroupId, Grantor>,
     documents: IndexMap<ServiceId, Rc<Document>>,
     fleet: Option<Fleet>,
+    /// Ranges that no target is known to serve.
+    lost: IndexSet<(GroupId, Range)>,
     /// The versions that the others were told.
     told: IndexMap<GroupId, Version>,
 }
 
 impl Owners {
     /// Creates the task's state.
-    pub fn new(clock: Clock, vm: VmId, platform: Platform, tasks: Tasks) -> Self {
+    pub fn new(parts: Parts) -> Self {
         Self {
-            control: Control::new(clock.clone()),
-            clock,
-            vm,
-            platform,
-            tasks,
+            control: Control::new(parts.clock.clone()),
+            parts,
             groups: IndexMap::new(),
             documents: IndexMap::new(),
             fleet: None,
+            lost: IndexSet::new(),
             told: IndexMap::new(),
         }
     }
 
     /// Serves messages until nobody can send any more.
     pub async fn run(mut self, mut messages: mpsc::UnboundedReceiver<Message>) {
-        let clock = self.clock.clone();
-        let ticks = self.tasks.owners.clone();
+        let clock = self.parts.clock.clone();
+        let ticks = self.parts.tasks.owners.clone();
         compio::runtime::spawn(async move {
             while ticks.unbounded_send(Message::Tick).is_ok() {
                 clock.sleep(TICK).await;
@@ -131,10 +129,15 @@
             Message::Fact(fact) => {
                 let group = fact.group.clone();
                 let message = grantor::Message::Handover(fact);
-                self.peer(self.vm.clone(), &group, message);
+                self.peer(self.parts.me.vm.clone(), &group, message);
             }
             Message::Peer(from, group, message) => self.peer(from, &group, message),
-            Message::Ended(group, event) => self.feed(&group, event),
+            Message::Ended(group, event) => {
+                if let Event::Target { target, state, .. } = &event {
+                    self.held(&group, target, state);
+                }
+                self.feed(&group, event);
+            }
             Message::Listed(list) => self.listed(&list),
             Message::Leave => self.feed_all(&Event::Retire),
             Message::Status(reply) => {
@@ -189,7 +192,7 @@
         if self.groups.contains_key(group) {
             return;
         }
-        let grantor = Grantor::new(self.vm.clone(), group.clone(), Timing::default());
+        let grantor = Grantor::new(self.parts.me.vm.clone(), group.clone(), Timing::default());
         self.groups.insert(group.clone(), grantor);
         if let Some(fleet) = &self.fleet {
             let vms = candidates(fleet);
@@ -215,7 +218,7 @@
     }
 
     fn feed(&mut self, group: &GroupId, event: Event) {
-        let now = self.clock.now();
+        let now = self.parts.clock.now();
         let Some(grantor) = self.groups.get_mut(group) else {
             return;
         };
@@ -239,6 +242,7 @@
             Effect::Send { to, message } => {
                 let message = wire::Message::Grantor(group.clone(), message);
                 let _ = self
+                    .parts
                     .tasks
                     .mail
                     .unbounded_send(mail::Message::Send(to, message));
@@ -250,21 +254,92 @@
             } => self.write(group, base, sequence, &record),
             Effect::Read => self.read(group),
             Effect::Fact(fact) => {
+                let heir = fact.chain.first().map(|heir| heir.target.clone());
+                let target = heir.unwrap_or_default();
+                let moved = timeline::Kind::RangeMoved;
+                self.range(group, moved, &target, fact.range, fact.epoch);
+                self.lost.insert((group.clone(), fact.range));
                 self.tell_fact(fact.clone());
-                let _ = self.tasks.news.unbounded_send(news::Message::Fact(fact));
-            }
-            Effect::Note(note) => {
-                log::info!(
-                    "step={:?} peer={} group={group} detail={:?}",
-                    note.kind,
-                    note.subject,
-                    note.detail
-                );
+                let _ = self
+                    .parts
+                    .tasks
+                    .news
+                    .unbounded_send(news::Message::Fact(fact));
             }
+            Effect::Note(note) => self.note(group, &note),
             Effect::AskSession { .. } => {}
         }
     }
 
+    /// Records what a grantor did; the ranges of a target that it stops granting to are lost, until
+    /// a target confirms a grant for them.
+    fn note(&mut self, group: &GroupId, note: &grantor::Note) {
+        let kind = match note.kind {
+            grantor::Kind::Stop => timeline::Kind::GrantStopped,
+            grantor::Kind::Resume => timeline::Kind::StopWithdrawn,
+            grantor::Kind::Strike => timeline::Kind::GrantorStruck,
+            grantor::Kind::Write => timeline::Kind::RecordWritten,
+            // A handover is recorded as a fact, with its range and epoch.
+            grantor::Kind::Handover => return,
+            _ => timeline::Kind::DutyHanded,
+        };
+        let event = timeline::Event::new(Duty::Grantor, "grant", kind).service(service(group));
+        let event = match note.kind {
+            grantor::Kind::Stop | grantor::Kind::Resume => event.target(note.subject.as_str()),
+            _ => event.peer(note.subject.as_str()),
+        };
+        self.parts.recorder.event(event.cause(note.detail.as_str()));
+        if note.kind == grantor::Kind::Stop {
+            self.lost(group, &note.subject);
+        }
+    }
+
+    /// Records the ranges of a target as lost.
+    fn lost(&mut self, group: &GroupId, target: &str) {
+        let Some(grantor) = self.groups.get(group) else {
+            return;
+        };
+        for route in grantor.route(self.parts.clock.now()) {
+            if route.target != target {
+                continue;
+            }
+            self.lost.insert((group.clone(), route.range));
+            let kind = timeline::Kind::RangeLost;
+            self.range(group, kind, &route.target, route.range, route.epoch);
+        }
+    }
+
+    /// Records the lost ranges that a target holds a grant for now.
+    fn held(&mut self, group: &GroupId, target: &TargetId, state: &TargetState) {
+        if self.lost.is_empty() {
+            return;
+        }
+        for held in &state.held {
+            let range = Range {
+                start: held.start,
+                end: held.end,
+            };
+            let is_live = held.until_ms > state.clock_ms;
+            if is_live && self.lost.swap_remove(&(group.clone(), range)) {
+                let kind = timeline::Kind::RangeServed;
+                self.range(group, kind, target, range, held.epoch);
+            }
+        }
+    }
+
+    fn range(
+        &self,
+        group: &GroupId,
+        kind: timeline::Kind,
+        target: &str,
+        range: Range,
+        epoch: Epoch,
+    ) {
+        let event = timeline::Event::new(Duty::Grantor, "range", kind).service(service(group));
+        let event = event.target(target).range(range).epoch(epoch);
+        self.parts.recorder.event(event);
+    }
+
     /// Sends a grant, or reads the state, and feeds the answer back.
     fn grant(
         &self,
@@ -275,7 +350,7 @@
         grant: Option<Grant>,
     ) {
         let control = self.control.clone();
-        let owners = self.tasks.owners.clone();
+        let owners = self.parts.tasks.owners.clone();
         let group = group.clone();
         let address = address.parse::<SocketAddr>();
         compio::runtime::spawn(async move {
@@ -299,8 +374,8 @@
 
     /// Writes a record by compare-and-swap, and feeds the result back.
     fn write(&self, group: &GroupId, base: Version, sequence: u64, record: &Record) {
-        let platform = self.platform.clone();
-        let owners = self.tasks.owners.clone();
+        let platform = self.parts.platform.clone();
+        let owners = self.parts.tasks.owners.clone();
         let group = group.clone();
         let bytes = peer::encode(record);
         compio::runtime::spawn(async move {
@@ -316,8 +391,8 @@
 
     /// Reads the record, and feeds it back.
     fn read(&self, group: &GroupId) {
-        let platform = self.platform.clone();
-        let owners = self.tasks.owners.clone();
+        let platform = self.parts.platform.clone();
+        let owners = self.parts.tasks.owners.clone();
         let group = group.clone();
         compio::runtime::spawn(async move {
             let value = platform.get(&news::record_key(&group)).await;
@@ -342,10 +417,14 @@
         if let Ok(bytes) = peer::encode(&record) {
             let id = Id::new(Kind::Record, group.clone());
             let item = Item::new(id, version, bytes.to_vec());
-            let _ = self.tasks.news.unbounded_send(news::Message::Put(item));
+            let _ = self
+                .parts
+                .tasks
+                .news
+                .unbounded_send(news::Message::Put(item));
         }
         let message = router::Message::Record(group.clone(), version, record);
-        let _ = self.tasks.router.unbounded_send(message);
+        let _ = self.parts.tasks.router.unbounded_send(message);
     }
 
     /// Takes a message of another VM; handovers and leases are for the router too.
@@ -354,7 +433,7 @@
             grantor::Message::Handover(fact) => self.tell_fact(fact.clone()),
             grantor::Message::Lease { asked, routes } => {
                 let message = router::Message::Lease(group.clone(), *asked, routes.clone());
-                let _ = self.tasks.router.unbounded_send(message);
+                let _ = self.parts.tasks.router.unbounded_send(message);
             }
             _ => {}
         }
@@ -363,7 +442,7 @@
 
     fn tell_fact(&self, fact: Handover) {
         let message = router::Message::Fact(fact);
-        let _ = self.tasks.router.unbounded_send(message);
+        let _ = self.parts.tasks.router.unbounded_send(message);
     }
 
     fn status(&self) -> Status {
@@ -400,3 +479,8 @@
         Err(_) => Outcome::Doubt,
     }
 }
+
+/// Returns the service that a group belongs to.
+fn service(group: &GroupId) -> &str {
+    group.split_once('/').map_or(group, |(service, _)| service)
+}
