List documents under the platform client's prefix

Cause: the keys of documents moved under a common prefix, and the status command kept the old one, so it showed none.

--- a/src/cli/document.rs
+++ b/src/cli/document.rs
@@ -21,8 +21,6 @@
 
 /// How long a put waits after a call that got no answer.
 const PAUSE: Duration = Duration::from_millis(250);
-/// The keys of documents start with this.
-const PREFIX: &str = "documents/";
 
 /// Runs one of the commands.
 pub(super) async fn run(command: Document) -> Result<Output, Error> {
@@ -296,12 +294,17 @@
 }
 
 async fn status(fleet: &Fleet, json: bool) -> Result<Output, Error> {
-    let listed = fleet.platform.list(PREFIX).await;
+    let listed = fleet.platform.list(platform::DOCUMENTS).await;
     let cause = listed.as_ref().err().map(ToString::to_string);
     let keys = listed.map(|listing| listing.keys).unwrap_or_default();
     let mut newest: IndexMap<ServiceId, Version> = keys
         .iter()
-        .filter_map(|found| Some((found.key.strip_prefix(PREFIX)?.to_owned(), found.version)))
+        .filter_map(|found| {
+            Some((
+                found.key.strip_prefix(platform::DOCUMENTS)?.to_owned(),
+                found.version,
+            ))
+        })
         .collect();
     let accepted = newest.clone();
     let answers = fleet.ask::<Status>(admin::STATUS_PATH, None).await;
