--- a/src/settings.rs
+++ b/src/settings.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     id::DomainId,
+    membership,
     util::{
         fields::{self, Checked, Field, Kind, Preset},
         ini::Fault,
@@ -26,6 +27,8 @@
     pub callers: SocketAddr,
     /// Where other processes and operators reach it.
     pub peers: SocketAddr,
+    /// Where other processes are told to reach it; the address it listens on without one.
+    pub advertise: Option<SocketAddr>,
     /// Where the platform's service answers.
     pub platform: SocketAddr,
     /// Peers to try first, before the platform's list is known.
@@ -42,25 +45,40 @@
     pub limits: Limits,
 }
 
-/// Spans of time that the protocols use. All processes must agree on the first three.
+/// Spans of time that each process may choose for itself.
+///
+/// The spans on which ownership rests are [`grantor::Timing`](crate::grantor::Timing) and no settings: a VM that
+/// counted a grant differently from the others could make a second owner.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Timing {
-    /// How long a session in the platform's service lives without renewal.
-    pub session: Duration,
-    /// How long a grantor's word for another counts.
-    pub word: Duration,
-    /// How long a grant counts.
-    pub grant: Duration,
-    /// How often a grant is renewed.
-    pub renew: Duration,
     /// How often peers are probed.
     pub probe: Duration,
-    /// How long a call to the platform's service may take.
-    pub platform: Duration,
-    /// How long a connection may take to open.
-    pub connect: Duration,
     /// How long requests in flight may take to end when the process stops.
     pub drain: Duration,
+    /// How long an order whose id has no date is remembered at the least.
+    pub order: Duration,
+}
+
+impl Timing {
+    /// Returns the spans of membership.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::{membership, settings};
+    ///
+    /// let text = "[vm]\nname = a\ndomain = d\n[listen]\ncallers = 127.0.0.1:0\n\
+    ///     peers = 127.0.0.1:0\n[platform]\naddress = 127.0.0.1:7000";
+    /// let settings = settings::parse("vm.ini", text).unwrap();
+    /// let membership = settings.timing.membership();
+    /// assert_eq!(membership.period, membership::Timing::default().period);
+    /// ```
+    pub fn membership(&self) -> membership::Timing {
+        membership::Timing {
+            period: self.probe,
+            ..membership::Timing::default()
+        }
+    }
 }
 
 /// Bounds on what one process keeps and takes.
@@ -68,10 +86,8 @@
 pub struct Limits {
     /// Events kept for the time line.
     pub events: usize,
-    /// Callers' connections open at a time.
-    pub callers: usize,
-    /// Outcomes of orders remembered at a time.
-    pub orders: usize,
+    /// Memory for the orders of one shard of request ids, in bytes.
+    pub order_bytes: usize,
 }
 
 const fn field(
@@ -152,6 +168,13 @@
         Preset::Required,
         "Where other processes and operators reach it.",
     ),
+    field(
+        "listen",
+        "advertise",
+        Kind::Address,
+        Preset::Nothing,
+        "Where other processes are told to reach it, if not where it listens.",
+    ),
     field(
         "platform",
         "address",
@@ -187,49 +210,7 @@
         Preset::Nothing,
         "Where metrics go, over UDP; nowhere without one.",
     ),
-    span(
-        "session_ms",
-        "1500",
-        100,
-        DAY_MS,
-        "How long a session in the platform's service lives without renewal; the same on all VMs.",
-    ),
-    span(
-        "word_ms",
-        "800",
-        50,
-        DAY_MS,
-        "How long a grantor's word for another counts; the same on all VMs.",
-    ),
-    span(
-        "grant_ms",
-        "1000",
-        50,
-        DAY_MS,
-        "How long a grant counts; the same on all VMs.",
-    ),
-    span(
-        "renew_ms",
-        "200",
-        10,
-        DAY_MS,
-        "How often a grant is renewed; at most a third of `grant_ms`.",
-    ),
     span("probe_ms", "200", 10, DAY_MS, "How often peers are probed."),
-    span(
-        "platform_ms",
-        "1000",
-        10,
-        DAY_MS,
-        "How long a call to the platform's service may take.",
-    ),
-    span(
-        "connect_ms",
-        "500",
-        10,
-        DAY_MS,
-        "How long a connection may take to open.",
-    ),
     span(
         "drain_ms",
         "30000",
@@ -237,6 +218,13 @@
         DAY_MS,
         "How long requests in flight may take to end when the process stops.",
     ),
+    span(
+        "order_ms",
+        "3600000",
+        1000,
+        DAY_MS,
+        "How long an order whose id has no date is remembered at the least.",
+    ),
     bound(
         "events",
         "events",
@@ -245,18 +233,11 @@
         "Events kept for the time line.",
     ),
     bound(
-        "callers",
-        "connections",
-        "4096",
-        1_000_000,
-        "Callers' connections open at a time.",
-    ),
-    bound(
-        "orders",
-        "orders",
-        "200000",
-        100_000_000,
-        "Outcomes of orders remembered at a time.",
+        "order_bytes",
+        "bytes",
+        "2097152",
+        1 << 30,
+        "Memory for the orders of one of the 64 shards of request ids.",
     ),
 ];
 
@@ -309,7 +290,7 @@
 /// ";
 /// let settings = settings::parse("vm.ini", text).unwrap();
 /// assert_eq!(settings.name, "vm-1");
-/// assert_eq!(settings.timing.grant.as_millis(), 1000);
+/// assert_eq!(settings.timing.drain.as_secs(), 30);
 /// ```
 pub fn parse(file: &str, text: &str) -> Result<Settings, Fault> {
     let checked = fields::check(file, text, FIELDS)?;
@@ -318,6 +299,7 @@
         domain: checked.value("vm", "domain")?,
         callers: checked.value("listen", "callers")?,
         peers: checked.value("listen", "peers")?,
+        advertise: checked.optional("listen", "advertise")?,
         platform: checked.value("platform", "address")?,
         seeds: checked.list("peers", "seeds")?,
         log_level: checked.value("log", "level")?,
@@ -332,31 +314,21 @@
 
 fn timing(checked: &Checked) -> Result<Timing, Fault> {
     Ok(Timing {
-        session: checked.millis("timing", "session_ms")?,
-        word: checked.millis("timing", "word_ms")?,
-        grant: checked.millis("timing", "grant_ms")?,
-        renew: checked.millis("timing", "renew_ms")?,
         probe: checked.millis("timing", "probe_ms")?,
-        platform: checked.millis("timing", "platform_ms")?,
-        connect: checked.millis("timing", "connect_ms")?,
         drain: checked.millis("timing", "drain_ms")?,
+        order: checked.millis("timing", "order_ms")?,
     })
 }
 
 fn limits(checked: &Checked) -> Result<Limits, Fault> {
     Ok(Limits {
         events: checked.value("limits", "events")?,
-        callers: checked.value("limits", "callers")?,
-        orders: checked.value("limits", "orders")?,
+        order_bytes: checked.value("limits", "order_bytes")?,
     })
 }
 
 /// Checks what no key can tell alone.
 fn cross(checked: &Checked, settings: &Settings) -> Result<(), Fault> {
-    if settings.timing.renew * 3 > settings.timing.grant {
-        let reason = "is more than a third of grant_ms: one lost renewal would end a grant";
-        return Err(checked.fault_at("timing", "renew_ms", reason));
-    }
     let same = settings.callers == settings.peers && settings.peers.port() != 0;
     if same {
         return Err(checked.fault_at("listen", "peers", "is the address for callers"));
--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -2,6 +2,8 @@
 
 pub mod body;
 pub mod client;
+pub mod decimal;
 pub mod fields;
 pub mod ini;
+pub mod names;
 pub mod server;
--- /dev/null
+++ b/src/vm/mod.rs
@@ -0,0 +1,235 @@
+//! One process of bramleypier: its tasks, and how they start and stop.
+//!
+//! Each task owns its state and talks to the others by messages:
+//!
+//! - [`news`] owns the view of the fleet and all that is spread, and watches the platform's service;
+//! - [`mail`] sends to other VMs;
+//! - [`owners`] owns the grantors of this VM;
+//! - [`crate::entry::router`] owns routes and limits, and says where a request may go;
+//! - [`crate::entry::desk`] owns what is known of orders;
+//! - [`admin`] answers peers and operators;
+//! - [`life`] is the process's own life cycle.
+
+pub mod admin;
+pub mod life;
+pub mod mail;
+pub mod news;
+pub mod owners;
+pub mod recorder;
+pub mod wire;
+
+use std::{
+    io::{self, Write},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use compio::net::TcpListener;
+use futures_channel::mpsc;
+use quick_error::quick_error;
+use uuid::Uuid;
+
+use crate::{
+    clock::Clock,
+    entry::{self, desk, router},
+    gossip::Gossip,
+    id::VmId,
+    key,
+    membership::{self, Peer},
+    metrics::{self, Metrics},
+    platform::Platform,
+    settings::Settings,
+    spread, target,
+    util::{
+        ini,
+        server::{self, Control},
+    },
+};
+
+pub use life::Ending;
+
+/// The most connections from this VM to one target: 12 VMs stay within its 120.
+const TARGET_CONNECTIONS: usize = 10;
+/// How often metrics are sent.
+const FLUSH_PERIOD: Duration = Duration::from_secs(1);
+
+quick_error! {
+    /// Why a process did not start.
+    #[derive(Debug)]
+    pub enum Error {
+        /// An address could not be bound.
+        Bind(key: &'static str, address: SocketAddr, cause: io::Error) {
+            display("[listen] {key}: {address}: {cause}")
+            source(cause)
+        }
+        /// The metrics' socket could not be opened.
+        Metrics(cause: metrics::Error) {
+            display("[metrics] statsd: {cause}")
+            source(cause)
+            from()
+        }
+        /// A state chart is unsound; the program is at fault.
+        Chart(cause: ini::Fault) {
+            display("{cause}")
+            from()
+        }
+    }
+}
+
+/// The senders to this process's tasks.
+#[derive(Clone, Debug)]
+pub struct Tasks {
+    /// To [`mail`].
+    pub mail: mpsc::UnboundedSender<mail::Message>,
+    /// To [`news`].
+    pub news: mpsc::UnboundedSender<news::Message>,
+    /// To [`owners`].
+    pub owners: mpsc::UnboundedSender<owners::Message>,
+    /// To [`router`].
+    pub router: mpsc::UnboundedSender<router::Message>,
+    /// To [`desk`].
+    pub desk: mpsc::UnboundedSender<desk::Message>,
+}
+
+/// The receivers of this process's tasks.
+struct Inboxes {
+    mail: mpsc::UnboundedReceiver<mail::Message>,
+    news: mpsc::UnboundedReceiver<news::Message>,
+    owners: mpsc::UnboundedReceiver<owners::Message>,
+    router: mpsc::UnboundedReceiver<router::Message>,
+    desk: mpsc::UnboundedReceiver<desk::Message>,
+}
+
+/// What every task of a process is given.
+#[derive(Clone, Debug)]
+pub struct Parts {
+    /// This VM, as its peers know it.
+    pub me: Peer,
+    /// The process's clock.
+    pub clock: Clock,
+    /// The platform's service.
+    pub platform: Platform,
+    /// The other tasks.
+    pub tasks: Tasks,
+    /// The time line, the metrics and the log.
+    pub recorder: recorder::Recorder,
+}
+
+/// Runs a process until it is told to stop.
+///
+/// # Errors
+///
+/// An address could not be bound, or the metrics' socket not be opened; nothing was started.
+pub async fn run(settings: Settings) -> Result<Ending, Error> {
+    let callers = bind("callers", settings.callers).await?;
+    let peers = bind("peers", settings.peers).await?;
+    let metrics = Metrics::open(settings.statsd)?;
+    let caller = local(&callers, settings.callers);
+    let address = local(&peers, settings.peers);
+    let vm = format!("{}#{}", settings.name, Uuid::now_v7().simple());
+    let recorder = recorder::Recorder::new(vm.clone(), settings.limits.events, metrics);
+    let mut life = life::Life::new(recorder.clone())?;
+    let (tasks, inboxes) = channels();
+    let clock = Clock::real();
+    let parts = Parts {
+        me: Peer {
+            vm: vm.clone(),
+            address: address.to_string(),
+            domain: settings.domain.clone(),
+        },
+        platform: Platform::new(clock.clone(), settings.platform, vm.clone()),
+        clock,
+        tasks,
+        recorder,
+    };
+    let context = start(&parts, inboxes, address);
+    let served = life::Served {
+        health: context.health.clone(),
+        callers: Control::default(),
+        peers: Control::default(),
+    };
+    let handle = move |request| entry::handle(context.clone(), request);
+    compio::runtime::spawn(server::serve(callers, served.callers.clone(), handle)).detach();
+    let admin = admin::Admin::new(parts.clone(), served.callers.clone(), life.state());
+    let answer = move |request| admin.clone().handle(request);
+    compio::runtime::spawn(server::serve(peers, served.peers.clone(), answer)).detach();
+    let seeds = settings.seeds.iter().map(SocketAddr::to_string).collect();
+    let _ = parts.tasks.news.unbounded_send(news::Message::Seeds(seeds));
+    life.listening();
+    ready(&vm, caller, address);
+    Ok(life.run(&settings, &parts, &served).await)
+}
+
+async fn bind(key: &'static str, address: SocketAddr) -> Result<TcpListener, Error> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|cause| Error::Bind(key, address, cause))
+}
+
+fn local(listener: &TcpListener, asked: SocketAddr) -> SocketAddr {
+    listener.local_addr().unwrap_or(asked)
+}
+
+/// Says on standard output that the process takes requests, and where.
+fn ready(vm: &VmId, callers: SocketAddr, peers: SocketAddr) {
+    let mut out = io::stdout();
+    // Nobody may be reading; the process serves all the same.
+    let _ = writeln!(out, "ready caller={callers} peer={peers} vm={vm}");
+    let _ = out.flush();
+}
+
+fn channels() -> (Tasks, Inboxes) {
+    let (mail, mail_in) = mpsc::unbounded();
+    let (news, news_in) = mpsc::unbounded();
+    let (owners, owners_in) = mpsc::unbounded();
+    let (router, router_in) = mpsc::unbounded();
+    let (desk, desk_in) = mpsc::unbounded();
+    let tasks = Tasks {
+        mail,
+        news,
+        owners,
+        router,
+        desk,
+    };
+    let inboxes = Inboxes {
+        mail: mail_in,
+        news: news_in,
+        owners: owners_in,
+        router: router_in,
+        desk: desk_in,
+    };
+    (tasks, inboxes)
+}
+
+/// Starts all tasks, and returns what the tasks of connections need.
+fn start(parts: &Parts, inboxes: Inboxes, address: SocketAddr) -> entry::Context {
+    let seed = key::point(&parts.me.vm);
+    let timing = membership::Timing::default();
+    let gossip = Gossip::new(parts.me.clone(), timing, spread::Limits::default(), seed);
+    let news = news::News::new(parts.clone(), gossip, seed);
+    let owners = owners::Owners::new(parts.clone());
+    let router = router::Router::new(parts);
+    let desk = desk::Desk::new(parts.clone());
+    compio::runtime::spawn(news.run(inboxes.news)).detach();
+    compio::runtime::spawn(owners.run(inboxes.owners)).detach();
+    compio::runtime::spawn(router.run(inboxes.router)).detach();
+    compio::runtime::spawn(desk.run(inboxes.desk)).detach();
+    compio::runtime::spawn(mail::run(parts.clone(), address, inboxes.mail)).detach();
+    compio::runtime::spawn(flush(parts.clone())).detach();
+    entry::Context {
+        clock: parts.clock.clone(),
+        vm: parts.me.vm.clone(),
+        router: parts.tasks.router.clone(),
+        desk: parts.tasks.desk.clone(),
+        sender: target::Sender::new(parts.clock.clone(), TARGET_CONNECTIONS),
+        health: entry::Health::default(),
+        recorder: parts.recorder.clone(),
+    }
+}
+
+/// Sends the metrics from time to time.
+async fn flush(parts: Parts) {
+    loop {
+        parts.clock.sleep(FLUSH_PERIOD).await;
+        parts.recorder.flush();
+    }
+}
