--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -141,7 +141,7 @@
         self.view.me()
     }
 
-    /// Returns the members that probably live, this process among them; the leaving ones are not.
+    /// Returns the members that probably live, this process and leaving ones among them.
     ///
     /// # Example
     ///
@@ -152,7 +152,7 @@
     /// assert_eq!(members.live(), vec![Peer::default()]);
     /// ```
     pub fn live(&self) -> Vec<Peer> {
-        self.view.live().cloned().collect()
+        self.view.present().cloned().collect()
     }
 
     /// Returns whether a member probably lives, leaving or not.
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -173,6 +173,14 @@
             .map(Member::update)
     }
 
+    /// Returns the members that are thought to run.
+    pub(super) fn present(&self) -> impl Iterator<Item = &Peer> {
+        self.members
+            .values()
+            .filter(|member| member.is_present())
+            .map(|member| &member.peer)
+    }
+
     /// Returns the live members.
     pub(super) fn live(&self) -> impl Iterator<Item = &Peer> {
         self.members
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -302,6 +302,7 @@
     fleet.run(2 * SECOND);
     let members = fleet.nodes[0].gossip.members();
     assert!(members.is_live("vm-3#0"));
+    assert_eq!(members.live().len(), 5);
     assert_eq!(members.candidates(fleet.now, "x", 9, None).len(), 4);
     fleet.put(3, Event::Stop);
     fleet.run(200 * MILLIS);
