--- a/examples/spread_slopes.rs
+++ b/examples/spread_slopes.rs
@@ -7,6 +7,10 @@
 //! `cargo run --release --example spread_slopes -- spread 12 48` compares how a document reaches a
 //! fleet by a star, by a tree and by the product's own store: hops, bytes, and what the loss of an
 //! interior VM does. A hop is one call; each VM calls at most four others in a hop.
+//!
+//! `cargo run --release --example spread_slopes -- heal 12 48` cuts a third of the fleet off for two
+//! minutes and prints how soon after the cut has gone all are live to each other again, and hold a
+//! document put meanwhile.
 
 #[path = "spread_slopes/compare.rs"]
 mod compare;
@@ -16,10 +20,11 @@
 use std::{env, time::Duration};
 
 use bramleypier::{
+    gossip::Event,
     id::VmId,
     membership::{Standing, Timing},
     peer,
-    spread::Limits,
+    spread::{Id, Item, Kind, Limits},
 };
 use fleet::Fleet;
 
@@ -38,7 +43,8 @@
     match part.as_str() {
         "members" => members(&sizes),
         "spread" => compare::run(&sizes),
-        _ => eprintln!("usage: spread_slopes members|spread SIZE..."),
+        "heal" => heal(&sizes),
+        _ => eprintln!("usage: spread_slopes members|spread|heal SIZE..."),
     }
 }
 
@@ -53,6 +59,56 @@
     }
 }
 
+fn heal(sizes: &[usize]) {
+    println!("| VMs | first contact, s | all hold the document, s | all live to each other, s |");
+    println!("|---|---|---|---|");
+    for size in sizes {
+        let mut fleet = Fleet::new(*size, DOMAINS[0], Timing::default(), Limits::default(), 11);
+        fleet.tells = false;
+        fleet.run(SECOND * 30);
+        let far = *size / 3;
+        cut_off(&mut fleet, far);
+        let times = reunion(&mut fleet, far);
+        let text = times.map(|time| time.map_or("-".to_owned(), |time| format!("{time:.2}")));
+        println!("| {size} | {} |", text.join(" | "));
+    }
+}
+
+/// The document that is put while some VMs are cut off.
+fn document() -> Item {
+    Item::new(Id::new(Kind::Document, "tracking"), 7, vec![b'x'; 1_500])
+}
+
+/// Cuts the first VMs off for two minutes, and puts a document on the other side.
+fn cut_off(fleet: &mut Fleet, far: usize) {
+    let all = fleet.nodes.len();
+    let pairs = (0..far).flat_map(|a| (far..all).flat_map(move |b| [(a, b), (b, a)]));
+    fleet.cuts.extend(pairs);
+    fleet.run(SECOND * 60);
+    fleet.put(all - 1, Event::Put(document()));
+    fleet.run(SECOND * 60);
+    fleet.cuts.clear();
+}
+
+/// Tells when one far VM has the document, when all have, and when all see all.
+fn reunion(fleet: &mut Fleet, far: usize) -> [Option<f64>; 3] {
+    let all = fleet.nodes.len();
+    let id = document().id;
+    let begun = fleet.now;
+    let mut times = [None; 3];
+    while times[2].is_none() && fleet.now < begun + SECOND * 120 {
+        fleet.run(Duration::from_millis(50));
+        let holds = |it: usize| fleet.nodes[it].gossip.store().version(&id).is_some();
+        let sees = |it: usize| fleet.nodes[it].gossip.members().live().len() == all;
+        let met = [(0..far).any(holds), (0..all).all(holds), (0..all).all(sees)];
+        let now = fleet.now.saturating_sub(begun).as_secs_f64();
+        for (time, met) in times.iter_mut().zip(met) {
+            *time = time.or(met.then_some(now));
+        }
+    }
+    times
+}
+
 fn measure(size: usize) {
     let domains = DOMAINS[usize::from(size >= BIG)];
     let mut fleet = Fleet::new(size, domains, Timing::default(), Limits::default(), 11);
