Load tool: open loop, planned from a seed

Aim: figures for the measures need load whose arrivals don't wait for answers. Ruled out: rand_distr (a table of sums is exact and enough), plotters (the workspace has svg). Change: the plan of a run depends on its configuration alone; workers send it on time, each with its own runtime, and report once a second; latencies count from the time a request was due.

--- a/tools/load/src/lib.rs
+++ b/tools/load/src/lib.rs
@@ -1,1 +1,24 @@
-//! Test tool of bramleypier.
+//! Load and experiments for bramleypier, open loop; a test tool, never shipped.
+//!
+//! - [`plan`] fixes in advance when which request is due; [`arrivals`] and [`keys`] are its parts;
+//! - [`worker`] sends the plan's requests on time, over [`pool`]'s connections, to the address that
+//!   [`balancer`] gives; [`call`] makes one exchange;
+//! - [`tally`] adds up what came of them, [`journal`] keeps one line a request for the audit;
+//! - [`run`] runs the workers and gathers their reports; [`table`] and [`plot`] show them;
+//! - [`perfect`] is the yardstick: the same plan served by queues without any cost.
+
+pub mod arrivals;
+pub mod balancer;
+pub mod call;
+pub mod config;
+pub mod journal;
+pub mod keys;
+pub mod perfect;
+pub mod plan;
+pub mod plot;
+pub mod pool;
+pub mod run;
+pub mod table;
+pub mod tally;
+pub mod usage;
+pub mod worker;
