Measure the path through one VM against straight work

Aim: what a look-up costs in one entry VM, in time and processor time. Change: a scene starts the fleet; bench takes turns between straight runs and runs through a VM; fleets give the process id of a VM or target.

--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -343,6 +343,15 @@
         self.process(name).is_ok()
     }
 
+    /// Returns the process id of a VM or target.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it doesn't run.
+    pub fn id(&self, name: &str) -> Result<u32, Error> {
+        Ok(self.process(name)?.id())
+    }
+
     /// Kills a VM or target at once. It stays on the platform's list until [`unlist`](Self::unlist).
     ///
     /// # Errors
--- a/tools/load/src/lib.rs
+++ b/tools/load/src/lib.rs
@@ -5,10 +5,12 @@
 //!   [`balancer`] gives; [`call`] makes one exchange;
 //! - [`tally`] adds up what came of them, [`journal`] keeps one line a request for the audit;
 //! - [`run`] runs the workers and gathers their reports; [`table`] and [`plot`] show them;
+//! - [`scene`] is a fleet set up for a measurement; [`bench`] measures the path through one VM;
 //! - [`perfect`] is the yardstick: the same plan served by queues without any cost.
 
 pub mod arrivals;
 pub mod balancer;
+pub mod bench;
 pub mod call;
 pub mod config;
 pub mod journal;
@@ -18,6 +20,7 @@
 pub mod plot;
 pub mod pool;
 pub mod run;
+pub mod scene;
 pub mod table;
 pub mod tally;
 pub mod usage;
