Orders: views, ledger and starter, without their proof yet

Aim: non-idempotent work at most once by request id, with one round trip and no write per order. Change: src/order/ as state machines free of I/O. The home's and the standby's words of one view let an order run; views change by compare-and-swap; a member that stops resigns to the other. Ruled out: a standby that seals a view by itself and goes on alone in an outage, since the home may replace it at the same time.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod group;
 pub mod id;
 pub mod key;
+pub mod order;
 pub mod range;
 pub mod request;
 pub mod util;
--- /dev/null
+++ b/src/order/memory.rs
@@ -0,0 +1,472 @@
+//! What one VM remembers of one shard's orders.
+
+use std::{collections::VecDeque, time::Duration};
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use super::{Answer, Attempt, Fate, Fingerprint, Flaw, Order, OrderId};
+
+/// How many attempts of one order are kept; those that did not run go first.
+const ATTEMPTS: usize = 16;
+/// What an entry costs besides its texts and bodies, in bytes.
+const ENTRY_BYTES: usize = 256;
+
+/// How much is remembered, and for how long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Bytes for one shard.
+    pub bytes: usize,
+    /// How long an order whose id has no date is remembered at the least.
+    pub retention: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            bytes: 2 << 20,
+            retention: Duration::from_hours(1),
+        }
+    }
+}
+
+/// One order.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Entry {
+    /// The time that its id carries.
+    pub made: Option<Duration>,
+    /// How long ago it last changed, where the entry travels.
+    pub age: Duration,
+    /// The attempts.
+    pub attempts: IndexMap<Attempt, Trial>,
+}
+
+/// One attempt, as remembered.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Trial {
+    /// What it asked for.
+    pub print: Fingerprint,
+    /// What became of it.
+    pub fate: Fate,
+}
+
+/// What the memory says to an attempt that wants to run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// No attempt ran or may run.
+    Free,
+    /// This one is the one that may run.
+    Mine,
+    /// Another may be running.
+    Running,
+    /// One ran.
+    Ran(Answer),
+    /// One may have run, or the memory doesn't reach back so far.
+    Unknown,
+    /// One that asked for something else ran or may run.
+    Mismatch,
+    /// This attempt has ended without running.
+    Ended,
+}
+
+/// One shard's orders.
+#[derive(Clone, Debug, Default)]
+pub struct Memory {
+    limits: Limits,
+    entries: IndexMap<OrderId, Held>,
+    /// Ids by arrival, for forgetting; one that is gone from `entries` is skipped.
+    arrivals: VecDeque<OrderId>,
+    bytes: usize,
+    floor: Duration,
+    flaw: Flaw,
+}
+
+#[derive(Clone, Debug)]
+struct Held {
+    entry: Entry,
+    changed: Duration,
+    bytes: usize,
+}
+
+impl Memory {
+    /// Creates an empty memory.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::order::{Flaw, memory::{Limits, Memory}};
+    ///
+    /// assert!(Memory::new(Limits::default(), Flaw::None).is_empty());
+    /// ```
+    pub fn new(limits: Limits, flaw: Flaw) -> Self {
+        Self {
+            limits,
+            flaw,
+            ..Self::default()
+        }
+    }
+
+    /// Returns whether nothing is remembered.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::order::memory::Memory;
+    ///
+    /// assert!(Memory::default().is_empty());
+    /// ```
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns how many orders are remembered, and their size in bytes.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::order::memory::Memory;
+    ///
+    /// assert_eq!(Memory::default().size(), (0, 0));
+    /// ```
+    pub fn size(&self) -> (usize, usize) {
+        (self.entries.len(), self.bytes)
+    }
+
+    /// Returns the date up to which ids may have been forgotten.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::order::memory::Memory;
+    ///
+    /// assert!(Memory::default().floor().is_zero());
+    /// ```
+    pub fn floor(&self) -> Duration {
+        self.floor
+    }
+
+    /// Raises the date up to which ids may have been forgotten.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier::order::memory::Memory;
+    ///
+    /// let mut memory = Memory::default();
+    /// memory.raise_floor(Duration::from_secs(1));
+    /// assert_eq!(memory.floor(), Duration::from_secs(1));
+    /// ```
+    pub fn raise_floor(&mut self, floor: Duration) {
+        self.floor = self.floor.max(floor);
+    }
+
+    /// Returns the ids, in no order.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::order::memory::Memory;
+    ///
+    /// assert_eq!(Memory::default().ids().count(), 0);
+    /// ```
+    pub fn ids(&self) -> impl Iterator<Item = &OrderId> {
+        self.entries.keys()
+    }
+
+    /// Returns an entry as it travels, with its age.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier::order::memory::Memory;
+    ///
+    /// assert!(Memory::default().entry(Duration::ZERO, "dispatch/1").is_none());
+    /// ```
+    pub fn entry(&self, now: Duration, id: &str) -> Option<Entry> {
+        let held = self.entries.get(id)?;
+        let mut entry = held.entry.clone();
+        entry.age = now.saturating_sub(held.changed);
+        Some(entry)
+    }
+
+    /// Returns the attempts that are open and last changed before `before`, of all orders.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier::order::memory::Memory;
+    ///
+    /// assert!(Memory::default().open(Duration::MAX).next().is_none());
+    /// ```
+    pub fn open(&self, before: Duration) -> impl Iterator<Item = (Order, Attempt)> {
+        let old = self.entries.iter().filter(move |it| it.1.changed < before);
+        old.flat_map(|(id, held)| {
+            let attempts = held.entry.attempts.iter();
+            let open = attempts.filter(|(_, trial)| trial.fate == Fate::Open);
+            open.map(|(attempt, trial)| (held.order(id, trial.print), attempt.clone()))
+        })
+    }
+
+    /// Returns what the memory says to an attempt that wants to run.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::order::{Attempt, Order, memory::{Memory, Standing}};
+    ///
+    /// let order = Order { id: "dispatch/1".into(), made: None, print: 1 };
+    /// let attempt = Attempt { vm: "a#1".into(), seq: 1 };
+    /// assert_eq!(Memory::default().standing(&order, &attempt), Standing::Free);
+    /// ```
+    pub fn standing(&self, order: &Order, attempt: &Attempt) -> Standing {
+        let held = self.entries.get(&order.id);
+        let standing = held.and_then(|held| held.standing(order, attempt, self.flaw));
+        let forgotten = order.made.is_some_and(|made| made <= self.floor);
+        match standing {
+            Some(Standing::Mismatch) if forgotten => Standing::Unknown,
+            Some(standing) => standing,
+            None if forgotten && self.flaw != Flaw::NoFloor => Standing::Unknown,
+            None => Standing::Free,
+        }
+    }
+
+    /// Takes in an account of an attempt; returns whether it was news.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier::order::{Attempt, Fate, Order, memory::{Memory, Standing}};
+    ///
+    /// let mut memory = Memory::default();
+    /// let order = Order { id: "dispatch/1".into(), made: None, print: 1 };
+    /// let [first, second] = [1, 2].map(|seq| Attempt { vm: "a#1".into(), seq });
+    /// memory.learn(Duration::ZERO, &order, first, Fate::Open);
+    /// assert_eq!(memory.standing(&order, &second), Standing::Running);
+    /// ```
+    pub fn learn(&mut self, now: Duration, order: &Order, attempt: Attempt, fate: Fate) -> bool {
+        let known = self.entries.contains_key(&order.id);
+        if !known {
+            self.arrivals.push_back(order.id.clone());
+        }
+        let held = self
+            .entries
+            .entry(order.id.clone())
+            .or_insert_with(|| Held::new(order.made));
+        let trial = held.entry.attempts.entry(attempt).or_insert(Trial {
+            print: order.print,
+            fate: Fate::Open,
+        });
+        let news = trial.fate.merge(fate) || !known;
+        held.changed = held.changed.max(now);
+        held.forget_attempts();
+        let bytes = held.measure(&order.id);
+        self.bytes = self.bytes + bytes - held.bytes;
+        held.bytes = bytes;
+        news
+    }
+
+    /// Takes in an entry that travelled here.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier::order::memory::{Entry, Memory};
+    ///
+    /// let mut memory = Memory::default();
+    /// memory.merge(Duration::ZERO, "dispatch/1", Entry::default());
+    /// assert!(memory.is_empty());
+    /// ```
+    pub fn merge(&mut self, now: Duration, id: &str, entry: Entry) {
+        let changed = now.saturating_sub(entry.age);
+        for (attempt, trial) in entry.attempts {
+            let order = Order {
+                id: id.into(),
+                made: entry.made,
+                print: trial.print,
+            };
+            self.learn(changed, &order, attempt, trial.fate);
+        }
+    }
+
+    /// Marks the open attempts of a VM that is gone as unknown; returns their orders.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::order::memory::Memory;
+    ///
+    /// assert!(Memory::default().close("a#1").is_empty());
+    /// ```
+    pub fn close(&mut self, vm: &str) -> Vec<OrderId> {
+        let mut closed = Vec::new();
+        for (id, held) in &mut self.entries {
+            let attempts = held.entry.attempts.iter_mut();
+            let lost = attempts.filter(|(attempt, _)| attempt.vm == vm);
+            let changed = lost.fold(false, |changed, (_, trial)| {
+                trial.fate.merge(Fate::Unknown) || changed
+            });
+            if changed {
+                closed.push(id.clone());
+            }
+        }
+        closed
+    }
+
+    /// Returns whether this attempt is open.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::order::{Attempt, memory::Memory};
+    ///
+    /// let attempt = Attempt { vm: "a#1".into(), seq: 1 };
+    /// assert!(!Memory::default().has_open("dispatch/1", &attempt));
+    /// ```
+    pub fn has_open(&self, id: &str, attempt: &Attempt) -> bool {
+        let held = self.entries.get(id);
+        let trial = held.and_then(|held| held.entry.attempts.get(attempt));
+        trial.is_some_and(|trial| trial.fate == Fate::Open)
+    }
+
+    /// Forgets everything, for a VM that is no longer a member.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::order::memory::Memory;
+    ///
+    /// let mut memory = Memory::default();
+    /// memory.clear();
+    /// assert!(memory.is_empty());
+    /// ```
+    pub fn clear(&mut self) {
+        *self = Self::new(self.limits, self.flaw);
+    }
+
+    /// Makes room for one more order; returns whether there is any.
+    ///
+    /// What goes first is the oldest that has ended. A dated id raises the floor, so that it is
+    /// `unknown` from then on. An undated one goes only once its retention is over.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier::order::memory::Memory;
+    ///
+    /// assert!(Memory::default().make_room(Duration::ZERO));
+    /// ```
+    pub fn make_room(&mut self, now: Duration) -> bool {
+        let mut looked = 0;
+        while self.bytes + ENTRY_BYTES > self.limits.bytes && looked < self.arrivals.len() {
+            let Some(id) = self.arrivals.pop_front() else {
+                break;
+            };
+            match self.entries.get(&id) {
+                None => {}
+                Some(held) if held.may_go(now, self.limits.retention) => self.forget(&id),
+                Some(_) => {
+                    self.arrivals.push_back(id);
+                    looked += 1;
+                }
+            }
+        }
+        self.bytes + ENTRY_BYTES <= self.limits.bytes
+    }
+
+    fn forget(&mut self, id: &OrderId) {
+        let Some(held) = self.entries.swap_remove(id) else {
+            return;
+        };
+        self.bytes -= held.bytes;
+        self.raise_floor(held.entry.made.unwrap_or_default());
+    }
+}
+
+impl Held {
+    fn new(made: Option<Duration>) -> Self {
+        Self {
+            entry: Entry {
+                made,
+                ..Entry::default()
+            },
+            changed: Duration::ZERO,
+            bytes: 0,
+        }
+    }
+
+    fn order(&self, id: &str, print: Fingerprint) -> Order {
+        Order {
+            id: id.into(),
+            made: self.entry.made,
+            print,
+        }
+    }
+
+    /// Returns what the attempts say; nothing if none of them ran or may run.
+    fn standing(&self, order: &Order, attempt: &Attempt, flaw: Flaw) -> Option<Standing> {
+        let attempts = &self.entry.attempts;
+        if attempts
+            .get(attempt)
+            .is_some_and(|it| it.fate == Fate::NotRun)
+        {
+            return Some(Standing::Ended);
+        }
+        let counted = || attempts.iter().filter(|(_, it)| it.fate != Fate::NotRun);
+        let alike = |it: &Trial| it.print == order.print || flaw == Flaw::AnyPrint;
+        let ran = counted().find_map(|(_, trial)| match &trial.fate {
+            Fate::Ran(answer) => Some((alike(trial), answer)),
+            _ => None,
+        });
+        let rivals = || counted().filter(|(it, _)| *it != attempt);
+        let [any, same] = [rivals().count(), rivals().filter(|it| alike(it.1)).count()];
+        let has = |fate| counted().any(|(_, it)| it.fate == fate);
+        match ran {
+            Some((true, answer)) => Some(Standing::Ran(answer.clone())),
+            Some((false, _)) => Some(Standing::Mismatch),
+            None if any > 0 && same == 0 => Some(Standing::Mismatch),
+            None if rivals().any(|(_, it)| it.fate == Fate::Open) => Some(Standing::Running),
+            None if has(Fate::Unknown) && flaw != Flaw::LostIsFree => Some(Standing::Unknown),
+            None => has(Fate::Open).then_some(Standing::Mine),
+        }
+    }
+
+    fn may_go(&self, now: Duration, retention: Duration) -> bool {
+        let open = self.entry.attempts.values().any(|it| it.fate == Fate::Open);
+        let dated = self.entry.made.is_some();
+        !open && (dated || self.changed + retention <= now)
+    }
+
+    fn forget_attempts(&mut self) {
+        let attempts = &mut self.entry.attempts;
+        while attempts.len() > ATTEMPTS {
+            let idle = attempts.values().position(|it| it.fate == Fate::NotRun);
+            let Some(index) = idle else {
+                return;
+            };
+            attempts.shift_remove_index(index);
+        }
+    }
+
+    fn measure(&self, id: &str) -> usize {
+        let attempts = self.entry.attempts.iter();
+        let bytes = attempts.map(|(attempt, trial)| match &trial.fate {
+            Fate::Ran(answer) => attempt.vm.len() + answer.body.as_ref().map_or(0, Vec::len),
+            _ => attempt.vm.len(),
+        });
+        ENTRY_BYTES + 2 * id.len() + bytes.sum::<usize>()
+    }
+}
--- /dev/null
+++ b/src/order/plan.rs
@@ -0,0 +1,174 @@
+//! When a shard gets another view, and which.
+//!
+//! A pure function of what one VM knows. Whatever it proposes is safe, for compare-and-swap and the
+//! rules of [`super`] decide; what it decides well or badly is only how soon a shard has two
+//! members again, and how often it moves.
+
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+
+use super::{
+    Flaw, HORIZON, Shard, View,
+    view::{choose_home, choose_standby, weight},
+};
+use crate::id::{DomainId, VmId};
+
+/// A VM, as the membership sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Whether it answers.
+    pub up: bool,
+    /// Whether it is stopping.
+    pub leaving: bool,
+}
+
+/// What one VM knows of the others.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Peers {
+    /// The VMs, this one included.
+    pub vms: IndexMap<VmId, Peer>,
+    /// VMs that are proved to be gone for good.
+    pub gone: IndexSet<VmId>,
+}
+
+/// What one VM is for one shard.
+#[derive(Clone, Copy, Debug)]
+pub struct Member<'a> {
+    /// The VM.
+    pub vm: &'a str,
+    /// The shard.
+    pub shard: Shard,
+    /// Its newest view.
+    pub view: &'a View,
+    /// Whether the VM has the whole memory of the shard.
+    pub complete: bool,
+    /// A rule that tests leave out.
+    pub flaw: Flaw,
+}
+
+impl Peers {
+    /// Returns the VMs that can take duties, with their failure domains.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::order::plan::Peers;
+    ///
+    /// assert!(Peers::default().usable().is_empty());
+    /// ```
+    pub fn usable(&self) -> IndexMap<VmId, DomainId> {
+        let usable = self.vms.iter().filter(|(vm, _)| self.is_usable(vm));
+        usable
+            .map(|(vm, peer)| (vm.clone(), peer.domain.clone()))
+            .collect()
+    }
+
+    fn is_usable(&self, vm: &str) -> bool {
+        let peer = self.vms.get(vm);
+        let fit = peer.is_some_and(|peer| peer.up && !peer.leaving);
+        fit && !self.gone.contains(vm)
+    }
+
+    fn is_leaving(&self, vm: &str) -> bool {
+        self.vms.get(vm).is_some_and(|peer| peer.leaving)
+    }
+
+    fn is_gone(&self, vm: &str, flaw: Flaw) -> bool {
+        self.gone.contains(vm) || (flaw == Flaw::SuspectGone && !self.is_usable(vm))
+    }
+}
+
+impl Member<'_> {
+    /// Returns the view that has to follow, if any: a member is lost or leaves.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier::order::{Flaw, View, plan::{Member, Peers}};
+    ///
+    /// let view = View {
+    ///     number: 1,
+    ///     home: "a#1".into(),
+    ///     standby: None,
+    ///     founded: 1,
+    ///     horizon: None,
+    /// };
+    /// let member = Member { vm: "a#1", shard: 0, view: &view, complete: true, flaw: Flaw::None };
+    /// assert_eq!(member.needed(&Peers::default(), Duration::ZERO), None);
+    /// ```
+    pub fn needed(&self, peers: &Peers, wall: Duration) -> Option<View> {
+        if self.complete && self.view.has(self.vm) {
+            return self.replace(peers);
+        }
+        self.found(peers, wall)
+    }
+
+    /// Returns the view that would spread the shards better, if any.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::order::{Flaw, View, plan::{Member, Peers}};
+    ///
+    /// let view = View {
+    ///     number: 1,
+    ///     home: "a#1".into(),
+    ///     standby: None,
+    ///     founded: 1,
+    ///     horizon: None,
+    /// };
+    /// let member = Member { vm: "a#1", shard: 0, view: &view, complete: true, flaw: Flaw::None };
+    /// assert_eq!(member.wanted(&Peers::default()), None);
+    /// ```
+    pub fn wanted(&self, peers: &Peers) -> Option<View> {
+        if !self.complete || !peers.is_usable(self.vm) {
+            return None;
+        }
+        let usable = peers.usable();
+        let standby = self.view.standby.as_deref()?;
+        if self.view.home == self.vm {
+            let best = choose_standby(&usable, self.shard, self.vm)?;
+            return (best != standby).then(|| self.view.next(self.vm, Some(best)));
+        }
+        let outweighs = weight(self.shard, self.vm) > weight(self.shard, &self.view.home);
+        (standby == self.vm && outweighs)
+            .then(|| self.view.next(self.vm, Some(self.view.home.clone())))
+    }
+
+    /// Replaces the other member, if it is lost or leaves.
+    fn replace(&self, peers: &Peers) -> Option<View> {
+        let other = self.view.members().find(|vm| *vm != self.vm);
+        if other.is_some_and(|vm| peers.is_usable(vm)) {
+            return None;
+        }
+        let usable = peers.usable();
+        let next = choose_standby(&usable, self.shard, self.vm);
+        let ended = other.is_some_and(|vm| peers.is_gone(vm, self.flaw) || peers.is_leaving(vm));
+        (next.is_some() || ended).then(|| self.view.next(self.vm, next))
+    }
+
+    /// Founds a new memory, if every VM that had the old one is gone for good.
+    fn found(&self, peers: &Peers, wall: Duration) -> Option<View> {
+        let mine = self.view.standby.as_deref() == Some(self.vm);
+        let gone = |vm: &VmId| peers.is_gone(vm, self.flaw) || (mine && vm == self.vm);
+        if !self.view.members().all(gone) {
+            return None;
+        }
+        let usable = peers.usable();
+        if !mine && choose_home(&usable, self.shard).as_deref() != Some(self.vm) {
+            return None;
+        }
+        let standby = choose_standby(&usable, self.shard, self.vm);
+        let next = self.view.next(self.vm, standby);
+        Some(View {
+            founded: next.number,
+            horizon: (self.flaw != Flaw::NoHorizon).then_some(wall + HORIZON),
+            ..next
+        })
+    }
+}
--- /dev/null
+++ b/src/order/starter.rs
@@ -0,0 +1,574 @@
+//! The entry VM's side of an order: may it run, and what is its caller told?
+
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+
+use super::{
+    AHEAD, Answer, Attempt, Effect, Fate, Flaw, Message, Number, Order, Reply, View, Views,
+};
+use crate::{
+    id::{Version, VmId},
+    request::Proof,
+};
+
+/// How long until a message is sent again.
+const RESEND: Duration = Duration::from_millis(200);
+/// How long the end of an attempt is reported to members that don't answer.
+const REPORT: Duration = Duration::from_mins(1);
+
+/// What happens to a [`Starter`].
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// The record was read, or heard of.
+    Views {
+        /// Its version.
+        version: Version,
+        /// The record.
+        views: Views,
+    },
+    /// A caller's order came in.
+    Begin {
+        /// The entry VM's own number for it; never used twice.
+        token: u64,
+        /// The order.
+        order: Order,
+        /// The reading at which its caller gives up.
+        deadline: Duration,
+        /// The wall clock, since the Unix epoch.
+        wall: Duration,
+    },
+    /// An order that was to run has ended.
+    Ended {
+        /// Its number.
+        token: u64,
+        /// How.
+        end: End,
+    },
+    /// The caller went away while the order was not decided yet.
+    Dropped {
+        /// Its number.
+        token: u64,
+    },
+    /// A message came in.
+    Message {
+        /// The VM that sent it.
+        from: VmId,
+        /// The message.
+        message: Message,
+    },
+    /// Time passed; `wall` is the wall clock, since the Unix epoch.
+    Tick {
+        /// The wall clock.
+        wall: Duration,
+    },
+}
+
+/// How an order that was to run has ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum End {
+    /// It ran.
+    Ran(Answer),
+    /// It may have run.
+    Unknown,
+    /// It is proved that it did not run, and it won't.
+    NotRun(Proof),
+}
+
+/// What is decided on an order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// Run it, and report how it ended. Until then nobody else runs it, so if it is given up before
+    /// it starts, `not-run` is the truth for its id.
+    Run,
+    /// It ran before; this is its answer.
+    Ran(Answer),
+    /// It may have run before. It is safe to send it again with the same id.
+    Unknown(Why),
+    /// The id was used for something else; this attempt was not run, and the caller is at fault.
+    Mismatch,
+}
+
+/// Why it can't be said whether an order ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// It may have run, and nobody knows any more.
+    Lost,
+    /// It was still running when the caller's time ended.
+    Running,
+    /// The members of its shard gave no answer in time.
+    Silent,
+    /// The members' memory is full.
+    Full,
+    /// The id is dated too far ahead.
+    Ahead,
+}
+
+/// The state of an entry VM's orders.
+#[derive(Debug)]
+pub struct Starter {
+    vm: VmId,
+    flaw: Flaw,
+    seq: u64,
+    version: Version,
+    views: Views,
+    /// The last reading of the wall clock.
+    wall: Duration,
+    pending: IndexMap<u64, Pending>,
+}
+
+#[derive(Debug)]
+struct Pending {
+    token: u64,
+    order: Order,
+    deadline: Duration,
+    view: Option<View>,
+    phase: Phase,
+    sent: Duration,
+}
+
+#[derive(Debug)]
+enum Phase {
+    /// The members are asked.
+    Asking(Words),
+    /// The entry VM may run it.
+    Running,
+    /// The members are told how it ended.
+    Closing {
+        fate: Fate,
+        told: IndexSet<VmId>,
+        until: Duration,
+    },
+}
+
+/// What the members said, with the views for which they said it.
+#[derive(Debug, Default)]
+struct Words {
+    home: Option<Number>,
+    standby: Option<Number>,
+    alone: bool,
+    running: bool,
+}
+
+impl Words {
+    fn may_run(&self, flaw: Flaw) -> bool {
+        let same = self.home == self.standby || flaw == Flaw::MixedViews;
+        let both = self.home.is_some() && self.standby.is_some() && same;
+        self.alone || both || (self.home.is_some() && flaw == Flaw::HomeAlone)
+    }
+}
+
+impl Starter {
+    /// Creates a starter that knows nothing yet.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::order::Starter;
+    ///
+    /// assert!(Starter::new("a#1").is_idle());
+    /// ```
+    pub fn new(vm: &str) -> Self {
+        Self {
+            vm: vm.into(),
+            flaw: Flaw::None,
+            seq: 0,
+            version: 0,
+            views: Views::default(),
+            wall: Duration::ZERO,
+            pending: IndexMap::new(),
+        }
+    }
+
+    /// Leaves out a rule, for tests.
+    #[doc(hidden)]
+    #[must_use]
+    pub fn with_flaw(mut self, flaw: Flaw) -> Self {
+        self.flaw = flaw;
+        self
+    }
+
+    /// Returns whether no order is under way and the end of each is known to its members.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::order::Starter;
+    ///
+    /// assert!(Starter::new("a#1").is_idle());
+    /// ```
+    pub fn is_idle(&self) -> bool {
+        self.pending.is_empty()
+    }
+
+    /// Takes an event.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier::order::{Effect, Order, Starter, starter::Event};
+    ///
+    /// let mut starter = Starter::new("a#1");
+    /// let order = Order { id: "dispatch/1".into(), made: None, print: 1 };
+    /// let effects = starter.on(Duration::ZERO, Event::Begin {
+    ///     token: 1,
+    ///     order,
+    ///     deadline: Duration::from_secs(1),
+    ///     wall: Duration::ZERO,
+    /// });
+    /// assert_eq!(effects, [Effect::Read]); // nothing is known of the views yet
+    /// ```
+    pub fn on(&mut self, now: Duration, event: Event) -> Vec<Effect> {
+        match event {
+            Event::Views { version, views } => self.take_views(now, version, views),
+            Event::Begin {
+                token,
+                order,
+                deadline,
+                wall,
+            } => self.begin(now, token, order, deadline, wall),
+            Event::Ended { token, end } => self.ended(now, token, end),
+            Event::Dropped { token } => self.dropped(now, token),
+            Event::Message { from, message } => self.take_message(now, from, message),
+            Event::Tick { wall } => self.tick(now, wall),
+        }
+    }
+
+    fn take_views(&mut self, now: Duration, version: Version, views: Views) -> Vec<Effect> {
+        if version <= self.version {
+            return Vec::new();
+        }
+        self.version = version;
+        for (shard, next) in views.shards.into_iter().enumerate() {
+            match self.views.shards.get_mut(shard) {
+                Some(view) if view.number >= next.number => {}
+                Some(view) => *view = next,
+                None => self.views.shards.push(next),
+            }
+        }
+        self.follow(now)
+    }
+
+    /// Starts anew what is asked under views that have passed.
+    fn follow(&mut self, now: Duration) -> Vec<Effect> {
+        let asking = |it: &Pending| matches!(it.phase, Phase::Asking(_));
+        let stale = self.pending.iter().filter(|(_, it)| {
+            let newest = self.views.of(&it.order.id).map(|(_, view)| view);
+            asking(it) && newest != it.view.as_ref()
+        });
+        let stale: Vec<_> = stale.map(|(seq, _)| *seq).collect();
+        stale
+            .into_iter()
+            .flat_map(|seq| self.restart(now, seq))
+            .collect()
+    }
+
+    fn begin(
+        &mut self,
+        now: Duration,
+        token: u64,
+        order: Order,
+        deadline: Duration,
+        wall: Duration,
+    ) -> Vec<Effect> {
+        if order.made.is_some_and(|made| made > wall + AHEAD) {
+            return vec![decide(token, Decision::Unknown(Why::Ahead))];
+        }
+        self.wall = wall;
+        self.attempt(now, token, order, deadline)
+    }
+
+    /// Begins an attempt: a new one for each view.
+    fn attempt(
+        &mut self,
+        now: Duration,
+        token: u64,
+        order: Order,
+        deadline: Duration,
+    ) -> Vec<Effect> {
+        self.seq += 1;
+        let pending = Pending {
+            token,
+            view: self.views.of(&order.id).map(|(_, view)| view.clone()),
+            order,
+            deadline,
+            phase: Phase::Asking(Words::default()),
+            sent: now,
+        };
+        let effects = pending.ask(&self.vm, self.seq, self.wall);
+        self.pending.insert(self.seq, pending);
+        effects
+    }
+
+    /// Gives an attempt up and begins another.
+    fn restart(&mut self, now: Duration, seq: u64) -> Vec<Effect> {
+        let Some(pending) = self.pending.get(&seq) else {
+            return Vec::new();
+        };
+        let (token, order) = (pending.token, pending.order.clone());
+        let deadline = pending.deadline;
+        let mut effects = self.close(now, seq, Fate::NotRun);
+        effects.extend(self.attempt(now, token, order, deadline));
+        effects
+    }
+
+    fn ended(&mut self, now: Duration, token: u64, end: End) -> Vec<Effect> {
+        let running = |it: &Pending| it.token == token && matches!(it.phase, Phase::Running);
+        let Some(seq) = self.find(running) else {
+            return Vec::new();
+        };
+        let fate = match end {
+            End::Ran(answer) => Fate::Ran(answer),
+            End::Unknown if self.flaw == Flaw::LostIsFree => Fate::NotRun,
+            End::Unknown => Fate::Unknown,
+            End::NotRun(_) => Fate::NotRun,
+        };
+        self.close(now, seq, fate)
+    }
+
+    fn dropped(&mut self, now: Duration, token: u64) -> Vec<Effect> {
+        let asking = |it: &Pending| it.token == token && matches!(it.phase, Phase::Asking(_));
+        let seq = self.find(asking);
+        seq.map_or_else(Vec::new, |seq| self.close(now, seq, Fate::NotRun))
+    }
+
+    fn find<P>(&self, predicate: P) -> Option<u64>
+    where
+        P: Fn(&Pending) -> bool,
+    {
+        let mut found = self.pending.iter().filter(|(_, it)| predicate(it));
+        found.next().map(|(seq, _)| *seq)
+    }
+
+    /// Ends an attempt and tells the members.
+    fn close(&mut self, now: Duration, seq: u64, fate: Fate) -> Vec<Effect> {
+        let Some(pending) = self.pending.get_mut(&seq) else {
+            return Vec::new();
+        };
+        let asked = pending.view.is_some();
+        pending.phase = Phase::Closing {
+            fate,
+            told: IndexSet::new(),
+            until: now + REPORT,
+        };
+        pending.sent = now;
+        let effects = pending.report(&self.vm, seq, &self.views);
+        if !asked {
+            self.pending.shift_remove(&seq);
+        }
+        effects
+    }
+
+    fn take_message(&mut self, now: Duration, from: VmId, message: Message) -> Vec<Effect> {
+        match message {
+            Message::Reply {
+                attempt,
+                view,
+                reply,
+            } if attempt.vm == self.vm => self.take_reply(now, attempt.seq, view, reply),
+            Message::Finished { attempt } if attempt.vm == self.vm => {
+                self.take_finished(attempt.seq, from);
+                Vec::new()
+            }
+            Message::Ask { order, attempt } if attempt.vm == self.vm => {
+                self.answer(from, order, attempt)
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn take_reply(&mut self, now: Duration, seq: u64, view: Number, reply: Reply) -> Vec<Effect> {
+        if let Reply::Moved(newer) = reply {
+            return self.moved(now, seq, newer);
+        }
+        let flaw = self.flaw;
+        let Some(pending) = self.pending.get_mut(&seq) else {
+            return Vec::new();
+        };
+        let token = pending.token;
+        let Phase::Asking(words) = &mut pending.phase else {
+            return Vec::new();
+        };
+        let decision = match reply {
+            Reply::Yours => {
+                words.home = Some(view);
+                None
+            }
+            Reply::Remembered => {
+                words.standby = Some(view);
+                None
+            }
+            Reply::Alone => {
+                words.alone = true;
+                None
+            }
+            Reply::Running => {
+                words.running = true;
+                None
+            }
+            Reply::NotReady | Reply::Moved(_) => None,
+            Reply::Ended => return self.restart(now, seq),
+            Reply::Ran(answer) => Some(Decision::Ran(answer)),
+            Reply::Unknown => Some(Decision::Unknown(Why::Lost)),
+            Reply::Mismatch => Some(Decision::Mismatch),
+            Reply::Full => Some(Decision::Unknown(Why::Full)),
+        };
+        if let Some(decision) = decision {
+            let mut effects = self.close(now, seq, Fate::NotRun);
+            effects.push(decide(token, decision));
+            return effects;
+        }
+        if !words.may_run(flaw) {
+            return Vec::new();
+        }
+        pending.phase = Phase::Running;
+        vec![decide(token, Decision::Run)]
+    }
+
+    /// Takes a newer view that a member told.
+    fn moved(&mut self, now: Duration, seq: u64, newer: View) -> Vec<Effect> {
+        let Some(pending) = self.pending.get(&seq) else {
+            return Vec::new();
+        };
+        let shard = super::shard(&pending.order.id, self.views.shards.len());
+        match self.views.shards.get_mut(shard) {
+            Some(view) if view.number < newer.number => *view = newer,
+            _ => return Vec::new(),
+        }
+        let mut effects = self.follow(now);
+        effects.push(Effect::Read);
+        effects
+    }
+
+    fn take_finished(&mut self, seq: u64, from: VmId) {
+        let Some(pending) = self.pending.get_mut(&seq) else {
+            return;
+        };
+        let Phase::Closing { told, .. } = &mut pending.phase else {
+            return;
+        };
+        told.insert(from);
+        let view = self.views.of(&pending.order.id).map(|(_, view)| view);
+        if view.is_some_and(|view| view.members().all(|vm| told.contains(vm))) {
+            self.pending.shift_remove(&seq);
+        }
+    }
+
+    /// Says how an attempt ended, or that it is forgotten here. While it is open there is nothing
+    /// to say.
+    fn answer(&self, from: VmId, order: Order, attempt: Attempt) -> Vec<Effect> {
+        let fate = match self.pending.get(&attempt.seq).map(|it| &it.phase) {
+            Some(Phase::Asking(_) | Phase::Running) => return Vec::new(),
+            Some(Phase::Closing { fate, .. }) => fate.clone(),
+            None => Fate::Unknown,
+        };
+        vec![Effect::Send {
+            to: from,
+            message: Message::Finish {
+                order,
+                attempt,
+                fate,
+            },
+        }]
+    }
+
+    fn tick(&mut self, now: Duration, wall: Duration) -> Vec<Effect> {
+        self.wall = wall;
+        let mut effects = Vec::new();
+        let due = self.pending.iter().filter(|(_, it)| it.is_due(now));
+        let due: Vec<_> = due.map(|(seq, _)| *seq).collect();
+        for seq in due {
+            effects.extend(self.again(now, seq));
+        }
+        effects
+    }
+
+    /// Sends again what got no answer, or gives up.
+    fn again(&mut self, now: Duration, seq: u64) -> Vec<Effect> {
+        let Some(pending) = self.pending.get_mut(&seq) else {
+            return Vec::new();
+        };
+        pending.sent = now;
+        match &pending.phase {
+            Phase::Asking(words) if pending.deadline <= now => {
+                let decision = words.late();
+                let token = pending.token;
+                let mut effects = self.close(now, seq, Fate::NotRun);
+                effects.push(decide(token, decision));
+                effects
+            }
+            Phase::Asking(_) => pending.ask(&self.vm, seq, self.wall),
+            Phase::Running => Vec::new(),
+            Phase::Closing { until, .. } if *until <= now => {
+                self.pending.shift_remove(&seq);
+                Vec::new()
+            }
+            Phase::Closing { .. } => pending.report(&self.vm, seq, &self.views),
+        }
+    }
+}
+
+impl Words {
+    /// Returns what is said to a caller whose time ended. Without the words of both members even
+    /// an order that was never sent may have run before.
+    fn late(&self) -> Decision {
+        Decision::Unknown(if self.running {
+            Why::Running
+        } else {
+            Why::Silent
+        })
+    }
+}
+
+impl Pending {
+    fn is_due(&self, now: Duration) -> bool {
+        match self.phase {
+            Phase::Asking(_) => self.deadline <= now || self.sent + RESEND <= now,
+            Phase::Running => false,
+            Phase::Closing { .. } => self.sent + RESEND <= now,
+        }
+    }
+
+    fn ask(&self, vm: &str, seq: u64, wall: Duration) -> Vec<Effect> {
+        let Some(view) = &self.view else {
+            return vec![Effect::Read];
+        };
+        let message = Message::Start {
+            order: self.order.clone(),
+            attempt: Attempt { vm: vm.into(), seq },
+            view: view.number,
+            wall,
+        };
+        let send = |to: &VmId| Effect::Send {
+            to: to.clone(),
+            message: message.clone(),
+        };
+        view.members().map(send).collect()
+    }
+
+    /// Tells those members of the newest view that don't know yet.
+    fn report(&self, vm: &str, seq: u64, views: &Views) -> Vec<Effect> {
+        let Phase::Closing { fate, told, .. } = &self.phase else {
+            return Vec::new();
+        };
+        let Some((_, view)) = views.of(&self.order.id) else {
+            return Vec::new();
+        };
+        let send = |to: &VmId| Effect::Send {
+            to: to.clone(),
+            message: Message::Finish {
+                order: self.order.clone(),
+                attempt: Attempt { vm: vm.into(), seq },
+                fate: fate.clone(),
+            },
+        };
+        let members = view.members().filter(|to| !told.contains(*to));
+        members.map(send).collect()
+    }
+}
+
+fn decide(token: u64, decision: Decision) -> Effect {
+    Effect::Decide { token, decision }
+}
