Forwarders in threads of their own, and a VM's advertised address

The owner is looked up only once a rule asks for it. A process now tells its peers the address in listen.advertise, and a fault for a VM's name holds for each of its starts.

--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -95,7 +95,8 @@
 pub async fn run(settings: Settings) -> Result<Ending, Error> {
     let callers = bind("callers", settings.callers).await?;
     let peers = bind("peers", settings.peers).await?;
-    let address = local(&peers, settings.peers);
+    let bound = local(&peers, settings.peers);
+    let address = settings.advertise.unwrap_or(bound);
     let vm = format!("{}#{}", settings.name, Uuid::now_v7().simple());
     let clock = Clock::real();
     let me = Peer {
@@ -113,7 +114,7 @@
     let admin = admin::Admin::new(vm.clone(), tasks.clone(), clock.clone());
     let answer = move |request| admin.clone().handle(request);
     compio::runtime::spawn(server::serve(peers, peer_control.clone(), answer)).detach();
-    ready(&vm, local(&callers, settings.callers), address);
+    ready(&vm, local(&callers, settings.callers), bound);
     log::info!(
         "step=start peer={vm} callers={}",
         local(&callers, settings.callers)
--- a/standins/src/cut.rs
+++ b/standins/src/cut.rs
@@ -1,14 +1,23 @@
 //! A TCP forwarder that can cut or delay what passes, by the process that connects.
 
-use std::{cell::RefCell, fs, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::OnceCell,
+    fs, io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    thread,
+    time::Duration,
+};
 
 use compio::{
     BufResult,
     buf::{IntoInner, IoBuf},
-    io::{AsyncRead, AsyncWriteExt},
+    io::{AsyncRead, AsyncWrite, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    runtime,
+    runtime::{self, Runtime},
 };
+use futures_channel::oneshot;
+use futures_util::future;
 use indexmap::{IndexMap, IndexSet};
 
 /// How often a cut direction is looked at again.
@@ -31,18 +40,33 @@
 }
 
 /// The processes whose connections are told apart, by name.
-pub type Processes = Rc<RefCell<IndexMap<String, u32>>>;
+pub type Processes = Arc<Mutex<IndexMap<String, u32>>>;
 
-/// A forwarder to one server.
-#[derive(Clone, Debug)]
+/// A forwarder to one server, in a thread of its own; it ends with this handle.
+#[derive(Debug)]
 pub struct Forwarder {
     /// Where clients connect.
     pub address: SocketAddr,
-    server: Rc<RefCell<Option<String>>>,
-    rules: Rc<RefCell<Rules>>,
+    shared: Shared,
+    _ends: oneshot::Sender<()>,
+}
+
+/// What the handle and the thread share.
+#[derive(Clone, Debug)]
+struct Shared {
+    address: SocketAddr,
+    server: Arc<Mutex<Option<String>>>,
+    rules: Arc<Mutex<Rules>>,
     processes: Processes,
 }
 
+/// A client's end of a connection.
+#[derive(Debug)]
+struct Client {
+    peer: SocketAddr,
+    name: OnceCell<String>,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Direction {
     In,
@@ -55,21 +79,35 @@
     /// # Errors
     ///
     /// Fails when no port can be bound.
-    pub async fn start(processes: Processes) -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let forwarder = Self {
-            address: listener.local_addr()?,
-            server: Rc::default(),
-            rules: Rc::default(),
+    pub fn start(processes: Processes) -> io::Result<Self> {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let shared = Shared {
+            address,
+            server: Arc::default(),
+            rules: Arc::default(),
             processes,
         };
-        runtime::spawn(forwarder.clone().accept(listener)).detach();
-        Ok(forwarder)
+        let (ends, ended) = oneshot::channel();
+        let thread = shared.clone();
+        thread::spawn(move || {
+            let runtime = Runtime::new()?;
+            runtime.block_on(async {
+                let listener = TcpListener::from_std(listener)?;
+                future::select(Box::pin(thread.accept(listener)), ended).await;
+                io::Result::Ok(())
+            })
+        });
+        Ok(Self {
+            address,
+            shared,
+            _ends: ends,
+        })
     }
 
     /// Names the server; new connections go to it.
     pub fn set_server(&self, address: &str) {
-        *self.server.borrow_mut() = Some(address.to_owned());
+        *lock(&self.shared.server) = Some(address.to_owned());
     }
 
     /// Changes the rules, for connections that are open too.
@@ -77,41 +115,46 @@
     where
         F: FnOnce(&mut Rules),
     {
-        change(&mut self.rules.borrow_mut());
+        change(&mut lock(&self.shared.rules));
     }
+}
 
+impl Shared {
     async fn accept(self, listener: TcpListener) {
-        while let Ok((client, peer)) = listener.accept().await {
-            runtime::spawn(self.clone().connect(client, peer)).detach();
+        while let Ok((stream, peer)) = listener.accept().await {
+            let client = Client {
+                peer,
+                name: OnceCell::new(),
+            };
+            runtime::spawn(self.clone().connect(stream, client)).detach();
         }
     }
 
-    async fn connect(self, client: TcpStream, peer: SocketAddr) {
-        let name = self.client_name(peer);
-        self.pass(&name, Direction::In).await;
-        let Some(address) = self.server.borrow().clone() else {
+    async fn connect(self, stream: TcpStream, client: Client) {
+        self.pass(&client, Direction::In).await;
+        let Some(address) = lock(&self.server).clone() else {
             return;
         };
         let Ok(server) = TcpStream::connect(address).await else {
             return;
         };
-        drop(client.set_nodelay(true));
+        drop(stream.set_nodelay(true));
         drop(server.set_nodelay(true));
-        let to_server = self.pump(&client, &server, &name, Direction::In);
-        let to_client = self.pump(&server, &client, &name, Direction::Out);
-        futures_util::future::join(to_server, to_client).await;
+        let to_server = self.pump(&stream, &server, &client, Direction::In);
+        let to_client = self.pump(&server, &stream, &client, Direction::Out);
+        future::join(to_server, to_client).await;
     }
 
-    async fn pump(&self, from: &TcpStream, to: &TcpStream, name: &str, direction: Direction) {
+    async fn pump(&self, from: &TcpStream, to: &TcpStream, client: &Client, direction: Direction) {
         let mut reader = from;
         let mut writer = to;
         let mut buffer = Vec::with_capacity(CHUNK);
         loop {
             let BufResult(read, bytes) = reader.read(buffer).await;
             let count = read.unwrap_or(0);
-            self.pass(name, direction).await;
+            self.pass(client, direction).await;
             if count == 0 {
-                drop(compio::io::AsyncWrite::shutdown(&mut writer).await);
+                drop(writer.shutdown().await);
                 return;
             }
             let BufResult(written, bytes) = writer.write_all(bytes.slice(..count)).await;
@@ -124,37 +167,45 @@
     }
 
     /// Waits for the delay and for as long as the direction is cut.
-    async fn pass(&self, name: &str, direction: Direction) {
-        let delay = self.rules.borrow().delay;
+    async fn pass(&self, client: &Client, direction: Direction) {
+        let delay = lock(&self.rules).delay;
         if !delay.is_zero() {
             compio::time::sleep(delay).await;
         }
-        while self.is_cut(name, direction) {
+        while self.is_cut(client, direction) {
             compio::time::sleep(POLL).await;
         }
     }
 
-    fn is_cut(&self, name: &str, direction: Direction) -> bool {
-        let rules = self.rules.borrow();
+    fn is_cut(&self, client: &Client, direction: Direction) -> bool {
+        let rules = lock(&self.rules);
         let blocked = match direction {
             Direction::In => rules.block_in,
             Direction::Out => rules.block_out,
         };
-        blocked || rules.clients.contains(name)
+        // Finding the client's process is costly, so it is left until a rule asks.
+        blocked || !rules.clients.is_empty() && rules.clients.contains(self.client_name(client))
     }
 
     /// Returns the name of the process that connected; empty for one that is not ours.
-    fn client_name(&self, peer: SocketAddr) -> String {
-        let socket = socket_number(peer, self.address).map(|number| format!("socket:[{number}]"));
-        let Some(socket) = socket else {
-            return String::new();
-        };
-        let processes = self.processes.borrow();
-        let owner = processes.iter().find(|(_, id)| owns(**id, &socket));
-        owner.map_or_else(String::new, |(name, _)| name.clone())
+    fn client_name<'a>(&self, client: &'a Client) -> &'a str {
+        client.name.get_or_init(|| {
+            let Some(number) = socket_number(client.peer, self.address) else {
+                return String::new();
+            };
+            let socket = format!("socket:[{number}]");
+            let processes = lock(&self.processes);
+            let owner = processes.iter().find(|(_, id)| owns(**id, &socket));
+            owner.map_or_else(String::new, |(name, _)| name.clone())
+        })
     }
 }
 
+/// Locks a mutex; what a panic left behind is whole, since no lock is held over more than a write.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Finds the number of the socket that is connected from `local` to `remote`.
 fn socket_number(local: SocketAddr, remote: SocketAddr) -> Option<String> {
     let table = fs::read_to_string("/proc/net/tcp").ok()?;
--- a/standins/src/drill.rs
+++ b/standins/src/drill.rs
@@ -111,7 +111,7 @@
 /// Fails when the fleet can't be brought up or a step can't be taken; bad outcomes of the system
 /// are no errors but part of the [`Outcome`].
 pub async fn run(scenario: &Scenario, options: &Options) -> Result<Outcome, Fault> {
-    let mut drill = Drill::start(options).await?;
+    let mut drill = Drill::start(options, scenario.has_cuts()).await?;
     let keys = services::keys(SERVICE, options.keys);
     services::wait_ready(&drill.callers, SERVICE, &keys, READY).await?;
     drill.set_faults(false).await?;
@@ -138,18 +138,18 @@
 }
 
 impl Drill {
-    async fn start(options: &Options) -> Result<Self, Fault> {
+    async fn start(options: &Options, fronted: bool) -> Result<Self, Fault> {
         let mut fleet = Fleet::start(options.program.clone()).await?;
         fleet.add_settings(&options.settings);
         let path = fleet.dir().join("drill-template.ini");
         std::fs::write(&path, text(options.checks))?;
         let setup = Setup {
             work_ms: 2,
-            fronted: true,
+            fronted,
         };
         let document = services::start(&mut fleet, &path, &setup).await?;
         for (name, domain) in VMS {
-            fleet.add_vm(name, domain, true).await?;
+            fleet.add_vm(name, domain, fronted).await?;
         }
         services::put(&fleet, VMS[0].0, &document).await?;
         let callers = Callers::new(fleet.callers(), measure::SERVED_WITHIN);
--- a/standins/src/drill/scenario.rs
+++ b/standins/src/drill/scenario.rs
@@ -53,6 +53,13 @@
     pub domain: bool,
 }
 
+impl Scenario {
+    /// Returns whether it needs forwarders before VMs and targets.
+    pub fn has_cuts(&self) -> bool {
+        self.steps.contains(&Step::Mend)
+    }
+}
+
 const fn scenario(name: &'static str, steps: &'static [Step]) -> Scenario {
     Scenario {
         name,
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -4,7 +4,7 @@
     fs, io,
     path::{Path, PathBuf},
     process::ExitStatus,
-    rc::Rc,
+    sync::Arc,
     time::Duration,
 };
 
@@ -16,7 +16,7 @@
 use crate::{
     child::{self, Process},
     client::{self, Client},
-    cut::{Forwarder, Processes},
+    cut::{self, Forwarder, Processes},
     journal::{self, Run},
 };
 
@@ -167,7 +167,7 @@
             arguments: all,
             log,
             domain: domain.to_owned(),
-            forwarder: self.forwarder(name, fronted).await?,
+            forwarder: self.forwarder(name, fronted)?,
             address: String::new(),
             own: "127.0.0.1:0".to_owned(),
         };
@@ -211,7 +211,7 @@
             process: None,
             settings: self.dir().join(format!("{name}.ini")),
             domain: domain.to_owned(),
-            forwarder: self.forwarder(name, fronted).await?,
+            forwarder: self.forwarder(name, fronted)?,
             caller: "127.0.0.1:0".to_owned(),
             peer: "127.0.0.1:0".to_owned(),
         };
@@ -242,7 +242,7 @@
             listed = forwarder.address.to_string();
         }
         let id = process.id();
-        self.processes.borrow_mut().insert(name.to_owned(), id);
+        cut::lock(&self.processes).insert(name.to_owned(), id);
         vm.process = Some(process);
         self.list(name, &listed, &vm.domain, "entry", "live")
             .await?;
@@ -281,11 +281,11 @@
         addresses.take(3).collect::<Vec<_>>().join(",")
     }
 
-    async fn forwarder(&self, name: &str, fronted: bool) -> Result<Option<Forwarder>, Error> {
+    fn forwarder(&self, name: &str, fronted: bool) -> Result<Option<Forwarder>, Error> {
         if !fronted {
             return Ok(None);
         }
-        let forwarder = Forwarder::start(Rc::clone(&self.processes)).await;
+        let forwarder = Forwarder::start(Arc::clone(&self.processes));
         forwarder
             .map(Some)
             .map_err(|cause| failed("forwarder", name, cause))
@@ -331,7 +331,7 @@
     }
 
     fn take_process(&mut self, name: &str) -> Result<Process, Error> {
-        self.processes.borrow_mut().shift_remove(name);
+        cut::lock(&self.processes).shift_remove(name);
         let vm = self.vms.get_mut(name).and_then(|vm| vm.process.take());
         let target = self.targets.get_mut(name);
         vm.or_else(|| target?.process.take())
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -70,7 +70,7 @@
 }
 
 impl Faults {
-    /// Returns whether a client is cut off.
+    /// Returns whether a client is cut off; a VM's name stands for each of its starts, `name#start`.
     ///
     /// # Example
     ///
@@ -82,7 +82,8 @@
     /// assert!(faults.cuts("vm-1") && !faults.cuts("vm-2"));
     /// ```
     pub fn cuts(&self, client: &str) -> bool {
-        self.down || self.partial.iter().any(|name| name == client)
+        let name = client.split('#').next().unwrap_or(client);
+        self.down || self.partial.iter().any(|cut| cut == name)
     }
 }
 
