--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -125,7 +125,8 @@
     let peers = bind("peers", settings.peers).await?;
     let metrics = Metrics::open(settings.statsd)?;
     let caller = local(&callers, settings.callers);
-    let address = local(&peers, settings.peers);
+    let bound = local(&peers, settings.peers);
+    let address = settings.advertise.unwrap_or(bound);
     let vm = format!("{}#{}", settings.name, Uuid::now_v7().simple());
     let recorder = recorder::Recorder::new(vm.clone(), settings.limits.events, metrics);
     let mut life = life::Life::new(recorder.clone())?;
