--- a/src/util/client.rs
+++ b/src/util/client.rs
@@ -14,7 +14,6 @@
 };
 
 use compio::net::TcpStream;
-use cyper_core::HyperStream;
 use hyper::{
     Request, Response,
     body::Incoming,
@@ -24,7 +23,10 @@
 use indexmap::IndexMap;
 use quick_error::quick_error;
 
-use crate::{clock::Clock, util::body::Body};
+use crate::{
+    clock::Clock,
+    util::{body::Body, stream::Stream},
+};
 
 /// How long a new connection may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -192,7 +194,7 @@
         let _ = stream.set_nodelay(true);
         let written = Rc::new(Cell::new(0));
         let counted = Counted {
-            stream: HyperStream::new_plain(stream),
+            stream: Stream::new(stream),
             written: written.clone(),
         };
         let (sender, task) = http1::handshake(counted)
--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -7,3 +7,4 @@
 pub mod ini;
 pub mod names;
 pub mod server;
+pub mod stream;
