Orders: random histories with lost, late and doubled messages

Aim: the invariants are checked on the real state machines: an order is sent at most once, whoever may run it is alone, a recorded answer is its own, not-run is only said of what was never sent, and after all is mended every order is decided and a fresh one runs. Ruled out: waiting on a seal; whoever proposes itself acts for the old view until it reads the new. Conclusion: undated ids are covered for their retention only; dated ones for good.

--- a/src/order/mod.rs
+++ b/src/order/mod.rs
@@ -17,7 +17,9 @@
 
 pub mod ledger;
 pub mod memory;
+mod pending;
 pub mod plan;
+mod replica;
 pub mod starter;
 pub mod view;
 
--- /dev/null
+++ b/src/order/pending.rs
@@ -0,0 +1,120 @@
+//! One attempt of an entry VM, on its way.
+
+use std::time::Duration;
+
+use indexmap::IndexSet;
+
+use super::{
+    Attempt, Effect, Fate, Flaw, Message, Number, Order, View, Views,
+    starter::{Decision, Why},
+};
+use crate::id::VmId;
+
+/// How long until a message is sent again.
+const RESEND: Duration = Duration::from_millis(200);
+
+/// A caller's order, as it began.
+#[derive(Clone, Debug)]
+pub(super) struct Request {
+    pub(super) token: u64,
+    pub(super) order: Order,
+    pub(super) deadline: Duration,
+    /// How far back undated ids are remembered counts from here, however long the answer takes.
+    pub(super) wall: Duration,
+}
+
+#[derive(Debug)]
+pub(super) struct Pending {
+    pub(super) request: Request,
+    pub(super) view: Option<View>,
+    pub(super) phase: Phase,
+    pub(super) sent: Duration,
+}
+
+#[derive(Debug)]
+pub(super) enum Phase {
+    /// The members are asked.
+    Asking(Words),
+    /// The entry VM may run it.
+    Running,
+    /// The members are told how it ended.
+    Closing {
+        fate: Fate,
+        told: IndexSet<VmId>,
+        until: Duration,
+    },
+}
+
+/// What the members said, with the views for which they said it.
+#[derive(Debug, Default)]
+pub(super) struct Words {
+    pub(super) home: Option<Number>,
+    pub(super) standby: Option<Number>,
+    pub(super) alone: bool,
+    pub(super) running: bool,
+}
+
+impl Words {
+    pub(super) fn may_run(&self, flaw: Flaw) -> bool {
+        let same = self.home == self.standby || flaw == Flaw::MixedViews;
+        let both = self.home.is_some() && self.standby.is_some() && same;
+        self.alone || both || (self.home.is_some() && flaw == Flaw::HomeAlone)
+    }
+
+    /// Returns what is said to a caller whose time ended. Without the words of both members even
+    /// an order that was never sent may have run before.
+    pub(super) fn late(&self) -> Decision {
+        Decision::Unknown(if self.running {
+            Why::Running
+        } else {
+            Why::Silent
+        })
+    }
+}
+
+impl Pending {
+    pub(super) fn is_due(&self, now: Duration) -> bool {
+        match self.phase {
+            Phase::Asking(_) => self.request.deadline <= now || self.sent + RESEND <= now,
+            Phase::Running => false,
+            Phase::Closing { .. } => self.sent + RESEND <= now,
+        }
+    }
+
+    pub(super) fn ask(&self, vm: &str, seq: u64) -> Vec<Effect> {
+        let Some(view) = &self.view else {
+            return vec![Effect::Read];
+        };
+        let message = Message::Start {
+            order: self.request.order.clone(),
+            attempt: Attempt { vm: vm.into(), seq },
+            view: view.number,
+            wall: self.request.wall,
+        };
+        let send = |to: &VmId| Effect::Send {
+            to: to.clone(),
+            message: message.clone(),
+        };
+        view.members().map(send).collect()
+    }
+
+    /// Tells those members of the newest view that don't know yet.
+    pub(super) fn report(&self, vm: &str, seq: u64, views: &Views) -> Vec<Effect> {
+        let Phase::Closing { fate, told, .. } = &self.phase else {
+            return Vec::new();
+        };
+        let Some((_, view)) = views.of(&self.request.order.id) else {
+            return Vec::new();
+        };
+        let send = |to: &VmId| Effect::Send {
+            to: to.clone(),
+            message: Message::Finish {
+                order: self.request.order.clone(),
+                attempt: Attempt { vm: vm.into(), seq },
+                fate: fate.clone(),
+            },
+        };
+        let members = view.members().filter(|to| !told.contains(*to));
+        members.map(send).collect()
+    }
+}
--- a/src/order/starter.rs
+++ b/src/order/starter.rs
@@ -6,14 +6,13 @@
 
 use super::{
     AHEAD, Answer, Attempt, Effect, Fate, Flaw, Message, Number, Order, Reply, View, Views,
+    pending::{Pending, Phase, Request, Words},
 };
 use crate::{
     id::{Version, VmId},
     request::Proof,
 };
 
-/// How long until a message is sent again.
-const RESEND: Duration = Duration::from_millis(200);
 /// How long the end of an attempt is reported to members that don't answer.
 const REPORT: Duration = Duration::from_mins(1);
 
@@ -57,11 +56,8 @@
         /// The message.
         message: Message,
     },
-    /// Time passed; `wall` is the wall clock, since the Unix epoch.
-    Tick {
-        /// The wall clock.
-        wall: Duration,
-    },
+    /// Time passed.
+    Tick,
 }
 
 /// How an order that was to run has ended.
@@ -112,52 +108,9 @@
     seq: u64,
     version: Version,
     views: Views,
-    /// The last reading of the wall clock.
-    wall: Duration,
     pending: IndexMap<u64, Pending>,
 }
 
-#[derive(Debug)]
-struct Pending {
-    token: u64,
-    order: Order,
-    deadline: Duration,
-    view: Option<View>,
-    phase: Phase,
-    sent: Duration,
-}
-
-#[derive(Debug)]
-enum Phase {
-    /// The members are asked.
-    Asking(Words),
-    /// The entry VM may run it.
-    Running,
-    /// The members are told how it ended.
-    Closing {
-        fate: Fate,
-        told: IndexSet<VmId>,
-        until: Duration,
-    },
-}
-
-/// What the members said, with the views for which they said it.
-#[derive(Debug, Default)]
-struct Words {
-    home: Option<Number>,
-    standby: Option<Number>,
-    alone: bool,
-    running: bool,
-}
-
-impl Words {
-    fn may_run(&self, flaw: Flaw) -> bool {
-        let same = self.home == self.standby || flaw == Flaw::MixedViews;
-        let both = self.home.is_some() && self.standby.is_some() && same;
-        self.alone || both || (self.home.is_some() && flaw == Flaw::HomeAlone)
-    }
-}
-
 impl Starter {
     /// Creates a starter that knows nothing yet.
     ///
@@ -175,7 +128,6 @@
             seq: 0,
             version: 0,
             views: Views::default(),
-            wall: Duration::ZERO,
             pending: IndexMap::new(),
         }
     }
@@ -232,7 +184,7 @@
             Event::Ended { token, end } => self.ended(now, token, end),
             Event::Dropped { token } => self.dropped(now, token),
             Event::Message { from, message } => self.take_message(now, from, message),
-            Event::Tick { wall } => self.tick(now, wall),
+            Event::Tick => self.tick(now),
         }
     }
 
@@ -255,7 +207,7 @@
     fn follow(&mut self, now: Duration) -> Vec<Effect> {
         let asking = |it: &Pending| matches!(it.phase, Phase::Asking(_));
         let stale = self.pending.iter().filter(|(_, it)| {
-            let newest = self.views.of(&it.order.id).map(|(_, view)| view);
+            let newest = self.views.of(&it.request.order.id).map(|(_, view)| view);
             asking(it) && newest != it.view.as_ref()
         });
         let stale: Vec<_> = stale.map(|(seq, _)| *seq).collect();
@@ -276,28 +228,26 @@
         if order.made.is_some_and(|made| made > wall + AHEAD) {
             return vec![decide(token, Decision::Unknown(Why::Ahead))];
         }
-        self.wall = wall;
-        self.attempt(now, token, order, deadline)
+        let request = Request {
+            token,
+            order,
+            deadline,
+            wall,
+        };
+        self.attempt(now, request)
     }
 
     /// Begins an attempt: a new one for each view.
-    fn attempt(
-        &mut self,
-        now: Duration,
-        token: u64,
-        order: Order,
-        deadline: Duration,
-    ) -> Vec<Effect> {
+    fn attempt(&mut self, now: Duration, request: Request) -> Vec<Effect> {
         self.seq += 1;
+        let view = self.views.of(&request.order.id);
         let pending = Pending {
-            token,
-            view: self.views.of(&order.id).map(|(_, view)| view.clone()),
-            order,
-            deadline,
+            view: view.map(|(_, view)| view.clone()),
+            request,
             phase: Phase::Asking(Words::default()),
             sent: now,
         };
-        let effects = pending.ask(&self.vm, self.seq, self.wall);
+        let effects = pending.ask(&self.vm, self.seq);
         self.pending.insert(self.seq, pending);
         effects
     }
@@ -307,15 +257,47 @@
         let Some(pending) = self.pending.get(&seq) else {
             return Vec::new();
         };
-        let (token, order) = (pending.token, pending.order.clone());
-        let deadline = pending.deadline;
+        if self.flaw == Flaw::MixedViews {
+            return self.keep(seq);
+        }
+        let request = pending.request.clone();
+        if request.deadline <= now {
+            return self.late(now, seq);
+        }
+        let mut effects = self.close(now, seq, Fate::NotRun);
+        effects.extend(self.attempt(now, request));
+        effects
+    }
+
+    /// Ends what was not decided when its caller's time ended.
+    fn late(&mut self, now: Duration, seq: u64) -> Vec<Effect> {
+        let pending = self.pending.get(&seq);
+        let late = pending.and_then(|it| match &it.phase {
+            Phase::Asking(words) => Some((it.request.token, words.late())),
+            _ => None,
+        });
+        let Some((token, decision)) = late else {
+            return Vec::new();
+        };
         let mut effects = self.close(now, seq, Fate::NotRun);
-        effects.extend(self.attempt(now, token, order, deadline));
+        effects.push(decide(token, decision));
         effects
     }
 
+    /// Goes on with the same attempt under another view, which is wrong.
+    fn keep(&mut self, seq: u64) -> Vec<Effect> {
+        if let Some(pending) = self.pending.get_mut(&seq) {
+            pending.view = self
+                .views
+                .of(&pending.request.order.id)
+                .map(|it| it.1.clone());
+        }
+        Vec::new()
+    }
+
     fn ended(&mut self, now: Duration, token: u64, end: End) -> Vec<Effect> {
-        let running = |it: &Pending| it.token == token && matches!(it.phase, Phase::Running);
+        let running =
+            |it: &Pending| it.request.token == token && matches!(it.phase, Phase::Running);
         let Some(seq) = self.find(running) else {
             return Vec::new();
         };
@@ -329,7 +311,8 @@
     }
 
     fn dropped(&mut self, now: Duration, token: u64) -> Vec<Effect> {
-        let asking = |it: &Pending| it.token == token && matches!(it.phase, Phase::Asking(_));
+        let asking =
+            |it: &Pending| it.request.token == token && matches!(it.phase, Phase::Asking(_));
         let seq = self.find(asking);
         seq.map_or_else(Vec::new, |seq| self.close(now, seq, Fate::NotRun))
     }
@@ -387,7 +370,7 @@
         let Some(pending) = self.pending.get_mut(&seq) else {
             return Vec::new();
         };
-        let token = pending.token;
+        let token = pending.request.token;
         let Phase::Asking(words) = &mut pending.phase else {
             return Vec::new();
         };
@@ -432,7 +415,7 @@
         let Some(pending) = self.pending.get(&seq) else {
             return Vec::new();
         };
-        let shard = super::shard(&pending.order.id, self.views.shards.len());
+        let shard = super::shard(&pending.request.order.id, self.views.shards.len());
         match self.views.shards.get_mut(shard) {
             Some(view) if view.number < newer.number => *view = newer,
             _ => return Vec::new(),
@@ -450,7 +433,10 @@
             return;
         };
         told.insert(from);
-        let view = self.views.of(&pending.order.id).map(|(_, view)| view);
+        let view = self
+            .views
+            .of(&pending.request.order.id)
+            .map(|(_, view)| view);
         if view.is_some_and(|view| view.members().all(|vm| told.contains(vm))) {
             self.pending.shift_remove(&seq);
         }
@@ -474,8 +460,7 @@
         }]
     }
 
-    fn tick(&mut self, now: Duration, wall: Duration) -> Vec<Effect> {
-        self.wall = wall;
+    fn tick(&mut self, now: Duration) -> Vec<Effect> {
         let mut effects = Vec::new();
         let due = self.pending.iter().filter(|(_, it)| it.is_due(now));
         let due: Vec<_> = due.map(|(seq, _)| *seq).collect();
@@ -492,14 +477,8 @@
         };
         pending.sent = now;
         match &pending.phase {
-            Phase::Asking(words) if pending.deadline <= now => {
-                let decision = words.late();
-                let token = pending.token;
-                let mut effects = self.close(now, seq, Fate::NotRun);
-                effects.push(decide(token, decision));
-                effects
-            }
-            Phase::Asking(_) => pending.ask(&self.vm, seq, self.wall),
+            Phase::Asking(_) if pending.request.deadline <= now => self.late(now, seq),
+            Phase::Asking(_) => pending.ask(&self.vm, seq),
             Phase::Running => Vec::new(),
             Phase::Closing { until, .. } if *until <= now => {
                 self.pending.shift_remove(&seq);
@@ -510,65 +489,6 @@
     }
 }
 
-impl Words {
-    /// Returns what is said to a caller whose time ended. Without the words of both members even
-    /// an order that was never sent may have run before.
-    fn late(&self) -> Decision {
-        Decision::Unknown(if self.running {
-            Why::Running
-        } else {
-            Why::Silent
-        })
-    }
-}
-
-impl Pending {
-    fn is_due(&self, now: Duration) -> bool {
-        match self.phase {
-            Phase::Asking(_) => self.deadline <= now || self.sent + RESEND <= now,
-            Phase::Running => false,
-            Phase::Closing { .. } => self.sent + RESEND <= now,
-        }
-    }
-
-    fn ask(&self, vm: &str, seq: u64, wall: Duration) -> Vec<Effect> {
-        let Some(view) = &self.view else {
-            return vec![Effect::Read];
-        };
-        let message = Message::Start {
-            order: self.order.clone(),
-            attempt: Attempt { vm: vm.into(), seq },
-            view: view.number,
-            wall,
-        };
-        let send = |to: &VmId| Effect::Send {
-            to: to.clone(),
-            message: message.clone(),
-        };
-        view.members().map(send).collect()
-    }
-
-    /// Tells those members of the newest view that don't know yet.
-    fn report(&self, vm: &str, seq: u64, views: &Views) -> Vec<Effect> {
-        let Phase::Closing { fate, told, .. } = &self.phase else {
-            return Vec::new();
-        };
-        let Some((_, view)) = views.of(&self.order.id) else {
-            return Vec::new();
-        };
-        let send = |to: &VmId| Effect::Send {
-            to: to.clone(),
-            message: Message::Finish {
-                order: self.order.clone(),
-                attempt: Attempt { vm: vm.into(), seq },
-                fate: fate.clone(),
-            },
-        };
-        let members = view.members().filter(|to| !told.contains(*to));
-        members.map(send).collect()
-    }
-}
-
 fn decide(token: u64, decision: Decision) -> Effect {
     Effect::Decide { token, decision }
 }
--- /dev/null
+++ b/tests/order_model.rs
@@ -0,0 +1,114 @@
+//! Orders under faults that come at any moment: at most one run, and truthful words.
+//!
+//! `BRAMLEYPIER_CASES` sets the number of histories.
+
+#[path = "order/world.rs"]
+mod world;
+
+use bramleypier::order::Flaw;
+use proptest::{
+    collection,
+    prelude::*,
+    strategy::ValueTree,
+    test_runner::{Config, RngAlgorithm, RngSeed, TestRng, TestRunner},
+};
+use world::{Counts, Op, World};
+
+const SEED: u64 = 20_261_202;
+
+fn cases(default: u32) -> u32 {
+    let text = std::env::var("BRAMLEYPIER_CASES");
+    text.ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(default)
+}
+
+fn history() -> impl Strategy<Value = Vec<Op>> {
+    collection::vec(any::<Op>(), 300..1_200)
+}
+
+fn run(ops: &[Op], flaw: Flaw) -> Result<Counts, String> {
+    let mut world = World::new(flaw);
+    for op in ops {
+        world.step(*op)?;
+    }
+    if flaw == Flaw::None {
+        world.settle()?;
+    }
+    Ok(world.counts)
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: cases(64),
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        max_shrink_iters: 20_000,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn orders_run_at_most_once(ops in history()) {
+        let outcome = run(&ops, Flaw::None);
+        prop_assert!(outcome.is_ok(), "{}", outcome.unwrap_err());
+    }
+}
+
+/// Adds up what long histories do, so that a run in which nothing happens is noticed.
+#[test]
+fn histories_reach_every_outcome() {
+    let mut runner = runner();
+    let mut sum = Counts::default();
+    for _ in 0..cases(64) {
+        let ops = history().new_tree(&mut runner).unwrap().current();
+        let counts = run(&ops, Flaw::None).unwrap();
+        sum.steps += counts.steps;
+        sum.sent += counts.sent;
+        sum.recorded += counts.recorded;
+        sum.unknown += counts.unknown;
+        sum.not_run += counts.not_run;
+        sum.mismatch += counts.mismatch;
+        sum.views += counts.views;
+    }
+    println!("{sum:?}");
+    let reached = [
+        sum.sent,
+        sum.recorded,
+        sum.unknown,
+        sum.not_run,
+        sum.mismatch,
+        sum.views,
+    ];
+    assert!(reached.iter().all(|count| *count > 0), "{sum:?}");
+}
+
+#[test]
+fn the_checks_notice_each_missing_rule() {
+    let flaws = [
+        Flaw::HomeAlone,
+        Flaw::MixedViews,
+        Flaw::ResignInDoubt,
+        Flaw::ResignIdly,
+        Flaw::LostIsFree,
+        Flaw::AnyPrint,
+        Flaw::NoTransfer,
+        Flaw::SuspectGone,
+        Flaw::NoHorizon,
+        Flaw::NoFloor,
+    ];
+    for flaw in flaws {
+        let mut runner = runner();
+        let mut histories = (0..cases(4_000).max(4_000)).map(|_| {
+            let ops = history().new_tree(&mut runner).unwrap().current();
+            run(&ops, flaw)
+        });
+        let found = histories.position(|outcome| outcome.is_err());
+        println!("{flaw:?}: noticed in history {found:?}");
+        assert!(found.is_some(), "{flaw:?} was not noticed");
+    }
+}
+
+fn runner() -> TestRunner {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    TestRunner::new_with_rng(Config::default(), rng)
+}
