--- a/src/order/memory.rs
+++ b/src/order/memory.rs
@@ -5,7 +5,8 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use super::{Answer, Attempt, Fate, Fingerprint, Flaw, Order, OrderId};
+use super::{Answer, Attempt, Fate, Flaw, Order, OrderId};
+use crate::request::Fingerprint;
 
 /// How many attempts of one order are kept; those that did not run go first.
 const ATTEMPTS: usize = 16;
--- a/src/order/mod.rs
+++ b/src/order/mod.rs
@@ -26,9 +26,9 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::{self, Xxh3};
+use xxhash_rust::xxh3;
 
-use crate::id::VmId;
+use crate::{id::VmId, request::Fingerprint};
 
 pub use ledger::Ledger;
 pub use starter::Starter;
@@ -36,8 +36,6 @@
 
 /// The id of an order: `service/request id`.
 pub type OrderId = String;
-/// A hash over what an order asks for.
-pub type Fingerprint = u128;
 /// The index of a shard.
 pub type Shard = usize;
 /// The number of a view of one shard; it only grows.
@@ -381,23 +379,3 @@
     let index = xxh3::xxh3_64(id.as_bytes()) % shards;
     Shard::try_from(index).unwrap_or(0)
 }
-
-/// Returns the fingerprint of what an order asks for.
-///
-/// # Example
-///
-/// ```
-/// use bramleypier::order;
-///
-/// let print = order::fingerprint("POST", "/dispatch/k/orders", b"one");
-/// assert_ne!(print, order::fingerprint("POST", "/dispatch/k/orders", b"two"));
-/// ```
-pub fn fingerprint(method: &str, uri: &str, body: &[u8]) -> Fingerprint {
-    let mut hash = Xxh3::new();
-    for part in [method.as_bytes(), uri.as_bytes(), body] {
-        let length = u64::try_from(part.len()).unwrap_or(u64::MAX);
-        hash.update(&length.to_le_bytes());
-        hash.update(part);
-    }
-    hash.digest128()
-}
--- a/src/order/view.rs
+++ b/src/order/view.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use super::{Number, OrderId, Shard};
+use super::{Number, Shard};
 use crate::{
     id::{DomainId, VmId},
     key,
@@ -145,7 +145,7 @@
     ///
     /// assert!(Views::default().of("dispatch/1").is_none());
     /// ```
-    pub fn of(&self, id: &OrderId) -> Option<(Shard, &View)> {
+    pub fn of(&self, id: &str) -> Option<(Shard, &View)> {
         let shard = super::shard(id, self.shards.len());
         Some((shard, self.shards.get(shard)?))
     }
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -15,6 +15,7 @@
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::Xxh3;
 
 pub use answer::Answer;
 pub use attempt::{Admitted, Attempt, Finished, Proof, Received, Started};
@@ -35,6 +36,9 @@
 /// Header: the caller's id of a request.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
+/// A hash over what a request asks for.
+pub type Fingerprint = u128;
+
 /// Whether a request ran.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -138,3 +142,23 @@
         f.write_str(self.as_str())
     }
 }
+
+/// Returns the fingerprint of a request: the same for all who ask for the same.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier::request;
+///
+/// let print = request::fingerprint("POST", "/dispatch/k/orders", b"one");
+/// assert_ne!(print, request::fingerprint("POST", "/dispatch/k/orders", b"two"));
+/// ```
+pub fn fingerprint(method: &str, uri: &str, body: &[u8]) -> Fingerprint {
+    let mut hash = Xxh3::new();
+    for part in [method.as_bytes(), uri.as_bytes(), body] {
+        let length = u64::try_from(part.len()).unwrap_or(u64::MAX);
+        hash.update(&length.to_le_bytes());
+        hash.update(part);
+    }
+    hash.digest128()
+}
