--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -1,1 +1,9 @@
-//! Private helpers of the crate.
+//! Helpers of the crate that know nothing of routing.
+
+pub mod body;
+pub mod client;
+pub mod decimal;
+pub mod fields;
+pub mod ini;
+pub mod names;
+pub mod server;
--- /dev/null
+++ b/src/vm/recorder.rs
@@ -0,0 +1,118 @@
+//! What this process did: the time line, the metrics and the log, from one call.
+//!
+//! All tasks of a process run on one thread and share the recorder; a call touches memory only.
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use crate::{
+    id::VmId,
+    logging, measure,
+    metrics::{self, Metric, Metrics},
+    timeline::{Event, Filter, Kind, Part, Ring, Stamp, stamp},
+};
+
+/// The shared recorder.
+#[derive(Clone, Debug)]
+pub struct Recorder {
+    state: Rc<RefCell<State>>,
+    metrics: Metrics,
+}
+
+#[derive(Debug)]
+struct State {
+    ring: Ring,
+    meter: measure::Meter,
+}
+
+impl Recorder {
+    /// Creates the recorder of a process that keeps `capacity` events.
+    pub fn new(vm: VmId, capacity: usize, metrics: Metrics) -> Self {
+        let state = State {
+            ring: Ring::new(vm, capacity),
+            meter: measure::Meter::default(),
+        };
+        Self {
+            state: Rc::new(RefCell::new(state)),
+            metrics,
+        }
+    }
+
+    /// Records an event: in the time line, in the counter of its kind, and in the log.
+    pub fn event(&self, event: Event) {
+        let mut state = self.state.borrow_mut();
+        let State { ring, meter } = &mut *state;
+        let event = ring.record(stamp::wall(), event);
+        meter.on(event);
+        logging::event(event);
+        if let Some(metric) = counter(event.kind) {
+            self.metrics.count(metric, event.service.as_deref(), 1);
+        }
+    }
+
+    /// Counts.
+    pub fn count(&self, metric: &'static Metric, service: Option<&str>) {
+        self.metrics.count(metric, service, 1);
+    }
+
+    /// Sets a gauge.
+    pub fn set(&self, metric: &'static Metric, to: u64) {
+        self.metrics.set(metric, None, to);
+    }
+
+    /// Returns the metrics.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    /// Returns the stamp of a message that leaves now.
+    pub fn stamp(&self) -> Stamp {
+        self.state.borrow_mut().ring.stamp(stamp::wall())
+    }
+
+    /// Takes the stamp of a message that came.
+    pub fn receive(&self, stamp: Stamp) {
+        let mut state = self.state.borrow_mut();
+        state.ring.receive(stamp::wall(), stamp);
+    }
+
+    /// Returns the kept events that pass a filter.
+    pub fn part(&self, filter: &Filter) -> Part {
+        self.state.borrow().ring.part(filter)
+    }
+
+    /// Returns the measures by service.
+    pub fn measures(&self) -> indexmap::IndexMap<String, measure::Measures> {
+        self.state.borrow().meter.measures(stamp::wall())
+    }
+
+    /// Sends what has gathered to where metrics go.
+    pub fn flush(&self) {
+        let measures = self.measures();
+        for (service, measures) in measures {
+            let service = Some(service.as_str());
+            let churn = Duration::from_secs_f64(measures.churn.clamp(0.0, 1e9));
+            let unavailable = Duration::from_secs_f64(measures.unavailable.clamp(0.0, 1e9));
+            self.set_of(&metrics::CHURN, service, churn.as_micros());
+            self.set_of(&metrics::UNAVAILABLE, service, unavailable.as_millis());
+            self.metrics
+                .set(&metrics::RANGES_LOST, service, measures.open);
+        }
+        self.metrics.flush();
+    }
+
+    fn set_of(&self, metric: &'static Metric, service: Option<&str>, to: u128) {
+        self.metrics
+            .set(metric, service, u64::try_from(to).unwrap_or(u64::MAX));
+    }
+}
+
+/// Returns the counter of a kind of event, where there is one.
+fn counter(kind: Kind) -> Option<&'static Metric> {
+    match kind {
+        Kind::RangeMoved => Some(&metrics::RANGES_MOVED),
+        Kind::PeerLost => Some(&metrics::PEERS_LOST),
+        Kind::DocumentForced => Some(&metrics::DOCUMENTS_FORCED),
+        Kind::DocumentRefused => Some(&metrics::DOCUMENTS_REFUSED),
+        _ => None,
+    }
+}
