Record what happens: stamps on every message, counters in their places, targets by their chart

Cause: probes and news carried no stamp, so an effect that came that way could stand before its cause in the account; a release of a target was recorded as a duty handed on; a document that came into force left no event; and most counters of the table had no reader. Every call between processes now carries the sender's stamp in a header, and the answer the answerer's, which took the stamp out of the batch. Calls to the platform's service, grants, messages, bytes, live peers and what the time line dropped are counted. What the grantors did moved out of the task that owns them into a module of its own, which drives each target's chart. Times have three digits of milliseconds. Ruled out: marking a target silent at one failed call; the grantor's word is what counts.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -91,7 +91,7 @@
     IMBALANCE Gauge "targets.imbalance", "Greatest load of a target over the mean, in thousandths.", "Above 2000 for minutes: a hot key stands alone already, or targets are unequal.";
     PEERS_LIVE Gauge "peers.live", "VMs that this one takes for live.", "Less than the platform's list for minutes: a partition.";
     PEERS_LOST Counter "peers.lost", "VMs taken for lost.", "Compare with planned replacements.";
-    MESSAGES_SENT Counter "messages.sent", "Messages to peers.", "None.";
+    MESSAGES_SENT Counter "messages.sent", "Messages and batches of messages to peers.", "None.";
     MESSAGES_BYTES Counter "messages.bytes", "Bytes sent to peers.", "None; the budget is in docs/CAPACITY.md.";
     MESSAGES_DROPPED Counter "messages.dropped", "Messages dropped because too many waited.", "A peer is slow or cut off; protocols repeat what matters.";
     PLATFORM_CALLS Counter "platform.calls", "Calls to the platform's service, a waiting watch as one.", "Compare with what the platform allows.";
@@ -99,8 +99,8 @@
     PLATFORM_DOUBT Counter "platform.doubt", "Writes whose answer was lost, settled by reading back.", "None.";
     DOCUMENTS_FORCED Counter "documents.forced", "Versions of documents that came into force here.", "None.";
     DOCUMENTS_REFUSED Counter "documents.refused", "Documents in the platform's service that could not be read.", "Put a sound version with `document put`; the last sound one stays in force.";
-    EVENTS_DROPPED Counter "timeline.dropped", "Events that the time line no longer keeps.", "Raise `[limits] events` if accounts have gaps.";
-    STAMPS_IGNORED Counter "timeline.ignored", "Messages whose time was far ahead of the wall clock here.", "Set the wall clock of the VM that sends them.";
+    EVENTS_DROPPED Gauge "timeline.dropped", "Events that the time line no longer keeps.", "Raise `[limits] events` if accounts have gaps.";
+    STAMPS_IGNORED Gauge "timeline.ignored", "Messages whose time was far ahead of the wall clock here.", "Set the wall clock of the VM that sends them.";
 }
 
 #[derive(Clone, Copy, Debug, Default)]
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -8,7 +8,7 @@
 
 use futures_channel::mpsc;
 use futures_util::StreamExt;
-use http::{StatusCode, header};
+use http::{HeaderMap, HeaderName, StatusCode, header};
 use hyper::{Request, body::Bytes};
 use indexmap::IndexMap;
 use quick_error::quick_error;
@@ -26,6 +26,8 @@
 
 /// Where batches go.
 pub const BATCH_PATH: &str = "/peer/batch";
+/// Carries the sender's hybrid logical time, so that events order causally.
+pub const STAMP: HeaderName = HeaderName::from_static("bramleypier-stamp");
 /// The largest batch that is read, in bytes.
 pub const BATCH_LIMIT: usize = 8 * 1024 * 1024;
 /// The most messages in a batch.
@@ -55,28 +57,24 @@
     }
 }
 
-/// Where batches get the stamps that order events across processes.
-#[derive(Clone)]
-pub struct StampSource(Rc<dyn Fn() -> Stamp>);
+/// What hears of each message to and from a peer, for the time line and the counters.
+pub trait Observer: fmt::Debug {
+    /// Returns the stamp of a message that leaves now.
+    fn stamp(&self) -> Stamp;
 
-impl StampSource {
-    /// Creates a source from a function.
-    pub fn new<F>(next: F) -> Self
-    where
-        F: Fn() -> Stamp + 'static,
-    {
-        Self(Rc::new(next))
-    }
+    /// Takes the stamp of a message that came.
+    fn receive(&self, stamp: Stamp);
 
-    fn next(&self) -> Stamp {
-        (self.0)()
-    }
+    /// Counts the bytes of a body that is sent.
+    fn sent(&self, bytes: usize);
+
+    /// Counts a message that was dropped because too many waited.
+    fn dropped(&self);
 }
 
-impl fmt::Debug for StampSource {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("StampSource")
-    }
+/// Reads the stamp that a message carries.
+pub fn stamp(headers: &HeaderMap) -> Option<Stamp> {
+    headers.get(STAMP)?.to_str().ok()?.parse().ok()
 }
 
 /// Who sends, and what.
@@ -87,8 +85,6 @@
     pub from: VmId,
     /// The address at which the sender takes batches.
     pub address: SocketAddr,
-    /// The sender's hybrid logical time, so that events order causally.
-    pub stamp: Stamp,
     /// The messages, in the order in which they were sent.
     pub messages: Vec<M>,
 }
@@ -123,9 +119,8 @@
     client: Client,
     from: VmId,
     address: SocketAddr,
-    stamp: StampSource,
+    observer: Rc<dyn Observer>,
     queues: IndexMap<SocketAddr, mpsc::Sender<M>>,
-    dropped: u64,
 }
 
 impl<M> Outbox<M>
@@ -133,16 +128,13 @@
     M: Serialize + 'static,
 {
     /// Creates an outbox of the VM `from`, which takes batches at `address`.
-    ///
-    /// Each batch carries the stamp that `stamp` gives as it leaves.
-    pub fn new(clock: Clock, from: VmId, address: SocketAddr, stamp: StampSource) -> Self {
+    pub fn new(clock: Clock, from: VmId, address: SocketAddr, observer: Rc<dyn Observer>) -> Self {
         Self {
             client: Client::new(clock, CONNECTIONS),
             from,
             address,
-            stamp,
+            observer,
             queues: IndexMap::new(),
-            dropped: 0,
         }
     }
 
@@ -155,13 +147,13 @@
                 from: self.from.clone(),
                 address: self.address,
                 to,
-                stamp: self.stamp.clone(),
+                observer: self.observer.clone(),
             };
             compio::runtime::spawn(courier.run(receiver)).detach();
             sender
         });
         if queue.try_send(message).is_err() {
-            self.dropped += 1;
+            self.observer.dropped();
         }
     }
 
@@ -172,11 +164,6 @@
     {
         self.queues.retain(|address, _| keep(address));
     }
-
-    /// Returns how many messages were dropped because too many waited.
-    pub fn dropped(&self) -> u64 {
-        self.dropped
-    }
 }
 
 /// The sending side of one peer.
@@ -186,7 +173,7 @@
     from: VmId,
     address: SocketAddr,
     to: SocketAddr,
-    stamp: StampSource,
+    observer: Rc<dyn Observer>,
 }
 
 impl Sender {
@@ -214,10 +201,11 @@
         let batch = Batch {
             from: self.from.clone(),
             address: self.address,
-            stamp: self.stamp.next(),
             messages,
         };
-        let _: Vec<u8> = exchange(&self.client, self.to, BATCH_PATH, &batch, SEND_TIMEOUT).await?;
+        let observer = &*self.observer;
+        let span = SEND_TIMEOUT;
+        exchange(&self.client, observer, self.to, BATCH_PATH, &batch, span).await?;
         Ok(())
     }
 }
@@ -229,6 +217,7 @@
 /// The peer did not answer in time, or not as agreed.
 pub async fn call<Q, A>(
     client: &Client,
+    observer: &dyn Observer,
     to: SocketAddr,
     path: &str,
     question: &Q,
@@ -238,12 +227,13 @@
     Q: Serialize,
     A: DeserializeOwned,
 {
-    let bytes = exchange(client, to, path, question, span).await?;
+    let bytes = exchange(client, observer, to, path, question, span).await?;
     decode(&bytes).map_err(|cause| Error::Answer("call", to, cause.to_string()))
 }
 
 async fn exchange<Q>(
     client: &Client,
+    observer: &dyn Observer,
     to: SocketAddr,
     path: &str,
     question: &Q,
@@ -254,14 +244,19 @@
 {
     let wrong = |cause: String| Error::Answer("call", to, cause);
     let bytes = encode(question).map_err(|cause| wrong(cause.to_string()))?;
+    observer.sent(bytes.len());
     let request = Request::post(path)
         .header(header::HOST, to.to_string())
+        .header(STAMP, observer.stamp())
         .body(Body::from(bytes))
         .map_err(|cause| wrong(cause.to_string()))?;
     let response = client
         .send(to, request, span)
         .await
         .map_err(|cause| Error::Exchange("call", to, cause))?;
+    if let Some(stamp) = stamp(response.headers()) {
+        observer.receive(stamp);
+    }
     if response.status() != StatusCode::OK {
         return Err(wrong(format!("status {}", response.status())));
     }
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -14,6 +14,7 @@
 use crate::{
     clock::Clock,
     id::{DomainId, LeaseId, Version, VmId},
+    metrics::{self, Metric, Metrics},
     util::{
         body::{self, Body},
         client::{self, Client},
@@ -144,6 +145,7 @@
     from: String,
     clock: Clock,
     client: Client,
+    metrics: Option<Metrics>,
 }
 
 /// An answer, read whole.
@@ -161,6 +163,20 @@
             from,
             client: Client::new(clock.clone(), CONNECTIONS),
             clock,
+            metrics: None,
+        }
+    }
+
+    /// Counts the calls, those that failed and those in doubt.
+    #[must_use]
+    pub fn counted(mut self, metrics: Metrics) -> Self {
+        self.metrics = Some(metrics);
+        self
+    }
+
+    fn count(&self, metric: &'static Metric) {
+        if let Some(metrics) = &self.metrics {
+            metrics.count(metric, None, 1);
         }
     }
 
@@ -349,6 +365,7 @@
         }
     }
 
+    /// Makes a call and counts how it ended.
     async fn call(
         &self,
         step: &'static str,
@@ -356,6 +373,25 @@
         path: &str,
         headers: &[(HeaderName, String)],
         value: Bytes,
+    ) -> Result<Answer, Error> {
+        self.count(&metrics::PLATFORM_CALLS);
+        let is_write = method == Method::PUT || method == Method::DELETE;
+        let result = self.exchange(step, method, path, headers, value).await;
+        match &result {
+            Ok(_) => {}
+            Err(Error::Doubt(..)) if is_write => self.count(&metrics::PLATFORM_DOUBT),
+            Err(_) => self.count(&metrics::PLATFORM_FAILED),
+        }
+        result
+    }
+
+    async fn exchange(
+        &self,
+        step: &'static str,
+        method: Method,
+        path: &str,
+        headers: &[(HeaderName, String)],
+        value: Bytes,
     ) -> Result<Answer, Error> {
         let mut request = Request::builder()
             .method(method)
--- a/src/timeline/render.rs
+++ b/src/timeline/render.rs
@@ -33,10 +33,14 @@
 /// assert_eq!(render::utc(1 << 16), "1970-01-01T00:00:00.001Z");
 /// ```
 pub fn utc(stamp: Stamp) -> String {
-    let time = OffsetDateTime::UNIX_EPOCH
-        .checked_add(time::Duration::try_from(stamp::time(stamp)).unwrap_or(time::Duration::ZERO));
-    let written = time.and_then(|time| time.format(&Rfc3339).ok());
-    written.unwrap_or_else(|| format!("{}ms", stamp::time(stamp).as_millis()))
+    let since = time::Duration::try_from(stamp::time(stamp)).unwrap_or(time::Duration::MAX);
+    let Some(time) = OffsetDateTime::UNIX_EPOCH.checked_add(since) else {
+        return format!("{}ms", stamp::time(stamp).as_millis());
+    };
+    let (year, month, day) = time.to_calendar_date();
+    let (hour, minute, second, milli) = time.to_hms_milli();
+    let month = u8::from(month);
+    format!("{year:04}-{month:02}-{day:02}T{hour:02}:{minute:02}:{second:02}.{milli:03}Z")
 }
 
 /// Reads a time in UTC as the first stamp of its millisecond.
--- a/src/timeline/ring.rs
+++ b/src/timeline/ring.rs
@@ -134,6 +134,32 @@
         }
     }
 
+    /// Returns how many events are no longer kept.
+    ///
+    /// # Example
+    ///
+    /// See [`Ring`].
+    pub fn dropped(&self) -> u64 {
+        self.dropped
+    }
+
+    /// Returns how many stamps were ignored because they were far ahead of the wall clock.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier::timeline::Ring;
+    ///
+    /// let mut ring = Ring::new("vm-1#1".to_owned(), 1);
+    /// ring.receive(Duration::ZERO, u64::MAX);
+    /// assert_eq!(ring.ignored(), 1);
+    /// ```
+    pub fn ignored(&self) -> u64 {
+        self.hybrid.ignored()
+    }
+
     /// Returns the events that are kept, the oldest first.
     ///
     /// # Example
--- a/src/vm/admin.rs
+++ b/src/vm/admin.rs
@@ -1,7 +1,7 @@
 //! Answers peers and operators on the address for peers.
 
 use futures_channel::oneshot;
-use http::{Method, StatusCode};
+use http::{HeaderValue, Method, StatusCode};
 use hyper::{Request, Response, body::Incoming};
 use serde::Serialize;
 
@@ -10,7 +10,7 @@
     admin::{self, Question, Status},
     entry::{desk, reply},
     id::VmId,
-    peer::{self, Batch},
+    peer::{self, Batch, Observer as _},
     util::{
         body::{self, Body},
         server::Control,
@@ -41,11 +41,18 @@
     /// Answers one request.
     pub async fn handle(self, request: Request<Incoming>) -> Response<Body> {
         let (head, body) = request.into_parts();
-        match (&head.method, head.uri.path()) {
+        let recorder = self.parts.recorder.clone();
+        if let Some(stamp) = peer::stamp(&head.headers) {
+            recorder.receive(stamp);
+        }
+        let mut response = match (&head.method, head.uri.path()) {
             (&Method::POST, peer::BATCH_PATH) => self.batch(body).await,
             (&Method::POST, news::GOSSIP_PATH) => self.gossip(body).await,
             (method, path) => self.question(method, path, body).await,
-        }
+        };
+        let stamp = HeaderValue::from(recorder.stamp());
+        response.headers_mut().insert(peer::STAMP, stamp);
+        response
     }
 
     async fn batch(self, body: Incoming) -> Response<Body> {
@@ -55,7 +62,6 @@
         let Ok(batch) = peer::decode::<Batch<wire::Message>>(&bytes) else {
             return bad("not a batch\n");
         };
-        self.parts.recorder.receive(batch.stamp);
         let seen = mail::Message::Seen(batch.from.clone(), batch.address);
         let _ = self.parts.tasks.mail.unbounded_send(seen);
         for message in batch.messages {
--- a/src/vm/mail.rs
+++ b/src/vm/mail.rs
@@ -1,13 +1,13 @@
 //! The task that sends messages to other VMs by their names.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, rc::Rc};
 
 use futures_channel::mpsc;
 use futures_util::StreamExt;
 use indexmap::IndexMap;
 
 use super::{Parts, wire};
-use crate::{id::VmId, membership, metrics, peer};
+use crate::{id::VmId, membership, peer};
 
 /// A message to the task.
 #[derive(Debug)]
@@ -28,16 +28,14 @@
     address: SocketAddr,
     mut messages: mpsc::UnboundedReceiver<Message>,
 ) {
-    let recorder = parts.recorder.clone();
-    let stamp = peer::StampSource::new(move || recorder.stamp());
-    let mut outbox = peer::Outbox::new(parts.clock, parts.me.vm, address, stamp);
+    let observer = Rc::new(parts.recorder.clone());
+    let mut outbox = peer::Outbox::new(parts.clock, parts.me.vm, address, observer);
     let mut addresses: IndexMap<VmId, SocketAddr> = IndexMap::new();
     while let Some(message) = messages.next().await {
         match message {
             Message::Send(vm, message) => {
                 if let Some(address) = addresses.get(&vm) {
                     outbox.send(*address, message);
-                    parts.recorder.count(&metrics::MESSAGES_SENT, None);
                 }
             }
             Message::SendTo(address, message) => outbox.send(address, message),
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -14,6 +14,7 @@
 pub mod life;
 pub mod mail;
 pub mod news;
+pub mod notes;
 pub mod owners;
 pub mod recorder;
 pub mod wire;
@@ -127,7 +128,7 @@
     let caller = local(&callers, settings.callers);
     let address = local(&peers, settings.peers);
     let vm = format!("{}#{}", settings.name, Uuid::now_v7().simple());
-    let recorder = recorder::Recorder::new(vm.clone(), settings.limits.events, metrics);
+    let recorder = recorder::Recorder::new(vm.clone(), settings.limits.events, metrics.clone());
     let mut life = life::Life::new(recorder.clone())?;
     let (tasks, inboxes) = channels();
     let clock = Clock::real();
@@ -137,7 +138,8 @@
             address: address.to_string(),
             domain: settings.domain.clone(),
         },
-        platform: Platform::new(clock.clone(), settings.platform, vm.clone()),
+        platform: Platform::new(clock.clone(), settings.platform, vm.clone())
+            .counted(metrics.clone()),
         clock,
         tasks,
         recorder,
--- a/src/vm/news.rs
+++ b/src/vm/news.rs
@@ -19,7 +19,7 @@
     handover::Handover,
     id::{GroupId, ServiceId, Version},
     membership::{Listed, Peer, Standing, Update},
-    peer, platform,
+    metrics, peer, platform,
     spread::{Content, Id, Item, Kind},
     timeline::{self, Duty},
     util::client::Client,
@@ -247,10 +247,11 @@
     fn ask(&self, call: CallId, address: &str, envelope: Envelope, within: Duration) {
         let client = self.client.clone();
         let news = self.parts.tasks.news.clone();
+        let recorder = self.parts.recorder.clone();
         let address = address.parse::<SocketAddr>();
         compio::runtime::spawn(async move {
             let answer = match address {
-                Ok(to) => peer::call(&client, to, GOSSIP_PATH, &envelope, within)
+                Ok(to) => peer::call(&client, &recorder, to, GOSSIP_PATH, &envelope, within)
                     .await
                     .ok(),
                 Err(_) => None,
@@ -264,6 +265,9 @@
     fn tell(&mut self) {
         let members = self.gossip.members();
         let live = members.live();
+        self.parts
+            .recorder
+            .set(&metrics::PEERS_LIVE, live.len() as u64);
         let is_leaving = |peer: &&Peer| members.standing(&peer.vm) == Some(Standing::Leaving);
         let leaving = live.iter().filter(is_leaving).cloned().collect();
         let fleet = Fleet { live, leaving };
@@ -491,10 +495,10 @@
     }
 
     fn enforce(&mut self, version: Version, document: Document) {
-        log::info!(
-            "step=document peer={} version={version} in_force=true",
-            document.service
-        );
+        let forced = timeline::Kind::DocumentForced;
+        let event = timeline::Event::new(Duty::Watcher, "document", forced);
+        let event = event.service(document.service.as_str()).version(version);
+        self.parts.recorder.event(event);
         let document = Rc::new(document);
         let message = router::Message::Document(document.clone());
         let _ = self.parts.tasks.router.unbounded_send(message);
--- a/src/vm/owners.rs
+++ b/src/vm/owners.rs
@@ -11,6 +11,7 @@
 use super::{
     Parts, mail,
     news::{self, Fleet},
+    notes::Notes,
     wire,
 };
 use crate::{
@@ -20,13 +21,11 @@
     grantor::{self, Effect, Event, Grantor, Outcome, Timing},
     group::{Record, build},
     handover::Handover,
-    id::{Epoch, GroupId, ServiceId, TargetId, Version, VmId},
+    id::{GroupId, ServiceId, TargetId, Version, VmId},
     membership, peer,
     platform::{self, Put},
-    range::Range,
     spread::{Id, Item, Kind},
     target::Control,
-    timeline::{self, Duty},
 };
 
 /// How often grantors are woken.
@@ -88,8 +87,7 @@
     documents: IndexMap<ServiceId, Rc<Document>>,
     fleet: Option<Fleet>,
     next_lease: Duration,
-    /// Ranges that no target is known to serve.
-    lost: IndexSet<(GroupId, Range)>,
+    notes: Notes,
     /// The versions that the others were told.
     told: IndexMap<GroupId, Version>,
 }
@@ -99,12 +97,12 @@
     pub fn new(parts: Parts) -> Self {
         Self {
             control: Control::new(parts.clock.clone()),
+            notes: Notes::new(parts.recorder.clone()),
             parts,
             groups: IndexMap::new(),
             documents: IndexMap::new(),
             fleet: None,
             next_lease: Duration::ZERO,
-            lost: IndexSet::new(),
             told: IndexMap::new(),
         }
     }
@@ -140,8 +138,12 @@
             }
             Message::Peer(from, group, message) => self.peer(from, &group, message),
             Message::Ended(group, event) => {
-                if let Event::Target { target, state, .. } = &event {
-                    self.held(&group, target, state);
+                match &event {
+                    Event::Target { target, state, .. } => {
+                        self.notes.answered(&group, target, state);
+                    }
+                    Event::TargetFailed { .. } => self.notes.failed(&group),
+                    _ => {}
                 }
                 self.feed(&group, event);
             }
@@ -184,6 +186,7 @@
     fn document(&mut self, version: Version, document: &Rc<Document>) {
         self.documents
             .insert(document.service.clone(), document.clone());
+        self.notes.document(document);
         if document.ownership == Ownership::Shared {
             return;
         }
@@ -266,11 +269,7 @@
             } => self.write(group, base, sequence, &record),
             Effect::Read => self.read(group),
             Effect::Fact(fact) => {
-                let heir = fact.chain.first().map(|heir| heir.target.clone());
-                let target = heir.unwrap_or_default();
-                let moved = timeline::Kind::RangeMoved;
-                self.range(group, moved, &target, fact.range, fact.epoch);
-                self.lost.insert((group.clone(), fact.range));
+                self.notes.moved(group, &fact);
                 self.tell_fact(fact.clone());
                 let _ = self
                     .parts
@@ -283,73 +282,14 @@
         }
     }
 
-    /// Records what a grantor did; the ranges of a target that it stops granting to are lost, until
-    /// a target confirms a grant for them.
+    /// Records what a grantor did.
     fn note(&mut self, group: &GroupId, note: &grantor::Note) {
-        let kind = match note.kind {
-            grantor::Kind::Stop => timeline::Kind::GrantStopped,
-            grantor::Kind::Resume => timeline::Kind::StopWithdrawn,
-            grantor::Kind::Strike => timeline::Kind::GrantorStruck,
-            grantor::Kind::Write => timeline::Kind::RecordWritten,
-            // A handover is recorded as a fact, with its range and epoch.
-            grantor::Kind::Handover => return,
-            _ => timeline::Kind::DutyHanded,
-        };
-        let event = timeline::Event::new(Duty::Grantor, "grant", kind).service(service(group));
-        let event = match note.kind {
-            grantor::Kind::Stop | grantor::Kind::Resume => event.target(note.subject.as_str()),
-            _ => event.peer(note.subject.as_str()),
-        };
-        self.parts.recorder.event(event.cause(note.detail.as_str()));
-        if note.kind == grantor::Kind::Stop {
-            self.lost(group, &note.subject);
-        }
-    }
-
-    /// Records the ranges of a target as lost.
-    fn lost(&mut self, group: &GroupId, target: &str) {
-        let Some(grantor) = self.groups.get(group) else {
-            return;
-        };
-        for route in grantor.route(self.parts.clock.now()) {
-            if route.target != target {
-                continue;
-            }
-            self.lost.insert((group.clone(), route.range));
-            let kind = timeline::Kind::RangeLost;
-            self.range(group, kind, &route.target, route.range, route.epoch);
-        }
-    }
-
-    /// Records the lost ranges that a target holds a grant for now.
-    fn held(&mut self, group: &GroupId, target: &TargetId, state: &TargetState) {
-        if self.lost.is_empty() {
-            return;
-        }
-        for held in &state.held {
-            let range = Range {
-                start: held.start,
-                end: held.end,
-            };
-            let is_live = held.until_ms > state.clock_ms;
-            if is_live && self.lost.swap_remove(&(group.clone(), range)) {
-                let kind = timeline::Kind::RangeServed;
-                self.range(group, kind, target, range, held.epoch);
-            }
-        }
-    }
-
-    fn range(
-        &self,
-        group: &GroupId,
-        kind: timeline::Kind,
-        target: &str,
-        range: Range,
-        epoch: Epoch,
-    ) {
-        let event = timeline::Event::new(Duty::Grantor, "range", kind).service(service(group));
-        let event = event.target(target).range(range).epoch(epoch);
-        self.parts.recorder.event(event);
+        let now = self.parts.clock.now();
+        let grantor = self.groups.get(group);
+        let routes = grantor
+            .map(|grantor| grantor.route(now))
+            .unwrap_or_default();
+        self.notes.note(group, note, &routes);
     }
 
     /// Sends a grant, or reads the state, and feeds the answer back.
@@ -517,11 +457,6 @@
     }
 }
 
-/// Returns the service that a group belongs to.
-fn service(group: &GroupId) -> &str {
-    group.split_once('/').map_or(group, |(service, _)| service)
-}
-
 /// Returns the grantors of a group's targets that don't check grants.
 fn lenders(record: &Record) -> IndexSet<VmId> {
     let unchecked = record
--- a/src/vm/recorder.rs
+++ b/src/vm/recorder.rs
@@ -8,6 +8,7 @@
     id::VmId,
     logging, measure,
     metrics::{self, Metric, Metrics},
+    peer,
     timeline::{Event, Filter, Kind, Part, Ring, Stamp, stamp},
 };
 
@@ -64,17 +65,6 @@
         &self.metrics
     }
 
-    /// Returns the stamp of a message that leaves now.
-    pub fn stamp(&self) -> Stamp {
-        self.state.borrow_mut().ring.stamp(stamp::wall())
-    }
-
-    /// Takes the stamp of a message that came.
-    pub fn receive(&self, stamp: Stamp) {
-        let mut state = self.state.borrow_mut();
-        state.ring.receive(stamp::wall(), stamp);
-    }
-
     /// Returns the kept events that pass a filter.
     pub fn part(&self, filter: &Filter) -> Part {
         self.state.borrow().ring.part(filter)
@@ -97,6 +87,12 @@
             self.metrics
                 .set(&metrics::RANGES_LOST, service, measures.open);
         }
+        let (dropped, ignored) = {
+            let state = self.state.borrow();
+            (state.ring.dropped(), state.ring.ignored())
+        };
+        self.set(&metrics::EVENTS_DROPPED, dropped);
+        self.set(&metrics::STAMPS_IGNORED, ignored);
         self.metrics.flush();
     }
 
@@ -106,6 +102,27 @@
     }
 }
 
+impl peer::Observer for Recorder {
+    fn stamp(&self) -> Stamp {
+        self.state.borrow_mut().ring.stamp(stamp::wall())
+    }
+
+    fn receive(&self, stamp: Stamp) {
+        let mut state = self.state.borrow_mut();
+        state.ring.receive(stamp::wall(), stamp);
+    }
+
+    fn sent(&self, bytes: usize) {
+        let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
+        self.metrics.count(&metrics::MESSAGES_SENT, None, 1);
+        self.metrics.count(&metrics::MESSAGES_BYTES, None, bytes);
+    }
+
+    fn dropped(&self) {
+        self.metrics.count(&metrics::MESSAGES_DROPPED, None, 1);
+    }
+}
+
 /// Returns the counter of a kind of event, where there is one.
 fn counter(kind: Kind) -> Option<&'static Metric> {
     match kind {
--- a/tests/timeline.rs
+++ b/tests/timeline.rs
@@ -126,7 +126,7 @@
     let text = render::text(&account);
     assert!(
         text.starts_with(
-            "1970-01-01T00:00:04Z+0 vm-1#1 duty=grantor step=test kind=phase cause=\"a<b\"\n"
+            "1970-01-01T00:00:04.000Z+0 vm-1#1 duty=grantor step=test kind=phase cause=\"a<b\"\n"
         ),
         "{text}"
     );
@@ -136,7 +136,7 @@
         "{text}"
     );
     assert!(
-        text.contains("dropped: 3 events of vm-1#1, those before 1970-01-01T00:00:04Z\n"),
+        text.contains("dropped: 3 events of vm-1#1, those before 1970-01-01T00:00:04.000Z\n"),
         "{text}"
     );
     let picture = draw::svg(&account);
