Account for lost ranges where they are granted, and one event for shards that change alike

Cause: in a run with three VMs a grantor that had stopped a target kept two ranges as lost for good, since their new owner is granted to by others; and each of 64 shards gave an event of its own for each change of view, some 600 of 703 events. A lost range passes to its new owner's grantors once a record names it; changes of views that come together are one event. Unused kinds went, and a shard whose memories are both lost has its own.

--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -250,15 +250,17 @@
     }
 
     fn act(&mut self, effects: Vec<Effect>) {
+        let mut notes = Vec::new();
         for effect in effects {
             match effect {
                 Effect::Send { to, message } => self.send(to, message),
                 Effect::Read => self.read(),
                 Effect::Write { base, views } => self.write(base, &views),
-                Effect::Note(note) => self.note(&note),
+                Effect::Note(note) => notes.push(note),
                 Effect::Decide { token, decision } => self.decide(token, decision),
             }
         }
+        self.note(&notes);
     }
 
     /// Tells a request what was decided; an order whose caller has gone is given up before it starts.
@@ -319,11 +321,22 @@
         .detach();
     }
 
-    fn note(&self, note: &order::Note) {
-        let event = timeline::Event::new(Duty::Orders, "view", timeline::Kind::ViewChanged);
-        let event = event.version(note.view);
-        let cause = format!("shard={} change={:?}", note.shard, note.change);
-        self.parts.recorder.event(event.cause(cause.as_str()));
+    /// Records changes of views: one event for all shards that change alike.
+    fn note(&self, notes: &[order::Note]) {
+        let mut alike: IndexMap<(order::Change, order::Number), Vec<String>> = IndexMap::new();
+        for note in notes {
+            let shards = alike.entry((note.change, note.view)).or_default();
+            shards.push(note.shard.to_string());
+        }
+        for ((change, view), shards) in alike {
+            let kind = match change {
+                order::Change::Horizon => timeline::Kind::MemoryLost,
+                _ => timeline::Kind::ViewChanged,
+            };
+            let event = timeline::Event::new(Duty::Orders, "view", kind).version(view);
+            let cause = format!("change={change:?} shards={}", shards.join(","));
+            self.parts.recorder.event(event.cause(cause.as_str()));
+        }
     }
 }
 
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -114,7 +114,7 @@
         | Kind::PeerLost
         | Kind::GrantStopped
         | Kind::GrantorStruck
-        | Kind::ViewSealed
+        | Kind::MemoryLost
         | Kind::Quarantined => Level::Warn,
         Kind::RequestRefused | Kind::RequestUnknown | Kind::RangeServed | Kind::RecordWritten => {
             Level::Debug
--- a/src/measure.rs
+++ b/src/measure.rs
@@ -144,6 +144,34 @@
         }
     }
 
+    /// Closes what is open of a range without a word that it is served: from a time since 1970 on,
+    /// others account for it.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier::{
+    ///     measure::Meter,
+    ///     range::Range,
+    ///     timeline::{Duty, Event, Kind, Ring},
+    /// };
+    ///
+    /// let mut ring = Ring::new("vm-1#1".to_owned(), 9);
+    /// let mut meter = Meter::default();
+    /// let event = Event::new(Duty::Grantor, "range", Kind::RangeLost);
+    /// let event = event.service("a").range(Range::ALL).epoch(1);
+    /// meter.on(ring.record(Duration::from_secs(10), event));
+    /// meter.pass("a", Range::ALL, Duration::from_secs(11));
+    /// assert_eq!(meter.measures(Duration::from_secs(20))["a"].open, 0);
+    /// ```
+    pub fn pass(&mut self, service: &str, range: Range, at: Duration) {
+        if let Some(ranges) = self.services.get_mut(service) {
+            ranges.close(range, at);
+        }
+    }
+
     /// Returns each service's measures up to a time since 1970.
     ///
     /// # Example
@@ -185,6 +213,11 @@
             return;
         }
         keep(&mut self.served, range, epoch);
+        self.close(range, at);
+    }
+
+    /// Ends the gaps within a range, and keeps what is left of them beside it.
+    fn close(&mut self, range: Range, at: Duration) {
         let mut open = Vec::new();
         for gap in std::mem::take(&mut self.gaps) {
             let rest = rest(&gap, range);
--- a/src/order/mod.rs
+++ b/src/order/mod.rs
@@ -320,7 +320,7 @@
 }
 
 /// What changed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Change {
     /// This VM is the home.
     Home,
--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -47,9 +47,7 @@
         PeerLost = "peer-lost",
         /// A VM said that it leaves.
         PeerLeft = "peer-left",
-        /// A duty was taken up.
-        DutyTaken = "duty-taken",
-        /// A duty was handed on.
+        /// A grantor grants no more, since its process stops.
         DutyHanded = "duty-handed",
         /// A target passed to another state.
         TargetPhase = "target-phase",
@@ -79,8 +77,8 @@
         DocumentRefused = "document-refused",
         /// A shard of request ids has other memories.
         ViewChanged = "view-changed",
-        /// A standby took over a shard of request ids.
-        ViewSealed = "view-sealed",
+        /// Both memories of a shard were lost; orders that may be older are answered `unknown`.
+        MemoryLost = "memory-lost",
         /// A request was refused, and did not run.
         RequestRefused = "request-refused",
         /// It could not be learned whether a request ran.
--- a/src/vm/notes.rs
+++ b/src/vm/notes.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 
 use super::recorder::Recorder;
 use crate::{
@@ -16,8 +16,9 @@
     document::Document,
     grant::{Phase, TargetState},
     grantor::{self, Route},
+    group::Record,
     handover::Handover,
-    id::{BootId, Epoch, GroupId, TargetId},
+    id::{BootId, Epoch, GroupId, TargetId, VmId},
     metrics,
     range::Range,
     timeline::{self, Duty, Kind},
@@ -30,8 +31,8 @@
     recorder: Recorder,
     chart: Option<Rc<Chart<State, Event>>>,
     targets: IndexMap<(GroupId, TargetId), Seen>,
-    /// Ranges that no target is known to serve.
-    lost: IndexSet<(GroupId, Range)>,
+    /// Ranges that no target is known to serve, with the epoch that was lost or is awaited.
+    lost: IndexMap<(GroupId, Range), Epoch>,
 }
 
 /// What was seen of one target.
@@ -49,7 +50,7 @@
             // The process checked all charts when it started.
             chart: charts::target().ok(),
             targets: IndexMap::new(),
-            lost: IndexSet::new(),
+            lost: IndexMap::new(),
         }
     }
 
@@ -85,7 +86,7 @@
         let heir = fact.chain.first().map(|heir| heir.target.as_str());
         let target = heir.unwrap_or_default();
         self.range(group, Kind::RangeMoved, target, fact.range, fact.epoch);
-        self.lost.insert((group.clone(), fact.range));
+        self.lost.insert((group.clone(), fact.range), fact.epoch);
     }
 
     /// Notes what a grantor did; `routes` are the ranges' owners as it knows them.
@@ -125,6 +126,21 @@
         }
     }
 
+    /// Notes a newer record: a lost range whose new owner is granted to by other VMs is theirs to
+    /// account for.
+    pub fn record(&mut self, me: &VmId, group: &GroupId, record: &Record) {
+        let passed: Vec<Range> = self
+            .lost
+            .iter()
+            .filter(|((lost, range), epoch)| lost == group && passes(me, record, *range, **epoch))
+            .map(|((_, range), _)| *range)
+            .collect();
+        for range in passed {
+            self.lost.swap_remove(&(group.clone(), range));
+            self.recorder.pass(service(group), range);
+        }
+    }
+
     /// Notes that a document is in force: targets that it no longer names are gone.
     pub fn document(&mut self, document: &Document) {
         let known: Vec<(GroupId, TargetId)> = self.targets.keys().cloned().collect();
@@ -159,7 +175,7 @@
     /// Records the ranges of a target as lost.
     fn lost(&mut self, group: &GroupId, target: &str, routes: &[Route]) {
         for route in routes.iter().filter(|route| route.target == target) {
-            self.lost.insert((group.clone(), route.range));
+            self.lost.insert((group.clone(), route.range), route.epoch);
             self.range(group, Kind::RangeLost, target, route.range, route.epoch);
         }
     }
@@ -175,7 +191,7 @@
                 end: held.end,
             };
             let is_live = held.until_ms > state.clock_ms;
-            if is_live && self.lost.swap_remove(&(group.clone(), range)) {
+            if is_live && self.lost.swap_remove(&(group.clone(), range)).is_some() {
                 self.range(group, Kind::RangeServed, target, range, held.epoch);
             }
         }
@@ -188,6 +204,22 @@
     }
 }
 
+/// Returns whether a range that was lost has an owner at a later epoch, or at the one that is
+/// awaited, and this VM doesn't grant to it.
+fn passes(me: &VmId, record: &Record, range: Range, epoch: Epoch) -> bool {
+    let mut entries = record.ranges.iter();
+    let Some(entry) = entries.find(|entry| entry.range.overlaps(&range)) else {
+        return false;
+    };
+    let owner = entry
+        .chain
+        .first()
+        .and_then(|owner| record.members.get(owner));
+    let trio = owner.and_then(|owner| record.trios.get(&owner.domain));
+    let is_mine = trio.is_some_and(|trio| trio.iter().any(|grantor| grantor.vm == *me));
+    entry.epoch >= epoch && !is_mine
+}
+
 /// Returns the service of a group: `service/index`.
 fn service(group: &GroupId) -> &str {
     group.split_once('/').map_or(group, |(service, _)| service)
--- a/src/vm/owners.rs
+++ b/src/vm/owners.rs
@@ -365,6 +365,7 @@
             return;
         }
         *told = version;
+        self.notes.record(&self.parts.me.vm, group, record);
         let record = Box::new(record.clone());
         if let Ok(bytes) = peer::encode(&record) {
             let id = Id::new(Kind::Record, group.clone());
--- a/src/vm/recorder.rs
+++ b/src/vm/recorder.rs
@@ -9,6 +9,7 @@
     logging, measure,
     metrics::{self, Metric, Metrics},
     peer,
+    range::Range,
     timeline::{Event, Filter, Kind, Part, Ring, Stamp, stamp},
 };
 
@@ -65,6 +66,12 @@
         &self.metrics
     }
 
+    /// Leaves it to other processes to account for a range that is lost.
+    pub fn pass(&self, service: &str, range: Range) {
+        let mut state = self.state.borrow_mut();
+        state.meter.pass(service, range, stamp::wall());
+    }
+
     /// Returns the kept events that pass a filter.
     pub fn part(&self, filter: &Filter) -> Part {
         self.state.borrow().ring.part(filter)
