Give an account's own measures: each loss and move counts once

Cause: three grantors each see the same loss, so the sum of their gauges counts it three times; the account of all processes knows better.

--- a/src/timeline/account.rs
+++ b/src/timeline/account.rs
@@ -6,7 +6,12 @@
 use crate::{
     id::{RequestId, ServiceId, TargetId, VmId},
     key::Point,
-    timeline::{event::Event, ring::Part, stamp::Stamp},
+    measure::{Measures, Meter},
+    timeline::{
+        event::Event,
+        ring::Part,
+        stamp::{self, Stamp},
+    },
 };
 
 /// Which events are asked for; an empty filter passes all.
@@ -55,7 +60,7 @@
 }
 
 /// The events of several processes, each cause before its effects.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Account {
     /// The events, in the order of their stamps.
@@ -67,6 +72,8 @@
     /// How many events each process no longer keeps, and the stamp of the oldest that it does;
     /// processes that dropped none are left out.
     pub dropped: IndexMap<VmId, (u64, Stamp)>,
+    /// What the events amount to, by service, up to the last of them.
+    pub measures: IndexMap<ServiceId, Measures>,
 }
 
 impl Account {
@@ -116,6 +123,17 @@
             let stamps = one.stamp.cmp(&other.stamp);
             stamps.then_with(|| one.vm.cmp(&other.vm))
         });
+        account.measures = measures(&account.events);
         account
     }
 }
+
+/// Measures what events in their order amount to, up to the last of them.
+fn measures(events: &[Event]) -> IndexMap<ServiceId, Measures> {
+    let mut meter = Meter::default();
+    for event in events {
+        meter.on(event);
+    }
+    let last = events.last().map(|event| stamp::time(event.stamp));
+    meter.measures(last.unwrap_or_default())
+}
--- a/src/timeline/render.rs
+++ b/src/timeline/render.rs
@@ -4,10 +4,13 @@
 
 use time::{OffsetDateTime, format_description::well_known::Rfc3339};
 
-use crate::timeline::{
-    account::Account,
-    event::Event,
-    stamp::{self, Stamp},
+use crate::{
+    measure::Measures,
+    timeline::{
+        account::Account,
+        event::Event,
+        stamp::{self, Stamp},
+    },
 };
 
 /// Returns a stamp as a time in UTC and the count within its millisecond.
@@ -77,6 +80,18 @@
     let count = account.events.len();
     let processes = account.answered.len();
     let _ = writeln!(page, "{count} events of {processes} processes");
+    for (service, measures) in &account.measures {
+        let Measures {
+            moves,
+            churn,
+            unavailable,
+            open,
+        } = measures;
+        let _ = writeln!(
+            page,
+            "service={service} moves={moves} churn={churn:.4} unavailable={unavailable:.3}s lost={open}"
+        );
+    }
     for vm in &account.unreached {
         let _ = writeln!(page, "not reached: {vm}; what it knows is missing");
     }
--- a/tests/timeline.rs
+++ b/tests/timeline.rs
@@ -147,6 +147,30 @@
     assert!(picture.contains("vm-2#1 (not reached)"), "{picture}");
 }
 
+#[test]
+fn an_account_counts_a_loss_once() {
+    let mut one = Ring::new("vm-1#1".to_owned(), 9);
+    let mut two = Ring::new("vm-2#1".to_owned(), 9);
+    let lost = event(Kind::RangeLost)
+        .service("a")
+        .range(Range::ALL)
+        .epoch(1);
+    one.record(Duration::from_secs(1), lost.clone());
+    two.record(Duration::from_secs(2), lost);
+    let served = event(Kind::RangeServed)
+        .service("a")
+        .range(Range::ALL)
+        .epoch(2);
+    two.record(Duration::from_secs(4), served);
+    let parts = vec![one.part(&Filter::default()), two.part(&Filter::default())];
+    let account = Account::merge(parts, Vec::new());
+    let text = render::text(&account);
+    assert!(
+        text.contains("service=a moves=0 churn=0.0000 unavailable=3.000s lost=0\n"),
+        "{text}"
+    );
+}
+
 #[test]
 fn a_wall_clock_that_is_far_ahead_pulls_nobody() {
     let mut ring = Ring::new("vm-1#1".to_owned(), 9);
