--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,8 @@
 //! A router for servers that own keys exclusively.
+pub mod admin;
 pub mod balance;
+pub mod chart;
+pub mod cli;
 pub mod clock;
 pub mod document;
 pub mod entry;
@@ -10,7 +13,11 @@
 pub mod handover;
 pub mod id;
 pub mod key;
+pub mod logging;
+pub mod measure;
 pub mod membership;
+pub mod metrics;
+pub mod order;
 pub mod peer;
 pub mod platform;
 pub mod range;
@@ -19,6 +26,7 @@
 pub mod settings;
 pub mod spread;
 pub mod target;
+pub mod timeline;
 pub mod util;
 pub mod vm;
 pub mod watcher;
--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -5,4 +5,5 @@
 pub mod decimal;
 pub mod fields;
 pub mod ini;
+pub mod names;
 pub mod server;
--- a/src/vm/admin.rs
+++ b/src/vm/admin.rs
@@ -1,71 +1,63 @@
-//! Answers peers and operators on the port for peers.
+//! Answers peers and operators on the address for peers.
 
 use futures_channel::oneshot;
 use http::{Method, StatusCode};
 use hyper::{Request, Response, body::Incoming};
 use serde::Serialize;
 
-use super::{Tasks, mail, news, owners, wire};
+use super::{Parts, life::Shown, mail, news, owners, wire};
 use crate::{
-    clock::Clock,
-    entry::reply,
+    admin::{self, Question, Status},
+    entry::{desk, reply},
     id::VmId,
     peer::{self, Batch},
-    util::body::{self, Body},
+    util::{
+        body::{self, Body},
+        server::Control,
+    },
 };
 
-/// The largest probe or piece of news that is read, in bytes.
-const GOSSIP_LIMIT: usize = 4 * 1024 * 1024;
-/// Where operators read the process's state.
-pub const STATUS_PATH: &str = "/admin/status";
+/// The largest probe, piece of news or question that is read, in bytes.
+const CALL_LIMIT: usize = 4 * 1024 * 1024;
 
 /// What answering takes.
 #[derive(Clone, Debug)]
 pub struct Admin {
-    vm: VmId,
-    tasks: Tasks,
-    clock: Clock,
-}
-
-/// The state of one process, for operators.
-#[derive(Clone, Debug, Serialize)]
-pub struct Status {
-    /// The VM.
-    pub vm: VmId,
-    /// Time since the machine's boot, in milliseconds.
-    pub clock_ms: u64,
-    /// What is in force here.
-    pub news: news::Status,
-    /// The groups as known here.
-    pub owners: owners::Status,
+    parts: Parts,
+    callers: Control,
+    life: Shown,
 }
 
 impl Admin {
     /// Creates the handler of a process.
-    pub fn new(vm: VmId, tasks: Tasks, clock: Clock) -> Self {
-        Self { vm, tasks, clock }
+    pub fn new(parts: Parts, callers: Control, life: Shown) -> Self {
+        Self {
+            parts,
+            callers,
+            life,
+        }
     }
 
     /// Answers one request.
     pub async fn handle(self, request: Request<Incoming>) -> Response<Body> {
         let (head, body) = request.into_parts();
-        match (head.method, head.uri.path()) {
-            (Method::POST, peer::BATCH_PATH) => self.batch(body).await,
-            (Method::POST, news::GOSSIP_PATH) => self.gossip(body).await,
-            (Method::GET, STATUS_PATH) => self.status().await,
-            _ => reply::plain(StatusCode::NOT_FOUND, "no such path\n"),
+        match (&head.method, head.uri.path()) {
+            (&Method::POST, peer::BATCH_PATH) => self.batch(body).await,
+            (&Method::POST, news::GOSSIP_PATH) => self.gossip(body).await,
+            (method, path) => self.question(method, path, body).await,
         }
     }
 
     async fn batch(self, body: Incoming) -> Response<Body> {
         let Ok(bytes) = body::read(body, peer::BATCH_LIMIT).await else {
-            return reply::plain(StatusCode::BAD_REQUEST, "cut short or too long\n");
+            return bad("cut short or too long\n");
         };
         let Ok(batch) = peer::decode::<Batch<wire::Message>>(&bytes) else {
-            return reply::plain(StatusCode::BAD_REQUEST, "not a batch\n");
+            return bad("not a batch\n");
         };
+        self.parts.recorder.receive(batch.stamp);
         let seen = mail::Message::Seen(batch.from.clone(), batch.address);
-        let _ = self.tasks.mail.unbounded_send(seen);
+        let _ = self.parts.tasks.mail.unbounded_send(seen);
         for message in batch.messages {
             self.deliver(&batch.from, message);
         }
@@ -77,56 +69,95 @@
         match message {
             wire::Message::Grantor(group, message) => {
                 let message = owners::Message::Peer(from.clone(), group, message);
-                let _ = self.tasks.owners.unbounded_send(message);
+                let _ = self.parts.tasks.owners.unbounded_send(message);
+            }
+            wire::Message::Order(message) => {
+                let message = desk::Message::Peer(from.clone(), message);
+                let _ = self.parts.tasks.desk.unbounded_send(message);
             }
         }
     }
 
     async fn gossip(self, body: Incoming) -> Response<Body> {
-        let Ok(bytes) = body::read(body, GOSSIP_LIMIT).await else {
-            return reply::plain(StatusCode::BAD_REQUEST, "cut short or too long\n");
+        let Ok(bytes) = body::read(body, CALL_LIMIT).await else {
+            return bad("cut short or too long\n");
         };
-        let Ok(word) = peer::decode(&bytes) else {
-            return reply::plain(StatusCode::BAD_REQUEST, "not a probe or news\n");
+        let Ok(envelope) = peer::decode(&bytes) else {
+            return bad("not a probe or news\n");
         };
         let (sender, answer) = oneshot::channel();
-        let _ = self
-            .tasks
-            .news
-            .unbounded_send(news::Message::Asked(word, sender));
+        let message = news::Message::Asked(envelope, sender);
+        let _ = self.parts.tasks.news.unbounded_send(message);
         match answer.await.map(|answer| peer::encode(&answer)) {
             Ok(Ok(bytes)) => Response::new(Body::from(bytes)),
             _ => reply::plain(StatusCode::SERVICE_UNAVAILABLE, "no answer\n"),
         }
     }
 
-    async fn status(self) -> Response<Body> {
+    async fn question(self, method: &Method, path: &str, body: Incoming) -> Response<Body> {
+        let Ok(bytes) = body::read(body, CALL_LIMIT).await else {
+            return bad("cut short or too long\n");
+        };
+        match Question::read(method, path, &bytes) {
+            Ok(Question::Status) => json(&self.status().await),
+            Ok(Question::Timeline(filter)) => json(&self.parts.recorder.part(&filter)),
+            Err(error) => {
+                let mut response = Response::new(Body::from(format!("{error}\n")));
+                *response.status_mut() = StatusCode::NOT_FOUND;
+                response
+            }
+        }
+    }
+
+    async fn status(&self) -> Status {
         let (sender, news) = oneshot::channel();
         let _ = self
+            .parts
             .tasks
             .news
             .unbounded_send(news::Message::Status(sender));
         let (sender, owners) = oneshot::channel();
         let _ = self
+            .parts
             .tasks
             .owners
             .unbounded_send(owners::Message::Status(sender));
-        let status = Status {
-            vm: self.vm,
-            clock_ms: u64::try_from(self.clock.now().as_millis()).unwrap_or(u64::MAX),
-            news: news.await.unwrap_or_default(),
-            owners: owners.await.unwrap_or_default(),
-        };
-        json(&status)
+        let news = news.await.unwrap_or_default();
+        let owners = owners.await.unwrap_or_default();
+        Status {
+            vm: self.parts.me.vm.clone(),
+            domain: self.parts.me.domain.clone(),
+            state: self.life.name().to_owned(),
+            platform: news.is_reached.unwrap_or(true),
+            peers: news.members.len() as u64,
+            documents: news.documents,
+            duties: duties(news.is_watcher, &owners),
+            active: self.callers.open() as u64,
+            measures: self.parts.recorder.measures(),
+            totals: self.parts.recorder.metrics().totals(),
+            members: news.members,
+            groups: owners.groups,
+        }
     }
 }
 
+fn duties(is_watcher: bool, owners: &owners::Status) -> Vec<String> {
+    let watcher = is_watcher.then(|| "watcher".to_owned());
+    let named = owners.groups.iter().filter(|(_, group)| group.is_grantor);
+    let grantor = named.map(|(name, _)| format!("grantor of {name}"));
+    watcher.into_iter().chain(grantor).collect()
+}
+
+fn bad(text: &'static str) -> Response<Body> {
+    reply::plain(StatusCode::BAD_REQUEST, text)
+}
+
 /// Makes an answer in JSON.
 fn json<T>(value: &T) -> Response<Body>
 where
     T: Serialize,
 {
-    match serde_json::to_vec(value) {
+    match admin::write(value) {
         Ok(bytes) => Response::new(Body::from(bytes)),
         Err(_) => reply::plain(StatusCode::INTERNAL_SERVER_ERROR, "can't be written\n"),
     }
--- a/src/vm/mail.rs
+++ b/src/vm/mail.rs
@@ -6,8 +6,8 @@
 use futures_util::StreamExt;
 use indexmap::IndexMap;
 
-use super::wire;
-use crate::{clock::Clock, id::VmId, membership, peer};
+use super::{Parts, wire};
+use crate::{id::VmId, membership, metrics, peer};
 
 /// A message to the task.
 #[derive(Debug)]
@@ -24,18 +24,20 @@
 
 /// Runs the task until nobody can ask any more.
 pub async fn run(
-    clock: Clock,
-    vm: VmId,
+    parts: Parts,
     address: SocketAddr,
     mut messages: mpsc::UnboundedReceiver<Message>,
 ) {
-    let mut outbox = peer::Outbox::new(clock, vm, address);
+    let recorder = parts.recorder.clone();
+    let stamp = peer::StampSource::new(move || recorder.stamp());
+    let mut outbox = peer::Outbox::new(parts.clock, parts.me.vm, address, stamp);
     let mut addresses: IndexMap<VmId, SocketAddr> = IndexMap::new();
     while let Some(message) = messages.next().await {
         match message {
             Message::Send(vm, message) => {
                 if let Some(address) = addresses.get(&vm) {
                     outbox.send(*address, message);
+                    parts.recorder.count(&metrics::MESSAGES_SENT, None);
                 }
             }
             Message::SendTo(address, message) => outbox.send(address, message),
