--- a/standins/src/bin/bramleypier-demo.rs
+++ b/standins/src/bin/bramleypier-demo.rs
@@ -1,7 +1,8 @@
 //! Runs the sample services on a fleet of real processes, breaks things, and checks the outcome.
 
 use std::{
-    fs, io,
+    fs,
+    io::{self, Write},
     path::{Path, PathBuf},
     process::ExitCode,
     time::Duration,
@@ -10,7 +11,7 @@
 use bpaf::Bpaf;
 use bramleypier_standins::{
     audit::{self, Findings},
-    caller::Callers,
+    caller::{Callers, Sample},
     clock,
     document::Document,
     fleet::Fleet,
@@ -31,6 +32,8 @@
 const KEYS: usize = 6;
 /// How many further keys of each service are asked for, one after the other.
 const SPREAD: usize = 500;
+/// How many reasons are printed.
+const REASONS: usize = 8;
 /// The size of a file.
 const FILE_SIZE: u64 = 200_000;
 
@@ -50,6 +53,9 @@
     /// Where the time line is written
     #[bpaf(argument("FILE"), optional)]
     timeline: Option<PathBuf>,
+    /// Where each look-up is written, as CSV
+    #[bpaf(argument("FILE"), optional)]
+    csv: Option<PathBuf>,
 }
 
 /// What came out of a run.
@@ -125,6 +131,14 @@
     let runs = fleet.runs_of_targets()?;
     let findings = audit::audit(&callers.calls(), &runs);
     println!("{} calls, {} runs", callers.calls().len(), runs.len());
+    let samples = callers.samples();
+    if let Some(path) = &options.csv {
+        write_samples(path, &samples)?;
+    }
+    println!("{} look-ups, of which were not served:", samples.len());
+    for (reason, count) in measure::reasons(&samples).iter().take(REASONS) {
+        println!("  {count} for {reason}");
+    }
     Ok(Outcome {
         findings,
         measures: measures(&callers, &runs, &documents, lost),
@@ -226,6 +240,24 @@
     Ok(path)
 }
 
+fn write_samples(path: &Path, samples: &[Sample]) -> io::Result<()> {
+    let mut file = io::BufWriter::new(fs::File::create(path)?);
+    writeln!(file, "sent_ms,service,key,took_ms,target,reason")?;
+    for sample in samples {
+        writeln!(
+            file,
+            "{},{},{},{},{},\"{}\"",
+            sample.sent.as_millis(),
+            sample.service,
+            sample.key,
+            sample.took.as_millis(),
+            sample.target,
+            sample.reason,
+        )?;
+    }
+    file.flush()
+}
+
 fn measures(
     callers: &Callers,
     runs: &[bramleypier_standins::journal::Run],
--- a/standins/src/bin/bramleypier-drill.rs
+++ b/standins/src/bin/bramleypier-drill.rs
@@ -86,6 +86,9 @@
         for repetition in 0..options.repeat {
             let outcome = drill::run(scenario, &setup).await?;
             total.add(&outcome);
+            for (reason, count) in &outcome.reasons {
+                eprintln!("  {count} not served for {reason}");
+            }
             write_rows(&mut csv, scenario, repetition, &outcome)?;
         }
         total.print(scenario.name);
--- a/standins/src/caller.rs
+++ b/standins/src/caller.rs
@@ -238,16 +238,22 @@
         sound: echo.as_ref().map_or_else(routers, own),
         echo: echo.filter(|_| reply.status == 200),
         reason: format!(
-            "{} {} {} {}",
+            "{} {} at {}: {}",
             reply.status,
             reply.header(OUTCOME),
             reply.header("Bramleypier-Step"),
-            reply.header("Bramleypier-Peer"),
+            router_reason(reply),
         ),
         retry: retry.map(Duration::from_millis),
     }
 }
 
+/// Returns the reason that the router's own body names.
+fn router_reason(reply: &Reply) -> String {
+    let body: serde_json::Value = serde_json::from_slice(&reply.body).unwrap_or_default();
+    body["reason"].as_str().unwrap_or("").to_owned()
+}
+
 fn is_pattern(bytes: &[u8], size: u64) -> bool {
     let bytes = bytes.iter().copied();
     bytes.len() as u64 == size && bytes.eq((0..size).map(payload::byte_at))
--- a/standins/src/drill.rs
+++ b/standins/src/drill.rs
@@ -88,6 +88,8 @@
     pub dead: usize,
     /// Calls to the platform a second, a waiting watch counted as one.
     pub platform_rate: f64,
+    /// Why look-ups were not served, with counts.
+    pub reasons: Vec<(String, usize)>,
     /// What the audit found.
     pub findings: Findings,
     /// Calls and runs that were audited.
@@ -307,6 +309,7 @@
             .chain(dead.iter().cloned())
             .collect();
         let lost_keys = measure::keys_of(&samples, &hit, begin);
+        let reasons = measure::reasons(&samples);
         let mut after = samples;
         after.retain(|sample| sample.sent + WARM_UP > begin && sample.key != CRASH_KEY);
         let gaps = measure::gaps(&after, end);
@@ -321,6 +324,7 @@
             churn: measure::churn(&runs),
             dead: dead.len(),
             platform_rate: 0.0,
+            reasons,
             findings: audit::audit(&calls, &runs),
             audited: (calls.len(), runs.len()),
         })
--- a/standins/src/measure.rs
+++ b/standins/src/measure.rs
@@ -86,6 +86,19 @@
     sample.served() && sample.took <= SERVED_WITHIN
 }
 
+/// Returns why look-ups were not served, the most frequent reason first, with its count.
+pub fn reasons(samples: &[Sample]) -> Vec<(String, usize)> {
+    let mut counts: IndexMap<&str, usize> = IndexMap::new();
+    for sample in samples.iter().filter(|sample| !sample.served()) {
+        *counts.entry(&sample.reason).or_default() += 1;
+    }
+    counts.sort_by(|_, one, _, other| other.cmp(one));
+    let counts = counts.into_iter();
+    counts
+        .map(|(reason, count)| (reason.to_owned(), count))
+        .collect()
+}
+
 /// Returns the keys that a target served, by its last answers before a time.
 pub fn keys_of(samples: &[Sample], targets: &IndexSet<String>, before: Duration) -> Vec<String> {
     let mut owners: IndexMap<&str, (Duration, &str)> = IndexMap::new();
