--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,7 +20,6 @@
 pub mod order;
 pub mod peer;
 pub mod platform;
-pub mod order;
 pub mod range;
 pub mod request;
 pub mod route;
--- a/standins/src/bin/bramleypier-demo.rs
+++ b/standins/src/bin/bramleypier-demo.rs
@@ -97,11 +97,11 @@
 
 async fn run(options: &Options) -> Result<Outcome, Fault> {
     let mut fleet = Fleet::start(options.program.clone()).await?;
-    let documents = start_targets(&mut fleet, &options.examples).await?;
+    let mut documents = start_targets(&mut fleet, &options.examples).await?;
     for (name, domain) in VMS {
         fleet.add_vm(name, domain, false).await?;
     }
-    for document in &documents {
+    for document in &mut documents {
         services::put(&fleet, VMS[0].0, document).await?;
     }
     println!(
--- a/standins/src/document.rs
+++ b/standins/src/document.rs
@@ -22,6 +22,8 @@
     ini: Ini,
     /// The service's name.
     pub service: String,
+    /// The version in force that this one is based on; 0 before it was put.
+    pub version: u64,
     /// Whether a class takes orders.
     pub orders: bool,
     /// Whether a class takes files.
@@ -77,6 +79,7 @@
             files: has("path", "files/"),
             targets: targets.map(|(name, target)| (name, read(target))).collect(),
             service,
+            version: 0,
             ini,
         }
     }
--- a/standins/src/drill.rs
+++ b/standins/src/drill.rs
@@ -149,11 +149,11 @@
             work_ms: 2,
             fronted,
         };
-        let document = services::start(&mut fleet, &path, &setup).await?;
+        let mut document = services::start(&mut fleet, &path, &setup).await?;
         for (name, domain) in VMS {
             fleet.add_vm(name, domain, fronted).await?;
         }
-        services::put(&fleet, VMS[0].0, &document).await?;
+        services::put(&fleet, VMS[0].0, &mut document).await?;
         let callers = Callers::new(fleet.callers(), measure::SERVED_WITHIN);
         Ok(Self {
             fleet,
@@ -211,7 +211,7 @@
             }
             Step::LeaveTarget => {
                 self.document.set_target(TARGET, "state", "leaving");
-                services::put(&self.fleet, VMS[0].0, &self.document).await?;
+                services::put(&self.fleet, VMS[0].0, &mut self.document).await?;
             }
             Step::StopGrantor => self.stop(GRANTOR).await?,
             Step::Crash => self.crash().await?,
--- a/standins/src/services.rs
+++ b/standins/src/services.rs
@@ -77,25 +77,33 @@
     Ok(document)
 }
 
-/// Puts a document with the operator's command of a VM.
+/// Puts a document with the operator's command of a VM, and notes its version.
 ///
 /// # Errors
 ///
 /// Fails when the command refuses it; the error carries what it said.
-pub async fn put(fleet: &Fleet, vm: &str, document: &Document) -> Result<(), Error> {
+pub async fn put(fleet: &Fleet, vm: &str, document: &mut Document) -> Result<(), Error> {
     let path = fleet.dir().join(format!("{}.ini", document.service));
     let text = document.text().and_then(|text| fs::write(&path, text));
     text.map_err(|cause| Error::File(path.clone(), cause))?;
-    let settings = fleet.settings(vm)?.display().to_string();
+    let settings = format!("--settings={}", fleet.settings(vm)?.display());
+    let base = format!("--base={}", document.version);
     let path = path.display().to_string();
     let output = fleet
-        .operate(&["document", "put", "--settings", &settings, &path])
+        .operate(&["document", "put", &settings, &base, "--json", &path])
         .await?;
-    if output.status.success() {
-        return Ok(());
+    let report: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap_or_default();
+    match report["version"].as_u64() {
+        Some(version) if output.status.success() => {
+            document.version = version;
+            Ok(())
+        }
+        _ => {
+            let said = [output.stdout, output.stderr].concat();
+            let said = String::from_utf8_lossy(&said).into_owned();
+            Err(Error::Refused(document.service.clone(), said))
+        }
     }
-    let said = String::from_utf8_lossy(&output.stderr).into_owned();
-    Err(Error::Refused(document.service.clone(), said))
 }
 
 /// Returns the names of `count` keys of a service.
