--- a/standins/src/bin/bramleypier-drill.rs
+++ b/standins/src/bin/bramleypier-drill.rs
@@ -15,7 +15,7 @@
 /// The longest gap that a histogram holds, in milliseconds.
 const LONGEST_MS: u64 = 600_000;
 /// The head of the CSV.
-const HEAD: &str = "scenario,repetition,scope,keys,p50_ms,p90_ms,max_ms,last_work_ms,churn,\
+const HEAD: &str = "scenario,repetition,scope,keys,p50_ms,p90_ms,max_ms,unserved,last_work_ms,churn,\
                     dead_targets,platform_rate,calls,runs,doubled,lost,untrue,unsound,two_owners";
 
 /// Runs drills on real processes: losses, freezes, cuts and planned stops.
@@ -129,12 +129,13 @@
         let findings = &outcome.findings;
         writeln!(
             csv,
-            "{},{repetition},{scope},{},{},{},{},{},{:.3},{},{:.1},{},{},{},{},{},{},{}",
+            "{},{repetition},{scope},{},{},{},{},{},{},{:.3},{},{:.1},{},{},{},{},{},{},{}",
             scenario.name,
             gaps.len(),
             gaps.value_at_quantile(0.5),
             gaps.value_at_quantile(0.9),
             gaps.max(),
+            outcome.unserved,
             outcome.last_work.as_millis(),
             outcome.churn,
             outcome.dead,
--- a/standins/src/drill.rs
+++ b/standins/src/drill.rs
@@ -55,6 +55,8 @@
 /// How often such a request is sent, and with which pauses.
 const CRASH_SENDS: usize = 12;
 const CRASH_PAUSE: Duration = Duration::from_millis(250);
+/// A key that was not served for this long at the end counts as not served again.
+const LAST_LOOK: Duration = Duration::from_secs(1);
 /// How often the balancer asks for a VM's health.
 const HEALTH_PERIOD: Duration = Duration::from_millis(50);
 
@@ -80,6 +82,8 @@
     pub lost: Vec<Duration>,
     /// The same for all other keys.
     pub others: Vec<Duration>,
+    /// How many keys were not served in the last second.
+    pub unserved: usize,
     /// From the first step until the last start of work at what was lost.
     pub last_work: Duration,
     /// Moves for each key.
@@ -313,6 +317,7 @@
         let mut after = samples;
         after.retain(|sample| sample.sent + WARM_UP > begin && sample.key != CRASH_KEY);
         let gaps = measure::gaps(&after, end);
+        let unserved = measure::unserved(&after, end.saturating_sub(LAST_LOOK)).len();
         let (lost, others) = gaps
             .into_iter()
             .partition::<Vec<_>, _>(|(key, _)| lost_keys.contains(key));
@@ -320,6 +325,7 @@
         Ok(Outcome {
             lost: lost.into_iter().map(|(_, gap)| gap).collect(),
             others: others.into_iter().map(|(_, gap)| gap).collect(),
+            unserved,
             last_work: last_work(&runs, &hit, begin),
             churn: measure::churn(&runs),
             dead: dead.len(),
--- a/standins/src/measure.rs
+++ b/standins/src/measure.rs
@@ -86,6 +86,16 @@
     sample.served() && sample.took <= SERVED_WITHIN
 }
 
+/// Returns the keys that were looked up since a time, and never served since.
+pub fn unserved(samples: &[Sample], since: Duration) -> IndexSet<String> {
+    let recent = samples.iter().filter(|sample| sample.sent >= since);
+    let mut keys: IndexSet<String> = recent.clone().map(|sample| sample.key.clone()).collect();
+    for sample in recent.filter(|sample| sample.served()) {
+        keys.swap_remove(&sample.key);
+    }
+    keys
+}
+
 /// Returns why look-ups were not served, the most frequent reason first, with its count.
 pub fn reasons(samples: &[Sample]) -> Vec<(String, usize)> {
     let mut counts: IndexMap<&str, usize> = IndexMap::new();
