--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -159,7 +159,7 @@
     let seeds = settings.seeds.iter().map(SocketAddr::to_string).collect();
     let _ = parts.tasks.news.unbounded_send(news::Message::Seeds(seeds));
     life.listening();
-    ready(&vm, caller, address);
+    ready(&vm, caller, bound);
     Ok(life.run(&settings, &parts, &served).await)
 }
 
--- a/standins/src/drill.rs
+++ b/standins/src/drill.rs
@@ -55,6 +55,8 @@
 /// How often such a request is sent, and with which pauses.
 const CRASH_SENDS: usize = 12;
 const CRASH_PAUSE: Duration = Duration::from_millis(250);
+/// A key that was not served for this long at the end counts as not served again.
+const LAST_LOOK: Duration = Duration::from_secs(1);
 /// How often the balancer asks for a VM's health.
 const HEALTH_PERIOD: Duration = Duration::from_millis(50);
 
@@ -80,6 +82,8 @@
     pub lost: Vec<Duration>,
     /// The same for all other keys.
     pub others: Vec<Duration>,
+    /// How many keys were not served in the last second.
+    pub unserved: usize,
     /// From the first step until the last start of work at what was lost.
     pub last_work: Duration,
     /// Moves for each key.
@@ -88,6 +92,8 @@
     pub dead: usize,
     /// Calls to the platform a second, a waiting watch counted as one.
     pub platform_rate: f64,
+    /// Why look-ups were not served, with counts.
+    pub reasons: Vec<(String, usize)>,
     /// What the audit found.
     pub findings: Findings,
     /// Calls and runs that were audited.
@@ -147,11 +153,11 @@
             work_ms: 2,
             fronted,
         };
-        let document = services::start(&mut fleet, &path, &setup).await?;
+        let mut document = services::start(&mut fleet, &path, &setup).await?;
         for (name, domain) in VMS {
             fleet.add_vm(name, domain, fronted).await?;
         }
-        services::put(&fleet, VMS[0].0, &document).await?;
+        services::put(&fleet, VMS[0].0, &mut document).await?;
         let callers = Callers::new(fleet.callers(), measure::SERVED_WITHIN);
         Ok(Self {
             fleet,
@@ -209,7 +215,7 @@
             }
             Step::LeaveTarget => {
                 self.document.set_target(TARGET, "state", "leaving");
-                services::put(&self.fleet, VMS[0].0, &self.document).await?;
+                services::put(&self.fleet, VMS[0].0, &mut self.document).await?;
             }
             Step::StopGrantor => self.stop(GRANTOR).await?,
             Step::Crash => self.crash().await?,
@@ -307,9 +313,11 @@
             .chain(dead.iter().cloned())
             .collect();
         let lost_keys = measure::keys_of(&samples, &hit, begin);
+        let reasons = measure::reasons(&samples);
         let mut after = samples;
         after.retain(|sample| sample.sent + WARM_UP > begin && sample.key != CRASH_KEY);
         let gaps = measure::gaps(&after, end);
+        let unserved = measure::unserved(&after, end.saturating_sub(LAST_LOOK)).len();
         let (lost, others) = gaps
             .into_iter()
             .partition::<Vec<_>, _>(|(key, _)| lost_keys.contains(key));
@@ -317,10 +325,12 @@
         Ok(Outcome {
             lost: lost.into_iter().map(|(_, gap)| gap).collect(),
             others: others.into_iter().map(|(_, gap)| gap).collect(),
+            unserved,
             last_work: last_work(&runs, &hit, begin),
             churn: measure::churn(&runs),
             dead: dead.len(),
             platform_rate: 0.0,
+            reasons,
             findings: audit::audit(&calls, &runs),
             audited: (calls.len(), runs.len()),
         })
--- a/standins/src/measure.rs
+++ b/standins/src/measure.rs
@@ -86,6 +86,29 @@
     sample.served() && sample.took <= SERVED_WITHIN
 }
 
+/// Returns the keys that were looked up since a time, and never served since.
+pub fn unserved(samples: &[Sample], since: Duration) -> IndexSet<String> {
+    let recent = samples.iter().filter(|sample| sample.sent >= since);
+    let mut keys: IndexSet<String> = recent.clone().map(|sample| sample.key.clone()).collect();
+    for sample in recent.filter(|sample| sample.served()) {
+        keys.swap_remove(&sample.key);
+    }
+    keys
+}
+
+/// Returns why look-ups were not served, the most frequent reason first, with its count.
+pub fn reasons(samples: &[Sample]) -> Vec<(String, usize)> {
+    let mut counts: IndexMap<&str, usize> = IndexMap::new();
+    for sample in samples.iter().filter(|sample| !sample.served()) {
+        *counts.entry(&sample.reason).or_default() += 1;
+    }
+    counts.sort_by(|_, one, _, other| other.cmp(one));
+    let counts = counts.into_iter();
+    counts
+        .map(|(reason, count)| (reason.to_owned(), count))
+        .collect()
+}
+
 /// Returns the keys that a target served, by its last answers before a time.
 pub fn keys_of(samples: &[Sample], targets: &IndexSet<String>, before: Duration) -> Vec<String> {
     let mut owners: IndexMap<&str, (Duration, &str)> = IndexMap::new();
