--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -20,7 +20,7 @@
     },
     peer,
     platform::{self, Put},
-    request::{Attempt, Outcome, Received, Step, Verdict, call},
+    request::{self, Attempt, Outcome, Received, Step, Verdict, call},
     spread::{Id, Item, Kind},
     timeline::{self, Duty, stamp},
     util::body::Body,
@@ -137,7 +137,7 @@
     fn tick(&mut self) {
         let wall = stamp::wall();
         self.ledger(ledger::Event::Tick { wall });
-        self.starter(starter::Event::Tick { wall });
+        self.starter(starter::Event::Tick);
         // A caller that no longer waits needs no decision.
         let left: Vec<u64> = self
             .waiting
@@ -398,7 +398,7 @@
     Some(Order {
         id: format!("{}/{id}", job.call.service),
         made: call::made_at(id),
-        print: order::fingerprint(&job.call.method, &job.call.uri, bytes),
+        print: request::fingerprint(&job.call.method, &job.call.uri, bytes),
     })
 }
 
--- a/src/group/heirs.rs
+++ b/src/group/heirs.rs
@@ -76,6 +76,10 @@
 
 /// Fills the chain up, from failure domains it lacks as long as there are such.
 fn extend(record: &Record, entry: &Entry, chain: &mut Vec<TargetId>) {
+    if chain.len() >= CHAIN {
+        // Sound chains are looked at again and again: weigh nobody for them.
+        return;
+    }
     let subject = entry.range.start.to_string();
     let mut order: Vec<&TargetId> = record
         .members
@@ -83,7 +87,7 @@
         .filter(|(_, member)| fit(member))
         .map(|(target, _)| target)
         .collect();
-    order.sort_by_key(|target| Reverse(key::weight(&subject, target)));
+    order.sort_by_cached_key(|target| Reverse(key::weight(&subject, target)));
     while chain.len() < CHAIN {
         let Some(heir) = next(record, &order, chain) else {
             return;
--- a/tools/load/src/scene.rs
+++ b/tools/load/src/scene.rs
@@ -104,7 +104,7 @@
             scene.fleet.add_vm(&name, domain, false).await?;
             scene.vms.push(name);
         }
-        for document in &scene.documents {
+        for document in &mut scene.documents {
             services::put(&scene.fleet, &scene.vms[0], document).await?;
         }
         scene.wait_ready().await?;
