--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -14,6 +14,7 @@
 pub mod life;
 pub mod mail;
 pub mod news;
+pub mod notes;
 pub mod owners;
 pub mod recorder;
 pub mod wire;
@@ -125,9 +126,10 @@
     let peers = bind("peers", settings.peers).await?;
     let metrics = Metrics::open(settings.statsd)?;
     let caller = local(&callers, settings.callers);
-    let address = local(&peers, settings.peers);
+    let bound = local(&peers, settings.peers);
+    let address = settings.advertise.unwrap_or(bound);
     let vm = format!("{}#{}", settings.name, Uuid::now_v7().simple());
-    let recorder = recorder::Recorder::new(vm.clone(), settings.limits.events, metrics);
+    let recorder = recorder::Recorder::new(vm.clone(), settings.limits.events, metrics.clone());
     let mut life = life::Life::new(recorder.clone())?;
     let (tasks, inboxes) = channels();
     let clock = Clock::real();
@@ -137,7 +139,8 @@
             address: address.to_string(),
             domain: settings.domain.clone(),
         },
-        platform: Platform::new(clock.clone(), settings.platform, vm.clone()),
+        platform: Platform::new(clock.clone(), settings.platform, vm.clone())
+            .counted(metrics.clone()),
         clock,
         tasks,
         recorder,
@@ -156,7 +159,7 @@
     let seeds = settings.seeds.iter().map(SocketAddr::to_string).collect();
     let _ = parts.tasks.news.unbounded_send(news::Message::Seeds(seeds));
     life.listening();
-    ready(&vm, caller, address);
+    ready(&vm, caller, bound);
     Ok(life.run(&settings, &parts, &served).await)
 }
 
