--- a/examples/spread_slopes.rs
+++ b/examples/spread_slopes.rs
@@ -33,6 +33,8 @@
 const DOMAINS: [usize; 2] = [3, 11];
 /// From this size on a fleet is big.
 const BIG: usize = 500;
+/// From this size on a start takes minutes to settle.
+const HUGE: usize = 1_000;
 /// VMs that are lost one after the other in a small fleet, and in a big one.
 const LOSSES: [usize; 2] = [6, 3];
 
@@ -113,14 +115,22 @@
     let domains = DOMAINS[usize::from(size >= BIG)];
     let mut fleet = Fleet::new(size, domains, Timing::default(), Limits::default(), 11);
     fleet.tells = false;
-    let settle = if size >= BIG { 90 } else { 40 };
-    fleet.run(SECOND * settle);
+    fleet.run(settling(size));
     let calm = calm(&mut fleet);
     let held = held(&fleet);
     let losses = losses(&mut fleet);
     println!("| {size} | {calm} | {held} | {losses} |");
 }
 
+/// Returns how long a fleet that starts at once passes on the news of its start.
+fn settling(size: usize) -> Duration {
+    match size {
+        0..BIG => SECOND * 40,
+        BIG..HUGE => SECOND * 90,
+        _ => SECOND * 150,
+    }
+}
+
 /// Counts what a calm fleet sends and spends.
 fn calm(fleet: &mut Fleet) -> String {
     let span = 5;
--- a/src/spread/exchange.rs
+++ b/src/spread/exchange.rs
@@ -53,9 +53,9 @@
         self.ask(Call::Compare { address }, &target, message, effects);
     }
 
-    /// Notes that another process had nothing newer.
+    /// Notes that another process had nothing newer; one that has nothing at all says nothing.
     fn agree(&mut self, address: String) {
-        if self.agreed.len() < MOST_AGREED {
+        if self.digest() != 0 && self.agreed.len() < MOST_AGREED {
             self.agreed.insert(address);
         }
     }
--- a/src/spread/store.rs
+++ b/src/spread/store.rs
@@ -169,7 +169,8 @@
 
     /// Returns how many others, up to 8, were found to have nothing newer since the start.
     ///
-    /// A process that has just started may lack everything while this is 0.
+    /// A process that has just started may lack everything while this is 0. While this process
+    /// holds nothing it stays 0: two that have both just started know nothing by agreeing.
     pub fn agreed(&self) -> usize {
         self.agreed.len()
     }
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -375,6 +375,56 @@
     }
 }
 
+/// Checks that all choose the same candidates, and only ones that run.
+fn chosen_alike(fleet: &Fleet) -> Result<(), String> {
+    let running = fleet.running();
+    let Some(first) = running.first() else {
+        return Ok(());
+    };
+    let expected = choices(fleet, *first);
+    for number in &running {
+        let chosen = choices(fleet, *number);
+        if chosen != expected {
+            return Err(format!("vm {number} chooses {chosen:?}, not {expected:?}"));
+        }
+    }
+    let runs = |peer: &Peer| running.iter().any(|it| fleet.peer(*it) == *peer);
+    if expected.iter().all(runs) {
+        Ok(())
+    } else {
+        Err(format!("not all run: {expected:?}"))
+    }
+}
+
+fn bounded_survives(ops: &[Op], seed: u64) -> Result<(), String> {
+    let timing = Timing {
+        duty: 2,
+        others: 4,
+        ..Timing::default()
+    };
+    let mut fleet = Fleet::new(24, 3, timing, Limits::default(), seed);
+    fleet.run(5 * SECOND);
+    for op in ops {
+        apply(&mut fleet, op);
+    }
+    calm(&mut fleet, 150 * SECOND);
+    chosen_alike(&fleet)
+}
+
+#[test]
+fn after_any_faults_bounded_views_choose_alike() {
+    let ops = proptest::collection::vec(op(24), 1..24);
+    let config = Config {
+        cases: config().cases / 4 + 1,
+        ..config()
+    };
+    TestRunner::new(config)
+        .run(&(ops, any::<u64>()), |(ops, seed)| {
+            bounded_survives(&ops, seed).map_err(TestCaseError::fail)
+        })
+        .unwrap();
+}
+
 fn number(peer: &Peer) -> usize {
     let name = membership::name(&peer.vm);
     name.trim_start_matches("vm-").parse().unwrap()
--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -216,6 +216,16 @@
     assert!((11 * 200_000..12 * 200_000).contains(&bytes), "{bytes}");
 }
 
+#[test]
+fn two_that_hold_nothing_learn_nothing_by_agreeing() {
+    let mut fleet = Fleet::new(2, 1, Timing::default(), Limits::default(), 4);
+    fleet.run(3 * SECOND);
+    assert_eq!(fleet.nodes[0].gossip.store().agreed(), 0);
+    fleet.put(0, Event::Put(Item::new(id(0), 9, value(9, 10))));
+    fleet.run(3 * SECOND);
+    assert_eq!(fleet.nodes[1].gossip.store().agreed(), 1);
+}
+
 fn lasting(name: &str, version: u64, seconds: u32) -> Item {
     Item::new(Id::new(Kind::Suspect, name), version, vec![1]).lasting(SECOND * seconds)
 }
