--- a/src/membership/calls.rs
+++ b/src/membership/calls.rs
@@ -6,7 +6,7 @@
 use rand::{Rng, seq::SliceRandom};
 
 use super::{
-    Body, CallId, Effect, Listed, Membership, Message, Peer, Standing, Update, name, view,
+    Body, CallId, Effect, Listed, Membership, Message, Peer, Standing, Update, member::Member, name,
 };
 use crate::{id::VmId, key};
 
@@ -219,7 +219,7 @@
             .members()
             .filter(|it| it.standing == Standing::Gone && it.peer.address == address)
             .filter(|it| it.peer.vm != vm)
-            .map(view::Member::update)
+            .map(Member::update)
             .collect();
         for mut update in replaced {
             update.standing = Standing::Left;
@@ -262,7 +262,7 @@
             .filter(|it| it.standing == Standing::Live)
             .filter(|it| leaving.contains(name(&it.peer.vm)))
             .filter(|it| !self.leaving.contains(name(&it.peer.vm)))
-            .map(view::Member::update)
+            .map(Member::update)
             .collect();
         self.leaving = leaving;
         for mut update in marked {
@@ -388,7 +388,7 @@
     /// Makes a message that also tells the receiver what is held against it.
     pub(super) fn message_to(&mut self, peer: &Peer, body: Body) -> Message {
         let mut message = self.message(body);
-        let held = self.view.get(&peer.vm).map(view::Member::update);
+        let held = self.view.get(&peer.vm).map(Member::update);
         message
             .updates
             .extend(held.filter(|update| update.standing > Standing::Leaving));
--- a/src/membership/body.rs
+++ b/src/membership/exchange.rs
@@ -4,7 +4,9 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::{Body, CallId, Effect, Membership, Message, Peer, Standing, Update, calls::Call, view};
+use super::{
+    Body, CallId, Effect, Membership, Message, Peer, Standing, Update, calls::Call, member::Member,
+};
 
 impl Membership {
     /// Answers another process.
@@ -184,7 +186,7 @@
             .members()
             .filter(|it| domains.contains(it.peer.domain.as_str()))
             .filter(|it| !it.is_present() || it.is_duty)
-            .map(view::Member::update)
+            .map(Member::update)
             .filter(is_newer)
             .collect()
     }
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -16,8 +16,9 @@
 //! partition it shows the larger side as lost and offers candidates for every duty; a duty that
 //! must be held by one VM is held by a lease or by a compare-and-swap, never by this module's word.
 
-mod body;
 mod calls;
+mod exchange;
+mod member;
 mod message;
 mod queue;
 mod timing;
@@ -166,7 +167,7 @@
     /// assert!(!members.is_live("vm-9#1"));
     /// ```
     pub fn is_live(&self, vm: &str) -> bool {
-        self.view.get(vm).is_some_and(view::Member::is_present)
+        self.view.get(vm).is_some_and(member::Member::is_present)
     }
 
     /// Returns what is held of a member, if it is in the view.
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -5,7 +5,11 @@
 use indexmap::{IndexMap, IndexSet};
 use xxhash_rust::xxh3;
 
-use super::{Incarnation, Peer, Standing, Update, name};
+use super::{
+    Peer, Standing, Update,
+    member::{Domain, Member},
+    name,
+};
 use crate::{
     id::{DomainId, VmId},
     key,
@@ -15,28 +19,6 @@
 const DUTY: &str = "duty";
 /// A hold is doubled at most so many times.
 const MOST_DOUBLINGS: u32 = 4;
-/// Losses kept, as a multiple of the members kept.
-const LOST_FACTOR: usize = 1;
-
-/// A member of the view.
-#[derive(Clone, Debug)]
-pub(super) struct Member {
-    pub(super) peer: Peer,
-    pub(super) incarnation: Incarnation,
-    pub(super) standing: Standing,
-    /// When the standing was taken up.
-    pub(super) since: Duration,
-    /// How often it came back after a loss.
-    returns: u32,
-    /// It is no candidate before this.
-    held_until: Duration,
-    /// Place among the members of its failure domain; the highest are duty members.
-    rank: u64,
-    /// Place among the further members at this process.
-    affinity: u64,
-    /// Whether it is one of its failure domain's duty members.
-    pub(super) is_duty: bool,
-}
 
 /// How far news reaches into the view.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -49,46 +31,6 @@
     Duty,
 }
 
-impl Member {
-    /// Returns whether it is thought to run.
-    pub(super) fn is_present(&self) -> bool {
-        self.standing <= Standing::Suspect
-    }
-
-    /// Returns whether it counts as live: it runs and is not leaving.
-    fn is_live(&self) -> bool {
-        matches!(self.standing, Standing::Live | Standing::Suspect)
-    }
-
-    /// Returns it as news.
-    pub(super) fn update(&self) -> Update {
-        Update {
-            peer: self.peer.clone(),
-            incarnation: self.incarnation,
-            standing: self.standing,
-        }
-    }
-}
-
-/// Duty members of one failure domain, the highest rank first.
-#[derive(Debug, Default)]
-struct Domain {
-    duty: IndexSet<VmId>,
-    hash: u64,
-    lowest: u64,
-    size: usize,
-}
-
-impl Domain {
-    /// Adds the member that ranks next.
-    fn add(&mut self, member: &Member, full: usize) {
-        self.duty.insert(member.peer.vm.clone());
-        self.hash ^= statement_hash(member);
-        self.lowest = member.rank;
-        self.size = estimate(self.duty.len(), full, member.rank);
-    }
-}
-
 /// Members, and what is derived of them.
 #[derive(Debug)]
 pub(super) struct View {
@@ -475,7 +417,7 @@
 
     /// Drops the oldest losses beyond the bound.
     fn trim_lost(&mut self) {
-        let bound = LOST_FACTOR * (self.duty * self.domains.len().max(3) + self.others);
+        let bound = self.duty * self.domains.len().max(3) + self.others;
         let mut lost: Vec<(Duration, VmId)> = self
             .members
             .values()
@@ -488,28 +430,3 @@
         }
     }
 }
-
-/// Returns the hash of what is held of a present member, suspicions apart: they pass.
-fn statement_hash(member: &Member) -> u64 {
-    let leaving = u64::from(member.standing == Standing::Leaving);
-    let seed = member.incarnation * 2 + leaving;
-    xxh3::xxh3_64_with_seed(member.peer.vm.as_bytes(), seed)
-}
-
-/// Estimates how many members have a rank, from the lowest rank among the `count` highest.
-///
-/// Ranks are uniform: `count` of them in the top part `p` of the space speak for `count / p`.
-#[allow(
-    clippy::cast_precision_loss,
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "an estimate of a small positive number"
-)]
-fn estimate(count: usize, full: usize, lowest: u64) -> usize {
-    if count < full {
-        return count;
-    }
-    let part = 1.0 - lowest as f64 / u64::MAX as f64;
-    let others = (count as f64 - 1.0) / part.max(f64::EPSILON);
-    others.round().max(count as f64) as usize
-}
