--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -137,7 +137,7 @@
     fn tick(&mut self) {
         let wall = stamp::wall();
         self.ledger(ledger::Event::Tick { wall });
-        self.starter(starter::Event::Tick { wall });
+        self.starter(starter::Event::Tick);
         // A caller that no longer waits needs no decision.
         let left: Vec<u64> = self
             .waiting
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,7 +21,6 @@
 pub mod order;
 pub mod peer;
 pub mod platform;
-pub mod order;
 pub mod quarantine;
 pub mod range;
 pub mod request;
--- a/src/order/ledger.rs
+++ b/src/order/ledger.rs
@@ -17,6 +17,8 @@
 const ASKS: usize = 64;
 /// How long an attempt is open before it is asked after.
 const ASK_AFTER: Duration = Duration::from_secs(2);
+/// How long an attempt is open before it counts as lost; longer than requests may take.
+const SILENT: Duration = Duration::from_mins(5);
 /// How long until a write that is in doubt is tried again.
 const REWRITE: Duration = Duration::from_secs(1);
 /// How long the VMs have to be the same before shards move only to be spread better.
@@ -162,7 +164,10 @@
     pub fn on(&mut self, now: Duration, event: Event) -> Vec<Effect> {
         match event {
             Event::Views { version, views } => self.take_views(version, views),
-            Event::Peers(peers) => self.take_peers(now, peers),
+            Event::Peers(peers) => {
+                self.take_peers(now, peers);
+                Vec::new()
+            }
             Event::Message { from, message } => self.take_message(now, from, message),
             Event::Tick { wall } => self.tick(now, wall),
         }
@@ -192,21 +197,11 @@
         effects
     }
 
-    fn take_peers(&mut self, now: Duration, peers: Peers) -> Vec<Effect> {
+    fn take_peers(&mut self, now: Duration, peers: Peers) {
         if peers != self.peers {
             self.settled = now + SETTLE;
         }
-        let news: Vec<_> = peers.gone.difference(&self.peers.gone).cloned().collect();
         self.peers = peers;
-        let mut effects = Vec::new();
-        for vm in news {
-            for replica in &mut self.shards {
-                for id in replica.memory.close(&vm) {
-                    effects.extend(replica.wake(now, &self.vm, &id));
-                }
-            }
-        }
-        effects
     }
 
     fn take_message(&mut self, now: Duration, from: VmId, message: Message) -> Vec<Effect> {
@@ -333,18 +328,28 @@
         effects
     }
 
-    /// Asks entry VMs after attempts that have been open for long.
-    fn ask(&self, now: Duration) -> Vec<Effect> {
+    /// Asks entry VMs after attempts that have been open for long, and gives up those of VMs that
+    /// are gone or don't answer. Should one of them end after all, that account is still taken.
+    fn ask(&mut self, now: Duration) -> Vec<Effect> {
+        let mut effects = Vec::new();
         let Some(before) = now.checked_sub(ASK_AFTER) else {
-            return Vec::new();
+            return effects;
         };
-        let mine = self.shards.iter().filter(|it| it.view.has(&self.vm));
-        let open = mine.flat_map(|replica| replica.memory.open(before));
-        let asks = open.take(ASKS).map(|(order, attempt)| Effect::Send {
-            to: attempt.vm.clone(),
-            message: Message::Ask { order, attempt },
-        });
-        asks.collect()
+        let silent = now.saturating_sub(SILENT);
+        let mine = self.shards.iter_mut().filter(|it| it.view.has(&self.vm));
+        for replica in mine {
+            let lost = |vm: &VmId| self.peers.gone.contains(vm);
+            for id in replica.memory.give_up(lost, silent) {
+                effects.extend(replica.wake(now, &self.vm, &id));
+            }
+            let left = ASKS.saturating_sub(effects.len());
+            let open = replica.memory.open(before).take(left);
+            effects.extend(open.map(|(order, attempt)| Effect::Send {
+                to: attempt.vm.clone(),
+                message: Message::Ask { order, attempt },
+            }));
+        }
+        effects
     }
 
     /// Resigns from every shard that the other member can go on with, once this VM stops.
--- a/src/order/memory.rs
+++ b/src/order/memory.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Answer, Attempt, Fate, Flaw, Order, OrderId};
-use crate::request::Fingerprint;
+use crate::{id::VmId, request::Fingerprint};
 
 /// How many attempts of one order are kept; those that did not run go first.
 const ATTEMPTS: usize = 16;
@@ -301,28 +301,35 @@
         }
     }
 
-    /// Marks the open attempts of a VM that is gone as unknown; returns their orders.
+    /// Marks open attempts of lost VMs, and those that last changed before `silent`, as unknown;
+    /// returns their orders.
     ///
     /// # Example
     ///
     /// ```
+    /// use std::time::Duration;
+    ///
     /// use bramleypier::order::memory::Memory;
     ///
-    /// assert!(Memory::default().close("a#1").is_empty());
+    /// assert!(Memory::default().give_up(|vm| vm == "a#1", Duration::ZERO).is_empty());
     /// ```
-    pub fn close(&mut self, vm: &str) -> Vec<OrderId> {
-        let mut closed = Vec::new();
+    pub fn give_up<L>(&mut self, lost: L, silent: Duration) -> Vec<OrderId>
+    where
+        L: Fn(&VmId) -> bool,
+    {
+        let mut given = Vec::new();
         for (id, held) in &mut self.entries {
+            let old = held.changed < silent;
             let attempts = held.entry.attempts.iter_mut();
-            let lost = attempts.filter(|(attempt, _)| attempt.vm == vm);
-            let changed = lost.fold(false, |changed, (_, trial)| {
+            let ended = attempts.filter(|(attempt, _)| old || lost(&attempt.vm));
+            let changed = ended.fold(false, |changed, (_, trial)| {
                 trial.fate.merge(Fate::Unknown) || changed
             });
             if changed {
-                closed.push(id.clone());
+                given.push(id.clone());
             }
         }
-        closed
+        given
     }
 
     /// Returns whether this attempt is open.
--- a/src/order/mod.rs
+++ b/src/order/mod.rs
@@ -28,8 +28,9 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
-use crate::{id::VmId, request::Fingerprint};
+use crate::id::VmId;
 
+pub use crate::request::{Fingerprint, fingerprint};
 pub use ledger::Ledger;
 pub use starter::Starter;
 pub use view::{View, Views};
--- a/src/order/pending.rs
+++ b/src/order/pending.rs
@@ -10,6 +10,8 @@
 };
 use crate::id::VmId;
 
+/// How long after its caller's time a running order counts as forgotten, and may have run.
+const FORGOTTEN: Duration = Duration::from_secs(30);
 /// How long until a message is sent again.
 const RESEND: Duration = Duration::from_millis(200);
 
@@ -76,7 +78,7 @@
     pub(super) fn is_due(&self, now: Duration) -> bool {
         match self.phase {
             Phase::Asking(_) => self.request.deadline <= now || self.sent + RESEND <= now,
-            Phase::Running => false,
+            Phase::Running => self.request.deadline + FORGOTTEN <= now,
             Phase::Closing { .. } => self.sent + RESEND <= now,
         }
     }
--- a/src/order/starter.rs
+++ b/src/order/starter.rs
@@ -44,7 +44,7 @@
         /// How.
         end: End,
     },
-    /// The caller went away while the order was not decided yet.
+    /// The caller went away before it heard the decision, so nothing was sent.
     Dropped {
         /// Its number.
         token: u64,
@@ -479,7 +479,7 @@
         match &pending.phase {
             Phase::Asking(_) if pending.request.deadline <= now => self.late(now, seq),
             Phase::Asking(_) => pending.ask(&self.vm, seq),
-            Phase::Running => Vec::new(),
+            Phase::Running => self.close(now, seq, Fate::Unknown),
             Phase::Closing { until, .. } if *until <= now => {
                 self.pending.shift_remove(&seq);
                 Vec::new()
