--- a/src/order/ledger.rs
+++ b/src/order/ledger.rs
@@ -148,6 +148,19 @@
         sizes.fold((0, 0), |sum, size| (sum.0 + size.0, sum.1 + size.1))
     }
 
+    /// Returns how many orders were forgotten for lack of room; it only grows.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::order::{Ledger, memory::Limits};
+    ///
+    /// assert_eq!(Ledger::new("a#1", Limits::default()).forgotten(), 0);
+    /// ```
+    pub fn forgotten(&self) -> u64 {
+        self.shards.iter().map(|it| it.memory.forgotten()).sum()
+    }
+
     /// Takes an event.
     ///
     /// # Example
--- a/src/order/memory.rs
+++ b/src/order/memory.rs
@@ -81,6 +81,7 @@
     arrivals: VecDeque<OrderId>,
     bytes: usize,
     floor: Duration,
+    forgotten: u64,
     flaw: Flaw,
 }
 
@@ -135,6 +136,19 @@
         (self.entries.len(), self.bytes)
     }
 
+    /// Returns how many orders were forgotten for lack of room.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::order::memory::Memory;
+    ///
+    /// assert_eq!(Memory::default().forgotten(), 0);
+    /// ```
+    pub fn forgotten(&self) -> u64 {
+        self.forgotten
+    }
+
     /// Returns the date up to which ids may have been forgotten.
     ///
     /// # Example
@@ -360,7 +374,10 @@
     /// assert!(memory.is_empty());
     /// ```
     pub fn clear(&mut self) {
-        *self = Self::new(self.limits, self.flaw);
+        *self = Self {
+            forgotten: self.forgotten,
+            ..Self::new(self.limits, self.flaw)
+        };
     }
 
     /// Makes room for one more order; returns whether there is any.
@@ -400,6 +417,7 @@
             return;
         };
         self.bytes -= held.bytes;
+        self.forgotten += 1;
         self.raise_floor(held.entry.made.unwrap_or_default());
     }
 }
--- /dev/null
+++ b/tests/order.rs
@@ -0,0 +1,364 @@
+//! Orders in single fault cases, step by step.
+
+use std::time::Duration;
+
+use bramleypier::order::{
+    Answer, Attempt, Effect, Fate, Ledger, Message, Order, Reply, Starter, View, Views, ledger,
+    memory::Limits,
+    starter::{self, Decision, Why},
+};
+
+const HOME: &str = "home#1";
+const STANDBY: &str = "standby#1";
+const WALL: Duration = Duration::from_secs(1_000_000);
+
+fn now(ms: u64) -> Duration {
+    Duration::from_secs(1_000) + Duration::from_millis(ms)
+}
+
+fn view(number: u64, home: &str, standby: &str) -> View {
+    View {
+        number,
+        home: home.into(),
+        standby: Some(standby.into()),
+        founded: 1,
+        horizon: None,
+    }
+}
+
+fn order(id: &str, print: u128) -> Order {
+    Order {
+        id: id.into(),
+        made: Some(WALL),
+        print,
+    }
+}
+
+fn attempt(vm: &str, seq: u64) -> Attempt {
+    Attempt { vm: vm.into(), seq }
+}
+
+/// Returns a home whose standby is installed.
+fn home(limits: Limits, horizon: Option<Duration>) -> Ledger {
+    let mut home = Ledger::new(HOME, limits);
+    let first = View {
+        horizon,
+        ..view(1, HOME, STANDBY)
+    };
+    let views = Views {
+        shards: vec![first],
+    };
+    home.on(now(0), ledger::Event::Views { version: 1, views });
+    home
+}
+
+fn say(ledger: &mut Ledger, from: &str, message: Message) -> Vec<Effect> {
+    let from = from.into();
+    ledger.on(now(1), ledger::Event::Message { from, message })
+}
+
+fn start(ledger: &mut Ledger, order: &Order, attempt: &Attempt, view: u64) -> Reply {
+    let message = Message::Start {
+        order: order.clone(),
+        attempt: attempt.clone(),
+        view,
+        wall: WALL,
+    };
+    let effects = say(ledger, &attempt.vm, message);
+    let reply = effects.into_iter().find_map(|effect| match effect {
+        Effect::Send {
+            message: Message::Reply { reply, .. },
+            ..
+        } => Some(reply),
+        _ => None,
+    });
+    reply.expect("every start is answered")
+}
+
+fn finish(ledger: &mut Ledger, order: &Order, attempt: &Attempt, fate: Fate) -> Vec<Effect> {
+    let message = Message::Finish {
+        order: order.clone(),
+        attempt: attempt.clone(),
+        fate,
+    };
+    say(ledger, &attempt.vm, message)
+}
+
+fn ran() -> Fate {
+    Fate::Ran(Answer::new(201, "text/plain", b"printed", 64))
+}
+
+#[test]
+fn a_resend_hears_what_became_of_the_first() {
+    let Fate::Ran(answer) = ran() else {
+        unreachable!()
+    };
+    let cases = [
+        (Fate::Open, 1, Reply::Running),
+        (ran(), 1, Reply::Ran(answer)),
+        (Fate::Unknown, 1, Reply::Unknown),
+        (Fate::NotRun, 1, Reply::Yours),
+        (Fate::Open, 2, Reply::Mismatch),
+        (ran(), 2, Reply::Mismatch),
+        (Fate::NotRun, 2, Reply::Yours),
+    ];
+    for (fate, print, expected) in cases {
+        let mut home = home(Limits::default(), None);
+        let first = attempt("a#1", 1);
+        assert_eq!(start(&mut home, &order("s/1", 1), &first, 1), Reply::Yours);
+        finish(&mut home, &order("s/1", 1), &first, fate.clone());
+        let found = start(&mut home, &order("s/1", print), &attempt("b#1", 1), 1);
+        assert_eq!(found, expected, "{fate:?} {print}");
+    }
+}
+
+#[test]
+fn late_and_doubled_messages_change_nothing() {
+    let mut home = home(Limits::default(), None);
+    let (one, two) = (attempt("a#1", 1), attempt("a#1", 2));
+    let order = order("s/1", 1);
+    // The end of the first attempt overtakes its start.
+    finish(&mut home, &order, &one, Fate::NotRun);
+    assert_eq!(start(&mut home, &order, &two, 1), Reply::Yours);
+    assert_eq!(start(&mut home, &order, &one, 1), Reply::Ended);
+    assert_eq!(start(&mut home, &order, &two, 1), Reply::Yours);
+    finish(&mut home, &order, &two, ran());
+    finish(&mut home, &order, &two, Fate::Unknown);
+    finish(&mut home, &order, &one, Fate::NotRun);
+    assert!(matches!(
+        start(&mut home, &order, &attempt("b#1", 9), 1),
+        Reply::Ran(_)
+    ));
+}
+
+#[test]
+fn those_who_wait_are_told_at_once() {
+    let mut home = home(Limits::default(), None);
+    let (order, one, two) = (order("s/1", 1), attempt("a#1", 1), attempt("b#1", 1));
+    start(&mut home, &order, &one, 1);
+    assert_eq!(start(&mut home, &order, &two, 1), Reply::Running);
+    let effects = finish(&mut home, &order, &one, Fate::NotRun);
+    let told = Effect::Send {
+        to: "b#1".into(),
+        message: Message::Reply {
+            attempt: two,
+            view: 1,
+            reply: Reply::Yours,
+        },
+    };
+    assert!(effects.contains(&told), "{effects:?}");
+}
+
+#[test]
+fn a_standby_says_nothing_before_it_has_the_memory() {
+    let mut standby = Ledger::new(STANDBY, Limits::default());
+    let views = Views {
+        shards: vec![view(1, HOME, STANDBY)],
+    };
+    standby.on(now(0), ledger::Event::Views { version: 1, views });
+    let (order, one) = (order("s/1", 1), attempt("a#1", 1));
+    assert_eq!(start(&mut standby, &order, &one, 1), Reply::NotReady);
+    let part = |view, part, last| Message::Transfer {
+        shard: 0,
+        view,
+        part,
+        last,
+        floor: Duration::ZERO,
+        entries: Vec::new(),
+    };
+    say(&mut standby, HOME, part(2, 0, true)); // of another view
+    say(&mut standby, "x#1", part(1, 0, true)); // not from the home
+    say(&mut standby, HOME, part(1, 1, true)); // before the first
+    say(&mut standby, HOME, part(1, 0, false));
+    assert_eq!(start(&mut standby, &order, &one, 1), Reply::NotReady);
+    say(&mut standby, HOME, part(1, 0, false)); // doubled
+    say(&mut standby, HOME, part(1, 1, true));
+    assert_eq!(start(&mut standby, &order, &one, 1), Reply::Remembered);
+}
+
+#[test]
+fn an_old_view_is_corrected_and_a_newer_one_is_read() {
+    let mut home = home(Limits::default(), None);
+    let views = Views {
+        shards: vec![view(2, HOME, "other#1")],
+    };
+    home.on(now(2), ledger::Event::Views { version: 2, views });
+    let (order, one) = (order("s/1", 1), attempt("a#1", 1));
+    assert!(matches!(start(&mut home, &order, &one, 1), Reply::Moved(view) if view.number == 2));
+    assert_eq!(start(&mut home, &order, &one, 3), Reply::NotReady);
+    assert_eq!(start(&mut home, &order, &one, 2), Reply::Yours);
+}
+
+#[test]
+fn after_a_loss_of_both_only_younger_ids_run() {
+    let horizon = Some(WALL);
+    let hour = Duration::from_hours(1);
+    let cases = [
+        (Some(WALL), WALL, Reply::Unknown),
+        (Some(WALL + Duration::from_millis(1)), WALL, Reply::Yours),
+        (Some(Duration::ZERO), WALL + 9 * hour, Reply::Unknown),
+        (None, WALL + hour, Reply::Unknown),
+        (None, WALL + hour + Duration::from_secs(1), Reply::Yours),
+    ];
+    for (made, wall, expected) in cases {
+        let mut home = home(Limits::default(), horizon);
+        let message = Message::Start {
+            order: Order {
+                made,
+                ..order("s/1", 1)
+            },
+            attempt: attempt("a#1", 1),
+            view: 1,
+            wall,
+        };
+        let effects = say(&mut home, "a#1", message);
+        let told = effects.iter().any(|effect| {
+            matches!(effect, Effect::Send { message: Message::Reply { reply, .. }, .. }
+                if *reply == expected)
+        });
+        assert!(told, "{made:?} {wall:?}: {effects:?}");
+    }
+}
+
+#[test]
+fn what_is_forgotten_is_never_run_again() {
+    let limits = Limits {
+        bytes: 2_000,
+        ..Limits::default()
+    };
+    let mut home = home(limits, None);
+    let dated = |n: u64| Order {
+        made: Some(WALL + Duration::from_secs(n)),
+        ..order(&format!("s/{n}"), 1)
+    };
+    for n in 1..40 {
+        assert_eq!(
+            start(&mut home, &dated(n), &attempt("a#1", n), 1),
+            Reply::Yours
+        );
+        finish(&mut home, &dated(n), &attempt("a#1", n), ran());
+    }
+    assert!(home.size().1 <= 2_500, "{:?}", home.size());
+    for n in 1..40 {
+        let found = start(&mut home, &dated(n), &attempt("b#1", n), 1);
+        assert!(
+            matches!(found, Reply::Ran(_) | Reply::Unknown),
+            "{n}: {found:?}"
+        );
+    }
+    // Undated ids are not forgotten in time, so there is no room for more.
+    let undated = |n: u64| Order {
+        made: None,
+        ..order(&format!("s/u{n}"), 1)
+    };
+    let mut told = Vec::new();
+    for n in 0..20 {
+        told.push(start(&mut home, &undated(n), &attempt("a#1", 100 + n), 1));
+        finish(&mut home, &undated(n), &attempt("a#1", 100 + n), ran());
+    }
+    assert!(told.contains(&Reply::Full) && told.contains(&Reply::Yours));
+}
+
+/// Returns a starter that asks for one order, as its first attempt.
+fn asking() -> Starter {
+    let mut starter = Starter::new("a#1");
+    let views = Views {
+        shards: vec![view(1, HOME, STANDBY)],
+    };
+    starter.on(now(0), starter::Event::Views { version: 1, views });
+    let begin = starter::Event::Begin {
+        token: 7,
+        order: order("s/1", 1),
+        deadline: now(1_000),
+        wall: WALL,
+    };
+    assert_eq!(starter.on(now(0), begin).len(), 2);
+    starter
+}
+
+fn hear(starter: &mut Starter, view: u64, reply: Reply) -> Option<Decision> {
+    let message = Message::Reply {
+        attempt: attempt("a#1", 1),
+        view,
+        reply,
+    };
+    let from = HOME.into();
+    let effects = starter.on(now(10), starter::Event::Message { from, message });
+    decision(effects)
+}
+
+fn decision(effects: Vec<Effect>) -> Option<Decision> {
+    effects.into_iter().find_map(|effect| match effect {
+        Effect::Decide { token: 7, decision } => Some(decision),
+        _ => None,
+    })
+}
+
+#[test]
+fn only_the_words_of_both_let_an_order_run() {
+    let cases = [
+        (vec![(1, Reply::Yours)], None),
+        (vec![(1, Reply::Remembered)], None),
+        (vec![(1, Reply::Yours), (1, Reply::Yours)], None),
+        (vec![(1, Reply::Yours), (2, Reply::Remembered)], None),
+        (vec![(1, Reply::Running), (1, Reply::Remembered)], None),
+        (
+            vec![(1, Reply::Yours), (1, Reply::Remembered)],
+            Some(Decision::Run),
+        ),
+        (
+            vec![(1, Reply::Remembered), (1, Reply::Yours)],
+            Some(Decision::Run),
+        ),
+        (vec![(1, Reply::Alone)], Some(Decision::Run)),
+        (
+            vec![(1, Reply::Unknown)],
+            Some(Decision::Unknown(Why::Lost)),
+        ),
+        (vec![(1, Reply::Full)], Some(Decision::Unknown(Why::Full))),
+        (vec![(1, Reply::Mismatch)], Some(Decision::Mismatch)),
+    ];
+    for (replies, expected) in cases {
+        let mut starter = asking();
+        let decisions = replies
+            .iter()
+            .map(|(view, reply)| hear(&mut starter, *view, reply.clone()));
+        assert_eq!(decisions.flatten().next(), expected, "{replies:?}");
+    }
+}
+
+#[test]
+fn a_caller_whose_time_ends_is_not_told_not_run() {
+    let cases = [
+        (None, Why::Silent),
+        (Some(Reply::Yours), Why::Silent),
+        (Some(Reply::NotReady), Why::Silent),
+        (Some(Reply::Running), Why::Running),
+    ];
+    for (reply, why) in cases {
+        let mut starter = asking();
+        if let Some(reply) = reply {
+            assert_eq!(hear(&mut starter, 1, reply), None);
+        }
+        let late = decision(starter.on(now(1_000), starter::Event::Tick));
+        assert_eq!(late, Some(Decision::Unknown(why)));
+        // A word that comes after that starts nothing.
+        assert_eq!(hear(&mut starter, 1, Reply::Alone), None);
+    }
+}
+
+#[test]
+fn an_id_from_the_future_is_not_run() {
+    let mut starter = asking();
+    let begin = starter::Event::Begin {
+        token: 7,
+        order: Order {
+            made: Some(WALL + Duration::from_secs(16)),
+            ..order("s/2", 1)
+        },
+        deadline: now(1_000),
+        wall: WALL,
+    };
+    let told = decision(starter.on(now(0), begin));
+    assert_eq!(told, Some(Decision::Unknown(Why::Ahead)));
+}
