Limits, retries, shared pools and the quarantine, wired into the router

Each target has a gate that learns its cap, divides it by class and refuses early with the time to come back; a refused or unsent attempt is tried again within a budget; a request whose key changes owner waits for the new one without using it; what was in flight as a target died is spread as suspect.

--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -16,7 +16,7 @@
     passing::Passing,
     payload::{self, Payload},
     reply,
-    router::{self, Permit, Report},
+    ticket::{self, History, Permit, Report},
 };
 use crate::{
     request::{
@@ -102,48 +102,52 @@
     job: &Job,
     mut payload: Payload,
 ) -> Result<Answered, Verdict> {
+    let print = payload.print(job);
+    let since = context.clock.now();
     let mut admitted = attempt;
-    let mut history = router::History::default();
+    let mut history = History::default();
     loop {
-        let permit = router::admit(context, job, &history, admitted.proof())
+        let permit = ticket::admit(context, job, print, since, &history, admitted.proof())
             .await
             .map_err(|verdict| history.judge(verdict))?;
         let started = admitted.start(&permit.target);
-        let Some(body) = payload.take() else {
-            let verdict = Verdict::not_run(
-                &Attempt::new().admit().proof(),
-                502,
-                Step::Send,
-                &permit.target,
-                "the body can't be sent again",
-            );
-            return Err(history.judge(verdict));
-        };
-        let is_left = payload.is_left();
+        // A body that streams is there for one attempt; the loop ends before a second.
+        let body = payload.take().unwrap_or_else(Body::empty);
         match send(context, job, started, permit, body).await {
             Ended::Answered(answered) => return Ok(answered),
             Ended::Refused(next, refusal, permit) => {
-                history.refused(&permit.target, &refusal);
+                history.refused(&permit, &refusal);
                 permit.finish(Report::Refused(refusal));
                 admitted = next;
             }
             Ended::Unsent(next, error, permit) => {
-                history.unsent(&permit.target, &error);
-                permit.finish(Report::Unsent);
+                history.unsent(&permit, &error);
+                permit.finish(Report::Unsent(error.is_refused()));
                 admitted = next;
             }
             Ended::Lost(verdict, permit) => {
+                history.lost(&permit, verdict.clone());
                 permit.finish(Report::Lost);
-                history.lost(verdict.clone());
-                if !job.plan.idempotent || !is_left {
+                if !job.plan.idempotent || !payload.is_left() {
                     return Err(verdict);
                 }
                 admitted = Attempt::new().admit();
             }
         }
+        if !payload.is_left() {
+            return Err(history.judge(spent(&admitted, &history)));
+        }
     }
 }
 
+/// Gives up a request whose body has streamed to a target that did not take it.
+fn spent(admitted: &Attempt<Admitted>, history: &History) -> Verdict {
+    let last = history.last.as_ref();
+    let (peer, reason) = last.map_or(("self", ""), |last| (&*last.target, &*last.reason));
+    let verdict = Verdict::not_run(&admitted.proof(), 503, Step::Send, peer, reason);
+    verdict.retry_after(ticket::COME_BACK)
+}
+
 /// How one attempt ended.
 enum Ended {
     Answered(Answered),
@@ -175,7 +179,12 @@
         left,
     };
     let mut cancel = Cancel::new(context, permit.address, work.attempt.clone());
-    let lapse = router::lapse(context.clone(), job.call.clone(), permit.lease.clone());
+    let lapse = ticket::lapse(
+        context.clone(),
+        job.call.service.clone(),
+        job.call.point,
+        permit.lease.clone(),
+    );
     let sending = Box::pin(context.sender.send(permit.address, &work, body));
     let result = match future::select(sending, Box::pin(lapse)).await {
         Either::Left((result, _)) => result,
@@ -338,7 +347,7 @@
             return;
         };
         compio::runtime::spawn(async move {
-            let span = router::CANCEL_TIMEOUT;
+            let span = ticket::CANCEL_TIMEOUT;
             let sender = &armed.context.sender;
             sender.cancel(armed.address, &armed.attempt, span).await;
         })
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -4,6 +4,7 @@
 //! outcomes of orders) belongs to other tasks, which it asks by messages.
 //!
 //! - [`router`] says where a request may go, and when;
+//! - [`ticket`] is what a request and the router say to each other;
 //! - [`desk`] says whether an order may run;
 //! - [`forward`] sends it and classifies what came back;
 //! - [`payload`] keeps or passes on what the caller sent;
@@ -15,6 +16,7 @@
 pub mod payload;
 pub mod reply;
 pub mod router;
+pub mod ticket;
 
 use std::{cell::Cell, rc::Rc};
 
@@ -44,7 +46,7 @@
     /// This VM.
     pub vm: VmId,
     /// Asks the router.
-    pub router: mpsc::UnboundedSender<router::Message>,
+    pub router: mpsc::UnboundedSender<ticket::Message>,
     /// Asks the desk for orders.
     pub desk: mpsc::UnboundedSender<desk::Message>,
     /// Sends work to targets.
@@ -84,7 +86,7 @@
     /// The caller's method and headers.
     pub head: Parts,
     /// What the service's document says of it.
-    pub plan: router::Plan,
+    pub plan: ticket::Plan,
     /// When it must have ended.
     pub deadline: Deadline,
 }
@@ -161,7 +163,7 @@
     let (head, body) = request.into_parts();
     let proof = attempt.proof();
     let call = Call::read(&head).map_err(|error| error.verdict(&proof))?;
-    let plan = router::classify(context, call.clone(), proof).await?;
+    let (call, plan) = ticket::classify(context, call, proof).await?;
     let deadline = Deadline::new(context.clock.now(), call.wait, plan.longest);
     let job = Job {
         call,
--- a/src/entry/passing.rs
+++ b/src/entry/passing.rs
@@ -13,7 +13,7 @@
 use super::{
     Context, Job,
     forward::Cancel,
-    router::{self, Permit, Report},
+    ticket::{self, Permit, Report},
 };
 use crate::util::body::Cause;
 
@@ -41,7 +41,12 @@
         let left = job.deadline.remaining(now).unwrap_or(Duration::ZERO);
         let clock = context.clock.clone();
         let late = Box::pin(async move { clock.sleep(left).await });
-        let lapse = router::lapse(context.clone(), job.call.clone(), permit.lease.clone());
+        let lapse = ticket::lapse(
+            context.clone(),
+            job.call.service.clone(),
+            job.call.point,
+            permit.lease.clone(),
+        );
         let end = future::select(late, Box::pin(lapse));
         Self {
             body,
--- a/src/entry/payload.rs
+++ b/src/entry/payload.rs
@@ -11,7 +11,7 @@
 
 use super::{Context as Entry, Job};
 use crate::{
-    request::{Attempt, Proof, Received, Step, Verdict},
+    request::{self, Attempt, Fingerprint, Proof, Received, Step, Verdict},
     util::body::{self, Body, Cause},
 };
 
@@ -44,6 +44,16 @@
         }
     }
 
+    /// Returns what the request is known by, if a target dies of it.
+    pub fn print(&self, job: &Job) -> Fingerprint {
+        let body: &[u8] = match self {
+            Self::Kept(bytes) => bytes,
+            // A body that streams isn't known yet; the rest must do.
+            Self::Passing(_) | Self::Spent => &[],
+        };
+        request::fingerprint(&job.call.method, &job.call.uri, body)
+    }
+
     /// Returns whether the body can be sent (again).
     pub fn is_left(&self) -> bool {
         !matches!(self, Self::Spent)
@@ -84,6 +94,9 @@
     body: Incoming,
 ) -> Result<Bytes, Verdict> {
     check_length(attempt, job)?;
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
     let refuse = |status, reason: &str| refusal(attempt.proof(), status, reason);
     let now = entry.clock.now();
     let left = job.deadline.remaining(now).unwrap_or_default();
--- a/src/entry/router.rs
+++ b/src/entry/router.rs
@@ -1,356 +1,132 @@
-//! The router's task: it owns documents, routes and limits, and says where a request may go.
+//! The router's task: it owns documents, routes, limits, retries and the quarantine, and says where
+//! a request may go, and when.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
-use futures_channel::{mpsc, oneshot};
-use futures_util::{StreamExt, future};
+use futures_channel::mpsc;
+use futures_util::StreamExt;
 use http::StatusCode;
-use hyper::body::Bytes;
 use indexmap::IndexMap;
+use rand::{Rng, SeedableRng, rngs::StdRng};
 
-use super::{Context, Job};
+use super::ticket::{Ask, COME_BACK, Message, Permit, Plan, Reply, Report, Ticket};
 use crate::{
-    clock::Clock,
-    document::{Document, Fencing, Ownership},
-    grantor::{self, Timing},
+    document::{Document, Fencing, Ownership, TargetState},
+    grantor::Timing,
     group::{Record, build},
-    handover::Handover,
-    id::{Epoch, GroupId, ServiceId, TargetId, Version, VmId},
-    key::Point,
-    request::{Call, Outcome, Proof, Step, Verdict, answer::Refusal},
+    id::{BootId, GroupId, ServiceId, TargetId, Version},
+    key::{self, Point},
+    limit::{Gate, Pool, cap, cap::Sample, cap::Slots, gate, gate::Why, pick::Policy},
+    metrics, peer,
+    quarantine::{self, Check, Death, End, Quarantine},
+    request::{Call, Proof, Step, Verdict},
+    retry::{Budget, Try},
     route::{Owner, Table},
-    util::client,
-    vm::Parts,
+    spread::{Id, Item, Kind},
+    timeline::{self, Duty, stamp},
+    vm::{Parts, news, notes},
 };
 
-/// How long the word that an attempt is given up may take to a target.
-pub const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
-/// The shortest pause between two looks at a lease.
-const LEASE_POLL: Duration = Duration::from_millis(10);
-/// How often a refused request asks again for a route.
-const ROUTE_PAUSE: Duration = Duration::from_millis(20);
-/// The time to come back when nothing is known that would tell it better.
-const COME_BACK: Duration = Duration::from_millis(500);
-
-/// What the service's document says of a request.
-#[derive(Clone, Debug)]
-pub struct Plan {
-    /// The class of work.
-    pub class: String,
-    /// Whether it may run more than once.
-    pub idempotent: bool,
-    /// The longest deadline.
-    pub longest: Duration,
-    /// The longest wait for a slot.
-    pub queue: Duration,
-    /// The largest body.
-    pub body_limit: u64,
+/// How often the task is woken.
+const TICK: Duration = Duration::from_millis(20);
+/// The first pause of a request whose key has no owner that answers; it doubles.
+const OWNER_PAUSE: Duration = Duration::from_millis(10);
+/// The longest such pause.
+const OWNER_PAUSE_MAX: Duration = Duration::from_millis(80);
+/// Deaths of a shared service's target within this span count as one: it has no start to name.
+const DEATH_SPAN: Duration = Duration::from_secs(10);
+
+/// A target of a service.
+type Name = (ServiceId, TargetId);
+
+/// Where a request is to go.
+struct Goal {
+    target: TargetId,
+    address: SocketAddr,
+    owner: Option<Owner>,
+    slots: Slots,
 }
 
-/// What became of a request's earlier attempts.
-#[derive(Clone, Debug, Default)]
-pub struct History {
-    /// Targets that did not take it, in order.
-    pub tried: Vec<TargetId>,
-    /// Why the last one did not.
-    pub last: Option<(TargetId, String)>,
-    lost: Option<Verdict>,
+/// A request that waits at a gate.
+struct Waiting {
+    ask: Box<Ask>,
+    reply: Reply,
+    goal: Goal,
 }
 
-impl History {
-    /// Notes a target's refusal.
-    pub fn refused(&mut self, target: &TargetId, refusal: &Refusal) {
-        let reason = format!("the target refused with status {}", refusal.status());
-        self.note(target, reason);
-    }
-
-    /// Notes an attempt of which no byte left.
-    pub fn unsent(&mut self, target: &TargetId, error: &client::Error) {
-        self.note(target, error.to_string());
-    }
-
-    /// Notes an attempt that ended without an answer.
-    pub fn lost(&mut self, verdict: Verdict) {
-        self.note(&verdict.peer.clone(), verdict.reason.clone());
-        self.lost = Some(verdict);
-    }
-
-    /// Returns whether an attempt ended without an answer.
-    pub fn is_lost(&self) -> bool {
-        self.lost.is_some()
-    }
-
-    /// Returns the final word: `not-run` only if no attempt was lost.
-    pub fn judge(&self, verdict: Verdict) -> Verdict {
-        match &self.lost {
-            Some(lost) if verdict.outcome() == Outcome::NotRun => {
-                let mut lost = lost.clone();
-                lost.retry_after = verdict.retry_after;
-                lost
-            }
-            _ => verdict,
-        }
-    }
-
-    fn note(&mut self, target: &TargetId, reason: String) {
-        self.tried.push(target.clone());
-        self.last = Some((target.clone(), reason));
-    }
-}
-
-/// How an attempt ended, for limits and routes.
-#[derive(Clone, Debug)]
-pub enum Report {
-    /// The whole answer came, with this status.
-    Answered(StatusCode),
-    /// The answer's body has ended; its head was told before.
-    Ended,
-    /// The target refused it before it started.
-    Refused(Refusal),
-    /// No byte of it left.
-    Unsent,
-    /// It ended without a whole answer.
-    Lost,
-    /// The caller went away.
-    Abandoned,
-}
-
-/// The right to send one attempt to a target.
-#[derive(Debug)]
-pub struct Permit {
-    /// The target.
-    pub target: TargetId,
-    /// Where it is.
-    pub address: SocketAddr,
-    /// The epoch of the key's range; none for a shared service.
-    pub epoch: Option<Epoch>,
-    /// The ownership that the right rests on, for a target that doesn't check grants; it must be
-    /// watched for as long as the attempt lasts.
-    pub lease: Option<Owner>,
-    ticket: u64,
-    router: mpsc::UnboundedSender<Message>,
-    reported: bool,
-}
-
-impl Permit {
-    /// Tells that the head of the answer came.
-    pub fn head(&self, status: StatusCode) {
-        let message = Message::Head {
-            ticket: self.ticket,
-            status,
-        };
-        let _ = self.router.unbounded_send(message);
-    }
-
-    /// Gives the right back.
-    pub fn finish(mut self, report: Report) {
-        self.report(report);
-    }
-
-    fn report(&mut self, report: Report) {
-        if !self.reported {
-            self.reported = true;
-            let message = Message::Done {
-                ticket: self.ticket,
-                report,
-            };
-            // The router ends after the last request.
-            let _ = self.router.unbounded_send(message);
-        }
-    }
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        self.report(Report::Abandoned);
-    }
-}
-
-/// What a request asks of the router.
-#[derive(Debug)]
-pub struct Ask {
-    /// What the caller asked.
-    pub call: Call,
-    /// The class of work.
-    pub plan: Plan,
-    /// How long it may still take.
-    pub left: Duration,
-    /// Its earlier attempts.
-    pub history: History,
-    /// That it has not run so far.
-    pub proof: Proof,
-}
-
-/// A message to the router.
-#[derive(Debug)]
-pub enum Message {
-    /// What does the document say of this request?
-    Classify {
-        /// The request.
-        call: Call,
-        /// That it has not run.
-        proof: Proof,
-        /// Where the answer goes.
-        reply: oneshot::Sender<Result<Plan, Verdict>>,
-    },
-    /// Where may it go?
-    Admit {
-        /// The request.
-        ask: Box<Ask>,
-        /// Where the answer goes.
-        reply: oneshot::Sender<Result<Permit, Verdict>>,
-    },
-    /// The head of an attempt's answer came.
-    Head {
-        /// The attempt.
-        ticket: u64,
-        /// The answer's status.
-        status: StatusCode,
-    },
-    /// An attempt has ended.
-    Done {
-        /// The attempt.
-        ticket: u64,
-        /// How.
-        report: Report,
-    },
-    /// Until when may this VM send to the owner of a point, who doesn't check grants?
-    Until {
-        /// The service.
-        service: ServiceId,
-        /// The point.
-        point: Point,
-        /// The owner as it was when the attempt began.
-        owner: Box<Owner>,
-        /// Where the answer goes.
-        reply: oneshot::Sender<Option<Duration>>,
-    },
-    /// A document is in force.
-    Document(Rc<Document>),
-    /// A group's record is known.
-    Record(GroupId, Version, Box<Record>),
-    /// A handover is known.
-    Fact(Handover),
-    /// A grantor leases ranges to this VM, counted from when it was asked.
-    Lease(GroupId, Duration, Vec<grantor::Leased>),
-    /// A suspect request was heard of.
-    Suspect(Bytes),
-}
-
-/// Asks what the document says of a request.
-///
-/// # Errors
-///
-/// The service isn't known, or it has no class for the request.
-pub async fn classify(context: &Context, call: Call, proof: Proof) -> Result<Plan, Verdict> {
-    let (reply, answer) = oneshot::channel();
-    let message = Message::Classify { call, proof, reply };
-    let _ = context.router.unbounded_send(message);
-    answer.await.unwrap_or_else(|_| Err(stopped(proof)))
-}
-
-/// Asks for the right to send an attempt; waits for a slot where that is worth it.
-///
-/// # Errors
-///
-/// The request is refused; the verdict says when to come back.
-pub async fn admit(
-    context: &Context,
-    job: &Job,
-    history: &History,
-    proof: Proof,
-) -> Result<Permit, Verdict> {
-    let now = context.clock.now();
-    let Some(left) = job.deadline.remaining(now) else {
-        return Err(give_up(history, proof));
-    };
-    let ask = Ask {
-        call: job.call.clone(),
-        plan: job.plan.clone(),
-        left,
-        history: history.clone(),
-        proof,
-    };
-    let (reply, answer) = oneshot::channel();
-    let message = Message::Admit {
-        ask: Box::new(ask),
-        reply,
-    };
-    let _ = context.router.unbounded_send(message);
-    let waiting = context.clock.timeout(left, answer);
-    match waiting.await {
-        Ok(answer) => answer.unwrap_or_else(|_| Err(stopped(proof))),
-        Err(_) => Err(give_up(history, proof)),
-    }
-}
-
-/// Waits until the right to send to a target that doesn't check grants has lapsed.
-///
-/// For a target that checks, and for a shared service, it waits for ever.
-pub async fn lapse(context: Context, call: Call, lease: Option<Owner>) {
-    let Some(owner) = lease else {
-        return future::pending().await;
-    };
-    loop {
-        let (reply, answer) = oneshot::channel();
-        let message = Message::Until {
-            service: call.service.clone(),
-            point: call.point,
-            owner: Box::new(owner.clone()),
-            reply,
-        };
-        let _ = context.router.unbounded_send(message);
-        let until = answer.await.ok().flatten();
-        let left = until.and_then(|until| until.checked_sub(context.clock.now()));
-        let Some(left) = left.filter(|left| !left.is_zero()) else {
-            return;
-        };
-        // Half of what is left, at the least: a lease is renewed well before it ends.
-        context
-            .clock
-            .sleep((left / 2).max(LEASE_POLL).min(left))
-            .await;
-    }
+/// An attempt in flight.
+struct Flight {
+    name: Name,
+    boot: BootId,
+    sent: Duration,
+    head: Option<(StatusCode, Duration)>,
 }
 
-fn stopped(proof: Proof) -> Verdict {
-    Verdict::not_run(&proof, 503, Step::Drain, "self", "the process stops").retry_after(COME_BACK)
-}
-
-fn give_up(history: &History, proof: Proof) -> Verdict {
-    let (peer, reason) = match &history.last {
-        Some((peer, reason)) => (peer.as_str(), reason.as_str()),
-        None => ("self", "no target took it before its deadline"),
-    };
-    Verdict::not_run(&proof, 503, Step::Deadline, peer, reason).retry_after(COME_BACK)
+/// Why a request gets no goal.
+enum Miss {
+    /// Ask again after a pause: this passes by itself.
+    Pause(Step, &'static str),
+    /// It is over.
+    Over(Box<Verdict>),
 }
 
 /// The router's state.
-#[derive(Debug)]
 pub struct Router {
-    vm: VmId,
-    clock: Clock,
-    sender: mpsc::UnboundedSender<Message>,
+    parts: Parts,
     documents: IndexMap<ServiceId, Rc<Document>>,
     tables: IndexMap<GroupId, Table>,
-    tickets: u64,
+    gates: IndexMap<Name, Gate>,
+    pools: IndexMap<ServiceId, Pool>,
+    budgets: IndexMap<ServiceId, Budget>,
+    boots: IndexMap<Name, BootId>,
+    quarantine: Quarantine,
+    waiting: IndexMap<Ticket, Waiting>,
+    flights: IndexMap<Ticket, Flight>,
+    vms: u32,
+    next_ticket: Ticket,
+    random: RefCell<StdRng>,
+}
+
+impl std::fmt::Debug for Router {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Router")
+            .field("documents", &self.documents)
+            .field("next_ticket", &self.next_ticket)
+            .finish_non_exhaustive()
+    }
 }
 
 impl Router {
     /// Creates a router that knows no service yet.
-    pub fn new(parts: &Parts) -> Self {
+    pub fn new(parts: Parts) -> Self {
+        let seed = key::point(&parts.me.vm);
         Self {
-            vm: parts.me.vm.clone(),
-            clock: parts.clock.clone(),
-            sender: parts.tasks.router.clone(),
+            parts,
             documents: IndexMap::new(),
             tables: IndexMap::new(),
-            tickets: 0,
+            gates: IndexMap::new(),
+            pools: IndexMap::new(),
+            budgets: IndexMap::new(),
+            boots: IndexMap::new(),
+            quarantine: Quarantine::default(),
+            waiting: IndexMap::new(),
+            flights: IndexMap::new(),
+            vms: 1,
+            next_ticket: 0,
+            random: RefCell::new(StdRng::seed_from_u64(seed)),
         }
     }
 
     /// Serves messages until nobody can send any more.
     pub async fn run(mut self, mut messages: mpsc::UnboundedReceiver<Message>) {
+        let clock = self.parts.clock.clone();
+        let ticks = self.parts.tasks.router.clone();
+        compio::runtime::spawn(async move {
+            while ticks.unbounded_send(Message::Tick).is_ok() {
+                clock.sleep(TICK).await;
+            }
+        })
+        .detach();
         while let Some(message) = messages.next().await {
             self.on(message);
         }
@@ -358,29 +134,22 @@
 
     fn on(&mut self, message: Message) {
         match message {
-            Message::Classify { call, proof, reply } => {
-                let _ = reply.send(self.plan(&call, proof));
+            Message::Tick => self.tick(),
+            Message::Classify(call, proof, reply) => {
+                let plan = self.plan(&call, proof);
+                let _ = reply.send(plan.map(|plan| (*call, plan)));
             }
-            Message::Admit { ask, reply } => self.admit(*ask, reply),
-            Message::Until {
-                service,
-                point,
-                owner,
-                reply,
-            } => {
+            Message::Admit(ask, reply) => self.admit(ask, reply),
+            Message::Again(ask, reply) => self.place(ask, reply),
+            Message::Head { ticket, status } => self.head(ticket, status),
+            Message::Done { ticket, report } => self.done(ticket, &report),
+            Message::Until(service, point, owner, reply) => {
                 let document = self.documents.get(&service);
                 let until = document.and_then(|document| self.until(document, point, &owner));
                 let _ = reply.send(until);
             }
-            Message::Document(document) => {
-                self.documents.insert(document.service.clone(), document);
-            }
-            Message::Record(group, version, record) => {
-                self.tables
-                    .entry(group)
-                    .or_default()
-                    .on_record(version, *record);
-            }
+            Message::Document(document) => self.document(&document),
+            Message::Record(group, version, record) => self.record(&group, version, *record),
             Message::Fact(fact) => {
                 let table = self.tables.entry(fact.group.clone()).or_default();
                 table.on_handover(fact);
@@ -389,114 +158,513 @@
                 let table = self.tables.entry(group).or_default();
                 table.on_lease(&Timing::default(), asked, routes);
             }
-            Message::Suspect(_) | Message::Head { .. } | Message::Done { .. } => {}
+            Message::Fleet(fleet) => {
+                self.vms = u32::try_from(fleet.live.len()).unwrap_or(u32::MAX).max(1);
+                self.resize();
+            }
+            Message::Suspects(items) => self.hear(items),
         }
     }
 
+    // --- What is known ---
+
     fn plan(&self, call: &Call, proof: Proof) -> Result<Plan, Verdict> {
         let Some(document) = self.documents.get(&call.service) else {
             let reason = "no document in force names this service";
-            return Err(Verdict::not_run(&proof, 404, Step::Route, &self.vm, reason));
+            let vm = &self.parts.me.vm;
+            return Err(Verdict::not_run(&proof, 404, Step::Route, vm, reason));
         };
         let (name, class) = call
             .class(document)
             .map_err(|error| error.verdict(&proof))?;
         Ok(Plan {
-            class: name.to_owned(),
+            class: document.classes.get_index_of(name).unwrap_or(0),
             idempotent: class.idempotent,
             longest: class.deadline,
             queue: class.queue,
             body_limit: document.body_limit,
+            document: document.clone(),
         })
     }
 
-    fn admit(&mut self, ask: Ask, reply: oneshot::Sender<Result<Permit, Verdict>>) {
-        if !ask.history.tried.is_empty() {
-            // Thin for now: pause a little before each further attempt.
-            let clock = self.clock.clone();
-            let sender = self.sender.clone();
-            compio::runtime::spawn(async move {
-                clock.sleep(ROUTE_PAUSE).await;
-                let mut ask = ask;
-                ask.history.tried.clear();
-                let _ = sender.unbounded_send(Message::Admit {
-                    ask: Box::new(ask),
-                    reply,
-                });
-            })
-            .detach();
-            return;
+    fn document(&mut self, document: &Rc<Document>) {
+        let service = document.service.clone();
+        let known = self.documents.insert(service.clone(), document.clone());
+        if known.is_none_or(|known| known.classes != document.classes) {
+            // The gates divide by class: new classes, new gates.
+            self.gates.retain(|(of, _), _| *of != service);
+        }
+        if document.ownership == Ownership::Shared {
+            let serving = document
+                .targets
+                .iter()
+                .filter(|(_, it)| it.state == TargetState::Serving);
+            let names: Vec<TargetId> = serving.map(|(name, _)| name.clone()).collect();
+            let pool = self
+                .pools
+                .entry(service)
+                .or_insert_with(|| Pool::new(Policy::default()));
+            pool.set(names);
         }
-        let _ = reply.send(self.permit(&ask));
+        self.resize();
     }
 
-    /// Returns the owner of a point; the group that holds it is told by its slice.
+    /// Tells the gates how many slots there are for this VM.
+    fn resize(&mut self) {
+        let now = self.parts.clock.now();
+        let names: Vec<Name> = self.gates.keys().cloned().collect();
+        for name in names {
+            let document = self.documents.get(&name.0);
+            let slots = document.and_then(|document| slots(document, &name.1, self.vms));
+            if let Some(slots) = slots {
+                self.gate(now, &name, gate::Event::Slots(slots));
+            }
+        }
+    }
+
+    /// Takes a group's record; a target with another start than before has died.
+    fn record(&mut self, group: &GroupId, version: Version, record: Record) {
+        let service = notes::service(group).to_owned();
+        for (target, member) in &record.members {
+            let name = (service.clone(), target.clone());
+            if member.boot.is_empty() {
+                continue;
+            }
+            let before = self.boots.insert(name.clone(), member.boot.clone());
+            if let Some(boot) = before.filter(|boot| *boot != member.boot) {
+                self.died(&name, boot);
+                self.gate(self.parts.clock.now(), &name, gate::Event::Cold);
+            }
+        }
+        let table = self.tables.entry(group.clone()).or_default();
+        table.on_record(version, record);
+    }
+
+    /// Returns the owner of a point.
     fn owner(&self, document: &Document, point: Point) -> Option<Owner> {
-        let group = group_of(document, point);
-        self.tables.get(&group)?.owner(point)
+        self.tables.get(&group_of(document, point))?.owner(point)
     }
 
     /// Returns until when this VM may send to an owner.
     fn until(&self, document: &Document, point: Point, owner: &Owner) -> Option<Duration> {
-        let group = group_of(document, point);
-        self.tables.get(&group)?.until(owner)
+        self.tables.get(&group_of(document, point))?.until(owner)
     }
 
-    fn permit(&mut self, ask: &Ask) -> Result<Permit, Verdict> {
-        let service = &ask.call.service;
-        let refuse_at = |step, reason: &str| {
-            Verdict::not_run(&ask.proof, 503, step, &self.vm, reason).retry_after(COME_BACK)
+    // --- Admission ---
+
+    /// Takes a request, or decides whether it may be tried again.
+    fn admit(&mut self, ask: Box<Ask>, reply: Reply) {
+        let Some(last) = ask.history.last.clone() else {
+            return self.place(ask, reply);
+        };
+        if last.misdirected {
+            // The owner is changing; nothing ran, and the request waits for the new one.
+            return self.wait_owner(ask, reply, Step::Grant, "the key's owner is changing");
+        }
+        let tried = Try {
+            count: ask.history.count,
+            outcome: last.outcome,
+            idempotent: ask.plan.idempotent,
+            after: last.after,
+        };
+        let dice = self.dice();
+        let now = self.parts.clock.now();
+        let budget = self.budgets.entry(ask.service.clone()).or_default();
+        let Some(pause) = budget.retry(now, &tried, ask.deadline, dice) else {
+            let step = if last.after.is_some() {
+                Step::Limit
+            } else {
+                Step::Retry
+            };
+            let verdict = Verdict::not_run(&ask.proof, 503, step, &last.target, &last.reason);
+            let wait = last.after.unwrap_or(COME_BACK);
+            let _ = reply.send(Err(verdict.retry_after(wait)));
+            return;
         };
-        let refuse = |reason: &str| refuse_at(Step::Route, reason);
-        let document = self
-            .documents
-            .get(service)
-            .ok_or_else(|| refuse("no document"))?;
-        let (target, address, epoch, lease) = match document.ownership {
-            Ownership::Exclusive => {
-                let owner = self
-                    .owner(document, ask.call.point)
-                    .ok_or_else(|| refuse("the key has no owner that is known here"))?;
-                let now = self.clock.now();
-                let until = self.until(document, ask.call.point, &owner);
-                if until.is_none_or(|until| until <= now) {
-                    return Err(refuse_at(
-                        Step::Grant,
-                        "no lease to send to the key's owner",
-                    ));
-                }
-                let lease = (owner.fencing == Fencing::Unchecked).then(|| owner.clone());
-                (owner.target, owner.address, Some(owner.epoch), lease)
+        let service = Some(ask.service.as_str());
+        self.parts
+            .recorder
+            .count(&metrics::REQUESTS_RETRIED, service);
+        self.again(ask, reply, pause);
+    }
+
+    /// Finds a request's target, and asks its gate.
+    fn place(&mut self, ask: Box<Ask>, reply: Reply) {
+        if reply.is_canceled() {
+            return;
+        }
+        let now = self.parts.clock.now();
+        if ask.deadline.remaining(now).is_none() {
+            let verdict = self.late(&ask);
+            let _ = reply.send(Err(verdict));
+            return;
+        }
+        let goal = match self.goal(&ask, now) {
+            Ok(goal) => goal,
+            Err(Miss::Pause(step, reason)) => return self.wait_owner(ask, reply, step, reason),
+            Err(Miss::Over(verdict)) => {
+                let _ = reply.send(Err(*verdict));
+                return;
             }
-            Ownership::Shared => {
-                let index =
-                    usize::try_from(self.tickets).unwrap_or(0) % document.targets.len().max(1);
-                let (name, target) = document
-                    .targets
-                    .get_index(index)
-                    .ok_or_else(|| refuse("the service has no targets"))?;
-                (name.clone(), target.address.clone(), None, None)
+        };
+        match self
+            .quarantine
+            .check(stamp::wall(), ask.print, &goal.target)
+        {
+            Check::Free | Check::Alone => self.enter(now, ask, reply, goal),
+            Check::Wait(pause) => self.again(ask, reply, pause),
+            Check::Refuse(wait) => {
+                let reason = "a target died while it ran this request";
+                let step = Step::Quarantine;
+                let verdict = Verdict::not_run(&ask.proof, 503, step, &goal.target, reason);
+                let _ = reply.send(Err(verdict.retry_after(wait)));
+            }
+        }
+    }
+
+    /// Stands at the gate of the target.
+    fn enter(&mut self, now: Duration, ask: Box<Ask>, reply: Reply, goal: Goal) {
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        let name = (ask.service.clone(), goal.target.clone());
+        let class = ask.plan.document.classes.get_index(ask.plan.class);
+        let event = gate::Event::Ask {
+            ticket,
+            class: class.map(|(name, _)| name.clone()).unwrap_or_default(),
+            deadline: ask.deadline,
+        };
+        if !self.gates.contains_key(&name) {
+            let gate = Gate::new(goal.slots, &ask.plan.document.classes);
+            self.gates.insert(name.clone(), gate);
+        }
+        self.waiting.insert(ticket, Waiting { ask, reply, goal });
+        self.gate(now, &name, event);
+    }
+
+    /// Feeds a gate, and carries out what it decides.
+    fn gate(&mut self, now: Duration, name: &Name, event: gate::Event) {
+        let Some(gate) = self.gates.get_mut(name) else {
+            return;
+        };
+        for effect in gate.on(now, event) {
+            match effect {
+                gate::Effect::Admit(ticket) => self.send(now, ticket),
+                gate::Effect::Refuse { ticket, why, retry } => self.refuse(ticket, why, retry),
             }
+        }
+    }
+
+    /// Gives a request its permit. One whose owner has changed while it waited looks again.
+    fn send(&mut self, now: Duration, ticket: Ticket) {
+        let Some(Waiting { ask, reply, goal }) = self.waiting.swap_remove(&ticket) else {
+            return;
+        };
+        let boot = match &goal.owner {
+            Some(owner) => owner.boot.clone(),
+            None => shared_boot(),
+        };
+        let flight = Flight {
+            name: (ask.service.clone(), goal.target.clone()),
+            boot: boot.clone(),
+            sent: now,
+            head: None,
+        };
+        self.flights.insert(ticket, flight);
+        if let Some(pool) = self.pools.get_mut(&ask.service) {
+            let class = ask.plan.document.classes.get_index(ask.plan.class);
+            let class = class.map_or("", |(name, _)| name.as_str());
+            pool.started(now, &goal.target, class, ticket);
+        }
+        let on = Death {
+            target: goal.target.clone(),
+            boot,
         };
-        let address = address
-            .parse()
-            .map_err(|_| refuse("the target's address is no address"))?;
-        self.tickets += 1;
-        Ok(Permit {
-            target,
-            address,
-            epoch,
-            lease,
-            ticket: self.tickets,
-            router: self.sender.clone(),
-            reported: false,
+        let print = ask.print;
+        let sent = quarantine::Event::Sent { ticket, print, on };
+        self.quarantine.on(stamp::wall(), sent);
+        let router = self.parts.tasks.router.clone();
+        let owner = goal.owner.as_ref();
+        let permit = Permit::new(ticket, goal.target, goal.address, owner, router);
+        // A permit that nobody takes reports itself as abandoned.
+        let _ = reply.send(Ok(permit));
+    }
+
+    fn refuse(&mut self, ticket: Ticket, why: Why, retry: Duration) {
+        let Some(Waiting { ask, reply, goal }) = self.waiting.swap_remove(&ticket) else {
+            return;
+        };
+        let (status, step, reason) = match why {
+            Why::Class => (
+                404,
+                Step::Route,
+                "the service no longer has the request's class",
+            ),
+            Why::Queue => (
+                429,
+                Step::Limit,
+                "the target is busy, and the wait would be too long",
+            ),
+            Why::Late => (503, Step::Queue, "the target stayed busy"),
+            Why::Closed => (503, Step::Connect, "the target can't be reached"),
+            Why::Drain => (503, Step::Drain, "the target is leaving"),
+        };
+        let verdict = Verdict::not_run(&ask.proof, status, step, &goal.target, reason);
+        let _ = reply.send(Err(verdict.retry_after(retry)));
+    }
+
+    /// Finds where a request is to go.
+    fn goal(&self, ask: &Ask, now: Duration) -> Result<Goal, Miss> {
+        let document = &ask.plan.document;
+        match document.ownership {
+            Ownership::Exclusive => self.exclusive(ask, document, now),
+            Ownership::Shared => self.shared(ask, document, now),
+        }
+    }
+
+    fn exclusive(&self, ask: &Ask, document: &Document, now: Duration) -> Result<Goal, Miss> {
+        let owner = self.owner(document, ask.point);
+        let owner = owner.ok_or(Miss::Pause(Step::Route, "the key has no owner known here"))?;
+        if owner.fencing == Fencing::Unchecked {
+            let until = self.until(document, ask.point, &owner);
+            until.filter(|until| *until > now).ok_or(Miss::Pause(
+                Step::Grant,
+                "no lease to send to the key's owner",
+            ))?;
+        }
+        let target = document.targets.get(&owner.target);
+        Ok(Goal {
+            target: owner.target.clone(),
+            address: self.address(ask, &owner.address)?,
+            slots: Slots {
+                slots: target.map_or(1, |target| target.slots),
+                vms: 1,
+            },
+            owner: Some(owner),
         })
     }
+
+    fn shared(&self, ask: &Ask, document: &Document, now: Duration) -> Result<Goal, Miss> {
+        let pool = self.pools.get(&ask.service);
+        let name = pool.and_then(|pool| pool.pick(now, self.dice()));
+        let none = Miss::Pause(Step::Route, "the service has no target that takes work");
+        let name = name.ok_or(none)?;
+        let target = document.targets.get(&name);
+        let none = Miss::Pause(Step::Route, "the document no longer names the target");
+        let target = target.ok_or(none)?;
+        Ok(Goal {
+            address: self.address(ask, &target.address)?,
+            slots: Slots {
+                slots: target.slots,
+                vms: self.vms,
+            },
+            target: name,
+            owner: None,
+        })
+    }
+
+    fn address(&self, ask: &Ask, text: &str) -> Result<SocketAddr, Miss> {
+        text.parse().map_err(|_| {
+            let reason = "the target's address is no address";
+            let vm = &self.parts.me.vm;
+            Miss::Over(Box::new(Verdict::not_run(
+                &ask.proof,
+                503,
+                Step::Route,
+                vm,
+                reason,
+            )))
+        })
+    }
+
+    /// Lets a request wait for an owner that takes it, for as long as its class may queue.
+    ///
+    /// Nothing reaches a target meanwhile, so this needs no part of the retry budget.
+    fn wait_owner(&mut self, ask: Box<Ask>, reply: Reply, step: Step, reason: &str) {
+        let now = self.parts.clock.now();
+        let waited = now.saturating_sub(ask.since);
+        let longest = ask
+            .plan
+            .queue
+            .min(ask.deadline.at.saturating_sub(ask.since));
+        if waited >= longest {
+            let last = ask.history.last.as_ref();
+            let peer = last.map_or(self.parts.me.vm.as_str(), |last| last.target.as_str());
+            let verdict = Verdict::not_run(&ask.proof, 503, step, peer, reason);
+            let _ = reply.send(Err(verdict.retry_after(COME_BACK)));
+            return;
+        }
+        // It waits about as long again as it has waited.
+        let pause = waited
+            .clamp(OWNER_PAUSE, OWNER_PAUSE_MAX)
+            .min(longest.saturating_sub(waited));
+        let pause = cap::jitter(pause, self.dice());
+        self.again(ask, reply, pause);
+    }
+
+    fn again(&self, ask: Box<Ask>, reply: Reply, pause: Duration) {
+        let clock = self.parts.clock.clone();
+        let router = self.parts.tasks.router.clone();
+        compio::runtime::spawn(async move {
+            clock.sleep(pause).await;
+            let _ = router.unbounded_send(Message::Again(ask, reply));
+        })
+        .detach();
+    }
+
+    fn late(&self, ask: &Ask) -> Verdict {
+        let (peer, reason) = match &ask.history.last {
+            Some(last) => (last.target.as_str(), last.reason.as_str()),
+            None => (self.parts.me.vm.as_str(), "no target took it in time"),
+        };
+        let verdict = Verdict::not_run(&ask.proof, 503, Step::Deadline, peer, reason);
+        verdict.retry_after(COME_BACK)
+    }
+
+    fn tick(&mut self) {
+        let now = self.parts.clock.now();
+        let left = self
+            .waiting
+            .iter()
+            .filter(|(_, waiting)| waiting.reply.is_canceled());
+        let left: Vec<(Ticket, Name)> = left
+            .map(|(ticket, it)| (*ticket, (it.ask.service.clone(), it.goal.target.clone())))
+            .collect();
+        for (ticket, name) in left {
+            self.waiting.swap_remove(&ticket);
+            self.gate(now, &name, gate::Event::Dropped { ticket });
+        }
+        let busy = self.gates.iter().filter(|(_, gate)| gate.waiting() > 0);
+        let busy: Vec<Name> = busy.map(|(name, _)| name.clone()).collect();
+        for name in busy {
+            self.gate(now, &name, gate::Event::Tick);
+        }
+    }
+
+    // --- Endings ---
+
+    fn head(&mut self, ticket: Ticket, status: StatusCode) {
+        let now = self.parts.clock.now();
+        if let Some(flight) = self.flights.get_mut(&ticket) {
+            flight.head = Some((status, now.saturating_sub(flight.sent)));
+        }
+    }
+
+    /// Takes the end of an attempt: limits, budget, pool and quarantine learn from it.
+    fn done(&mut self, ticket: Ticket, report: &Report) {
+        let Some(flight) = self.flights.swap_remove(&ticket) else {
+            return;
+        };
+        let now = self.parts.clock.now();
+        let taken = now.saturating_sub(flight.sent);
+        let status = match report {
+            Report::Answered(status) => Some(*status),
+            Report::Ended => flight.head.map(|(status, _)| status),
+            _ => None,
+        };
+        let sample = sample(report, taken);
+        let service = &flight.name.0;
+        if status.is_some() {
+            let budget = self.budgets.entry(service.clone()).or_default();
+            budget.succeeded(now);
+        }
+        if let Some(pool) = self.pools.get_mut(service) {
+            let is_error = status.is_some_and(|status| status.is_server_error());
+            pool.ended(now, &flight.name.1, ticket, sample, is_error);
+        }
+        let end = match report {
+            Report::Answered(_) | Report::Ended => End::Completed,
+            Report::Lost | Report::Abandoned => End::Broken,
+            Report::Refused(_) | Report::Unsent(_) => End::NotRun,
+        };
+        let event = quarantine::Event::Ended { ticket, end };
+        let items = self.quarantine.on(stamp::wall(), event);
+        self.spread(items);
+        if matches!(report, Report::Unsent(true)) {
+            // Nobody listens there any more: whatever was in flight is suspect.
+            self.died(&flight.name, flight.boot);
+        }
+        self.gate(now, &flight.name, gate::Event::Done { ticket, sample });
+    }
+
+    // --- Requests that kill ---
+
+    fn died(&mut self, name: &Name, boot: BootId) {
+        let target = name.1.clone();
+        let death = Death { target, boot };
+        let items = self
+            .quarantine
+            .on(stamp::wall(), quarantine::Event::Died(death));
+        for item in &items {
+            let kind = timeline::Kind::Quarantined;
+            let event = timeline::Event::new(Duty::Entry, "quarantine", kind);
+            let event = event.service(name.0.as_str()).target(name.1.as_str());
+            let cause = format!("suspect={:x} boot={}", item.print, item.death.boot);
+            self.parts.recorder.event(event.cause(cause.as_str()));
+        }
+        self.spread(items);
+    }
+
+    /// Tells the fleet of suspects; a cleared one is a newer version of the same item.
+    fn spread(&self, items: Vec<quarantine::Item>) {
+        for item in items {
+            let Ok(bytes) = peer::encode(&vec![item.clone()]) else {
+                continue;
+            };
+            let death = &item.death;
+            let name = format!("{:x}/{}/{}", item.print, death.target, death.boot);
+            let version = 1 + Version::from(item.cleared);
+            let item = Item::new(Id::new(Kind::Suspect, name), version, bytes.to_vec());
+            let item = item.lasting(quarantine::EXPIRY);
+            let _ = self
+                .parts
+                .tasks
+                .news
+                .unbounded_send(news::Message::Put(item));
+        }
+    }
+
+    fn hear(&mut self, items: Vec<quarantine::Item>) {
+        let wall = stamp::wall();
+        self.quarantine.on(wall, quarantine::Event::Heard(items));
+    }
+
+    fn dice(&self) -> u64 {
+        self.random.borrow_mut().random()
+    }
+}
+
+/// Returns the slots of a target that this VM may count on.
+fn slots(document: &Document, target: &str, vms: u32) -> Option<Slots> {
+    let slots = document.targets.get(target)?.slots;
+    let vms = match document.ownership {
+        Ownership::Exclusive => 1,
+        Ownership::Shared => vms,
+    };
+    Some(Slots { slots, vms })
+}
+
+fn sample(report: &Report, taken: Duration) -> Sample {
+    match report {
+        Report::Answered(_) | Report::Ended => Sample::Answered(taken),
+        // Whoever doesn't own the key is not overloaded.
+        Report::Refused(refusal) if refusal.is_misdirected() => Sample::Cancelled,
+        Report::Refused(_) => Sample::Shed,
+        Report::Unsent(_) => Sample::Unreachable,
+        Report::Lost => Sample::Lost,
+        Report::Abandoned => Sample::Cancelled,
+    }
+}
+
+/// Returns the start of a shared service's target: it tells none, so time stands in for it.
+fn shared_boot() -> BootId {
+    let span = stamp::wall().as_secs() / DEATH_SPAN.as_secs();
+    format!("at-{span}")
 }
 
 /// Returns the group whose slice of the hash space holds a point.
 ///
-/// The slices are those of [`Range::split`](crate::range::Range::split); this finds one without making them all.
+/// The slices are those of [`Range::split`](crate::range::Range::split); this finds one without
+/// making them all.
 fn group_of(document: &Document, point: Point) -> GroupId {
     let groups = u128::from(document.groups.max(1));
     let index = ((u128::from(point) + 1) * groups - 1) >> Point::BITS;
--- a/src/util/client.rs
+++ b/src/util/client.rs
@@ -62,6 +62,11 @@
 }
 
 impl Error {
+    /// Returns whether nobody listens at the peer's address.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Connect(_, cause) if cause.kind() == io::ErrorKind::ConnectionRefused)
+    }
+
     /// Returns whether it is certain that no byte of the request left.
     pub fn unsent(&self) -> bool {
         match self {
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -32,7 +32,7 @@
 
 use crate::{
     clock::Clock,
-    entry::{self, desk, router},
+    entry::{self, desk, router, ticket},
     gossip::Gossip,
     id::VmId,
     key,
@@ -87,7 +87,7 @@
     /// To [`owners`].
     pub owners: mpsc::UnboundedSender<owners::Message>,
     /// To [`router`].
-    pub router: mpsc::UnboundedSender<router::Message>,
+    pub router: mpsc::UnboundedSender<ticket::Message>,
     /// To [`desk`].
     pub desk: mpsc::UnboundedSender<desk::Message>,
 }
@@ -97,7 +97,7 @@
     mail: mpsc::UnboundedReceiver<mail::Message>,
     news: mpsc::UnboundedReceiver<news::Message>,
     owners: mpsc::UnboundedReceiver<owners::Message>,
-    router: mpsc::UnboundedReceiver<router::Message>,
+    router: mpsc::UnboundedReceiver<ticket::Message>,
     desk: mpsc::UnboundedReceiver<desk::Message>,
 }
 
@@ -210,7 +210,7 @@
     let gossip = Gossip::new(parts.me.clone(), timing, spread::Limits::default(), seed);
     let news = news::News::new(parts.clone(), gossip, seed);
     let owners = owners::Owners::new(parts.clone());
-    let router = router::Router::new(parts);
+    let router = router::Router::new(parts.clone());
     let desk = desk::Desk::new(parts.clone());
     compio::runtime::spawn(news.run(inboxes.news)).detach();
     compio::runtime::spawn(owners.run(inboxes.owners)).detach();
--- a/src/vm/news.rs
+++ b/src/vm/news.rs
@@ -14,7 +14,7 @@
 use super::{Parts, Tasks, mail, owners};
 use crate::{
     document::{self, Document, stored::Stored},
-    entry::{desk, router},
+    entry::{desk, ticket},
     gossip::{CallId, Effect, Envelope, Event, Gossip},
     handover::Handover,
     id::{GroupId, ServiceId, Version},
@@ -286,6 +286,8 @@
             .tasks
             .desk
             .unbounded_send(desk::Message::Fleet(fleet.clone()));
+        let message = ticket::Message::Fleet(fleet.clone());
+        let _ = self.parts.tasks.router.unbounded_send(message);
         let _ = self
             .parts
             .tasks
@@ -467,12 +469,10 @@
                 let _ = self.parts.tasks.desk.unbounded_send(message);
             }
             Kind::Suspect => {
-                let bytes = Bytes::copy_from_slice(bytes);
-                let _ = self
-                    .parts
-                    .tasks
-                    .router
-                    .unbounded_send(router::Message::Suspect(bytes));
+                if let Ok(items) = peer::decode(bytes) {
+                    let message = ticket::Message::Suspects(items);
+                    let _ = self.parts.tasks.router.unbounded_send(message);
+                }
             }
         }
     }
@@ -500,7 +500,7 @@
         let event = event.service(document.service.as_str()).version(version);
         self.parts.recorder.event(event);
         let document = Rc::new(document);
-        let message = router::Message::Document(document.clone());
+        let message = ticket::Message::Document(document.clone());
         let _ = self.parts.tasks.router.unbounded_send(message);
         let message = owners::Message::Document(version, document);
         let _ = self.parts.tasks.owners.unbounded_send(message);
--- a/src/vm/notes.rs
+++ b/src/vm/notes.rs
@@ -221,6 +221,6 @@
 }
 
 /// Returns the service of a group: `service/index`.
-fn service(group: &GroupId) -> &str {
+pub fn service(group: &GroupId) -> &str {
     group.split_once('/').map_or(group, |(service, _)| service)
 }
--- a/src/vm/owners.rs
+++ b/src/vm/owners.rs
@@ -16,7 +16,7 @@
 };
 use crate::{
     document::{Document, Fencing, Ownership},
-    entry::router,
+    entry::ticket,
     grant::{Grant, TargetState},
     grantor::{self, Effect, Event, Grantor, Outcome, Timing},
     group::{Record, build},
@@ -376,7 +376,7 @@
                 .news
                 .unbounded_send(news::Message::Put(item));
         }
-        let message = router::Message::Record(group.clone(), version, record);
+        let message = ticket::Message::Record(group.clone(), version, record);
         let _ = self.parts.tasks.router.unbounded_send(message);
     }
 
@@ -410,7 +410,7 @@
         match &message {
             grantor::Message::Handover(fact) => self.tell_fact(fact.clone()),
             grantor::Message::Lease { asked, routes } => {
-                let message = router::Message::Lease(group.clone(), *asked, routes.clone());
+                let message = ticket::Message::Lease(group.clone(), *asked, routes.clone());
                 let _ = self.parts.tasks.router.unbounded_send(message);
             }
             _ => {}
@@ -419,7 +419,7 @@
     }
 
     fn tell_fact(&self, fact: Handover) {
-        let message = router::Message::Fact(fact);
+        let message = ticket::Message::Fact(fact);
         let _ = self.parts.tasks.router.unbounded_send(message);
     }
 
