--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -70,6 +70,7 @@
     next_round: Duration,
     next_retry: Duration,
     next_compare: Duration,
+    next_forget: Duration,
     last_tick: Option<Duration>,
     started: Option<Duration>,
 }
@@ -101,6 +102,7 @@
             next_round: Duration::ZERO,
             next_retry: Duration::ZERO,
             next_compare: Duration::ZERO,
+            next_forget: Duration::ZERO,
             last_tick: None,
             started: None,
         }
@@ -139,7 +141,7 @@
         self.view.me()
     }
 
-    /// Returns the members that probably live, this process among them; the leaving ones are not.
+    /// Returns the members that probably live, this process and leaving ones among them.
     ///
     /// # Example
     ///
@@ -150,7 +152,7 @@
     /// assert_eq!(members.live(), vec![Peer::default()]);
     /// ```
     pub fn live(&self) -> Vec<Peer> {
-        self.view.live().cloned().collect()
+        self.view.present().cloned().collect()
     }
 
     /// Returns whether a member probably lives, leaving or not.
