Quarantine: a lone suspect waits three seconds; suspects at a gate go one at a time

Cause: a machine's loss makes the only request in flight a suspect; refusing it for half a minute kept a key from its caller for longer than the loss itself. And two suspects could pass the check one after the other, wait at the gate, and be in flight together. Change: SOLE is 3 s (the bound of two deaths doesn't depend on it); the router looks again as it sends.

--- a/src/entry/router.rs
+++ b/src/entry/router.rs
@@ -47,6 +47,9 @@
     slots: Slots,
 }
 
+/// The longest pause before a suspect that left the gate again is looked at anew.
+const SUSPECT_PAUSE: Duration = Duration::from_millis(100);
+
 /// A request that waits at a gate.
 struct Waiting {
     ask: Box<Ask>,
@@ -359,6 +362,16 @@
         let Some(Waiting { ask, reply, goal }) = self.waiting.swap_remove(&ticket) else {
             return;
         };
+        // Another suspect may have gone in while this one stood at the gate: it waits its turn.
+        let check = self
+            .quarantine
+            .check(stamp::wall(), ask.print, &goal.target);
+        if let Check::Wait(pause) | Check::Refuse(pause) = check {
+            let name = (ask.service.clone(), goal.target.clone());
+            let sample = Sample::Cancelled;
+            self.gate(now, &name, gate::Event::Done { ticket, sample });
+            return self.again(ask, reply, pause.min(SUSPECT_PAUSE));
+        }
         let boot = match &goal.owner {
             Some(owner) => owner.boot.clone(),
             None => shared_boot(),
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -29,7 +29,12 @@
 /// How long a death counts.
 pub const EXPIRY: Duration = Duration::from_mins(10);
 /// How long a request is refused that was the only one in flight at a single death.
-pub const SOLE: Duration = Duration::from_secs(30);
+///
+/// Short, for machines are lost every day while an innocent request runs: a key is to be served
+/// again within seconds. A killer's second death comes sooner, and is its last, either way.
+pub const SOLE: Duration = Duration::from_secs(3);
+/// How long requests that were at the same two deaths are refused at the least.
+pub const DOUBLE: Duration = Duration::from_secs(30);
 /// How long before a death a request may have broken off and still be a suspect of it.
 const BEFORE: Duration = Duration::from_secs(5);
 /// How long a suspect waits for another that runs alone.
@@ -153,7 +158,7 @@
         let until = match deaths.len() {
             1 if self.is_alone(wall, &deaths) => last + SOLE,
             1 => Duration::ZERO,
-            2 if self.has_double(wall, print, &deaths) => last + SOLE + stagger(print),
+            2 if self.has_double(wall, print, &deaths) => last + DOUBLE + stagger(print),
             _ => last + EXPIRY,
         };
         if wall < until {
@@ -360,5 +365,5 @@
 /// Spreads the times at which requests that look alike are tried again.
 fn stagger(print: Fingerprint) -> Duration {
     let part = u32::try_from(print % 1_024).unwrap_or(0);
-    SOLE * part / 1_024
+    DOUBLE * part / 1_024
 }
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bramleypier::quarantine::{Check, Death, EXPIRY, End, Event, Item, Quarantine, SOLE};
+use bramleypier::quarantine::{Check, DOUBLE, Death, EXPIRY, End, Event, Item, Quarantine};
 use proptest::{
     collection,
     prelude::*,
@@ -111,7 +111,7 @@
         Check::Refuse(wait) => wait,
         other => panic!("{other:?}"),
     });
-    assert!(waits[0] != waits[1] && waits.iter().all(|wait| *wait <= 2 * SOLE));
+    assert!(waits[0] != waits[1] && waits.iter().all(|wait| *wait <= 2 * DOUBLE));
     let on = death("a", 2);
     send(&mut vm, 61_000, 10, INNOCENT, &on);
     end(&mut vm, 61_001, 10, End::Completed);
