Orders: what proves that a VM is gone for good

Cause: a VM that was not on the platform's list counted as gone, though the list lags behind a start; and a VM whose process had been started anew never did, so that shards that lost both members to restarts would have stayed without a home. Change: order::gone: alive by probes is never gone; gone is what the list dropped, what it lacks for longer than it lags (30 s), or whose VM runs a later start. The desk uses it. Ruled out: the list's word alone, and the probes' word alone. Conclusion: a table of tests/order.rs; not yet tried with real processes.

--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -13,9 +13,10 @@
 use super::{Context, Job, forward, payload::Payload, reply};
 use crate::{
     id::{Version, VmId},
-    membership,
     order::{
-        self, Answer, Effect, Ledger, Order, Starter, Views, ledger, memory, plan,
+        self, Answer, Effect, Ledger, Order, Starter, Views,
+        gone::Listing,
+        ledger, memory, plan,
         starter::{self, Decision, End, Why},
     },
     peer,
@@ -73,7 +74,7 @@
     ledger: Ledger,
     starter: Starter,
     fleet: Option<Fleet>,
-    gone: IndexSet<VmId>,
+    listing: Listing,
     version: Version,
     views: Views,
     is_leaving: bool,
@@ -89,7 +90,7 @@
             starter: Starter::new(&parts.me.vm),
             parts,
             fleet: None,
-            gone: IndexSet::new(),
+            listing: Listing::default(),
             version: 0,
             views: Views::default(),
             is_leaving: false,
@@ -175,15 +176,10 @@
 
     // --- What is known of the fleet and the views ---
 
-    /// Notes which members of views are gone for certain, by the platform's list, which doesn't err.
+    /// Reads in the platform's list who is there.
     fn listed(&mut self, list: &[platform::ListedVm]) {
-        let is_listed = |vm: &VmId| list.iter().any(|it| it.name == membership::name(vm));
-        let members = self.views.shards.iter().flat_map(order::View::members);
-        let gone: IndexSet<VmId> = members.filter(|vm| !is_listed(vm)).cloned().collect();
-        if gone.iter().any(|vm| !self.gone.contains(vm)) {
-            self.gone = gone;
-            self.tell_peers();
-        }
+        self.listing.read(list.iter().map(|vm| vm.name.as_str()));
+        self.tell_peers();
     }
 
     fn tell_peers(&mut self) {
@@ -191,6 +187,13 @@
             return;
         };
         let me = &self.parts.me.vm;
+        let now = self.parts.clock.now();
+        let live: Vec<VmId> = fleet.live.iter().map(|peer| peer.vm.clone()).collect();
+        let members = self.views.shards.iter().flat_map(order::View::members);
+        let members: IndexSet<&VmId> = members.collect();
+        let gone = members.into_iter().cloned();
+        let gone = gone.filter(|vm| self.listing.is_gone(now, vm, &live));
+        let gone = gone.collect();
         let vms = fleet.live.iter().map(|peer| {
             let known = plan::Peer {
                 domain: peer.domain.clone(),
@@ -201,7 +204,7 @@
         });
         let peers = plan::Peers {
             vms: vms.collect(),
-            gone: self.gone.clone(),
+            gone,
         };
         self.ledger(ledger::Event::Peers(peers));
     }
--- a/src/order/mod.rs
+++ b/src/order/mod.rs
@@ -15,6 +15,7 @@
 //! lost, which needs proof that both VMs are gone for good, the next view has a *horizon*, and ids
 //! not provably younger than it are answered `unknown`.
 
+pub mod gone;
 pub mod ledger;
 pub mod memory;
 mod pending;
--- a/tests/order.rs
+++ b/tests/order.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use bramleypier::order::{
-    Answer, Attempt, Effect, Fate, Ledger, Message, Order, Reply, Starter, View, Views, ledger,
+    Answer, Attempt, Effect, Fate, Ledger, Message, Order, Reply, Starter, View, Views,
+    gone::Listing,
+    ledger,
     memory::Limits,
     starter::{self, Decision, Why},
 };
@@ -362,3 +364,34 @@
     let told = decision(starter.on(now(0), begin));
     assert_eq!(told, Some(Decision::Unknown(Why::Ahead)));
 }
+
+#[test]
+fn only_what_is_proved_to_be_gone_is_gone() {
+    let seconds = Duration::from_secs;
+    let list: [(u64, &[&str]); 4] = [
+        (0, &["a", "b"]),
+        (10, &["a"]),
+        (20, &["a"]),
+        (60, &["a", "b"]),
+    ];
+    let live = ["a#1", "c#2"].map(String::from);
+    let cases = [
+        // It answers, or is listed, or has not been off the list for longer than it lags.
+        ("a#1", [false, false, false, false]),
+        ("a#2", [false, false, false, false]),
+        ("d#1", [false, false, false, true]),
+        // It was taken off the list, which may show it again later.
+        ("b#1", [false, true, true, false]),
+        // A later start of the same VM is alive, whatever the list says.
+        ("c#1", [true, true, true, true]),
+        ("c#2", [false, false, false, false]),
+    ];
+    let mut listing = Listing::default();
+    for (index, (at, names)) in list.into_iter().enumerate() {
+        listing.read(names.iter().copied());
+        for (vm, expected) in cases {
+            let found = listing.is_gone(seconds(at), vm, &live);
+            assert_eq!(found, expected[index], "{vm} at {at} s");
+        }
+    }
+}
