Take a VM for gone only where that is certain; keep events of single requests apart

Cause: in a run where VMs came onto the platform's list a second after their start, two of them took the first for gone, since a list that was too old to have it looked like one that no longer had it. They gave all shards of request ids new memories with a horizon, and the next order was answered 'unknown' though it had never run; the same judgement lets grantors be struck. And a VM that was replaced under its name could never be found gone by the list at all. A list now counts only for a VM that is known for longer than the list may lag, a setting, and a later start of the same name that is live shows an earlier one gone, unless that is heard too. Also: each refused request is an event, so an overload would push everything else out of the ring, just when operators need what led to it; such events have a ring of their own. Imbalance and active requests are gauges. Ruled out: remembering who was on the list before; with a restart under the same name an old list would lie.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -89,7 +89,7 @@
     pub documents: IndexMap<ServiceId, Version>,
     /// The duties it holds, as text.
     pub duties: Vec<String>,
-    /// Requests in flight.
+    /// Callers' connections open.
     pub active: u64,
     /// Each service's measures since the process started.
     pub measures: IndexMap<ServiceId, Measures>,
--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -13,7 +13,6 @@
 use super::{Context, Job, forward, payload::Payload, reply};
 use crate::{
     id::{Version, VmId},
-    membership,
     order::{
         self, Answer, Effect, Ledger, Order, Starter, Views, ledger, memory, plan,
         starter::{self, Decision, End, Why},
@@ -24,7 +23,7 @@
     spread::{Id, Item, Kind},
     timeline::{self, Duty, stamp},
     util::body::Body,
-    vm::{Parts, mail, news, news::Fleet, wire},
+    vm::{Parts, gone::Gone, mail, news, news::Fleet, wire},
 };
 
 /// How often the task is woken.
@@ -73,6 +72,7 @@
     ledger: Ledger,
     starter: Starter,
     fleet: Option<Fleet>,
+    judge: Gone,
     gone: IndexSet<VmId>,
     version: Version,
     views: Views,
@@ -87,6 +87,7 @@
         Self {
             ledger: Ledger::new(&parts.me.vm, memory::Limits::default()),
             starter: Starter::new(&parts.me.vm),
+            judge: Gone::new(parts.timing.list_lag),
             parts,
             fleet: None,
             gone: IndexSet::new(),
@@ -175,11 +176,13 @@
 
     // --- What is known of the fleet and the views ---
 
-    /// Notes which members of views are gone for certain, by the platform's list, which doesn't err.
+    /// Notes which members of views are gone for certain.
     fn listed(&mut self, list: &[platform::ListedVm]) {
-        let is_listed = |vm: &VmId| list.iter().any(|it| it.name == membership::name(vm));
         let members = self.views.shards.iter().flat_map(order::View::members);
-        let gone: IndexSet<VmId> = members.filter(|vm| !is_listed(vm)).cloned().collect();
+        let named: IndexSet<VmId> = members.cloned().collect();
+        let live = self.fleet.as_ref().map_or(&[][..], |fleet| &fleet.live);
+        let now = self.parts.clock.now();
+        let gone = self.judge.of(now, &named, list, live);
         if gone.iter().any(|vm| !self.gone.contains(vm)) {
             self.gone = gone;
             self.tell_peers();
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -96,6 +96,7 @@
     if request.method() == Method::GET && request.uri().path() == HEALTH_PATH {
         return context.health.answer();
     }
+    let _active = context.recorder.enter();
     let attempt = Attempt::new();
     let subject = Subject::of(&request);
     match serve(&context, attempt, request).await {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -77,7 +77,7 @@
     REQUESTS_UNKNOWN Counter "requests.unknown", "Requests that may have run.", "Ask `timeline --request ID`; whoever sent an order looks up whether it took effect.";
     REQUESTS_RETRIED Counter "requests.retried", "Attempts after the first.", "When it grows with `requests.not_run`, targets shed or are being moved.";
     REQUESTS_CUT Counter "requests.cut", "Answers of targets that ended short; callers got an error.", "Look at the target named in the time line.";
-    REQUESTS_ACTIVE Gauge "requests.active", "Requests in flight.", "None; it must reach 0 before a planned stop ends.";
+    REQUESTS_ACTIVE Gauge "requests.active", "Requests whose answer has not begun.", "None.";
     QUARANTINED Gauge "quarantine.held", "Requests refused because targets died of them.", "Find the request in the time line, and tell its sender and the service's team.";
     ORDERS_DOUBLE Counter "orders.double", "Orders that came again and did not run again.", "None; many from one caller mean that it resends early.";
     ORDERS_HELD Gauge "orders.held", "Orders remembered.", "When orders are forgotten early, raise `[limits] order_bytes`.";
@@ -88,7 +88,7 @@
     RANGES_LOST Gauge "ranges.lost", "Ranges without an owner that serves, as this grantor knows.", "Alarm above 0 for more than 4 s: look for `grantor-struck` and `platform-lost`.";
     CHURN Gauge "ranges.churn", "Share of the hash space that moved since the start, in millionths.", "Compare with the service's `churn_weight`.";
     UNAVAILABLE Gauge "ranges.unavailable_ms", "Time without an owner that serves, summed over ranges, in ms.", "Each growth is a loss: `timeline` tells its course.";
-    IMBALANCE Gauge "targets.imbalance", "Greatest load of a target over the mean, in thousandths.", "Above 2000 for minutes: a hot key stands alone already, or targets are unequal.";
+    IMBALANCE Gauge "targets.imbalance", "Greatest load of a target over the mean, in thousandths, among those of a group that this VM grants to; the load is what runs there, smoothed.", "Above 2000 for minutes: a hot key stands alone already, or targets are unequal.";
     PEERS_LIVE Gauge "peers.live", "VMs that this one takes for live.", "Less than the platform's list for minutes: a partition.";
     PEERS_LOST Counter "peers.lost", "VMs taken for lost.", "Compare with planned replacements.";
     MESSAGES_SENT Counter "messages.sent", "Messages and batches of messages to peers.", "None.";
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -53,6 +53,8 @@
 pub struct Timing {
     /// How often peers are probed.
     pub probe: Duration,
+    /// How far the platform's list of VMs may lag.
+    pub list_lag: Duration,
     /// How long requests in flight may take to end when the process stops.
     pub drain: Duration,
     /// How long an order whose id has no date is remembered at the least.
@@ -76,6 +78,7 @@
     pub fn membership(&self) -> membership::Timing {
         membership::Timing {
             period: self.probe,
+            lag: self.list_lag,
             ..membership::Timing::default()
         }
     }
@@ -84,7 +87,7 @@
 /// Bounds on what one process keeps and takes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Limits {
-    /// Events kept for the time line.
+    /// Events kept for the time line, and as many again of single requests.
     pub events: usize,
     /// Memory for the orders of one shard of request ids, in bytes.
     pub order_bytes: usize,
@@ -145,7 +148,7 @@
         "name",
         Kind::Name,
         Preset::Required,
-        "The VM's name, its own among all VMs.",
+        "The VM's name, its own among all VMs: a later start of the same name takes the earlier one's place.",
     ),
     field(
         "vm",
@@ -182,6 +185,13 @@
         Preset::Required,
         "Where the platform's service answers.",
     ),
+    field(
+        "platform",
+        "list_lag_ms",
+        Kind::Number("ms", 0, DAY_MS),
+        Preset::Value("120000"),
+        "How far the platform's list of VMs may lag, rather too long than too short: a VM that is known for less is never taken for gone by the list.",
+    ),
     field(
         "peers",
         "seeds",
@@ -230,7 +240,7 @@
         "events",
         "20000",
         1_000_000,
-        "Events kept for the time line.",
+        "Events kept for the time line, and as many again of single requests.",
     ),
     bound(
         "order_bytes",
@@ -315,6 +325,7 @@
 fn timing(checked: &Checked) -> Result<Timing, Fault> {
     Ok(Timing {
         probe: checked.millis("timing", "probe_ms")?,
+        list_lag: checked.millis("platform", "list_lag_ms")?,
         drain: checked.millis("timing", "drain_ms")?,
         order: checked.millis("timing", "order_ms")?,
     })
--- a/src/timeline/account.rs
+++ b/src/timeline/account.rs
@@ -69,7 +69,7 @@
     pub answered: Vec<VmId>,
     /// The VMs that could not be reached: what they know is missing.
     pub unreached: Vec<VmId>,
-    /// How many events each process no longer keeps, and the stamp of the oldest that it does;
+    /// How many events each process no longer keeps, and the stamp from which on it keeps all;
     /// processes that dropped none are left out.
     pub dropped: IndexMap<VmId, (u64, Stamp)>,
     /// What the events amount to, by service, up to the last of them.
--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -94,6 +94,22 @@
     }
 }
 
+impl Kind {
+    /// Returns whether the kind comes with single requests, and so in any number.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::timeline::Kind;
+    ///
+    /// assert!(Kind::RequestRefused.is_frequent());
+    /// assert!(!Kind::RangeMoved.is_frequent());
+    /// ```
+    pub fn is_frequent(self) -> bool {
+        matches!(self, Self::RequestRefused | Self::RequestUnknown)
+    }
+}
+
 /// One event: what happened, where, and to whom.
 ///
 /// It is also the log line of a change of state: `Display` writes it as `key=value` pairs.
--- a/src/timeline/ring.rs
+++ b/src/timeline/ring.rs
@@ -15,6 +15,9 @@
 
 /// The last events of this process; the oldest are dropped and counted.
 ///
+/// Events of single requests are kept apart, as many again, so that an overload does not push out
+/// what led to it.
+///
 /// # Example
 ///
 /// ```
@@ -33,11 +36,43 @@
 pub struct Ring {
     vm: VmId,
     hybrid: Hybrid,
+    events: Queue,
+    requests: Queue,
+}
+
+/// Events of one sort, the oldest first.
+#[derive(Clone, Debug)]
+struct Queue {
     events: VecDeque<Event>,
     capacity: usize,
     dropped: u64,
 }
 
+impl Queue {
+    fn new(capacity: usize) -> Self {
+        Self {
+            events: VecDeque::new(),
+            capacity: capacity.max(1),
+            dropped: 0,
+        }
+    }
+
+    fn push(&mut self, event: Event) -> &Event {
+        if self.events.len() == self.capacity {
+            self.events.pop_front();
+            self.dropped += 1;
+        }
+        self.events.push_back(event);
+        &self.events[self.events.len() - 1]
+    }
+
+    /// Returns the stamp from which on nothing was dropped.
+    fn whole_since(&self) -> Stamp {
+        let first = self.events.front().filter(|_| self.dropped > 0);
+        first.map_or(0, |event| event.stamp)
+    }
+}
+
 /// What one process answers when asked for its events.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -48,7 +83,7 @@
     pub events: Vec<Event>,
     /// How many events are no longer kept.
     pub dropped: u64,
-    /// The stamp of the oldest event that is kept, the filter aside; 0 if there is none.
+    /// The stamp from which on the part lacks nothing; 0 if nothing was dropped.
     pub oldest: Stamp,
 }
 
@@ -62,9 +97,8 @@
         Self {
             vm,
             hybrid: Hybrid::default(),
-            events: VecDeque::new(),
-            capacity: capacity.max(1),
-            dropped: 0,
+            events: Queue::new(capacity),
+            requests: Queue::new(capacity),
         }
     }
 
@@ -74,16 +108,16 @@
     ///
     /// See [`Ring`].
     pub fn record(&mut self, wall: Duration, event: Event) -> &Event {
-        if self.events.len() == self.capacity {
-            self.events.pop_front();
-            self.dropped += 1;
-        }
-        self.events.push_back(Event {
+        let event = Event {
             stamp: self.hybrid.tick(wall),
             vm: self.vm.clone(),
             ..event
-        });
-        &self.events[self.events.len() - 1]
+        };
+        if event.kind.is_frequent() {
+            self.requests.push(event)
+        } else {
+            self.events.push(event)
+        }
     }
 
     /// Returns the stamp for a message that is sent now.
@@ -125,12 +159,14 @@
     ///
     /// See [`Ring`].
     pub fn part(&self, filter: &Filter) -> Part {
-        let passing = self.events.iter().filter(|event| filter.passes(event));
+        let passing = self.events().filter(|event| filter.passes(event));
+        let mut events: Vec<Event> = passing.cloned().collect();
+        events.sort_by_key(|event| event.stamp);
         Part {
             vm: self.vm.clone(),
-            events: passing.cloned().collect(),
-            dropped: self.dropped,
-            oldest: self.events.front().map_or(0, |event| event.stamp),
+            events,
+            dropped: self.dropped(),
+            oldest: self.events.whole_since().max(self.requests.whole_since()),
         }
     }
 
@@ -140,7 +176,7 @@
     ///
     /// See [`Ring`].
     pub fn dropped(&self) -> u64 {
-        self.dropped
+        self.events.dropped + self.requests.dropped
     }
 
     /// Returns how many stamps were ignored because they were far ahead of the wall clock.
@@ -160,7 +196,7 @@
         self.hybrid.ignored()
     }
 
-    /// Returns the events that are kept, the oldest first.
+    /// Returns the events that are kept; those of requests come last.
     ///
     /// # Example
     ///
@@ -170,6 +206,6 @@
     /// assert_eq!(Ring::new("vm-1#1".to_owned(), 1).events().count(), 0);
     /// ```
     pub fn events(&self) -> impl Iterator<Item = &Event> {
-        self.events.iter()
+        self.events.events.iter().chain(&self.requests.events)
     }
 }
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -11,6 +11,7 @@
 //! - [`life`] is the process's own life cycle.
 
 pub mod admin;
+pub mod gone;
 pub mod life;
 pub mod mail;
 pub mod news;
@@ -36,10 +37,10 @@
     gossip::Gossip,
     id::VmId,
     key,
-    membership::{self, Peer},
+    membership::Peer,
     metrics::{self, Metrics},
     platform::Platform,
-    settings::Settings,
+    settings::{self, Settings},
     spread, target,
     util::{
         ini,
@@ -114,6 +115,8 @@
     pub tasks: Tasks,
     /// The time line, the metrics and the log.
     pub recorder: recorder::Recorder,
+    /// Spans of time from the settings.
+    pub timing: settings::Timing,
 }
 
 /// Runs a process until it is told to stop.
@@ -144,6 +147,7 @@
         clock,
         tasks,
         recorder,
+        timing: settings.timing.clone(),
     };
     let context = start(&parts, inboxes, address);
     let served = life::Served {
@@ -206,7 +210,7 @@
 /// Starts all tasks, and returns what the tasks of connections need.
 fn start(parts: &Parts, inboxes: Inboxes, address: SocketAddr) -> entry::Context {
     let seed = key::point(&parts.me.vm);
-    let timing = membership::Timing::default();
+    let timing = parts.timing.membership();
     let gossip = Gossip::new(parts.me.clone(), timing, spread::Limits::default(), seed);
     let news = news::News::new(parts.clone(), gossip, seed);
     let owners = owners::Owners::new(parts.clone());
--- a/src/vm/notes.rs
+++ b/src/vm/notes.rs
@@ -19,12 +19,15 @@
     group::Record,
     handover::Handover,
     id::{BootId, Epoch, GroupId, TargetId, VmId},
-    metrics,
+    measure, metrics,
     range::Range,
     timeline::{self, Duty, Kind},
     util::names::Names,
 };
 
+/// The weight of a target's newest answer in its smoothed load.
+const SMOOTHING: f64 = 0.05;
+
 /// What has been seen of the targets and ranges of this VM's groups.
 #[derive(Debug)]
 pub struct Notes {
@@ -40,6 +43,8 @@
 struct Seen {
     machine: Machine<State, Event>,
     boot: BootId,
+    /// Requests that run there, smoothed over its answers.
+    running: f64,
 }
 
 impl Notes {
@@ -71,10 +76,27 @@
         self.on(group, target, event);
         if let Some(seen) = self.targets.get_mut(&(group.clone(), target.clone())) {
             seen.boot.clone_from(boot);
+            seen.running += SMOOTHING * (f64::from(state.running) - seen.running);
         }
+        self.imbalance(group);
         self.held(group, target, state);
     }
 
+    /// Sets the imbalance among the targets of a service that this VM grants to.
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the figure is between 1 and the count of targets"
+    )]
+    fn imbalance(&self, group: &GroupId) {
+        let service = service(group);
+        let ours = self.targets.iter().filter(|((other, _), _)| other == group);
+        let loads: Vec<f64> = ours.map(|(_, seen)| seen.running).collect();
+        let thousandths = (measure::imbalance(&loads) * 1000.0) as u64;
+        let metrics = self.recorder.metrics();
+        metrics.set(&metrics::IMBALANCE, Some(service), thousandths);
+    }
+
     /// Notes that a target did not answer once; what follows from it is the grantor's to say.
     pub fn failed(&self, group: &GroupId) {
         let service = Some(service(group));
@@ -163,6 +185,7 @@
         let seen = entry.or_insert_with(|| Seen {
             machine: chart.clone().machine(),
             boot: BootId::new(),
+            running: 0.0,
         });
         let Ok(change) = seen.machine.on(event) else {
             return;
--- a/src/vm/owners.rs
+++ b/src/vm/owners.rs
@@ -9,7 +9,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    Parts, mail,
+    Parts,
+    gone::Gone,
+    mail,
     news::{self, Fleet},
     notes::Notes,
     wire,
@@ -86,6 +88,7 @@
     groups: IndexMap<GroupId, Grantor>,
     documents: IndexMap<ServiceId, Rc<Document>>,
     fleet: Option<Fleet>,
+    gone: Gone,
     next_lease: Duration,
     notes: Notes,
     /// The versions that the others were told.
@@ -98,12 +101,13 @@
         Self {
             control: Control::new(parts.clock.clone()),
             notes: Notes::new(parts.recorder.clone()),
-            parts,
             groups: IndexMap::new(),
             documents: IndexMap::new(),
             fleet: None,
+            gone: Gone::new(parts.timing.list_lag),
             next_lease: Duration::ZERO,
             told: IndexMap::new(),
+            parts,
         }
     }
 
@@ -162,22 +166,16 @@
     }
 
     /// Tells grantors which of the VMs they name are gone for certain.
-    ///
-    /// A VM is gone when the platform's list, which lags but doesn't err, no longer has its name,
-    /// or when another start answers at its address.
     fn listed(&mut self, list: &[platform::ListedVm]) {
         let records = self.groups.values().filter_map(Grantor::record);
         let named: IndexSet<VmId> = records
             .flat_map(|(_, record)| record.trios.values().flatten())
             .map(|grantor| grantor.vm.clone())
             .collect();
-        let is_gone = |vm: &VmId| {
-            !list
-                .iter()
-                .any(|listed| listed.name == membership::name(vm))
-        };
-        let gone: Vec<VmId> = named.into_iter().filter(is_gone).collect();
+        let live = self.fleet.as_ref().map_or(&[][..], |fleet| &fleet.live);
+        let gone = self.gone.of(self.parts.clock.now(), &named, list, live);
         if !gone.is_empty() {
+            let gone = gone.into_iter().collect();
             self.feed_all(&Event::Listed { gone });
         }
     }
--- a/src/vm/recorder.rs
+++ b/src/vm/recorder.rs
@@ -2,7 +2,11 @@
 //!
 //! All tasks of a process run on one thread and share the recorder; a call touches memory only.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
 
 use crate::{
     id::VmId,
@@ -18,6 +22,17 @@
 pub struct Recorder {
     state: Rc<RefCell<State>>,
     metrics: Metrics,
+    active: Rc<Cell<u64>>,
+}
+
+/// Counts one request as active for as long as it lives.
+#[derive(Debug)]
+pub struct Active(Rc<Cell<u64>>);
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
 }
 
 #[derive(Debug)]
@@ -36,6 +51,7 @@
         Self {
             state: Rc::new(RefCell::new(state)),
             metrics,
+            active: Rc::default(),
         }
     }
 
@@ -51,6 +67,17 @@
         }
     }
 
+    /// Counts a request as active until what this returns is dropped.
+    pub fn enter(&self) -> Active {
+        self.active.set(self.active.get() + 1);
+        Active(self.active.clone())
+    }
+
+    /// Returns how many requests have no answer yet.
+    pub fn active(&self) -> u64 {
+        self.active.get()
+    }
+
     /// Counts.
     pub fn count(&self, metric: &'static Metric, service: Option<&str>) {
         self.metrics.count(metric, service, 1);
@@ -98,6 +125,7 @@
             let state = self.state.borrow();
             (state.ring.dropped(), state.ring.ignored())
         };
+        self.set(&metrics::REQUESTS_ACTIVE, self.active());
         self.set(&metrics::EVENTS_DROPPED, dropped);
         self.set(&metrics::STAMPS_IGNORED, ignored);
         self.metrics.flush();
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -22,6 +22,8 @@
 
 mod control;
 
+/// How far the stand-in's list of VMs may lag: a VM is put on it only after its first line.
+const LIST_LAG_MS: u64 = 3_000;
 /// How long a planned stop may take.
 const STOP_TIMEOUT: Duration = Duration::from_secs(40);
 
@@ -258,7 +260,7 @@
         let text = format!(
             "[vm]\nname = {name}\ndomain = {}\n\n\
              [listen]\ncallers = {}\npeers = {}\n{advertise}\n\
-             [platform]\naddress = {}\n\n\
+             [platform]\naddress = {}\nlist_lag_ms = {LIST_LAG_MS}\n\n\
              [peers]\nseeds = {}\n\n\
              [log]\nlevel = info\nfile = {}\n\n{}",
             vm.domain,
--- a/tests/timeline.rs
+++ b/tests/timeline.rs
@@ -147,6 +147,30 @@
     assert!(picture.contains("vm-2#1 (not reached)"), "{picture}");
 }
 
+#[test]
+fn refused_requests_push_out_nothing_else() {
+    let mut ring = Ring::new("vm-1#1".to_owned(), 3);
+    ring.record(Duration::from_secs(1), event(Kind::RangeLost));
+    for second in 2..=9 {
+        ring.record(Duration::from_secs(second), event(Kind::RequestRefused));
+    }
+    ring.record(Duration::from_secs(10), event(Kind::RangeServed));
+    let part = ring.part(&Filter::default());
+    let kinds: Vec<Kind> = part.events.iter().map(|event| event.kind).collect();
+    let refused = Kind::RequestRefused;
+    assert_eq!(
+        kinds,
+        [
+            Kind::RangeLost,
+            refused,
+            refused,
+            refused,
+            Kind::RangeServed
+        ]
+    );
+    assert_eq!((part.dropped, stamp::time(part.oldest).as_secs()), (5, 7));
+}
+
 #[test]
 fn an_account_counts_a_loss_once() {
     let mut one = Ring::new("vm-1#1".to_owned(), 9);
