--- a/src/order/mod.rs
+++ b/src/order/mod.rs
@@ -15,7 +15,6 @@
 //! lost, which needs proof that both VMs are gone for good, the next view has a *horizon*, and ids
 //! not provably younger than it are answered `unknown`.
 
-pub mod gone;
 pub mod ledger;
 pub mod memory;
 mod pending;
