Experiments: loads and faults on fresh fleets, against yardsticks

Aim: docs/MEASURES.md needs the same arrivals and work times at the fleet, at one perfect queue, at a queue for each key, and at plain targets with random, two and least choices. Ruled out: one fleet for all runs (a target that was lost comes back without ranges, so later runs would differ). Change: each cell starts a fleet, sends its plan, breaks one thing, and reads callers' lines, targets' logs, totals and processor time; rounds alternate their order; CSV, Markdown and SVG come out.

--- a/tools/load/src/bench.rs
+++ b/tools/load/src/bench.rs
@@ -53,7 +53,7 @@
         vms: 3,
     };
     let mut scene = Scene::start(&setup).await?;
-    let plain = plain_targets(&mut scene).await?;
+    scene.add_plain(PLAIN).await?;
     idle(&scene, options.span).await?;
     println!(
         "| route | rate/s | goodput/s | p50 ms | p99 ms | p99.9 ms | refused or failed | VM CPU us/request | requests a CPU second | VM resident MB |"
@@ -70,7 +70,7 @@
                 ..Config::default()
             };
             let straight = Config {
-                addresses: plain.clone(),
+                addresses: scene.plain.clone(),
                 direct: true,
                 ..config.clone()
             };
@@ -85,37 +85,17 @@
     files(&scene, options).await
 }
 
-async fn plain_targets(scene: &mut Scene) -> Result<Vec<std::net::SocketAddr>, Error> {
-    let mut addresses = Vec::new();
-    for number in 0..PLAIN {
-        let name = format!("plain-{number}");
-        let arguments = ["--checks=false", "--work-ms=0", "--fixed"];
-        let started = scene
-            .fleet
-            .add_target(&name, "uio-norte", false, &arguments);
-        let address = started.await?;
-        // It is on no document; the list need not name it.
-        scene.fleet.unlist(&name).await?;
-        addresses.push(
-            address
-                .parse()
-                .map_err(|cause| Error::Address(address, cause))?,
-        );
-    }
-    Ok(addresses)
-}
-
 /// Tells what a VM spends while no requests come.
 async fn idle(scene: &Scene, span: Duration) -> Result<(), Error> {
     let (start, before) = (clock::now(), scene.usage(VM)?);
     compio::time::sleep(span).await;
     let after = scene.usage(VM)?;
     let took = clock::now().saturating_sub(start);
-    let share = (after.cpu - before.cpu).as_secs_f64() / took.as_secs_f64();
+    let share = after.since(&before).as_secs_f64() / took.as_secs_f64();
     println!(
         "idle: {:.2} % of a core, {:.1} MB resident\n",
         share * 100.0,
-        megabytes(after.resident_kb)
+        table::megabytes(after.resident_kb)
     );
     Ok(())
 }
@@ -130,7 +110,7 @@
             route,
             config,
             &outcome,
-            after.cpu - before.cpu,
+            after.since(&before),
             after.resident_kb
         )
     );
@@ -142,7 +122,7 @@
     let [median, p99, p999, _] = table::quantiles(counts).map(table::millis);
     // The warm-up's requests cost processor time too.
     let share = config.span.as_secs_f64() / outcome.span.as_secs_f64().max(f64::MIN_POSITIVE);
-    let sent = f64::from(u32::try_from(counts.sent).unwrap_or(u32::MAX)) * share;
+    let sent = table::float(counts.sent) * share;
     let each = cpu.as_secs_f64() / sent.max(1.0);
     let (each, a_second) = match route {
         "through" => (
@@ -156,7 +136,7 @@
         config.rates[0],
         table::goodput(counts, outcome.span),
         counts.sent - counts.good,
-        megabytes(resident),
+        table::megabytes(resident),
     )
 }
 
@@ -176,19 +156,15 @@
     let outcome = scene::load(&config).await?;
     let after = scene.usage(VM)?;
     let counts = outcome.whole.class(Class::Files);
-    let cpu = (after.cpu - before.cpu).as_secs_f64();
+    let cpu = after.since(&before).as_secs_f64();
     println!(
         "\nfiles of {} MB: {}; VM peak {:.1} MB before, {:.1} MB after; {:.2} CPU s for {} MB counted",
         LARGE >> 20,
         table::line(&outcome.whole, outcome.span),
-        megabytes(before.peak_kb),
-        megabytes(after.peak_kb),
+        table::megabytes(before.peak_kb),
+        table::megabytes(after.peak_kb),
         cpu,
         counts.bytes >> 20,
     );
     Ok(())
 }
-
-fn megabytes(kilobytes: u64) -> f64 {
-    f64::from(u32::try_from(kilobytes).unwrap_or(u32::MAX)) / 1024.0
-}
--- a/tools/load/src/bin/bramleypier-experiment.rs
+++ b/tools/load/src/bin/bramleypier-experiment.rs
@@ -3,7 +3,12 @@
 use std::{path::PathBuf, process::ExitCode, time::Duration};
 
 use bpaf::Bpaf;
-use bramleypier_load::bench;
+use bramleypier_load::{
+    bench,
+    config::Work,
+    experiment::{self, fault::Fault, summary},
+    scene::Error,
+};
 
 /// Experiments with bramleypier, for tests only.
 #[derive(Clone, Debug, Bpaf)]
@@ -31,14 +36,82 @@
         #[bpaf(argument("COUNT"), fallback(1))]
         workers: usize,
     },
+    /// Measures a service at several loads, whole and with a fault, against yardsticks
+    #[bpaf(command)]
+    Load {
+        /// The program of the VMs; found beside this one unless given
+        #[bpaf(argument("FILE"), optional)]
+        program: Option<PathBuf>,
+        /// The service's document
+        #[bpaf(
+            argument("FILE"),
+            fallback(PathBuf::from("examples/quito/tracking.ini"))
+        )]
+        document: PathBuf,
+        /// How many VMs there are
+        #[bpaf(argument("COUNT"), fallback(10))]
+        vms: usize,
+        /// A load in percent of what all slots can do; give one option for each
+        #[bpaf(argument("PERCENT"), many)]
+        load: Vec<f64>,
+        /// What breaks: steady, target, vm or platform; give one option for each
+        #[bpaf(argument("FAULT"), many)]
+        fault: Vec<Fault>,
+        /// How often each run is done, in turns
+        #[bpaf(argument("COUNT"), fallback(3))]
+        rounds: usize,
+        /// How long each run takes, its warm-up included
+        #[bpaf(argument("SECONDS"), fallback(12.0))]
+        seconds: f64,
+        /// How long at the start nothing is counted
+        #[bpaf(argument("SECONDS"), fallback(2.0))]
+        warm_up: f64,
+        /// The time of the work: fixed:MS or exponential:MS
+        #[bpaf(
+            argument("TIME"),
+            fallback(Work::Exponential(Duration::from_millis(10)))
+        )]
+        work: Work,
+        /// The share of requests that are orders
+        #[bpaf(argument("SHARE"), fallback(0.1))]
+        orders: f64,
+        /// How many keys there are
+        #[bpaf(argument("COUNT"), fallback(3000))]
+        keys: usize,
+        /// The exponent of Zipf's law for keys; all are equally likely at 0
+        #[bpaf(argument("EXPONENT"), fallback(0.0))]
+        zipf: f64,
+        /// Threads that send
+        #[bpaf(argument("COUNT"), fallback(2))]
+        workers: usize,
+        /// Choices among plain targets are measured too
+        choices: bool,
+        /// Where the table, the runs and the plots are written
+        #[bpaf(argument("DIR"), fallback(PathBuf::from("experiment")))]
+        out: PathBuf,
+    },
 }
 
 /// The rates when none are given.
 const RATES: [f64; 3] = [500.0, 2000.0, 8000.0];
+/// The loads when none are given.
+const LOADS: [f64; 5] = [50.0, 80.0, 95.0, 200.0, 500.0];
+/// What breaks when nothing is given.
+const FAULTS: [Fault; 4] = [Fault::None, Fault::Target, Fault::Vm, Fault::Platform];
 
 #[compio::main]
 async fn main() -> ExitCode {
-    let result = match command().run() {
+    match run(command().run()).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(cause) => {
+            eprintln!("experiment failed: {cause}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(command: Command) -> Result<(), Error> {
+    match command {
         Command::Path {
             program,
             documents,
@@ -50,23 +123,61 @@
             let options = bench::Options {
                 program,
                 documents,
-                rates: if rate.is_empty() {
-                    RATES.to_vec()
-                } else {
-                    rate
-                },
+                rates: or(rate, &RATES),
                 span: Duration::from_secs_f64(seconds.max(2.0)),
                 rounds,
                 workers,
             };
             bench::path(&options).await
         }
-    };
-    match result {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(cause) => {
-            eprintln!("experiment failed: {cause}");
-            ExitCode::FAILURE
+        Command::Load {
+            program,
+            document,
+            vms,
+            load,
+            fault,
+            rounds,
+            seconds,
+            warm_up,
+            work,
+            orders,
+            keys,
+            zipf,
+            workers,
+            choices,
+            out,
+        } => {
+            let options = experiment::Options {
+                program,
+                document,
+                vms,
+                loads: or(load, &LOADS),
+                faults: or(fault, &FAULTS),
+                rounds,
+                span: Duration::from_secs_f64(seconds.max(2.0)),
+                warm_up: Duration::from_secs_f64(warm_up.max(0.0)),
+                work,
+                orders: orders.clamp(0.0, 1.0),
+                keys,
+                zipf,
+                workers,
+                choices,
+            };
+            let rows = experiment::run(&options).await?;
+            summary::write(&out, &rows).map_err(|cause| Error::Load("write", cause))?;
+            println!("\n{}", summary::markdown(&rows));
+            Ok(())
         }
     }
 }
+
+/// Returns what was given, or else the preset.
+fn or<T>(given: Vec<T>, preset: &[T]) -> Vec<T>
+where
+    T: Clone,
+{
+    if given.is_empty() {
+        return preset.to_vec();
+    }
+    given
+}
--- /dev/null
+++ b/tools/load/src/experiment/account.rs
@@ -0,0 +1,133 @@
+//! What the callers' and the targets' logs say of a run.
+
+use std::{io, time::Duration};
+
+use bramleypier_standins::{
+    audit::{self, Call, Findings, Told},
+    caller::Sample,
+    journal::Run,
+    measure,
+};
+use indexmap::IndexMap;
+
+use crate::{
+    config::{Class, Config},
+    journal::{self, Line},
+    worker,
+};
+
+/// The length of a slice of time in which failures are counted.
+const SLICE: u64 = 100;
+/// One request in so many may fail in a slice that counts as served.
+const TOLERATED: u64 = 100;
+
+/// What the logs say of a run.
+#[derive(Clone, Debug, Default)]
+pub struct Account {
+    /// Greatest over mean count of runs by target.
+    pub imbalance: f64,
+    /// The longest time for which a key's look-ups were not served in time.
+    pub gap: Duration,
+    /// All slices of time in which more than one request in a hundred was not served.
+    pub failing: Duration,
+    /// What the audit found.
+    pub findings: Findings,
+}
+
+impl Account {
+    /// Returns how many findings the audit has.
+    pub fn count(&self) -> u64 {
+        let findings = &self.findings;
+        let lists = [
+            &findings.doubled,
+            &findings.lost,
+            &findings.untrue,
+            &findings.unsound,
+            &findings.two_owners,
+        ];
+        lists.iter().map(|list| list.len() as u64).sum()
+    }
+}
+
+/// Reads what the workers of a run wrote.
+///
+/// # Errors
+///
+/// Fails when a file can't be read.
+pub fn lines(config: &Config) -> io::Result<Vec<Line>> {
+    let mut lines = Vec::new();
+    for worker in 0..config.workers.max(1) {
+        if let Some(path) = worker::log_path(config, worker) {
+            lines.extend(journal::read(&path)?);
+        }
+    }
+    Ok(lines)
+}
+
+/// Joins the callers' lines with what the targets ran.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier_load::experiment::account;
+///
+/// assert!(account::account(&[], &[], &[]).findings.is_clean());
+/// ```
+pub fn account(lines: &[Line], runs: &[Run], targets: &[String]) -> Account {
+    let calls: Vec<Call> = lines.iter().map(Line::call).collect();
+    let lookups = || lines.iter().filter(|line| line.class == Class::Lookups);
+    let samples: Vec<Sample> = lookups().map(sample).collect();
+    let last = lookups().map(|line| line.sent_ms).max().unwrap_or(0);
+    let gaps = measure::gaps(&samples, Duration::from_millis(last));
+    Account {
+        imbalance: measure::imbalance(runs, targets),
+        gap: gaps.values().max().copied().unwrap_or_default(),
+        failing: failing(lookups()),
+        findings: audit::audit(&calls, runs),
+    }
+}
+
+fn sample(line: &Line) -> Sample {
+    let served = is_served(line);
+    Sample {
+        service: String::new(),
+        key: line.key.clone(),
+        sent: Duration::from_millis(line.sent_ms),
+        took: Duration::from_micros(line.latency_us),
+        target: if served {
+            line.peer.clone()
+        } else {
+            String::new()
+        },
+        reason: String::new(),
+    }
+}
+
+fn is_served(line: &Line) -> bool {
+    line.told == Told::Ran && line.sound && line.status == 200
+}
+
+/// Adds up the slices of time in which too many look-ups were not served.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier_load::experiment::account;
+///
+/// assert!(account::failing([].into_iter()).is_zero());
+/// ```
+pub fn failing<'a, I>(lines: I) -> Duration
+where
+    I: Iterator<Item = &'a Line>,
+{
+    let mut slices: IndexMap<u64, (u64, u64)> = IndexMap::new();
+    for line in lines {
+        let (all, failed) = slices.entry(line.sent_ms / SLICE).or_default();
+        *all += 1;
+        *failed += u64::from(!is_served(line));
+    }
+    let failing = slices
+        .values()
+        .filter(|(all, failed)| failed * TOLERATED > *all);
+    Duration::from_millis(failing.count() as u64 * SLICE)
+}
--- a/tools/load/src/lib.rs
+++ b/tools/load/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`tally`] adds up what came of them, [`journal`] keeps one line a request for the audit;
 //! - [`run`] runs the workers and gathers their reports; [`table`] and [`plot`] show them;
 //! - [`scene`] is a fleet set up for a measurement; [`bench`] measures the path through one VM;
+//! - [`experiment`] measures fleets at several loads, with and without faults;
 //! - [`perfect`] is the yardstick: the same plan served by queues without any cost.
 
 pub mod arrivals;
@@ -13,6 +14,7 @@
 pub mod bench;
 pub mod call;
 pub mod config;
+pub mod experiment;
 pub mod journal;
 pub mod keys;
 pub mod perfect;
--- a/tools/load/src/perfect.rs
+++ b/tools/load/src/perfect.rs
@@ -41,7 +41,7 @@
         let free = self.free.pop().map_or(Duration::ZERO, |Reverse(at)| at);
         let end = due.max(free) + work;
         self.free.push(Reverse(end));
-        end - due
+        end.saturating_sub(due)
     }
 }
 
@@ -58,14 +58,14 @@
 /// let latencies = perfect::one_queue(&shots, 30, Duration::from_millis(10), Duration::ZERO);
 /// assert_eq!(latencies.count(), shots.len() as u64);
 /// ```
-pub fn one_queue(shots: &[Shot], slots: usize, work: Duration, warm_up: Duration) -> Latencies {
-    queues(shots, 1, slots, work, warm_up, |_| 0)
+pub fn one_queue(plan: &[Shot], slots: usize, work: Duration, warm_up: Duration) -> Latencies {
+    queues(plan, 1, slots, work, warm_up, |_| 0)
 }
 
 /// Returns the latencies of `count` queues, each before `slots` slots; `queue_of` gives a
 /// request's queue. Requests without a work time of their own take `work`.
 pub fn queues<F>(
-    shots: &[Shot],
+    plan: &[Shot],
     count: usize,
     slots: usize,
     work: Duration,
@@ -75,11 +75,11 @@
 where
     F: FnMut(&Shot) -> usize,
 {
-    let mut queues = vec![Queue::new(slots); count.max(1)];
+    let mut all = vec![Queue::new(slots); count.max(1)];
     let mut latencies = Latencies::default();
-    for shot in shots {
-        let queue = queue_of(shot) % queues.len();
-        let latency = queues[queue].serve(shot.due, shot.work.unwrap_or(work));
+    for shot in plan {
+        let queue = queue_of(shot) % all.len();
+        let latency = all[queue].serve(shot.due, shot.work.unwrap_or(work));
         if shot.due >= warm_up {
             latencies.add(latency);
         }
--- a/tools/load/src/run.rs
+++ b/tools/load/src/run.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     config::Config,
-    tally::Tally,
+    tally::{Counts, Tally},
     worker::{self, Report},
 };
 
@@ -30,6 +30,13 @@
     pub span: Duration,
 }
 
+impl Outcome {
+    /// Returns the counts of all classes together.
+    pub fn total(&self) -> Counts {
+        self.whole.total()
+    }
+}
+
 /// Runs the load and calls `progress` once a second.
 ///
 /// # Errors
--- a/tools/load/src/scene.rs
+++ b/tools/load/src/scene.rs
@@ -81,6 +81,8 @@
     pub documents: Vec<Document>,
     /// The VMs' names.
     pub vms: Vec<String>,
+    /// Where targets are that check no grants and are on no document.
+    pub plain: Vec<SocketAddr>,
 }
 
 impl Scene {
@@ -94,6 +96,7 @@
             fleet: Fleet::start(setup.program.clone()).await?,
             documents: Vec::new(),
             vms: Vec::new(),
+            plain: Vec::new(),
         };
         for path in &setup.documents {
             scene.add_targets(path).await?;
@@ -128,6 +131,32 @@
         Ok(())
     }
 
+    /// Starts targets that check no grants, for work straight at them.
+    ///
+    /// # Errors
+    ///
+    /// Fails when one can't be started.
+    pub async fn add_plain(&mut self, count: usize) -> Result<(), Error> {
+        for number in 0..count {
+            let name = format!("plain-{number}");
+            let arguments = ["--checks=false", "--work-ms=0", "--fixed"];
+            let started = self.fleet.add_target(&name, DOMAINS[0], false, &arguments);
+            self.plain.push(parse(&started.await?)?);
+            // It is on no document; the list need not name it.
+            self.fleet.unlist(&name).await?;
+        }
+        Ok(())
+    }
+
+    /// Returns how many requests all targets on documents run at a time.
+    pub fn slots(&self) -> u32 {
+        let documents = self.documents.iter();
+        let targets = documents.flat_map(|document| document.targets.values());
+        targets
+            .filter_map(|target| target.slots.parse::<u32>().ok())
+            .sum()
+    }
+
     async fn wait_ready(&self) -> Result<(), Error> {
         for vm in &self.vms {
             let entry = self.fleet.vms.get(vm).map(|vm| vm.caller.clone());
--- a/tools/load/src/table.rs
+++ b/tools/load/src/table.rs
@@ -27,10 +27,19 @@
     format!("{:.2}", span.as_secs_f64() * 1000.0)
 }
 
+/// Returns a count as a float.
+pub fn float(count: u64) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
+
+/// Returns kilobytes as megabytes.
+pub fn megabytes(kilobytes: u64) -> f64 {
+    float(kilobytes) / 1024.0
+}
+
 /// Returns how many requests a second were served well.
 pub fn goodput(counts: &Counts, span: Duration) -> f64 {
-    let good = u32::try_from(counts.good).unwrap_or(u32::MAX);
-    f64::from(good) / span.as_secs_f64().max(f64::MIN_POSITIVE)
+    float(counts.good) / span.as_secs_f64().max(f64::MIN_POSITIVE)
 }
 
 /// Returns a run as CSV: a row a second and class, and one for the whole.
--- a/tools/load/src/usage.rs
+++ b/tools/load/src/usage.rs
@@ -43,6 +43,13 @@
     }
 }
 
+impl Usage {
+    /// Returns the processor time spent since an earlier reading.
+    pub fn since(&self, earlier: &Self) -> Duration {
+        self.cpu.saturating_sub(earlier.cpu)
+    }
+}
+
 /// Reads processor time out of the text of `/proc/PID/stat`.
 ///
 /// # Example
--- a/tools/load/src/worker.rs
+++ b/tools/load/src/worker.rs
@@ -140,7 +140,7 @@
         let due = start + shot.due;
         let now = clock::now();
         if due > now {
-            compio::time::sleep(due - now).await;
+            compio::time::sleep(due.saturating_sub(now)).await;
         } else if shot.number % BURST == 0 {
             compio::time::sleep(Duration::ZERO).await;
         }
--- /dev/null
+++ b/tools/load/tests/plan.rs
@@ -0,0 +1,125 @@
+//! The plan of a run: arrivals, keys, and the order of requests.
+
+use std::time::Duration;
+
+use bramleypier_load::{
+    arrivals::{Arrivals, Pattern},
+    config::{Class, Config, Spread, Work},
+    keys::Keys,
+    plan::{self, Plan},
+};
+use rand::{SeedableRng, rngs::StdRng};
+
+/// How far a mean over many draws may lie from what it should be.
+const TOLERANCE: f64 = 0.05;
+const DRAWS: usize = 20_000;
+
+fn is_near(value: f64, due: f64) -> bool {
+    (value - due).abs() <= due * TOLERANCE
+}
+
+fn share(count: usize, all: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap()) / f64::from(u32::try_from(all).unwrap())
+}
+
+#[test]
+fn arrivals_have_their_rate_and_order() {
+    for (pattern, rate) in [
+        (Pattern::Constant, 100.0),
+        (Pattern::Poisson, 100.0),
+        (Pattern::Poisson, 20_000.0),
+    ] {
+        let times: Vec<Duration> = Arrivals::new(pattern, rate, 7).take(DRAWS).collect();
+        assert!(times.is_sorted(), "{pattern:?}");
+        let mean = times[DRAWS - 1].as_secs_f64() / 20_000.0;
+        assert!(is_near(mean, 1.0 / rate), "{pattern:?} {rate}: {mean}");
+        let again: Vec<Duration> = Arrivals::new(pattern, rate, 7).take(DRAWS).collect();
+        assert_eq!(times, again, "the seed decides all");
+    }
+    assert!(Arrivals::new(Pattern::Poisson, 0.0, 7).next().is_none());
+}
+
+#[test]
+fn constant_gaps_are_equal_and_poisson_gaps_are_not() {
+    let deviation = |pattern| {
+        let times: Vec<Duration> = Arrivals::new(pattern, 1000.0, 3).take(DRAWS).collect();
+        let gaps = times.windows(2).map(|pair| pair[1].saturating_sub(pair[0]));
+        let square = |gap: Duration| (gap.as_secs_f64() * 1000.0 - 1.0).powi(2);
+        (gaps.map(square).sum::<f64>() / 20_000.0).sqrt()
+    };
+    assert!(deviation(Pattern::Constant) < 0.01);
+    // The exponential distribution's deviation is its mean.
+    assert!(is_near(deviation(Pattern::Poisson), 1.0));
+}
+
+#[test]
+fn keys_follow_their_law() {
+    // The count of keys, the exponent, and the share of the first and the second key.
+    let cases = [
+        (4, 0.0, 0.25, 0.25),
+        (4, 1.0, 0.48, 0.24),
+        (2, 2.0, 0.8, 0.2),
+        (1, 1.0, 1.0, 0.0),
+    ];
+    for (count, exponent, first, second) in cases {
+        let keys = Keys::new(count, exponent);
+        let mut random = StdRng::seed_from_u64(5);
+        let draws: Vec<usize> = (0..DRAWS).map(|_| keys.draw(&mut random)).collect();
+        assert!(draws.iter().all(|key| *key < count));
+        let found = |key| share(draws.iter().filter(|draw| **draw == key).count(), DRAWS);
+        assert!(is_near(found(0), first), "{exponent}: {}", found(0));
+        assert!(is_near(found(1), second), "{exponent}: {}", found(1));
+    }
+}
+
+#[test]
+fn a_plan_holds_all_classes_at_their_rates() {
+    let config = Config {
+        rates: [2000.0, 500.0, 100.0],
+        span: Duration::from_secs(10),
+        workers: 3,
+        work: Work::Exponential(Duration::from_millis(10)),
+        ..Config::default()
+    };
+    let shots = plan::whole(&config);
+    assert!(shots.is_sorted_by_key(|shot| shot.due));
+    assert!(shots.iter().all(|shot| shot.due < config.span));
+    for class in Class::ALL {
+        let count = shots.iter().filter(|shot| shot.class == class).count();
+        let rate = share(count, 10);
+        let due = config.rates[class.index()];
+        assert!((rate - due).abs() < due * 0.1, "{class:?}: {rate}");
+    }
+    let work: Duration = shots.iter().filter_map(|shot| shot.work).sum();
+    let mean = work.as_secs_f64() * 1000.0 / share(shots.len(), 1);
+    assert!(is_near(mean, 10.0), "{mean}");
+}
+
+#[test]
+fn workers_of_a_run_differ_and_runs_of_a_seed_do_not() {
+    let config = Config {
+        workers: 2,
+        ..Config::default()
+    };
+    let one: Vec<_> = Plan::new(&config, 0).collect();
+    let other: Vec<_> = Plan::new(&config, 1).collect();
+    assert_ne!(one, other);
+    assert_eq!(one, Plan::new(&config, 0).collect::<Vec<_>>());
+    let seeded = Config { seed: 2, ..config };
+    assert_ne!(one, Plan::new(&seeded, 0).collect::<Vec<_>>());
+}
+
+#[test]
+fn options_are_read_and_refused() {
+    assert_eq!("poisson".parse(), Ok(Pattern::Poisson));
+    assert_eq!("two".parse(), Ok(Spread::Two));
+    let span = Duration::from_millis(10);
+    assert_eq!("fixed:10".parse(), Ok(Work::Fixed(span)));
+    assert_eq!("exponential:10".parse(), Ok(Work::Exponential(span)));
+    assert_eq!("unsaid".parse(), Ok(Work::Unsaid));
+    assert!("often".parse::<Pattern>().is_err());
+    assert!("best".parse::<Spread>().is_err());
+    for text in ["fixed:", "fixed:ten", "normal:10"] {
+        assert!(text.parse::<Work>().is_err(), "{text}");
+    }
+}
