--- a/tools/load/src/call.rs
+++ b/tools/load/src/call.rs
@@ -1,6 +1,6 @@
 //! One exchange: a request as its caller sends it, and what the answer tells.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{cell::Cell, net::SocketAddr, time::Duration};
 
 use bramleypier_standins::{audit::Told, payload};
 use http::{HeaderMap, Method, Request, Response, StatusCode, header};
@@ -150,19 +150,22 @@
 /// Makes one exchange over a kept connection, or a new one.
 pub async fn exchange(pool: &Pool, address: SocketAddr, ask: &Ask) -> Answer {
     let limit = ask.deadline + GRACE;
-    match compio::time::timeout(limit, attempt(pool, address, ask)).await {
+    let sent = Cell::new(false);
+    match compio::time::timeout(limit, attempt(pool, address, ask, &sent)).await {
         Ok(answer) => answer,
-        Err(_) => Answer::none(true),
+        Err(_) => Answer::none(sent.get()),
     }
 }
 
-async fn attempt(pool: &Pool, address: SocketAddr, ask: &Ask) -> Answer {
+/// Makes the exchange; `sent` tells whether a byte of the request may have left.
+async fn attempt(pool: &Pool, address: SocketAddr, ask: &Ask, sent: &Cell<bool>) -> Answer {
     let Ok(request) = ask.request(address) else {
         return Answer::none(false);
     };
     let Ok(mut lent) = pool.take(address).await else {
         return Answer::none(false);
     };
+    sent.set(true);
     let Some(sender) = lent.sender() else {
         return Answer::none(false);
     };
--- a/tools/load/src/experiment/mod.rs
+++ b/tools/load/src/experiment/mod.rs
@@ -57,6 +57,10 @@
     pub work: Work,
     /// The share of requests that are orders.
     pub orders: f64,
+    /// The share of requests that are files.
+    pub files: f64,
+    /// The size of a file.
+    pub file_bytes: u64,
     /// How many keys there are.
     pub keys: usize,
     /// The exponent of Zipf's law for keys.
@@ -131,11 +135,13 @@
         Work::Unsaid => Duration::from_millis(1),
     };
     let rate = cell.load / FULL * f64::from(slots) / mean.as_secs_f64();
+    let lookups = (1.0 - options.orders - options.files).max(0.0);
     let service = scene.documents.first();
     Ok(Config {
         service: service.map_or_else(String::new, |document| document.service.clone()),
         addresses: scene.callers()?,
-        rates: [rate * (1.0 - options.orders), rate * options.orders, 0.0],
+        rates: [lookups, options.orders, options.files].map(|share| share * rate),
+        file_bytes: options.file_bytes,
         seed: cell.round as u64 + 1,
         span: options.span,
         warm_up: options.warm_up,
--- a/tools/load/src/lib.rs
+++ b/tools/load/src/lib.rs
@@ -5,7 +5,7 @@
 //!   [`balancer`] gives; [`call`] makes one exchange;
 //! - [`tally`] adds up what came of them, [`journal`] keeps one line a request for the audit;
 //! - [`run`] runs the workers and gathers their reports; [`table`] and [`plot`] show them;
-//! - [`scene`] is a fleet set up for a measurement; [`bench`] measures the path through one VM;
+//! - [`scene`] is a fleet set up for a measurement; [`mod@bench`] measures the path through one VM;
 //! - [`experiment`] measures fleets at several loads, with and without faults;
 //! - [`perfect`] is the yardstick: the same plan served by queues without any cost.
 
--- a/tools/load/src/scene.rs
+++ b/tools/load/src/scene.rs
@@ -222,21 +222,22 @@
         let status = status.await.map_err(fleet::Error::from)?;
         Ok(status.totals)
     }
+}
 
-    /// Returns the sum of a metric over the VMs that run and all services.
-    ///
-    /// # Errors
-    ///
-    /// Fails when a VM doesn't answer.
-    pub async fn total(&self, metric: &str) -> Result<i64, Error> {
-        let mut sum = 0;
-        for vm in self.vms.iter().filter(|vm| self.fleet.runs(vm)) {
-            let totals = self.totals(vm).await?;
-            let own = totals.iter().filter(|(name, _)| is_of(name, metric));
-            sum += own.map(|(_, value)| value).sum::<i64>();
-        }
-        Ok(sum)
-    }
+/// Returns the sum of a metric over all services.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier_load::scene;
+/// use indexmap::indexmap;
+///
+/// let totals = indexmap! { "requests.ran{service=a}".into() => 2, "requests.ran{service=b}".into() => 3 };
+/// assert_eq!(scene::total(&totals, "requests.ran"), 5);
+/// ```
+pub fn total(totals: &IndexMap<String, i64>, metric: &str) -> i64 {
+    let own = totals.iter().filter(|(name, _)| is_of(name, metric));
+    own.map(|(_, value)| value).sum()
 }
 
 /// Returns whether a total's name, with or without a service, is that of a metric.
