--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -47,9 +47,7 @@
         PeerLost = "peer-lost",
         /// A VM said that it leaves.
         PeerLeft = "peer-left",
-        /// A duty was taken up.
-        DutyTaken = "duty-taken",
-        /// A duty was handed on.
+        /// A grantor grants no more, since its process stops.
         DutyHanded = "duty-handed",
         /// A target passed to another state.
         TargetPhase = "target-phase",
@@ -57,6 +55,10 @@
         GrantStopped = "grant-stopped",
         /// A stop was withdrawn by all that were told of it.
         StopWithdrawn = "stop-withdrawn",
+        /// All grantors of a silent target have stopped and its grants have lapsed for certain.
+        TargetReleased = "target-released",
+        /// A grantor gives another no more word, since it is taken for lost.
+        WordWithheld = "word-withheld",
         /// A range lost its owner, at the epoch that it had.
         RangeLost = "range-lost",
         /// A range was given to a target at a new epoch.
@@ -75,8 +77,8 @@
         DocumentRefused = "document-refused",
         /// A shard of request ids has other memories.
         ViewChanged = "view-changed",
-        /// A standby took over a shard of request ids.
-        ViewSealed = "view-sealed",
+        /// Both memories of a shard were lost; orders that may be older are answered `unknown`.
+        MemoryLost = "memory-lost",
         /// A request was refused, and did not run.
         RequestRefused = "request-refused",
         /// It could not be learned whether a request ran.
