--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -11,6 +11,7 @@
 //! - [`life`] is the process's own life cycle.
 
 pub mod admin;
+pub mod gone;
 pub mod life;
 pub mod mail;
 pub mod news;
@@ -32,14 +33,14 @@
 
 use crate::{
     clock::Clock,
-    entry::{self, desk, router},
+    entry::{self, desk, router, ticket},
     gossip::Gossip,
     id::VmId,
     key,
-    membership::{self, Peer},
+    membership::Peer,
     metrics::{self, Metrics},
     platform::Platform,
-    settings::Settings,
+    settings::{self, Settings},
     spread, target,
     util::{
         ini,
@@ -87,7 +88,7 @@
     /// To [`owners`].
     pub owners: mpsc::UnboundedSender<owners::Message>,
     /// To [`router`].
-    pub router: mpsc::UnboundedSender<router::Message>,
+    pub router: mpsc::UnboundedSender<ticket::Message>,
     /// To [`desk`].
     pub desk: mpsc::UnboundedSender<desk::Message>,
 }
@@ -97,7 +98,7 @@
     mail: mpsc::UnboundedReceiver<mail::Message>,
     news: mpsc::UnboundedReceiver<news::Message>,
     owners: mpsc::UnboundedReceiver<owners::Message>,
-    router: mpsc::UnboundedReceiver<router::Message>,
+    router: mpsc::UnboundedReceiver<ticket::Message>,
     desk: mpsc::UnboundedReceiver<desk::Message>,
 }
 
@@ -114,6 +115,8 @@
     pub tasks: Tasks,
     /// The time line, the metrics and the log.
     pub recorder: recorder::Recorder,
+    /// Spans of time from the settings.
+    pub timing: settings::Timing,
 }
 
 /// Runs a process until it is told to stop.
@@ -144,6 +147,7 @@
         clock,
         tasks,
         recorder,
+        timing: settings.timing.clone(),
     };
     let context = start(&parts, inboxes, address);
     let served = life::Served {
@@ -206,11 +210,11 @@
 /// Starts all tasks, and returns what the tasks of connections need.
 fn start(parts: &Parts, inboxes: Inboxes, address: SocketAddr) -> entry::Context {
     let seed = key::point(&parts.me.vm);
-    let timing = membership::Timing::default();
+    let timing = parts.timing.membership();
     let gossip = Gossip::new(parts.me.clone(), timing, spread::Limits::default(), seed);
     let news = news::News::new(parts.clone(), gossip, seed);
     let owners = owners::Owners::new(parts.clone());
-    let router = router::Router::new(parts);
+    let router = router::Router::new(parts.clone());
     let desk = desk::Desk::new(parts.clone());
     compio::runtime::spawn(news.run(inboxes.news)).detach();
     compio::runtime::spawn(owners.run(inboxes.owners)).detach();
--- a/src/vm/owners.rs
+++ b/src/vm/owners.rs
@@ -9,14 +9,16 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    Parts, mail,
+    Parts,
+    gone::Gone,
+    mail,
     news::{self, Fleet},
     notes::Notes,
     wire,
 };
 use crate::{
     document::{Document, Fencing, Ownership},
-    entry::router,
+    entry::ticket,
     grant::{Grant, TargetState},
     grantor::{self, Effect, Event, Grantor, Outcome, Timing},
     group::{Record, build},
@@ -86,6 +88,7 @@
     groups: IndexMap<GroupId, Grantor>,
     documents: IndexMap<ServiceId, Rc<Document>>,
     fleet: Option<Fleet>,
+    gone: Gone,
     next_lease: Duration,
     notes: Notes,
     /// The versions that the others were told.
@@ -98,12 +101,13 @@
         Self {
             control: Control::new(parts.clock.clone()),
             notes: Notes::new(parts.recorder.clone()),
-            parts,
             groups: IndexMap::new(),
             documents: IndexMap::new(),
             fleet: None,
+            gone: Gone::new(parts.timing.list_lag),
             next_lease: Duration::ZERO,
             told: IndexMap::new(),
+            parts,
         }
     }
 
@@ -162,22 +166,16 @@
     }
 
     /// Tells grantors which of the VMs they name are gone for certain.
-    ///
-    /// A VM is gone when the platform's list, which lags but doesn't err, no longer has its name,
-    /// or when another start answers at its address.
     fn listed(&mut self, list: &[platform::ListedVm]) {
         let records = self.groups.values().filter_map(Grantor::record);
         let named: IndexSet<VmId> = records
             .flat_map(|(_, record)| record.trios.values().flatten())
             .map(|grantor| grantor.vm.clone())
             .collect();
-        let is_gone = |vm: &VmId| {
-            !list
-                .iter()
-                .any(|listed| listed.name == membership::name(vm))
-        };
-        let gone: Vec<VmId> = named.into_iter().filter(is_gone).collect();
+        let live = self.fleet.as_ref().map_or(&[][..], |fleet| &fleet.live);
+        let gone = self.gone.of(self.parts.clock.now(), &named, list, live);
         if !gone.is_empty() {
+            let gone = gone.into_iter().collect();
             self.feed_all(&Event::Listed { gone });
         }
     }
@@ -376,7 +374,7 @@
                 .news
                 .unbounded_send(news::Message::Put(item));
         }
-        let message = router::Message::Record(group.clone(), version, record);
+        let message = ticket::Message::Record(group.clone(), version, record);
         let _ = self.parts.tasks.router.unbounded_send(message);
     }
 
@@ -410,7 +408,7 @@
         match &message {
             grantor::Message::Handover(fact) => self.tell_fact(fact.clone()),
             grantor::Message::Lease { asked, routes } => {
-                let message = router::Message::Lease(group.clone(), *asked, routes.clone());
+                let message = ticket::Message::Lease(group.clone(), *asked, routes.clone());
                 let _ = self.parts.tasks.router.unbounded_send(message);
             }
             _ => {}
@@ -419,7 +417,7 @@
     }
 
     fn tell_fact(&self, fact: Handover) {
-        let message = router::Message::Fact(fact);
+        let message = ticket::Message::Fact(fact);
         let _ = self.parts.tasks.router.unbounded_send(message);
     }
 
