--- a/examples/role_slopes.rs
+++ b/examples/role_slopes.rs
@@ -3,7 +3,11 @@
 //!
 //! `cargo run --release --example role_slopes` prints, for a group of 16 targets, the record's
 //! size as the platform's service and as peers see it, the size of one target's grant, and the
-//! time to take a record in and to look an owner up.
+//! time to take a record in and to look an owner up; then the grants that its grantors send in a
+//! second of calm, and the time that all their decisions take, for each grant.
+
+#[path = "role_slopes/grants.rs"]
+mod grants;
 
 use std::{
     fmt::Write,
@@ -34,9 +38,10 @@
 fn main() {
     println!(
         "| targets | ranges of each | record, bytes of JSON | record, bytes between peers \
-         | a target's grant, bytes | its answer, bytes | taken in, us | look-up, ns |"
+         | a target's grant, bytes | its answer, bytes | taken in, us | look-up, ns | grants/s \
+         | grantors, us a grant |"
     );
-    println!("|---|---|---|---|---|---|---|---|");
+    println!("|---|---|---|---|---|---|---|---|---|---|");
     for ranges in RANGES {
         match record(ranges) {
             Some(record) => report(ranges, &record),
@@ -53,8 +58,10 @@
     let answer = serde_json::to_vec(&answer(&sent)).map_or(0, |bytes| bytes.len());
     let taken = taken_in(record);
     let found = look_up(record);
+    let (rate, time) = grants::House::new(record, &candidates()).calm();
+    let cost = time.as_secs_f64() * 1e6 / rate;
     println!(
-        "| {TARGETS} | {ranges} | {json} | {packed} | {grant} | {answer} | {} | {} |",
+        "| {TARGETS} | {ranges} | {json} | {packed} | {grant} | {answer} | {} | {} | {rate:.0} | {cost:.1} |",
         taken.as_micros(),
         found.as_nanos()
     );
@@ -79,14 +86,17 @@
 }
 
 fn record(ranges: u32) -> Option<Record> {
-    let candidates: Vec<Candidate> = (0..12)
+    build::first("tracking/0", 1, &document(ranges)?, &candidates())
+}
+
+fn candidates() -> Vec<Candidate> {
+    (0..12)
         .map(|number| Candidate {
             vm: format!("vm-{number}#1764710000000"),
             domain: format!("domain-{}", number % 3),
             session: format!("lease-{number}"),
         })
-        .collect();
-    build::first("tracking/0", 1, &document(ranges)?, &candidates)
+        .collect()
 }
 
 fn grant(record: &Record) -> Grant {
