--- a/src/grantor/house.rs
+++ b/src/grantor/house.rs
@@ -149,8 +149,8 @@
         let (_, base) = self.record.as_ref()?;
         let mut next = self.view.clone();
         next.serial += 1;
+        self.replace_vanished(&mut next);
         if !self.is_named() {
-            self.replace_vanished(&mut next);
             return differs(base, &next).then_some((next, false));
         }
         self.rename(&mut next);
@@ -218,8 +218,9 @@
             grantor.session.is_empty() || self.ended.contains(&grantor.session)
         };
         let mut found = false;
-        for trio in next.trios.values_mut() {
-            if !trio.is_empty() && trio.iter().all(|grantor| gone(grantor) && over(grantor)) {
+        for (domain, trio) in &mut next.trios {
+            let other = self.myself(domain).is_none() && !trio.is_empty();
+            if other && trio.iter().all(|grantor| gone(grantor) && over(grantor)) {
                 trio.clear();
                 found = true;
             }
