Ownership by words and reads: sessions go

Aim: a lease per VM in the platform's service, renewed every 400 ms, is 2.5 writes a second and VM: 6,500 a second at 2,600 VMs, against the several hundred that the service takes.

--- a/src/grantor/event.rs
+++ b/src/grantor/event.rs
@@ -6,9 +6,9 @@
     document::Document,
     grant::{Grant, TargetState},
     grantor::message::Message,
-    group::{self, Record, build::Candidate},
+    group::{Record, build::Candidate},
     handover::Handover,
-    id::{LeaseId, TargetId, Version, VmId},
+    id::{TargetId, Version, VmId},
     range::Range,
 };
 
@@ -17,22 +17,23 @@
 pub enum Event {
     /// Time has passed; several times a second.
     Tick,
-    /// A record of the group, from the platform's service.
+    /// A record of the group, whoever told of it.
     Record {
         /// Its version.
         version: Version,
         /// The record.
         record: Record,
     },
-    /// The own session in the platform's service was renewed.
-    Session {
-        /// The session.
-        id: LeaseId,
-        /// Until when it lasts, counted from when the renewal was sent.
-        until: Duration,
+    /// The record as an own read of the platform's service found it: while it names this VM, it
+    /// may grant.
+    Read {
+        /// When the read was sent.
+        asked: Duration,
+        /// The record's version.
+        version: Version,
+        /// The record.
+        record: Record,
     },
-    /// The own session is known to be over.
-    SessionLost,
     /// A target answered.
     Target {
         /// The target.
@@ -63,12 +64,7 @@
         /// Its outcome.
         result: Outcome,
     },
-    /// The platform's service says that another's session is over, for good.
-    SessionGone {
-        /// The grantor whose session it was.
-        grantor: group::Grantor,
-    },
-    /// VMs that the platform's list no longer shows.
+    /// VMs that are gone for good, by the platform's list.
     Listed {
         /// These VMs.
         gone: Vec<VmId>,
@@ -149,12 +145,10 @@
         /// The record.
         record: Box<Record>,
     },
-    /// Read the record from the platform's service; ends as [`Event::Record`].
-    Read,
-    /// Ask the platform's service whether a session is over.
-    AskSession {
-        /// The grantor whose session it is.
-        grantor: group::Grantor,
+    /// Read the record from the platform's service; ends as [`Event::Read`].
+    Read {
+        /// When it is sent; it comes back with the answer.
+        asked: Duration,
     },
     /// Spread a handover to all VMs.
     Fact(Handover),
@@ -184,8 +178,6 @@
     Release,
     /// A range has a new owner.
     Handover,
-    /// This grantor withholds its word from another.
-    Withhold,
     /// This grantor asks for a write that replaces others.
     Strike,
     /// A write of the record ended.
--- a/src/grantor/flaw.rs
+++ b/src/grantor/flaw.rs
@@ -6,19 +6,27 @@
     /// Every rule holds.
     #[default]
     None,
-    /// A grantor goes on granting without session and word.
+    /// A grantor goes on granting without a word or a read.
     WordIgnored,
-    /// A strike does not wait for the platform's word that the session is over.
-    EarlyStrike,
-    /// A strike does not wait for the others to withhold their words, nor for words to lapse.
-    WordsLive,
+    /// A word counts from when it was received.
+    WordLate,
+    /// A read counts from when its answer was received.
+    ReadLate,
+    /// A word is given to whoever asks.
+    WordUnnamed,
+    /// After a strike a release does not wait for the struck grantor's words and reads to lapse.
+    StrikeNoWait,
+    /// A release does not wait until all have adopted the last strike.
+    StrikeUnadopted,
+    /// A strike does not wait until all have adopted the last one.
+    StrikeTwice,
     /// A release does not wait for the grant to lapse.
     NoWait,
     /// A release needs only the own stop.
     LoneStop,
     /// A stop is withdrawn without asking anyone.
     LoneWithdraw,
-    /// A stop that a struck grantor was told of is withdrawn all the same.
+    /// A stop that a struck grantor was told of is withdrawn as any other.
     StruckForgotten,
     /// A target is stopped while an own write about it is in doubt.
     StopInDoubt,
--- a/src/grantor/house.rs
+++ b/src/grantor/house.rs
@@ -8,7 +8,7 @@
     balance,
     grantor::{Effect, Event, Grantor, Kind, Outcome, Pending, flaw::Flaw, note},
     group::{self, Entry, Record, build, build::Candidate, heirs},
-    id::{DomainId, TargetId, Version},
+    id::{DomainId, TargetId, Version, VmId},
     key,
     range::Range,
 };
@@ -27,8 +27,6 @@
             return;
         }
         self.housed = now;
-        self.trim_ended();
-        self.ask_strangers(effects);
         let wanted = match &self.record {
             Some(_) => self.desired(now),
             None => self.founding(),
@@ -52,7 +50,7 @@
         };
         if now >= pending.sent + retry * SILENT_RETRIES {
             pending.sent = now;
-            effects.push(Effect::Read);
+            effects.push(Effect::Read { asked: now });
             effects.push(Effect::Write {
                 base: pending.base,
                 sequence: pending.sequence,
@@ -67,6 +65,7 @@
         record.writer.clone_from(&self.vm);
         record.sequence = sequence;
         let base = self.version();
+        self.note_changes(now, base, &mut record, effects);
         self.wanting = None;
         let touched = touched(&self.view, &record);
         if !touched.is_empty() {
@@ -86,6 +85,38 @@
         });
     }
 
+    /// Puts the base of this write beside each trio that it changes, and notes whom it strikes.
+    fn note_changes(
+        &mut self,
+        now: Duration,
+        base: Version,
+        record: &mut Record,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some((_, before)) = &self.record else {
+            return;
+        };
+        for (domain, trio) in &record.trios {
+            let known = before.trios.get(domain);
+            if known == Some(trio) {
+                continue;
+            }
+            record.changed.insert(domain.clone(), base);
+            let stays = |vm: &VmId| trio.iter().any(|grantor| grantor.vm == *vm);
+            let struck = known.into_iter().flatten();
+            for struck in struck.filter(|struck| !stays(&struck.vm)) {
+                let until = now + self.timing.banned;
+                self.struck.insert(struck.vm.clone(), until);
+                let detail = format!("domain={domain}");
+                effects.push(note(Kind::Strike, &struck.vm, detail));
+            }
+        }
+        let trios = &record.trios;
+        record
+            .changed
+            .retain(|domain, _| trios.contains_key(domain));
+    }
+
     /// Takes the outcome of an own write. In doubt, or lost, the value itself settles it.
     pub(super) fn on_written(
         &mut self,
@@ -102,11 +133,11 @@
                 let record = pending.record.clone();
                 effects.extend(self.on(now, Event::Record { version, record }));
             }
-            Outcome::Lost(_) => effects.push(Effect::Read),
+            Outcome::Lost(_) => effects.push(Effect::Read { asked: now }),
             Outcome::Doubt => {
                 let waits = self.timing.retry * (SILENT_RETRIES - 1);
                 pending.sent = now.saturating_sub(waits);
-                effects.push(Effect::Read);
+                effects.push(Effect::Read { asked: now });
             }
         }
     }
@@ -153,8 +184,6 @@
         if !self.is_named() {
             return differs(base, &next).then_some((next, false));
         }
-        self.rename(&mut next);
-        let urgent = next.trios != self.view.trios;
         self.follow(&mut next);
         self.replace_lost(now, &mut next);
         self.admit_starts(now, &mut next);
@@ -163,19 +192,7 @@
         self.repair_heirs(&mut next);
         self.readmit(now, &mut next);
         self.dismiss(&mut next);
-        differs(base, &next).then_some((next, urgent))
-    }
-
-    /// Names the own session where the record names another, or none.
-    fn rename(&self, next: &mut Record) {
-        let Some((session, _)) = self.session.as_ref().filter(|_| !self.retired) else {
-            return;
-        };
-        for grantor in next.trios.values_mut().flatten() {
-            if grantor.vm == self.vm {
-                grantor.session.clone_from(session);
-            }
-        }
+        differs(base, &next).then_some((next, self.retired))
     }
 
     fn follow(&self, next: &mut Record) {
@@ -187,14 +204,11 @@
     /// Drops grantors that are certain to grant no more, and fills the trios up.
     fn replace_lost(&self, now: Duration, next: &mut Record) {
         let domains: Vec<DomainId> = self.domains().cloned().collect();
-        let lost = |domain: &str, grantor: &group::Grantor| {
-            let own = grantor.vm == self.vm;
-            (own && self.retired) || (!own && self.is_lost(now, domain, grantor))
-        };
         let before = next.trios.clone();
         for (domain, trio) in &mut next.trios {
             if domains.contains(domain) {
-                trio.retain(|grantor| !lost(domain, grantor));
+                let lost = self.lost(now, domain);
+                trio.retain(|grantor| !lost.contains(&grantor.vm));
             }
         }
         build::name(next, &self.candidates(now));
@@ -207,20 +221,34 @@
         }
     }
 
-    fn is_lost(&self, now: Duration, domain: &str, grantor: &group::Grantor) -> bool {
-        !self.hears_peer(now, &grantor.vm) && self.may_strike(now, domain, grantor)
+    /// Returns who leaves a trio by one write: this VM when it stops, those that are gone for
+    /// good, and at most one that is only missed.
+    fn lost(&self, now: Duration, domain: &str) -> Vec<VmId> {
+        let fellows = self.fellows(domain);
+        let strikes = |grantor: &&group::Grantor| self.may_strike(now, domain, grantor);
+        let (gone, missed): (Vec<_>, Vec<_>) = fellows
+            .iter()
+            .filter(strikes)
+            .map(|grantor| grantor.vm.clone())
+            .partition(|vm| self.gone.contains(vm));
+        let own = self.retired.then(|| self.vm.clone());
+        let most = match self.flaw {
+            Flaw::StrikeTwice => missed.len(),
+            _ => 1,
+        };
+        gone.into_iter()
+            .chain(own)
+            .chain(missed.into_iter().take(most))
+            .collect()
     }
 
     /// Replaces the grantors of failure domains whose whole trio is gone from the platform's list.
     fn replace_vanished(&self, next: &mut Record) {
         let gone = |grantor: &group::Grantor| self.vanished(grantor);
-        let over = |grantor: &group::Grantor| {
-            grantor.session.is_empty() || self.ended.contains(&grantor.session)
-        };
         let mut found = false;
         for (domain, trio) in &mut next.trios {
             let other = self.myself(domain).is_none() && !trio.is_empty();
-            if other && trio.iter().all(|grantor| gone(grantor) && over(grantor)) {
+            if other && trio.iter().all(gone) {
                 trio.clear();
                 found = true;
             }
@@ -234,30 +262,14 @@
         self.gone.contains(&grantor.vm)
     }
 
-    /// Asks for the sessions of trios that are gone from the platform's list as a whole.
-    fn ask_strangers(&self, effects: &mut Vec<Effect>) {
-        for (domain, trio) in &self.view.trios {
-            if self.myself(domain).is_some() || !trio.iter().all(|other| self.vanished(other)) {
-                continue;
-            }
-            let unknown = |other: &&group::Grantor| !self.ended.contains(&other.session);
-            effects.extend(
-                trio.iter()
-                    .filter(unknown)
-                    .map(|grantor| Effect::AskSession {
-                        grantor: grantor.clone(),
-                    }),
-            );
-        }
-    }
-
     /// The VMs that may be named in another's place.
     fn candidates(&self, now: Duration) -> Vec<Candidate> {
         let fit = |candidate: &&Candidate| {
             let own = candidate.vm == self.vm;
             let silent =
                 self.peers.contains_key(&candidate.vm) && !self.hears_peer(now, &candidate.vm);
-            !(self.gone.contains(&candidate.vm) || silent || own && self.retired)
+            let banned = self.struck.contains_key(&candidate.vm);
+            !(self.gone.contains(&candidate.vm) || silent || banned || own && self.retired)
         };
         self.live.iter().filter(fit).cloned().collect()
     }
--- a/src/grantor/message.rs
+++ b/src/grantor/message.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    group::{self, Record},
+    group::Record,
     handover::Handover,
     id::{DomainId, Epoch, TargetId, Term, Version},
     range::Range,
@@ -32,7 +32,8 @@
         asked: Duration,
         /// The newest record that the giver knows.
         version: Version,
-        /// The failure domains for which it holds; none when it is withheld.
+        /// The failure domains for which it holds: those whose trio names both, by the newest
+        /// record that the giver knows.
         domains: Vec<DomainId>,
     },
     /// Asks that a stop be erased.
@@ -49,13 +50,6 @@
         /// Whether the sender itself has no stop for the target.
         clean: bool,
     },
-    /// The sender gives no more words to a grantor, for good.
-    Withhold {
-        /// The grantor, with the session for which this holds.
-        grantor: group::Grantor,
-        /// How long ago it gave the last one.
-        age: Duration,
-    },
     /// A record.
     Record {
         /// Its version.
--- a/src/grantor/mod.rs
+++ b/src/grantor/mod.rs
@@ -12,7 +12,7 @@
     document::Document,
     group::{self, Record, build::Candidate, merge},
     handover::{Facts, Handover},
-    id::{DomainId, Epoch, GroupId, LeaseId, TargetId, Term, Version, VmId},
+    id::{DomainId, Epoch, GroupId, TargetId, Term, Version, VmId},
     range::Range,
 };
 
@@ -64,12 +64,15 @@
     facts: Facts,
     /// When facts were last spread again.
     spread: Duration,
-    session: Option<(LeaseId, Duration)>,
     /// Words got, by giver and failure domain, with their ends.
     words: IndexMap<(VmId, DomainId), Duration>,
+    /// Own reads that name this VM, by failure domain, with their ends.
+    reads: IndexMap<DomainId, Duration>,
     peers: IndexMap<VmId, Peer>,
-    /// When the trio of a failure domain was last seen to change.
-    changed: IndexMap<DomainId, Duration>,
+    /// The last change of each trio, and since when all that it names are known to have adopted it.
+    adopted: IndexMap<DomainId, (Version, Option<Duration>)>,
+    /// Until when a VM that this one struck is not named again.
+    struck: IndexMap<VmId, Duration>,
     watches: IndexMap<TargetId, Watch>,
     /// Marked ranges of owners that don't check: since when all of the trio know.
     marked: IndexMap<(Range, Epoch), Mark>,
@@ -77,8 +80,6 @@
     document: Option<(Version, Document)>,
     live: Vec<Candidate>,
     gone: IndexSet<VmId>,
-    /// Sessions that are over, by the platform's word.
-    ended: IndexSet<LeaseId>,
     loads: Vec<Load>,
     /// Since when the record has wanted a write.
     wanting: Option<Duration>,
@@ -87,6 +88,8 @@
     /// The last write or stop.
     sequence: u64,
     asked: Duration,
+    /// When the record was last read.
+    read: Duration,
     housed: Duration,
     retired: bool,
 }
@@ -96,12 +99,6 @@
 struct Peer {
     /// When it was last heard.
     heard: Duration,
-    /// When the last word was given to it.
-    given: Option<Duration>,
-    /// The session for which words are withheld from it.
-    withheld: Option<LeaseId>,
-    /// From when on its withholding counts, by the grantor that it is about.
-    withholds: IndexMap<(VmId, LeaseId), Duration>,
     /// The newest record that it knows.
     version: Version,
     /// When it was last sent a record.
@@ -147,22 +144,23 @@
             view: Record::default(),
             facts: Facts::new(),
             spread: Duration::ZERO,
-            session: None,
             words: IndexMap::new(),
+            reads: IndexMap::new(),
             peers: IndexMap::new(),
-            changed: IndexMap::new(),
+            adopted: IndexMap::new(),
+            struck: IndexMap::new(),
             watches: IndexMap::new(),
             marked: IndexMap::new(),
             pending: None,
             document: None,
             live: Vec::new(),
             gone: IndexSet::new(),
-            ended: IndexSet::new(),
             loads: Vec::new(),
             wanting: None,
             balanced: Duration::ZERO,
             sequence: 0,
             asked: Duration::ZERO,
+            read: Duration::ZERO,
             housed: Duration::ZERO,
             retired: false,
         }
@@ -186,8 +184,7 @@
     /// use bramleypier::grantor::{Event, Grantor, Timing};
     ///
     /// let mut grantor = Grantor::new("vm-1#1".into(), "tracking/0".into(), Timing::default());
-    /// let until = Duration::from_secs(2);
-    /// let event = Event::Session { id: "lease-1".into(), until };
+    /// let event = Event::Listed { gone: vec!["vm-2#1".into()] };
     /// assert!(grantor.on(Duration::from_millis(500), event).is_empty());
     /// ```
     pub fn on(&mut self, now: Duration, event: Event) -> Vec<Effect> {
@@ -195,8 +192,11 @@
         match event {
             Event::Tick => self.tick(now, &mut effects),
             Event::Record { version, record } => self.on_record(now, version, record, &mut effects),
-            Event::Session { id, until } => self.session = Some((id, until)),
-            Event::SessionLost => self.session = None,
+            Event::Read {
+                asked,
+                version,
+                record,
+            } => self.on_read(now, asked, version, record, &mut effects),
             Event::Target { target, state, .. } => {
                 self.on_target(now, &target, state, &mut effects);
             }
@@ -205,9 +205,6 @@
             Event::Written { sequence, result } => {
                 self.on_written(now, sequence, result, &mut effects);
             }
-            Event::SessionGone { grantor } => {
-                self.ended.insert(grantor.session);
-            }
             Event::Listed { gone } => self.gone = gone.into_iter().collect(),
             Event::Live { vms } => self.live = vms,
             Event::Document { version, document } => {
@@ -332,27 +329,18 @@
             return;
         }
         self.settle(version, &record, effects);
-        self.note_trios(now, &record);
+        self.note_trios(&record);
         self.facts.retain(|_, fact| !merge::carries(&record, fact));
         self.record = Some((version, record));
         self.refresh(now);
+        self.note_adopted(now);
         self.derive(now, effects);
     }
 
-    /// Notes which trios a record changes.
-    fn note_trios(&mut self, now: Duration, record: &Record) {
-        for (domain, trio) in &record.trios {
-            let known = self.view.trios.get(domain);
-            let same = known.is_some_and(|known| {
-                known.len() == trio.len()
-                    && known
-                        .iter()
-                        .zip(trio)
-                        .all(|(a, b)| a.vm == b.vm && a.since == b.since)
-            });
-            if !same {
-                self.changed.insert(domain.clone(), now);
-            }
+    /// Has the others of a trio that a record changes told at once what this VM has stopped.
+    fn note_trios(&mut self, record: &Record) {
+        if self.view.trios != record.trios {
+            self.asked = Duration::ZERO;
         }
     }
 
--- a/src/grantor/peers.rs
+++ b/src/grantor/peers.rs
@@ -1,27 +1,28 @@
-//! Words between grantors, and how a lost one is struck.
+//! Words between grantors, reads for want of words, and who may be struck.
 
 use std::time::Duration;
 
 use crate::{
-    grantor::{Effect, Grantor, Kind, Message, Peer, flaw::Flaw, note},
-    group,
+    grantor::{Effect, Grantor, Message, Peer, flaw::Flaw},
+    group::{self, Record},
     id::{DomainId, Version, VmId},
 };
 
-/// The most sessions remembered as over.
-const ENDED: usize = 1024;
-
 impl Grantor {
-    /// Asks for words, and looks after silent peers.
+    /// Asks for words, and reads the record where they run out.
     pub(super) fn tick_peers(&mut self, now: Duration, effects: &mut Vec<Effect>) {
+        self.note_adopted(now);
+        self.tick_read(now, effects);
         if now < self.asked + self.timing.word_ask {
             return;
         }
         self.asked = now;
-        for vm in self.fellow_vms() {
+        self.words.retain(|_, until| now < *until);
+        self.struck.retain(|_, until| now < *until);
+        let fellows = self.fellow_vms();
+        for vm in fellows.clone() {
             self.peers.entry(vm.clone()).or_insert_with(|| Peer {
                 heard: now,
-                given: Some(now),
                 ..Peer::default()
             });
             let stops = self.stops_for(&vm);
@@ -33,54 +34,40 @@
             };
             effects.push(Effect::Send { to: vm, message });
         }
-        let known = self.fellow_vms();
-        self.peers.retain(|vm, _| known.contains(vm));
-        for grantor in self.fellow_grantors() {
-            self.tick_silent(now, &grantor, effects);
-        }
+        self.peers.retain(|vm, _| fellows.contains(vm));
     }
 
-    /// Asks for the session of a silent peer, and withholds words once it is over.
-    fn tick_silent(&mut self, now: Duration, grantor: &group::Grantor, effects: &mut Vec<Effect>) {
-        if self.hears_peer(now, &grantor.vm) {
-            return;
-        }
-        if self.withholds(grantor) {
-            self.tell_withheld(now, grantor, effects);
-            return;
-        }
-        let never = grantor.session.is_empty();
-        let waited = self
-            .peers
-            .get(&grantor.vm)
-            .is_some_and(|peer| now >= peer.heard + self.timing.session + self.timing.session);
-        let early = self.flaw == Flaw::EarlyStrike;
-        if early || self.ended.contains(&grantor.session) || (never && waited) {
-            let session = grantor.session.clone();
-            if let Some(peer) = self.peers.get_mut(&grantor.vm) {
-                peer.withheld = Some(session);
-            }
-            self.words.retain(|(vm, _), _| *vm != grantor.vm);
-            effects.push(note(Kind::Withhold, &grantor.vm, grantor.session.clone()));
-            self.tell_withheld(now, grantor, effects);
-        } else if !never {
-            effects.push(Effect::AskSession {
-                grantor: grantor.clone(),
-            });
+    /// Reads the record while some failure domain's words are about to run out.
+    fn tick_read(&mut self, now: Duration, effects: &mut Vec<Effect>) {
+        let soon = now + self.timing.word / 2;
+        let short = self.domains().any(|domain| !self.has_word(soon, domain));
+        if short && !self.retired && now >= self.read + self.timing.word_ask {
+            self.read = now;
+            effects.push(Effect::Read { asked: now });
         }
     }
 
-    /// Tells the others that words are withheld from a grantor.
-    fn tell_withheld(&self, now: Duration, grantor: &group::Grantor, effects: &mut Vec<Effect>) {
-        let given = self.peers.get(&grantor.vm).and_then(|peer| peer.given);
-        let age = given.map_or(self.timing.word * 2, |given| now.saturating_sub(given));
-        for vm in self.fellow_vms().into_iter().filter(|vm| *vm != grantor.vm) {
-            let message = Message::Withhold {
-                grantor: grantor.clone(),
-                age: self.timing.shorter(age),
-            };
-            effects.push(Effect::Send { to: vm, message });
+    /// Takes what an own read found: where it names this VM, it counts from when it was sent.
+    pub(super) fn on_read(
+        &mut self,
+        now: Duration,
+        asked: Duration,
+        version: Version,
+        record: Record,
+        effects: &mut Vec<Effect>,
+    ) {
+        let from = match self.flaw {
+            Flaw::ReadLate => now,
+            _ => asked,
+        };
+        let until = from + self.timing.shorter(self.timing.word);
+        for (domain, trio) in &record.trios {
+            if record.group == self.group && names(trio, &self.vm) {
+                let end = self.reads.entry(domain.clone()).or_default();
+                *end = until.max(*end);
+            }
         }
+        self.on_record(now, version, record, effects);
     }
 
     /// Takes a message of another VM.
@@ -111,14 +98,13 @@
                 version,
                 domains,
             } => {
-                self.on_word(from, asked, domains);
+                self.on_word(now, from, asked, domains);
                 self.on_version(now, from, version, effects);
             }
             Message::Withdraw { stop, needs } => self.on_withdraw(from, stop, needs, effects),
             Message::Withdrawn { stop, clean } => {
                 self.on_withdrawn(now, from, &stop, clean, effects);
             }
-            Message::Withhold { grantor, age } => self.on_withhold(now, from, grantor, age),
             Message::Record { version, record } => self.on_record(now, version, *record, effects),
             Message::Handover(fact) => {
                 self.learn(now, fact);
@@ -129,24 +115,20 @@
         }
     }
 
-    /// Gives a word to a grantor that the newest record names, unless it is withheld.
+    /// Gives a word for each trio that names both, by the newest record known.
     fn give_word(&mut self, now: Duration, to: &VmId, asked: Duration, effects: &mut Vec<Effect>) {
-        let shared = |domain: &&DomainId| {
-            let named = self.trio(domain).iter().find(|grantor| grantor.vm == *to);
-            named.is_some_and(|grantor| !self.withholds(grantor))
-        };
-        let domains: Vec<DomainId> = self.domains().filter(shared).cloned().collect();
-        if let Some(peer) = self.peers.get_mut(to)
-            && !domains.is_empty()
-        {
-            peer.given = Some(now);
-        } else if !domains.is_empty() {
-            let peer = Peer {
-                heard: now,
-                given: Some(now),
-                ..Peer::default()
-            };
-            self.peers.insert(to.clone(), peer);
+        let any = self.flaw == Flaw::WordUnnamed;
+        let shared = |domain: &&DomainId| any || names(self.trio(domain), to);
+        let mut domains: Vec<DomainId> = self.domains().filter(shared).cloned().collect();
+        if any {
+            domains = self.view.trios.keys().cloned().collect();
+        }
+        if self.retired {
+            domains.clear();
+        }
+        if !domains.is_empty() {
+            let peer = self.peers.entry(to.clone()).or_default();
+            peer.heard = now;
         }
         let message = Message::Word {
             asked,
@@ -160,18 +142,17 @@
     }
 
     /// Takes a word, counted from when it was asked for.
-    fn on_word(&mut self, from: &VmId, asked: Duration, domains: Vec<DomainId>) {
-        let until = asked + self.timing.shorter(self.timing.word);
+    fn on_word(&mut self, now: Duration, from: &VmId, asked: Duration, domains: Vec<DomainId>) {
+        let start = match self.flaw {
+            Flaw::WordLate => now,
+            _ => asked,
+        };
+        let until = start + self.timing.shorter(self.timing.word);
         for domain in domains {
-            let giver = self
-                .trio(&domain)
-                .iter()
-                .find(|grantor| grantor.vm == *from);
-            if giver.is_none_or(|giver| self.withholds(giver)) {
-                continue;
+            if names(self.trio(&domain), from) {
+                let end = self.words.entry((from.clone(), domain)).or_default();
+                *end = until.max(*end);
             }
-            let end = self.words.entry((from.clone(), domain)).or_default();
-            *end = until.max(*end);
         }
     }
 
@@ -205,81 +186,96 @@
         }
     }
 
-    /// Notes from when on another's withholding counts: once its last word has lapsed.
-    fn on_withhold(&mut self, now: Duration, from: &VmId, about: group::Grantor, age: Duration) {
-        let from_now = self.timing.longer(self.timing.word).saturating_sub(age);
-        if let Some(peer) = self.peers.get_mut(from) {
-            let ready = now + from_now;
-            let known = peer
-                .withholds
-                .entry((about.vm, about.session))
-                .or_insert(ready);
-            *known = ready.min(*known);
-        }
-    }
-
     /// Returns whether this VM may grant to a failure domain's targets now.
     pub(super) fn has_authority(&self, now: Duration, domain: &str) -> bool {
-        let Some(myself) = self.myself(domain) else {
-            return false;
-        };
-        if self.retired {
+        if self.retired || !names(self.trio(domain), &self.vm) {
             return false;
         }
-        if self.flaw == Flaw::WordIgnored || self.trio(domain).len() == 1 {
-            return true;
+        let read = self.reads.get(domain).is_some_and(|until| now < *until);
+        read || self.has_word(now, domain) || self.flaw == Flaw::WordIgnored
+    }
+
+    /// Returns whether a word of another that the newest record names holds.
+    fn has_word(&self, now: Duration, domain: &str) -> bool {
+        self.words.iter().any(|((vm, about), until)| {
+            about == domain && now < *until && names(self.trio(domain), vm)
+        })
+    }
+
+    /// Notes since when all that a trio names are known to have adopted its last change.
+    ///
+    /// From then on nobody gives words to those that it names no more.
+    pub(super) fn note_adopted(&mut self, now: Duration) {
+        let domains: Vec<DomainId> = self.domains().cloned().collect();
+        self.adopted.retain(|domain, _| domains.contains(domain));
+        for domain in domains {
+            let Some(changed) = self.view.changed.get(&domain).copied() else {
+                continue;
+            };
+            let known = self.adopted.get(&domain).copied();
+            let since = known.filter(|(at, _)| *at == changed);
+            let since = since.and_then(|(_, since)| since);
+            let unasked = self.flaw == Flaw::StrikeUnadopted;
+            let all = || {
+                let mut fellows = self.fellows(&domain).into_iter();
+                fellows.all(|fellow| unasked || self.has_adopted(changed, &fellow.vm))
+            };
+            let since = since.or_else(|| all().then_some(now));
+            self.adopted.insert(domain, (changed, since));
         }
-        self.session_lives(now, myself) || self.has_word(now, domain)
     }
 
-    /// Only the session that the record names counts: strikers look at that one.
-    fn session_lives(&self, now: Duration, myself: &group::Grantor) -> bool {
-        let session = self.timing.session;
-        let margin = session.saturating_sub(self.timing.shorter(session));
-        let live =
-            |(id, until): &(String, Duration)| *id == myself.session && now + margin < *until;
-        self.session.as_ref().is_some_and(live)
+    /// Returns whether another is known to know a newer record than this version.
+    fn has_adopted(&self, changed: Version, vm: &VmId) -> bool {
+        self.peers
+            .get(vm)
+            .is_some_and(|peer| peer.version > changed)
     }
 
-    fn has_word(&self, now: Duration, domain: &str) -> bool {
-        let fellow = |vm: &VmId| self.trio(domain).iter().any(|grantor| grantor.vm == *vm);
-        self.words
-            .iter()
-            .any(|((vm, about), until)| about == domain && now < *until && fellow(vm))
+    /// Returns when the words and reads of all that were struck from a trio have lapsed, if that
+    /// is known.
+    pub(super) fn lapse(&self, domain: &str) -> Option<Duration> {
+        let Some(changed) = self.view.changed.get(domain) else {
+            return Some(Duration::ZERO);
+        };
+        let (at, since) = self.adopted.get(domain)?;
+        let since = (*since).filter(|_| at == changed)?;
+        if self.flaw == Flaw::StrikeNoWait {
+            return Some(Duration::ZERO);
+        }
+        Some(since + self.timing.longer(self.timing.word))
     }
 
-    /// Returns whether a grantor of the failure domain may be replaced: it is certain that it
-    /// grants no more.
+    /// Returns whether a grantor may be replaced.
+    ///
+    /// It has been missed for long enough; and nobody that it could hear gives words to one that
+    /// was struck before it, else the two could keep each other alive.
     pub(super) fn may_strike(&self, now: Duration, domain: &str, lost: &group::Grantor) -> bool {
+        let changed = self.view.changed.get(domain);
+        let settled = |fellow: &group::Grantor| {
+            self.gone.contains(&fellow.vm)
+                || changed.is_none_or(|changed| self.has_adopted(*changed, &fellow.vm))
+                || self.flaw == Flaw::StrikeTwice
+        };
+        self.misses(now, domain, lost) && self.fellows(domain).iter().all(settled)
+    }
+
+    /// Returns whether a grantor has been silent for long enough to be replaced.
+    ///
+    /// Who hears no other either may itself be cut off, and leaves it to the others at first.
+    fn misses(&self, now: Duration, domain: &str, lost: &group::Grantor) -> bool {
         if self.gone.contains(&lost.vm) {
-            return self.ended.contains(&lost.session) || lost.session.is_empty();
-        }
-        if self.myself(domain).is_none() || !self.withholds(lost) {
-            return false;
-        }
-        if self.flaw == Flaw::WordsLive {
             return true;
         }
-        let word = self.timing.longer(self.timing.word);
-        let given = self.peers.get(&lost.vm).and_then(|peer| peer.given);
-        let own = given.is_none_or(|given| now >= given + word);
-        let about = (lost.vm.clone(), lost.session.clone());
-        let withheld = |other: &group::Grantor| {
-            let peer = self.peers.get(&other.vm);
-            let ready = peer.and_then(|peer| peer.withholds.get(&about));
-            ready.is_some_and(|ready| now >= *ready)
+        let hearing = self.timing.hearing;
+        let fellows = self.fellows(domain);
+        let mut others = fellows.iter().filter(|other| other.vm != lost.vm);
+        let patience = match others.any(|other| self.hears_peer(now, &other.vm)) {
+            true => hearing,
+            false => hearing + self.timing.lonely,
         };
-        let others = self.fellows(domain);
-        own && others
-            .iter()
-            .filter(|other| other.vm != lost.vm && !self.gone.contains(&other.vm))
-            .all(withheld)
-    }
-
-    /// Returns whether words are withheld from a grantor under the session that is named.
-    pub(super) fn withholds(&self, grantor: &group::Grantor) -> bool {
-        let peer = self.peers.get(&grantor.vm);
-        peer.is_some_and(|peer| peer.withheld.as_ref() == Some(&grantor.session))
+        let peer = self.peers.get(&lost.vm);
+        peer.is_some_and(|peer| now >= peer.heard + patience)
     }
 
     pub(super) fn hears_peer(&self, now: Duration, vm: &VmId) -> bool {
@@ -303,11 +299,9 @@
         let all = self.fellow_grantors();
         all.into_iter().map(|grantor| grantor.vm).collect()
     }
+}
 
-    /// Forgets old sessions, so that the memory of them stays small.
-    pub(super) fn trim_ended(&mut self) {
-        while self.ended.len() > ENDED {
-            self.ended.shift_remove_index(0);
-        }
-    }
+/// Returns whether a trio names a VM.
+fn names(trio: &[group::Grantor], vm: &VmId) -> bool {
+    trio.iter().any(|grantor| grantor.vm == *vm)
 }
--- a/src/grantor/targets.rs
+++ b/src/grantor/targets.rs
@@ -145,7 +145,7 @@
     fn patience(&self, target: &str) -> Duration {
         let member = self.view.members.get(target);
         if member.is_some_and(|member| member.boot.is_empty()) {
-            return self.timing.session * 4;
+            return self.timing.start;
         }
         self.timing.hearing
     }
@@ -393,11 +393,14 @@
             && self.has_authority(now, &member.domain)
     }
 
-    /// Decides a release once the whole trio has stopped and every grant has lapsed for certain.
+    /// Decides a release once the whole trio has stopped and every grant has lapsed for certain:
+    /// those of the trio, and those of whoever was struck from it.
     fn tick_release(&mut self, now: Duration, target: &TargetId, effects: &mut Vec<Effect>) {
-        let Some(since) = self.stopped_since(target) else {
+        let lapse = self.domain(target).and_then(|domain| self.lapse(&domain));
+        let (Some(since), Some(lapse)) = (self.stopped_since(target), lapse) else {
             return;
         };
+        let since = since.max(lapse);
         let wait = self.timing.longer(self.timing.grant);
         if now < since + wait && self.flaw != Flaw::NoWait {
             return;
@@ -426,8 +429,7 @@
         for fellow in self.fellows(&domain) {
             since = since.max(self.stop_of(watch, &fellow)?);
         }
-        let changed = self.changed.get(&domain).copied().unwrap_or_default();
-        Some(since.max(changed))
+        Some(since)
     }
 
     /// Returns when a fellow's stop became known.
@@ -538,8 +540,10 @@
             if let Some(mark) = self.marked.get_mut(&key) {
                 mark.known = known;
             }
-            let changed = self.changed.get(&domain).copied().unwrap_or_default();
-            if known.is_some_and(|known| now >= known.max(changed) + wait) {
+            let (Some(known), Some(lapse)) = (known, self.lapse(&domain)) else {
+                continue;
+            };
+            if now >= known.max(lapse) + wait {
                 due.push(entry);
             }
         }
--- a/src/grantor/timing.rs
+++ b/src/grantor/timing.rs
@@ -21,14 +21,17 @@
     pub renew: Duration,
     /// After how much silence a target or a peer counts as not heard.
     pub hearing: Duration,
-    /// How long a session in the platform's service lasts.
-    pub session: Duration,
-    /// How often a session is renewed.
-    pub session_renew: Duration,
-    /// How long a word lasts, counted from when it was asked for.
+    /// How long a word lasts, counted from when it was asked for; and an own read of the record,
+    /// counted from when it was sent.
     pub word: Duration,
-    /// How often a word is asked for.
+    /// How often a word is asked for, and, for want of words, the record read.
     pub word_ask: Duration,
+    /// How long a target that was never heard may take to start.
+    pub start: Duration,
+    /// How long a grantor that hears no other leaves it to the others to replace someone.
+    pub lonely: Duration,
+    /// How long a replaced grantor is not named again by the one that replaced it.
+    pub banned: Duration,
     /// How long what is in flight to an unchecked target may run on after a planned move.
     pub drain: Duration,
     /// How long a lower-ranked grantor leaves a write to a higher-ranked one.
@@ -45,10 +48,11 @@
             grant: Duration::from_secs(1),
             renew: Duration::from_millis(250),
             hearing: Duration::from_millis(700),
-            session: Duration::from_millis(1500),
-            session_renew: Duration::from_millis(400),
             word: Duration::from_millis(700),
             word_ask: Duration::from_millis(200),
+            start: Duration::from_secs(6),
+            lonely: Duration::from_secs(2),
+            banned: Duration::from_secs(30),
             drain: Duration::from_secs(5),
             rank: Duration::from_millis(300),
             retry: Duration::from_millis(200),
--- a/src/group/build.rs
+++ b/src/group/build.rs
@@ -7,7 +7,7 @@
 use crate::{
     document::{Document, Target, TargetState},
     group::{Entry, Grantor, Member, Record, check, heirs},
-    id::{DomainId, GroupId, LeaseId, TargetId, Term, Version, VmId},
+    id::{DomainId, GroupId, TargetId, Term, Version, VmId},
     key,
     range::Range,
 };
@@ -20,8 +20,6 @@
     pub vm: VmId,
     /// Its failure domain.
     pub domain: DomainId,
-    /// Its session; empty while unknown. A VM that was named so names its session itself.
-    pub session: LeaseId,
 }
 
 /// Returns the name of a service's group.
@@ -105,7 +103,7 @@
 ///     classes: Default::default(),
 ///     targets: [("a".into(), target("north")), ("b".into(), target("south"))].into(),
 /// };
-/// let vm = Candidate { vm: "vm-1".into(), domain: "north".into(), session: "".into() };
+/// let vm = Candidate { vm: "vm-1".into(), domain: "north".into() };
 /// let record = build::first("tracking/0", 7, &document, &[vm]).unwrap();
 /// assert_eq!(record.ranges.len(), 8);
 /// ```
@@ -270,7 +268,6 @@
         };
         trio.push(Grantor {
             vm: candidate.vm.clone(),
-            session: candidate.session.clone(),
             since,
         });
     }
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     document::Fencing,
-    id::{BootId, DomainId, Epoch, GroupId, LeaseId, TargetId, Term, Version, VmId},
+    id::{BootId, DomainId, Epoch, GroupId, TargetId, Term, Version, VmId},
     range::Range,
 };
 
@@ -29,6 +29,9 @@
     pub members: IndexMap<TargetId, Member>,
     /// The grantors of each failure domain's targets.
     pub trios: IndexMap<DomainId, Vec<Grantor>>,
+    /// The version that the last change of each trio replaced; none for the first one. Who knows a
+    /// newer version has adopted that change.
+    pub changed: IndexMap<DomainId, Version>,
     /// The ranges, in order, without gaps or overlaps.
     pub ranges: Vec<Entry>,
     /// The VM that wrote this version, with its count of writes, so that a lost answer can be
@@ -65,10 +68,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Grantor {
-    /// The VM.
+    /// The VM; its id is new on each start.
     pub vm: VmId,
-    /// Its session: a lease in the platform's service. Another session is another grantor.
-    pub session: LeaseId,
     /// The serial of the write that named it. It starts as stopped for each earlier term.
     pub since: Term,
 }
--- a/src/vm/notes.rs
+++ b/src/vm/notes.rs
@@ -96,7 +96,6 @@
             grantor::Kind::Stop => Kind::GrantStopped,
             grantor::Kind::Resume => Kind::StopWithdrawn,
             grantor::Kind::Release => Kind::TargetReleased,
-            grantor::Kind::Withhold => Kind::WordWithheld,
             grantor::Kind::Strike => Kind::GrantorStruck,
             grantor::Kind::Write => Kind::RecordWritten,
             grantor::Kind::Retire => Kind::DutyHanded,
--- a/src/vm/owners.rs
+++ b/src/vm/owners.rs
@@ -267,7 +267,7 @@
                 sequence,
                 record,
             } => self.write(group, base, sequence, &record),
-            Effect::Read => self.read(group),
+            Effect::Read { asked } => self.read(group, asked),
             Effect::Fact(fact) => {
                 self.notes.moved(group, &fact);
                 self.tell_fact(fact.clone());
@@ -278,7 +278,6 @@
                     .unbounded_send(news::Message::Fact(fact));
             }
             Effect::Note(note) => self.note(group, &note),
-            Effect::AskSession { .. } => {}
         }
     }
 
@@ -341,15 +340,23 @@
         .detach();
     }
 
-    /// Reads the record, and feeds it back.
-    fn read(&self, group: &GroupId) {
+    /// Reads the record, and feeds it back with when it was asked for.
+    fn read(&self, group: &GroupId, asked: Duration) {
         let platform = self.parts.platform.clone();
         let owners = self.parts.tasks.owners.clone();
         let group = group.clone();
         compio::runtime::spawn(async move {
             let value = platform.get(&news::record_key(&group)).await;
-            if let Ok(Some((version, bytes))) = value {
-                let _ = owners.unbounded_send(Message::Record(group, version, bytes));
+            let Ok(Some((version, bytes))) = value else {
+                return;
+            };
+            if let Ok(record) = peer::decode::<Record>(&bytes) {
+                let event = Event::Read {
+                    asked,
+                    version,
+                    record,
+                };
+                let _ = owners.unbounded_send(Message::Ended(group, event));
             }
         })
         .detach();
@@ -444,7 +451,6 @@
     let candidate = |peer: &membership::Peer| build::Candidate {
         vm: peer.vm.clone(),
         domain: peer.domain.clone(),
-        session: String::new(),
     };
     fleet.live.iter().filter(stays).map(candidate).collect()
 }
