Wire the last counters and the orders' limits; drop what nothing counts

Cause: the operators' page listed counters and settings that nothing moved or read. Answers cut short, orders that came again, orders held and suspects are counted; the memory of orders takes its size and age from the settings. Forgotten orders have no count in the memory, so that metric went, and two kinds of events that nobody records.

--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -13,8 +13,9 @@
 use super::{Context, Job, forward, payload::Payload, reply};
 use crate::{
     id::{Version, VmId},
+    metrics,
     order::{
-        self, Answer, Effect, Ledger, Order, Starter, Views, ledger, memory, plan,
+        self, Answer, Effect, Ledger, Order, Starter, Views, ledger, plan,
         starter::{self, Decision, End, Why},
     },
     peer,
@@ -85,7 +86,7 @@
     /// Creates the task's state.
     pub fn new(parts: Parts) -> Self {
         Self {
-            ledger: Ledger::new(&parts.me.vm, memory::Limits::default()),
+            ledger: Ledger::new(&parts.me.vm, parts.memory),
             starter: Starter::new(&parts.me.vm),
             judge: Gone::new(parts.timing.list_lag),
             parts,
@@ -139,6 +140,8 @@
         let wall = stamp::wall();
         self.ledger(ledger::Event::Tick { wall });
         self.starter(starter::Event::Tick);
+        let (held, _) = self.ledger.size();
+        self.parts.recorder.set(&metrics::ORDERS_HELD, held as u64);
         // A caller that no longer waits needs no decision.
         let left: Vec<u64> = self
             .waiting
@@ -271,6 +274,9 @@
         let Some(reply) = self.waiting.swap_remove(&token) else {
             return;
         };
+        if matches!(decision, Decision::Ran(_)) {
+            self.parts.recorder.count(&metrics::ORDERS_DOUBLE, None);
+        }
         if let Err((token, Decision::Run)) = reply.send((token, decision)) {
             self.starter(starter::Event::Dropped { token });
         }
--- a/src/entry/passing.rs
+++ b/src/entry/passing.rs
@@ -15,7 +15,7 @@
     forward::Cancel,
     ticket::{self, Permit, Report},
 };
-use crate::util::body::Cause;
+use crate::{id::ServiceId, metrics, util::body::Cause, vm::recorder::Recorder};
 
 /// Passes a body on frame by frame, holding the target's slot until it ends.
 ///
@@ -25,6 +25,8 @@
     body: Incoming,
     permit: Option<Permit>,
     cancel: Cancel,
+    recorder: Recorder,
+    service: ServiceId,
     timer: Pin<Box<dyn Future<Output = ()>>>,
 }
 
@@ -52,6 +54,8 @@
             body,
             permit: Some(permit),
             cancel,
+            recorder: context.recorder.clone(),
+            service: job.call.service.clone(),
             timer: Box::pin(async move {
                 end.await;
             }),
@@ -60,6 +64,10 @@
 
     fn end(&mut self, report: Report) {
         if let Some(permit) = self.permit.take() {
+            if matches!(report, Report::Lost) {
+                let service = Some(self.service.as_str());
+                self.recorder.count(&metrics::REQUESTS_CUT, service);
+            }
             permit.finish(report);
         }
     }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -78,10 +78,9 @@
     REQUESTS_RETRIED Counter "requests.retried", "Attempts after the first.", "When it grows with `requests.not_run`, targets shed or are being moved.";
     REQUESTS_CUT Counter "requests.cut", "Answers of targets that ended short; callers got an error.", "Look at the target named in the time line.";
     REQUESTS_ACTIVE Gauge "requests.active", "Requests whose answer has not begun.", "None.";
-    QUARANTINED Gauge "quarantine.held", "Requests refused because targets died of them.", "Find the request in the time line, and tell its sender and the service's team.";
+    QUARANTINED Counter "quarantine.suspects", "Requests that ran on a target as it died, here or as heard from other VMs.", "Find the kind `quarantined` in the time line, and tell the service's team.";
     ORDERS_DOUBLE Counter "orders.double", "Orders that came again and did not run again.", "None; many from one caller mean that it resends early.";
-    ORDERS_HELD Gauge "orders.held", "Orders remembered.", "When orders are forgotten early, raise `[limits] order_bytes`.";
-    ORDERS_FORGOTTEN Counter "orders.forgotten", "Orders dropped for lack of room or age.", "Raise `[limits] order_bytes`.";
+    ORDERS_HELD Gauge "orders.held", "Orders remembered.", "When orders are refused for lack of memory, raise `[limits] order_bytes`.";
     GRANTS_RENEWED Counter "grants.renewed", "Grants that targets confirmed.", "None; 0 on a grantor means that it reaches no target.";
     GRANTS_FAILED Counter "grants.failed", "Grants that got no answer.", "Look for a target that is frozen or cut off.";
     RANGES_MOVED Counter "ranges.moved", "Ranges that got another owner.", "Unplanned growth is churn: look for targets that come and go.";
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -7,6 +7,7 @@
 use crate::{
     id::DomainId,
     membership,
+    order::memory,
     util::{
         fields::{self, Checked, Field, Kind, Preset},
         ini::Fault,
@@ -45,6 +46,27 @@
     pub limits: Limits,
 }
 
+impl Settings {
+    /// Returns how many orders one shard remembers, and for how long.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::{order::memory, settings};
+    ///
+    /// let text = "[vm]\nname = a\ndomain = d\n[listen]\ncallers = 127.0.0.1:0\n\
+    ///     peers = 127.0.0.1:0\n[platform]\naddress = 127.0.0.1:7000";
+    /// let settings = settings::parse("vm.ini", text).unwrap();
+    /// assert_eq!(settings.memory(), memory::Limits::default());
+    /// ```
+    pub fn memory(&self) -> memory::Limits {
+        memory::Limits {
+            bytes: self.limits.order_bytes,
+            retention: self.timing.order,
+        }
+    }
+}
+
 /// Spans of time that each process may choose for itself.
 ///
 /// The spans on which ownership rests are [`grantor::Timing`](crate::grantor::Timing) and no settings: a VM that
--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -65,8 +65,6 @@
         RangeMoved = "range-moved",
         /// A target serves a range under a live grant of this epoch.
         RangeServed = "range-served",
-        /// A range was split or two were merged.
-        RangeCut = "range-cut",
         /// A grantor was replaced by another VM.
         GrantorStruck = "grantor-struck",
         /// A group's record was written.
@@ -83,10 +81,8 @@
         RequestRefused = "request-refused",
         /// It could not be learned whether a request ran.
         RequestUnknown = "request-unknown",
-        /// A request is refused because its targets died of it.
+        /// A request ran on a target as it died; it is refused once that proves to be its doing.
         Quarantined = "quarantined",
-        /// A request is no longer under suspicion.
-        Cleared = "cleared",
         /// The platform's service stopped answering.
         PlatformLost = "platform-lost",
         /// The platform's service answers again.
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -39,6 +39,7 @@
     key,
     membership::Peer,
     metrics::{self, Metrics},
+    order::memory,
     platform::Platform,
     settings::{self, Settings},
     spread, target,
@@ -117,6 +118,8 @@
     pub recorder: recorder::Recorder,
     /// Spans of time from the settings.
     pub timing: settings::Timing,
+    /// How many orders are remembered, and for how long.
+    pub memory: memory::Limits,
 }
 
 /// Runs a process until it is told to stop.
@@ -148,6 +151,7 @@
         tasks,
         recorder,
         timing: settings.timing.clone(),
+        memory: settings.memory(),
     };
     let context = start(&parts, inboxes, address);
     let served = life::Served {
--- a/src/vm/recorder.rs
+++ b/src/vm/recorder.rs
@@ -163,6 +163,7 @@
     match kind {
         Kind::RangeMoved => Some(&metrics::RANGES_MOVED),
         Kind::PeerLost => Some(&metrics::PEERS_LOST),
+        Kind::Quarantined => Some(&metrics::QUARANTINED),
         Kind::DocumentForced => Some(&metrics::DOCUMENTS_FORCED),
         Kind::DocumentRefused => Some(&metrics::DOCUMENTS_REFUSED),
         _ => None,
