Drive the chart of a duty; drop the one of an order

Cause: two charts were checked at the start and driven by nothing. The duty of grantor now runs by its chart, and each change is an event. What is known of an order is the ledger's own state, proved by its own random histories; a second description beside it could only drift.

--- a/src/chart/charts.rs
+++ b/src/chart/charts.rs
@@ -121,41 +121,6 @@
     }
 }
 
-/// A non-idempotent request, as the memories of its shard see it.
-pub mod order {
-    use crate::util::names::names;
-
-    names! {
-        /// What is known of an order.
-        pub enum State {
-            /// Nothing: it was never started.
-            Absent = "absent",
-            /// It was started, and has not ended.
-            Started = "started",
-            /// It ran.
-            Ran = "ran",
-            /// It is proved that it did not run.
-            NotRun = "not_run",
-            /// It may have run.
-            Unknown = "unknown",
-        }
-    }
-
-    names! {
-        /// What happens to an order.
-        pub enum Event {
-            /// It may be sent to a target.
-            Start = "start",
-            /// The target answered whole.
-            Ran = "ran",
-            /// It is proved that no target ran it.
-            Refused = "refused",
-            /// What became of it can't be learned.
-            Lost = "lost",
-        }
-    }
-}
-
 /// Returns the chart of a process.
 ///
 /// # Errors
@@ -206,20 +171,3 @@
 pub fn duty() -> Result<Rc<Chart<duty::State, duty::Event>>, Fault> {
     Chart::parse("duty", include_str!("../../charts/duty.ini")).map(Rc::new)
 }
-
-/// Returns the chart of an order.
-///
-/// # Errors
-///
-/// Returns the [`Fault`] of a chart that is not sound.
-///
-/// # Example
-///
-/// ```
-/// use bramleypier::chart::charts;
-///
-/// assert!(charts::order().is_ok());
-/// ```
-pub fn order() -> Result<Rc<Chart<order::State, order::Event>>, Fault> {
-    Chart::parse("order", include_str!("../../charts/order.ini")).map(Rc::new)
-}
--- a/src/chart/mod.rs
+++ b/src/chart/mod.rs
@@ -113,10 +113,10 @@
     /// # Example
     ///
     /// ```
-    /// use bramleypier::chart::charts::{self, order};
+    /// use bramleypier::chart::charts::{self, duty};
     ///
-    /// let machine = charts::order().unwrap().machine();
-    /// assert_eq!(machine.state(), order::State::Absent);
+    /// let machine = charts::duty().unwrap().machine();
+    /// assert_eq!(machine.state(), duty::State::Absent);
     /// ```
     pub fn machine(self: Rc<Self>) -> Machine<S, E> {
         Machine {
@@ -275,7 +275,6 @@
     charts::vm()?;
     charts::target()?;
     charts::duty()?;
-    charts::order()?;
     Ok(())
 }
 
--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -47,8 +47,8 @@
         PeerLost = "peer-lost",
         /// A VM said that it leaves.
         PeerLeft = "peer-left",
-        /// A grantor grants no more, since its process stops.
-        DutyHanded = "duty-handed",
+        /// A duty of this VM passed to another state.
+        DutyPhase = "duty-phase",
         /// A target passed to another state.
         TargetPhase = "target-phase",
         /// A grantor stopped renewing a target for good until it is settled.
