--- a/src/vm/gone.rs
+++ b/src/vm/gone.rs
@@ -71,7 +71,9 @@
             now >= known + self.lag + CALL && !listed.contains(membership::name(vm))
         };
         let all = named.iter();
-        let gone = all.filter(|vm| removed(vm) || replaced(vm, live));
+        // What answers probes is there, whatever the list says.
+        let answers = |vm: &VmId| live.iter().any(|peer| peer.vm == *vm);
+        let gone = all.filter(|vm| !answers(vm) && (removed(vm) || replaced(vm, live)));
         gone.cloned().collect()
     }
 }
@@ -81,5 +83,5 @@
     let name = membership::name(vm);
     // The ids of starts are UUIDv7, which order by time.
     let later = |peer: &Peer| membership::name(&peer.vm) == name && peer.vm > *vm;
-    live.iter().any(later) && !live.iter().any(|peer| peer.vm == *vm)
+    live.iter().any(later)
 }
--- a/tests/gone.rs
+++ b/tests/gone.rs
@@ -41,6 +41,8 @@
     // It lags no further.
     (63, &["b"], &[], true),
     (63, &["a"], &[], false),
+    // It answers all the same.
+    (63, &["b"], &["a#2"], false),
     // Another start of its name.
     (1, &["a"], &["a#3"], true),
     (1, &["a"], &["a#1"], false),
