--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,6 +1,6 @@
 //! The command line.
 //!
-//! Each command is a module; [`parser`] reads the arguments, [`execute`] runs every command but
+//! Each command is a module; [`command`] reads the arguments, [`execute`] runs every command but
 //! `run`, which the binary starts itself.
 
 mod check;
