--- a/src/grantor/mod.rs
+++ b/src/grantor/mod.rs
@@ -329,7 +329,7 @@
             return;
         }
         self.settle(version, &record, effects);
-        self.note_trios(&record);
+        self.note_trios(now, &record);
         self.facts.retain(|_, fact| !merge::carries(&record, fact));
         self.record = Some((version, record));
         self.refresh(now);
@@ -337,10 +337,22 @@
         self.derive(now, effects);
     }
 
-    /// Has the others of a trio that a record changes told at once what this VM has stopped.
-    fn note_trios(&mut self, record: &Record) {
-        if self.view.trios != record.trios {
-            self.asked = Duration::ZERO;
+    /// Has the others of a trio that a record changes told at once what this VM has stopped, and
+    /// keeps whom it drops from being named again at once: membership may still take it for live.
+    fn note_trios(&mut self, now: Duration, record: &Record) {
+        if self.view.trios == record.trios {
+            return;
+        }
+        self.asked = Duration::ZERO;
+        for (domain, trio) in &self.view.trios {
+            let stays = |vm: &VmId| {
+                let named = record.trios.get(domain).into_iter().flatten();
+                named.into_iter().any(|grantor| grantor.vm == *vm)
+            };
+            for dropped in trio.iter().filter(|grantor| !stays(&grantor.vm)) {
+                let until = now + self.timing.banned;
+                self.struck.insert(dropped.vm.clone(), until);
+            }
         }
     }
 
--- a/src/grantor/peers.rs
+++ b/src/grantor/peers.rs
@@ -251,13 +251,18 @@
     /// It has been missed for long enough; and nobody that it could hear gives words to one that
     /// was struck before it, else the two could keep each other alive.
     pub(super) fn may_strike(&self, now: Duration, domain: &str, lost: &group::Grantor) -> bool {
+        self.misses(now, domain, lost) && self.is_settled(domain)
+    }
+
+    /// Returns whether all other grantors of a failure domain have adopted its trio's last change.
+    pub(super) fn is_settled(&self, domain: &str) -> bool {
         let changed = self.view.changed.get(domain);
         let settled = |fellow: &group::Grantor| {
             self.gone.contains(&fellow.vm)
                 || changed.is_none_or(|changed| self.has_adopted(*changed, &fellow.vm))
                 || self.flaw == Flaw::StrikeTwice
         };
-        self.misses(now, domain, lost) && self.fellows(domain).iter().all(settled)
+        self.fellows(domain).iter().all(settled)
     }
 
     /// Returns whether a grantor has been silent for long enough to be replaced.
