Orders: count memory as it is measured; look only through open orders

Cause: a limit of 2 MB a shard held 2.2 times as much, since an entry cost 870 bytes of resident memory where 386 were counted; and a look for old attempts went through every order each second. Change: 768 bytes counted for an entry besides its texts and body; an index of open orders; the attempts of one order in a file of their own.

--- a/src/order/memory.rs
+++ b/src/order/memory.rs
@@ -2,16 +2,15 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
-use super::{Answer, Attempt, Fate, Flaw, Order, OrderId};
+use super::{Answer, Attempt, Fate, Flaw, Order, OrderId, held::Held};
 use crate::{id::VmId, request::Fingerprint};
 
-/// How many attempts of one order are kept; those that did not run go first.
-const ATTEMPTS: usize = 16;
-/// What an entry costs besides its texts and bodies, in bytes.
-const ENTRY_BYTES: usize = 256;
+/// What an entry costs besides its texts and bodies, in bytes: resident memory as measured, with the
+/// maps' spare room.
+pub(super) const ENTRY_BYTES: usize = 768;
 
 /// How much is remembered, and for how long.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -79,19 +78,14 @@
     entries: IndexMap<OrderId, Held>,
     /// Ids by arrival, for forgetting; one that is gone from `entries` is skipped.
     arrivals: VecDeque<OrderId>,
+    /// The orders with an open attempt: few, and looked through often.
+    open: IndexSet<OrderId>,
     bytes: usize,
     floor: Duration,
     forgotten: u64,
     flaw: Flaw,
 }
 
-#[derive(Clone, Debug)]
-struct Held {
-    entry: Entry,
-    changed: Duration,
-    bytes: usize,
-}
-
 impl Memory {
     /// Creates an empty memory.
     ///
@@ -222,7 +216,9 @@
     /// assert!(Memory::default().open(Duration::MAX).next().is_none());
     /// ```
     pub fn open(&self, before: Duration) -> impl Iterator<Item = (Order, Attempt)> {
-        let old = self.entries.iter().filter(move |it| it.1.changed < before);
+        let open = self.open.iter();
+        let held = open.filter_map(|id| Some((id, self.entries.get(id)?)));
+        let old = held.filter(move |it| it.1.changed < before);
         old.flat_map(|(id, held)| {
             let attempts = held.entry.attempts.iter();
             let open = attempts.filter(|(_, trial)| trial.fate == Fate::Open);
@@ -284,6 +280,11 @@
         let news = trial.fate.merge(fate) || !known;
         held.changed = held.changed.max(now);
         held.forget_attempts();
+        if held.is_open() {
+            self.open.insert(order.id.clone());
+        } else {
+            self.open.swap_remove(&order.id);
+        }
         let bytes = held.measure(&order.id);
         self.bytes = self.bytes + bytes - held.bytes;
         held.bytes = bytes;
@@ -332,7 +333,10 @@
         L: Fn(&VmId) -> bool,
     {
         let mut given = Vec::new();
-        for (id, held) in &mut self.entries {
+        for id in &self.open {
+            let Some(held) = self.entries.get_mut(id) else {
+                continue;
+            };
             let old = held.changed < silent;
             let attempts = held.entry.attempts.iter_mut();
             let ended = attempts.filter(|(attempt, _)| old || lost(&attempt.vm));
@@ -343,6 +347,9 @@
                 given.push(id.clone());
             }
         }
+        let entries = &self.entries;
+        self.open
+            .retain(|id| entries.get(id).is_some_and(Held::is_open));
         given
     }
 
@@ -421,78 +428,3 @@
         self.raise_floor(held.entry.made.unwrap_or_default());
     }
 }
-
-impl Held {
-    fn new(made: Option<Duration>) -> Self {
-        Self {
-            entry: Entry {
-                made,
-                ..Entry::default()
-            },
-            changed: Duration::ZERO,
-            bytes: 0,
-        }
-    }
-
-    fn order(&self, id: &str, print: Fingerprint) -> Order {
-        Order {
-            id: id.into(),
-            made: self.entry.made,
-            print,
-        }
-    }
-
-    /// Returns what the attempts say; nothing if none of them ran or may run.
-    fn standing(&self, order: &Order, attempt: &Attempt, flaw: Flaw) -> Option<Standing> {
-        let attempts = &self.entry.attempts;
-        if attempts
-            .get(attempt)
-            .is_some_and(|it| it.fate == Fate::NotRun)
-        {
-            return Some(Standing::Ended);
-        }
-        let counted = || attempts.iter().filter(|(_, it)| it.fate != Fate::NotRun);
-        let alike = |it: &Trial| it.print == order.print || flaw == Flaw::AnyPrint;
-        let ran = counted().find_map(|(_, trial)| match &trial.fate {
-            Fate::Ran(answer) => Some((alike(trial), answer)),
-            _ => None,
-        });
-        let rivals = || counted().filter(|(it, _)| *it != attempt);
-        let [any, same] = [rivals().count(), rivals().filter(|it| alike(it.1)).count()];
-        let has = |fate| counted().any(|(_, it)| it.fate == fate);
-        match ran {
-            Some((true, answer)) => Some(Standing::Ran(answer.clone())),
-            Some((false, _)) => Some(Standing::Mismatch),
-            None if any > 0 && same == 0 => Some(Standing::Mismatch),
-            None if rivals().any(|(_, it)| it.fate == Fate::Open) => Some(Standing::Running),
-            None if has(Fate::Unknown) && flaw != Flaw::LostIsFree => Some(Standing::Unknown),
-            None => has(Fate::Open).then_some(Standing::Mine),
-        }
-    }
-
-    fn may_go(&self, now: Duration, retention: Duration) -> bool {
-        let open = self.entry.attempts.values().any(|it| it.fate == Fate::Open);
-        let dated = self.entry.made.is_some();
-        !open && (dated || self.changed + retention <= now)
-    }
-
-    fn forget_attempts(&mut self) {
-        let attempts = &mut self.entry.attempts;
-        while attempts.len() > ATTEMPTS {
-            let idle = attempts.values().position(|it| it.fate == Fate::NotRun);
-            let Some(index) = idle else {
-                return;
-            };
-            attempts.shift_remove_index(index);
-        }
-    }
-
-    fn measure(&self, id: &str) -> usize {
-        let attempts = self.entry.attempts.iter();
-        let bytes = attempts.map(|(attempt, trial)| match &trial.fate {
-            Fate::Ran(answer) => attempt.vm.len() + answer.body.as_ref().map_or(0, Vec::len),
-            _ => attempt.vm.len(),
-        });
-        ENTRY_BYTES + 2 * id.len() + bytes.sum::<usize>()
-    }
-}
--- a/src/order/mod.rs
+++ b/src/order/mod.rs
@@ -16,6 +16,7 @@
 //! not provably younger than it are answered `unknown`.
 
 pub mod gone;
+mod held;
 pub mod ledger;
 pub mod memory;
 mod pending;
