--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -14,9 +14,7 @@
 use crate::{
     id::{Version, VmId},
     order::{
-        self, Answer, Effect, Ledger, Order, Starter, Views,
-        gone::Listing,
-        ledger, memory, plan,
+        self, Answer, Effect, Ledger, Order, Starter, Views, ledger, memory, plan,
         starter::{self, Decision, End, Why},
     },
     peer,
@@ -25,7 +23,7 @@
     spread::{Id, Item, Kind},
     timeline::{self, Duty, stamp},
     util::body::Body,
-    vm::{Parts, mail, news, news::Fleet, wire},
+    vm::{Parts, gone::Gone, mail, news, news::Fleet, wire},
 };
 
 /// How often the task is woken.
@@ -74,7 +72,8 @@
     ledger: Ledger,
     starter: Starter,
     fleet: Option<Fleet>,
-    listing: Listing,
+    judge: Gone,
+    gone: IndexSet<VmId>,
     version: Version,
     views: Views,
     is_leaving: bool,
@@ -88,9 +87,10 @@
         Self {
             ledger: Ledger::new(&parts.me.vm, memory::Limits::default()),
             starter: Starter::new(&parts.me.vm),
+            judge: Gone::new(parts.timing.list_lag),
             parts,
             fleet: None,
-            listing: Listing::default(),
+            gone: IndexSet::new(),
             version: 0,
             views: Views::default(),
             is_leaving: false,
@@ -176,10 +176,17 @@
 
     // --- What is known of the fleet and the views ---
 
-    /// Reads in the platform's list who is there.
+    /// Notes which members of views are gone for certain.
     fn listed(&mut self, list: &[platform::ListedVm]) {
-        self.listing.read(list.iter().map(|vm| vm.name.as_str()));
-        self.tell_peers();
+        let members = self.views.shards.iter().flat_map(order::View::members);
+        let named: IndexSet<VmId> = members.cloned().collect();
+        let live = self.fleet.as_ref().map_or(&[][..], |fleet| &fleet.live);
+        let now = self.parts.clock.now();
+        let gone = self.judge.of(now, &named, list, live);
+        if gone.iter().any(|vm| !self.gone.contains(vm)) {
+            self.gone = gone;
+            self.tell_peers();
+        }
     }
 
     fn tell_peers(&mut self) {
@@ -187,13 +194,6 @@
             return;
         };
         let me = &self.parts.me.vm;
-        let now = self.parts.clock.now();
-        let live: Vec<VmId> = fleet.live.iter().map(|peer| peer.vm.clone()).collect();
-        let members = self.views.shards.iter().flat_map(order::View::members);
-        let members: IndexSet<&VmId> = members.collect();
-        let gone = members.into_iter().cloned();
-        let gone = gone.filter(|vm| self.listing.is_gone(now, vm, &live));
-        let gone = gone.collect();
         let vms = fleet.live.iter().map(|peer| {
             let known = plan::Peer {
                 domain: peer.domain.clone(),
@@ -204,7 +204,7 @@
         });
         let peers = plan::Peers {
             vms: vms.collect(),
-            gone,
+            gone: self.gone.clone(),
         };
         self.ledger(ledger::Event::Peers(peers));
     }
--- a/tests/model/store.rs
+++ b/tests/model/store.rs
@@ -5,25 +5,24 @@
 use bramleypier::{
     grantor::{Event, Outcome},
     group::{Record, check},
-    id::{LeaseId, Version},
+    id::Version,
     range::Range,
 };
-use indexmap::IndexMap;
 
 use super::{Call, Parcel, Payload, STORE, World};
 
-/// One value, and leases.
+/// One value.
 #[derive(Debug, Default)]
 pub struct Store {
     pub value: Option<(Version, Record)>,
-    pub leases: IndexMap<LeaseId, Duration>,
     /// Until when it is down: calls vanish.
     pub down: Duration,
     /// How many writes take effect and lose their answers.
     pub mute: u32,
+    /// How many writes take effect before it is down, and for how long.
+    pub swallow: (u32, Duration),
     pub writes: u64,
     pub reads: u64,
-    pub renewals: u64,
     revision: Version,
 }
 
@@ -32,10 +31,6 @@
         Self::default()
     }
 
-    pub fn tick(&mut self, time: Duration) {
-        self.leases.retain(|_, end| *end > time);
-    }
-
     /// Writes by compare-and-swap.
     fn write(&mut self, base: Version, record: Record) -> Result<Outcome, String> {
         self.writes += 1;
@@ -59,22 +54,7 @@
         if self.time < self.store.down {
             return;
         }
-        let span = self.timing.session;
         let answer = match call {
-            Call::Renew(id, sent) => {
-                self.store.renewals += 1;
-                let live = self.store.leases.contains_key(&id);
-                if live {
-                    self.store.leases.insert(id.clone(), self.time + span);
-                }
-                Payload::Session(id, sent, live)
-            }
-            Call::Create(sent) => {
-                self.parcels += 1;
-                let id = format!("lease-{}", self.parcels);
-                self.store.leases.insert(id.clone(), self.time + span);
-                Payload::Session(id, sent, true)
-            }
             Call::Write(base, sequence, record) => {
                 let result = match self.store.write(base, *record) {
                     Ok(result) => result,
@@ -84,6 +64,12 @@
                     }
                 };
                 if let Outcome::Won(_) = result {
+                    if self.store.swallow.0 > 0 {
+                        self.store.swallow.0 -= 1;
+                        self.store.down = self.time + self.store.swallow.1;
+                        self.note_record();
+                        return;
+                    }
                     self.announce();
                     if self.store.mute > 0 {
                         self.store.mute -= 1;
@@ -92,30 +78,33 @@
                 }
                 Payload::Event(Event::Written { sequence, result })
             }
-            Call::Read => {
+            Call::Read(asked) => {
                 self.store.reads += 1;
                 let Some((version, record)) = self.store.value.clone() else {
                     return;
                 };
-                Payload::Event(Event::Record { version, record })
-            }
-            Call::Session(grantor) => {
-                self.store.reads += 1;
-                if self.store.leases.contains_key(&grantor.session) {
-                    return;
-                }
-                Payload::Event(Event::SessionGone { grantor })
+                Payload::Event(Event::Read {
+                    asked,
+                    version,
+                    record,
+                })
             }
         };
         self.send(STORE, &parcel.from, answer);
     }
 
+    fn note_record(&mut self) {
+        if let Some((_, record)) = &self.store.value {
+            self.watchdog.on_record(record);
+        }
+    }
+
     /// The watches tell of the new value.
     fn announce(&mut self) {
         let Some((version, record)) = self.store.value.clone() else {
             return;
         };
-        self.watchdog.on_record(&record);
+        self.note_record();
         for vm in self.vms.keys().cloned().collect::<Vec<_>>() {
             let record = record.clone();
             self.send(
