--- a/src/grantor/peers.rs
+++ b/src/grantor/peers.rs
@@ -275,9 +275,10 @@
         let hearing = self.timing.hearing;
         let fellows = self.fellows(domain);
         let mut others = fellows.iter().filter(|other| other.vm != lost.vm);
-        let patience = match others.any(|other| self.hears_peer(now, &other.vm)) {
-            true => hearing,
-            false => hearing + self.timing.lonely,
+        let patience = if others.any(|other| self.hears_peer(now, &other.vm)) {
+            hearing
+        } else {
+            hearing + self.timing.lonely
         };
         let peer = self.peers.get(&lost.vm);
         peer.is_some_and(|peer| now >= peer.heard + patience)
--- a/src/vm/notes.rs
+++ b/src/vm/notes.rs
@@ -9,7 +9,7 @@
     chart::{
         Chart, Machine,
         charts::{
-            self,
+            self, duty,
             target::{Event, State},
         },
     },
@@ -33,6 +33,7 @@
 pub struct Notes {
     recorder: Recorder,
     chart: Option<Rc<Chart<State, Event>>>,
+    duties: IndexMap<GroupId, Machine<duty::State, duty::Event>>,
     targets: IndexMap<(GroupId, TargetId), Seen>,
     /// Ranges that no target is known to serve, with the epoch that was lost or is awaited.
     lost: IndexMap<(GroupId, Range), Epoch>,
@@ -54,6 +55,7 @@
             recorder,
             // The process checked all charts when it started.
             chart: charts::target().ok(),
+            duties: IndexMap::new(),
             targets: IndexMap::new(),
             lost: IndexMap::new(),
         }
@@ -74,6 +76,7 @@
             Phase::Draining => Event::Draining,
         };
         self.on(group, target, event);
+        self.duty(group, duty::Event::Confirmed);
         if let Some(seen) = self.targets.get_mut(&(group.clone(), target.clone())) {
             seen.boot.clone_from(boot);
             seen.running += SMOOTHING * (f64::from(state.running) - seen.running);
@@ -120,7 +123,7 @@
             grantor::Kind::Release => Kind::TargetReleased,
             grantor::Kind::Strike => Kind::GrantorStruck,
             grantor::Kind::Write => Kind::RecordWritten,
-            grantor::Kind::Retire => Kind::DutyHanded,
+            grantor::Kind::Retire => return self.duty(group, duty::Event::Move),
             // A handover is recorded as a fact, with its range and epoch.
             grantor::Kind::Handover => return,
         };
@@ -147,9 +150,20 @@
         }
     }
 
-    /// Notes a newer record: a lost range whose new owner is granted to by other VMs is theirs to
-    /// account for.
+    /// Notes a newer record: whether it names this VM, and what it says of lost ranges. One
+    /// whose new owner is granted to by other VMs is theirs to account for.
     pub fn record(&mut self, me: &VmId, group: &GroupId, record: &Record) {
+        let mut grantors = record.trios.values().flatten();
+        let is_named = grantors.any(|grantor| grantor.vm == *me);
+        let state = self.duties.get(group).map(Machine::state);
+        self.duty(
+            group,
+            match state {
+                _ if is_named => duty::Event::Named,
+                Some(duty::State::Handing) => duty::Event::Handed,
+                _ => duty::Event::Lapse,
+            },
+        );
         let passed: Vec<Range> = self
             .lost
             .iter()
@@ -174,6 +188,23 @@
         }
     }
 
+    /// Passes the duty of grantor to the state that its chart gives, likewise.
+    fn duty(&mut self, group: &GroupId, event: duty::Event) {
+        if !self.duties.contains_key(group) {
+            let Ok(chart) = charts::duty() else {
+                return;
+            };
+            self.duties.insert(group.clone(), chart.machine());
+        }
+        let machine = self.duties.get_mut(group);
+        let Some(Ok(change)) = machine.map(|machine| machine.on(event)) else {
+            return;
+        };
+        let phase = timeline::Event::new(Duty::Grantor, event.name(), Kind::DutyPhase);
+        let phase = phase.service(service(group)).peer(group);
+        self.recorder.event(phase.cause(&change.to_string()));
+    }
+
     /// Passes a target to the state that its chart gives; an event that the state has no
     /// transition for says nothing new.
     fn on(&mut self, group: &GroupId, target: &TargetId, event: Event) {
--- a/src/vm/owners.rs
+++ b/src/vm/owners.rs
@@ -53,7 +53,7 @@
     /// Another VM writes.
     Peer(VmId, GroupId, grantor::Message),
     /// Something that this task asked for has ended.
-    Ended(GroupId, Event),
+    Ended(GroupId, Box<Event>),
     /// The platform's list of VMs was read.
     Listed(Vec<platform::ListedVm>),
     /// This VM stops: it hands its duties over.
@@ -142,14 +142,14 @@
             }
             Message::Peer(from, group, message) => self.peer(from, &group, message),
             Message::Ended(group, event) => {
-                match &event {
+                match &*event {
                     Event::Target { target, state, .. } => {
                         self.notes.answered(&group, target, state);
                     }
                     Event::TargetFailed { .. } => self.notes.failed(&group),
                     _ => {}
                 }
-                self.feed(&group, event);
+                self.feed(&group, *event);
             }
             Message::Listed(list) => self.listed(&list),
             Message::Leave => self.feed_all(&Event::Retire),
@@ -316,7 +316,7 @@
                 },
                 None => Event::TargetFailed { target, asked },
             };
-            let _ = owners.unbounded_send(Message::Ended(group, event));
+            let _ = owners.unbounded_send(Message::Ended(group, Box::new(event)));
         })
         .detach();
     }
@@ -333,7 +333,7 @@
                 Err(_) => Outcome::Lost(base),
             };
             let event = Event::Written { sequence, result };
-            let _ = owners.unbounded_send(Message::Ended(group, event));
+            let _ = owners.unbounded_send(Message::Ended(group, Box::new(event)));
         })
         .detach();
     }
@@ -354,7 +354,7 @@
                     version,
                     record,
                 };
-                let _ = owners.unbounded_send(Message::Ended(group, event));
+                let _ = owners.unbounded_send(Message::Ended(group, Box::new(event)));
             }
         })
         .detach();
