Tell forwarded clients apart from one cached reading of the system's tables

Now at most one scan in 25 ms serves all forwarders, and a connection waits until its owner is known.

--- a/standins/src/cut.rs
+++ b/standins/src/cut.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::OnceCell,
-    fs, io,
+    io,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     thread,
@@ -18,7 +18,9 @@
 };
 use futures_channel::oneshot;
 use futures_util::future;
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexSet;
+
+use crate::{clock, owners::Owners};
 
 /// How often a cut direction is looked at again.
 const POLL: Duration = Duration::from_millis(2);
@@ -39,9 +41,6 @@
     pub delay: Duration,
 }
 
-/// The processes whose connections are told apart, by name.
-pub type Processes = Arc<Mutex<IndexMap<String, u32>>>;
-
 /// A forwarder to one server, in a thread of its own; it ends with this handle.
 #[derive(Debug)]
 pub struct Forwarder {
@@ -57,13 +56,14 @@
     address: SocketAddr,
     server: Arc<Mutex<Option<String>>>,
     rules: Arc<Mutex<Rules>>,
-    processes: Processes,
+    owners: Owners,
 }
 
 /// A client's end of a connection.
 #[derive(Debug)]
 struct Client {
     peer: SocketAddr,
+    since: Duration,
     name: OnceCell<String>,
 }
 
@@ -79,14 +79,14 @@
     /// # Errors
     ///
     /// Fails when no port can be bound.
-    pub fn start(processes: Processes) -> io::Result<Self> {
+    pub fn start(owners: Owners) -> io::Result<Self> {
         let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let shared = Shared {
             address,
             server: Arc::default(),
             rules: Arc::default(),
-            processes,
+            owners,
         };
         let (ends, ended) = oneshot::channel();
         let thread = shared.clone();
@@ -124,6 +124,7 @@
         while let Ok((stream, peer)) = listener.accept().await {
             let client = Client {
                 peer,
+                since: clock::now(),
                 name: OnceCell::new(),
             };
             runtime::spawn(self.clone().connect(stream, client)).detach();
@@ -183,21 +184,21 @@
             Direction::In => rules.block_in,
             Direction::Out => rules.block_out,
         };
-        // Finding the client's process is costly, so it is left until a rule asks.
-        blocked || !rules.clients.is_empty() && rules.clients.contains(self.client_name(client))
+        if blocked || rules.clients.is_empty() {
+            return blocked;
+        }
+        // Until the client is known its bytes wait.
+        let name = self.client_name(client);
+        name.is_none_or(|name| rules.clients.contains(name))
     }
 
-    /// Returns the name of the process that connected; empty for one that is not ours.
-    fn client_name<'a>(&self, client: &'a Client) -> &'a str {
-        client.name.get_or_init(|| {
-            let Some(number) = socket_number(client.peer, self.address) else {
-                return String::new();
-            };
-            let socket = format!("socket:[{number}]");
-            let processes = lock(&self.processes);
-            let owner = processes.iter().find(|(_, id)| owns(**id, &socket));
-            owner.map_or_else(String::new, |(name, _)| name.clone())
-        })
+    /// Returns the name of the process that connected, once it is known.
+    fn client_name<'a>(&self, client: &'a Client) -> Option<&'a str> {
+        if client.name.get().is_none() {
+            let found = self.owners.find(client.peer, self.address, client.since)?;
+            drop(client.name.set(found));
+        }
+        client.name.get().map(String::as_str)
     }
 }
 
@@ -205,25 +206,3 @@
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
-
-/// Finds the number of the socket that is connected from `local` to `remote`.
-fn socket_number(local: SocketAddr, remote: SocketAddr) -> Option<String> {
-    let table = fs::read_to_string("/proc/net/tcp").ok()?;
-    let local = format!(":{:04X}", local.port());
-    let remote = format!(":{:04X}", remote.port());
-    table.lines().find_map(|line| {
-        let words: Vec<&str> = line.split_whitespace().collect();
-        let found = words.get(1)?.ends_with(&local) && words.get(2)?.ends_with(&remote);
-        found.then(|| words.get(9).map(ToString::to_string))?
-    })
-}
-
-fn owns(process: u32, socket: &str) -> bool {
-    let Ok(files) = fs::read_dir(format!("/proc/{process}/fd")) else {
-        return false;
-    };
-    files
-        .filter_map(Result::ok)
-        .filter_map(|file| fs::read_link(file.path()).ok())
-        .any(|link| link.as_os_str() == socket)
-}
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -4,7 +4,6 @@
     fs, io,
     path::{Path, PathBuf},
     process::ExitStatus,
-    sync::Arc,
     time::Duration,
 };
 
@@ -16,8 +15,9 @@
 use crate::{
     child::{self, Process},
     client::{self, Client},
-    cut::{self, Forwarder, Processes},
+    cut::Forwarder,
     journal::{self, Run},
+    owners::Owners,
 };
 
 mod control;
@@ -84,7 +84,7 @@
     dir: TempDir,
     program: PathBuf,
     platform: Process,
-    processes: Processes,
+    owners: Owners,
     extra: String,
     client: Client,
     /// The targets, by name.
@@ -119,7 +119,7 @@
             dir,
             program,
             platform,
-            processes: Processes::default(),
+            owners: Owners::default(),
             extra: String::new(),
             client: Client::default(),
             targets: IndexMap::new(),
@@ -242,7 +242,7 @@
             listed = forwarder.address.to_string();
         }
         let id = process.id();
-        cut::lock(&self.processes).insert(name.to_owned(), id);
+        self.owners.insert(name, id);
         vm.process = Some(process);
         self.list(name, &listed, &vm.domain, "entry", "live")
             .await?;
@@ -285,7 +285,7 @@
         if !fronted {
             return Ok(None);
         }
-        let forwarder = Forwarder::start(Arc::clone(&self.processes));
+        let forwarder = Forwarder::start(self.owners.clone());
         forwarder
             .map(Some)
             .map_err(|cause| failed("forwarder", name, cause))
@@ -331,7 +331,7 @@
     }
 
     fn take_process(&mut self, name: &str) -> Result<Process, Error> {
-        cut::lock(&self.processes).shift_remove(name);
+        self.owners.remove(name);
         let vm = self.vms.get_mut(name).and_then(|vm| vm.process.take());
         let target = self.targets.get_mut(name);
         vm.or_else(|| target?.process.take())
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod holder;
 pub mod journal;
 pub mod measure;
+pub mod owners;
 pub mod payload;
 pub mod platform;
 pub mod serve;
--- /dev/null
+++ b/standins/tests/cut.rs
@@ -0,0 +1,36 @@
+//! Cuts by the process that connects.
+
+use std::time::Duration;
+
+use bramleypier_standins::{client::Client, cut::Forwarder, owners::Owners, platform};
+
+const WAIT: Duration = Duration::from_millis(300);
+
+#[compio::test]
+async fn only_the_named_process_is_cut() {
+    let owners = Owners::default();
+    owners.insert("self", std::process::id());
+    let forwarder = Forwarder::start(owners).unwrap();
+    forwarder.set_server(&platform::spawn().await.unwrap().to_string());
+    let address = forwarder.address.to_string();
+    let passes = async |client: &Client| {
+        let call = client.get(&address, "/v1/vms");
+        compio::time::timeout(WAIT, call)
+            .await
+            .is_ok_and(|reply| reply.is_ok())
+    };
+    // One connection is open before the rule, the other is made under it.
+    let open = Client::default();
+    assert!(passes(&open).await);
+    for (name, expected) in [("other", true), ("self", false)] {
+        forwarder.change(|rules| rules.clients = [name.to_owned()].into());
+        assert_eq!(passes(&open).await, expected, "open, {name} is cut");
+        assert_eq!(
+            passes(&Client::default()).await,
+            expected,
+            "new, {name} is cut"
+        );
+    }
+    forwarder.change(|rules| rules.clients.clear());
+    assert!(passes(&Client::default()).await, "mended");
+}
