--- a/src/util/server.rs
+++ b/src/util/server.rs
@@ -1,13 +1,22 @@
 //! An HTTP/1.1 server: one task a connection, each with its own socket.
 
-use std::{cell::Cell, convert::Infallible, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    convert::Infallible,
+    rc::Rc,
+    time::Duration,
+};
 
 use compio::net::{TcpListener, TcpStream};
-use cyper_core::{CompioTimer, HyperStream};
-use futures_util::future::{self, Either};
+use cyper_core::CompioTimer;
+use futures_channel::oneshot;
+use futures_util::{
+    FutureExt,
+    future::{self, Either, Shared},
+};
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service};
 
-use crate::util::body::Body;
+use crate::util::{body::Body, stream::Stream};
 
 /// How long a caller may take over the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -15,20 +24,33 @@
 const HEADERS: usize = 100;
 /// The most bytes of a head; hyper answers 431 beyond it.
 const HEAD_BYTES: usize = 32 * 1024;
-/// How often a connection looks whether the server stops.
-const STOP_POLL: Duration = Duration::from_millis(50);
+/// How long to wait when no connection can be taken.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// What a server and its connections share.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Control {
-    stopping: Rc<Cell<bool>>,
+    /// Dropped when the server stops; that wakes whoever waits for `stopped`.
+    running: Rc<RefCell<Option<oneshot::Sender<()>>>>,
+    stopped: Shared<oneshot::Receiver<()>>,
     open: Rc<Cell<usize>>,
 }
 
+impl Default for Control {
+    fn default() -> Self {
+        let (running, stopped) = oneshot::channel();
+        Self {
+            running: Rc::new(RefCell::new(Some(running))),
+            stopped: stopped.shared(),
+            open: Rc::default(),
+        }
+    }
+}
+
 impl Control {
     /// Tells the server to take no more connections and to end each after its request.
     pub fn stop(&self) {
-        self.stopping.set(true);
+        self.running.borrow_mut().take();
     }
 
     /// Returns how many connections are open.
@@ -59,17 +81,16 @@
     H: Fn(Request<Incoming>) -> F + Clone + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
-    while !control.stopping.get() {
+    loop {
         let accept = Box::pin(listener.accept());
-        let pause = Box::pin(compio::time::sleep(STOP_POLL));
-        let stream = match future::select(accept, pause).await {
-            Either::Left((Ok((stream, _)), _)) => stream,
+        let stream = match future::select(control.stopped.clone(), accept).await {
+            Either::Left(_) => return,
+            Either::Right((Ok((stream, _)), _)) => stream,
             // Out of descriptors, or a connection gone before it was taken: go on.
-            Either::Left((Err(_), _)) => {
-                compio::time::sleep(STOP_POLL).await;
+            Either::Right((Err(_), _)) => {
+                compio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             }
-            Either::Right(_) => continue,
         };
         let open = Open::new(control.clone());
         compio::runtime::spawn(connection(stream, open, handler.clone())).detach();
@@ -87,24 +108,17 @@
         let answer = handler(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
-    let mut connection = Box::pin(
+    let connection = Box::pin(
         http1::Builder::new()
             .timer(CompioTimer)
             .header_read_timeout(HEAD_TIMEOUT)
             .max_headers(HEADERS)
             .max_buf_size(HEAD_BYTES)
-            .serve_connection(HyperStream::new_plain(stream), answer),
+            .serve_connection(Stream::new(stream), answer),
     );
-    loop {
-        let pause = Box::pin(compio::time::sleep(STOP_POLL));
-        match future::select(connection, pause).await {
-            Either::Left(_) => return,
-            Either::Right(((), rest)) => connection = rest,
-        }
-        if open.0.stopping.get() {
-            connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
-            return;
-        }
+    let stopped = open.0.stopped.clone();
+    if let Either::Right((_, mut connection)) = future::select(connection, stopped).await {
+        connection.as_mut().graceful_shutdown();
+        let _ = connection.await;
     }
 }
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -14,6 +14,7 @@
 pub mod life;
 pub mod mail;
 pub mod news;
+pub mod notes;
 pub mod owners;
 pub mod recorder;
 pub mod wire;
@@ -31,7 +32,7 @@
 
 use crate::{
     clock::Clock,
-    entry::{self, desk, router},
+    entry::{self, desk, router, ticket},
     gossip::Gossip,
     id::VmId,
     key,
@@ -86,7 +87,7 @@
     /// To [`owners`].
     pub owners: mpsc::UnboundedSender<owners::Message>,
     /// To [`router`].
-    pub router: mpsc::UnboundedSender<router::Message>,
+    pub router: mpsc::UnboundedSender<ticket::Message>,
     /// To [`desk`].
     pub desk: mpsc::UnboundedSender<desk::Message>,
 }
@@ -96,7 +97,7 @@
     mail: mpsc::UnboundedReceiver<mail::Message>,
     news: mpsc::UnboundedReceiver<news::Message>,
     owners: mpsc::UnboundedReceiver<owners::Message>,
-    router: mpsc::UnboundedReceiver<router::Message>,
+    router: mpsc::UnboundedReceiver<ticket::Message>,
     desk: mpsc::UnboundedReceiver<desk::Message>,
 }
 
@@ -128,7 +129,7 @@
     let bound = local(&peers, settings.peers);
     let address = settings.advertise.unwrap_or(bound);
     let vm = format!("{}#{}", settings.name, Uuid::now_v7().simple());
-    let recorder = recorder::Recorder::new(vm.clone(), settings.limits.events, metrics);
+    let recorder = recorder::Recorder::new(vm.clone(), settings.limits.events, metrics.clone());
     let mut life = life::Life::new(recorder.clone())?;
     let (tasks, inboxes) = channels();
     let clock = Clock::real();
@@ -138,7 +139,8 @@
             address: address.to_string(),
             domain: settings.domain.clone(),
         },
-        platform: Platform::new(clock.clone(), settings.platform, vm.clone()),
+        platform: Platform::new(clock.clone(), settings.platform, vm.clone())
+            .counted(metrics.clone()),
         clock,
         tasks,
         recorder,
@@ -208,7 +210,7 @@
     let gossip = Gossip::new(parts.me.clone(), timing, spread::Limits::default(), seed);
     let news = news::News::new(parts.clone(), gossip, seed);
     let owners = owners::Owners::new(parts.clone());
-    let router = router::Router::new(parts);
+    let router = router::Router::new(parts.clone());
     let desk = desk::Desk::new(parts.clone());
     compio::runtime::spawn(news.run(inboxes.news)).detach();
     compio::runtime::spawn(owners.run(inboxes.owners)).detach();
--- a/src/vm/news.rs
+++ b/src/vm/news.rs
@@ -14,12 +14,12 @@
 use super::{Parts, Tasks, mail, owners};
 use crate::{
     document::{self, Document, stored::Stored},
-    entry::{desk, router},
+    entry::{desk, ticket},
     gossip::{CallId, Effect, Envelope, Event, Gossip},
     handover::Handover,
     id::{GroupId, ServiceId, Version},
     membership::{Listed, Peer, Standing, Update},
-    peer, platform,
+    metrics, peer, platform,
     spread::{Content, Id, Item, Kind},
     timeline::{self, Duty},
     util::client::Client,
@@ -247,10 +247,11 @@
     fn ask(&self, call: CallId, address: &str, envelope: Envelope, within: Duration) {
         let client = self.client.clone();
         let news = self.parts.tasks.news.clone();
+        let recorder = self.parts.recorder.clone();
         let address = address.parse::<SocketAddr>();
         compio::runtime::spawn(async move {
             let answer = match address {
-                Ok(to) => peer::call(&client, to, GOSSIP_PATH, &envelope, within)
+                Ok(to) => peer::call(&client, &recorder, to, GOSSIP_PATH, &envelope, within)
                     .await
                     .ok(),
                 Err(_) => None,
@@ -264,6 +265,9 @@
     fn tell(&mut self) {
         let members = self.gossip.members();
         let live = members.live();
+        self.parts
+            .recorder
+            .set(&metrics::PEERS_LIVE, live.len() as u64);
         let is_leaving = |peer: &&Peer| members.standing(&peer.vm) == Some(Standing::Leaving);
         let leaving = live.iter().filter(is_leaving).cloned().collect();
         let fleet = Fleet { live, leaving };
@@ -282,6 +286,8 @@
             .tasks
             .desk
             .unbounded_send(desk::Message::Fleet(fleet.clone()));
+        let message = ticket::Message::Fleet(fleet.clone());
+        let _ = self.parts.tasks.router.unbounded_send(message);
         let _ = self
             .parts
             .tasks
@@ -463,12 +469,10 @@
                 let _ = self.parts.tasks.desk.unbounded_send(message);
             }
             Kind::Suspect => {
-                let bytes = Bytes::copy_from_slice(bytes);
-                let _ = self
-                    .parts
-                    .tasks
-                    .router
-                    .unbounded_send(router::Message::Suspect(bytes));
+                if let Ok(items) = peer::decode(bytes) {
+                    let message = ticket::Message::Suspects(items);
+                    let _ = self.parts.tasks.router.unbounded_send(message);
+                }
             }
         }
     }
@@ -491,12 +495,12 @@
     }
 
     fn enforce(&mut self, version: Version, document: Document) {
-        log::info!(
-            "step=document peer={} version={version} in_force=true",
-            document.service
-        );
+        let forced = timeline::Kind::DocumentForced;
+        let event = timeline::Event::new(Duty::Watcher, "document", forced);
+        let event = event.service(document.service.as_str()).version(version);
+        self.parts.recorder.event(event);
         let document = Rc::new(document);
-        let message = router::Message::Document(document.clone());
+        let message = ticket::Message::Document(document.clone());
         let _ = self.parts.tasks.router.unbounded_send(message);
         let message = owners::Message::Document(version, document);
         let _ = self.parts.tasks.owners.unbounded_send(message);
