Drill the grantors that the record names, on six VMs

With four VMs a domain's targets had two grantors, and the loss of one looked like a fault (1.8 s for other keys). Six VMs give each domain three.

--- a/standins/src/bin/bramleypier-demo.rs
+++ b/standins/src/bin/bramleypier-demo.rs
@@ -120,12 +120,13 @@
     for document in &documents {
         send(&traffic, &callers, document);
     }
-    let lost = documents
+    let checked = documents
         .iter()
         .find(|document| document.targets.values().any(|target| target.checks))
-        .and_then(|document| document.targets.keys().next())
         .ok_or("no document has a target that checks")?;
-    break_things(&mut fleet, &callers, lost).await?;
+    let key = &services::keys(&checked.service, 1)[0];
+    let lost = callers.look_up(&checked.service, key).await.target;
+    break_things(&mut fleet, &callers, &lost).await?;
     traffic.stop().await;
     let timeline = write_timeline(&fleet, options).await?;
     let runs = fleet.runs_of_targets()?;
@@ -141,7 +142,7 @@
     }
     Ok(Outcome {
         findings,
-        measures: measures(&callers, &runs, &documents, lost),
+        measures: measures(&callers, &runs, &documents, &lost),
         timeline,
     })
 }
--- a/standins/src/drill.rs
+++ b/standins/src/drill.rs
@@ -22,13 +22,18 @@
 
 /// The service that is drilled.
 const SERVICE: &str = "drill";
-/// The VMs with their failure domains: all but the first are grantors of the first domain.
-const VMS: [(&str, &str); 4] = [
+/// The VMs with their failure domains; enough of them that each domain's targets have three
+/// grantors elsewhere, and that one more can take a lost one's place.
+const VMS: [(&str, &str); 6] = [
     ("vm-1", "uio-norte"),
     ("vm-2", "uio-centro"),
-    ("vm-3", "uio-centro"),
-    ("vm-4", "uio-sur"),
+    ("vm-3", "uio-sur"),
+    ("vm-4", "uio-norte"),
+    ("vm-5", "uio-centro"),
+    ("vm-6", "uio-sur"),
 ];
+/// Where the groups' records are kept in the platform's service.
+const RECORDS: &str = "bramleypier/groups/";
 /// The targets with their failure domains.
 const TARGETS: [(&str, &str); 6] = [
     ("drill-1", "uio-norte"),
@@ -40,8 +45,6 @@
 ];
 /// The target that is lost.
 const TARGET: &str = "drill-1";
-/// The grantor of that target that is lost.
-const GRANTOR: &str = "vm-4";
 /// The domain that is lost.
 const DOMAIN: &str = "uio-norte";
 /// How far the platform's list lags, so that nothing can lean on it.
@@ -107,7 +110,8 @@
     fleet: Fleet,
     callers: Callers,
     document: Document,
-    frozen: Option<&'static str>,
+    grantors: Vec<String>,
+    frozen: Option<String>,
 }
 
 /// Runs a scenario once on a fleet of its own.
@@ -120,6 +124,7 @@
     let mut drill = Drill::start(options, scenario.has_cuts()).await?;
     let keys = services::keys(SERVICE, options.keys);
     services::wait_ready(&drill.callers, SERVICE, &keys, READY).await?;
+    drill.grantors = drill.read_grantors().await?;
     drill.set_faults(false).await?;
     let traffic = Traffic::default();
     services::look_up_keys(&traffic, &drill.callers, SERVICE, &keys, options.period);
@@ -163,10 +168,32 @@
             fleet,
             callers,
             document,
+            grantors: Vec::new(),
             frozen: None,
         })
     }
 
+    /// Reads which VMs grant to the target that is to be lost.
+    async fn read_grantors(&self) -> Result<Vec<String>, Fault> {
+        let platform = self.fleet.platform();
+        let client = self.fleet.client();
+        let list = format!("/v1/list?prefix={RECORDS}{SERVICE}");
+        let list: serde_json::Value = client.get_json(&platform, &list).await?;
+        let key = list["keys"][0]["key"].as_str().ok_or("no record")?;
+        let record = client.get(&platform, &format!("/v1/kv/{key}")).await?;
+        let record: serde_json::Value = rmp_serde::from_slice(&record.body)?;
+        let trio = record["trios"][DOMAIN].as_array();
+        let ids = trio.into_iter().flatten();
+        // A VM's id is its name and a mark of its start.
+        let names = ids.filter_map(|grantor| grantor["vm"].as_str()?.split('#').next());
+        Ok(names.map(str::to_owned).collect())
+    }
+
+    fn grantor(&self, index: usize) -> Result<String, Fault> {
+        let name = self.grantors.get(index);
+        Ok(name.cloned().ok_or("the target has too few grantors")?)
+    }
+
     async fn set_faults(&self, down: bool) -> Result<(), fleet::Error> {
         let faults = Faults {
             down,
@@ -180,7 +207,8 @@
         match step {
             Step::Wait(ms) => compio::time::sleep(Duration::from_millis(ms)).await,
             Step::KillTarget => self.kill(TARGET).await?,
-            Step::KillGrantor => self.kill(GRANTOR).await?,
+            Step::KillGrantor => self.kill(&self.grantor(0)?).await?,
+            Step::KillSecondGrantor => self.kill(&self.grantor(1)?).await?,
             Step::KillDomain => {
                 for (name, domain) in VMS.iter().chain(&TARGETS) {
                     if *domain == DOMAIN {
@@ -189,22 +217,23 @@
                 }
             }
             Step::FreezeTarget => self.freeze(TARGET)?,
-            Step::FreezeGrantor => self.freeze(GRANTOR)?,
+            Step::FreezeGrantor => self.freeze(&self.grantor(0)?)?,
             Step::Resume => {
                 if let Some(name) = self.frozen.take() {
-                    self.fleet.resume(name)?;
+                    self.fleet.resume(&name)?;
                 }
             }
             Step::PlatformDown => self.set_faults(true).await?,
             Step::PlatformUp => self.set_faults(false).await?,
             Step::CutTarget { requests, answers } => self.cut(requests, answers)?,
             Step::IsolateGrantor => {
-                self.leave_out(GRANTOR);
-                self.fleet.isolate(GRANTOR, true);
+                let name = self.grantor(0)?;
+                self.leave_out(&name);
+                self.fleet.isolate(&name, true);
             }
             Step::Mend => {
                 self.cut(false, false)?;
-                self.fleet.isolate(GRANTOR, false);
+                self.fleet.isolate(&self.grantor(0)?, false);
             }
             Step::DrainTarget => {
                 let faults = crate::fault::Faults {
@@ -217,7 +246,7 @@
                 self.document.set_target(TARGET, "state", "leaving");
                 services::put(&self.fleet, VMS[0].0, &mut self.document).await?;
             }
-            Step::StopGrantor => self.stop(GRANTOR).await?,
+            Step::StopGrantor => self.stop(&self.grantor(0)?).await?,
             Step::Crash => self.crash().await?,
         }
         Ok(())
@@ -230,9 +259,9 @@
         self.fleet.unlist(name).await
     }
 
-    fn freeze(&mut self, name: &'static str) -> Result<(), fleet::Error> {
+    fn freeze(&mut self, name: &str) -> Result<(), fleet::Error> {
         self.leave_out(name);
-        self.frozen = Some(name);
+        self.frozen = Some(name.to_owned());
         self.fleet.freeze(name)
     }
 
@@ -245,7 +274,7 @@
     }
 
     /// Stops a VM while a balancer that asks for its health still sends callers to it.
-    async fn stop(&mut self, name: &'static str) -> Result<(), Fault> {
+    async fn stop(&mut self, name: &str) -> Result<(), Fault> {
         let Some(vm) = self.fleet.vms.get(name) else {
             return Ok(());
         };
--- a/standins/src/drill/scenario.rs
+++ b/standins/src/drill/scenario.rs
@@ -9,6 +9,8 @@
     KillTarget,
     /// The grantor is killed.
     KillGrantor,
+    /// Another grantor is killed.
+    KillSecondGrantor,
     /// All VMs and targets of a domain are killed.
     KillDomain,
     /// The target is frozen.
@@ -86,6 +88,14 @@
             Step::Wait(8_000),
         ],
     ),
+    scenario(
+        "two-grantors",
+        &[
+            Step::KillGrantor,
+            Step::KillSecondGrantor,
+            Step::Wait(8_000),
+        ],
+    ),
     Scenario {
         name: "domain",
         steps: &[Step::KillDomain, Step::Wait(8_000)],
