Yardsticks refuse who would wait too long

Cause: over capacity a queue without end gives no goodput to compare with. Change: the arithmetic queues refuse whoever would wait longer than the document allows; requests beyond the VMs' callers' limit wait in the VMs and not in the tool.

--- a/tools/load/src/bin/bramleypier-experiment.rs
+++ b/tools/load/src/bin/bramleypier-experiment.rs
@@ -87,6 +87,9 @@
         /// The exponent of Zipf's law for keys; all are equally likely at 0
         #[bpaf(argument("EXPONENT"), fallback(0.0))]
         zipf: f64,
+        /// The longest wait in a yardstick's queue: as long as the document allows
+        #[bpaf(argument("MS"), fallback(300))]
+        patience_ms: u64,
         /// Threads that send
         #[bpaf(argument("COUNT"), fallback(2))]
         workers: usize,
@@ -151,6 +154,7 @@
             file_bytes,
             keys,
             zipf,
+            patience_ms,
             workers,
             choices,
             out,
@@ -170,6 +174,7 @@
                 file_bytes,
                 keys,
                 zipf,
+                patience: Duration::from_millis(patience_ms),
                 workers,
                 choices,
             };
--- a/tools/load/src/experiment/mod.rs
+++ b/tools/load/src/experiment/mod.rs
@@ -25,6 +25,8 @@
 
 /// How much load there is, as a share of what all slots can do.
 const FULL: f64 = 100.0;
+/// The most connections from all workers to a VM: enough that requests wait there and not here.
+const CONNECTIONS: usize = 4000;
 /// How often the balancer checks a VM's health.
 const HEALTH_PERIOD: Duration = Duration::from_millis(250);
 /// The choices among targets that are measured straight at them.
@@ -65,6 +67,8 @@
     pub keys: usize,
     /// The exponent of Zipf's law for keys.
     pub zipf: f64,
+    /// The longest wait in a yardstick's queue: as long as the document allows.
+    pub patience: Duration,
     /// Threads that send.
     pub workers: usize,
     /// Whether choices among plain targets are measured too.
@@ -84,7 +88,7 @@
             let scene = start(options).await?;
             let slots = scene.slots();
             let config = config(options, &scene, &cell, slots)?;
-            baseline::arithmetic(&mut rows, &cell, &config, slots, options.work);
+            baseline::arithmetic(&mut rows, &cell, &config, slots, options.patience);
             let (row, scene) = cell::run(scene, &cell, &config).await?;
             rows.push(row);
             if options.choices && cell.fault == Fault::None {
@@ -150,6 +154,7 @@
         work: options.work,
         sends: 3,
         workers: options.workers,
+        connections: CONNECTIONS / options.workers.max(1),
         health: Some(HEALTH_PERIOD),
         log: Some(scene.fleet.dir().join("calls.jsonl")),
         ..Config::default()
@@ -170,6 +175,7 @@
             spread,
             health: None,
             log: None,
+            workers: scene.vms.len(),
             ..config.clone()
         };
         let outcome = crate::scene::load(&config).await?;
--- a/tools/load/src/perfect.rs
+++ b/tools/load/src/perfect.rs
@@ -5,7 +5,7 @@
 
 use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
-use crate::{plan::Shot, tally::Latencies};
+use crate::{plan::Shot, tally::Counts};
 
 /// One queue before some slots.
 #[derive(Clone, Debug)]
@@ -23,7 +23,8 @@
         }
     }
 
-    /// Serves a request that arrives at `due`, no earlier than any before; returns its latency.
+    /// Takes a request that arrives at `due`, no earlier than any before, unless it would wait
+    /// longer than `patience`; returns its latency.
     ///
     /// # Example
     ///
@@ -34,18 +35,38 @@
     ///
     /// let mut queue = Queue::new(1);
     /// let work = Duration::from_millis(10);
-    /// assert_eq!(queue.serve(Duration::ZERO, work), work);
-    /// assert_eq!(queue.serve(Duration::ZERO, work), work * 2);
+    /// assert_eq!(queue.serve(Duration::ZERO, work, work), Some(work));
+    /// assert_eq!(queue.serve(Duration::ZERO, work, work), Some(work * 2));
+    /// assert_eq!(queue.serve(Duration::ZERO, work, work), None);
     /// ```
-    pub fn serve(&mut self, due: Duration, work: Duration) -> Duration {
-        let free = self.free.pop().map_or(Duration::ZERO, |Reverse(at)| at);
+    pub fn serve(&mut self, due: Duration, work: Duration, patience: Duration) -> Option<Duration> {
+        let Reverse(free) = self.free.peek().copied()?;
+        if free > due + patience {
+            return None;
+        }
+        self.free.pop();
         let end = due.max(free) + work;
         self.free.push(Reverse(end));
-        end.saturating_sub(due)
+        Some(end.saturating_sub(due))
     }
 }
 
-/// Returns the latencies of one queue before all slots, but for the requests of the warm-up.
+/// What the yardstick counts and serves by.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    /// How many queues there are.
+    pub queues: usize,
+    /// How many slots stand behind each.
+    pub slots: usize,
+    /// The work of requests without a work time of their own.
+    pub work: Duration,
+    /// The longest wait; who would wait longer is refused at once.
+    pub patience: Duration,
+    /// How long at the start nothing is counted.
+    pub warm_up: Duration,
+}
+
+/// Serves a plan; `queue_of` gives a request's queue.
 ///
 /// # Example
 ///
@@ -54,35 +75,38 @@
 ///
 /// use bramleypier_load::{config::Config, perfect, plan};
 ///
-/// let shots = plan::whole(&Config::default());
-/// let latencies = perfect::one_queue(&shots, 30, Duration::from_millis(10), Duration::ZERO);
-/// assert_eq!(latencies.count(), shots.len() as u64);
+/// let plan = plan::whole(&Config::default());
+/// let terms = perfect::Terms {
+///     queues: 1,
+///     slots: 30,
+///     work: Duration::from_millis(10),
+///     patience: Duration::from_secs(1),
+///     warm_up: Duration::ZERO,
+/// };
+/// assert_eq!(perfect::serve(&plan, &terms, |_| 0).ran, plan.len() as u64);
 /// ```
-pub fn one_queue(plan: &[Shot], slots: usize, work: Duration, warm_up: Duration) -> Latencies {
-    queues(plan, 1, slots, work, warm_up, |_| 0)
-}
-
-/// Returns the latencies of `count` queues, each before `slots` slots; `queue_of` gives a
-/// request's queue. Requests without a work time of their own take `work`.
-pub fn queues<F>(
-    plan: &[Shot],
-    count: usize,
-    slots: usize,
-    work: Duration,
-    warm_up: Duration,
-    mut queue_of: F,
-) -> Latencies
+pub fn serve<F>(plan: &[Shot], terms: &Terms, mut queue_of: F) -> Counts
 where
     F: FnMut(&Shot) -> usize,
 {
-    let mut all = vec![Queue::new(slots); count.max(1)];
-    let mut latencies = Latencies::default();
+    let mut queues = vec![Queue::new(terms.slots); terms.queues.max(1)];
+    let mut counts = Counts::default();
     for shot in plan {
-        let queue = queue_of(shot) % all.len();
-        let latency = all[queue].serve(shot.due, shot.work.unwrap_or(work));
-        if shot.due >= warm_up {
-            latencies.add(latency);
+        let queue = queue_of(shot) % queues.len();
+        let work = shot.work.unwrap_or(terms.work);
+        let latency = queues[queue].serve(shot.due, work, terms.patience);
+        if shot.due < terms.warm_up {
+            continue;
+        }
+        counts.sent += 1;
+        match latency {
+            Some(latency) => {
+                counts.ran += 1;
+                counts.good += 1;
+                counts.served.add(latency);
+            }
+            None => counts.not_run += 1,
         }
     }
-    latencies
+    counts
 }
--- a/tools/load/src/tally.rs
+++ b/tools/load/src/tally.rs
@@ -70,31 +70,6 @@
         }))
     }
 
-    /// Returns how many requests lay within a latency.
-    ///
-    /// # Example
-    ///
-    /// ```
-    /// use std::time::Duration;
-    ///
-    /// use bramleypier_load::tally::Latencies;
-    ///
-    /// let mut latencies = Latencies::default();
-    /// latencies.add(Duration::from_millis(5));
-    /// assert_eq!(latencies.count_within(Duration::from_millis(6)), 1);
-    /// assert_eq!(latencies.count_within(Duration::from_millis(4)), 0);
-    /// ```
-    pub fn count_within(&self, span: Duration) -> u64 {
-        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
-        let histogram = self.histogram.as_ref();
-        histogram.map_or(0, |latencies| {
-            let within = latencies
-                .iter_recorded()
-                .filter(|value| value.value_iterated_to() <= micros);
-            within.map(|value| value.count_at_value()).sum()
-        })
-    }
-
     /// Returns the greatest latency.
     pub fn max(&self) -> Duration {
         Duration::from_micros(self.histogram.as_ref().map_or(0, Histogram::max))
--- a/tools/load/tests/figures.rs
+++ b/tools/load/tests/figures.rs
@@ -8,7 +8,7 @@
     config::{Class, Spread},
     experiment::{account, cell::Cell, cell::Row, fault::Fault, summary},
     journal::{self, Journal, Line},
-    perfect::{self, Queue},
+    perfect::{self, Queue, Terms},
     plan::Shot,
     plot::{Plot, Series},
     table,
@@ -117,16 +117,41 @@
 
 #[test]
 fn a_queue_serves_in_order_and_each_slot_one_at_a_time() {
-    // Slots, and due times, work and latency in ms of each request.
+    // Slots; due time and work of each request, and its latency; all in ms. None waits over 12 ms.
     let cases = [
-        (1, [(0, 10, 10), (0, 10, 20), (30, 10, 10), (35, 5, 10)]),
-        (2, [(0, 10, 10), (0, 20, 20), (5, 10, 15), (6, 10, 24)]),
-        (3, [(0, 10, 10), (0, 10, 10), (0, 10, 10), (0, 10, 20)]),
+        (
+            1,
+            [
+                (0, 10, Some(10)),
+                (0, 10, Some(20)),
+                (5, 10, None),
+                (12, 5, Some(13)),
+            ],
+        ),
+        (
+            2,
+            [
+                (0, 10, Some(10)),
+                (0, 20, Some(20)),
+                (5, 10, Some(15)),
+                (6, 10, None),
+            ],
+        ),
+        (
+            3,
+            [
+                (0, 10, Some(10)),
+                (0, 10, Some(10)),
+                (0, 10, Some(10)),
+                (0, 10, Some(20)),
+            ],
+        ),
     ];
     for (slots, requests) in cases {
         let mut queue = Queue::new(slots);
         for (due, work, latency) in requests {
-            assert_eq!(queue.serve(ms(due), ms(work)), ms(latency), "{slots} slots");
+            let found = queue.serve(ms(due), ms(work), ms(12));
+            assert_eq!(found, latency.map(ms), "{slots} slots, due {due}");
         }
     }
 }
@@ -138,14 +163,38 @@
         number,
         class: Class::Lookups,
         key: usize::try_from(number * number % 7).unwrap(),
-        work: Some(ms(1 + number % 13)),
+        work: (!number.is_multiple_of(13)).then(|| ms(1 + number % 13)),
     };
-    let shots: Vec<Shot> = (0..500).map(shot).collect();
-    let one = perfect::one_queue(&shots, 4, ms(0), ms(0));
-    let split = perfect::queues(&shots, 2, 2, ms(0), ms(0), |shot| shot.key);
-    assert!(one.quantile(0.99) <= split.quantile(0.99));
-    let warm = perfect::one_queue(&shots, 4, ms(0), ms(400));
-    assert_eq!((one.count(), warm.count()), (500, 400));
+    let plan: Vec<Shot> = (0..500).map(shot).collect();
+    let one = Terms {
+        queues: 1,
+        slots: 4,
+        work: ms(5),
+        patience: Duration::from_secs(1),
+        warm_up: ms(0),
+    };
+    let split = Terms {
+        queues: 2,
+        slots: 2,
+        ..one
+    };
+    let whole = perfect::serve(&plan, &one, |_| 0);
+    let parts = perfect::serve(&plan, &split, |shot| shot.key);
+    assert!(whole.served.quantile(0.99) <= parts.served.quantile(0.99));
+    let warm = Terms {
+        warm_up: ms(400),
+        ..one
+    };
+    let counted = [whole.sent, perfect::serve(&plan, &warm, |_| 0).sent];
+    assert_eq!(counted, [500, 400]);
+    let refusing = Terms {
+        patience: ms(0),
+        slots: 1,
+        ..one
+    };
+    let refused = perfect::serve(&plan, &refusing, |_| 0);
+    assert!(refused.not_run > 0);
+    assert_eq!(refused.ran + refused.not_run, refused.sent);
 }
 
 #[test]
