Audit takes a sending without an answer as told nothing

Cause: at 500 % of slots with 10 VMs the tool ran out of descriptors; a resend that found no connection was noted as told not-run, and 48 orders that had run before counted as untrue. Change: lines without an answer count as unknown; fewer connections than descriptors; what is known of findings is written out.

--- a/tools/load/src/experiment/account.rs
+++ b/tools/load/src/experiment/account.rs
@@ -20,6 +20,8 @@
 
 /// The length of a slice of time in which failures are counted.
 const SLICE: u64 = 100;
+/// How many findings of each kind are told in full.
+const EXAMPLES: usize = 5;
 /// One request in so many may fail in a slice that counts as served.
 const TOLERATED: u64 = 100;
 
@@ -36,6 +38,8 @@
     pub failing: Duration,
     /// What the audit found.
     pub findings: Findings,
+    /// All that is known of some of the requests that it found.
+    pub examples: Vec<String>,
 }
 
 impl Account {
@@ -94,15 +98,43 @@
     let samples: Vec<Sample> = lookups().map(|line| sample(line, slices)).collect();
     let last = lookups().map(|line| line.sent_ms).max().unwrap_or(0);
     let gaps = measure::gaps(&samples, Duration::from_millis(last));
+    let findings = audit::audit(&calls, runs);
     Account {
+        examples: examples(&findings, lines, runs),
         imbalance: measure::imbalance(runs, targets),
         churn: measure::churn(runs),
         gap: gaps.values().max().copied().unwrap_or_default(),
         failing: failing(lookups()),
-        findings: audit::audit(&calls, runs),
+        findings,
     }
 }
 
+/// Tells what callers and targets say of the first few requests and keys that were found.
+fn examples(findings: &Findings, lines: &[Line], runs: &[Run]) -> Vec<String> {
+    let kinds = [
+        ("doubled", &findings.doubled),
+        ("lost", &findings.lost),
+        ("untrue", &findings.untrue),
+        ("unsound", &findings.unsound),
+        ("two owners", &findings.two_owners),
+    ];
+    let found = kinds.iter().flat_map(|(kind, list)| {
+        let first = list.iter().take(EXAMPLES);
+        first.map(move |name| (kind, name))
+    });
+    let mut examples = Vec::new();
+    for (kind, name) in found {
+        examples.push(format!("{kind}: {name}"));
+        let told = lines.iter().filter(|line| line.id == *name);
+        examples.extend(told.map(|line| format!("  told {line:?}")));
+        let ran = runs.iter().filter(|run| {
+            run.key == *name || run.idempotency == *name || run.path.contains(name.as_str())
+        });
+        examples.extend(ran.map(|run| format!("  ran {run:?}")));
+    }
+    examples
+}
+
 /// Takes a line as a sample of the slice that its key stands in.
 fn sample(line: &Line, slices: u64) -> Sample {
     let served = is_served(line);
--- a/tools/load/src/experiment/mod.rs
+++ b/tools/load/src/experiment/mod.rs
@@ -25,8 +25,9 @@
 
 /// How much load there is, as a share of what all slots can do.
 const FULL: f64 = 100.0;
-/// The most connections from all workers to a VM: enough that requests wait there and not here.
-const CONNECTIONS: usize = 4000;
+/// The most connections from all workers to all VMs: enough that requests wait there and not here,
+/// and fewer than the descriptors that a process commonly gets.
+const CONNECTIONS: usize = 9000;
 /// How often the balancer checks a VM's health.
 const HEALTH_PERIOD: Duration = Duration::from_millis(250);
 /// The choices among targets that are measured straight at them.
@@ -154,7 +155,7 @@
         work: options.work,
         sends: 3,
         workers: options.workers,
-        connections: CONNECTIONS / options.workers.max(1),
+        connections: CONNECTIONS / (options.workers * options.vms).max(1),
         health: Some(HEALTH_PERIOD),
         log: Some(scene.fleet.dir().join("calls.jsonl")),
         ..Config::default()
--- a/tools/load/src/experiment/summary.rs
+++ b/tools/load/src/experiment/summary.rs
@@ -70,6 +70,7 @@
     let csv = format!("{}\n{}\n", Row::HEAD, lines.join("\n"));
     fs::write(directory.join("runs.csv"), csv)?;
     fs::write(directory.join("table.md"), markdown(rows))?;
+    fs::write(directory.join("findings.txt"), findings(rows))?;
     for (fault, rows) in by(rows, |row| row.cell.fault.name().to_owned()) {
         let name = format!("{}.svg", fault.replace(' ', "-"));
         fs::write(directory.join(name), plot(&fault, &rows).svg())?;
@@ -77,6 +78,25 @@
     Ok(())
 }
 
+/// Returns what is known of the requests that the audits found.
+fn findings(rows: &[Row]) -> String {
+    let mut text = String::new();
+    for row in rows {
+        let examples = row.account.iter().flat_map(|account| &account.examples);
+        let cell = row.cell;
+        for example in examples {
+            let name = cell.fault.name();
+            // Writing to a string never fails.
+            let _ = writeln!(
+                text,
+                "{name} {:.0} % round {}: {example}",
+                cell.load, cell.round
+            );
+        }
+    }
+    text
+}
+
 /// Returns a Markdown table: a row for each fault, load and route.
 pub fn markdown(rows: &[Row]) -> String {
     let mut text = "| fault | load % | route | goodput/s | p50 ms | p99 ms | p99.9 ms | not run | \
--- a/tools/load/src/journal.rs
+++ b/tools/load/src/journal.rs
@@ -40,13 +40,18 @@
 }
 
 impl Line {
-    /// Returns the line as the audit takes it.
+    /// Returns the line as the audit takes it: without an answer nobody was told anything.
     pub fn call(&self) -> Call {
+        let told = if self.status == 0 {
+            Told::Unknown
+        } else {
+            self.told
+        };
         Call {
             id: self.id.clone(),
             idempotent: self.class.is_idempotent(),
             sent_ms: self.sent_ms,
-            told: self.told,
+            told,
             sound: self.sound,
         }
     }
