--- a/tools/load/src/bin/bramleypier-experiment.rs
+++ b/tools/load/src/bin/bramleypier-experiment.rs
@@ -95,6 +95,9 @@
         workers: usize,
         /// Choices among plain targets are measured too
         choices: bool,
+        /// Where callers' lines are kept, one a sending; nowhere unless given
+        #[bpaf(argument("DIR"), optional)]
+        lines: Option<PathBuf>,
         /// Where the table, the runs and the plots are written
         #[bpaf(argument("DIR"), fallback(PathBuf::from("experiment")))]
         out: PathBuf,
@@ -157,6 +160,7 @@
             patience_ms,
             workers,
             choices,
+            lines,
             out,
         } => {
             let options = experiment::Options {
@@ -177,6 +181,7 @@
                 patience: Duration::from_millis(patience_ms),
                 workers,
                 choices,
+                lines,
             };
             let rows = experiment::run(&options).await?;
             summary::write(&out, &rows).map_err(|cause| Error::Load("write", cause))?;
--- a/tools/load/src/experiment/mod.rs
+++ b/tools/load/src/experiment/mod.rs
@@ -74,6 +74,8 @@
     pub workers: usize,
     /// Whether choices among plain targets are measured too.
     pub choices: bool,
+    /// Where callers' lines are kept; with the fleet, which goes after its run, unless given.
+    pub lines: Option<PathBuf>,
 }
 
 /// Does all runs, in turns, and returns their rows; prints each as it comes.
@@ -157,11 +159,19 @@
         workers: options.workers,
         connections: CONNECTIONS / (options.workers * options.vms).max(1),
         health: Some(HEALTH_PERIOD),
-        log: Some(scene.fleet.dir().join("calls.jsonl")),
+        log: Some(lines(options, scene, cell)),
         ..Config::default()
     })
 }
 
+/// Returns where the callers' lines of a run are written.
+fn lines(options: &Options, scene: &Scene, cell: &Cell) -> PathBuf {
+    let name = cell.fault.name().replace(' ', "-");
+    let file = format!("{name}-{:.0}-{}.jsonl", cell.load, cell.round);
+    let directory = options.lines.as_deref();
+    directory.unwrap_or(scene.fleet.dir()).join(file)
+}
+
 /// Measures choices among as many plain targets, straight from the callers.
 async fn straight(
     rows: &mut Vec<Row>,
