--- a/src/grantor/peers.rs
+++ b/src/grantor/peers.rs
@@ -251,13 +251,18 @@
     /// It has been missed for long enough; and nobody that it could hear gives words to one that
     /// was struck before it, else the two could keep each other alive.
     pub(super) fn may_strike(&self, now: Duration, domain: &str, lost: &group::Grantor) -> bool {
+        self.misses(now, domain, lost) && self.is_settled(domain)
+    }
+
+    /// Returns whether all other grantors of a failure domain have adopted its trio's last change.
+    pub(super) fn is_settled(&self, domain: &str) -> bool {
         let changed = self.view.changed.get(domain);
         let settled = |fellow: &group::Grantor| {
             self.gone.contains(&fellow.vm)
                 || changed.is_none_or(|changed| self.has_adopted(*changed, &fellow.vm))
                 || self.flaw == Flaw::StrikeTwice
         };
-        self.misses(now, domain, lost) && self.fellows(domain).iter().all(settled)
+        self.fellows(domain).iter().all(settled)
     }
 
     /// Returns whether a grantor has been silent for long enough to be replaced.
@@ -270,9 +275,10 @@
         let hearing = self.timing.hearing;
         let fellows = self.fellows(domain);
         let mut others = fellows.iter().filter(|other| other.vm != lost.vm);
-        let patience = match others.any(|other| self.hears_peer(now, &other.vm)) {
-            true => hearing,
-            false => hearing + self.timing.lonely,
+        let patience = if others.any(|other| self.hears_peer(now, &other.vm)) {
+            hearing
+        } else {
+            hearing + self.timing.lonely
         };
         let peer = self.peers.get(&lost.vm);
         peer.is_some_and(|peer| now >= peer.heard + patience)
