--- a/tools/load/src/bin/bramleypier-experiment.rs
+++ b/tools/load/src/bin/bramleypier-experiment.rs
@@ -87,11 +87,17 @@
         /// The exponent of Zipf's law for keys; all are equally likely at 0
         #[bpaf(argument("EXPONENT"), fallback(0.0))]
         zipf: f64,
+        /// The longest wait in a yardstick's queue: as long as the document allows
+        #[bpaf(argument("MS"), fallback(300))]
+        patience_ms: u64,
         /// Threads that send
         #[bpaf(argument("COUNT"), fallback(2))]
         workers: usize,
         /// Choices among plain targets are measured too
         choices: bool,
+        /// Where callers' lines are kept, one a sending; nowhere unless given
+        #[bpaf(argument("DIR"), optional)]
+        lines: Option<PathBuf>,
         /// Where the table, the runs and the plots are written
         #[bpaf(argument("DIR"), fallback(PathBuf::from("experiment")))]
         out: PathBuf,
@@ -151,8 +157,10 @@
             file_bytes,
             keys,
             zipf,
+            patience_ms,
             workers,
             choices,
+            lines,
             out,
         } => {
             let options = experiment::Options {
@@ -170,8 +178,10 @@
                 file_bytes,
                 keys,
                 zipf,
+                patience: Duration::from_millis(patience_ms),
                 workers,
                 choices,
+                lines,
             };
             let rows = experiment::run(&options).await?;
             summary::write(&out, &rows).map_err(|cause| Error::Load("write", cause))?;
--- a/tools/load/src/experiment/mod.rs
+++ b/tools/load/src/experiment/mod.rs
@@ -25,6 +25,9 @@
 
 /// How much load there is, as a share of what all slots can do.
 const FULL: f64 = 100.0;
+/// The most connections from all workers to all VMs: enough that requests wait there and not here,
+/// and fewer than the descriptors that a process commonly gets.
+const CONNECTIONS: usize = 9000;
 /// How often the balancer checks a VM's health.
 const HEALTH_PERIOD: Duration = Duration::from_millis(250);
 /// The choices among targets that are measured straight at them.
@@ -65,10 +68,14 @@
     pub keys: usize,
     /// The exponent of Zipf's law for keys.
     pub zipf: f64,
+    /// The longest wait in a yardstick's queue: as long as the document allows.
+    pub patience: Duration,
     /// Threads that send.
     pub workers: usize,
     /// Whether choices among plain targets are measured too.
     pub choices: bool,
+    /// Where callers' lines are kept; with the fleet, which goes after its run, unless given.
+    pub lines: Option<PathBuf>,
 }
 
 /// Does all runs, in turns, and returns their rows; prints each as it comes.
@@ -84,7 +91,7 @@
             let scene = start(options).await?;
             let slots = scene.slots();
             let config = config(options, &scene, &cell, slots)?;
-            baseline::arithmetic(&mut rows, &cell, &config, slots, options.work);
+            baseline::arithmetic(&mut rows, &cell, &config, slots, options.patience);
             let (row, scene) = cell::run(scene, &cell, &config).await?;
             rows.push(row);
             if options.choices && cell.fault == Fault::None {
@@ -150,12 +157,21 @@
         work: options.work,
         sends: 3,
         workers: options.workers,
+        connections: CONNECTIONS / (options.workers * options.vms).max(1),
         health: Some(HEALTH_PERIOD),
-        log: Some(scene.fleet.dir().join("calls.jsonl")),
+        log: Some(lines(options, scene, cell)),
         ..Config::default()
     })
 }
 
+/// Returns where the callers' lines of a run are written.
+fn lines(options: &Options, scene: &Scene, cell: &Cell) -> PathBuf {
+    let name = cell.fault.name().replace(' ', "-");
+    let file = format!("{name}-{:.0}-{}.jsonl", cell.load, cell.round);
+    let directory = options.lines.as_deref();
+    directory.unwrap_or(scene.fleet.dir()).join(file)
+}
+
 /// Measures choices among as many plain targets, straight from the callers.
 async fn straight(
     rows: &mut Vec<Row>,
@@ -170,6 +186,7 @@
             spread,
             health: None,
             log: None,
+            workers: scene.vms.len(),
             ..config.clone()
         };
         let outcome = crate::scene::load(&config).await?;
