--- a/tests/model/faults.rs
+++ b/tests/model/faults.rs
@@ -155,8 +155,8 @@
 }
 
 impl Plan {
-    /// Runs the faults and then a calm, at the end of which every point must be served.
-    pub fn run(&self, setup: Setup) -> Result<World, String> {
+    /// Runs the faults, and lets them last a while.
+    pub fn storm(&self, setup: Setup) -> Result<World, String> {
         let (lost, late, doubled) = self.noise;
         let mut world = World::new(Setup {
             seed: self.seed,
@@ -176,6 +176,13 @@
         }
         let last = world.time + Duration::from_secs(9);
         world.run(last).map_err(|fault| told(&world, fault))?;
+        Ok(world)
+    }
+
+    /// Runs the faults and then a calm, at the end of which every point must be served.
+    pub fn run(&self, setup: Setup) -> Result<World, String> {
+        let mut world = self.storm(setup)?;
+        let told = |world: &World, fault: String| format!("{fault}\n{}", world.story());
         world.heal();
         let end = world.time + CALM;
         world.run(end).map_err(|fault| told(&world, fault))?;
@@ -426,6 +433,11 @@
         let Some((_, vm, fellows)) = self.part(who, span) else {
             return;
         };
+        for other in self.vms.keys().cloned().collect::<Vec<_>>() {
+            if !fellows.contains(&other) {
+                self.cut(&other, &vm, span * 2);
+            }
+        }
         for fellow in &fellows {
             match lone {
                 Lone::LateWords => {
@@ -441,7 +453,10 @@
         }
         match lone {
             Lone::LateWords | Lone::Returns => self.cut(STORE, &vm, span * 2),
-            Lone::LateReads => self.slow(STORE, &vm, span),
+            Lone::LateReads => {
+                self.slow(STORE, &vm, span);
+                self.cut_after(STORE, &vm, span, span);
+            }
             Lone::LastRead => self.cut_after(STORE, &vm, 650, span * 2),
         }
     }
--- a/tests/model/mod.rs
+++ b/tests/model/mod.rs
@@ -20,7 +20,7 @@
 use indexmap::{IndexMap, IndexSet};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
-pub use faults::{Fault, Plan, plan};
+pub use faults::{Fault, Lone, Plan, plan};
 use store::Store;
 use watchdog::Watchdog;
 
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -4,7 +4,8 @@
 
 use std::time::Duration;
 
-use model::{Fault, Plan, Setup, World, plan};
+use bramleypier::grantor::flaw::Flaw;
+use model::{Fault, Lone, Plan, Setup, World, plan};
 use proptest::{prelude::*, test_runner::RngSeed};
 
 /// Reads a number from the environment, for longer searches.
@@ -71,6 +72,93 @@
     }
 }
 
+/// Each rule left out, with faults under which that makes a second owner or leaves a point unserved.
+fn flaws() -> Vec<(Flaw, Vec<(u64, Fault)>)> {
+    vec![
+        (Flaw::WordIgnored, vec![(3000, Fault::Strand(16, 4000, 15))]),
+        (
+            Flaw::WordLate,
+            vec![(3000, Fault::Lone(0, 3000, Lone::LateWords))],
+        ),
+        (
+            Flaw::ReadLate,
+            vec![(3000, Fault::Lone(0, 3000, Lone::LateReads))],
+        ),
+        (
+            Flaw::WordUnnamed,
+            vec![(3000, Fault::Lone(0, 3000, Lone::Returns))],
+        ),
+        (Flaw::StrikeNoWait, vec![(3000, Fault::Pair(0, 4000, true))]),
+        (
+            Flaw::StrikeUnadopted,
+            vec![(3000, Fault::Pair(0, 6000, true))],
+        ),
+        (Flaw::StrikeTwice, vec![(3000, Fault::Pair(0, 7000, false))]),
+        (Flaw::NoWait, vec![(3000, Fault::Strand(0, 4000, 15))]),
+        (Flaw::LoneStop, vec![(3000, Fault::Strand(0, 4000, 16))]),
+        (
+            Flaw::LoneWithdraw,
+            vec![
+                (3000, Fault::FreezeTarget(0, 1300)),
+                (3900, Fault::Isolate(0, 2600)),
+            ],
+        ),
+        (
+            Flaw::StruckForgotten,
+            vec![
+                (3000, Fault::FreezeTarget(0, 1300)),
+                (3900, Fault::Isolate(0, 2600)),
+            ],
+        ),
+        (Flaw::EpochKept, vec![(3000, Fault::KillTarget(0))]),
+        (
+            Flaw::NewUnstopped,
+            vec![
+                (3000, Fault::KillGrantor(0)),
+                (3000, Fault::Strand(1, 5000, 15)),
+            ],
+        ),
+        (Flaw::UnconfirmedMove, vec![(3000, Fault::Hot(0))]),
+        (Flaw::BootIgnored, vec![(3000, Fault::RestartTarget(0))]),
+        (Flaw::TermKept, vec![(3000, Fault::RestartTarget(0))]),
+    ]
+}
+
+/// Runs the faults under a flaw, or none.
+fn storm(faults: &[(u64, Fault)], flaw: Flaw) -> Result<World, String> {
+    let plan = Plan {
+        seed: 1,
+        unchecked: false,
+        noise: (0, 0, 0),
+        faults: faults.to_vec(),
+    };
+    let setup = Setup {
+        flaw,
+        ..Setup::default()
+    };
+    plan.storm(setup)
+}
+
+#[test]
+fn each_rule_is_needed() {
+    for (flaw, faults) in flaws() {
+        let found = match storm(&faults, flaw) {
+            Ok(world) => flaw == Flaw::EpochKept && !world.unserved().is_empty(),
+            Err(_) => true,
+        };
+        assert!(found, "{flaw:?} was not found");
+    }
+}
+
+#[test]
+fn the_same_faults_make_no_second_owner_under_all_rules() {
+    for (flaw, faults) in flaws() {
+        let world = storm(&faults, Flaw::None).unwrap_or_else(|fault| panic!("{flaw:?}: {fault}"));
+        let served = flaw != Flaw::EpochKept || world.unserved().is_empty();
+        assert!(served, "{flaw:?}: unserved\n{}", world.story());
+    }
+}
+
 proptest! {
     #![proptest_config(config())]
 
