--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -13,9 +13,9 @@
 use super::{Context, Job, forward, payload::Payload, reply};
 use crate::{
     id::{Version, VmId},
-    membership,
+    metrics,
     order::{
-        self, Answer, Effect, Ledger, Order, Starter, Views, ledger, memory, plan,
+        self, Answer, Effect, Ledger, Order, Starter, Views, ledger, plan,
         starter::{self, Decision, End, Why},
     },
     peer,
@@ -24,7 +24,7 @@
     spread::{Id, Item, Kind},
     timeline::{self, Duty, stamp},
     util::body::Body,
-    vm::{Parts, mail, news, news::Fleet, wire},
+    vm::{Parts, gone::Gone, mail, news, news::Fleet, wire},
 };
 
 /// How often the task is woken.
@@ -73,6 +73,7 @@
     ledger: Ledger,
     starter: Starter,
     fleet: Option<Fleet>,
+    judge: Gone,
     gone: IndexSet<VmId>,
     version: Version,
     views: Views,
@@ -85,8 +86,9 @@
     /// Creates the task's state.
     pub fn new(parts: Parts) -> Self {
         Self {
-            ledger: Ledger::new(&parts.me.vm, memory::Limits::default()),
+            ledger: Ledger::new(&parts.me.vm, parts.memory),
             starter: Starter::new(&parts.me.vm),
+            judge: Gone::new(parts.timing.list_lag),
             parts,
             fleet: None,
             gone: IndexSet::new(),
@@ -138,6 +140,8 @@
         let wall = stamp::wall();
         self.ledger(ledger::Event::Tick { wall });
         self.starter(starter::Event::Tick);
+        let (held, _) = self.ledger.size();
+        self.parts.recorder.set(&metrics::ORDERS_HELD, held as u64);
         // A caller that no longer waits needs no decision.
         let left: Vec<u64> = self
             .waiting
@@ -175,11 +179,13 @@
 
     // --- What is known of the fleet and the views ---
 
-    /// Notes which members of views are gone for certain, by the platform's list, which doesn't err.
+    /// Notes which members of views are gone for certain.
     fn listed(&mut self, list: &[platform::ListedVm]) {
-        let is_listed = |vm: &VmId| list.iter().any(|it| it.name == membership::name(vm));
         let members = self.views.shards.iter().flat_map(order::View::members);
-        let gone: IndexSet<VmId> = members.filter(|vm| !is_listed(vm)).cloned().collect();
+        let named: IndexSet<VmId> = members.cloned().collect();
+        let live = self.fleet.as_ref().map_or(&[][..], |fleet| &fleet.live);
+        let now = self.parts.clock.now();
+        let gone = self.judge.of(now, &named, list, live);
         if gone.iter().any(|vm| !self.gone.contains(vm)) {
             self.gone = gone;
             self.tell_peers();
@@ -268,6 +274,9 @@
         let Some(reply) = self.waiting.swap_remove(&token) else {
             return;
         };
+        if matches!(decision, Decision::Ran(_)) {
+            self.parts.recorder.count(&metrics::ORDERS_DOUBLE, None);
+        }
         if let Err((token, Decision::Run)) = reply.send((token, decision)) {
             self.starter(starter::Event::Dropped { token });
         }
--- a/src/order/mod.rs
+++ b/src/order/mod.rs
@@ -15,6 +15,7 @@
 //! lost, which needs proof that both VMs are gone for good, the next view has a *horizon*, and ids
 //! not provably younger than it are answered `unknown`.
 
+mod held;
 pub mod ledger;
 pub mod memory;
 mod pending;
@@ -28,8 +29,9 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
-use crate::{id::VmId, request::Fingerprint};
+use crate::id::VmId;
 
+pub use crate::request::{Fingerprint, fingerprint};
 pub use ledger::Ledger;
 pub use starter::Starter;
 pub use view::{View, Views};
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -7,6 +7,7 @@
 use crate::{
     id::DomainId,
     membership,
+    order::memory,
     util::{
         fields::{self, Checked, Field, Kind, Preset},
         ini::Fault,
@@ -45,6 +46,27 @@
     pub limits: Limits,
 }
 
+impl Settings {
+    /// Returns how many orders one shard remembers, and for how long.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::{order::memory, settings};
+    ///
+    /// let text = "[vm]\nname = a\ndomain = d\n[listen]\ncallers = 127.0.0.1:0\n\
+    ///     peers = 127.0.0.1:0\n[platform]\naddress = 127.0.0.1:7000";
+    /// let settings = settings::parse("vm.ini", text).unwrap();
+    /// assert_eq!(settings.memory(), memory::Limits::default());
+    /// ```
+    pub fn memory(&self) -> memory::Limits {
+        memory::Limits {
+            bytes: self.limits.order_bytes,
+            retention: self.timing.order,
+        }
+    }
+}
+
 /// Spans of time that each process may choose for itself.
 ///
 /// The spans on which ownership rests are [`grantor::Timing`](crate::grantor::Timing) and no settings: a VM that
@@ -53,6 +75,8 @@
 pub struct Timing {
     /// How often peers are probed.
     pub probe: Duration,
+    /// How far the platform's list of VMs may lag.
+    pub list_lag: Duration,
     /// How long requests in flight may take to end when the process stops.
     pub drain: Duration,
     /// How long an order whose id has no date is remembered at the least.
@@ -76,6 +100,7 @@
     pub fn membership(&self) -> membership::Timing {
         membership::Timing {
             period: self.probe,
+            lag: self.list_lag,
             ..membership::Timing::default()
         }
     }
@@ -84,7 +109,7 @@
 /// Bounds on what one process keeps and takes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Limits {
-    /// Events kept for the time line.
+    /// Events kept for the time line, and as many again of single requests.
     pub events: usize,
     /// Memory for the orders of one shard of request ids, in bytes.
     pub order_bytes: usize,
@@ -145,7 +170,7 @@
         "name",
         Kind::Name,
         Preset::Required,
-        "The VM's name, its own among all VMs.",
+        "The VM's name, its own among all VMs: a later start of the same name takes the earlier one's place.",
     ),
     field(
         "vm",
@@ -182,6 +207,13 @@
         Preset::Required,
         "Where the platform's service answers.",
     ),
+    field(
+        "platform",
+        "list_lag_ms",
+        Kind::Number("ms", 0, DAY_MS),
+        Preset::Value("120000"),
+        "How far the platform's list of VMs may lag, rather too long than too short: a VM that is known for less is never taken for gone by the list.",
+    ),
     field(
         "peers",
         "seeds",
@@ -230,7 +262,7 @@
         "events",
         "20000",
         1_000_000,
-        "Events kept for the time line.",
+        "Events kept for the time line, and as many again of single requests.",
     ),
     bound(
         "order_bytes",
@@ -315,6 +347,7 @@
 fn timing(checked: &Checked) -> Result<Timing, Fault> {
     Ok(Timing {
         probe: checked.millis("timing", "probe_ms")?,
+        list_lag: checked.millis("platform", "list_lag_ms")?,
         drain: checked.millis("timing", "drain_ms")?,
         order: checked.millis("timing", "order_ms")?,
     })
--- a/src/vm/owners.rs
+++ b/src/vm/owners.rs
@@ -9,7 +9,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    Parts, mail,
+    Parts,
+    gone::Gone,
+    mail,
     news::{self, Fleet},
     notes::Notes,
     wire,
@@ -51,7 +53,7 @@
     /// Another VM writes.
     Peer(VmId, GroupId, grantor::Message),
     /// Something that this task asked for has ended.
-    Ended(GroupId, Event),
+    Ended(GroupId, Box<Event>),
     /// The platform's list of VMs was read.
     Listed(Vec<platform::ListedVm>),
     /// This VM stops: it hands its duties over.
@@ -86,6 +88,7 @@
     groups: IndexMap<GroupId, Grantor>,
     documents: IndexMap<ServiceId, Rc<Document>>,
     fleet: Option<Fleet>,
+    gone: Gone,
     next_lease: Duration,
     notes: Notes,
     /// The versions that the others were told.
@@ -98,12 +101,13 @@
         Self {
             control: Control::new(parts.clock.clone()),
             notes: Notes::new(parts.recorder.clone()),
-            parts,
             groups: IndexMap::new(),
             documents: IndexMap::new(),
             fleet: None,
+            gone: Gone::new(parts.timing.list_lag),
             next_lease: Duration::ZERO,
             told: IndexMap::new(),
+            parts,
         }
     }
 
@@ -138,14 +142,14 @@
             }
             Message::Peer(from, group, message) => self.peer(from, &group, message),
             Message::Ended(group, event) => {
-                match &event {
+                match &*event {
                     Event::Target { target, state, .. } => {
                         self.notes.answered(&group, target, state);
                     }
                     Event::TargetFailed { .. } => self.notes.failed(&group),
                     _ => {}
                 }
-                self.feed(&group, event);
+                self.feed(&group, *event);
             }
             Message::Listed(list) => self.listed(&list),
             Message::Leave => self.feed_all(&Event::Retire),
@@ -162,22 +166,16 @@
     }
 
     /// Tells grantors which of the VMs they name are gone for certain.
-    ///
-    /// A VM is gone when the platform's list, which lags but doesn't err, no longer has its name,
-    /// or when another start answers at its address.
     fn listed(&mut self, list: &[platform::ListedVm]) {
         let records = self.groups.values().filter_map(Grantor::record);
         let named: IndexSet<VmId> = records
             .flat_map(|(_, record)| record.trios.values().flatten())
             .map(|grantor| grantor.vm.clone())
             .collect();
-        let is_gone = |vm: &VmId| {
-            !list
-                .iter()
-                .any(|listed| listed.name == membership::name(vm))
-        };
-        let gone: Vec<VmId> = named.into_iter().filter(is_gone).collect();
+        let live = self.fleet.as_ref().map_or(&[][..], |fleet| &fleet.live);
+        let gone = self.gone.of(self.parts.clock.now(), &named, list, live);
         if !gone.is_empty() {
+            let gone = gone.into_iter().collect();
             self.feed_all(&Event::Listed { gone });
         }
     }
@@ -318,7 +316,7 @@
                 },
                 None => Event::TargetFailed { target, asked },
             };
-            let _ = owners.unbounded_send(Message::Ended(group, event));
+            let _ = owners.unbounded_send(Message::Ended(group, Box::new(event)));
         })
         .detach();
     }
@@ -335,7 +333,7 @@
                 Err(_) => Outcome::Lost(base),
             };
             let event = Event::Written { sequence, result };
-            let _ = owners.unbounded_send(Message::Ended(group, event));
+            let _ = owners.unbounded_send(Message::Ended(group, Box::new(event)));
         })
         .detach();
     }
@@ -356,7 +354,7 @@
                     version,
                     record,
                 };
-                let _ = owners.unbounded_send(Message::Ended(group, event));
+                let _ = owners.unbounded_send(Message::Ended(group, Box::new(event)));
             }
         })
         .detach();
