Targets that the platform lists as leaving are taken out; a stop waits for orders under way

A target's VM that the platform's list says is leaving now counts as one that the document says so of. A stopping VM also waits for orders whose callers have gone, and up to 3 s for its shards of orders to be handed over.

--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -64,6 +64,17 @@
     Ended(u64, End),
     /// This VM stops: it hands its duties over.
     Leave,
+    /// What is still under way here?
+    Idle(oneshot::Sender<Idle>),
+}
+
+/// What a stopping VM has still to wait for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Idle {
+    /// No order of this entry VM is under way.
+    pub orders: bool,
+    /// No shard is left to hand over.
+    pub duties: bool,
 }
 
 /// The task's state.
@@ -133,6 +144,12 @@
                 self.is_leaving = true;
                 self.tell_peers();
             }
+            Message::Idle(reply) => {
+                let _ = reply.send(Idle {
+                    orders: self.starter.is_idle(),
+                    duties: self.ledger.is_idle(),
+                });
+            }
         }
     }
 
--- a/src/entry/router.rs
+++ b/src/entry/router.rs
@@ -6,7 +6,7 @@
 use futures_channel::mpsc;
 use futures_util::StreamExt;
 use http::StatusCode;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use super::ticket::{Ask, COME_BACK, Message, Permit, Plan, Reply, Report, Ticket};
@@ -82,6 +82,8 @@
     pools: IndexMap<ServiceId, Pool>,
     budgets: IndexMap<ServiceId, Budget>,
     boots: IndexMap<Name, BootId>,
+    /// Targets whose VMs were ever listed as leaving.
+    leaving: IndexSet<TargetId>,
     quarantine: Quarantine,
     waiting: IndexMap<Ticket, Waiting>,
     flights: IndexMap<Ticket, Flight>,
@@ -111,6 +113,7 @@
             pools: IndexMap::new(),
             budgets: IndexMap::new(),
             boots: IndexMap::new(),
+            leaving: IndexSet::new(),
             quarantine: Quarantine::default(),
             waiting: IndexMap::new(),
             flights: IndexMap::new(),
@@ -165,6 +168,7 @@
                 self.vms = u32::try_from(fleet.live.len()).unwrap_or(u32::MAX).max(1);
                 self.resize();
             }
+            Message::Leaving(targets) => self.leaving(targets),
             Message::Suspects(items) => self.hear(items),
         }
     }
@@ -197,21 +201,37 @@
             // The gates divide by class: new classes, new gates.
             self.gates.retain(|(of, _), _| *of != service);
         }
-        if document.ownership == Ownership::Shared {
-            let serving = document
-                .targets
-                .iter()
-                .filter(|(_, it)| it.state == TargetState::Serving);
-            let names: Vec<TargetId> = serving.map(|(name, _)| name.clone()).collect();
-            let pool = self
-                .pools
-                .entry(service)
-                .or_insert_with(|| Pool::new(Policy::default()));
-            pool.set(names);
-        }
+        self.set_pool(document);
         self.resize();
     }
 
+    /// Tells the pool of a shared service which targets take work.
+    fn set_pool(&mut self, document: &Document) {
+        if document.ownership == Ownership::Exclusive {
+            return;
+        }
+        let targets = document.targets.iter();
+        let serving = targets.filter(|(name, target)| {
+            target.state == TargetState::Serving && !self.leaving.contains(*name)
+        });
+        let names: Vec<TargetId> = serving.map(|(name, _)| name.clone()).collect();
+        let pool = self.pools.entry(document.service.clone());
+        let pool = pool.or_insert_with(|| Pool::new(Policy::default()));
+        pool.set(names);
+    }
+
+    /// Takes targets that leave out of the pools; an exclusive one is left to its grantors.
+    fn leaving(&mut self, targets: Vec<TargetId>) {
+        let known = self.leaving.len();
+        self.leaving.extend(targets);
+        if self.leaving.len() == known {
+            return;
+        }
+        for document in self.documents.clone().values() {
+            self.set_pool(document);
+        }
+    }
+
     /// Tells the gates how many slots there are for this VM.
     fn resize(&mut self) {
         let now = self.parts.clock.now();
--- a/src/entry/ticket.rs
+++ b/src/entry/ticket.rs
@@ -272,6 +272,8 @@
     Lease(GroupId, Duration, Vec<grantor::Leased>),
     /// The fleet has changed.
     Fleet(Fleet),
+    /// The platform's list says that the VMs of these targets are leaving.
+    Leaving(Vec<TargetId>),
     /// Suspect requests were heard of.
     Suspects(Vec<quarantine::Item>),
 }
--- a/src/grantor/event.rs
+++ b/src/grantor/event.rs
@@ -15,6 +15,11 @@
 /// What reaches a grantor.
 #[derive(Clone, Debug)]
 pub enum Event {
+    /// The platform's list says that the VMs of these targets are leaving.
+    Leaving {
+        /// The targets.
+        targets: Vec<TargetId>,
+    },
     /// Time has passed; several times a second.
     Tick,
     /// A record of the group, whoever told of it.
--- a/src/grantor/house.rs
+++ b/src/grantor/house.rs
@@ -199,6 +199,11 @@
         if let Some((version, document)) = &self.document {
             build::admit(next, *version, document);
         }
+        for target in &self.leaving {
+            if let Some(member) = next.members.get_mut(target) {
+                member.leaving = true;
+            }
+        }
     }
 
     /// Drops grantors that are certain to grant no more, and fills the trios up.
--- a/src/grantor/mod.rs
+++ b/src/grantor/mod.rs
@@ -92,6 +92,8 @@
     read: Duration,
     housed: Duration,
     retired: bool,
+    /// Targets whose VMs were ever listed as leaving; a VM that leaves doesn't stay after all.
+    leaving: IndexSet<TargetId>,
 }
 
 /// What is known of another grantor.
@@ -163,6 +165,7 @@
             read: Duration::ZERO,
             housed: Duration::ZERO,
             retired: false,
+            leaving: IndexSet::new(),
         }
     }
 
@@ -217,6 +220,7 @@
                 }
             }
             Event::Load { loads } => self.loads = loads,
+            Event::Leaving { targets } => self.leaving.extend(targets),
             Event::Retire => self.retire(&mut effects),
         }
         effects
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     clock::Clock,
-    id::{DomainId, LeaseId, Version, VmId},
+    id::{DomainId, LeaseId, TargetId, Version, VmId},
     metrics::{self, Metric, Metrics},
     util::{
         body::{self, Body},
@@ -113,6 +113,23 @@
     pub state: State,
 }
 
+/// Returns the targets whose VMs the list says are leaving.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier::platform;
+///
+/// assert!(platform::leaving_targets(&[]).is_empty());
+/// ```
+pub fn leaving_targets(list: &[ListedVm]) -> Vec<TargetId> {
+    let targets = list.iter().filter(|vm| vm.kind == Kind::Target);
+    targets
+        .filter(|vm| vm.state == State::Leaving)
+        .map(|vm| vm.name.clone())
+        .collect()
+}
+
 /// What runs on a VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/src/vm/life.rs
+++ b/src/vm/life.rs
@@ -2,6 +2,7 @@
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
+use futures_channel::oneshot;
 use futures_util::future;
 
 use super::{Parts, news, owners, recorder::Recorder};
@@ -13,7 +14,6 @@
             vm::{Event, State},
         },
     },
-    clock::Clock,
     entry::{self, desk},
     settings::Settings,
     timeline::{self, Duty, Kind},
@@ -26,6 +26,8 @@
 const JOIN_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long the balancer and the peers have to hear that this VM stops.
 const NOTICE: Duration = Duration::from_millis(500);
+/// How long a stopping VM waits for its shards of orders to be handed over.
+const HAND_OVER: Duration = Duration::from_secs(3);
 /// How long the last messages have to leave.
 const FAREWELL: Duration = Duration::from_millis(200);
 /// The signal that asks for a stop.
@@ -120,7 +122,7 @@
         let _ = parts.tasks.desk.unbounded_send(desk::Message::Leave);
         parts.clock.sleep(NOTICE).await;
         served.callers.stop();
-        let drained = drain(&parts.clock, &served.callers);
+        let drained = drain(parts, &served.callers);
         let bounded = parts.clock.timeout(settings.timing.drain, drained);
         future::select(Box::pin(bounded), Box::pin(signal())).await;
         let open = served.callers.open();
@@ -169,8 +171,26 @@
     future::select(term, interrupt).await;
 }
 
-async fn drain(clock: &Clock, callers: &Control) {
-    while callers.open() > 0 {
-        clock.sleep(POLL).await;
+/// Waits until no request and no order is under way, then for what is known of orders to be handed
+/// over; the last VM of a fleet has nobody to hand it to, and doesn't wait for long.
+async fn drain(parts: &Parts, callers: &Control) {
+    while callers.open() > 0 || !idle(parts).await.orders {
+        parts.clock.sleep(POLL).await;
     }
+    let handing = async {
+        while !idle(parts).await.duties {
+            parts.clock.sleep(POLL).await;
+        }
+    };
+    let _ = parts.clock.timeout(HAND_OVER, handing).await;
+}
+
+async fn idle(parts: &Parts) -> desk::Idle {
+    let (reply, answer) = oneshot::channel();
+    let _ = parts.tasks.desk.unbounded_send(desk::Message::Idle(reply));
+    let ended = desk::Idle {
+        orders: true,
+        duties: true,
+    };
+    answer.await.unwrap_or(ended)
 }
--- a/src/vm/news.rs
+++ b/src/vm/news.rs
@@ -406,6 +406,9 @@
         let Some(list) = list else {
             return;
         };
+        let leaving = platform::leaving_targets(&list);
+        let message = ticket::Message::Leaving(leaving);
+        let _ = self.parts.tasks.router.unbounded_send(message);
         let message = desk::Message::Listed(list.clone());
         let _ = self.parts.tasks.desk.unbounded_send(message);
         let message = owners::Message::Listed(list.clone());
--- a/src/vm/owners.rs
+++ b/src/vm/owners.rs
@@ -167,6 +167,10 @@
 
     /// Tells grantors which of the VMs they name are gone for certain.
     fn listed(&mut self, list: &[platform::ListedVm]) {
+        let leaving = platform::leaving_targets(list);
+        if !leaving.is_empty() {
+            self.feed_all(&Event::Leaving { targets: leaving });
+        }
         let records = self.groups.values().filter_map(Grantor::record);
         let named: IndexSet<VmId> = records
             .flat_map(|(_, record)| record.trios.values().flatten())
