--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -24,7 +24,7 @@
     spread::{Id, Item, Kind},
     timeline::{self, Duty, stamp},
     util::body::Body,
-    vm::{Parts, gone::Gone, mail, news, news::Fleet, wire},
+    vm::{Parts, gone::Gone, mail, news, news::Fleet, ticks, wire},
 };
 
 /// How often the task is woken.
@@ -113,14 +113,9 @@
 
     /// Serves messages until nobody can send any more.
     pub async fn run(mut self, mut messages: mpsc::UnboundedReceiver<Message>) {
-        let clock = self.parts.clock.clone();
-        let ticks = self.parts.tasks.desk.clone();
-        compio::runtime::spawn(async move {
-            while ticks.unbounded_send(Message::Tick).is_ok() {
-                clock.sleep(TICK).await;
-            }
-        })
-        .detach();
+        ticks::start(&self.parts.clock, &self.parts.tasks.desk, TICK, || {
+            Message::Tick
+        });
         self.read();
         while let Some(message) = messages.next().await {
             self.on(message);
--- /dev/null
+++ b/src/entry/router/ending.rs
@@ -0,0 +1,115 @@
+//! Endings: what limits, retries, pools and the quarantine learn from an attempt.
+
+use std::time::Duration;
+
+use http::StatusCode;
+
+use super::{Name, Router};
+use crate::{
+    entry::ticket::{Report, Ticket},
+    id::{BootId, Version},
+    limit::{cap::Sample, gate},
+    peer,
+    quarantine::{self, Death, End},
+    spread::{Id, Item, Kind},
+    timeline::{self, Duty, stamp},
+    vm::news,
+};
+
+impl Router {
+    pub(super) fn head(&mut self, ticket: Ticket, status: StatusCode) {
+        let now = self.parts.clock.now();
+        if let Some(flight) = self.flights.get_mut(&ticket) {
+            flight.head = Some((status, now.saturating_sub(flight.sent)));
+        }
+    }
+
+    /// Takes the end of an attempt: limits, budget, pool and quarantine learn from it.
+    pub(super) fn done(&mut self, ticket: Ticket, report: &Report) {
+        let Some(flight) = self.flights.swap_remove(&ticket) else {
+            return;
+        };
+        let now = self.parts.clock.now();
+        let taken = now.saturating_sub(flight.sent);
+        let status = match report {
+            Report::Answered(status) => Some(*status),
+            Report::Ended => flight.head.map(|(status, _)| status),
+            _ => None,
+        };
+        let sample = sample(report, taken);
+        let service = &flight.name.0;
+        if status.is_some() {
+            let budget = self.budgets.entry(service.clone()).or_default();
+            budget.succeeded(now);
+        }
+        if let Some(pool) = self.pools.get_mut(service) {
+            let is_error = status.is_some_and(|status| status.is_server_error());
+            pool.ended(now, &flight.name.1, ticket, sample, is_error);
+        }
+        let end = match report {
+            Report::Answered(_) | Report::Ended => End::Completed,
+            Report::Lost | Report::Abandoned => End::Broken,
+            Report::Refused(_) | Report::Unsent(_) => End::NotRun,
+        };
+        let event = quarantine::Event::Ended { ticket, end };
+        let items = self.quarantine.on(stamp::wall(), event);
+        self.spread(items);
+        if matches!(report, Report::Unsent(true)) {
+            // Nobody listens there any more: whatever was in flight is suspect.
+            self.died(&flight.name, flight.boot);
+        }
+        self.gate(now, &flight.name, gate::Event::Done { ticket, sample });
+    }
+
+    pub(super) fn died(&mut self, name: &Name, boot: BootId) {
+        let target = name.1.clone();
+        let death = Death { target, boot };
+        let items = self
+            .quarantine
+            .on(stamp::wall(), quarantine::Event::Died(death));
+        for item in &items {
+            let kind = timeline::Kind::Quarantined;
+            let event = timeline::Event::new(Duty::Entry, "quarantine", kind);
+            let event = event.service(name.0.as_str()).target(name.1.as_str());
+            let cause = format!("suspect={:x} boot={}", item.print, item.death.boot);
+            self.parts.recorder.event(event.cause(cause.as_str()));
+        }
+        self.spread(items);
+    }
+
+    /// Tells the fleet of suspects; a cleared one is a newer version of the same item.
+    pub(super) fn spread(&self, items: Vec<quarantine::Item>) {
+        for item in items {
+            let Ok(bytes) = peer::encode(&vec![item.clone()]) else {
+                continue;
+            };
+            let death = &item.death;
+            let name = format!("{:x}/{}/{}", item.print, death.target, death.boot);
+            let version = 1 + Version::from(item.cleared);
+            let item = Item::new(Id::new(Kind::Suspect, name), version, bytes.to_vec());
+            let item = item.lasting(quarantine::EXPIRY);
+            let _ = self
+                .parts
+                .tasks
+                .news
+                .unbounded_send(news::Message::Put(item));
+        }
+    }
+
+    pub(super) fn hear(&mut self, items: Vec<quarantine::Item>) {
+        let wall = stamp::wall();
+        self.quarantine.on(wall, quarantine::Event::Heard(items));
+    }
+}
+
+fn sample(report: &Report, taken: Duration) -> Sample {
+    match report {
+        Report::Answered(_) | Report::Ended => Sample::Answered(taken),
+        // Whoever doesn't own the key is not overloaded.
+        Report::Refused(refusal) if refusal.is_misdirected() => Sample::Cancelled,
+        Report::Refused(_) => Sample::Shed,
+        Report::Unsent(_) => Sample::Unreachable,
+        Report::Lost => Sample::Lost,
+        Report::Abandoned => Sample::Cancelled,
+    }
+}
--- /dev/null
+++ b/src/entry/router/known.rs
@@ -0,0 +1,141 @@
+//! What the router knows: documents, routes, and the gates and pools that follow from them.
+
+use std::{rc::Rc, time::Duration};
+
+use super::{Name, Router};
+use crate::{
+    document::{Document, Ownership, TargetState},
+    entry::ticket::Plan,
+    group::{Record, build},
+    id::{GroupId, TargetId, Version},
+    key::Point,
+    limit::{Pool, cap::Slots, gate, pick::Policy},
+    request::{Call, Proof, Step, Verdict},
+    route::Owner,
+    vm::notes,
+};
+
+impl Router {
+    pub(super) fn plan(&self, call: &Call, proof: Proof) -> Result<Plan, Verdict> {
+        let Some(document) = self.documents.get(&call.service) else {
+            let reason = "no document in force names this service";
+            let vm = &self.parts.me.vm;
+            return Err(Verdict::not_run(&proof, 404, Step::Route, vm, reason));
+        };
+        let (name, class) = call
+            .class(document)
+            .map_err(|error| error.verdict(&proof))?;
+        Ok(Plan {
+            class: document.classes.get_index_of(name).unwrap_or(0),
+            idempotent: class.idempotent,
+            longest: class.deadline,
+            queue: class.queue,
+            body_limit: document.body_limit,
+            document: document.clone(),
+        })
+    }
+
+    pub(super) fn document(&mut self, document: &Rc<Document>) {
+        let service = document.service.clone();
+        let known = self.documents.insert(service.clone(), document.clone());
+        if known.is_none_or(|known| known.classes != document.classes) {
+            // The gates divide by class: new classes, new gates.
+            self.gates.retain(|(of, _), _| *of != service);
+        }
+        self.set_pool(document);
+        self.resize();
+    }
+
+    /// Tells the pool of a shared service which targets take work.
+    pub(super) fn set_pool(&mut self, document: &Document) {
+        if document.ownership == Ownership::Exclusive {
+            return;
+        }
+        let targets = document.targets.iter();
+        let serving = targets.filter(|(name, target)| {
+            target.state == TargetState::Serving && !self.leaving.contains(*name)
+        });
+        let names: Vec<TargetId> = serving.map(|(name, _)| name.clone()).collect();
+        let pool = self.pools.entry(document.service.clone());
+        let pool = pool.or_insert_with(|| Pool::new(Policy::default()));
+        pool.set(names);
+    }
+
+    /// Takes targets that leave out of the pools; an exclusive one is left to its grantors.
+    pub(super) fn leaving(&mut self, targets: Vec<TargetId>) {
+        let known = self.leaving.len();
+        self.leaving.extend(targets);
+        if self.leaving.len() == known {
+            return;
+        }
+        for document in self.documents.clone().values() {
+            self.set_pool(document);
+        }
+    }
+
+    /// Tells the gates how many slots there are for this VM.
+    pub(super) fn resize(&mut self) {
+        let now = self.parts.clock.now();
+        let names: Vec<Name> = self.gates.keys().cloned().collect();
+        for name in names {
+            let document = self.documents.get(&name.0);
+            let slots = document.and_then(|document| slots(document, &name.1, self.vms));
+            if let Some(slots) = slots {
+                self.gate(now, &name, gate::Event::Slots(slots));
+            }
+        }
+    }
+
+    /// Takes a group's record; a target with another start than before has died.
+    pub(super) fn record(&mut self, group: &GroupId, version: Version, record: Record) {
+        let service = notes::service(group).to_owned();
+        for (target, member) in &record.members {
+            let name = (service.clone(), target.clone());
+            if member.boot.is_empty() {
+                continue;
+            }
+            let before = self.boots.insert(name.clone(), member.boot.clone());
+            if let Some(boot) = before.filter(|boot| *boot != member.boot) {
+                self.died(&name, boot);
+                self.gate(self.parts.clock.now(), &name, gate::Event::Cold);
+            }
+        }
+        let table = self.tables.entry(group.clone()).or_default();
+        table.on_record(version, record);
+    }
+
+    /// Returns the owner of a point.
+    pub(super) fn owner(&self, document: &Document, point: Point) -> Option<Owner> {
+        self.tables.get(&group_of(document, point))?.owner(point)
+    }
+
+    /// Returns until when this VM may send to an owner.
+    pub(super) fn until(
+        &self,
+        document: &Document,
+        point: Point,
+        owner: &Owner,
+    ) -> Option<Duration> {
+        self.tables.get(&group_of(document, point))?.until(owner)
+    }
+}
+
+/// Returns the slots of a target that this VM may count on.
+fn slots(document: &Document, target: &str, vms: u32) -> Option<Slots> {
+    let slots = document.targets.get(target)?.slots;
+    let vms = match document.ownership {
+        Ownership::Exclusive => 1,
+        Ownership::Shared => vms,
+    };
+    Some(Slots { slots, vms })
+}
+
+/// Returns the group whose slice of the hash space holds a point.
+///
+/// The slices are those of [`Range::split`](crate::range::Range::split); this finds one without
+/// making them all.
+fn group_of(document: &Document, point: Point) -> GroupId {
+    let groups = u128::from(document.groups.max(1));
+    let index = ((u128::from(point) + 1) * groups - 1) >> Point::BITS;
+    build::group(&document.service, u32::try_from(index).unwrap_or(0))
+}
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -18,6 +18,7 @@
 pub mod notes;
 pub mod owners;
 pub mod recorder;
+pub mod ticks;
 pub mod wire;
 
 use std::{
--- a/src/vm/news.rs
+++ b/src/vm/news.rs
@@ -11,7 +11,7 @@
 use indexmap::IndexMap;
 use serde::Serialize;
 
-use super::{Parts, Tasks, mail, owners};
+use super::{Parts, Tasks, mail, owners, ticks};
 use crate::{
     document::{self, Document, stored::Stored},
     entry::{desk, ticket},
@@ -142,14 +142,9 @@
 
     /// Serves messages until nobody can send any more.
     pub async fn run(mut self, mut messages: mpsc::UnboundedReceiver<Message>) {
-        let clock = self.parts.clock.clone();
-        let ticks = self.parts.tasks.news.clone();
-        compio::runtime::spawn(async move {
-            while ticks.unbounded_send(Message::Tick).is_ok() {
-                clock.sleep(TICK).await;
-            }
-        })
-        .detach();
+        ticks::start(&self.parts.clock, &self.parts.tasks.news, TICK, || {
+            Message::Tick
+        });
         while let Some(message) = messages.next().await {
             self.on(message);
         }
--- a/src/vm/owners.rs
+++ b/src/vm/owners.rs
@@ -14,7 +14,7 @@
     mail,
     news::{self, Fleet},
     notes::Notes,
-    wire,
+    ticks, wire,
 };
 use crate::{
     document::{Document, Fencing, Ownership},
@@ -113,14 +113,9 @@
 
     /// Serves messages until nobody can send any more.
     pub async fn run(mut self, mut messages: mpsc::UnboundedReceiver<Message>) {
-        let clock = self.parts.clock.clone();
-        let ticks = self.parts.tasks.owners.clone();
-        compio::runtime::spawn(async move {
-            while ticks.unbounded_send(Message::Tick).is_ok() {
-                clock.sleep(TICK).await;
-            }
-        })
-        .detach();
+        ticks::start(&self.parts.clock, &self.parts.tasks.owners, TICK, || {
+            Message::Tick
+        });
         while let Some(message) = messages.next().await {
             self.on(message);
         }
--- /dev/null
+++ b/src/vm/ticks.rs
@@ -0,0 +1,23 @@
+//! Wakes a task from time to time.
+
+use std::time::Duration;
+
+use futures_channel::mpsc;
+
+use crate::clock::Clock;
+
+/// Sends a message to a task at once and then each `period`, until the task has ended.
+pub fn start<M, F>(clock: &Clock, task: &mpsc::UnboundedSender<M>, period: Duration, tick: F)
+where
+    M: 'static,
+    F: Fn() -> M + 'static,
+{
+    let clock = clock.clone();
+    let task = task.clone();
+    compio::runtime::spawn(async move {
+        while task.unbounded_send(tick()).is_ok() {
+            clock.sleep(period).await;
+        }
+    })
+    .detach();
+}
