--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -57,8 +57,6 @@
         StopWithdrawn = "stop-withdrawn",
         /// All grantors of a silent target have stopped and its grants have lapsed for certain.
         TargetReleased = "target-released",
-        /// A grantor gives another no more word, since it is taken for lost.
-        WordWithheld = "word-withheld",
         /// A range lost its owner, at the epoch that it had.
         RangeLost = "range-lost",
         /// A range was given to a target at a new epoch.
--- a/tests/model/mod.rs
+++ b/tests/model/mod.rs
@@ -20,6 +20,7 @@
 use indexmap::{IndexMap, IndexSet};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
+#[allow(unused_imports, reason = "each test program uses a part")]
 pub use faults::{Fault, Lone, Plan, plan};
 use store::Store;
 use watchdog::Watchdog;
