Splits and joins take the next epoch, so that the owner serves the parts

Cause: a split kept the parent's epoch, which a target that checks refuses under other bounds; the parts stayed unserved for good. Ruled out: renewals (they were sent) and the table of routes (it named the owner). Change: both parts of a split, and the whole of a join, take the next epoch. It is written only by a grantor of the owner that has not stopped it, so a release derives from it (design, rule 4).

--- a/src/group/resize.rs
+++ b/src/group/resize.rs
@@ -8,8 +8,11 @@
 
 /// Splits the entry that holds the point so that a new entry starts there.
 ///
-/// Both parts keep the epoch and the chain. A range on its way to another owner stays whole, since
-/// its handover is fixed. Returns whether something changed.
+/// Both parts keep the chain and take the next epoch: a target refuses an epoch that it knows under
+/// other bounds. That is as safe as a change of heirs, since it is made by the same rule: only a
+/// grantor of the owner that has not stopped it may write this, so a release that follows derives
+/// from this record or a later one. A range on its way to another owner stays whole, since its
+/// handover is fixed. Returns whether something changed.
 ///
 /// # Example
 ///
@@ -20,12 +23,14 @@
 /// let mut record = Record { ranges: vec![entry], ..Record::default() };
 /// assert!(resize::split(&mut record, 100));
 /// assert_eq!(record.ranges[1].range.start, 100);
+/// assert!(record.ranges.iter().all(|part| part.epoch == 2));
 /// ```
 pub fn split(record: &mut Record, at: Point) -> bool {
     let fits = |entry: &Entry| entry.range.contains(at) && entry.range.start < at && !entry.moving;
     let Some(index) = record.ranges.iter().position(fits) else {
         return false;
     };
+    record.ranges[index].epoch += 1;
     let mut high = record.ranges[index].clone();
     high.range.start = at;
     record.ranges[index].range.end = at - 1;
@@ -53,9 +58,9 @@
 
 /// Joins an entry with the next one when both have one owner and neither is moving.
 ///
-/// The joined range takes the higher epoch and its heirs: epochs never go back, and no handover
-/// from the lower epoch can exist while a grantor of the owner may still write this. Returns
-/// whether something changed.
+/// The joined range takes the heirs of the higher epoch, and the epoch after it: epochs never go
+/// back, and no handover of either part can exist while a grantor of the owner may still write
+/// this. Returns whether something changed.
 ///
 /// # Example
 ///
@@ -67,7 +72,7 @@
 /// let entry = |range, epoch| Entry { range, epoch, chain: vec!["a".into()], moving: false };
 /// let mut record = Record { ranges: vec![entry(low, 3), entry(high, 2)], ..Record::default() };
 /// assert!(resize::join(&mut record, 0));
-/// assert_eq!(record.ranges, [entry(Range::ALL, 3)]);
+/// assert_eq!(record.ranges, [entry(Range::ALL, 4)]);
 /// ```
 pub fn join(record: &mut Record, index: usize) -> bool {
     let Some([low, high]) = record.ranges.get(index..index + 2) else {
@@ -82,6 +87,7 @@
             start: low.range.start,
             end: high.range.end,
         },
+        epoch: higher.epoch + 1,
         ..higher.clone()
     };
     record.ranges.splice(index..index + 2, [joined]);
