--- a/src/balance.rs
+++ b/src/balance.rs
@@ -19,6 +19,8 @@
 const SPACE: f64 = 0.05;
 /// The share of the space that a target without load may gather, times the number of targets.
 const JOINING: f64 = 1.1;
+/// The least part of the wanted relief for which a range is moved.
+const LEAST: f64 = 0.1;
 /// The most steps of one plan.
 const STEPS: usize = 16;
 /// Neighbours lighter than this share of a target's mean load are joined.
@@ -361,10 +363,7 @@
         .members
         .get(to)
         .map_or(1.0, |member| f64::from(member.slots.max(1)));
-    let want = (heavy.rate - mean)
-        .max(mean - light.rate)
-        .min(heavy.rate - light.rate)
-        * slots;
+    let want = (heavy.rate - light.rate) / 2.0 * slots;
     let room = (JOINING * slots / scale.slots - light.share).max(0.0);
     let space: f64 = record.ranges.iter().map(|entry| entry.range.share()).sum();
     let room = if joining { room * space } else { f64::MAX };
@@ -373,7 +372,7 @@
     let own = |entry: &&Entry| !entry.moving && entry.chain[0] == *from;
     let fits = |entry: &&Entry| {
         let rate = rate(&spread, entry);
-        rate <= want * 1.05 && rate >= want * 0.1 && entry.range.share() <= room
+        rate <= want && rate >= want * LEAST && entry.range.share() <= room
     };
     let entries = || record.ranges.iter().filter(own);
     let best = entries()
--- a/src/grantor/house.rs
+++ b/src/grantor/house.rs
@@ -15,8 +15,8 @@
 
 /// How often the record is looked over.
 const LOOK: Duration = Duration::from_millis(100);
-/// How long an imbalance must last, and how far moves for balance lie apart.
-const BALANCE: Duration = Duration::from_secs(10);
+/// How long owners and members must stand before a move for balance.
+pub(super) const BALANCE: Duration = Duration::from_secs(10);
 /// After how many retry spans a write without any answer is sent again.
 const SILENT_RETRIES: u32 = 10;
 
@@ -69,9 +69,6 @@
         let base = self.version();
         self.wanting = None;
         let touched = touched(&self.view, &record);
-        if !touched.is_empty() {
-            self.balanced = now + BALANCE;
-        }
         self.pending = Some(Pending {
             sequence,
             base,
@@ -149,8 +146,8 @@
         let (_, base) = self.record.as_ref()?;
         let mut next = self.view.clone();
         next.serial += 1;
+        self.replace_vanished(&mut next);
         if !self.is_named() {
-            self.replace_vanished(&mut next);
             return differs(base, &next).then_some((next, false));
         }
         self.rename(&mut next);
@@ -218,8 +215,9 @@
             grantor.session.is_empty() || self.ended.contains(&grantor.session)
         };
         let mut found = false;
-        for trio in next.trios.values_mut() {
-            if !trio.is_empty() && trio.iter().all(|grantor| gone(grantor) && over(grantor)) {
+        for (domain, trio) in &mut next.trios {
+            let other = self.myself(domain).is_none() && !trio.is_empty();
+            if other && trio.iter().all(|grantor| gone(grantor) && over(grantor)) {
                 trio.clear();
                 found = true;
             }
--- a/src/grantor/mod.rs
+++ b/src/grantor/mod.rs
@@ -334,8 +334,11 @@
         self.settle(version, &record, effects);
         self.note_trios(now, &record);
         self.facts.retain(|_, fact| !merge::carries(&record, fact));
+        let moving = record.ranges.iter().filter(|entry| entry.moving);
+        let owners: IndexSet<TargetId> = moving.map(|entry| entry.chain[0].clone()).collect();
         self.record = Some((version, record));
         self.refresh(now);
+        self.hurry(&owners);
         self.derive(now, effects);
     }
 
@@ -367,15 +370,33 @@
         if known || carried || fact.group != self.group {
             return false;
         }
+        let owner = fact.chain.first().map(|heir| heir.target.clone());
         self.facts.insert(key, fact);
         self.refresh(now);
+        self.hurry(owner.as_ref());
         true
     }
 
+    /// Renews these targets at the next tick, since what they own has changed.
+    fn hurry<'a, I>(&mut self, targets: I)
+    where
+        I: IntoIterator<Item = &'a TargetId>,
+    {
+        for target in targets {
+            if let Some(watch) = self.watches.get_mut(target) {
+                watch.asked = None;
+            }
+        }
+    }
+
     /// Works out the view and the watches again.
     fn refresh(&mut self, now: Duration) {
         if let Some((_, record)) = &self.record {
-            self.view = merge::view(record, &self.facts);
+            let view = merge::view(record, &self.facts);
+            if view.ranges != self.view.ranges || view.members != self.view.members {
+                self.balanced = now + house::BALANCE;
+            }
+            self.view = view;
         }
         self.refresh_watches(now);
         self.refresh_marks();
--- a/src/grantor/targets.rs
+++ b/src/grantor/targets.rs
@@ -180,7 +180,10 @@
         };
         let authority = self.has_authority(now, &domain);
         let version = self.version();
-        let fellows = self.fellows(&domain);
+        let mut fellows = self.fellows(&domain);
+        if self.flaw == Flaw::LoneWithdraw {
+            fellows.clear();
+        }
         let timing = self.timing;
         let sequence = self.sequence + 1;
         let needs = self.needs_clean(target, &fellows);
