--- a/src/main.rs
+++ b/src/main.rs
@@ -1,2 +1,57 @@
 //! The one binary.
-fn main() {}
+
+use std::{
+    env,
+    io::{self, Write as _},
+    path::Path,
+    process::ExitCode,
+};
+
+use bramleypier::{
+    chart,
+    cli::{self, Command, Exit, Output},
+    logging, settings,
+    vm::{self, Ending},
+};
+use compio::runtime::Runtime;
+
+fn main() -> ExitCode {
+    let output = match cli::parse(env::args_os().skip(1)) {
+        Ok(Command::Run { settings }) => run(&settings),
+        Ok(command) => cli::execute(command),
+        Err(output) => output,
+    };
+    // A reader that has gone away ends the command no other way.
+    let _ = print(&output);
+    ExitCode::from(output.exit.code())
+}
+
+/// Runs a process until it is told to stop.
+fn run(path: &Path) -> Output {
+    let settings = match settings::load(path) {
+        Ok(settings) => settings,
+        Err(fault) => return Output::plain(Exit::Usage, fault.to_string()),
+    };
+    let started = chart::check_all().map_err(|fault| fault.to_string());
+    let started = started.and_then(|()| logging::start(&settings).map_err(|it| it.to_string()));
+    let runtime = started.and_then(|()| Runtime::new().map_err(|cause| cause.to_string()));
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(cause) => return Output::plain(Exit::Usage, format!("{}: {cause}", path.display())),
+    };
+    match runtime.block_on(vm::run(settings)) {
+        Ok(Ending::Graceful) => Output::plain(Exit::Done, String::new()),
+        Ok(Ending::Cut(count)) => Output::plain(
+            Exit::Failed,
+            format!("cut off {count} connections with a request"),
+        ),
+        Err(error) => Output::plain(Exit::Usage, format!("{}: {error}", path.display())),
+    }
+}
+
+fn print(output: &Output) -> io::Result<()> {
+    if output.complains() {
+        return io::stderr().write_all(output.text.as_bytes());
+    }
+    io::stdout().write_all(output.text.as_bytes())
+}
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -7,18 +7,28 @@
 
 use http::{HeaderName, Method, StatusCode};
 use hyper::{Request, body::Bytes};
+use percent_encoding::{self as percent, AsciiSet};
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::{
     clock::Clock,
     id::{DomainId, LeaseId, Version, VmId},
+    metrics::{self, Metric, Metrics},
     util::{
         body::{self, Body},
         client::{self, Client},
     },
 };
 
+/// The start of all our keys.
+pub const ROOT: &str = "bramleypier/";
+/// The start of the keys of service documents.
+pub const DOCUMENTS: &str = "bramleypier/documents/";
+/// The start of the keys of groups' records.
+pub const GROUPS: &str = "bramleypier/groups/";
+/// The key of the views of orders.
+pub const ORDERS: &str = "bramleypier/orders";
 /// The most connections to the platform; a waiting watch holds one.
 const CONNECTIONS: usize = 8;
 /// How long a call may take.
@@ -38,6 +48,14 @@
 /// Carries the name of the VM that calls.
 const FROM: HeaderName = HeaderName::from_static("bramleypier-from");
 
+/// What is escaped in a path or a query: a bare `#` would cut the rest off.
+const ESCAPED: &AsciiSet = &percent::NON_ALPHANUMERIC
+    .remove(b'/')
+    .remove(b'-')
+    .remove(b'.')
+    .remove(b'_')
+    .remove(b'~');
+
 quick_error! {
     /// Why a call to the platform did not succeed.
     #[derive(Debug)]
@@ -127,6 +145,7 @@
     from: String,
     clock: Clock,
     client: Client,
+    metrics: Option<Metrics>,
 }
 
 /// An answer, read whole.
@@ -144,6 +163,20 @@
             from,
             client: Client::new(clock.clone(), CONNECTIONS),
             clock,
+            metrics: None,
+        }
+    }
+
+    /// Counts the calls, those that failed and those in doubt.
+    #[must_use]
+    pub fn counted(mut self, metrics: Metrics) -> Self {
+        self.metrics = Some(metrics);
+        self
+    }
+
+    fn count(&self, metric: &'static Metric) {
+        if let Some(metrics) = &self.metrics {
+            metrics.count(metric, None, 1);
         }
     }
 
@@ -157,7 +190,7 @@
             .call(
                 "get",
                 Method::GET,
-                &format!("/v1/kv/{key}"),
+                &format!("/v1/kv/{}", escape(key)),
                 &[],
                 Bytes::new(),
             )
@@ -175,7 +208,7 @@
     ///
     /// The service did not answer.
     pub async fn list(&self, prefix: &str) -> Result<Listing, Error> {
-        self.read("list", &format!("/v1/list?prefix={prefix}"))
+        self.read("list", &format!("/v1/list?prefix={}", escape(prefix)))
             .await
     }
 
@@ -185,8 +218,11 @@
     ///
     /// The service did not answer.
     pub async fn watch(&self, prefix: &str, since: Version) -> Result<Listing, Error> {
-        self.read("watch", &format!("/v1/watch?prefix={prefix}&since={since}"))
-            .await
+        self.read(
+            "watch",
+            &format!("/v1/watch?prefix={}&since={since}", escape(prefix)),
+        )
+        .await
     }
 
     /// Lists the VMs, with a lag.
@@ -313,7 +349,13 @@
         value: Bytes,
     ) -> Result<Put, Error> {
         let answer = self
-            .call(step, method, &format!("/v1/kv/{key}"), headers, value)
+            .call(
+                step,
+                method,
+                &format!("/v1/kv/{}", escape(key)),
+                headers,
+                value,
+            )
             .await?;
         match answer.status {
             StatusCode::OK => Ok(Put::Won(answer.version)),
@@ -323,6 +365,7 @@
         }
     }
 
+    /// Makes a call and counts how it ended.
     async fn call(
         &self,
         step: &'static str,
@@ -330,6 +373,25 @@
         path: &str,
         headers: &[(HeaderName, String)],
         value: Bytes,
+    ) -> Result<Answer, Error> {
+        self.count(&metrics::PLATFORM_CALLS);
+        let is_write = method == Method::PUT || method == Method::DELETE;
+        let result = self.exchange(step, method, path, headers, value).await;
+        match &result {
+            Ok(_) => {}
+            Err(Error::Doubt(..)) if is_write => self.count(&metrics::PLATFORM_DOUBT),
+            Err(_) => self.count(&metrics::PLATFORM_FAILED),
+        }
+        result
+    }
+
+    async fn exchange(
+        &self,
+        step: &'static str,
+        method: Method,
+        path: &str,
+        headers: &[(HeaderName, String)],
+        value: Bytes,
     ) -> Result<Answer, Error> {
         let mut request = Request::builder()
             .method(method)
@@ -383,3 +445,8 @@
         Error::Failed(step, self.address, format!("status {status}"))
     }
 }
+
+/// Returns a key or a prefix as it is written in a path or a query.
+fn escape(key: &str) -> percent::PercentEncode<'_> {
+    percent::utf8_percent_encode(key, ESCAPED)
+}
--- a/src/util/client.rs
+++ b/src/util/client.rs
@@ -14,7 +14,6 @@
 };
 
 use compio::net::TcpStream;
-use cyper_core::HyperStream;
 use hyper::{
     Request, Response,
     body::Incoming,
@@ -24,7 +23,10 @@
 use indexmap::IndexMap;
 use quick_error::quick_error;
 
-use crate::{clock::Clock, util::body::Body};
+use crate::{
+    clock::Clock,
+    util::{body::Body, stream::Stream},
+};
 
 /// How long a new connection may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -60,6 +62,11 @@
 }
 
 impl Error {
+    /// Returns whether nobody listens at the peer's address.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Connect(_, cause) if cause.kind() == io::ErrorKind::ConnectionRefused)
+    }
+
     /// Returns whether it is certain that no byte of the request left.
     pub fn unsent(&self) -> bool {
         match self {
@@ -192,7 +199,7 @@
         let _ = stream.set_nodelay(true);
         let written = Rc::new(Cell::new(0));
         let counted = Counted {
-            stream: HyperStream::new_plain(stream),
+            stream: Stream::new(stream),
             written: written.clone(),
         };
         let (sender, task) = http1::handshake(counted)
--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -5,4 +5,6 @@
 pub mod decimal;
 pub mod fields;
 pub mod ini;
+pub mod names;
 pub mod server;
+pub mod stream;
--- /dev/null
+++ b/src/vm/admin.rs
@@ -0,0 +1,170 @@
+//! Answers peers and operators on the address for peers.
+
+use futures_channel::oneshot;
+use http::{HeaderValue, Method, StatusCode};
+use hyper::{Request, Response, body::Incoming};
+use serde::Serialize;
+
+use super::{Parts, life::Shown, mail, news, owners, wire};
+use crate::{
+    admin::{self, Question, Status},
+    entry::{desk, reply},
+    id::VmId,
+    peer::{self, Batch, Observer as _},
+    util::{
+        body::{self, Body},
+        server::Control,
+    },
+};
+
+/// The largest probe, piece of news or question that is read, in bytes.
+const CALL_LIMIT: usize = 4 * 1024 * 1024;
+
+/// What answering takes.
+#[derive(Clone, Debug)]
+pub struct Admin {
+    parts: Parts,
+    callers: Control,
+    life: Shown,
+}
+
+impl Admin {
+    /// Creates the handler of a process.
+    pub fn new(parts: Parts, callers: Control, life: Shown) -> Self {
+        Self {
+            parts,
+            callers,
+            life,
+        }
+    }
+
+    /// Answers one request.
+    pub async fn handle(self, request: Request<Incoming>) -> Response<Body> {
+        let (head, body) = request.into_parts();
+        let recorder = self.parts.recorder.clone();
+        if let Some(stamp) = peer::stamp(&head.headers) {
+            recorder.receive(stamp);
+        }
+        let mut response = match (&head.method, head.uri.path()) {
+            (&Method::POST, peer::BATCH_PATH) => self.batch(body).await,
+            (&Method::POST, news::GOSSIP_PATH) => self.gossip(body).await,
+            (method, path) => self.question(method, path, body).await,
+        };
+        let stamp = HeaderValue::from(recorder.stamp());
+        response.headers_mut().insert(peer::STAMP, stamp);
+        response
+    }
+
+    async fn batch(self, body: Incoming) -> Response<Body> {
+        let Ok(bytes) = body::read(body, peer::BATCH_LIMIT).await else {
+            return bad("cut short or too long\n");
+        };
+        let Ok(batch) = peer::decode::<Batch<wire::Message>>(&bytes) else {
+            return bad("not a batch\n");
+        };
+        let seen = mail::Message::Seen(batch.from.clone(), batch.address);
+        let _ = self.parts.tasks.mail.unbounded_send(seen);
+        for message in batch.messages {
+            self.deliver(&batch.from, message);
+        }
+        Response::new(Body::empty())
+    }
+
+    /// Hands a message to the task that it is for.
+    fn deliver(&self, from: &VmId, message: wire::Message) {
+        match message {
+            wire::Message::Grantor(group, message) => {
+                let message = owners::Message::Peer(from.clone(), group, message);
+                let _ = self.parts.tasks.owners.unbounded_send(message);
+            }
+            wire::Message::Order(message) => {
+                let message = desk::Message::Peer(from.clone(), message);
+                let _ = self.parts.tasks.desk.unbounded_send(message);
+            }
+        }
+    }
+
+    async fn gossip(self, body: Incoming) -> Response<Body> {
+        let Ok(bytes) = body::read(body, CALL_LIMIT).await else {
+            return bad("cut short or too long\n");
+        };
+        let Ok(envelope) = peer::decode(&bytes) else {
+            return bad("not a probe or news\n");
+        };
+        let (sender, answer) = oneshot::channel();
+        let message = news::Message::Asked(envelope, sender);
+        let _ = self.parts.tasks.news.unbounded_send(message);
+        match answer.await.map(|answer| peer::encode(&answer)) {
+            Ok(Ok(bytes)) => Response::new(Body::from(bytes)),
+            _ => reply::plain(StatusCode::SERVICE_UNAVAILABLE, "no answer\n"),
+        }
+    }
+
+    async fn question(self, method: &Method, path: &str, body: Incoming) -> Response<Body> {
+        let Ok(bytes) = body::read(body, CALL_LIMIT).await else {
+            return bad("cut short or too long\n");
+        };
+        match Question::read(method, path, &bytes) {
+            Ok(Question::Status) => json(&self.status().await),
+            Ok(Question::Timeline(filter)) => json(&self.parts.recorder.part(&filter)),
+            Err(error) => {
+                let mut response = Response::new(Body::from(format!("{error}\n")));
+                *response.status_mut() = StatusCode::NOT_FOUND;
+                response
+            }
+        }
+    }
+
+    async fn status(&self) -> Status {
+        let (sender, news) = oneshot::channel();
+        let _ = self
+            .parts
+            .tasks
+            .news
+            .unbounded_send(news::Message::Status(sender));
+        let (sender, owners) = oneshot::channel();
+        let _ = self
+            .parts
+            .tasks
+            .owners
+            .unbounded_send(owners::Message::Status(sender));
+        let news = news.await.unwrap_or_default();
+        let owners = owners.await.unwrap_or_default();
+        Status {
+            vm: self.parts.me.vm.clone(),
+            domain: self.parts.me.domain.clone(),
+            state: self.life.name().to_owned(),
+            platform: news.is_reached.unwrap_or(true),
+            peers: news.members.len() as u64,
+            documents: news.documents,
+            duties: duties(news.is_watcher, &owners),
+            active: self.callers.open() as u64,
+            measures: self.parts.recorder.measures(),
+            totals: self.parts.recorder.metrics().totals(),
+            members: news.members,
+            groups: owners.groups,
+        }
+    }
+}
+
+fn duties(is_watcher: bool, owners: &owners::Status) -> Vec<String> {
+    let watcher = is_watcher.then(|| "watcher".to_owned());
+    let named = owners.groups.iter().filter(|(_, group)| group.is_grantor);
+    let grantor = named.map(|(name, _)| format!("grantor of {name}"));
+    watcher.into_iter().chain(grantor).collect()
+}
+
+fn bad(text: &'static str) -> Response<Body> {
+    reply::plain(StatusCode::BAD_REQUEST, text)
+}
+
+/// Makes an answer in JSON.
+fn json<T>(value: &T) -> Response<Body>
+where
+    T: Serialize,
+{
+    match admin::write(value) {
+        Ok(bytes) => Response::new(Body::from(bytes)),
+        Err(_) => reply::plain(StatusCode::INTERNAL_SERVER_ERROR, "can't be written\n"),
+    }
+}
