--- a/src/balance.rs
+++ b/src/balance.rs
@@ -12,9 +12,9 @@
 };
 
 /// The imbalance that is let be when churn and unavailable time weigh the same.
-const THRESHOLD: f64 = 0.08;
+const THRESHOLD: f64 = 0.1;
 /// The least and the greatest imbalance that weights can make of it.
-const THRESHOLDS: (f64, f64) = (0.05, 0.12);
+const THRESHOLDS: (f64, f64) = (0.06, 0.12);
 /// The share of the weight that the size of a range has, against its load.
 const SPACE: f64 = 0.05;
 /// The share of the space that a target without load may gather, times the number of targets.
