--- a/tests/model/faults.rs
+++ b/tests/model/faults.rs
@@ -150,8 +150,8 @@
             run.map_err(|fault| told(&world, fault))?;
             world.strike(*fault);
         }
-        let last = world.time + Duration::from_secs(9);
-        world.run(last).map_err(|fault| told(&world, fault))?;
+        let healed = world.time + Duration::from_secs(9);
+        world.run(healed).map_err(|fault| told(&world, fault))?;
         world.heal();
         let end = world.time + CALM;
         world.run(end).map_err(|fault| told(&world, fault))?;
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -8,11 +8,11 @@
 use proptest::{prelude::*, test_runner::RngSeed};
 
 fn config() -> ProptestConfig {
-    let cases = std::env::var("BRAMLEYPIER_CASES");
+    let read = |name: &str| std::env::var(name).ok()?.parse().ok();
     ProptestConfig {
-        cases: cases.ok().and_then(|text| text.parse().ok()).unwrap_or(24),
+        cases: read("BRAMLEYPIER_CASES").unwrap_or(24),
         failure_persistence: None,
-        rng_seed: RngSeed::Fixed(20_261_202),
+        rng_seed: RngSeed::Fixed(read("BRAMLEYPIER_SEED").map_or(20_261_202, u64::from)),
         max_shrink_iters: 400,
         ..ProptestConfig::default()
     }
