--- a/examples/role_slopes.rs
+++ b/examples/role_slopes.rs
@@ -83,7 +83,6 @@
         .map(|number| Candidate {
             vm: format!("vm-{number}#1764710000000"),
             domain: format!("domain-{}", number % 3),
-            session: format!("lease-{number}"),
         })
         .collect();
     build::first("tracking/0", 1, &document(ranges)?, &candidates)
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -19,7 +19,6 @@
     let live = DOMAINS.map(|domain| Candidate {
         vm: format!("vm-{domain}"),
         domain: domain.into(),
-        session: String::new(),
     });
     let mut record = build::first(model::GROUP, 1, &document, &live).unwrap();
     for (target, member) in &mut record.members {
--- a/tests/ownership_flaws.rs
+++ b/tests/ownership_flaws.rs
@@ -53,13 +53,33 @@
 flaws! {
     granting_without_a_word: WordIgnored,
         plans(|who| vec![(4000, Fault::Strand(who, 8000, 15))]);
-    striking_before_the_session_is_over: EarlyStrike,
-        plans(|who| vec![(4000, Fault::Strand(who, 8000, 35))]);
-    striking_while_a_fellow_gives_words: WordsLive,
+    counting_reads_from_their_receipt: ReadLate,
+        (0..120)
+            .map(|who| Plan {
+                noise: (0, 300, 0),
+                ..plan(who as u64, &[
+                    (4000, Fault::Strand(who % 6, 8000, 35)),
+                    (4700 + 20 * (who / 6) as u64, Fault::Strand(who % 6, 8000, 47)),
+                ])
+            })
+            .collect::<Vec<_>>();
+    counting_words_from_their_receipt: WordLate,
+        (0..54)
+            .map(|who| Plan {
+                noise: (0, 250, 0),
+                ..plan(who as u64, &[(4000, Fault::Strand(who, 8000, 13))])
+            })
+            .collect::<Vec<_>>();
+    releasing_before_the_strike_is_adopted: StrikeUnadopted,
         plans(|who| vec![
             (4000, Fault::Strand(who, 8000, 31)),
             (5000, Fault::Island(who, 7000)),
         ]);
+    striking_twice_at_once: StrikeTwice,
+        plans(|who| vec![
+            (4000, Fault::Strand(who, 8000, 31)),
+            (4000, Fault::Island(who, 7000)),
+        ]);
     releasing_before_the_grant_lapses: NoWait,
         (0..60).map(|seed| plan(seed, &[(4000, Fault::MuteTarget(0, 5000))])).collect::<Vec<_>>();
     releasing_by_the_own_stop_alone: LoneStop,
@@ -84,11 +104,13 @@
     keeping_the_epoch: EpochKept,
         [plan(1, &[(4000, Fault::KillTarget(0))])];
     taking_heirs_from_an_old_record: OldHeirs,
-        [plan(1, &[
-            (4000, Fault::Dumb(5, 9000)),
-            (4100, Fault::Leave(1)),
-            (4700, Fault::KillTarget(0)),
-        ])];
+        (0..45)
+            .map(|who| plan(1, &[
+                (3750, Fault::KillTarget(0)),
+                (4000, Fault::Dumb(who % 9, 9000)),
+                (4020, Fault::Leave(1 + who / 9)),
+            ]))
+            .collect::<Vec<_>>();
     starting_a_new_grantor_unstopped: NewUnstopped,
         plans(|who| vec![(4000, Fault::Strand(who, 8000, 15))]);
     moving_without_confirmation: UnconfirmedMove,
