--- a/src/grantor/house.rs
+++ b/src/grantor/house.rs
@@ -233,10 +233,32 @@
             Flaw::StrikeTwice => missed.len(),
             _ => 1,
         };
-        gone.into_iter()
-            .chain(own)
-            .chain(missed.into_iter().take(most))
-            .collect()
+        let missed = missed.into_iter().take(most);
+        let lost: Vec<VmId> = gone.into_iter().chain(own).chain(missed).collect();
+        if lost.is_empty() {
+            return self.insider(now, domain).into_iter().collect();
+        }
+        lost
+    }
+
+    /// Returns a grantor that stands in the failure domain that it grants to, once there are others.
+    ///
+    /// The first VMs of a fleet may have to grant to their own domain; its loss would take them
+    /// along with their targets.
+    fn insider(&self, now: Duration, domain: &str) -> Option<VmId> {
+        let others = self.candidates(now);
+        let outside = others.iter().filter(|other| other.domain != domain);
+        if outside.count() < 2 || !self.is_settled(domain) {
+            return None;
+        }
+        let inside = |vm: &VmId| {
+            let mut live = self.live.iter();
+            live.any(|live| live.vm == *vm && live.domain == domain)
+        };
+        let trio = self.trio(domain).iter();
+        trio.map(|grantor| &grantor.vm)
+            .find(|vm| inside(vm))
+            .cloned()
     }
 
     /// Replaces the grantors of failure domains whose whole trio is gone from the platform's list.
