Ranges move by what callers ask for; owners that don't check grants are left where they are

The logic that splits hot ranges and moves load was there, but heard of no load. Each VM counts its own requests, a fair sample behind the balancer, in bounded memory, and tells its grantors every 5 s. A planned move costs an unchecked owner's keys some 6 s (its senders' leases and what is in flight), so load alone no longer moves those.

--- /dev/null
+++ b/src/entry/demand.rs
@@ -0,0 +1,123 @@
+//! How much each range and each hot key is asked for, from this VM's own requests.
+//!
+//! The balancer spreads callers over all VMs alike, so what one VM sees is a fair sample of the whole;
+//! only the proportions matter. Memory is bounded: hot points are found by Misra and Gries' counting,
+//! which misses none that has more than one in [`POINTS`] of a group's requests.
+
+use indexmap::IndexMap;
+
+use crate::{grantor::Load, key::Point, range::Range};
+
+/// How many points are counted at a time.
+pub const POINTS: usize = 512;
+/// The part of a group's requests from which a point is told apart from its range.
+const HOT: f64 = 0.005;
+/// What is left of the counts after each reading, so that they follow what changes.
+const KEPT: f64 = 0.7;
+
+/// The demand on one group.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier::{entry::demand::Demand, range::Range};
+///
+/// let mut demand = Demand::default();
+/// for _ in 0..100 {
+///     demand.count(Range::ALL, 7);
+/// }
+/// let loads = demand.read();
+/// assert!(loads.iter().any(|load| load.range == Range { start: 7, end: 7 }));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Demand {
+    ranges: IndexMap<Range, f64>,
+    points: IndexMap<Point, f64>,
+}
+
+impl Demand {
+    /// Counts a request for a point of a range.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::{entry::demand::Demand, range::Range};
+    ///
+    /// let mut demand = Demand::default();
+    /// demand.count(Range::ALL, 7);
+    /// ```
+    pub fn count(&mut self, range: Range, point: Point) {
+        *self.ranges.entry(range).or_default() += 1.0;
+        if let Some(count) = self.points.get_mut(&point) {
+            *count += 1.0;
+        } else if self.points.len() < POINTS {
+            self.points.insert(point, 1.0);
+        } else {
+            self.points.retain(|_, count| {
+                *count -= 1.0;
+                *count > 0.0
+            });
+        }
+    }
+
+    /// Returns the loads in ranges that share no point, and lets older counts fade.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier::entry::demand::Demand;
+    ///
+    /// assert!(Demand::default().read().is_empty());
+    /// ```
+    pub fn read(&mut self) -> Vec<Load> {
+        let total: f64 = self.ranges.values().sum();
+        let least = (total * HOT).max(1.0);
+        let hot = self.points.iter().filter(|(_, count)| **count > least);
+        let mut hot: Vec<(Point, f64)> = hot.map(|(point, count)| (*point, *count)).collect();
+        hot.sort_by_key(|(point, _)| *point);
+        let ranges = self.ranges.iter();
+        let loads = ranges.flat_map(|(range, count)| pieces(*range, *count, &hot));
+        let loads = loads.collect();
+        self.fade();
+        loads
+    }
+
+    fn fade(&mut self) {
+        let fade = |count: &mut f64| {
+            *count *= KEPT;
+            *count >= 1.0
+        };
+        self.ranges.retain(|_, count| fade(count));
+        self.points.retain(|_, count| fade(count));
+    }
+}
+
+/// Divides a range's load into its hot points and what lies between them.
+fn pieces(range: Range, count: f64, hot: &[(Point, f64)]) -> Vec<Load> {
+    let inside = hot.iter().filter(|(point, _)| range.contains(*point));
+    let inside: Vec<&(Point, f64)> = inside.collect();
+    let hottest: f64 = inside.iter().map(|(_, count)| count).sum();
+    let rest = (count - hottest).max(0.0) / range.share();
+    let mut loads = Vec::new();
+    let mut next = Some(range.start);
+    let between = |start: Point, end: Point| {
+        let range = Range { start, end };
+        let rate = rest * range.share();
+        Load { range, rate }
+    };
+    for (point, rate) in inside {
+        if let Some(start) = next.filter(|start| start < point) {
+            loads.push(between(start, point - 1));
+        }
+        let range = Range {
+            start: *point,
+            end: *point,
+        };
+        loads.push(Load { range, rate: *rate });
+        next = point.checked_add(1);
+    }
+    if let Some(start) = next.filter(|start| *start <= range.end) {
+        loads.push(between(start, range.end));
+    }
+    loads
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -4,12 +4,14 @@
 //! outcomes of orders) belongs to other tasks, which it asks by messages.
 //!
 //! - [`router`] says where a request may go, and when;
+//! - [`demand`] counts what is asked for;
 //! - [`ticket`] is what a request and the router say to each other;
 //! - [`desk`] says whether an order may run;
 //! - [`forward`] sends it and classifies what came back;
 //! - [`payload`] keeps or passes on what the caller sent;
 //! - [`reply`] makes answers of our own, and passes a target's on.
 
+pub mod demand;
 pub mod desk;
 pub mod forward;
 pub mod passing;
--- a/src/entry/router/admission.rs
+++ b/src/entry/router/admission.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use super::{Flight, Goal, Miss, Name, Router, Waiting};
+use super::{Flight, Goal, Miss, Name, Router, Waiting, known::group_of};
 use crate::{
     document::{Document, Fencing, Ownership},
     entry::ticket::{Ask, COME_BACK, Message, Permit, Reply, Ticket},
@@ -146,6 +146,11 @@
             self.gate(now, &name, gate::Event::Done { ticket, sample });
             return self.again(ask, reply, pause.min(SUSPECT_PAUSE));
         }
+        if let Some(owner) = &goal.owner {
+            let group = group_of(&ask.plan.document, ask.point);
+            let demand = self.demands.entry(group).or_default();
+            demand.count(owner.range, ask.point);
+        }
         let boot = match &goal.owner {
             Some(owner) => owner.boot.clone(),
             None => shared_boot(),
@@ -319,6 +324,7 @@
 
     pub(super) fn tick(&mut self) {
         let now = self.parts.clock.now();
+        self.tell_demand(now);
         let left = self
             .waiting
             .iter()
--- a/src/entry/router/known.rs
+++ b/src/entry/router/known.rs
@@ -12,9 +12,12 @@
     limit::{Pool, cap::Slots, gate, pick::Policy},
     request::{Call, Proof, Step, Verdict},
     route::Owner,
-    vm::notes,
+    vm::{notes, owners},
 };
 
+/// How often the grantors hear what is asked for.
+const DEMAND_PERIOD: Duration = Duration::from_secs(5);
+
 impl Router {
     pub(super) fn plan(&self, call: &Call, proof: Proof) -> Result<Plan, Verdict> {
         let Some(document) = self.documents.get(&call.service) else {
@@ -104,6 +107,18 @@
         table.on_record(version, record);
     }
 
+    /// Tells the grantors what is asked for, from time to time.
+    pub(super) fn tell_demand(&mut self, now: Duration) {
+        if now < self.next_demand {
+            return;
+        }
+        self.next_demand = now + DEMAND_PERIOD;
+        for (group, demand) in &mut self.demands {
+            let message = owners::Message::Load(group.clone(), demand.read());
+            let _ = self.parts.tasks.owners.unbounded_send(message);
+        }
+    }
+
     /// Returns the owner of a point.
     pub(super) fn owner(&self, document: &Document, point: Point) -> Option<Owner> {
         self.tables.get(&group_of(document, point))?.owner(point)
@@ -134,7 +149,7 @@
 ///
 /// The slices are those of [`Range::split`](crate::range::Range::split); this finds one without
 /// making them all.
-fn group_of(document: &Document, point: Point) -> GroupId {
+pub(super) fn group_of(document: &Document, point: Point) -> GroupId {
     let groups = u128::from(document.groups.max(1));
     let index = ((u128::from(point) + 1) * groups - 1) >> Point::BITS;
     build::group(&document.service, u32::try_from(index).unwrap_or(0))
--- a/src/entry/router/mod.rs
+++ b/src/entry/router/mod.rs
@@ -1,9 +1,9 @@
 //! The router's task: it owns documents, routes, limits, retries and the quarantine, and says where
 //! a request may go, and when.
 //!
-//! - [`known`] is what it knows;
-//! - [`admission`] is a request's way to a target;
-//! - [`ending`] is what it learns from how an attempt ended.
+//! - `known` is what it knows;
+//! - `admission` is a request's way to a target;
+//! - `ending` is what it learns from how an attempt ended.
 
 mod admission;
 mod ending;
@@ -17,7 +17,10 @@
 use indexmap::{IndexMap, IndexSet};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
-use super::ticket::{Ask, Message, Reply, Ticket};
+use super::{
+    demand::Demand,
+    ticket::{Ask, Message, Reply, Ticket},
+};
 use crate::{
     document::Document,
     grantor::Timing,
@@ -82,6 +85,8 @@
     quarantine: Quarantine,
     waiting: IndexMap<Ticket, Waiting>,
     flights: IndexMap<Ticket, Flight>,
+    demands: IndexMap<GroupId, Demand>,
+    next_demand: Duration,
     vms: u32,
     next_ticket: Ticket,
     random: RefCell<StdRng>,
@@ -112,6 +117,8 @@
             quarantine: Quarantine::default(),
             waiting: IndexMap::new(),
             flights: IndexMap::new(),
+            demands: IndexMap::new(),
+            next_demand: Duration::ZERO,
             vms: 1,
             next_ticket: 0,
             random: RefCell::new(StdRng::seed_from_u64(seed)),
--- a/src/grantor/house.rs
+++ b/src/grantor/house.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     balance,
+    document::Fencing,
     grantor::{Effect, Event, Grantor, Kind, Outcome, Pending, flaw::Flaw, note},
     group::{self, Entry, Record, build, build::Candidate, heirs},
     id::{DomainId, TargetId, Version, VmId},
@@ -400,7 +401,14 @@
         if now < self.balanced {
             return;
         }
-        let steps = balance::plan(next, &self.loads, document, tends);
+        // An owner that doesn't check grants pays for each move with seconds without service: its
+        // ranges move only when they must.
+        let checks = |target: &str| {
+            let member = next.members.get(target);
+            member.is_some_and(|member| member.fencing == Fencing::Checked)
+        };
+        let may = |target: &str| tends(target) && checks(target);
+        let steps = balance::plan(next, &self.loads, document, may);
         balance::apply(next, &steps);
     }
 
--- a/src/vm/owners.rs
+++ b/src/vm/owners.rs
@@ -48,6 +48,8 @@
     Document(Version, Rc<Document>),
     /// A group's record was read.
     Record(GroupId, Version, Bytes),
+    /// What callers ask a group for.
+    Load(GroupId, Vec<grantor::Load>),
     /// A handover was heard of.
     Fact(Handover),
     /// Another VM writes.
@@ -147,6 +149,7 @@
                 self.feed(&group, *event);
             }
             Message::Listed(list) => self.listed(&list),
+            Message::Load(group, loads) => self.feed(&group, Event::Load { loads }),
             Message::Leave => self.feed_all(&Event::Retire),
             Message::Status(reply) => {
                 let _ = reply.send(self.status());
