--- a/examples/role_slopes/grants.rs
+++ b/examples/role_slopes/grants.rs
@@ -109,9 +109,13 @@
                 sequence,
                 record,
             } => self.write(vm, base, sequence, *record),
-            Effect::Read => {
+            Effect::Read { asked } => {
                 let (version, record) = self.record.clone();
-                let event = Event::Record { version, record };
+                let event = Event::Read {
+                    asked,
+                    version,
+                    record,
+                };
                 self.events.push((vm.clone(), event));
             }
             _ => {}
