A slot that is no class's own goes to who had least for its share

Ruled out: counting requests, since a long file would then hold the slot for far more than its share; dropping all credit of a class that is idle for a moment, since look-ups behind a file would lose what they are owed.

Change: each class keeps for how long its requests have held slots, for each percent of its share. The last free slot is left to a waiting class without a slot of its own and nothing in flight, if it has had least of all that wait; one with slots of its own goes first where both had as little. A class that leaves its own slots unused starts at the least of the busy others: it hoards nothing.

Conclusion: no class starves at a small limit. Work in flight counts only as it ends, so a class may be put off for what was in flight as the limit shrank.

--- a/src/limit/gate.rs
+++ b/src/limit/gate.rs
@@ -22,6 +22,9 @@
 /// The longest time to come back.
 const RETRY_MAX: Duration = Duration::from_secs(30);
 
+/// What a request counts for at the least, however soon it ends.
+const LEAST_HOLD: Duration = Duration::from_micros(1);
+
 /// The caller's number of a request; never used twice.
 pub type Ticket = u64;
 
@@ -97,7 +100,7 @@
 pub struct Gate {
     cap: Cap,
     lanes: IndexMap<String, Queue>,
-    flying: IndexMap<Ticket, usize>,
+    flying: IndexMap<Ticket, Flight>,
     draining: bool,
 }
 
@@ -109,9 +112,24 @@
     used: u32,
     /// Seconds that a request takes.
     hold: Option<f64>,
+    /// For how long its requests have held slots, for each percent of its share.
+    passed: Duration,
     rate: Rate,
 }
 
+impl Queue {
+    fn is_idle(&self) -> bool {
+        self.waiting.is_empty() && self.used == 0
+    }
+}
+
+/// A request that was sent.
+#[derive(Clone, Copy, Debug)]
+struct Flight {
+    lane: usize,
+    since: Duration,
+}
+
 #[derive(Debug)]
 struct Waiting {
     ticket: Ticket,
@@ -168,6 +186,7 @@
             waiting: VecDeque::new(),
             used: 0,
             hold: None,
+            passed: Duration::ZERO,
             rate: Rate::default(),
         };
         Self {
@@ -281,12 +300,13 @@
         if let Some(wait) = closed.filter(|wait| *wait > longest) {
             return refuse(Why::Closed, wait);
         }
+        self.level(index);
         if !self.would_send(index, now) && self.expected(index).is_none_or(|wait| wait > longest) {
             self.cap.used_up();
             return refuse(Why::Queue, self.retry(index, ticket));
         }
         let lane = &mut self.lanes[index];
-        if lane.waiting.is_empty() && lane.used == 0 {
+        if lane.is_idle() {
             lane.rate.wake(now);
         }
         let until = now + longest;
@@ -294,6 +314,27 @@
         None
     }
 
+    /// Brings a class that leaves slots of its own unused up to the least of the busy others, and to
+    /// all that was had if none is busy: what it left unused was lent, and is not owed.
+    fn level(&mut self, index: usize) {
+        let lane = &self.lanes[index];
+        if !lane.waiting.is_empty() || lane.used >= self.own(index).max(1) {
+            return;
+        }
+        let others = self.lanes.values().enumerate();
+        let others = others.filter(|(other, lane)| *other != index && !lane.is_idle());
+        let least = others.map(|(_, lane)| lane.passed).min();
+        let most = self.lanes.values().map(|lane| lane.passed).max();
+        let floor = least.or(most).unwrap_or_default();
+        let lane = &mut self.lanes[index];
+        lane.passed = lane.passed.max(floor);
+    }
+
+    fn own(&self, index: usize) -> u32 {
+        let shares: Vec<_> = self.lanes.values().map(|lane| lane.share).collect();
+        share::own(self.cap.limit(), &shares)[index]
+    }
+
     fn would_send(&self, index: usize, now: Duration) -> bool {
         let lane = &self.lanes[index];
         let lanes = self.view();
@@ -316,8 +357,7 @@
     /// its own slots give.
     fn rate(&self, index: usize) -> Option<f64> {
         let lane = &self.lanes[index];
-        let shares: Vec<_> = self.lanes.values().map(|lane| lane.share).collect();
-        let own = share::own(self.cap.limit(), &shares)[index].max(1);
+        let own = self.own(index).max(1);
         let least = f64::from(own) / lane.hold?.max(1e-6);
         // What is in flight beyond the target's slots waits there: holds are longer than work.
         Some(lane.rate.measured.map_or(least, |rate| rate.max(least)))
@@ -329,11 +369,14 @@
     }
 
     fn done(&mut self, now: Duration, ticket: Ticket, sample: Sample) {
-        let Some(index) = self.flying.swap_remove(&ticket) else {
+        let Some(flight) = self.flying.swap_remove(&ticket) else {
             return;
         };
-        let (class, lane) = self.lanes.get_index_mut(index).expect("lanes stay");
+        let lane = self.lanes.get_index_mut(flight.lane);
+        let (class, lane) = lane.expect("lanes stay");
         lane.used -= 1;
+        let held = now.saturating_sub(flight.since).max(LEAST_HOLD);
+        lane.passed += held / lane.share.max(1);
         if let Sample::Answered(latency) = sample {
             let taken = latency.as_secs_f64();
             lane.hold = Some(lane.hold.map_or(taken, |hold| blend(hold, taken, PART)));
@@ -392,7 +435,11 @@
                 break;
             };
             lane.used += 1;
-            self.flying.insert(next.ticket, index);
+            let flight = Flight {
+                lane: index,
+                since: now,
+            };
+            self.flying.insert(next.ticket, flight);
             effects.push(Effect::Admit(next.ticket));
         }
         if self.waiting() > 0 {
@@ -408,6 +455,7 @@
             waiting: lane.waiting.len(),
             hold: seconds(lane.hold.unwrap_or_default()),
             queue: lane.longest,
+            passed: lane.passed,
         };
         self.lanes.values().map(view).collect()
     }
--- a/src/limit/share.rs
+++ b/src/limit/share.rs
@@ -15,6 +15,8 @@
     pub hold: Duration,
     /// How long one of its requests may wait.
     pub queue: Duration,
+    /// For how long its requests have held slots so far, for each percent of its share.
+    pub passed: Duration,
 }
 
 /// Returns how many of `limit` slots belong to each class, by largest remainder.
@@ -44,7 +46,9 @@
 
 /// Returns whether a request of the class `index` may be sent now.
 ///
-/// - A class below its own slots may, as long as any slot is free.
+/// - A class below its own slots may, as long as any slot is free. The last free one is left to a
+///   waiting class that has no slot of its own, and none in flight, if that class has had least for
+///   its share of all that wait: by time, so that long work gets no more of a slot than short.
 /// - Beyond them it borrows, and only while no class below its own slots waits.
 /// - Work that ends sooner than the lender's requests may wait can borrow everything: the lender
 ///   has its slots back in time. Longer work leaves half of each lender's idle slots free, rounded
@@ -60,8 +64,9 @@
 /// use bramleypier::limit::share::{self, Lane};
 ///
 /// let ms = Duration::from_millis;
-/// let lookup = Lane { share: 75, used: 0, waiting: 0, hold: ms(5), queue: ms(50) };
-/// let file = Lane { share: 25, used: 2, waiting: 1, hold: ms(900), queue: ms(500) };
+/// let passed = Duration::ZERO;
+/// let lookup = Lane { share: 75, used: 0, waiting: 0, hold: ms(5), queue: ms(50), passed };
+/// let file = Lane { share: 25, used: 2, waiting: 1, hold: ms(900), queue: ms(500), passed };
 /// assert!(!share::may_send(4, &[lookup, file], 1)); // two of three idle slots stay free
 /// assert!(share::may_send(4, &[lookup, file], 0));
 /// ```
@@ -73,6 +78,13 @@
     let shares: Vec<_> = lanes.iter().map(|lane| lane.share).collect();
     let own = own(limit, &shares);
     let lane = &lanes[index];
+    let owed = owed(lanes, &own, index);
+    if owed == Some(index) {
+        return true;
+    }
+    if owed.is_some() && limit - used == 1 {
+        return false;
+    }
     if lane.used < own[index] {
         return true;
     }
@@ -98,9 +110,20 @@
     free >= kept.sum()
 }
 
+/// Returns the class without a slot of its own that is owed one before all others that wait, if
+/// there is one; `asking` counts as waiting.
+fn owed(lanes: &[Lane], own: &[u32], asking: usize) -> Option<usize> {
+    let waits = |index: &usize| lanes[*index].waiting > 0 || *index == asking;
+    let waiting = (0..lanes.len()).filter(waits);
+    // Of those that have had as little, one with slots of its own is never put off.
+    let least = waiting.min_by_key(|index| (lanes[*index].passed, own[*index] == 0));
+    least.filter(|index| own[*index] == 0 && lanes[*index].used == 0 && lanes[*index].share > 0)
+}
+
 /// Returns the class whose waiting request goes next, if any may be sent.
 ///
-/// The class that uses the least of its own slots goes first; of equal ones the first.
+/// The class that uses the least of its own slots goes first; of equal ones the one that has had
+/// least for its share, then the first.
 ///
 /// # Example
 ///
@@ -110,8 +133,9 @@
 /// use bramleypier::limit::share::{self, Lane};
 ///
 /// let ms = Duration::from_millis;
-/// let lookup = Lane { share: 50, used: 1, waiting: 1, hold: ms(5), queue: ms(50) };
-/// let order = Lane { share: 50, used: 0, waiting: 1, hold: ms(5), queue: ms(50) };
+/// let passed = Duration::ZERO;
+/// let lookup = Lane { share: 50, used: 1, waiting: 1, hold: ms(5), queue: ms(50), passed };
+/// let order = Lane { share: 50, used: 0, waiting: 1, hold: ms(5), queue: ms(50), passed };
 /// assert_eq!(share::next(2, &[lookup, order]), Some(1));
 /// ```
 pub fn next(limit: u32, lanes: &[Lane]) -> Option<usize> {
@@ -120,6 +144,9 @@
     fit.min_by(|a, b| {
         let load =
             |index: &usize| f64::from(lanes[*index].used) / f64::from(lanes[*index].share.max(1));
-        load(a).total_cmp(&load(b))
+        let passed = |index: &usize| lanes[*index].passed;
+        load(a)
+            .total_cmp(&load(b))
+            .then_with(|| passed(a).cmp(&passed(b)))
     })
 }
--- a/tests/limit.rs
+++ b/tests/limit.rs
@@ -228,6 +228,7 @@
                 waiting: 0,
                 hold: ms(1_000),
                 queue: ms(50),
+                passed: Duration::ZERO,
             });
             lanes[index].waiting = 1;
             assert_eq!(share::next(limit, &lanes), Some(index), "{limit} {index}");
@@ -235,6 +236,129 @@
     }
 }
 
+/// Returns who of look-ups, orders and files goes next if all three have work waiting.
+fn next(limit: u32, used: [u32; 3], passed: [u64; 3]) -> Option<usize> {
+    let lane = |index: usize| Lane {
+        share: [60, 30, 10][index],
+        used: used[index],
+        waiting: 1,
+        hold: ms(5),
+        queue: ms(50),
+        passed: ms(passed[index]),
+    };
+    share::next(limit, &[0, 1, 2].map(lane))
+}
+
+#[test]
+fn who_had_least_gets_the_slot_that_is_nobodys() {
+    let cases = [
+        ("nobody had any", 1, [0, 0, 0], [0, 0, 0], Some(0)),
+        ("orders had least", 1, [0, 0, 0], [5, 4, 9], Some(1)),
+        ("files had least", 1, [0, 0, 0], [5, 4, 3], Some(2)),
+        ("both had as little", 1, [0, 0, 0], [5, 4, 4], Some(1)),
+        ("files had as much", 1, [0, 0, 0], [4, 9, 4], Some(0)),
+        ("the only slot is taken", 1, [1, 0, 0], [5, 4, 3], None),
+        ("beyond its share", 2, [0, 1, 0], [5, 6, 7], Some(0)),
+        ("one of two", 2, [1, 0, 0], [5, 6, 4], Some(2)),
+        ("files have one already", 3, [1, 0, 1], [5, 6, 4], Some(1)),
+    ];
+    for (name, limit, used, passed, expected) in cases {
+        assert_eq!(next(limit, used, passed), expected, "{name}");
+    }
+}
+
+/// Keeps two of each class waiting at a single slot, and returns the classes in the order served.
+/// Each takes its time in ms; look-ups have worked alone for a while before.
+fn contend(classes: &[(&str, u32, u64)], count: usize) -> Vec<usize> {
+    let named = |(name, share, _): &(&str, u32, u64)| ((*name).into(), class(*share, 1_000_000));
+    let lanes = classes.iter().map(named).collect();
+    let mut gate = Gate::new(Slots { slots: 1, vms: 12 }, &lanes);
+    teach(&mut gate, "look-up", 100, 10);
+    let mut now = 1_000;
+    let kinds = classes.len() as u64;
+    let class_of = |ticket: u64| usize::try_from(ticket % kinds).unwrap();
+    let mut effects = Vec::new();
+    for ticket in 0..3 * kinds {
+        effects.extend(ask(&mut gate, now, ticket, classes[class_of(ticket)].0));
+    }
+    let mut served = Vec::new();
+    while served.len() < count {
+        assert_eq!(gate.limit(), 1);
+        let [Effect::Admit(sent)] = effects[..] else {
+            panic!("{effects:?}");
+        };
+        let (class, _, taken) = classes[class_of(sent)];
+        served.push(class_of(sent));
+        assert!(ask(&mut gate, now, sent + 3 * kinds, class).is_empty());
+        now += taken;
+        effects = done(&mut gate, now, sent, Sample::Cancelled);
+    }
+    served
+}
+
+/// Returns the most requests of others between two of a class.
+fn longest_gap(served: &[usize], index: usize) -> usize {
+    let gaps = served.split(|one| *one == index);
+    gaps.map(<[usize]>::len).max().unwrap()
+}
+
+#[test]
+fn a_single_slot_is_shared_by_weight_and_none_waits_for_ever() {
+    let served = contend(&[("order", 40, 10), ("look-up", 60, 10)], 100);
+    let orders = served.iter().filter(|index| **index == 0).count();
+    assert!((38..=42).contains(&orders), "{orders}");
+    assert!(longest_gap(&served, 0) <= 2 && longest_gap(&served, 1) <= 1);
+    // A file that takes nine look-ups' time gets a tenth of the time, not of the requests.
+    let classes = [("look-up", 60, 10), ("order", 30, 10), ("file", 10, 90)];
+    let served = contend(&classes, 1_000);
+    let files = served.iter().filter(|index| **index == 2).count();
+    assert!((11..=13).contains(&files), "{files}");
+    assert!(longest_gap(&served, 2) <= 90);
+}
+
+#[test]
+fn a_class_that_used_less_than_its_share_is_owed_nothing() {
+    let lanes = [("order", 40), ("look-up", 60)];
+    let lanes = lanes.map(|(name, share)| (name.into(), class(share, 1_000_000)));
+    let mut gate = Gate::new(Slots { slots: 9, vms: 1 }, &IndexMap::from(lanes));
+    let mut seen = Vec::new();
+    let mut take = |effects: Vec<Effect>| seen.extend(effects);
+    // Look-ups borrow; of the four slots of orders one is used all the time. Orders are even.
+    for look_up in 0..16 {
+        take(ask(&mut gate, 0, 2 * look_up + 1, "look-up"));
+    }
+    take(ask(&mut gate, 0, 0, "order"));
+    for step in 0..1_000 {
+        take(done(&mut gate, step, 2 * step + 1, Sample::Cancelled));
+        take(ask(&mut gate, step, 2 * step + 33, "look-up"));
+        take(ask(&mut gate, step, 2 * step + 2, "order"));
+        take(done(&mut gate, step, 2 * step, Sample::Cancelled));
+    }
+    gate.on(ms(1_000), Event::Slots(Slots { slots: 1, vms: 12 }));
+    for order in 2_000..2_006 {
+        take(ask(&mut gate, 1_000, 2 * order, "order"));
+    }
+    let mut effects = Vec::new();
+    for effect in seen {
+        let Effect::Admit(ticket) = effect else {
+            panic!("{effect:?}");
+        };
+        effects.extend(done(&mut gate, 1_000, ticket, Sample::Cancelled));
+    }
+    let mut look_ups = 0;
+    for step in 0..30 {
+        let [Effect::Admit(ticket)] = effects[..] else {
+            panic!("{step} {effects:?}");
+        };
+        let (class, look_up) = [("order", 0), ("look-up", 1)][(ticket % 2) as usize];
+        look_ups += look_up;
+        let now = 1_000 + 10 * step;
+        ask(&mut gate, now, 10_000 + 2 * step + look_up, class);
+        effects = done(&mut gate, now + 10, ticket, Sample::Cancelled);
+    }
+    assert!(look_ups >= 10, "{look_ups}");
+}
+
 fn pool(policy: Policy) -> Pool {
     let mut pool = Pool::new(policy);
     pool.set(["a", "b", "c", "d"].map(String::from));
