Connections opened to targets are counted

Aim: /admin/status says how many connections to targets a VM has opened, which the load tool reads as connections.opened and which was not there.

Ruled out: counting in the client, which would have to know the metrics; a gauge, since the number only grows.

The connections for grants are not in it.

Conclusion: tests of metrics and pages pass; the total was not read from a running VM here.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -78,6 +78,7 @@
     REQUESTS_RETRIED Counter "requests.retried", "Attempts after the first.", "When it grows with `requests.not_run`, targets shed or are being moved.";
     REQUESTS_CUT Counter "requests.cut", "Answers of targets that ended short; callers got an error.", "Look at the target named in the time line.";
     REQUESTS_ACTIVE Gauge "requests.active", "Requests whose answer has not begun.", "None.";
+    CONNECTIONS_OPENED Counter "connections.opened", "Connections to targets opened for requests.", "Steady growth under even load: targets close connections, or answers are cut; look at `requests.cut`.";
     QUARANTINED Counter "quarantine.suspects", "Requests that ran on a target as it died, here or as heard from other VMs.", "Find the kind `quarantined` in the time line, and tell the service's team.";
     ORDERS_DOUBLE Counter "orders.double", "Orders that came again and did not run again.", "None; many from one caller mean that it resends early.";
     ORDERS_HELD Gauge "orders.held", "Orders remembered.", "When orders are refused for lack of memory, raise `[limits] order_bytes`.";
@@ -168,7 +169,7 @@
         self.change(metric, service, |reading| reading.total += i64::from(by));
     }
 
-    /// Sets a gauge, of a service if one is named.
+    /// Sets a gauge, or the total of a counter that is kept elsewhere, of a service if one is named.
     ///
     /// # Example
     ///
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -226,22 +226,25 @@
     compio::runtime::spawn(router.run(inboxes.router)).detach();
     compio::runtime::spawn(desk.run(inboxes.desk)).detach();
     compio::runtime::spawn(mail::run(parts.clone(), address, inboxes.mail)).detach();
-    compio::runtime::spawn(flush(parts.clone())).detach();
+    let sender = target::Sender::new(parts.clock.clone(), TARGET_CONNECTIONS);
+    compio::runtime::spawn(flush(parts.clone(), sender.clone())).detach();
     entry::Context {
         clock: parts.clock.clone(),
         vm: parts.me.vm.clone(),
         router: parts.tasks.router.clone(),
         desk: parts.tasks.desk.clone(),
-        sender: target::Sender::new(parts.clock.clone(), TARGET_CONNECTIONS),
+        sender,
         health: entry::Health::default(),
         recorder: parts.recorder.clone(),
     }
 }
 
 /// Sends the metrics from time to time.
-async fn flush(parts: Parts) {
+async fn flush(parts: Parts, sender: target::Sender) {
     loop {
         parts.clock.sleep(FLUSH_PERIOD).await;
+        let opened = sender.opened();
+        parts.recorder.set(&metrics::CONNECTIONS_OPENED, opened);
         parts.recorder.flush();
     }
 }
--- a/src/vm/recorder.rs
+++ b/src/vm/recorder.rs
@@ -83,7 +83,7 @@
         self.metrics.count(metric, service, 1);
     }
 
-    /// Sets a gauge.
+    /// Sets a gauge, or the total of a counter that is kept elsewhere.
     pub fn set(&self, metric: &'static Metric, to: u64) {
         self.metrics.set(metric, None, to);
     }
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -35,6 +35,22 @@
     assert_eq!(metrics.totals()["requests.ran{service=a}"], 3);
 }
 
+#[test]
+fn a_counter_that_is_kept_elsewhere_goes_out_as_growth() {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket
+        .set_read_timeout(Some(Duration::from_secs(10)))
+        .unwrap();
+    let metrics = Metrics::open(Some(socket.local_addr().unwrap())).unwrap();
+    for (total, growth) in [(5, 5), (7, 2)] {
+        metrics.set(&metrics::CONNECTIONS_OPENED, None, total);
+        metrics.flush();
+        let line = format!("bramleypier.connections.opened:{growth}|c");
+        assert_eq!(receive(&socket), [line]);
+    }
+    assert_eq!(metrics.totals()["connections.opened"], 7);
+}
+
 #[test]
 fn an_absent_receiver_holds_up_nothing() {
     let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
