--- a/standins/src/drill/scenario.rs
+++ b/standins/src/drill/scenario.rs
@@ -110,6 +110,16 @@
             Step::Wait(2_000),
         ],
     ),
+    // It takes ten minutes; a longer `--period-ms` keeps its logs small.
+    scenario(
+        "long-outage",
+        &[
+            Step::PlatformDown,
+            Step::Wait(600_000),
+            Step::PlatformUp,
+            Step::Wait(2_000),
+        ],
+    ),
     scenario(
         "outage-target",
         &[
