--- a/tests/model/faults.rs
+++ b/tests/model/faults.rs
@@ -589,9 +589,10 @@
     /// Checks for a while that every point is served, but for the moment of a planned move.
     fn watch(&mut self) -> Result<(), String> {
         let unchecked = |server: &super::Server| server.fencing == Fencing::Unchecked;
-        let most = match self.servers.values().any(unchecked) {
-            true => self.timing.grant + self.timing.drain + MOVE,
-            false => MOVE,
+        let most = if self.servers.values().any(unchecked) {
+            self.timing.grant + self.timing.drain + MOVE
+        } else {
+            MOVE
         };
         let end = self.time + most + MOVE;
         let mut since: IndexMap<u64, Duration> = IndexMap::new();
