--- a/src/grantor/mod.rs
+++ b/src/grantor/mod.rs
@@ -22,6 +22,7 @@
 mod house;
 pub mod message;
 mod peers;
+mod release;
 mod routes;
 mod targets;
 pub mod timing;
