--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -24,7 +24,7 @@
     spread::{Id, Item, Kind},
     timeline::{self, Duty, stamp},
     util::body::Body,
-    vm::{Parts, gone::Gone, mail, news, news::Fleet, wire},
+    vm::{Parts, gone::Gone, mail, news, news::Fleet, ticks, wire},
 };
 
 /// How often the task is woken.
@@ -64,6 +64,17 @@
     Ended(u64, End),
     /// This VM stops: it hands its duties over.
     Leave,
+    /// What is still under way here?
+    Idle(oneshot::Sender<Idle>),
+}
+
+/// What a stopping VM has still to wait for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Idle {
+    /// No order of this entry VM is under way.
+    pub orders: bool,
+    /// No shard is left to hand over.
+    pub duties: bool,
 }
 
 /// The task's state.
@@ -102,14 +113,9 @@
 
     /// Serves messages until nobody can send any more.
     pub async fn run(mut self, mut messages: mpsc::UnboundedReceiver<Message>) {
-        let clock = self.parts.clock.clone();
-        let ticks = self.parts.tasks.desk.clone();
-        compio::runtime::spawn(async move {
-            while ticks.unbounded_send(Message::Tick).is_ok() {
-                clock.sleep(TICK).await;
-            }
-        })
-        .detach();
+        ticks::start(&self.parts.clock, &self.parts.tasks.desk, TICK, || {
+            Message::Tick
+        });
         self.read();
         while let Some(message) = messages.next().await {
             self.on(message);
@@ -133,6 +139,12 @@
                 self.is_leaving = true;
                 self.tell_peers();
             }
+            Message::Idle(reply) => {
+                let _ = reply.send(Idle {
+                    orders: self.starter.is_idle(),
+                    duties: self.ledger.is_idle(),
+                });
+            }
         }
     }
 
--- a/src/grantor/house.rs
+++ b/src/grantor/house.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     balance,
+    document::Fencing,
     grantor::{Effect, Event, Grantor, Kind, Outcome, Pending, flaw::Flaw, note},
     group::{self, Entry, Record, build, build::Candidate, heirs},
     id::{DomainId, TargetId, Version, VmId},
@@ -196,6 +197,11 @@
         if let Some((version, document)) = &self.document {
             build::admit(next, *version, document);
         }
+        for target in &self.leaving {
+            if let Some(member) = next.members.get_mut(target) {
+                member.leaving = true;
+            }
+        }
     }
 
     /// Drops grantors that are certain to grant no more, and fills the trios up.
@@ -288,7 +294,9 @@
             let silent =
                 self.peers.contains_key(&candidate.vm) && !self.hears_peer(now, &candidate.vm);
             let banned = self.struck.contains_key(&candidate.vm);
-            !(self.gone.contains(&candidate.vm) || silent || banned || own && self.retired)
+            let answers = self.answers.contains_key(&candidate.vm);
+            let fit = answers || (own && !self.retired);
+            fit && !(self.gone.contains(&candidate.vm) || silent || banned)
         };
         self.live.iter().filter(fit).cloned().collect()
     }
@@ -393,7 +401,14 @@
         if now < self.balanced {
             return;
         }
-        let steps = balance::plan(next, &self.loads, document, tends);
+        // An owner that doesn't check grants pays for each move with seconds without service: its
+        // ranges move only when they must.
+        let checks = |target: &str| {
+            let member = next.members.get(target);
+            member.is_some_and(|member| member.fencing == Fencing::Checked)
+        };
+        let may = |target: &str| tends(target) && checks(target);
+        let steps = balance::plan(next, &self.loads, document, may);
         balance::apply(next, &steps);
     }
 
--- a/src/grantor/mod.rs
+++ b/src/grantor/mod.rs
@@ -72,6 +72,8 @@
     peers: IndexMap<VmId, Peer>,
     /// The last change of each trio, and since when all that it names are known to have adopted it.
     adopted: IndexMap<DomainId, (Version, Option<Duration>)>,
+    /// When VMs last answered that may be named.
+    answers: IndexMap<VmId, Duration>,
     /// Until when a VM that this one struck is not named again.
     struck: IndexMap<VmId, Duration>,
     watches: IndexMap<TargetId, Watch>,
@@ -93,6 +95,8 @@
     read: Duration,
     housed: Duration,
     retired: bool,
+    /// Targets whose VMs were ever listed as leaving; a VM that leaves doesn't stay after all.
+    leaving: IndexSet<TargetId>,
 }
 
 /// What is known of another grantor.
@@ -149,6 +153,7 @@
             reads: IndexMap::new(),
             peers: IndexMap::new(),
             adopted: IndexMap::new(),
+            answers: IndexMap::new(),
             struck: IndexMap::new(),
             watches: IndexMap::new(),
             marked: IndexMap::new(),
@@ -164,6 +169,7 @@
             read: Duration::ZERO,
             housed: Duration::ZERO,
             retired: false,
+            leaving: IndexSet::new(),
         }
     }
 
@@ -218,6 +224,7 @@
                 }
             }
             Event::Load { loads } => self.loads = loads,
+            Event::Leaving { targets } => self.leaving.extend(targets),
             Event::Retire => self.retire(&mut effects),
         }
         effects
--- a/src/vm/owners.rs
+++ b/src/vm/owners.rs
@@ -14,7 +14,7 @@
     mail,
     news::{self, Fleet},
     notes::Notes,
-    wire,
+    ticks, wire,
 };
 use crate::{
     document::{Document, Fencing, Ownership},
@@ -48,6 +48,8 @@
     Document(Version, Rc<Document>),
     /// A group's record was read.
     Record(GroupId, Version, Bytes),
+    /// What callers ask a group for.
+    Load(GroupId, Vec<grantor::Load>),
     /// A handover was heard of.
     Fact(Handover),
     /// Another VM writes.
@@ -113,14 +115,9 @@
 
     /// Serves messages until nobody can send any more.
     pub async fn run(mut self, mut messages: mpsc::UnboundedReceiver<Message>) {
-        let clock = self.parts.clock.clone();
-        let ticks = self.parts.tasks.owners.clone();
-        compio::runtime::spawn(async move {
-            while ticks.unbounded_send(Message::Tick).is_ok() {
-                clock.sleep(TICK).await;
-            }
-        })
-        .detach();
+        ticks::start(&self.parts.clock, &self.parts.tasks.owners, TICK, || {
+            Message::Tick
+        });
         while let Some(message) = messages.next().await {
             self.on(message);
         }
@@ -152,6 +149,7 @@
                 self.feed(&group, *event);
             }
             Message::Listed(list) => self.listed(&list),
+            Message::Load(group, loads) => self.feed(&group, Event::Load { loads }),
             Message::Leave => self.feed_all(&Event::Retire),
             Message::Status(reply) => {
                 let _ = reply.send(self.status());
@@ -167,6 +165,10 @@
 
     /// Tells grantors which of the VMs they name are gone for certain.
     fn listed(&mut self, list: &[platform::ListedVm]) {
+        let leaving = platform::leaving_targets(list);
+        if !leaving.is_empty() {
+            self.feed_all(&Event::Leaving { targets: leaving });
+        }
         let records = self.groups.values().filter_map(Grantor::record);
         let named: IndexSet<VmId> = records
             .flat_map(|(_, record)| record.trios.values().flatten())
