--- a/tools/load/src/bin/bramleypier-experiment.rs
+++ b/tools/load/src/bin/bramleypier-experiment.rs
@@ -7,6 +7,7 @@
     bench,
     config::Work,
     experiment::{self, fault::Fault, summary},
+    rest,
     scene::Error,
 };
 
@@ -36,6 +37,25 @@
         #[bpaf(argument("COUNT"), fallback(1))]
         workers: usize,
     },
+    /// Measures fleets at rest by their size, and how fast a document is in force
+    #[bpaf(command)]
+    Rest {
+        /// The program of the VMs; found beside this one unless given
+        #[bpaf(argument("FILE"), optional)]
+        program: Option<PathBuf>,
+        /// The service's document
+        #[bpaf(
+            argument("FILE"),
+            fallback(PathBuf::from("examples/quito/tracking.ini"))
+        )]
+        document: PathBuf,
+        /// How many VMs there are; give one option for each fleet
+        #[bpaf(argument("COUNT"), many)]
+        vms: Vec<usize>,
+        /// How long each fleet is measured
+        #[bpaf(argument("SECONDS"), fallback(10.0))]
+        seconds: f64,
+    },
     /// Measures a service at several loads, whole and with a fault, against yardsticks
     #[bpaf(command)]
     Load {
@@ -104,6 +124,8 @@
     },
 }
 
+/// The sizes of fleets when none are given.
+const SIZES: [usize; 4] = [3, 6, 12, 24];
 /// The rates when none are given.
 const RATES: [f64; 3] = [500.0, 2000.0, 8000.0];
 /// The loads when none are given.
@@ -142,6 +164,20 @@
             };
             bench::path(&options).await
         }
+        Command::Rest {
+            program,
+            document,
+            vms,
+            seconds,
+        } => {
+            let options = rest::Options {
+                program,
+                document,
+                sizes: if vms.is_empty() { SIZES.to_vec() } else { vms },
+                span: Duration::from_secs_f64(seconds.max(1.0)),
+            };
+            rest::measure(&options).await
+        }
         Command::Load {
             program,
             document,
--- a/tools/load/src/lib.rs
+++ b/tools/load/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod plan;
 pub mod plot;
 pub mod pool;
+pub mod rest;
 pub mod run;
 pub mod scene;
 pub mod table;
