--- /dev/null
+++ b/src/vm/news/service.rs
@@ -0,0 +1,165 @@
+//! What this VM asks the platform's service: watches, values, and the list of VMs.
+
+use std::time::Duration;
+
+use hyper::body::Bytes;
+
+use super::{Message, News, items};
+use crate::{
+    entry::{desk, ticket},
+    gossip::Event,
+    id::Version,
+    membership::{Listed, Standing, Update},
+    platform,
+    spread::{Id, Item, Kind},
+    timeline::{self, Duty},
+    vm::owners,
+    watcher,
+};
+
+/// How often a VM without the duty to watch reads the platform's list of VMs.
+const LIST_PERIOD: Duration = Duration::from_secs(30);
+/// How often a watcher does, or a VM that misses a member.
+const LIST_PERIOD_SHORT: Duration = Duration::from_secs(1);
+/// How long a watcher's sign of life counts.
+const WATCH_KEPT: Duration = Duration::from_mins(2);
+
+impl News {
+    pub(super) fn watch(&mut self, event: watcher::Event) {
+        for effect in self.watcher.on(self.parts.clock.now(), event) {
+            match effect {
+                watcher::Effect::List => self.list(None),
+                watcher::Effect::Watch(since) => self.list(Some(since)),
+                watcher::Effect::Read(change) => self.read(change),
+                watcher::Effect::Removed(change) => self.removed(&change),
+                watcher::Effect::Mark => self.mark(),
+                watcher::Effect::Reached(is_reached) => {
+                    let kind = if is_reached {
+                        timeline::Kind::PlatformBack
+                    } else {
+                        timeline::Kind::PlatformLost
+                    };
+                    let event = timeline::Event::new(Duty::Watcher, "watch", kind);
+                    self.parts.recorder.event(event.peer("platform"));
+                }
+            }
+        }
+    }
+
+    pub(super) fn list(&self, since: Option<Version>) {
+        let platform = self.parts.platform.clone();
+        let news = self.parts.tasks.news.clone();
+        compio::runtime::spawn(async move {
+            let listing = match since {
+                None => platform.list(platform::ROOT).await,
+                Some(since) => platform.watch(platform::ROOT, since).await,
+            };
+            let event = match (listing, since) {
+                (Ok(listing), None) => watcher::Event::Listed(changes(listing)),
+                (Ok(listing), Some(_)) => watcher::Event::Watched(changes(listing)),
+                (Err(_), None) => watcher::Event::Failed(watcher::Asked::List),
+                (Err(_), Some(_)) => watcher::Event::Failed(watcher::Asked::Watch),
+            };
+            let _ = news.unbounded_send(Message::Platform(event));
+        })
+        .detach();
+    }
+
+    pub(super) fn read(&self, change: watcher::Change) {
+        let platform = self.parts.platform.clone();
+        let news = self.parts.tasks.news.clone();
+        compio::runtime::spawn(async move {
+            let message = match platform.get(&change.key).await {
+                Ok(Some((version, bytes))) => {
+                    let key = change.key;
+                    Message::Value(watcher::Change { key, version }, bytes)
+                }
+                // Deleted meanwhile; the watch tells of that too.
+                Ok(None) => Message::Platform(watcher::Event::Read(change)),
+                Err(_) => {
+                    let asked = watcher::Asked::Read(change.key);
+                    Message::Platform(watcher::Event::Failed(asked))
+                }
+            };
+            let _ = news.unbounded_send(message);
+        })
+        .detach();
+    }
+
+    pub(super) fn value(&mut self, change: watcher::Change, bytes: &Bytes) {
+        if let Some(id) = items::item_id(&change.key) {
+            let item = Item::new(id, change.version, bytes.to_vec());
+            self.feed(Event::Put(item));
+        }
+        self.watch(watcher::Event::Read(change));
+    }
+
+    pub(super) fn removed(&mut self, change: &watcher::Change) {
+        if let Some(id) = items::item_id(&change.key) {
+            self.feed(Event::Put(Item::removed(id, change.version)));
+        }
+    }
+
+    /// Tells the fleet that this failure domain has a watcher that hears the platform.
+    pub(super) fn mark(&mut self) {
+        let name = self.gossip.members().me().domain.clone();
+        let id = Id::new(Kind::Watch, name);
+        let version = self.gossip.store().version(&id).unwrap_or(0) + 1;
+        let item = Item::new(id, version, Vec::new()).lasting(WATCH_KEPT);
+        self.feed(Event::Put(item));
+    }
+
+    pub(super) fn read_list(&self) {
+        let platform = self.parts.platform.clone();
+        let news = self.parts.tasks.news.clone();
+        compio::runtime::spawn(async move {
+            let list = platform.vms().await.ok();
+            let _ = news.unbounded_send(Message::Listed(list));
+        })
+        .detach();
+    }
+
+    pub(super) fn listed(&mut self, list: Option<Vec<platform::ListedVm>>) {
+        self.is_listing = false;
+        let suspects = |update: &Update| update.standing == Standing::Suspect;
+        let misses = self.gossip.members().members().iter().any(suspects);
+        let is_short = self.watcher.is_on_duty() || misses;
+        let period = if is_short {
+            LIST_PERIOD_SHORT
+        } else {
+            LIST_PERIOD
+        };
+        self.next_list = self.parts.clock.now() + period;
+        let Some(list) = list else {
+            return;
+        };
+        let leaving = platform::leaving_targets(&list);
+        let message = ticket::Message::Leaving(leaving);
+        let _ = self.parts.tasks.router.unbounded_send(message);
+        let message = desk::Message::Listed(list.clone());
+        let _ = self.parts.tasks.desk.unbounded_send(message);
+        let message = owners::Message::Listed(list.clone());
+        let _ = self.parts.tasks.owners.unbounded_send(message);
+        let vms = list
+            .into_iter()
+            .filter(|vm| vm.kind == platform::Kind::Entry);
+        let listed = vms.map(|vm| Listed {
+            name: vm.name,
+            address: vm.address,
+            domain: vm.domain,
+            leaving: vm.state == platform::State::Leaving,
+        });
+        self.feed(Event::List(listed.collect()));
+    }
+}
+
+fn changes(listing: platform::Listing) -> watcher::Listing {
+    let change = |key: platform::KeyVersion| watcher::Change {
+        key: key.key,
+        version: key.version,
+    };
+    watcher::Listing {
+        revision: listing.revision,
+        keys: listing.keys.into_iter().map(change).collect(),
+    }
+}
