An insider leaves its trio only once the others renew

Cause: as a fleet grew from its first VM, the trio of that VM's own failure domain was filled and the VM taken out of it within 0.3 s. New grantors start as stopped, so all had stopped, and the domain's healthy targets were released: 31 moves 2 s after the start, in a run by hand with six VMs. Ruled out: balance (no moves after), strikes (no VM was lost). The test in tests/recovery.rs was red before (four points without an owner at 4.7 s), green after.

--- a/src/grantor/house.rs
+++ b/src/grantor/house.rs
@@ -7,7 +7,7 @@
 use crate::{
     balance,
     document::Fencing,
-    grantor::{Effect, Event, Grantor, Kind, Outcome, Pending, flaw::Flaw, note},
+    grantor::{Effect, Event, Grantor, Kind, Outcome, Pending, flaw::Flaw, note, watch::Watch},
     group::{self, Entry, Record, build, build::Candidate, heirs},
     id::{DomainId, TargetId, Version, VmId},
     key,
@@ -254,7 +254,8 @@
     fn insider(&self, now: Duration, domain: &str) -> Option<VmId> {
         let others = self.candidates(now);
         let outside = others.iter().filter(|other| other.domain != domain);
-        if outside.count() < 2 || !self.is_settled(domain) {
+        let is_calm = now >= self.balanced && self.is_settled(domain);
+        if outside.count() < 2 || !is_calm {
             return None;
         }
         let inside = |vm: &VmId| {
@@ -263,10 +264,33 @@
         };
         let trio = self.trio(domain).iter();
         trio.map(|grantor| &grantor.vm)
-            .find(|vm| inside(vm))
+            .find(|vm| inside(vm) && self.can_spare(domain, vm))
             .cloned()
     }
 
+    /// Returns whether each target of a failure domain keeps a grantor that has not stopped it.
+    ///
+    /// New grantors start as stopped; if the only one that renews went before they had withdrawn,
+    /// all would have stopped, and healthy targets would be released. A fellow whose stop was erased
+    /// here may still wait for others to erase it, so the caller lets some time pass first.
+    fn can_spare(&self, domain: &str, spared: &VmId) -> bool {
+        let renews = |watch: &Watch, grantor: &group::Grantor| {
+            if grantor.vm == self.vm {
+                watch.own.is_none()
+            } else {
+                self.stop_of(watch, grantor).is_none()
+            }
+        };
+        let trio = self.trio(domain);
+        let stay = || trio.iter().filter(|grantor| grantor.vm != *spared);
+        let of_domain = self.watches.iter().filter(|(target, watch)| {
+            let member = self.view.members.get(*target);
+            !watch.released && member.is_some_and(|member| member.domain == domain)
+        });
+        let mut watches = of_domain.map(|(_, watch)| watch);
+        watches.all(|watch| stay().any(|grantor| renews(watch, grantor)))
+    }
+
     /// Replaces the grantors of failure domains whose whole trio is gone from the platform's list.
     fn replace_vanished(&self, next: &mut Record) {
         let gone = |grantor: &group::Grantor| self.vanished(grantor);
--- a/src/grantor/release.rs
+++ b/src/grantor/release.rs
@@ -58,7 +58,7 @@
     }
 
     /// Returns when a fellow's stop became known.
-    fn stop_of(&self, watch: &Watch, fellow: &group::Grantor) -> Option<Duration> {
+    pub(super) fn stop_of(&self, watch: &Watch, fellow: &group::Grantor) -> Option<Duration> {
         let explicit = watch.others.get(&fellow.vm);
         let explicit = explicit.filter(|(_, stop)| stop.since == fellow.since);
         if let Some((at, stop)) = explicit {
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -137,3 +137,38 @@
     println!("1 VM: {reads} reads in 10 s");
     assert!(reads <= 50, "{reads}");
 }
+
+#[test]
+fn a_fleet_that_grows_from_one_vm_releases_no_target() {
+    for seed in 1..=3 {
+        let mut world = World::new(Setup {
+            seed,
+            vms: 1,
+            ..Setup::default()
+        });
+        world.run(Duration::from_secs(3)).unwrap();
+        for domain in ["centro", "sur", "norte", "centro", "sur"] {
+            world.start_vm(domain);
+            let next = world.time + Duration::from_millis(40 * seed);
+            world.run(next).unwrap();
+        }
+        let calm = world.time + Duration::from_secs(16);
+        while world.time < calm {
+            world.step().unwrap();
+            let unserved = world.unserved();
+            assert!(
+                unserved.is_empty(),
+                "{:?} {:?} {}",
+                world.time,
+                unserved.len(),
+                world.story()
+            );
+        }
+        let (_, record) = world.store.value.as_ref().unwrap();
+        let inside = |domain: &String, vm: &str| world.vms[vm].domain == *domain;
+        for (domain, trio) in &record.trios {
+            let insider = trio.iter().find(|grantor| inside(domain, &grantor.vm));
+            assert!(insider.is_none(), "{domain}: {trio:?}");
+        }
+    }
+}
