--- a/src/cli/error.rs
+++ b/src/cli/error.rs
@@ -43,6 +43,11 @@
             display("step=print peer=operator cause={cause}")
             source(cause)
         }
+        /// The HTTP client can't be made.
+        Client(cause: cyper::Error) {
+            display("step=start peer=vms cause={cause}")
+            source(cause)
+        }
         /// The runtime did not start.
         Runtime(cause: io::Error) {
             display("step=start peer=process cause={cause}")
--- a/src/cli/fleet.rs
+++ b/src/cli/fleet.rs
@@ -3,8 +3,8 @@
 use std::{net::SocketAddr, path::Path, time::Duration};
 
 use futures_util::{StreamExt, stream};
-use http::{StatusCode, header};
-use hyper::{Request, body::Bytes};
+use http::StatusCode;
+use hyper::body::Bytes;
 use indexmap::IndexMap;
 use serde::de::DeserializeOwned;
 
@@ -14,27 +14,19 @@
     id::VmId,
     platform::{Kind, Platform},
     settings::{self, Settings},
-    util::{
-        body::{self, Body},
-        client::Client,
-    },
 };
 
 /// How long a VM may take to answer.
 const SPAN: Duration = Duration::from_secs(3);
 /// How many VMs are asked at a time.
 const AT_ONCE: usize = 64;
-/// The most connections to a VM.
-const CONNECTIONS: usize = 2;
-/// The largest answer of a VM, in bytes.
-const ANSWER_LIMIT: usize = 64 * 1024 * 1024;
 /// The name by which operators' calls are counted.
 const FROM: &str = "operator";
 
 /// What operators' commands call.
 #[derive(Clone, Debug)]
 pub(super) struct Fleet {
-    client: Client,
+    client: cyper::Client,
     settings: Settings,
     /// The platform's service.
     pub platform: Platform,
@@ -57,7 +49,7 @@
         let settings = settings::load(path).map_err(Error::Settings)?;
         let clock = Clock::real();
         Ok(Self {
-            client: Client::new(clock.clone(), CONNECTIONS),
+            client: cyper::Client::new().map_err(Error::Client)?,
             platform: Platform::new(clock.clone(), settings.platform, FROM.to_owned()),
             settings,
             clock,
@@ -108,18 +100,17 @@
             Some(_) => http::Method::POST,
             None => http::Method::GET,
         };
-        let request = Request::builder()
-            .method(method)
-            .uri(path)
-            .header(header::HOST, to.to_string())
-            .body(Body::from(question.unwrap_or_default()))
-            .ok()?;
-        let response = self.client.send(to, request, SPAN).await.ok()?;
-        if response.status() != StatusCode::OK {
-            return None;
-        }
-        let reading = body::read(response.into_body(), ANSWER_LIMIT);
-        let bytes = self.clock.timeout(SPAN, reading).await.ok()?.ok()?;
+        let url = format!("http://{to}{path}");
+        let request = self.client.request(method, url).ok()?;
+        let request = request.body(question.unwrap_or_default());
+        let exchange = async {
+            let response = request.send().await.ok()?;
+            if response.status() != StatusCode::OK {
+                return None;
+            }
+            response.bytes().await.ok()
+        };
+        let bytes = self.clock.timeout(SPAN, exchange).await.ok()??;
         serde_json::from_slice(&bytes).ok()
     }
 }
