--- /dev/null
+++ b/engine/src/caller/attempt.rs
@@ -0,0 +1,191 @@
+//! One try of a request at one target.
+
+use std::{rc::Rc, time::Duration};
+
+use bramleypier_util::{
+    body::Body,
+    client::{self, Client},
+    clock::Clock,
+};
+use hyper::{
+    HeaderMap, Method, Request, Response, StatusCode, Uri,
+    body::{Bytes, Incoming},
+};
+
+use super::{body, headers};
+use crate::{
+    place::{desk::Ended, task::Permit},
+    target::{Reply, Targets},
+};
+
+/// The largest answer that is read whole before its head goes on, in bytes.
+///
+/// Up to here an answer that was cut can be asked for again. The largest file of the known
+/// deployments is 0.54 MB.
+const WHOLE_ANSWER: usize = 1 << 20;
+/// The least time that is worth a try.
+pub const LEAST_TIME: Duration = Duration::from_millis(5);
+
+/// What is sent, whichever target it goes to.
+#[derive(Clone, Debug)]
+pub struct Work {
+    /// The request's id.
+    pub id: String,
+    /// The method.
+    pub method: Method,
+    /// The path and query.
+    pub uri: Uri,
+    /// The headers that are passed on.
+    pub headers: HeaderMap,
+}
+
+/// A request's body, for one try or for all.
+#[derive(Debug)]
+pub enum Payload {
+    /// Read whole.
+    Whole(Bytes),
+    /// Streams; there is one try only.
+    Once(Option<Body>),
+}
+
+impl Payload {
+    /// Takes a copy for a try; none if it is spent.
+    pub fn take(&mut self) -> Option<Body> {
+        match self {
+            Self::Whole(bytes) => Some(Body::from(bytes.clone())),
+            Self::Once(body) => body.take(),
+        }
+    }
+
+    /// Returns whether another try is possible.
+    pub fn is_left(&self) -> bool {
+        matches!(self, Self::Whole(_) | Self::Once(Some(_)))
+    }
+}
+
+/// How a try ended.
+#[derive(Debug)]
+pub enum Tried {
+    /// The target answered; the answer may be passed on.
+    Answered(Response<Body>),
+    /// The target states that it did not run the request.
+    Refused(Reply, StatusCode),
+    /// Nothing was sent.
+    Unsent(client::Error),
+    /// It may have run, and there is no answer that can be used.
+    Lost(String),
+    /// The time ended first; it may have run.
+    TimedOut,
+}
+
+/// What a try needs.
+#[derive(Clone)]
+pub struct Sender {
+    /// Connections to targets.
+    pub client: Client,
+    /// How targets are spoken to.
+    pub targets: Rc<dyn Targets>,
+    /// The clock.
+    pub clock: Clock,
+}
+
+impl std::fmt::Debug for Sender {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Sender").finish_non_exhaustive()
+    }
+}
+
+impl Sender {
+    /// Makes one try; `left` is how long the caller goes on waiting.
+    pub async fn send(&self, work: &Work, body: Body, permit: Permit, left: Duration) -> Tried {
+        let mut request = Request::new(body);
+        *request.method_mut() = work.method.clone();
+        *request.uri_mut() = work.uri.clone();
+        *request.headers_mut() = work.headers.clone();
+        self.targets
+            .prepare(request.headers_mut(), &permit.target.id, left);
+        let started = self.clock.now();
+        let address = permit.target.address;
+        match self.client.send(address, request, left).await {
+            Ok(response) => self.read(work, response, permit, started, left).await,
+            Err(error) => {
+                let ended = if error.is_refused() {
+                    Ended::Gone
+                } else {
+                    Ended::Unreached
+                };
+                if error.unsent() {
+                    permit.finish(ended, None);
+                    return Tried::Unsent(error);
+                }
+                if let client::Error::Timeout(..) = error {
+                    permit.finish(Ended::Given, None);
+                    return Tried::TimedOut;
+                }
+                permit.finish(Ended::Lost, None);
+                Tried::Lost(error.to_string())
+            }
+        }
+    }
+
+    /// Reads an answer, and tells what it is worth.
+    async fn read(
+        &self,
+        work: &Work,
+        response: Response<Incoming>,
+        permit: Permit,
+        started: Duration,
+        left: Duration,
+    ) -> Tried {
+        let (mut head, rest) = response.into_parts();
+        let reply = self.targets.read(head.status, &head.headers);
+        let foreign = reply.request.as_ref().is_some_and(|id| *id != work.id);
+        if foreign || !reply.refused && !reply.signed {
+            // Dropping the body closes the connection, so that nothing of it is used again.
+            drop(rest);
+            permit.finish(Ended::Lost, None);
+            let what = if foreign {
+                "another request's answer"
+            } else {
+                "an unsigned answer"
+            };
+            return Tried::Lost(format!("status={} cause={what}", head.status.as_u16()));
+        }
+        let passed = self.clock.now().saturating_sub(started);
+        let reading = body::take(rest, WHOLE_ANSWER);
+        let span = left.saturating_sub(passed);
+        let taken = match self.clock.timeout(span, reading).await {
+            Ok(Ok(taken)) => taken,
+            Ok(Err(error)) => {
+                permit.finish(Ended::Lost, reply.load);
+                return Tried::Lost(format!("cause=the answer was cut: {error}"));
+            }
+            Err(_) => {
+                permit.finish(Ended::Given, reply.load);
+                return Tried::TimedOut;
+            }
+        };
+        if reply.refused {
+            permit.finish(Ended::Refused, reply.load);
+            return Tried::Refused(reply, head.status);
+        }
+        headers::strip(&mut head.headers);
+        let took = self.clock.now().saturating_sub(started);
+        let ended = if head.status.is_server_error() {
+            Ended::Failed
+        } else {
+            Ended::Answered(took)
+        };
+        let whole = match taken {
+            body::Taken::Whole(bytes) => {
+                permit.finish(ended, reply.load);
+                Body::from(bytes)
+            }
+            body::Taken::Begun(pieces, rest) => {
+                let body = body::Streamed::new(pieces, rest);
+                body::stream(body.holding(permit, took))
+            }
+        };
+        Tried::Answered(Response::from_parts(head, whole))
+    }
+}
--- /dev/null
+++ b/engine/src/caller/body.rs
@@ -0,0 +1,123 @@
+//! Bodies on their way through: read whole where they are small, streamed with bounded memory
+//! where they are not.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use bramleypier_util::body::{Body, Cause};
+use futures_util::future;
+use hyper::body::{Body as HttpBody, Bytes, Frame, Incoming, SizeHint};
+
+use crate::place::{desk::Ended, task::Permit};
+
+/// What was read of a body.
+pub enum Taken {
+    /// All of it.
+    Whole(Bytes),
+    /// It is longer than the limit: what was read, and the rest.
+    Begun(Vec<Bytes>, Incoming),
+}
+
+/// Reads a body up to a limit.
+///
+/// # Errors
+///
+/// The body was cut short.
+pub async fn take(mut body: Incoming, limit: usize) -> Result<Taken, hyper::Error> {
+    let mut pieces: Vec<Bytes> = Vec::new();
+    let mut size = 0;
+    loop {
+        let frame = future::poll_fn(|context| Pin::new(&mut body).poll_frame(context)).await;
+        let Some(frame) = frame else {
+            return Ok(Taken::Whole(join(pieces)));
+        };
+        // Trailers concern one connection only.
+        let Ok(piece) = frame?.into_data() else {
+            continue;
+        };
+        size += piece.len();
+        pieces.push(piece);
+        if size > limit {
+            return Ok(Taken::Begun(pieces, body));
+        }
+    }
+}
+
+fn join(mut pieces: Vec<Bytes>) -> Bytes {
+    if pieces.len() == 1 {
+        return pieces.remove(0);
+    }
+    Bytes::from(pieces.concat())
+}
+
+/// A body that goes on with pieces read before, and holds a target's place to its end.
+pub struct Streamed {
+    before: std::collections::VecDeque<Bytes>,
+    rest: Incoming,
+    left: Option<u64>,
+    permit: Option<(Permit, std::time::Duration)>,
+}
+
+impl Streamed {
+    /// Creates a body of the pieces and the rest.
+    pub fn new(pieces: Vec<Bytes>, rest: Incoming) -> Self {
+        let read: u64 = pieces.iter().map(|it| it.len() as u64).sum();
+        let left = rest.size_hint().exact().map(|it| it + read);
+        Self {
+            before: pieces.into(),
+            rest,
+            left,
+            permit: None,
+        }
+    }
+
+    /// Keeps a target's place until the body has ended.
+    pub fn holding(mut self, permit: Permit, took: std::time::Duration) -> Self {
+        self.permit = Some((permit, took));
+        self
+    }
+
+    fn end(&mut self, ok: bool) {
+        if let Some((permit, took)) = self.permit.take() {
+            let ended = if ok {
+                Ended::Answered(took)
+            } else {
+                Ended::Lost
+            };
+            permit.finish(ended, None);
+        }
+    }
+}
+
+impl HttpBody for Streamed {
+    type Data = Bytes;
+    type Error = Cause;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cause>>> {
+        if let Some(piece) = self.before.pop_front() {
+            return Poll::Ready(Some(Ok(Frame::data(piece))));
+        }
+        let polled = Pin::new(&mut self.rest).poll_frame(context);
+        match &polled {
+            Poll::Ready(None) => self.end(true),
+            Poll::Ready(Some(Err(_))) => self.end(false),
+            _ => {}
+        }
+        polled.map_err(Into::into)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.left
+            .map_or_else(SizeHint::default, SizeHint::with_exact)
+    }
+}
+
+/// Wraps a streamed body for a message.
+pub fn stream(body: Streamed) -> Body {
+    Body::stream(body)
+}
--- /dev/null
+++ b/engine/src/caller/headers.rs
@@ -0,0 +1,67 @@
+//! Headers that concern one connection only.
+
+use hyper::{
+    HeaderMap,
+    header::{self, HeaderName},
+};
+
+/// The headers that are never passed on.
+const HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    HeaderName::from_static("keep-alive"),
+];
+
+/// Removes what concerns one connection only, also what the message itself names as such.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier_engine::caller::headers;
+/// use hyper::{HeaderMap, header::{self, HeaderValue}};
+///
+/// let mut map = HeaderMap::new();
+/// map.insert(header::CONNECTION, HeaderValue::from_static("close, x-hop"));
+/// map.insert("x-hop", HeaderValue::from_static("1"));
+/// map.insert("x-end", HeaderValue::from_static("1"));
+/// headers::strip(&mut map);
+/// assert_eq!(map.len(), 1);
+/// ```
+pub fn strip(map: &mut HeaderMap) {
+    let named: Vec<HeaderName> = map
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP) {
+        map.remove(name);
+    }
+}
+
+/// Returns whether a message says that its connection ends after it.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier_engine::caller::headers;
+/// use hyper::{HeaderMap, header::{self, HeaderValue}};
+///
+/// let mut map = HeaderMap::new();
+/// map.insert(header::CONNECTION, HeaderValue::from_static("Close"));
+/// assert!(headers::closes(&map));
+/// ```
+pub fn closes(map: &HeaderMap) -> bool {
+    let mut values = map.get_all(header::CONNECTION).iter();
+    values.any(|value| {
+        value
+            .to_str()
+            .is_ok_and(|it| it.to_ascii_lowercase().contains("close"))
+    })
+}
--- /dev/null
+++ b/engine/src/catalogue/mod.rs
@@ -0,0 +1,190 @@
+//! What operators and targets have written: routes, services, limits and targets.
+//!
+//! The types hold what is in force; an adapter decodes them from whatever the platform stores, by
+//! the trait [`Catalogue`].
+
+mod routes;
+
+use std::{net::SocketAddr, time::Duration};
+
+use indexmap::IndexMap;
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+
+pub use self::routes::{Found, Route, Routes, Share};
+
+/// The name of a service.
+pub type ServiceId = String;
+/// The id of one target's life.
+pub type TargetId = String;
+/// The name of a failure domain.
+pub type DomainId = String;
+/// The version of a configuration; versions only grow.
+pub type Version = u64;
+/// When a target's life began, in Unix milliseconds by the target's own clock.
+pub type Born = u64;
+
+quick_error! {
+    /// Why a stored value could not be decoded.
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    pub enum Error {
+        /// The bytes are not a value of the expected shape.
+        Unreadable(key: String, reason: String) {
+            display("step=decode peer={key} cause={reason}")
+        }
+    }
+}
+
+/// How often a request may run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    /// It may run more than once.
+    Idempotent,
+    /// It may run more than once, and its answer is large.
+    Download,
+    /// It may run once at most.
+    Once,
+}
+
+impl Kind {
+    /// Returns whether a request of this kind may run more than once.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_engine::catalogue::Kind;
+    ///
+    /// assert!(Kind::Download.may_repeat());
+    /// assert!(!Kind::Once.may_repeat());
+    /// ```
+    pub fn may_repeat(self) -> bool {
+        self != Self::Once
+    }
+}
+
+/// What a caller may send, and how long it may take over it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct CallerLimits {
+    /// The most bytes of a request's head.
+    pub head_bytes: usize,
+    /// The most bytes of a request's body.
+    pub body_bytes: u64,
+    /// How long a request's head may take from its first byte.
+    pub head_time: Duration,
+    /// How long a connection may stay without a request.
+    pub idle_time: Duration,
+}
+
+impl Default for CallerLimits {
+    /// What holds until an operator's limits are known: common defaults of HTTP servers.
+    fn default() -> Self {
+        Self {
+            head_bytes: 16 * 1024,
+            body_bytes: 64 * 1024 * 1024,
+            head_time: Duration::from_secs(5),
+            idle_time: Duration::from_secs(15),
+        }
+    }
+}
+
+/// One service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Service {
+    /// Its name.
+    pub name: ServiceId,
+    /// The most connections that one target accepts from all VMs together.
+    pub connections: usize,
+    /// Whether each key has one owner among the targets.
+    pub keyed: bool,
+    /// How long keys are slow that arrive without a handover.
+    pub warm: Duration,
+}
+
+/// A configuration: everything that operators decide.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Config {
+    /// Its version.
+    pub version: Version,
+    /// The routes.
+    pub routes: Routes,
+    /// The services by name.
+    pub services: IndexMap<ServiceId, Service>,
+    /// Limits on callers.
+    pub limits: CallerLimits,
+}
+
+/// One life of a target, as the target announced it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Target {
+    /// The id; a later life may have the same one.
+    pub id: TargetId,
+    /// When this life began; 0 if the target doesn't say.
+    pub born: Born,
+    /// The service it belongs to.
+    pub service: ServiceId,
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// How many requests it runs at once.
+    pub slots: usize,
+    /// Whether it is about to leave and takes no new work.
+    pub leaving: bool,
+    /// How much longer it is slow after its start.
+    pub cold: Duration,
+}
+
+impl Target {
+    /// Returns whether two announcements are of one life.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier_engine::catalogue::Target;
+    ///
+    /// let first = Target {
+    ///     id: "a".into(),
+    ///     born: 1,
+    ///     service: "s".into(),
+    ///     address: "127.0.0.1:1".parse().unwrap(),
+    ///     domain: "d".into(),
+    ///     slots: 2,
+    ///     leaving: false,
+    ///     cold: Duration::ZERO,
+    /// };
+    /// let second = Target { born: 2, ..first.clone() };
+    /// assert!(!first.same_life(&second));
+    /// ```
+    pub fn same_life(&self, other: &Self) -> bool {
+        self.id == other.id && self.born == other.born
+    }
+}
+
+/// Decodes what the platform holds; implemented once for each dialect.
+pub trait Catalogue {
+    /// Returns the key under which the configuration is stored.
+    fn config_key(&self) -> &str;
+
+    /// Returns the prefix of the keys under which targets announce themselves.
+    fn targets_prefix(&self) -> &str;
+
+    /// Decodes a configuration.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unreadable`] when the bytes are not a valid configuration.
+    fn config(&self, value: &[u8]) -> Result<Config, Error>;
+
+    /// Decodes a target's announcement; `key` is the whole key under which it was stored.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unreadable`] when the bytes name no target to use.
+    fn target(&self, key: &str, value: &[u8]) -> Result<Target, Error>;
+}
--- /dev/null
+++ b/engine/src/catalogue/routes.rs
@@ -0,0 +1,157 @@
+//! The route table: host, longest prefix, and the split of a route among services.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use super::{Kind, ServiceId};
+
+/// A service's part of a route.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Share {
+    /// The service.
+    pub service: ServiceId,
+    /// Its weight among the route's services.
+    pub weight: u32,
+}
+
+/// Where requests of one prefix go, and what they may cost.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Route {
+    /// The route's name, for logs.
+    pub name: String,
+    /// What its paths begin with; begins and ends with a slash.
+    pub prefix: String,
+    /// How often a request may run.
+    pub kind: Kind,
+    /// The services; never empty.
+    pub shares: Vec<Share>,
+    /// The longest time that a caller is kept waiting.
+    pub timeout: Duration,
+    /// The time within which an answer is worth most.
+    pub goal: Duration,
+    /// To how many targets one request may be sent.
+    pub attempts: u32,
+    /// The rank; 0 is the highest.
+    pub priority: u32,
+}
+
+impl Route {
+    /// Picks a service by a number drawn evenly from all of `u64`.
+    ///
+    /// Weights of zero are never picked; if all are zero, the first service is.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier_engine::catalogue::{Kind, Route, Share};
+    ///
+    /// let share = |service: &str, weight| Share { service: service.into(), weight };
+    /// let route = Route {
+    ///     name: "r".into(),
+    ///     prefix: "/a/".into(),
+    ///     kind: Kind::Idempotent,
+    ///     shares: vec![share("x", 90), share("y", 10)],
+    ///     timeout: Duration::from_secs(1),
+    ///     goal: Duration::from_millis(200),
+    ///     attempts: 2,
+    ///     priority: 0,
+    /// };
+    /// assert_eq!(route.pick(0), "x");
+    /// assert_eq!(route.pick(u64::MAX), "y");
+    /// ```
+    pub fn pick(&self, draw: u64) -> &str {
+        let total: u64 = self.shares.iter().map(|it| u64::from(it.weight)).sum();
+        let scaled = u128::from(draw) * u128::from(total.max(1));
+        let mut point = u64::try_from(scaled >> 64).unwrap_or(0);
+        for share in &self.shares {
+            let weight = u64::from(share.weight);
+            if point < weight {
+                return &share.service;
+            }
+            point -= weight;
+        }
+        self.shares.first().map_or("", |it| &it.service)
+    }
+}
+
+/// What a look-up found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Found<'a> {
+    /// The route of the longest prefix.
+    Route(&'a Route),
+    /// No route of this configuration matches.
+    Nothing,
+}
+
+/// All routes, by host and then by prefix.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Routes {
+    hosts: IndexMap<String, IndexMap<String, Route>>,
+}
+
+impl Routes {
+    /// Adds a route; a route of the same host and prefix is replaced.
+    ///
+    /// # Example
+    ///
+    /// See [`Routes::find`].
+    pub fn add(&mut self, host: &str, route: Route) {
+        let routes = self.hosts.entry(host.to_ascii_lowercase()).or_default();
+        routes.insert(route.prefix.clone(), route);
+    }
+
+    /// Returns how many routes there are.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_engine::catalogue::Routes;
+    ///
+    /// assert_eq!(Routes::default().len(), 0);
+    /// ```
+    pub fn len(&self) -> usize {
+        self.hosts.values().map(IndexMap::len).sum()
+    }
+
+    /// Returns whether there is no route.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_engine::catalogue::Routes;
+    ///
+    /// assert!(Routes::default().is_empty());
+    /// ```
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Finds the route with the longest prefix of a path, in one look-up per slash of the path.
+    ///
+    /// The host may carry a port, which doesn't count; its case doesn't either.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_engine::catalogue::{Found, Routes};
+    ///
+    /// assert_eq!(Routes::default().find("a.example", "/x/"), Found::Nothing);
+    /// ```
+    pub fn find(&self, host: &str, path: &str) -> Found<'_> {
+        let name = host.split_once(':').map_or(host, |(name, _)| name);
+        let known = self.hosts.get(name);
+        let Some(routes) = known.or_else(|| self.hosts.get(&name.to_ascii_lowercase())) else {
+            return Found::Nothing;
+        };
+        let slashes = path.rmatch_indices('/').map(|(at, _)| at);
+        let mut prefixes = slashes.map(|at| &path[..=at]);
+        let route = prefixes.find_map(|prefix| routes.get(prefix));
+        route.map_or(Found::Nothing, Found::Route)
+    }
+}
--- /dev/null
+++ b/engine/src/lib.rs
@@ -0,0 +1,20 @@
+//! The engine of bramleypier: decisions, state and recovery of a router for servers that own keys
+//! exclusively, apart from any platform's names and formats.
+//!
+//! Four traits are all that it sees of the outside: [`store::Store`], [`catalogue::Catalogue`],
+//! [`target::Targets`] and [`caller::Callers`]. An adapter implements them for one platform; this
+//! package can't depend on an adapter.
+
+pub mod caller;
+pub mod catalogue;
+pub mod fleet;
+pub mod follow;
+pub mod owner;
+pub mod peer;
+pub mod place;
+pub mod process;
+pub mod register;
+pub mod report;
+pub mod settings;
+pub mod store;
+pub mod target;
--- /dev/null
+++ b/engine/src/owner/keeper.rs
@@ -0,0 +1,746 @@
+//! What a manager records, grants and releases for one service; free of I/O.
+//!
+//! The rules, and what each protects against:
+//!
+//! - An owner and its fence stand in the store before the first grant at that fence leaves, and the
+//!   record changes only by compare-and-swap. So a manager that was replaced unawares can only
+//!   renew pairs that once stood there.
+//! - A takeover raises every fence. The owners stay; earlier managers are refused by each target
+//!   that has heard of the new fence.
+//! - A range gets a new owner only once nobody can hold it: its owner has confirmed the release,
+//!   or that life of it has ended, or the last grant that can have arrived has run out. An earlier
+//!   manager may renew for [`Timing::grace`] after the takeover, which counts as such a grant
+//!   until the owner has confirmed a later fence.
+//! - A grant without an answer may have arrived until the moment at which its connection was reset.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use super::{
+    balance::{self, Holder, Move},
+    load::Load,
+    record::{Fence, Life, Part, Point, Record, Term},
+};
+use crate::catalogue::{Target, TargetId};
+
+/// How much slower than true a target's clock may run, as a factor on holds.
+const DRIFT: f64 = 1.03;
+/// What is added to a hold before a range counts as free, for scheduling at the target.
+const MARGIN: Duration = Duration::from_millis(100);
+/// The pause before a call that got no answer is made again.
+const AGAIN: Duration = Duration::from_millis(150);
+/// The longest pause between two tries of a commit: each call to a store that is down is paid for.
+const COMMIT_PAUSE_MOST: Duration = Duration::from_millis(1200);
+/// How many grants in a row may go unanswered until only releases are tried.
+///
+/// With three in ten unanswered, six in a row are one in 1,400.
+const SILENCES: u32 = 6;
+/// How long a target that lost its ranges by silence or death gets no others.
+const SHUN: Duration = Duration::from_secs(2);
+/// The least time between two rounds of moves for balance.
+///
+/// Load is forgotten by half in 3 s; a shorter pause would act twice on the same load.
+const BALANCE_PAUSE: Duration = Duration::from_millis(1500);
+/// The part of its power that a target counts for while it is cold.
+const COLD_POWER: f64 = 0.5;
+/// How long the first assignment waits for more targets to announce themselves.
+///
+/// All processes of a fleet start within some 0.3 s; a later target costs moves.
+const GATHER: Duration = Duration::from_millis(1500);
+
+/// Spans by which a keeper works.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timing {
+    /// How long a grant holds.
+    pub hold: Duration,
+    /// The time from one renewal to the next.
+    pub renew: Duration,
+    /// How long a manager without its lease may go on renewing.
+    pub grace: Duration,
+}
+
+/// A grant or release to be sent to a target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// To which life of a target.
+    pub owner: Life,
+    /// The first key.
+    pub from: Point,
+    /// The last key.
+    pub to: Point,
+    /// The fence.
+    pub fence: Fence,
+    /// What the last owner handed over, for a grant.
+    pub handover: Option<String>,
+}
+
+/// How a call to a target ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// It was done; a release may bring a handover.
+    Done(Option<String>),
+    /// The target has seen a higher fence.
+    Fenced,
+    /// That life of the target has ended.
+    Gone,
+    /// Nothing was sent.
+    Unsent,
+    /// It got no answer, and can't arrive any more.
+    Silent,
+}
+
+/// What happens to a keeper.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// These lives of targets are announced.
+    Targets(Vec<Target>),
+    /// A grant ended.
+    Granted(Point, Ending),
+    /// A release ended.
+    Released(Point, Ending),
+    /// A commit ended: the record stands at this revision.
+    Committed,
+    /// A commit failed and did not take effect; it is to be made again.
+    CommitFailed,
+    /// The manager's lease holds until then, by this VM's clock.
+    Lease(Duration),
+    /// Requests ran on these keys.
+    Load(Vec<(Point, u32)>),
+    /// Time passed.
+    Tick,
+}
+
+/// What a keeper wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Send a grant.
+    Grant(Order),
+    /// Send a release.
+    Release(Order),
+    /// Write the record under the condition that it has not changed.
+    Commit(Record),
+    /// Another manager has taken over; nothing more may be sent.
+    Deposed,
+    /// A belief changed: for the log.
+    Note(String),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Phase {
+    /// The owner is to hold the range.
+    Held,
+    /// The owner is asked to let go, in favour of this life if any.
+    Releasing(Option<Life>),
+    /// Nobody holds the range.
+    Free(Option<Life>),
+}
+
+#[derive(Clone, Debug)]
+struct Live {
+    phase: Phase,
+    /// A call is under way.
+    busy: bool,
+    /// The owner has confirmed the fence.
+    confirmed: bool,
+    /// The latest time at which a grant can have arrived; none if none was sent.
+    arrived: Option<Duration>,
+    /// When the next call is due.
+    due: Duration,
+    /// Grants in a row without an answer.
+    silences: u32,
+    /// Calls in a row that could not be sent.
+    unsent: u32,
+    handover: Option<String>,
+}
+
+impl Live {
+    fn free() -> Self {
+        Self {
+            phase: Phase::Free(None),
+            busy: false,
+            confirmed: false,
+            arrived: None,
+            due: Duration::ZERO,
+            silences: 0,
+            unsent: 0,
+            handover: None,
+        }
+    }
+
+    fn held(now: Duration, arrived: Option<Duration>, handover: Option<String>) -> Self {
+        Self {
+            phase: Phase::Held,
+            arrived,
+            due: now,
+            handover,
+            ..Self::free()
+        }
+    }
+
+    fn is_free(&self) -> bool {
+        matches!(self.phase, Phase::Free(_)) && !self.busy
+    }
+}
+
+/// What a commit under way will change.
+#[derive(Clone, Debug)]
+struct Pending {
+    record: Record,
+    fence: Fence,
+    moves: Vec<Move>,
+    /// Earlier managers may have granted until then; none when this is no takeover.
+    takeover: Option<Duration>,
+}
+
+/// The manager's state for one service.
+///
+/// # Example
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use bramleypier_engine::owner::{
+///     keeper::{Effect, Event, Keeper, Timing},
+///     record::Record,
+/// };
+///
+/// let timing = Timing {
+///     hold: Duration::from_secs(4),
+///     renew: Duration::from_secs(1),
+///     grace: Duration::from_secs(8),
+/// };
+/// let now = Duration::ZERO;
+/// let (mut keeper, effects) = Keeper::take_over("vm-1", Record::first(99), timing, now);
+/// assert!(matches!(&effects[..], [Effect::Commit(record)] if record.term == 1));
+/// assert!(keeper.on(now, Event::Committed).is_empty());
+/// ```
+#[derive(Debug)]
+pub struct Keeper {
+    timing: Timing,
+    record: Record,
+    /// The commit under way.
+    pending: Option<Pending>,
+    /// When a failed commit is made again.
+    commit_due: Option<Duration>,
+    /// How long to wait after the next failed commit.
+    commit_pause: Duration,
+    /// Until when the manager's lease holds.
+    lease: Duration,
+    live: IndexMap<Point, Live>,
+    targets: IndexMap<TargetId, Target>,
+    shunned: IndexMap<Life, Duration>,
+    load: Load,
+    /// Relative speeds of targets, as measured by those who send to them.
+    speeds: IndexMap<TargetId, f64>,
+    started: Duration,
+    balanced: Duration,
+    stopped: bool,
+}
+
+impl Keeper {
+    /// Takes a service over from the manager that wrote `record`.
+    ///
+    /// The first effect writes the record for the new term; until [`Event::Committed`] nothing is
+    /// granted.
+    ///
+    /// # Example
+    ///
+    /// See [`Keeper`].
+    pub fn take_over(
+        manager: &str,
+        earlier: Record,
+        timing: Timing,
+        now: Duration,
+    ) -> (Self, Vec<Effect>) {
+        let quiet = earlier.resigned || earlier.term == 0;
+        let record = successor(earlier, manager);
+        let until = if quiet { now } else { now + timing.grace };
+        let pending = Pending {
+            record: record.clone(),
+            fence: 0,
+            moves: Vec::new(),
+            takeover: Some(until),
+        };
+        let keeper = Self {
+            timing,
+            record: Record::default(),
+            pending: Some(pending),
+            commit_due: None,
+            commit_pause: AGAIN,
+            lease: now,
+            live: IndexMap::new(),
+            targets: IndexMap::new(),
+            shunned: IndexMap::new(),
+            load: Load::default(),
+            speeds: IndexMap::new(),
+            started: now,
+            balanced: now,
+            stopped: false,
+        };
+        (keeper, vec![Effect::Commit(record)])
+    }
+
+    /// Returns the record as it was last known to stand in the store.
+    ///
+    /// # Example
+    ///
+    /// See [`Keeper`].
+    pub fn record(&self) -> &Record {
+        &self.record
+    }
+
+    /// Returns the term.
+    ///
+    /// # Example
+    ///
+    /// See [`Keeper`].
+    pub fn term(&self) -> Term {
+        let pending = self.pending.as_ref().map(|it| it.record.term);
+        pending.unwrap_or(self.record.term)
+    }
+
+    /// Sets how fast targets are beside each other, 1.0 being usual.
+    ///
+    /// # Example
+    ///
+    /// See [`Keeper`].
+    pub fn set_speeds(&mut self, speeds: IndexMap<TargetId, f64>) {
+        self.speeds = speeds;
+    }
+
+    /// Stops for good and returns the record that tells so, if it can be written now.
+    ///
+    /// After this no grant leaves; the next manager need not wait for this one.
+    ///
+    /// # Example
+    ///
+    /// See [`Keeper`].
+    pub fn resign(&mut self) -> Option<Record> {
+        self.stopped = true;
+        if self.pending.is_some() || self.live.values().any(|live| live.busy) {
+            return None;
+        }
+        let mut record = self.record.clone();
+        record.resigned = true;
+        Some(record)
+    }
+
+    /// Takes an event and returns what is to be done.
+    ///
+    /// # Example
+    ///
+    /// See [`Keeper`].
+    pub fn on(&mut self, now: Duration, event: Event) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        match event {
+            Event::Targets(targets) => self.targets(targets),
+            Event::Granted(from, ending) => self.granted(now, from, ending, &mut effects),
+            Event::Released(from, ending) => self.released(now, from, ending, &mut effects),
+            Event::Committed => self.committed(now),
+            Event::CommitFailed => self.retry_commit(now),
+            Event::Lease(until) => self.lease = until,
+            Event::Load(counts) => self.load.add(now, counts),
+            Event::Tick => {}
+        }
+        if !self.stopped {
+            self.free_lapsed(now, &mut effects);
+            self.empty_leaving(now, &mut effects);
+            self.balance(now, &mut effects);
+            self.reassign(now, &mut effects);
+            self.call(now, &mut effects);
+        }
+        effects
+    }
+
+    fn targets(&mut self, targets: Vec<Target>) {
+        let by_id = targets.into_iter().map(|it| (it.id.clone(), it));
+        self.targets = by_id.collect();
+    }
+
+    fn granted(&mut self, now: Duration, from: Point, ending: Ending, out: &mut Vec<Effect>) {
+        let hold = self.timing.renew;
+        let Some(live) = self.live.get_mut(&from) else {
+            return;
+        };
+        live.busy = false;
+        live.due = now + AGAIN;
+        if ending != Ending::Unsent {
+            live.unsent = 0;
+        }
+        match ending {
+            Ending::Done(_) => {
+                live.confirmed = true;
+                live.arrived = Some(now);
+                live.silences = 0;
+                live.handover = None;
+                live.due = now + hold;
+            }
+            Ending::Fenced => {
+                self.stopped = true;
+                out.push(Effect::Deposed);
+            }
+            Ending::Gone => self.lose(now, from, "its life ended", out),
+            Ending::Unsent => live.unsent += 1,
+            Ending::Silent => {
+                live.arrived = live.arrived.max(Some(now));
+                live.silences += 1;
+                live.unsent = 0;
+                if live.silences >= SILENCES && live.phase == Phase::Held {
+                    live.phase = Phase::Releasing(None);
+                    out.push(Effect::Note(format!("event=grant-silent from={from}")));
+                }
+            }
+        }
+    }
+
+    fn released(&mut self, now: Duration, from: Point, ending: Ending, out: &mut Vec<Effect>) {
+        let Some(live) = self.live.get_mut(&from) else {
+            return;
+        };
+        live.busy = false;
+        live.due = now + AGAIN;
+        match ending {
+            Ending::Done(handover) => {
+                let to = match &live.phase {
+                    Phase::Releasing(to) => to.clone(),
+                    Phase::Held | Phase::Free(_) => None,
+                };
+                live.phase = Phase::Free(to);
+                live.handover = handover;
+                live.arrived = None;
+            }
+            Ending::Gone => self.lose(now, from, "its life ended", out),
+            // A release extends no hold; the hold runs out meanwhile.
+            Ending::Fenced | Ending::Unsent | Ending::Silent => {}
+        }
+    }
+
+    /// Frees a range whose owner can't hold it any more.
+    fn lose(&mut self, now: Duration, from: Point, why: &str, out: &mut Vec<Effect>) {
+        let Some(live) = self.live.get_mut(&from) else {
+            return;
+        };
+        let to = match &live.phase {
+            Phase::Releasing(to) => to.clone(),
+            Phase::Held | Phase::Free(_) => None,
+        };
+        live.phase = Phase::Free(to);
+        live.arrived = None;
+        live.handover = None;
+        let owner = self.record.find(from).and_then(|part| part.owner.clone());
+        if let Some(owner) = owner {
+            out.push(Effect::Note(format!(
+                "event=range-lost from={from} owner={} cause=\"{why}\"",
+                owner.id
+            )));
+            self.shunned.insert(owner, now + SHUN);
+        }
+    }
+
+    fn retry_commit(&mut self, now: Duration) {
+        self.commit_due = Some(now + self.commit_pause);
+        self.commit_pause = (self.commit_pause * 2).min(COMMIT_PAUSE_MOST);
+    }
+
+    fn committed(&mut self, now: Duration) {
+        self.commit_due = None;
+        self.commit_pause = AGAIN;
+        let Some(pending) = self.pending.take() else {
+            return;
+        };
+        if let Some(until) = pending.takeover {
+            self.record = pending.record;
+            let live = self.record.parts.iter().map(|part| {
+                let live = match part.owner {
+                    Some(_) => Live::held(now, Some(until), None),
+                    None => Live::free(),
+                };
+                (part.from, live)
+            });
+            self.live = live.collect();
+            return;
+        }
+        for it in &pending.moves {
+            self.settle(now, it, pending.fence);
+        }
+        join(&mut self.record, &mut self.live);
+    }
+
+    /// Makes a move of a commit that has taken effect live.
+    fn settle(&mut self, now: Duration, it: &Move, fence: Fence) {
+        let origin = self.record.find(it.from).map_or(it.from, |part| part.from);
+        let handover = self
+            .live
+            .get(&origin)
+            .and_then(|live| live.handover.clone());
+        assign(&mut self.record, it, fence);
+        for part in &self.record.parts {
+            if !self.live.contains_key(&part.from) {
+                let rest = self.live.get(&origin).cloned().unwrap_or_else(Live::free);
+                self.live.insert(part.from, rest);
+            }
+        }
+        self.live.insert(it.from, Live::held(now, None, handover));
+    }
+
+    /// Returns when a range's last grant has run out for certain.
+    fn lapse(&self, live: &Live) -> Option<Duration> {
+        let span = self.timing.hold.mul_f64(DRIFT) + MARGIN;
+        live.arrived.map(|at| at + span)
+    }
+
+    fn free_lapsed(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        let lapsed: Vec<Point> = self
+            .live
+            .iter()
+            .filter(|(_, live)| !live.busy && !matches!(live.phase, Phase::Free(_)))
+            .filter(|(_, live)| match self.lapse(live) {
+                Some(lapse) => now >= lapse,
+                // Nothing was ever sent that arrived: whoever can't be reached twice is left.
+                None => live.unsent >= 2,
+            })
+            .map(|(from, _)| *from)
+            .collect();
+        for from in lapsed {
+            self.lose(now, from, "no answer until its hold ran out", out);
+        }
+    }
+
+    /// Asks owners that leave, or that are no longer announced, to let go.
+    fn empty_leaving(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        for part in &self.record.parts {
+            let Some(live) = self.live.get_mut(&part.from) else {
+                continue;
+            };
+            let Some(owner) = &part.owner else {
+                continue;
+            };
+            if live.phase != Phase::Held || live.busy {
+                continue;
+            }
+            let target = self.targets.get(&owner.id);
+            let stays = target.is_some_and(|it| owner.is(it) && !it.leaving);
+            if !stays {
+                live.phase = Phase::Releasing(None);
+                live.due = now;
+                out.push(Effect::Note(format!(
+                    "event=release-begun from={} to={} owner={} announced={}",
+                    part.from,
+                    part.to,
+                    owner.id,
+                    target.is_some()
+                )));
+            }
+        }
+    }
+
+    /// Returns the targets that may own keys.
+    fn holders(&self, now: Duration) -> Vec<Holder> {
+        let ready = self.targets.values().filter(|it| !it.leaving);
+        let holders = ready.map(|it| {
+            let speed = self.speeds.get(&it.id).copied().unwrap_or(1.0);
+            let cold = if it.cold.is_zero() { 1.0 } else { COLD_POWER };
+            Holder {
+                life: Life::of(it),
+                power: it.slots.max(1) as f64 * speed * cold,
+            }
+        });
+        let shunned = |it: &Holder| self.shunned.get(&it.life).is_some_and(|until| now < *until);
+        let (bad, good): (Vec<_>, Vec<_>) = holders.partition(shunned);
+        if good.is_empty() { bad } else { good }
+    }
+
+    fn balance(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        let calm = self.live.values().all(|live| live.phase == Phase::Held);
+        let rested = now >= self.balanced + BALANCE_PAUSE;
+        if !calm || !rested || self.pending.is_some() {
+            return;
+        }
+        self.balanced = now;
+        let holders = self.holders(now);
+        for it in balance::even(&self.record, &holders, &self.load) {
+            self.begin(now, it, out);
+        }
+    }
+
+    /// Begins a move: cuts the range out and asks its owner to let go.
+    fn begin(&mut self, now: Duration, it: Move, out: &mut Vec<Effect>) {
+        let Some(from) = self.record.find(it.from).map(|part| part.from) else {
+            return;
+        };
+        let within = self
+            .record
+            .find(it.to)
+            .is_some_and(|part| part.from == from);
+        let idle = self.live.get(&from).is_some_and(|live| !live.busy);
+        if !within || !idle {
+            return;
+        }
+        let whole = self.live[&from].clone();
+        self.record.cut(it.from, it.to);
+        for part in &self.record.parts {
+            self.live.entry(part.from).or_insert_with(|| whole.clone());
+        }
+        out.push(Effect::Note(format!(
+            "event=move-begun from={} to={} owner={} load={:.1}",
+            it.from,
+            it.to,
+            it.owner.id,
+            self.load.sum(it.from, it.to)
+        )));
+        if let Some(live) = self.live.get_mut(&it.from) {
+            live.phase = Phase::Releasing(Some(it.owner));
+            live.due = now;
+        }
+    }
+
+    /// Writes owners for ranges that nobody holds.
+    fn reassign(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        if let Some(due) = self.commit_due {
+            if let Some(pending) = self.pending.as_ref().filter(|_| now >= due) {
+                out.push(Effect::Commit(pending.record.clone()));
+                self.commit_due = None;
+            }
+            return;
+        }
+        let first = self.record.parts.iter().all(|part| part.owner.is_none());
+        let gathering = first && now < self.started + GATHER;
+        if self.pending.is_some() || gathering {
+            return;
+        }
+        let is_free = |part: &&Part| self.live.get(&part.from).is_some_and(Live::is_free);
+        let free: Vec<Part> = self.record.parts.iter().filter(is_free).cloned().collect();
+        let holders = self.holders(now);
+        if free.is_empty() || holders.is_empty() {
+            return;
+        }
+        let mut moves = Vec::new();
+        let mut open = Vec::new();
+        for part in free {
+            match self.intended(&part, &holders) {
+                Some(owner) => moves.push(Move {
+                    from: part.from,
+                    to: part.to,
+                    owner,
+                }),
+                None => open.push(part),
+            }
+        }
+        moves.extend(balance::assign(&self.record, &open, &holders, &self.load));
+        let next = self.next(moves);
+        out.push(Effect::Commit(next.record.clone()));
+        self.pending = Some(next);
+    }
+
+    fn intended(&self, part: &Part, holders: &[Holder]) -> Option<Life> {
+        let Phase::Free(Some(life)) = &self.live.get(&part.from)?.phase else {
+            return None;
+        };
+        let known = holders.iter().any(|it| it.life == *life);
+        known.then(|| life.clone())
+    }
+
+    /// Builds the record after some moves.
+    fn next(&mut self, moves: Vec<Move>) -> Pending {
+        // The counter moves here too, so that no fence is given out twice.
+        let fence = self.record.next_fence();
+        let mut record = self.record.clone();
+        for it in &moves {
+            assign(&mut record, it, fence);
+        }
+        Pending {
+            record,
+            fence,
+            moves,
+            takeover: None,
+        }
+    }
+
+    /// Sends what is due: renewals of what is held, releases of what is to be let go.
+    fn call(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        let may_grant = now < self.lease + self.timing.grace;
+        for part in &self.record.parts {
+            let (Some(live), Some(owner)) = (self.live.get_mut(&part.from), &part.owner) else {
+                continue;
+            };
+            if live.busy || now < live.due {
+                continue;
+            }
+            let order = |fence, handover| Order {
+                owner: owner.clone(),
+                from: part.from,
+                to: part.to,
+                fence,
+                handover,
+            };
+            match live.phase {
+                Phase::Held if may_grant => {
+                    live.busy = true;
+                    out.push(Effect::Grant(order(part.fence, live.handover.clone())));
+                }
+                Phase::Releasing(_) => {
+                    live.busy = true;
+                    out.push(Effect::Release(order(part.fence + 1, None)));
+                }
+                Phase::Held | Phase::Free(_) => {}
+            }
+        }
+    }
+}
+
+/// Gives a range of a record to another owner.
+fn assign(record: &mut Record, it: &Move, fence: Fence) {
+    record.cut(it.from, it.to);
+    if let Some(part) = record.parts.iter_mut().find(|part| part.from == it.from) {
+        part.fence = fence;
+        part.owner = Some(it.owner.clone());
+    }
+}
+
+/// The record of the term after `earlier`: the same owners, every fence raised.
+fn successor(earlier: Record, manager: &str) -> Record {
+    let mut record = Record {
+        term: earlier.term + 1,
+        manager: manager.to_owned(),
+        resigned: false,
+        counter: 0,
+        parts: earlier.parts,
+    };
+    let fence = record.next_fence();
+    let mut parts: Vec<Part> = Vec::new();
+    for mut part in record.parts {
+        part.fence = fence;
+        match parts.last_mut() {
+            Some(last) if last.owner == part.owner => last.to = part.to,
+            _ => parts.push(part),
+        }
+    }
+    Record { parts, ..record }
+}
+
+/// Joins neighbours that are alike in owner and fence and that nothing is under way for.
+fn join(record: &mut Record, live: &mut IndexMap<Point, Live>) {
+    let calm = |live: Option<&Live>| live.is_some_and(|it| it.phase == Phase::Held && !it.busy);
+    let mut parts: Vec<Part> = Vec::new();
+    for part in record.parts.drain(..) {
+        let alike = parts.last().is_some_and(|last| {
+            let same = last.owner == part.owner && last.fence == part.fence;
+            let fresh = live.get(&last.from).is_some_and(|it| it.handover.is_none())
+                && live.get(&part.from).is_some_and(|it| it.handover.is_none());
+            same && fresh && calm(live.get(&last.from)) && calm(live.get(&part.from))
+        });
+        if let Some(last) = parts.last_mut().filter(|_| alike) {
+            last.to = part.to;
+            let gone = live.shift_remove(&part.from);
+            if let (Some(kept), Some(gone)) = (live.get_mut(&last.from), gone) {
+                kept.arrived = kept.arrived.max(gone.arrived);
+                kept.confirmed &= gone.confirmed;
+                kept.due = kept.due.min(gone.due);
+            }
+        } else {
+            parts.push(part);
+        }
+    }
+    record.parts = parts;
+}
--- /dev/null
+++ b/engine/src/owner/manager.rs
@@ -0,0 +1,671 @@
+//! The task that seeks the manager's lease, and keeps the owners while it holds it.
+
+use std::{rc::Rc, time::Duration};
+
+use bramleypier_util::{body, body::Body, client, client::Client, clock::Clock};
+use futures_channel::{mpsc, oneshot};
+use futures_util::{
+    StreamExt,
+    future::{self, Either},
+};
+use hyper::Request;
+use indexmap::IndexMap;
+
+use super::{
+    keeper::{Effect, Ending, Event, Keeper, Order, Timing},
+    record::{Point, Record, Term},
+};
+use crate::{
+    catalogue::{ServiceId, TargetId},
+    fleet::{Beliefs, Fleet, Keys, Vm},
+    report::Report,
+    store::{Commit, Error, Item, Lease, LeaseId, Put, Revision, Store, Transaction},
+    target::Targets,
+};
+
+/// How long the manager's lease lasts.
+///
+/// With a renewal each third of it, two lost renewals are borne; a manager that is lost is replaced
+/// before grants of 4 s run out.
+const LEASE: Duration = Duration::from_secs(2);
+/// The time from one renewal of the lease to the next.
+const RENEW: Duration = Duration::from_millis(600);
+/// The time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(50);
+/// How much later each next candidate bids, so that one bid usually does: a call takes some 5 ms.
+const BID_STEP: Duration = Duration::from_millis(40);
+/// The most by which a bid is put off.
+const BID_LATEST: Duration = Duration::from_millis(600);
+/// The pause after a bid that failed.
+const BID_PAUSE: Duration = Duration::from_millis(700);
+/// How long a target has to answer a grant.
+const GRANT_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long a target has to answer a release: it ends the work on those keys first.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(3);
+/// The most bytes of an answer to a grant or release.
+const ANSWER_BYTES: usize = 64 * 1024;
+/// How long a manager that stops waits for its last writes.
+const RESIGN_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// What the manager's task is told.
+#[derive(Debug)]
+pub enum Message {
+    /// Another VM's, or this VM's, count of requests.
+    Load {
+        /// The service.
+        service: ServiceId,
+        /// Requests by key.
+        counts: Vec<(Point, u32)>,
+        /// Measured service times by target, in seconds.
+        times: IndexMap<TargetId, f64>,
+    },
+    /// The process stops: hand over, and tell when done.
+    Stop(oneshot::Sender<()>),
+    /// A call to a target ended.
+    Called(ServiceId, Term, Point, bool, Ending),
+    /// A commit of a record ended.
+    Committed(ServiceId, Term, Result<Commit, Error>),
+    /// A service's record was read.
+    Read(ServiceId, Result<Option<Item>, Error>),
+    /// A bid for the lease ended; the time is when it was sent.
+    Bid(Result<Option<Lease>, Error>, Duration),
+    /// The lease was renewed, or not; the time is when the call was sent.
+    Renewed(Result<Duration, Error>, Duration),
+}
+
+/// What the task needs.
+#[derive(Clone)]
+pub struct Context {
+    /// This start of this VM.
+    pub vm: Vm,
+    /// The platform's store.
+    pub store: Rc<dyn Store>,
+    /// How targets are spoken to.
+    pub targets: Rc<dyn Targets>,
+    /// Connections to targets for grants and releases.
+    pub client: Client,
+    /// What is believed of the fleet.
+    pub beliefs: Beliefs,
+    /// Keys in the store.
+    pub keys: Rc<Keys>,
+    /// The clock.
+    pub clock: Clock,
+    /// Logs and counters.
+    pub report: Report,
+    /// Spans of grants.
+    pub timing: Timing,
+}
+
+impl std::fmt::Debug for Context {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Context")
+            .field("vm", &self.vm)
+            .finish_non_exhaustive()
+    }
+}
+
+/// A service that this VM keeps.
+struct Kept {
+    keeper: Keeper,
+    revision: Revision,
+    /// The record that is being written.
+    written: Option<Record>,
+    /// Service times by target, as VMs reported them.
+    times: IndexMap<TargetId, f64>,
+}
+
+struct Manager {
+    context: Context,
+    sender: mpsc::UnboundedSender<Message>,
+    kept: IndexMap<ServiceId, Kept>,
+    reading: Vec<ServiceId>,
+    lease: Option<(LeaseId, Duration)>,
+    bidding: bool,
+    bid_due: Option<Duration>,
+    renew_due: Duration,
+    stopping: Option<oneshot::Sender<()>>,
+}
+
+/// Starts the task and returns the way to talk to it.
+pub fn start(context: Context) -> mpsc::UnboundedSender<Message> {
+    let (sender, receiver) = mpsc::unbounded();
+    let manager = Manager {
+        context,
+        sender: sender.clone(),
+        kept: IndexMap::new(),
+        reading: Vec::new(),
+        lease: None,
+        bidding: false,
+        bid_due: None,
+        renew_due: Duration::ZERO,
+        stopping: None,
+    };
+    compio::runtime::spawn(manager.run(receiver)).detach();
+    sender
+}
+
+impl Manager {
+    async fn run(mut self, mut messages: mpsc::UnboundedReceiver<Message>) {
+        let mut changes = self.context.beliefs.listen();
+        loop {
+            let clock = self.context.clock.clone();
+            let idle = self.kept.is_empty() && self.bid_due.is_none() && self.lease.is_none();
+            let span = if idle { BID_PAUSE } else { TICK };
+            let wait = Box::pin(clock.sleep(span));
+            let heard = future::select(messages.next(), changes.next());
+            match future::select(heard, wait).await {
+                Either::Left((Either::Left((None, _)), _)) => return,
+                Either::Left((Either::Left((Some(message), _)), _)) => self.hear(message),
+                Either::Left((Either::Right(_), _)) => self.look(),
+                Either::Right(_) => {}
+            }
+            self.tick();
+            if self.stopping.is_some() && self.resigned().await {
+                return;
+            }
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.context.clock.now()
+    }
+
+    fn log(&self, text: &str) {
+        self.context.report.line(text);
+    }
+
+    fn hear(&mut self, message: Message) {
+        match message {
+            Message::Load {
+                service,
+                counts,
+                times,
+            } => self.loaded(&service, counts, times),
+            Message::Stop(done) => self.stopping = Some(done),
+            Message::Called(service, term, from, grant, ending) => {
+                self.called(&service, term, from, grant, ending);
+            }
+            Message::Committed(service, term, result) => self.committed(&service, term, result),
+            Message::Read(service, result) => self.read(&service, result),
+            Message::Bid(result, sent) => self.bid_ended(result, sent),
+            Message::Renewed(result, sent) => self.renewed(result, sent),
+        }
+    }
+
+    /// Feeds one event to a service's keeper and does what it wants done.
+    fn feed(&mut self, service: &str, event: Event) {
+        let now = self.now();
+        let Some(kept) = self.kept.get_mut(service) else {
+            return;
+        };
+        let effects = kept.keeper.on(now, event);
+        self.apply(service, effects);
+    }
+
+    fn apply(&mut self, service: &str, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Grant(order) => self.call(service, order, true),
+                Effect::Release(order) => self.call(service, order, false),
+                Effect::Commit(record) => self.commit(service, record),
+                Effect::Note(text) => self.log(&format!("{text} service={service}")),
+                Effect::Deposed => {
+                    self.log(&format!(
+                        "event=deposed service={service} cause=higher-fence"
+                    ));
+                    self.kept.shift_remove(service);
+                }
+            }
+        }
+    }
+
+    fn loaded(&mut self, service: &str, counts: Vec<(Point, u32)>, times: IndexMap<TargetId, f64>) {
+        const PART: f64 = 0.3;
+        if let Some(kept) = self.kept.get_mut(service) {
+            for (id, time) in times {
+                let mean = kept.times.entry(id).or_insert(time);
+                *mean += (time - *mean) * PART;
+            }
+            kept.keeper.set_speeds(speeds(&kept.times));
+        }
+        self.feed(service, Event::Load(counts));
+    }
+
+    fn called(&mut self, service: &str, term: Term, from: Point, grant: bool, ending: Ending) {
+        if self
+            .kept
+            .get(service)
+            .is_none_or(|kept| kept.keeper.term() != term)
+        {
+            return;
+        }
+        let event = if grant {
+            Event::Granted(from, ending)
+        } else {
+            Event::Released(from, ending)
+        };
+        self.feed(service, event);
+    }
+
+    /// Takes a change of beliefs in.
+    fn look(&mut self) {
+        let fleet = self.context.beliefs.get();
+        self.yield_to_other(&fleet);
+        let services: Vec<_> = self.kept.keys().cloned().collect();
+        for service in services {
+            self.feed(&service, Event::Targets(targets(&fleet, &service)));
+        }
+    }
+
+    /// Stops at once when another start is known to be the manager.
+    fn yield_to_other(&mut self, fleet: &Fleet) {
+        let Some(manager) = &fleet.manager else {
+            return;
+        };
+        self.bid_due = None;
+        if manager.start != self.context.vm.start && !self.kept.is_empty() {
+            self.log(&format!(
+                "event=deposed cause=manager-is vm={}",
+                manager.name
+            ));
+            self.kept.clear();
+            self.lease = None;
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.now();
+        self.seek(now);
+        self.keep_lease(now);
+        if self.lease.is_some() {
+            self.take_services();
+        }
+        let services: Vec<_> = self.kept.keys().cloned().collect();
+        for service in services {
+            self.feed(&service, Event::Tick);
+        }
+    }
+
+    /// Bids for the lease when nobody has it, in an order that differs by VM.
+    fn seek(&mut self, now: Duration) {
+        let fleet = self.context.beliefs.get();
+        let vacant = fleet.manager.is_none() && fleet.is_ready() && self.lease.is_none();
+        if !vacant || self.bidding || self.stopping.is_some() {
+            return;
+        }
+        let due = *self
+            .bid_due
+            .get_or_insert_with(|| now + rank(&fleet, &self.context.vm));
+        if now < due {
+            return;
+        }
+        self.bidding = true;
+        self.bid_due = Some(now + BID_PAUSE);
+        let (context, sender) = (self.context.clone(), self.sender.clone());
+        compio::runtime::spawn(async move {
+            let sent = context.clock.now();
+            let result = bid(&context).await;
+            // The manager's task ends with the process only.
+            let _ = sender.unbounded_send(Message::Bid(result, sent));
+        })
+        .detach();
+    }
+
+    fn bid_ended(&mut self, result: Result<Option<Lease>, Error>, sent: Duration) {
+        self.bidding = false;
+        match result {
+            Ok(Some(lease)) => {
+                self.log(&format!("event=manager-elected lease={}", lease.id));
+                self.lease = Some((lease.id, sent + lease.span));
+                self.renew_due = self.now() + RENEW;
+                self.kept.clear();
+            }
+            Ok(None) => {}
+            Err(error) => self.log(&format!("event=bid-failed {error}")),
+        }
+    }
+
+    /// Renews the lease in time, and gives it up when it has run out.
+    fn keep_lease(&mut self, now: Duration) {
+        let Some((id, until)) = self.lease else {
+            return;
+        };
+        if now >= until {
+            self.log("event=lease-lost cause=not-renewed-in-time");
+            self.lease = None;
+            return;
+        }
+        if now < self.renew_due {
+            return;
+        }
+        self.renew_due = now + RENEW;
+        let (context, sender) = (self.context.clone(), self.sender.clone());
+        compio::runtime::spawn(async move {
+            let sent = context.clock.now();
+            let result = context.store.renew(id).await;
+            let _ = sender.unbounded_send(Message::Renewed(result, sent));
+        })
+        .detach();
+    }
+
+    fn renewed(&mut self, result: Result<Duration, Error>, sent: Duration) {
+        match result {
+            Ok(span) => {
+                let Some((_, until)) = &mut self.lease else {
+                    return;
+                };
+                *until = (*until).max(sent + span);
+                let until = *until;
+                let services: Vec<_> = self.kept.keys().cloned().collect();
+                for service in services {
+                    self.feed(&service, Event::Lease(until));
+                }
+            }
+            Err(Error::NoLease(_)) => {
+                self.log("event=lease-lost cause=ended-in-store");
+                self.lease = None;
+            }
+            Err(error) => self.log(&format!("event=renewal-failed {error}")),
+        }
+    }
+
+    /// Takes over each service with owners that isn't kept yet.
+    fn take_services(&mut self) {
+        let fleet = self.context.beliefs.get();
+        let Some(config) = &fleet.config else {
+            return;
+        };
+        let keyed = config.services.values().filter(|it| it.keyed);
+        for service in keyed {
+            let name = &service.name;
+            if self.kept.contains_key(name) || self.reading.contains(name) {
+                continue;
+            }
+            self.reading.push(name.clone());
+            let (context, sender) = (self.context.clone(), self.sender.clone());
+            let name = name.clone();
+            compio::runtime::spawn(async move {
+                let key = context.keys.record(&name);
+                let result = context.store.get(&key).await;
+                if result.is_err() {
+                    context.clock.sleep(BID_PAUSE).await;
+                }
+                let _ = sender.unbounded_send(Message::Read(name, result));
+            })
+            .detach();
+        }
+    }
+
+    fn read(&mut self, service: &str, result: Result<Option<Item>, Error>) {
+        self.reading.retain(|it| it != service);
+        if self.lease.is_none() || self.kept.contains_key(service) {
+            return;
+        }
+        let item = match result {
+            Ok(item) => item,
+            Err(error) => {
+                self.log(&format!("event=record-unread service={service} {error}"));
+                return;
+            }
+        };
+        let revision = item.as_ref().map_or(0, |item| item.revision);
+        let known = item.map(|item| Record::decode(&item.value));
+        let record = match known {
+            Some(Ok(record)) => record,
+            Some(Err(error)) => {
+                self.log(&format!(
+                    "event=record-unreadable service={service} {error}"
+                ));
+                return;
+            }
+            None => Record::first(self.context.targets.last_point()),
+        };
+        let timing = self.context.timing;
+        let now = self.now();
+        let (keeper, effects) = Keeper::take_over(&self.context.vm.start, record, timing, now);
+        self.log(&format!(
+            "event=takeover service={service} term={} revision={revision}",
+            keeper.term()
+        ));
+        let kept = Kept {
+            keeper,
+            revision,
+            written: None,
+            times: IndexMap::new(),
+        };
+        self.kept.insert(service.to_owned(), kept);
+        self.apply(service, effects);
+        let until = self.lease.map_or(now, |(_, until)| until);
+        self.feed(service, Event::Lease(until));
+        let fleet = self.context.beliefs.get();
+        self.feed(service, Event::Targets(targets(&fleet, service)));
+    }
+
+    fn commit(&mut self, service: &str, record: Record) {
+        let Some(kept) = self.kept.get_mut(service) else {
+            return;
+        };
+        kept.written = Some(record.clone());
+        let term = kept.keeper.term();
+        let key = self.context.keys.record(service);
+        let transaction = Transaction {
+            expected: [(key.clone(), kept.revision)].into_iter().collect(),
+            puts: vec![Put {
+                key,
+                value: record.encode(),
+                lease: None,
+            }],
+            removes: Vec::new(),
+        };
+        let (context, sender) = (self.context.clone(), self.sender.clone());
+        let service = service.to_owned();
+        compio::runtime::spawn(async move {
+            let result = context.store.commit(transaction).await;
+            let _ = sender.unbounded_send(Message::Committed(service, term, result));
+        })
+        .detach();
+    }
+
+    fn committed(&mut self, service: &str, term: Term, result: Result<Commit, Error>) {
+        let Some(kept) = self.kept.get_mut(service) else {
+            return;
+        };
+        if kept.keeper.term() != term {
+            return;
+        }
+        let revision = match result {
+            Ok(Commit::Done(revision)) => Some(revision),
+            Ok(Commit::Conflict(items)) => {
+                // An earlier try of the same write, whose answer was lost, may have landed.
+                let written = kept.written.as_ref().map(Record::encode);
+                let own = items
+                    .iter()
+                    .find(|item| Some(&item.value) == written.as_ref());
+                own.map(|item| item.revision)
+            }
+            Err(error) => {
+                self.log(&format!("event=commit-failed service={service} {error}"));
+                self.feed(service, Event::CommitFailed);
+                return;
+            }
+        };
+        match revision {
+            Some(revision) => {
+                kept.revision = revision;
+                self.feed(service, Event::Committed);
+            }
+            None => {
+                self.log(&format!(
+                    "event=deposed service={service} cause=record-changed"
+                ));
+                self.kept.shift_remove(service);
+            }
+        }
+    }
+
+    fn call(&mut self, service: &str, order: Order, grant: bool) {
+        let Some(kept) = self.kept.get(service) else {
+            return;
+        };
+        let term = kept.keeper.term();
+        let (context, sender) = (self.context.clone(), self.sender.clone());
+        let service = service.to_owned();
+        compio::runtime::spawn(async move {
+            let ending = send(&context, &service, &order, grant).await;
+            let _ =
+                sender.unbounded_send(Message::Called(service, term, order.from, grant, ending));
+        })
+        .detach();
+    }
+
+    /// Hands over: no grant leaves any more, the records say so, the lease ends.
+    async fn resigned(&mut self) -> bool {
+        let context = self.context.clone();
+        let work = async {
+            for (service, kept) in &mut self.kept {
+                let Some(record) = kept.keeper.resign() else {
+                    continue;
+                };
+                let key = context.keys.record(service);
+                let transaction = Transaction {
+                    expected: [(key.clone(), kept.revision)].into_iter().collect(),
+                    puts: vec![Put {
+                        key,
+                        value: record.encode(),
+                        lease: None,
+                    }],
+                    removes: Vec::new(),
+                };
+                let result = context.store.commit(transaction).await;
+                if let Err(error) = result {
+                    context
+                        .report
+                        .line(&format!("event=resign-failed service={service} {error}"));
+                }
+            }
+            if let Some((id, _)) = self.lease {
+                let ended = context.store.end(id).await;
+                context
+                    .report
+                    .line(&format!("event=manager-resigned ended={}", ended.is_ok()));
+            }
+        };
+        // What could not be written in time is settled by the lease's own end.
+        let _ = context.clock.timeout(RESIGN_TIMEOUT, work).await;
+        self.kept.clear();
+        self.lease = None;
+        if let Some(done) = self.stopping.take() {
+            let _ = done.send(());
+        }
+        true
+    }
+}
+
+/// The targets of one service, also those that leave.
+fn targets(fleet: &Fleet, service: &str) -> Vec<crate::catalogue::Target> {
+    let of_service = fleet.targets.values().filter(|it| it.service == service);
+    of_service.cloned().collect()
+}
+
+/// How long this VM waits before it bids: VMs are ranked by a hash of their start.
+fn rank(fleet: &Fleet, own: &Vm) -> Duration {
+    let hash = |start: &str| xxhash_rust::xxh3::xxh3_64(start.as_bytes());
+    let mine = hash(&own.start);
+    let before = fleet
+        .vms
+        .values()
+        .filter(|vm| hash(&vm.start) < mine)
+        .count();
+    let steps = u32::try_from(before).unwrap_or(u32::MAX);
+    BID_STEP.saturating_mul(steps).min(BID_LATEST)
+}
+
+/// Takes a lease and writes the manager's entry under it, if there is none.
+async fn bid(context: &Context) -> Result<Option<Lease>, Error> {
+    let lease = context.store.lease(LEASE).await?;
+    let key = context.keys.manager();
+    let transaction = Transaction {
+        expected: [(key.clone(), 0)].into_iter().collect(),
+        puts: vec![Put {
+            key,
+            value: context.vm.encode(),
+            lease: Some(lease.id),
+        }],
+        removes: Vec::new(),
+    };
+    match context.store.commit(transaction).await? {
+        Commit::Done(_) => Ok(Some(lease)),
+        Commit::Conflict(_) => Ok(None),
+    }
+}
+
+/// Sends a grant or release and tells how it ended.
+async fn send(context: &Context, service: &str, order: &Order, grant: bool) -> Ending {
+    let (call, timeout, name) = if grant {
+        let call = context.targets.grant(order, context.timing.hold);
+        (call, GRANT_TIMEOUT, "grant")
+    } else {
+        (context.targets.release(order), RELEASE_TIMEOUT, "release")
+    };
+    let mut request = Request::new(Body::from(call.body));
+    *request.method_mut() = call.method;
+    *request.uri_mut() = http::Uri::from_static(call.path);
+    *request.headers_mut() = call.headers;
+    let started = context.clock.now();
+    let result = context
+        .client
+        .send(order.owner.address, request, timeout)
+        .await;
+    let ending = match result {
+        Ok(response) => {
+            let (head, rest) = response.into_parts();
+            let ending = context.targets.settled(head.status, &head.headers);
+            // Read to its end so that the connection can be used again.
+            let _ = body::read(rest, ANSWER_BYTES).await;
+            ending
+        }
+        Err(error) => {
+            let ending = classify(&error);
+            context.report.line(&format!(
+                "event={name}-failed service={service} target={} from={} to={} fence={} ending={ending:?} {error}",
+                order.owner.id, order.from, order.to, order.fence
+            ));
+            ending
+        }
+    };
+    let took = context.clock.now().saturating_sub(started);
+    context.report.time(name, took, &[("service", service)]);
+    if !matches!(ending, Ending::Done(_)) {
+        context
+            .report
+            .count("grant.failed", &[("service", service)]);
+    }
+    ending
+}
+
+/// Tells what a failed call means for the grant that it may have carried.
+fn classify(error: &client::Error) -> Ending {
+    if error.is_refused() {
+        Ending::Gone
+    } else if error.unsent() {
+        Ending::Unsent
+    } else {
+        Ending::Silent
+    }
+}
+
+/// Speeds relative to the median, from service times.
+fn speeds(times: &IndexMap<TargetId, f64>) -> IndexMap<TargetId, f64> {
+    const LEAST: f64 = 0.4;
+    const MOST: f64 = 2.0;
+    let mut sorted: Vec<f64> = times.values().copied().collect();
+    sorted.sort_by(f64::total_cmp);
+    let Some(median) = sorted.get(sorted.len() / 2).copied() else {
+        return IndexMap::new();
+    };
+    let speed = |time: f64| (median / time.max(0.001)).clamp(LEAST, MOST);
+    times
+        .iter()
+        .map(|(id, time)| (id.clone(), speed(*time)))
+        .collect()
+}
--- /dev/null
+++ b/engine/src/owner/record.rs
@@ -0,0 +1,234 @@
+//! The record of one service's ranges, as it is kept in the store.
+
+use std::net::SocketAddr;
+
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+
+use crate::catalogue::{Born, Target, TargetId};
+
+/// A key's place.
+pub type Point = u64;
+/// A fencing token; a target refuses a grant below one that it has seen.
+pub type Fence = u64;
+/// A manager's turn; each takeover adds one.
+pub type Term = u64;
+
+/// How many low bits of a fence count within a term: 16 million changes a term.
+const COUNTER_BITS: u32 = 24;
+
+quick_error! {
+    /// Why a record can't be read.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The bytes are no record.
+        Unreadable(cause: rmp_serde::decode::Error) {
+            display("step=decode peer=record cause={cause}")
+            source(cause)
+        }
+    }
+}
+
+/// One life of a target, as an owner.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Life {
+    /// The target's id.
+    pub id: TargetId,
+    /// When the life began.
+    pub born: Born,
+    /// Where it answers.
+    pub address: SocketAddr,
+}
+
+impl Life {
+    /// Returns the life that a target announced.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_engine::owner::record::Life;
+    ///
+    /// let life = Life { id: "a".into(), born: 1, address: "127.0.0.1:1".parse().unwrap() };
+    /// assert_eq!(life, life.clone());
+    /// ```
+    pub fn of(target: &Target) -> Self {
+        Self {
+            id: target.id.clone(),
+            born: target.born,
+            address: target.address,
+        }
+    }
+
+    /// Returns whether a target announced this life.
+    ///
+    /// # Example
+    ///
+    /// See [`Life::of`].
+    pub fn is(&self, target: &Target) -> bool {
+        self.id == target.id && self.born == target.born
+    }
+}
+
+/// A range of keys with its owner.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Part {
+    /// The first key.
+    pub from: Point,
+    /// The last key.
+    pub to: Point,
+    /// The fence of the owner's grant.
+    pub fence: Fence,
+    /// The owner; none while nobody may be granted the range.
+    pub owner: Option<Life>,
+}
+
+impl Part {
+    /// Returns how many keys the range has.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_engine::owner::record::Part;
+    ///
+    /// let part = Part { from: 4, to: 7, fence: 1, owner: None };
+    /// assert_eq!(part.width(), 4);
+    /// ```
+    pub fn width(&self) -> u64 {
+        self.to - self.from + 1
+    }
+}
+
+/// All ranges of a service.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Record {
+    /// The manager's turn.
+    pub term: Term,
+    /// The start of a process that is the manager.
+    pub manager: String,
+    /// Whether that manager has stopped for good and renews nothing any more.
+    pub resigned: bool,
+    /// How many fences this term has used.
+    pub counter: u64,
+    /// The ranges in order; they cover all keys.
+    pub parts: Vec<Part>,
+}
+
+impl Record {
+    /// Creates the record of a service nobody has owned yet.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_engine::owner::record::Record;
+    ///
+    /// assert_eq!(Record::first(65_535).parts[0].width(), 65_536);
+    /// ```
+    pub fn first(last: Point) -> Self {
+        let whole = Part {
+            from: 0,
+            to: last,
+            fence: 0,
+            owner: None,
+        };
+        Self {
+            parts: vec![whole],
+            ..Self::default()
+        }
+    }
+
+    /// Returns the next fence, two above the last: the one between is for releases.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_engine::owner::record::Record;
+    ///
+    /// let mut record = Record::first(9);
+    /// assert!(record.next_fence() < record.next_fence());
+    /// ```
+    pub fn next_fence(&mut self) -> Fence {
+        self.counter += 2;
+        (self.term << COUNTER_BITS) | self.counter
+    }
+
+    /// Returns the range of a key.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_engine::owner::record::Record;
+    ///
+    /// assert_eq!(Record::first(9).find(3).unwrap().to, 9);
+    /// assert!(Record::first(9).find(10).is_none());
+    /// ```
+    pub fn find(&self, point: Point) -> Option<&Part> {
+        let index = self.parts.partition_point(|part| part.to < point);
+        self.parts.get(index).filter(|part| part.from <= point)
+    }
+
+    /// Cuts ranges so that one begins at `from` and one ends at `to`.
+    ///
+    /// The pieces keep owner and fence.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_engine::owner::record::Record;
+    ///
+    /// let mut record = Record::first(9);
+    /// record.cut(3, 5);
+    /// let bounds: Vec<_> = record.parts.iter().map(|part| (part.from, part.to)).collect();
+    /// assert_eq!(bounds, [(0, 2), (3, 5), (6, 9)]);
+    /// ```
+    pub fn cut(&mut self, from: Point, to: Point) {
+        self.cut_before(from);
+        if let Some(next) = to.checked_add(1) {
+            self.cut_before(next);
+        }
+    }
+
+    fn cut_before(&mut self, point: Point) {
+        let index = self.parts.partition_point(|part| part.to < point);
+        let Some(part) = self.parts.get_mut(index) else {
+            return;
+        };
+        if part.from >= point {
+            return;
+        }
+        let mut rest = part.clone();
+        rest.from = point;
+        part.to = point - 1;
+        self.parts.insert(index + 1, rest);
+    }
+
+    /// Encodes the record for the store.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_engine::owner::record::Record;
+    ///
+    /// let record = Record::first(9);
+    /// assert_eq!(Record::decode(&record.encode()).unwrap(), record);
+    /// ```
+    pub fn encode(&self) -> Vec<u8> {
+        // Records hold numbers and text only, which always encode.
+        rmp_serde::to_vec(self).unwrap_or_default()
+    }
+
+    /// Decodes a stored record.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unreadable`] when the bytes are no record.
+    ///
+    /// # Example
+    ///
+    /// See [`Record::encode`].
+    pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
+        rmp_serde::from_slice(bytes).map_err(Error::Unreadable)
+    }
+}
--- /dev/null
+++ b/engine/src/owner/tally.rs
@@ -0,0 +1,51 @@
+//! Counts of requests by key, between two reports to the manager.
+
+use std::{cell::RefCell, collections::HashMap, rc::Rc};
+
+use super::record::Point;
+use crate::catalogue::ServiceId;
+
+/// Counts requests by service and key; clones share the counts.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier_engine::owner::tally::Tally;
+///
+/// let tally = Tally::default();
+/// tally.count("s", 7);
+/// tally.count("s", 7);
+/// assert_eq!(tally.take(), [("s".to_owned(), vec![(7, 2)])]);
+/// assert!(tally.take().is_empty());
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Tally(Rc<RefCell<HashMap<ServiceId, HashMap<Point, u32>>>>);
+
+impl Tally {
+    /// Counts one request.
+    ///
+    /// # Example
+    ///
+    /// See [`Tally`].
+    pub fn count(&self, service: &str, point: Point) {
+        let mut counts = self.0.borrow_mut();
+        if let Some(keys) = counts.get_mut(service) {
+            *keys.entry(point).or_default() += 1;
+        } else {
+            counts.insert(service.to_owned(), [(point, 1)].into());
+        }
+    }
+
+    /// Takes all counts.
+    ///
+    /// # Example
+    ///
+    /// See [`Tally`].
+    pub fn take(&self) -> Vec<(ServiceId, Vec<(Point, u32)>)> {
+        let counts = std::mem::take(&mut *self.0.borrow_mut());
+        let list = counts
+            .into_iter()
+            .map(|(name, keys)| (name, keys.into_iter().collect()));
+        list.collect()
+    }
+}
--- /dev/null
+++ b/engine/src/place/budget.rs
@@ -0,0 +1,91 @@
+//! The budget for sending a request to a second target, shared by all VMs.
+
+use std::{collections::VecDeque, time::Duration};
+
+/// The part of this VM's allowance that is used: VMs' counts of each other differ for a while.
+const USED: f64 = 0.8;
+/// Into how many slices the window is cut.
+const SLICES: u32 = 10;
+
+/// What all VMs together may send again within a window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowance {
+    /// Repeats for each request of the window.
+    pub ratio: f64,
+    /// Repeats of a window beside those.
+    pub slack: f64,
+    /// The window.
+    pub window: Duration,
+}
+
+/// One VM's part of the budget for one service.
+///
+/// Load pattern: a service that fails makes every VM send again at once, which doubles the load on
+/// what is left of it.
+///
+/// # Example
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use bramleypier_engine::place::budget::{Allowance, Budget};
+///
+/// let allowance = Allowance { ratio: 0.2, slack: 0.0, window: Duration::from_secs(10) };
+/// let mut budget = Budget::default();
+/// for _ in 0..100 {
+///     budget.count(Duration::ZERO, allowance);
+/// }
+/// let repeats = (0..100).filter(|_| budget.spend(Duration::ZERO, allowance, 1)).count();
+/// assert_eq!(repeats, 16);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Budget {
+    /// Slices of the window: its number, requests, repeats.
+    slices: VecDeque<(u64, u32, u32)>,
+}
+
+impl Budget {
+    /// Counts a request that callers sent.
+    ///
+    /// # Example
+    ///
+    /// See [`Budget`].
+    pub fn count(&mut self, now: Duration, allowance: Allowance) {
+        self.slice(now, allowance).1 += 1;
+    }
+
+    /// Spends one repeat, if the part of one among `vms` VMs allows.
+    ///
+    /// # Example
+    ///
+    /// See [`Budget`].
+    pub fn spend(&mut self, now: Duration, allowance: Allowance, vms: usize) -> bool {
+        self.slice(now, allowance);
+        let requests: u32 = self.slices.iter().map(|it| it.1).sum();
+        let repeats: u32 = self.slices.iter().map(|it| it.2).sum();
+        let slack = allowance.slack / vms.max(1) as f64;
+        let most = (f64::from(requests) * allowance.ratio + slack) * USED;
+        let may = f64::from(repeats + 1) <= most;
+        if may {
+            self.slice(now, allowance).2 += 1;
+        }
+        may
+    }
+
+    fn slice(&mut self, now: Duration, allowance: Allowance) -> &mut (u64, u32, u32) {
+        let span = (allowance.window / SLICES).max(Duration::from_millis(1));
+        let number = u64::try_from(now.as_nanos() / span.as_nanos()).unwrap_or(u64::MAX);
+        while self
+            .slices
+            .front()
+            .is_some_and(|it| it.0 + u64::from(SLICES) <= number)
+        {
+            self.slices.pop_front();
+        }
+        if self.slices.back().is_none_or(|it| it.0 != number) {
+            self.slices.push_back((number, 0, 0));
+        }
+        let last = self.slices.len() - 1;
+        &mut self.slices[last]
+    }
+}
--- /dev/null
+++ b/engine/src/place/desk.rs
@@ -0,0 +1,480 @@
+//! Decides for each request: send it now and where, let it wait, or refuse it.
+//!
+//! Load patterns that it answers:
+//!
+//! - *More arrives than targets can do*: a request that probably can't be answered in time is
+//!   refused at once, with the time in which a place is likely free, so that the rest is served.
+//! - *A target's queue is almost full*: it may break connections off instead of refusing, and an
+//!   order broken off has an unknown outcome. Requests wait here instead, by rank.
+//! - *Keys on their way to another owner*: their requests wait for the new owner, briefly.
+//! - *A target that fails fast looks idle*: answers count, not promptness; one that fails often gets
+//!   single requests until it does well.
+
+use std::{rc::Rc, time::Duration};
+
+use indexmap::IndexMap;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+pub use super::member::Ended;
+use super::{
+    budget::{Allowance, Budget},
+    member::Member,
+};
+use crate::{
+    catalogue::{ServiceId, Target, TargetId},
+    owner::record::{Fence, Point, Record},
+    target::LoadReport,
+};
+
+/// How many requests a target may have waiting, from all VMs, as far as this VM can tell.
+///
+/// Targets queue some 8 and may break connections when full; VMs see each other's requests late, so
+/// the last places are left empty.
+const QUEUE_USED: f64 = 5.0;
+/// How long a request waits for its key to have an owner, as a part of the route's goal.
+///
+/// A planned move takes one release, one write and one grant, some 50 to 200 ms; a lost owner takes
+/// seconds, for which no request should be held.
+const OWNER_WAIT_PART: f64 = 0.6;
+/// The share of the time left within which an answer must be expected for a request to be sent.
+const WITHIN: f64 = 1.0;
+/// The least time to come back that is told.
+const COME_BACK_LEAST: Duration = Duration::from_millis(20);
+/// The time to come back when a key has no owner.
+const COME_BACK_UNOWNED: Duration = Duration::from_millis(400);
+/// How many requests may wait on one VM.
+const WAITING_MOST: usize = 512;
+/// By how much estimates are varied, so that VMs with the same news don't all pick the same target.
+const JITTER: f64 = 0.12;
+
+/// The number of a request; never used twice.
+pub type Ticket = u64;
+
+/// A request that asks for a target.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ask {
+    /// Its number.
+    pub ticket: Ticket,
+    /// The service.
+    pub service: ServiceId,
+    /// The key, where the service's keys have owners.
+    pub point: Option<Point>,
+    /// Its rank; 0 is the highest.
+    pub priority: u32,
+    /// When it came.
+    pub came: Duration,
+    /// When an answer is worth less.
+    pub goal: Duration,
+    /// When an answer is worth nothing.
+    pub until: Duration,
+    /// Targets that it was sent to already.
+    pub tried: Vec<TargetId>,
+    /// Whether it draws on the budget for repeats.
+    pub repeat: bool,
+    /// The fence of the owner that has just refused its key, and how long to wait for a newer one.
+    pub refused: Option<(Fence, Duration)>,
+}
+
+/// What happens to a desk.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A request asks for a target.
+    Ask(Ask),
+    /// A request that was sent has ended.
+    Done {
+        /// Its target.
+        target: TargetId,
+        /// How it ended.
+        ended: Ended,
+        /// The target's depth when it was sent.
+        depth: f64,
+        /// The load that the target reported.
+        load: Option<LoadReport>,
+    },
+    /// A request that waits was given up by its caller.
+    Left(Ticket),
+    /// The announced targets, the owners of keys and the number of VMs are these.
+    View(Rc<View>),
+    /// Time passed.
+    Tick,
+}
+
+/// What a desk is told of the fleet.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// Targets that may be sent work, by service.
+    pub targets: IndexMap<ServiceId, Vec<Target>>,
+    /// Owners by service.
+    pub records: IndexMap<ServiceId, Rc<Record>>,
+    /// How many VMs there are.
+    pub vms: usize,
+}
+
+/// What a desk decides.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Send the request there.
+    Send {
+        /// The request.
+        ticket: Ticket,
+        /// The target.
+        target: Target,
+        /// How many requests were probably there before it.
+        depth: f64,
+        /// The fence of the target's ownership of the key; 0 where keys have no owners.
+        fence: Fence,
+    },
+    /// Refuse the request.
+    Refuse {
+        /// The request.
+        ticket: Ticket,
+        /// Why.
+        why: Why,
+        /// When a place is likely free.
+        retry: Duration,
+    },
+}
+
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Why {
+    /// The service has no target that can be reached.
+    NoTarget,
+    /// Its key has no owner that can be reached.
+    NoOwner,
+    /// No answer is expected in time.
+    Late,
+    /// The budget for repeats is spent.
+    Budget,
+    /// Too many wait here.
+    Full,
+}
+
+impl Why {
+    /// Returns the reason as logs and callers read it.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_engine::place::desk::Why;
+    ///
+    /// assert_eq!(Why::Late.name(), "late");
+    /// ```
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoTarget => "no-target",
+            Self::NoOwner => "no-owner",
+            Self::Late => "late",
+            Self::Budget => "budget",
+            Self::Full => "full",
+        }
+    }
+}
+
+/// What can be done for a request now.
+enum Choice {
+    Send(TargetId, Fence),
+    Wait,
+    Refuse(Why, Duration),
+}
+
+#[derive(Debug)]
+struct Waiting {
+    ask: Ask,
+    counted: bool,
+}
+
+/// One VM's decisions on where requests go.
+#[derive(Debug)]
+pub struct Desk {
+    allowance: Allowance,
+    view: Rc<View>,
+    members: IndexMap<TargetId, Member>,
+    budgets: IndexMap<ServiceId, Budget>,
+    waiting: Vec<Waiting>,
+    random: SmallRng,
+}
+
+impl Desk {
+    /// Creates a desk that knows no target yet.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier_engine::place::{
+    ///     budget::Allowance,
+    ///     desk::{Desk, Event},
+    /// };
+    ///
+    /// let allowance = Allowance { ratio: 0.2, slack: 60.0, window: Duration::from_secs(10) };
+    /// let mut desk = Desk::new(allowance, 1);
+    /// assert!(desk.on(Duration::ZERO, Event::Tick).is_empty());
+    /// ```
+    pub fn new(allowance: Allowance, seed: u64) -> Self {
+        Self {
+            allowance,
+            view: Rc::default(),
+            members: IndexMap::new(),
+            budgets: IndexMap::new(),
+            waiting: Vec::new(),
+            random: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Takes an event and returns what is decided by it.
+    ///
+    /// # Example
+    ///
+    /// See [`Desk::new`].
+    pub fn on(&mut self, now: Duration, event: Event) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        match event {
+            Event::Ask(ask) => self.ask(now, ask, &mut effects),
+            Event::Done {
+                target,
+                ended,
+                depth,
+                load,
+            } => {
+                if let Some(member) = self.members.get_mut(&target) {
+                    member.ended(now, ended, depth, load);
+                }
+                self.serve(now, &mut effects);
+            }
+            Event::Left(ticket) => self.waiting.retain(|it| it.ask.ticket != ticket),
+            Event::View(view) => {
+                self.look(now, view);
+                self.serve(now, &mut effects);
+            }
+            Event::Tick => self.serve(now, &mut effects),
+        }
+        effects
+    }
+
+    /// Returns how many requests wait.
+    ///
+    /// # Example
+    ///
+    /// See [`Desk::new`].
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns the measured service time of each target in seconds.
+    ///
+    /// # Example
+    ///
+    /// See [`Desk::new`].
+    pub fn times(&self) -> IndexMap<TargetId, f64> {
+        let measured = |it: &Member| Some((it.target.id.clone(), it.measured()?));
+        self.members.values().filter_map(measured).collect()
+    }
+
+    fn look(&mut self, now: Duration, view: Rc<View>) {
+        let mut members = IndexMap::new();
+        for target in view.targets.values().flatten() {
+            let known = self.members.swap_remove(&target.id);
+            let member = match known {
+                Some(mut member) if member.target.same_life(target) => {
+                    member.target = target.clone();
+                    member
+                }
+                _ => Member::new(target.clone(), now),
+            };
+            members.insert(target.id.clone(), member);
+        }
+        self.members = members;
+        self.view = view;
+    }
+
+    fn ask(&mut self, now: Duration, ask: Ask, out: &mut Vec<Effect>) {
+        let budget = self.budgets.entry(ask.service.clone()).or_default();
+        if !ask.repeat {
+            budget.count(now, self.allowance);
+        }
+        let mut waiting = Waiting {
+            ask,
+            counted: false,
+        };
+        if !self.decide(now, &mut waiting, out) {
+            self.hold(waiting, out);
+        }
+    }
+
+    fn hold(&mut self, waiting: Waiting, out: &mut Vec<Effect>) {
+        if self.waiting.len() >= WAITING_MOST {
+            out.push(Effect::Refuse {
+                ticket: waiting.ask.ticket,
+                why: Why::Full,
+                retry: COME_BACK_UNOWNED,
+            });
+            return;
+        }
+        let rank = |it: &Waiting| (it.ask.priority, it.ask.came);
+        let place = self
+            .waiting
+            .partition_point(|it| rank(it) <= rank(&waiting));
+        self.waiting.insert(place, waiting);
+    }
+
+    /// Decides again for all that wait, by rank.
+    fn serve(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        let waiting = std::mem::take(&mut self.waiting);
+        for mut it in waiting {
+            if !self.decide(now, &mut it, out) {
+                self.waiting.push(it);
+            }
+        }
+    }
+
+    /// Decides for one request; returns whether that is its end here.
+    fn decide(&mut self, now: Duration, it: &mut Waiting, out: &mut Vec<Effect>) -> bool {
+        let ticket = it.ask.ticket;
+        match self.choose(now, &it.ask) {
+            Choice::Wait => false,
+            Choice::Refuse(why, retry) => {
+                out.push(Effect::Refuse { ticket, why, retry });
+                true
+            }
+            Choice::Send(id, fence) => {
+                if it.ask.repeat && !it.counted {
+                    let vms = self.view.vms;
+                    let budget = self.budgets.entry(it.ask.service.clone()).or_default();
+                    if !budget.spend(now, self.allowance, vms) {
+                        let retry = self.allowance.window / 10;
+                        let why = Why::Budget;
+                        out.push(Effect::Refuse { ticket, why, retry });
+                        return true;
+                    }
+                    it.counted = true;
+                }
+                let Some(member) = self.members.get_mut(&id) else {
+                    return false;
+                };
+                let depth = member.depth(now);
+                member.sent(now);
+                out.push(Effect::Send {
+                    ticket,
+                    target: member.target.clone(),
+                    depth,
+                    fence,
+                });
+                true
+            }
+        }
+    }
+
+    fn choose(&mut self, now: Duration, ask: &Ask) -> Choice {
+        match (ask.point, self.view.records.get(&ask.service)) {
+            (Some(point), Some(record)) => {
+                let record = record.clone();
+                self.choose_owner(now, ask, point, &record)
+            }
+            (Some(_), None) => self.unowned(now, ask),
+            (None, _) => self.choose_any(now, ask),
+        }
+    }
+
+    fn choose_owner(&self, now: Duration, ask: &Ask, point: Point, record: &Record) -> Choice {
+        let Some(part) = record.find(point) else {
+            return self.unowned(now, ask);
+        };
+        if ask
+            .refused
+            .is_some_and(|(fence, until)| part.fence == fence && now < until)
+        {
+            return Choice::Wait;
+        }
+        let member = part.owner.as_ref().and_then(|life| {
+            let member = self.members.get(&life.id);
+            member.filter(|it| life.is(&it.target))
+        });
+        let Some(member) = member else {
+            return self.unowned(now, ask);
+        };
+        if !member.is_open(now) || ask.tried.contains(&member.target.id) {
+            return self.unowned(now, ask);
+        }
+        self.fit(now, ask, member, self.usual(&ask.service), part.fence)
+    }
+
+    /// What to do for a request whose key has no owner that can be reached.
+    fn unowned(&self, now: Duration, ask: &Ask) -> Choice {
+        let goal = ask.goal.saturating_sub(ask.came);
+        let patience = ask.came + goal.mul_f64(OWNER_WAIT_PART);
+        if now < patience.min(ask.until) {
+            return Choice::Wait;
+        }
+        Choice::Refuse(Why::NoOwner, COME_BACK_UNOWNED)
+    }
+
+    fn choose_any(&mut self, now: Duration, ask: &Ask) -> Choice {
+        let usual = self.usual(&ask.service);
+        let Some(targets) = self.view.targets.get(&ask.service) else {
+            return self.untargeted(now, ask);
+        };
+        let mut best: Option<(&Member, f64)> = None;
+        for target in targets {
+            let Some(member) = self.members.get(&target.id) else {
+                continue;
+            };
+            if !member.is_open(now) || ask.tried.contains(&target.id) {
+                continue;
+            }
+            let vary = 1.0 + self.random.random_range(-JITTER..JITTER);
+            let mut score = member.expected(now, usual) * vary;
+            score *= 1.0 + 4.0 * member.failures(now);
+            if member.is_bad(now) {
+                // Behind all others, so that it is used only when they are out of reach.
+                score += 1000.0;
+            }
+            if best.is_none_or(|(_, least)| score < least) {
+                best = Some((member, score));
+            }
+        }
+        match best {
+            Some((member, _)) => self.fit(now, ask, member, usual, 0),
+            None => self.untargeted(now, ask),
+        }
+    }
+
+    fn untargeted(&self, now: Duration, ask: &Ask) -> Choice {
+        match self.unowned(now, ask) {
+            Choice::Refuse(_, retry) => Choice::Refuse(Why::NoTarget, retry),
+            choice => choice,
+        }
+    }
+
+    /// Decides whether a request fits at a target, waits for it, or is too late for it.
+    fn fit(
+        &self,
+        now: Duration,
+        ask: &Ask,
+        member: &Member,
+        usual: Option<f64>,
+        fence: Fence,
+    ) -> Choice {
+        let left = ask.until.saturating_sub(now);
+        let expected = Duration::from_secs_f64(member.expected(now, usual));
+        let most = member.target.slots.max(1) as f64 + QUEUE_USED;
+        if expected > left.mul_f64(WITHIN) {
+            let over = expected.saturating_sub(left.mul_f64(WITHIN));
+            return Choice::Refuse(Why::Late, over.max(COME_BACK_LEAST));
+        }
+        if member.depth(now) + 1.0 > most {
+            return Choice::Wait;
+        }
+        Choice::Send(member.target.id.clone(), fence)
+    }
+
+    /// The median service time of a service's targets, in seconds.
+    fn usual(&self, service: &str) -> Option<f64> {
+        let targets = self.view.targets.get(service)?;
+        let members = targets.iter().filter_map(|it| self.members.get(&it.id));
+        let mut times: Vec<f64> = members.filter_map(Member::measured).collect();
+        times.sort_by(f64::total_cmp);
+        times.get(times.len() / 2).copied()
+    }
+}
--- /dev/null
+++ b/engine/src/place/member.rs
@@ -0,0 +1,187 @@
+//! What one VM believes of one target's load and health.
+
+use std::time::Duration;
+
+use crate::{catalogue::Target, target::LoadReport};
+
+/// The part of a new sample in averages of times.
+const PART: f64 = 0.15;
+/// The time in which a load report loses most of its weight to the mean of reports.
+///
+/// Requests last some 50 to 250 ms; a report older than that tells little of who runs now.
+const REPORT_LIFE: Duration = Duration::from_millis(200);
+/// The service time that is assumed of a service of which nothing was measured.
+const UNKNOWN_TIME: Duration = Duration::from_millis(80);
+/// How long a target is left alone after it could not be reached.
+const LEFT_ALONE: Duration = Duration::from_millis(400);
+/// The longest time for which it is left alone: a target that came back earlier is missed so long.
+const LEFT_ALONE_MOST: Duration = Duration::from_millis(1600);
+/// The share of failures above which a target is tried by single requests only.
+const BAD: f64 = 0.35;
+/// The pause between two of those.
+const TRIAL_PAUSE: Duration = Duration::from_millis(500);
+/// What failed requests weigh in the share of failures.
+const FAILURE_PART: f64 = 0.2;
+/// How long it takes a share of failures without new answers to halve.
+const FAILURE_HALF: f64 = 3.0;
+
+/// How a request at a target ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// It was answered well, in this time.
+    Answered(Duration),
+    /// It was answered with the target's own failure.
+    Failed,
+    /// The target refused it and did not run it.
+    Refused,
+    /// The connection broke, or the answer could not be used.
+    Lost,
+    /// No connection came about.
+    Unreached,
+    /// Nobody listens at its address.
+    Gone,
+    /// The caller left, or the time ran out.
+    Given,
+}
+
+/// One target as this VM knows it.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// The target.
+    pub target: Target,
+    /// This VM's requests there.
+    pub own: u32,
+    since: Duration,
+    others: f64,
+    others_mean: f64,
+    reported: Option<Duration>,
+    time: Option<f64>,
+    failures: f64,
+    failed_at: Duration,
+    alone_until: Duration,
+    alone_for: Duration,
+    trial_at: Duration,
+}
+
+impl Member {
+    /// Creates what is believed of a target that has just been announced.
+    pub fn new(target: Target, now: Duration) -> Self {
+        Self {
+            target,
+            own: 0,
+            since: now,
+            others: 0.0,
+            others_mean: 0.0,
+            reported: None,
+            time: None,
+            failures: 0.0,
+            failed_at: now,
+            alone_until: Duration::ZERO,
+            alone_for: LEFT_ALONE,
+            trial_at: Duration::ZERO,
+        }
+    }
+
+    /// Returns how many requests are probably there, from all VMs.
+    pub fn depth(&self, now: Duration) -> f64 {
+        let others = self.reported.map_or(self.others_mean, |at| {
+            let age = now.saturating_sub(at).as_secs_f64() / REPORT_LIFE.as_secs_f64();
+            self.others_mean + (self.others - self.others_mean) * (-age).exp()
+        });
+        f64::from(self.own) + others
+    }
+
+    /// Returns the time that one request takes there, without waiting, in seconds.
+    pub fn time(&self, usual: Option<f64>) -> f64 {
+        let time = self.time.or(usual);
+        time.unwrap_or(UNKNOWN_TIME.as_secs_f64())
+    }
+
+    /// Returns the measured service time in seconds, if any was measured.
+    pub fn measured(&self) -> Option<f64> {
+        self.time
+    }
+
+    /// Returns whether the target is still slow after its start.
+    pub fn is_cold(&self, now: Duration) -> bool {
+        now < self.since + self.target.cold
+    }
+
+    /// Returns the time that a request sent now would probably take, in seconds.
+    pub fn expected(&self, now: Duration, usual: Option<f64>) -> f64 {
+        let slots = self.target.slots.max(1) as f64;
+        let depth = self.depth(now);
+        let queued = (depth + 1.0 - slots).max(0.0) / slots;
+        let cold = if self.is_cold(now) { 1.7 } else { 1.0 };
+        // Even below its slots, a target with fewer requests is the better choice.
+        let busy = depth.min(slots) / slots * 0.25;
+        self.time(usual) * cold * (1.0 + queued + busy)
+    }
+
+    /// Returns the share of failures among the latest answers.
+    pub fn failures(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.failed_at).as_secs_f64();
+        self.failures * (-age / FAILURE_HALF).exp2()
+    }
+
+    /// Returns whether a request may be sent now.
+    pub fn is_open(&self, now: Duration) -> bool {
+        now >= self.alone_until
+    }
+
+    /// Returns whether it fails too often for other than single trials.
+    pub fn is_bad(&self, now: Duration) -> bool {
+        self.failures(now) > BAD && now < self.trial_at + TRIAL_PAUSE
+    }
+
+    /// Takes note of a request that is sent.
+    pub fn sent(&mut self, now: Duration) {
+        self.own += 1;
+        self.trial_at = now;
+    }
+
+    /// Takes note of a request's end.
+    pub fn ended(&mut self, now: Duration, ended: Ended, depth: f64, load: Option<LoadReport>) {
+        self.own = self.own.saturating_sub(1);
+        if let Some(load) = load {
+            self.report(now, load);
+        }
+        match ended {
+            Ended::Answered(took) => {
+                self.learn(took, depth);
+                self.fail(now, 0.0);
+                self.alone_for = LEFT_ALONE;
+            }
+            Ended::Failed => self.fail(now, 1.0),
+            Ended::Refused => self.fail(now, 0.5),
+            Ended::Lost => self.fail(now, 1.0),
+            Ended::Unreached | Ended::Gone => {
+                self.alone_until = now + self.alone_for;
+                self.alone_for = (self.alone_for * 2).min(LEFT_ALONE_MOST);
+            }
+            Ended::Given => {}
+        }
+    }
+
+    fn report(&mut self, now: Duration, load: LoadReport) {
+        let all = f64::from(load.running + load.waiting);
+        self.others = (all - f64::from(self.own)).max(0.0);
+        self.others_mean += (self.others - self.others_mean) * PART;
+        self.reported = Some(now);
+    }
+
+    /// Learns the service time from an answer that came after `depth` others.
+    fn learn(&mut self, took: Duration, depth: f64) {
+        let slots = self.target.slots.max(1) as f64;
+        let queued = ((depth + 1.0 - slots).max(0.0) / slots).min(4.0);
+        let sample = took.as_secs_f64() / (1.0 + queued);
+        let mean = self.time.get_or_insert(sample);
+        *mean += (sample - *mean) * PART;
+    }
+
+    fn fail(&mut self, now: Duration, sample: f64) {
+        let before = self.failures(now);
+        self.failures = before + (sample - before) * FAILURE_PART;
+        self.failed_at = now;
+    }
+}
--- /dev/null
+++ b/engine/src/place/mod.rs
@@ -0,0 +1,9 @@
+//! Which target a request goes to, when, and which requests are refused.
+//!
+//! [`desk`] decides, free of I/O; [`budget`] bounds what is sent a second time; [`task`] owns the
+//! desk and answers by messages.
+
+pub mod budget;
+pub mod desk;
+mod member;
+pub mod task;
--- /dev/null
+++ b/engine/src/place/task.rs
@@ -0,0 +1,229 @@
+//! The task that owns the desk.
+
+use std::{cell::Cell, collections::HashMap, rc::Rc, time::Duration};
+
+use bramleypier_util::clock::Clock;
+use futures_channel::{mpsc, oneshot};
+use futures_util::{
+    StreamExt,
+    future::{self, Either},
+};
+use indexmap::IndexMap;
+
+use super::desk::{Ask, Desk, Effect, Ended, Event, Ticket, View, Why};
+use crate::{
+    catalogue::{Target, TargetId},
+    owner::record::Fence,
+    target::LoadReport,
+};
+
+/// How often waiting requests are looked at when nothing else happens: their time may have ended,
+/// and load reports lose weight with age.
+const TICK: Duration = Duration::from_millis(10);
+
+/// What the desk's task is told.
+enum Message {
+    Ask(Ask, oneshot::Sender<Result<Permit, Refused>>),
+    Event(Event),
+    Times(oneshot::Sender<IndexMap<TargetId, f64>>),
+}
+
+/// Why a request got no target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refused {
+    /// Why.
+    pub why: Why,
+    /// When a place is likely free.
+    pub retry: Duration,
+}
+
+/// The right to send one request to a target; must be given back by its end.
+#[derive(Debug)]
+pub struct Permit {
+    /// The target.
+    pub target: Target,
+    /// How many requests were probably there before it.
+    pub depth: f64,
+    /// The fence of the target's ownership of the key; 0 where keys have no owners.
+    pub fence: Fence,
+    desk: Option<Handle>,
+}
+
+impl Permit {
+    /// Tells how the request ended.
+    pub fn finish(mut self, ended: Ended, load: Option<LoadReport>) {
+        self.tell(ended, load);
+    }
+
+    fn tell(&mut self, ended: Ended, load: Option<LoadReport>) {
+        if let Some(desk) = self.desk.take() {
+            desk.tell(Event::Done {
+                target: self.target.id.clone(),
+                ended,
+                depth: self.depth,
+                load,
+            });
+        }
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.tell(Ended::Given, None);
+    }
+}
+
+/// Talks to the desk's task.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    sender: mpsc::UnboundedSender<Message>,
+    tickets: Rc<Cell<Ticket>>,
+}
+
+impl std::fmt::Debug for Message {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Message")
+    }
+}
+
+/// Takes a request off the queue when whoever asked is gone.
+struct Queued {
+    desk: Handle,
+    ticket: Ticket,
+    open: bool,
+}
+
+impl Drop for Queued {
+    fn drop(&mut self) {
+        if self.open {
+            self.desk.tell(Event::Left(self.ticket));
+        }
+    }
+}
+
+impl Handle {
+    /// Asks for a target; the ask's ticket is set here.
+    ///
+    /// # Errors
+    ///
+    /// [`Refused`] when the request can't be served.
+    pub async fn ask(&self, mut ask: Ask) -> Result<Permit, Refused> {
+        let ticket = self.tickets.get() + 1;
+        self.tickets.set(ticket);
+        ask.ticket = ticket;
+        let (sender, receiver) = oneshot::channel();
+        let closed = Refused {
+            why: Why::NoTarget,
+            retry: TICK,
+        };
+        let mut queued = Queued {
+            desk: self.clone(),
+            ticket,
+            open: true,
+        };
+        if self
+            .sender
+            .unbounded_send(Message::Ask(ask, sender))
+            .is_err()
+        {
+            return Err(closed);
+        }
+        let answer = receiver.await.unwrap_or(Err(closed));
+        queued.open = false;
+        answer
+    }
+
+    /// Tells the desk what happened.
+    pub fn tell(&self, event: Event) {
+        // The task ends with the process only; then nothing is left to be told.
+        let _ = self.sender.unbounded_send(Message::Event(event));
+    }
+
+    /// Shows the desk another view of the fleet.
+    pub fn show(&self, view: Rc<View>) {
+        self.tell(Event::View(view));
+    }
+
+    /// Returns the measured service time of each target in seconds.
+    pub async fn times(&self) -> IndexMap<TargetId, f64> {
+        let (sender, receiver) = oneshot::channel();
+        let _ = self.sender.unbounded_send(Message::Times(sender));
+        receiver.await.unwrap_or_default()
+    }
+}
+
+/// Starts the task and returns the way to talk to it.
+pub fn start(desk: Desk, clock: Clock) -> Handle {
+    let (sender, receiver) = mpsc::unbounded();
+    let handle = Handle {
+        sender,
+        tickets: Rc::default(),
+    };
+    compio::runtime::spawn(run(desk, clock, receiver, handle.clone())).detach();
+    handle
+}
+
+async fn run(
+    mut desk: Desk,
+    clock: Clock,
+    mut messages: mpsc::UnboundedReceiver<Message>,
+    handle: Handle,
+) {
+    let mut asked: HashMap<Ticket, oneshot::Sender<Result<Permit, Refused>>> = HashMap::new();
+    loop {
+        let message = if desk.waiting() == 0 {
+            messages.next().await
+        } else {
+            match future::select(messages.next(), Box::pin(clock.sleep(TICK))).await {
+                Either::Left((message, _)) => message,
+                Either::Right(_) => Some(Message::Event(Event::Tick)),
+            }
+        };
+        let event = match message {
+            None => return,
+            Some(Message::Times(sender)) => {
+                let _ = sender.send(desk.times());
+                continue;
+            }
+            Some(Message::Event(event)) => event,
+            Some(Message::Ask(ask, sender)) => {
+                asked.insert(ask.ticket, sender);
+                Event::Ask(ask)
+            }
+        };
+        if let Event::Left(ticket) = &event {
+            asked.remove(ticket);
+        }
+        for effect in desk.on(clock.now(), event) {
+            answer(effect, &mut asked, &handle);
+        }
+    }
+}
+
+fn answer(
+    effect: Effect,
+    asked: &mut HashMap<Ticket, oneshot::Sender<Result<Permit, Refused>>>,
+    handle: &Handle,
+) {
+    let (ticket, result) = match effect {
+        Effect::Refuse { ticket, why, retry } => (ticket, Err(Refused { why, retry })),
+        Effect::Send {
+            ticket,
+            target,
+            depth,
+            fence,
+        } => {
+            let permit = Permit {
+                target,
+                depth,
+                fence,
+                desk: Some(handle.clone()),
+            };
+            (ticket, Ok(permit))
+        }
+    };
+    if let Some(sender) = asked.remove(&ticket) {
+        // Whoever asked may have left meanwhile; a permit that is dropped is given back.
+        let _ = sender.send(result);
+    }
+}
--- /dev/null
+++ b/engine/src/process.rs
@@ -0,0 +1,512 @@
+//! One process: its sockets and tasks, from start to stop.
+
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+
+use bramleypier_util::{
+    body::Body,
+    client::Client,
+    clock::Clock,
+    server::{self, Control},
+};
+use compio::net::TcpListener;
+use futures_channel::{mpsc, oneshot};
+use futures_util::{
+    StreamExt,
+    future::{self, Either},
+};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use quick_error::quick_error;
+
+use crate::{
+    caller::{
+        Callers,
+        attempt::Sender,
+        forward,
+        serve::{self, Gate},
+    },
+    catalogue::Catalogue,
+    fleet::{Beliefs, Keys, Vm},
+    follow,
+    owner::{manager, tally::Tally},
+    peer,
+    place::{desk::Desk, task},
+    register,
+    report::Report,
+    settings::Settings,
+    store::Store,
+    target::Targets,
+};
+
+/// The most connections to one target from one VM.
+const CONNECTIONS: usize = 24;
+/// The most connections to one peer.
+const PEER_CONNECTIONS: usize = 4;
+/// How often counts of requests go to the manager.
+const LOAD_PERIOD: Duration = Duration::from_millis(700);
+/// What is left of the grace when the process gives up waiting for requests in flight.
+const FAREWELL: Duration = Duration::from_millis(500);
+/// How often a stopping process looks whether its last request has ended.
+const POLL: Duration = Duration::from_millis(20);
+/// How often the settings file is looked at.
+const RELOAD_PERIOD: Duration = Duration::from_secs(1);
+/// The signal that asks for a stop.
+const SIGTERM: i32 = 15;
+/// The signal that a terminal sends.
+const SIGINT: i32 = 2;
+/// The signal that says that the settings file has changed.
+const SIGHUP: i32 = 1;
+
+quick_error! {
+    /// Why a process could not start.
+    #[derive(Debug)]
+    pub enum Error {
+        /// An address can't be listened on.
+        Listen(address: SocketAddr, cause: io::Error) {
+            display("step=listen peer={address} cause={cause}")
+            source(cause)
+        }
+        /// There is a logger already.
+        Log(cause: log::SetLoggerError) {
+            display("step=log peer=process cause={cause}")
+            source(cause)
+        }
+    }
+}
+
+/// What an adapter brings.
+#[derive(Clone)]
+pub struct Seams {
+    /// The platform's store.
+    pub store: Rc<dyn Store>,
+    /// Decodes what operators and targets wrote.
+    pub catalogue: Rc<dyn Catalogue>,
+    /// How targets are spoken to.
+    pub targets: Rc<dyn Targets>,
+    /// How callers are understood.
+    pub callers: Rc<dyn Callers>,
+}
+
+impl std::fmt::Debug for Seams {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Seams")
+    }
+}
+
+/// Reads the settings file again; the text tells what is wrong with it.
+pub type Reload = Box<dyn Fn() -> Result<Settings, String>>;
+
+struct Listeners {
+    callers: TcpListener,
+    readiness: TcpListener,
+    peers: TcpListener,
+    metrics: TcpListener,
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|cause| Error::Listen(address, cause))
+}
+
+impl Listeners {
+    async fn open(settings: &Settings) -> Result<Self, Error> {
+        Ok(Self {
+            callers: listen(settings.callers).await?,
+            readiness: listen(settings.readiness).await?,
+            peers: listen(settings.peers).await?,
+            metrics: listen(settings.metrics).await?,
+        })
+    }
+}
+
+/// Runs a process until it is told to stop.
+///
+/// # Errors
+///
+/// [`Error`] when it could not start.
+pub async fn run(
+    settings: Settings,
+    clock: Clock,
+    seams: Seams,
+    reload: Reload,
+) -> Result<(), Error> {
+    let report = Report::new(clock.clone());
+    report.start_log(settings.log_level).map_err(Error::Log)?;
+    let started = settings.clone();
+    let process = Process::new(settings, clock, seams, report.clone());
+    let result = process.run(reload).await;
+    match &result {
+        Ok(()) => report.line(&format!("event=stopped vm={}", started.name)),
+        Err(error) => log::error!("event=start-failed vm={} {error}", started.name),
+    }
+    report.finish();
+    result
+}
+
+struct Process {
+    settings: Settings,
+    clock: Clock,
+    seams: Seams,
+    report: Report,
+    beliefs: Beliefs,
+    keys: Rc<Keys>,
+    vm: Vm,
+    gate: Gate,
+    tally: Tally,
+    peers: Client,
+}
+
+impl Process {
+    fn new(settings: Settings, clock: Clock, seams: Seams, report: Report) -> Self {
+        let vm = Vm {
+            name: settings.name.clone(),
+            start: format!("{}/{:016x}", settings.name, rand::random::<u64>()),
+            address: settings.peers,
+            domain: settings.domain.clone(),
+        };
+        let keys = Rc::new(Keys {
+            prefix: settings.prefix.clone(),
+        });
+        let peers = Client::new(clock.clone(), PEER_CONNECTIONS);
+        Self {
+            settings,
+            clock,
+            seams,
+            report,
+            beliefs: Beliefs::default(),
+            keys,
+            vm,
+            gate: Gate::default(),
+            tally: Tally::default(),
+            peers,
+        }
+    }
+
+    async fn run(self, reload: Reload) -> Result<(), Error> {
+        let listeners = Listeners::open(&self.settings).await?;
+        self.report.line(&format!(
+            "event=started vm={} start={} domain={} callers={} store={}",
+            self.vm.name, self.vm.start, self.vm.domain, self.settings.callers, self.settings.store
+        ));
+        let callers = Control::default();
+        self.follow();
+        let desk = self.start_desk();
+        let manager = self.start_manager();
+        let lease = register::start(register::Context {
+            vm: self.vm.clone(),
+            store: self.seams.store.clone(),
+            keys: self.keys.clone(),
+            clock: self.clock.clone(),
+            report: self.report.clone(),
+        });
+        self.serve(listeners, &callers, &desk, &manager);
+        spawn(load(self.reporter(&desk, &manager)));
+        spawn(watch_settings(
+            reload,
+            self.settings.clone(),
+            self.clock.clone(),
+            self.report.clone(),
+        ));
+        self.open_when_ready().await;
+        self.stop(&callers, &manager, &lease).await;
+        Ok(())
+    }
+
+    fn follow(&self) {
+        let catalogue = &self.seams.catalogue;
+        let prefixes = [
+            catalogue.config_key().to_owned(),
+            catalogue.targets_prefix().to_owned(),
+            self.keys.prefix.clone(),
+        ];
+        for prefix in prefixes {
+            spawn(follow::run(
+                self.seams.store.clone(),
+                catalogue.clone(),
+                self.keys.clone(),
+                prefix,
+                self.beliefs.clone(),
+                self.clock.clone(),
+                self.report.clone(),
+            ));
+        }
+        spawn(follow::expire(
+            self.beliefs.clone(),
+            self.clock.clone(),
+            self.report.clone(),
+        ));
+    }
+
+    fn start_desk(&self) -> task::Handle {
+        let desk = Desk::new(self.settings.allowance, rand::random());
+        let handle = task::start(desk, self.clock.clone());
+        let (beliefs, shown) = (self.beliefs.clone(), handle.clone());
+        let mut changes = beliefs.listen();
+        spawn(async move {
+            while changes.next().await.is_some() {
+                while changes.try_recv().is_ok() {}
+                shown.show(Rc::new(beliefs.get().view()));
+            }
+        });
+        handle
+    }
+
+    fn start_manager(&self) -> mpsc::UnboundedSender<manager::Message> {
+        manager::start(manager::Context {
+            vm: self.vm.clone(),
+            store: self.seams.store.clone(),
+            targets: self.seams.targets.clone(),
+            client: Client::new(self.clock.clone(), CONNECTIONS),
+            beliefs: self.beliefs.clone(),
+            keys: self.keys.clone(),
+            clock: self.clock.clone(),
+            report: self.report.clone(),
+            timing: self.settings.timing(),
+        })
+    }
+
+    fn serve(
+        &self,
+        listeners: Listeners,
+        callers: &Control,
+        desk: &task::Handle,
+        manager: &mpsc::UnboundedSender<manager::Message>,
+    ) {
+        let context = forward::Context {
+            beliefs: self.beliefs.clone(),
+            callers: self.seams.callers.clone(),
+            desk: desk.clone(),
+            sender: Sender {
+                client: Client::new(self.clock.clone(), CONNECTIONS),
+                targets: self.seams.targets.clone(),
+                clock: self.clock.clone(),
+            },
+            tally: self.tally.clone(),
+            clock: self.clock.clone(),
+            report: self.report.clone(),
+        };
+        let gate = self.gate.clone();
+        spawn(serve::callers(
+            listeners.callers,
+            callers.clone(),
+            context,
+            gate.clone(),
+        ));
+        // These go on until the process ends: a stopping VM still says that it is not ready.
+        let always = Control::default();
+        spawn(serve::readiness(listeners.readiness, always.clone(), gate));
+        let (report, manager) = (self.report.clone(), manager.clone());
+        let shown = report.clone();
+        let peers = move |request| hear(request, manager.clone(), report.clone());
+        spawn(server::serve(listeners.peers, always.clone(), peers));
+        let metrics = move |_| {
+            let text = shown.text();
+            async move { Response::new(Body::from(text)) }
+        };
+        spawn(server::serve(listeners.metrics, always, metrics));
+    }
+
+    fn reporter(
+        &self,
+        desk: &task::Handle,
+        manager: &mpsc::UnboundedSender<manager::Message>,
+    ) -> Reporter {
+        Reporter {
+            vm: self.vm.clone(),
+            beliefs: self.beliefs.clone(),
+            tally: self.tally.clone(),
+            desk: desk.clone(),
+            manager: manager.clone(),
+            client: self.peers.clone(),
+            clock: self.clock.clone(),
+            report: self.report.clone(),
+        }
+    }
+
+    /// Becomes ready with the first configuration, and returns when the process is told to stop.
+    async fn open_when_ready(&self) {
+        let mut changes = self.beliefs.listen();
+        let mut stop = Box::pin(stop_signal());
+        while !self.beliefs.get().is_ready() {
+            match future::select(changes.next(), &mut stop).await {
+                Either::Left(_) => {}
+                Either::Right(_) => return,
+            }
+        }
+        self.gate.set_ready(true);
+        self.report.line("event=ready");
+        stop.await;
+    }
+
+    /// Stops in order: no new connections, duties handed over, requests in flight ended.
+    async fn stop(
+        &self,
+        callers: &Control,
+        manager: &mpsc::UnboundedSender<manager::Message>,
+        lease: &register::Handle,
+    ) {
+        let end = self.clock.now() + self.settings.grace.saturating_sub(FAREWELL);
+        self.gate.leave();
+        self.report
+            .line(&format!("event=stopping open={}", callers.open()));
+        let (sender, done) = oneshot::channel();
+        let resign = async {
+            if manager
+                .unbounded_send(manager::Message::Stop(sender))
+                .is_ok()
+            {
+                let _ = done.await;
+            }
+        };
+        let noticed = self.clock.sleep(serve::NOTICED);
+        future::join(resign, noticed).await;
+        lease.end().await;
+        callers.stop();
+        while callers.open() > 0 && self.clock.now() < end {
+            self.clock.sleep(POLL).await;
+        }
+        self.report
+            .line(&format!("event=drained cut={}", callers.open()));
+    }
+}
+
+fn spawn<F>(future: F)
+where
+    F: Future<Output = ()> + 'static,
+{
+    compio::runtime::spawn(future).detach();
+}
+
+async fn stop_signal() {
+    let term = Box::pin(compio::signal::unix::signal(SIGTERM));
+    let interrupt = Box::pin(compio::signal::unix::signal(SIGINT));
+    future::select(term, interrupt).await;
+}
+
+/// Takes a message of another VM.
+async fn hear(
+    request: Request<Incoming>,
+    manager: mpsc::UnboundedSender<manager::Message>,
+    report: Report,
+) -> Response<Body> {
+    if request.method() == Method::GET {
+        return Response::new(Body::from(report.text()));
+    }
+    let Some(message) = peer::read(request).await else {
+        report.line("event=message-unreadable peer=unknown");
+        return peer::answer(StatusCode::BAD_REQUEST);
+    };
+    let peer::Message::Load {
+        service,
+        counts,
+        times,
+    } = message;
+    let load = manager::Message::Load {
+        service,
+        counts,
+        times,
+    };
+    let taken = manager.unbounded_send(load).is_ok();
+    peer::answer(if taken {
+        StatusCode::NO_CONTENT
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    })
+}
+
+struct Reporter {
+    vm: Vm,
+    beliefs: Beliefs,
+    tally: Tally,
+    desk: task::Handle,
+    manager: mpsc::UnboundedSender<manager::Message>,
+    client: Client,
+    clock: Clock,
+    report: Report,
+}
+
+/// Tells the manager which keys are busy.
+async fn load(reporter: Reporter) {
+    loop {
+        reporter.clock.sleep(LOAD_PERIOD).await;
+        let counted = reporter.tally.take();
+        let Some(leader) = reporter.beliefs.get().manager.clone() else {
+            continue;
+        };
+        let times = reporter.desk.times().await;
+        for (service, counts) in counted {
+            let fleet = reporter.beliefs.get();
+            let own = |id: &String| {
+                fleet
+                    .targets
+                    .get(id)
+                    .is_some_and(|it| it.service == service)
+            };
+            let times = times.iter().filter(|(id, _)| own(id));
+            let times = times.map(|(id, time)| (id.clone(), *time)).collect();
+            reporter.tell(&leader, service, counts, times).await;
+        }
+    }
+}
+
+impl Reporter {
+    async fn tell(
+        &self,
+        leader: &Vm,
+        service: String,
+        counts: Vec<(u64, u32)>,
+        times: indexmap::IndexMap<String, f64>,
+    ) {
+        if leader.start == self.vm.start {
+            // The manager's task ends with the process only.
+            let _ = self.manager.unbounded_send(manager::Message::Load {
+                service,
+                counts,
+                times,
+            });
+            return;
+        }
+        let message = peer::Message::Load {
+            service,
+            counts,
+            times,
+        };
+        if let Err(error) = peer::send(&self.client, leader.address, &message).await {
+            self.report.line(&format!(
+                "event=load-report-failed vm={} {error}",
+                leader.name
+            ));
+        }
+    }
+}
+
+/// Reads the settings again when their file changes or a signal asks for it.
+///
+/// Addresses and names stay as they are until the next start; the log tells what was read.
+async fn watch_settings(reload: Reload, first: Settings, clock: Clock, report: Report) {
+    let mut known = Ok(first);
+    loop {
+        let signal = Box::pin(compio::signal::unix::signal(SIGHUP));
+        let asked = matches!(
+            future::select(signal, Box::pin(clock.sleep(RELOAD_PERIOD))).await,
+            Either::Left(_)
+        );
+        let read = reload();
+        if read == known && !asked {
+            continue;
+        }
+        match &read {
+            Ok(settings) => report.line(&format!(
+                "event=settings-reloaded asked={asked} changed={} log_level={}",
+                read != known,
+                settings.log_level
+            )),
+            Err(reason) => report.line(&format!(
+                "event=settings-refused asked={asked} cause=\"{reason}\""
+            )),
+        }
+        if let Ok(settings) = &read {
+            log::set_max_level(settings.log_level);
+        }
+        known = read;
+    }
+}
--- /dev/null
+++ b/engine/src/register.rs
@@ -0,0 +1,124 @@
+//! This VM's own entry in the store, under a lease.
+
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use bramleypier_util::clock::Clock;
+
+use crate::{
+    fleet::{Keys, Vm},
+    report::Report,
+    store::{Error, LeaseId, Put, Store, Transaction},
+};
+
+/// How long the entry's lease lasts: nothing safe rests on it, and each renewal is paid for.
+const LEASE: Duration = Duration::from_secs(10);
+/// The time from one renewal to the next.
+const RENEW: Duration = Duration::from_millis(4000);
+/// The pause after a call that failed.
+const PAUSE: Duration = Duration::from_millis(1500);
+
+/// What the task needs.
+#[derive(Clone)]
+pub struct Context {
+    /// This start of this VM.
+    pub vm: Vm,
+    /// The platform's store.
+    pub store: Rc<dyn Store>,
+    /// Keys in the store.
+    pub keys: Rc<Keys>,
+    /// The clock.
+    pub clock: Clock,
+    /// Logs and counters.
+    pub report: Report,
+}
+
+impl std::fmt::Debug for Context {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Context")
+            .field("vm", &self.vm)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Ends the entry when the process stops.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    context: Context,
+    lease: Rc<Cell<Option<LeaseId>>>,
+    ended: Rc<Cell<bool>>,
+}
+
+impl Handle {
+    /// Ends the entry; a failure is left to the lease's own end.
+    pub async fn end(&self) {
+        const TIMEOUT: Duration = Duration::from_millis(300);
+        self.ended.set(true);
+        let Some(lease) = self.lease.take() else {
+            return;
+        };
+        let ended = self
+            .context
+            .clock
+            .timeout(TIMEOUT, self.context.store.end(lease))
+            .await;
+        if !matches!(ended, Ok(Ok(()))) {
+            self.context
+                .report
+                .line("event=entry-left cause=the store did not answer");
+        }
+    }
+}
+
+/// Starts the task that keeps the entry.
+pub fn start(context: Context) -> Handle {
+    let handle = Handle {
+        context,
+        lease: Rc::default(),
+        ended: Rc::default(),
+    };
+    let own = handle.clone();
+    compio::runtime::spawn(async move { own.keep().await }).detach();
+    handle
+}
+
+impl Handle {
+    async fn keep(self) {
+        while !self.ended.get() {
+            let result = match self.lease.get() {
+                None => self.announce().await,
+                Some(lease) => self.context.store.renew(lease).await.map(|_| ()),
+            };
+            let span = match result {
+                Ok(()) => RENEW,
+                Err(Error::NoLease(_)) => {
+                    self.lease.set(None);
+                    Duration::ZERO
+                }
+                Err(error) => {
+                    self.context
+                        .report
+                        .line(&format!("event=entry-not-renewed {error}"));
+                    PAUSE
+                }
+            };
+            self.context.clock.sleep(span).await;
+        }
+    }
+
+    async fn announce(&self) -> Result<(), Error> {
+        let context = &self.context;
+        let lease = context.store.lease(LEASE).await?;
+        let put = Put {
+            key: context.keys.vm(&context.vm.name),
+            value: context.vm.encode(),
+            lease: Some(lease.id),
+        };
+        let transaction = Transaction {
+            puts: vec![put],
+            ..Transaction::default()
+        };
+        context.store.commit(transaction).await?;
+        self.lease.set(Some(lease.id));
+        Ok(())
+    }
+}
--- /dev/null
+++ b/engine/src/settings.rs
@@ -0,0 +1,80 @@
+//! What one process is told about itself and its surroundings.
+
+use std::{net::SocketAddr, time::Duration};
+
+use log::LevelFilter;
+
+use crate::{catalogue::DomainId, fleet::VmId, owner::keeper, place::budget::Allowance};
+
+/// The settings of one process; an adapter reads them from its file.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// The VM's name.
+    pub name: VmId,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether it is ready.
+    pub readiness: SocketAddr,
+    /// Where other VMs reach it.
+    pub peers: SocketAddr,
+    /// Where counters and latencies are served as text.
+    pub metrics: SocketAddr,
+    /// Where the platform's store answers.
+    pub store: SocketAddr,
+    /// What the engine's own keys in the store begin with.
+    pub prefix: String,
+    /// How long a process that is told to stop may take.
+    pub grace: Duration,
+    /// What all VMs together may send again.
+    pub allowance: Allowance,
+    /// The longest hold that a grant may have.
+    pub hold_most: Duration,
+    /// The least grave kind of line that is logged.
+    pub log_level: LevelFilter,
+}
+
+/// The hold of a grant, if the platform allows it.
+///
+/// Longer than it takes to replace a lost manager (a lease of 2 s and some 0.4 s), and short, since
+/// the keys of a target that falls silent wait for its end.
+const HOLD: Duration = Duration::from_millis(4000);
+/// How many renewals fit into a hold: one may be lost with time to spare for the next.
+const RENEWALS: u32 = 3;
+/// How long a manager without its lease goes on renewing grants, in holds.
+///
+/// An outage of the store of some ten seconds then costs no key its owner.
+const GRACE_HOLDS: u32 = 2;
+
+impl Settings {
+    /// Returns the spans by which grants are kept.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier_engine::settings::timing;
+    ///
+    /// assert_eq!(timing(Duration::from_secs(10)).hold, Duration::from_secs(4));
+    /// assert_eq!(timing(Duration::from_secs(1)).hold, Duration::from_secs(1));
+    /// ```
+    pub fn timing(&self) -> keeper::Timing {
+        timing(self.hold_most)
+    }
+}
+
+/// Returns the spans by which grants are kept under a longest hold.
+///
+/// # Example
+///
+/// See [`Settings::timing`].
+pub fn timing(hold_most: Duration) -> keeper::Timing {
+    let hold = HOLD.min(hold_most);
+    keeper::Timing {
+        hold,
+        renew: hold / RENEWALS,
+        grace: hold * GRACE_HOLDS,
+    }
+}
--- /dev/null
+++ b/engine/src/target.rs
@@ -0,0 +1,75 @@
+//! Targets as the engine calls them: work, grants and releases.
+
+use std::time::Duration;
+
+use hyper::{HeaderMap, Method, StatusCode};
+
+use crate::{
+    catalogue::TargetId,
+    owner::{
+        keeper::{Ending, Order},
+        record::Point,
+    },
+};
+
+/// How loaded a target says it is; it may lag.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+}
+
+/// What the head of a target's answer says.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Reply {
+    /// The target states that it did not run the request.
+    pub refused: bool,
+    /// Another target answers at that address.
+    pub stranger: bool,
+    /// The target does not hold the request's key.
+    pub unowned: bool,
+    /// The answer bears the target's signature.
+    pub signed: bool,
+    /// The request id that the answer belongs to.
+    pub request: Option<String>,
+    /// The load that the target reports.
+    pub load: Option<LoadReport>,
+    /// The connection ends after this answer.
+    pub closing: bool,
+}
+
+/// A call to a target in the dialect's own form.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The method.
+    pub method: Method,
+    /// The path.
+    pub path: &'static str,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// How targets are spoken to; implemented once for each dialect.
+pub trait Targets {
+    /// Returns the last key; the first is 0.
+    fn last_point(&self) -> Point;
+
+    /// Sets the headers of a request that is sent to a target with the time that is left.
+    fn prepare(&self, headers: &mut HeaderMap, target: &TargetId, left: Duration);
+
+    /// Reads the head of an answer.
+    fn read(&self, status: StatusCode, headers: &HeaderMap) -> Reply;
+
+    /// Builds a grant.
+    fn grant(&self, order: &Order, hold: Duration) -> Call;
+
+    /// Builds a release.
+    fn release(&self, order: &Order) -> Call;
+
+    /// Reads the answer of a grant or release.
+    fn settled(&self, status: StatusCode, headers: &HeaderMap) -> Ending;
+}
--- a/src/main.rs
+++ b/program/src/main.rs
@@ -3,7 +3,7 @@
 use std::{
     env,
     io::{self, Write as _},
-    path::Path,
+    path::{Path, PathBuf},
     process::ExitCode,
 };
 
@@ -18,6 +18,7 @@
 fn main() -> ExitCode {
     let output = match cli::parse(env::args_os().skip(1)) {
         Ok(Command::Run { settings }) => run(&settings),
+        Ok(Command::Serve { settings }) => serve(settings),
         Ok(command) => cli::execute(command),
         Err(output) => output,
     };
@@ -49,6 +50,22 @@
     }
 }
 
+/// Runs a process on the users' platform until it is told to stop.
+fn serve(path: PathBuf) -> Output {
+    let settings = match bramleypier_platform::settings::load(&path) {
+        Ok(settings) => settings,
+        Err(fault) => return Output::plain(Exit::Usage, fault.to_string()),
+    };
+    let runtime = match Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(cause) => return Output::plain(Exit::Failed, format!("step=start cause={cause}")),
+    };
+    match runtime.block_on(bramleypier_platform::run(path, settings)) {
+        Ok(()) => Output::plain(Exit::Done, String::new()),
+        Err(error) => Output::plain(Exit::Usage, error.to_string()),
+    }
+}
+
 fn print(output: &Output) -> io::Result<()> {
     if output.complains() {
         return io::stderr().write_all(output.text.as_bytes());
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -78,7 +78,7 @@
 
 async fn perform(command: Command) -> Result<Output, Error> {
     match command {
-        Command::Run { .. } => Err(Error::Run),
+        Command::Run { .. } | Command::Serve { .. } => Err(Error::Run),
         Command::Check {
             settings,
             documents,
--- a/src/cli/parser.rs
+++ b/src/cli/parser.rs
@@ -30,6 +30,17 @@
         settings: PathBuf,
     },
 
+    /// Runs one VM on the users' platform until it is told to stop by SIGTERM or SIGINT
+    #[bpaf(
+        command,
+        footer("Example:\n  bramleypier serve --settings /etc/bramleypier/vm.ini")
+    )]
+    Serve {
+        /// The settings file of a VM, as the platform's template made it
+        #[bpaf(long, env("BRAMLEYPIER_CONFIG"), argument("FILE"))]
+        settings: PathBuf,
+    },
+
     /// Checks settings and documents, and starts nothing
     #[bpaf(
         command,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -128,11 +128,12 @@
 //! platform on behalf of a failure domain. [`vm`] puts it all together in one process, and
 //! [`timeline`] tells afterwards what happened, over all of them.
 
+pub use bramleypier_util::clock;
+
 pub mod admin;
 pub mod balance;
 pub mod chart;
 pub mod cli;
-pub mod clock;
 pub mod document;
 pub mod entry;
 pub mod gossip;
--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -1,10 +1,5 @@
 //! Helpers of the crate that know nothing of routing.
 
-pub mod body;
-pub mod client;
-pub mod decimal;
-pub mod fields;
-pub mod ini;
+pub use bramleypier_util::{body, client, decimal, fields, ini, server, stream};
+
 pub mod names;
-pub mod server;
-pub mod stream;
--- a/src/util/client.rs
+++ b/util/src/client.rs
@@ -23,10 +23,7 @@
 use indexmap::IndexMap;
 use quick_error::quick_error;
 
-use crate::{
-    clock::Clock,
-    util::{body::Body, stream::Stream},
-};
+use crate::{body::Body, clock::Clock, socket, stream::Stream};
 
 /// How long a new connection may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -196,7 +193,8 @@
             .await
             .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
             .map_err(|cause| Error::Connect(peer, cause))?;
-        let _ = stream.set_nodelay(true);
+        socket::prepare(&stream);
+        socket::reset_on_close(&stream);
         let written = Rc::new(Cell::new(0));
         let counted = Counted {
             stream: Stream::new(stream),
--- a/src/clock.rs
+++ b/util/src/clock.rs
@@ -17,7 +17,7 @@
 /// ```
 /// use std::time::Duration;
 ///
-/// use bramleypier::clock::Clock;
+/// use bramleypier_util::clock::Clock;
 ///
 /// let clock = Clock::paused();
 /// clock.advance(Duration::from_secs(1));
@@ -34,7 +34,7 @@
     /// # Example
     ///
     /// ```
-    /// use bramleypier::clock::Clock;
+    /// use bramleypier_util::clock::Clock;
     ///
     /// let clock = Clock::real();
     /// assert!(clock.now() <= clock.now());
@@ -48,7 +48,7 @@
     /// # Example
     ///
     /// ```
-    /// use bramleypier::clock::Clock;
+    /// use bramleypier_util::clock::Clock;
     ///
     /// assert!(Clock::paused().now().is_zero());
     /// ```
@@ -63,7 +63,7 @@
     /// # Example
     ///
     /// ```
-    /// use bramleypier::clock::Clock;
+    /// use bramleypier_util::clock::Clock;
     ///
     /// assert!(Clock::paused().now().is_zero());
     /// ```
@@ -81,7 +81,7 @@
     /// ```
     /// use std::time::Duration;
     ///
-    /// use bramleypier::clock::Clock;
+    /// use bramleypier_util::clock::Clock;
     ///
     /// let clock = Clock::paused();
     /// clock.advance(Duration::from_millis(5));
--- a/src/util/fields.rs
+++ b/util/src/fields.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, net::SocketAddr, str::FromStr};
 
-use crate::util::ini::{self, Fault, Section};
+use crate::ini::{self, Fault, Section};
 
 /// The longest name of a thing.
 pub const NAME_MAX: usize = 63;
@@ -39,6 +39,8 @@
     Methods,
     /// The start of a path, without the leading `/`; empty for all.
     Prefix,
+    /// Any text.
+    Text,
     /// `true` or `false`.
     Flag,
     /// A whole number in a unit, both bounds inclusive.
@@ -75,7 +77,7 @@
     /// # Example
     ///
     /// ```
-    /// use bramleypier::util::fields::Kind;
+    /// use bramleypier_util::fields::Kind;
     ///
     /// assert_eq!(Kind::Number("ms", 1, 9).range(), ("ms".to_owned(), "1 to 9".to_owned()));
     /// ```
@@ -88,6 +90,7 @@
             Self::Word(words) => ("word", words.join(", ")),
             Self::Methods => ("methods", "capitals, parted by commas".to_owned()),
             Self::Prefix => ("path", "without leading `/`".to_owned()),
+            Self::Text => ("text", "any".to_owned()),
             Self::Flag => ("word", "true, false".to_owned()),
             Self::Number(unit, min, max) => (*unit, format!("{min} to {max}")),
             Self::Decimal(min, max) => ("number", format!("{min} to {max}")),
@@ -104,7 +107,7 @@
     /// # Example
     ///
     /// ```
-    /// use bramleypier::util::fields::Kind;
+    /// use bramleypier_util::fields::Kind;
     ///
     /// assert!(Kind::Number("ms", 1, 9).check("5").is_ok());
     /// assert!(Kind::Number("ms", 1, 9).check("10").is_err());
@@ -115,7 +118,7 @@
             Self::Address => address(value),
             Self::Addresses => parts(value).try_for_each(address),
             Self::Path if value.is_empty() => Err("is empty".to_owned()),
-            Self::Path => Ok(()),
+            Self::Path | Self::Text => Ok(()),
             Self::Word(words) => word(value, words),
             Self::Methods => parts(value).try_for_each(method),
             Self::Prefix => prefix(value),
@@ -131,7 +134,7 @@
 /// # Example
 ///
 /// ```
-/// use bramleypier::util::fields;
+/// use bramleypier_util::fields;
 ///
 /// assert_eq!(fields::parts("a, b").collect::<Vec<_>>(), ["a", "b"]);
 /// assert_eq!(fields::parts("").count(), 0);
@@ -227,9 +230,17 @@
 /// # Example
 ///
 /// ```
-/// use bramleypier::{settings, util::fields};
+/// use bramleypier_util::fields::{self, Field, Kind, Preset};
 ///
-/// let fault = fields::check("vm.ini", "[vm]\ncolour = red", settings::FIELDS).unwrap_err();
+/// const TABLE: &[Field] = &[Field {
+///     section: "vm",
+///     key: "name",
+///     kind: Kind::Name,
+///     preset: Preset::Required,
+///     meaning: "The name.",
+/// }];
+///
+/// let fault = fields::check("vm.ini", "[vm]\ncolour = red", TABLE).unwrap_err();
 /// assert_eq!(fault.to_string(), "vm.ini:2: [vm] colour: unknown key");
 /// ```
 pub fn check(file: &str, text: &str, table: &'static [Field]) -> Result<Checked, Fault> {
@@ -296,7 +307,7 @@
     }
 
     /// Makes a fault at a line of this text.
-    pub(crate) fn fault(&self, line: usize, section: &str, key: &str, reason: &str) -> Fault {
+    pub fn fault(&self, line: usize, section: &str, key: &str, reason: &str) -> Fault {
         Fault {
             file: self.file.clone(),
             line,
@@ -307,7 +318,7 @@
     }
 
     /// Makes a fault at a key, or at its section when the key isn't given.
-    pub(crate) fn fault_at(&self, section: &str, key: &str, reason: &str) -> Fault {
+    pub fn fault_at(&self, section: &str, key: &str, reason: &str) -> Fault {
         let found = self
             .sections
             .iter()
@@ -320,7 +331,7 @@
     }
 
     /// Returns the names of the sections `kind NAME`, in order.
-    pub(crate) fn named(&self, kind: &str) -> Vec<String> {
+    pub fn named(&self, kind: &str) -> Vec<String> {
         let names = self.sections.iter().filter_map(|section| {
             let (found, name) = section.name.split_once(' ')?;
             (found == kind).then(|| name.to_owned())
@@ -329,7 +340,7 @@
     }
 
     /// Returns the value of a key, or its preset.
-    pub(crate) fn text(&self, section: &str, key: &str) -> Option<&str> {
+    pub fn text(&self, section: &str, key: &str) -> Option<&str> {
         let found = self
             .sections
             .iter()
@@ -347,7 +358,7 @@
     }
 
     /// Returns the value of a key as a type, or `None` if it has neither value nor preset.
-    pub(crate) fn optional<T>(&self, section: &str, key: &str) -> Result<Option<T>, Fault>
+    pub fn optional<T>(&self, section: &str, key: &str) -> Result<Option<T>, Fault>
     where
         T: FromStr,
     {
@@ -359,7 +370,7 @@
     }
 
     /// Returns the value of a key as a type.
-    pub(crate) fn value<T>(&self, section: &str, key: &str) -> Result<T, Fault>
+    pub fn value<T>(&self, section: &str, key: &str) -> Result<T, Fault>
     where
         T: FromStr,
     {
@@ -368,13 +379,13 @@
     }
 
     /// Returns the value of a key in milliseconds as a duration.
-    pub(crate) fn millis(&self, section: &str, key: &str) -> Result<std::time::Duration, Fault> {
+    pub fn millis(&self, section: &str, key: &str) -> Result<std::time::Duration, Fault> {
         self.value(section, key)
             .map(std::time::Duration::from_millis)
     }
 
     /// Returns the parts of a list.
-    pub(crate) fn list<T>(&self, section: &str, key: &str) -> Result<Vec<T>, Fault>
+    pub fn list<T>(&self, section: &str, key: &str) -> Result<Vec<T>, Fault>
     where
         T: FromStr,
     {
@@ -391,9 +402,17 @@
 /// # Example
 ///
 /// ```
-/// use bramleypier::{settings, util::fields};
+/// use bramleypier_util::fields::{self, Field, Kind, Preset};
+///
+/// const TABLE: &[Field] = &[Field {
+///     section: "vm",
+///     key: "name",
+///     kind: Kind::Name,
+///     preset: Preset::Required,
+///     meaning: "The name.",
+/// }];
 ///
-/// assert!(fields::markdown(settings::FIELDS).contains("| `[vm]` | `name` |"));
+/// assert!(fields::markdown(TABLE).contains("| `[vm]` | `name` |"));
 /// ```
 pub fn markdown(table: &[Field]) -> String {
     let mut page = "| section | key | unit | default | range | meaning |\n".to_owned();
--- a/src/util/ini.rs
+++ b/util/src/ini.rs
@@ -12,7 +12,7 @@
 /// # Example
 ///
 /// ```
-/// use bramleypier::util::ini;
+/// use bramleypier_util::ini;
 ///
 /// let fault = ini::parse("vm.ini", "[vm]\nname").unwrap_err();
 /// assert_eq!(fault.to_string(), "vm.ini:2: [vm] name: expected `key = value`");
@@ -94,7 +94,7 @@
 /// # Example
 ///
 /// ```
-/// use bramleypier::util::ini;
+/// use bramleypier_util::ini;
 ///
 /// let sections = ini::parse("vm.ini", "[vm]\nname = vm-1 ; the first").unwrap();
 /// assert_eq!(sections[0].keys[0].value, "vm-1");
--- a/src/util/server.rs
+++ b/util/src/server.rs
@@ -16,10 +16,12 @@
 };
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service};
 
-use crate::util::{body::Body, stream::Stream};
+use crate::{body::Body, socket, stream::Stream};
 
-/// How long a caller may take over the head of a request.
+/// How long a caller may take over the head of a request, where nothing else is set.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// The least buffer that hyper takes.
+const BUFFER_LEAST: usize = 8192;
 /// The most headers a request may have.
 const HEADERS: usize = 100;
 /// The most bytes of a head; hyper answers 431 beyond it.
@@ -27,6 +29,27 @@
 /// How long to wait when no connection can be taken.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// What a connection's peer may take of time and room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// The most bytes of a request's head.
+    pub head_bytes: usize,
+    /// How long a head may take from its first byte.
+    pub head_time: Duration,
+    /// How long a connection may stay without a request.
+    pub idle_time: Duration,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            head_bytes: HEAD_BYTES,
+            head_time: HEAD_TIMEOUT,
+            idle_time: HEAD_TIMEOUT,
+        }
+    }
+}
+
 /// What a server and its connections share.
 #[derive(Clone, Debug)]
 pub struct Control {
@@ -80,6 +103,16 @@
 where
     H: Fn(Request<Incoming>) -> F + Clone + 'static,
     F: Future<Output = Response<Body>> + 'static,
+{
+    serve_with(listener, control, Bounds::default, handler).await;
+}
+
+/// Accepts connections as [`serve`] does; `bounds` gives each new one its limits.
+pub async fn serve_with<B, H, F>(listener: TcpListener, control: Control, bounds: B, handler: H)
+where
+    B: Fn() -> Bounds,
+    H: Fn(Request<Incoming>) -> F + Clone + 'static,
+    F: Future<Output = Response<Body>> + 'static,
 {
     loop {
         let accept = Box::pin(listener.accept());
@@ -93,17 +126,17 @@
             }
         };
         let open = Open::new(control.clone());
-        compio::runtime::spawn(connection(stream, open, handler.clone())).detach();
+        compio::runtime::spawn(connection(stream, open, bounds(), handler.clone())).detach();
     }
 }
 
 /// Serves one connection to its end.
-async fn connection<H, F>(stream: TcpStream, open: Open, handler: H)
+async fn connection<H, F>(stream: TcpStream, open: Open, bounds: Bounds, handler: H)
 where
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
-    let _ = stream.set_nodelay(true);
+    socket::prepare(&stream);
     let answer = service::service_fn(move |request| {
         let answer = handler(request);
         async move { Ok::<_, Infallible>(answer.await) }
@@ -111,9 +144,10 @@
     let connection = Box::pin(
         http1::Builder::new()
             .timer(CompioTimer)
-            .header_read_timeout(HEAD_TIMEOUT)
+            // Counts from the end of the last answer, so it bounds idle connections too.
+            .header_read_timeout(bounds.idle_time.max(bounds.head_time))
             .max_headers(HEADERS)
-            .max_buf_size(HEAD_BYTES)
+            .max_buf_size(bounds.head_bytes.max(BUFFER_LEAST))
             .serve_connection(Stream::new(stream), answer),
     );
     let stopped = open.0.stopped.clone();
