A pulse of the store: a watch that is lost on its way is asked again

Ruled out: the connection itself, whose keep-alive probes were answered. Change: the VM's own entry is renewed every second; while that fails, watches are given up and asked again once it is answered. Patience with vanished targets counts from the trouble's end.

--- a/engine/src/fleet.rs
+++ b/engine/src/fleet.rs
@@ -19,12 +19,10 @@
 /// The name of a VM.
 pub type VmId = String;
 
-/// How long a target that vanished from the store after trouble of the store counts as there.
+/// How long after trouble of the store a target that has vanished from it counts as there.
 ///
 /// Targets announce themselves again within some 2 s of the store's return.
 pub const REMOVAL_PATIENCE: Duration = Duration::from_millis(2500);
-/// How long after trouble of the store a vanished target may be a victim of that trouble.
-pub const TROUBLE_SPAN: Duration = Duration::from_secs(4);
 
 /// Where the engine keeps its own items in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -241,11 +239,11 @@
                 self.put(item, keys, catalogue)
             }
             Change::Removed { key, .. } => {
-                let in_trouble = self.trouble.is_some_and(|at| now < at + TROUBLE_SPAN);
-                if key.starts_with(catalogue.targets_prefix()) && in_trouble {
-                    self.vanished
-                        .entry(key.clone())
-                        .or_insert(now + REMOVAL_PATIENCE);
+                let until = self.trouble.map(|at| at + REMOVAL_PATIENCE);
+                let patience = until.filter(|until| now < *until);
+                let announced = key.starts_with(catalogue.targets_prefix());
+                if let Some(until) = patience.filter(|_| announced) {
+                    self.vanished.insert(key.clone(), until);
                     return Vec::new();
                 }
                 self.remove(key, keys, catalogue)
--- a/engine/src/follow.rs
+++ b/engine/src/follow.rs
@@ -3,48 +3,62 @@
 use std::{rc::Rc, time::Duration};
 
 use bramleypier_util::clock::Clock;
+use futures_util::future::{self, Either};
 use rand::Rng;
 
 use crate::{
     catalogue::Catalogue,
     fleet::{Beliefs, Keys},
+    pulse::Pulse,
     report::Report,
     store::{Error, Read, Revision, Store},
 };
 
 /// How long a watch waits: each that ends without news is paid for, and a longer one gains little.
 const WAIT: Duration = Duration::from_secs(30);
-/// The first pause after a call that failed.
-const PAUSE: Duration = Duration::from_millis(150);
-/// The longest pause: a configuration must be in force two seconds after it was accepted.
-const PAUSE_MOST: Duration = Duration::from_millis(1000);
+/// How long the first watch after trouble waits: it shows whether watches are answered again.
+const PROBE_WAIT: Duration = Duration::from_millis(50);
+/// The pause after a call that failed while the pulse is well.
+const PAUSE: Duration = Duration::from_millis(200);
+/// The longest such pause: a configuration must be in force two seconds after it was accepted.
+const PAUSE_MOST: Duration = Duration::from_millis(800);
+
+/// What following needs.
+#[derive(Clone)]
+pub struct Context {
+    /// The platform's store.
+    pub store: Rc<dyn Store>,
+    /// Decodes what is stored.
+    pub catalogue: Rc<dyn Catalogue>,
+    /// The engine's own keys.
+    pub keys: Rc<Keys>,
+    /// What is believed.
+    pub beliefs: Beliefs,
+    /// Whether the store answers.
+    pub pulse: Pulse,
+    /// The clock.
+    pub clock: Clock,
+    /// Logs and counters.
+    pub report: Report,
+}
+
+impl std::fmt::Debug for Context {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Context")
+    }
+}
 
 /// Follows one prefix for as long as the process lives.
-pub async fn run(
-    store: Rc<dyn Store>,
-    catalogue: Rc<dyn Catalogue>,
-    keys: Rc<Keys>,
-    prefix: String,
-    beliefs: Beliefs,
-    clock: Clock,
-    report: Report,
-) {
-    let follower = Follower {
-        store,
-        catalogue,
-        keys,
-        prefix,
-        beliefs,
-        clock,
-        report,
-    };
+pub async fn run(context: Context, prefix: String) {
+    let follower = Follower { context, prefix };
     let mut pause = PAUSE;
     let mut after = None;
     let mut lost = false;
     loop {
+        let wait = if lost { PROBE_WAIT } else { WAIT };
         let result = match after {
             None => follower.list().await,
-            Some(revision) => follower.watch(revision).await,
+            Some(revision) => follower.watch(revision, wait).await,
         };
         match result {
             Ok(revision) => {
@@ -58,14 +72,11 @@
                 after = None;
             }
             Err(error) => {
-                let now = follower.clock.now();
-                follower.beliefs.change(|fleet| fleet.on_trouble(now));
-                if !lost {
-                    follower.note("store-lost", &error.to_string());
-                }
+                follower.trouble(lost, &error);
                 lost = true;
                 let jitter = rand::rng().random_range(0.7..1.3);
-                follower.clock.sleep(pause.mul_f64(jitter)).await;
+                follower.context.clock.sleep(pause.mul_f64(jitter)).await;
+                follower.context.pulse.well().await;
                 pause = (pause * 2).min(PAUSE_MOST);
             }
         }
@@ -73,46 +84,68 @@
 }
 
 struct Follower {
-    store: Rc<dyn Store>,
-    catalogue: Rc<dyn Catalogue>,
-    keys: Rc<Keys>,
+    context: Context,
     prefix: String,
-    beliefs: Beliefs,
-    clock: Clock,
-    report: Report,
 }
 
 impl Follower {
     fn note(&self, event: &str, rest: &str) {
         let prefix = &self.prefix;
-        self.report
+        self.context
+            .report
             .line(&format!("event={event} prefix={prefix} {rest}"));
     }
 
+    fn trouble(&self, lost: bool, error: &Error) {
+        let now = self.context.clock.now();
+        self.context.beliefs.change(|fleet| fleet.on_trouble(now));
+        if !lost {
+            self.note("store-lost", &error.to_string());
+        }
+    }
+
     async fn list(&self) -> Result<Revision, Error> {
-        let listing = self.store.list(&self.prefix, Read::Fresh).await?;
-        let now = self.clock.now();
-        let notes = self.beliefs.change(|fleet| {
-            fleet.on_listing(now, &self.prefix, &listing, &self.keys, &*self.catalogue)
+        let context = &self.context;
+        let listing = context.store.list(&self.prefix, Read::Fresh).await?;
+        let now = context.clock.now();
+        let notes = context.beliefs.change(|fleet| {
+            fleet.on_listing(
+                now,
+                &self.prefix,
+                &listing,
+                &context.keys,
+                &*context.catalogue,
+            )
         });
-        self.report.lines(&notes);
+        context.report.lines(&notes);
         Ok(listing.revision)
     }
 
-    async fn watch(&self, after: Revision) -> Result<Revision, Error> {
-        let news = self.store.watch(&self.prefix, after, WAIT).await?;
-        let now = self.clock.now();
+    /// Watches, unless the pulse fails meanwhile: then nothing is known of the watch.
+    async fn watch(&self, after: Revision, wait: Duration) -> Result<Revision, Error> {
+        let context = &self.context;
+        let watch = context.store.watch(&self.prefix, after, wait);
+        let news = match future::select(watch, Box::pin(context.pulse.ill())).await {
+            Either::Left((news, _)) => news?,
+            Either::Right(_) => {
+                return Err(Error::Refused(
+                    "watch",
+                    "other calls are not answered".to_owned(),
+                ));
+            }
+        };
+        let now = context.clock.now();
         if news.changes.is_empty() {
             return Ok(news.revision);
         }
-        let notes = self.beliefs.change(|fleet| {
+        let notes = context.beliefs.change(|fleet| {
             let mut notes = Vec::new();
             for change in &news.changes {
-                notes.extend(fleet.on_change(now, change, &self.keys, &*self.catalogue));
+                notes.extend(fleet.on_change(now, change, &context.keys, &*context.catalogue));
             }
             notes
         });
-        self.report.lines(&notes);
+        context.report.lines(&notes);
         Ok(news.revision)
     }
 }
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod peer;
 pub mod place;
 pub mod process;
+pub mod pulse;
 pub mod register;
 pub mod report;
 pub mod settings;
--- a/engine/src/process.rs
+++ b/engine/src/process.rs
@@ -30,6 +30,7 @@
     owner::{manager, tally::Tally},
     peer,
     place::{desk::Desk, task},
+    pulse::Pulse,
     register,
     report::Report,
     settings::Settings,
@@ -150,6 +151,7 @@
     beliefs: Beliefs,
     keys: Rc<Keys>,
     vm: Vm,
+    pulse: Pulse,
     gate: Gate,
     tally: Tally,
     peers: Client,
@@ -175,6 +177,7 @@
             beliefs: Beliefs::default(),
             keys,
             vm,
+            pulse: Pulse::default(),
             gate: Gate::default(),
             tally: Tally::default(),
             peers,
@@ -195,6 +198,7 @@
             vm: self.vm.clone(),
             store: self.seams.store.clone(),
             keys: self.keys.clone(),
+            pulse: self.pulse.clone(),
             clock: self.clock.clone(),
             report: self.report.clone(),
         });
@@ -218,16 +222,17 @@
             catalogue.targets_prefix().to_owned(),
             self.keys.prefix.clone(),
         ];
+        let context = follow::Context {
+            store: self.seams.store.clone(),
+            catalogue: catalogue.clone(),
+            keys: self.keys.clone(),
+            beliefs: self.beliefs.clone(),
+            pulse: self.pulse.clone(),
+            clock: self.clock.clone(),
+            report: self.report.clone(),
+        };
         for prefix in prefixes {
-            spawn(follow::run(
-                self.seams.store.clone(),
-                catalogue.clone(),
-                self.keys.clone(),
-                prefix,
-                self.beliefs.clone(),
-                self.clock.clone(),
-                self.report.clone(),
-            ));
+            spawn(follow::run(context.clone(), prefix));
         }
         spawn(follow::expire(
             self.beliefs.clone(),
--- /dev/null
+++ b/engine/src/pulse.rs
@@ -0,0 +1,106 @@
+//! Whether the store answers this VM, told by one cheap call every second.
+//!
+//! A watch that is lost on its way looks like one that has nothing to tell. Whoever watches asks
+//! again when the pulse has failed, and makes no calls of its own until it is back.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
+
+use futures_channel::oneshot;
+use futures_util::FutureExt;
+use futures_util::future::Shared;
+
+type Signal = Shared<oneshot::Receiver<()>>;
+
+/// The state of the pulse; clones share it.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier_engine::pulse::Pulse;
+///
+/// let pulse = Pulse::default();
+/// assert!(pulse.is_well());
+/// pulse.beat(false);
+/// assert!(!pulse.is_well());
+/// pulse.beat(true);
+/// assert_eq!(pulse.failures(), 1);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Pulse {
+    well: Rc<Cell<bool>>,
+    failures: Rc<Cell<u64>>,
+    change: Rc<RefCell<(oneshot::Sender<()>, Signal)>>,
+}
+
+impl Default for Pulse {
+    fn default() -> Self {
+        Self {
+            well: Rc::new(Cell::new(true)),
+            failures: Rc::default(),
+            change: Rc::new(RefCell::new(signal())),
+        }
+    }
+}
+
+fn signal() -> (oneshot::Sender<()>, Signal) {
+    let (sender, receiver) = oneshot::channel();
+    (sender, receiver.shared())
+}
+
+impl Pulse {
+    /// Takes note of one call's outcome.
+    ///
+    /// # Example
+    ///
+    /// See [`Pulse`].
+    pub fn beat(&self, ok: bool) {
+        if !ok {
+            self.failures.set(self.failures.get() + 1);
+        }
+        if self.well.replace(ok) != ok {
+            // The receivers wake when the sender is dropped.
+            drop(self.change.replace(signal()));
+        }
+    }
+
+    /// Returns whether the last call was answered.
+    ///
+    /// # Example
+    ///
+    /// See [`Pulse`].
+    pub fn is_well(&self) -> bool {
+        self.well.get()
+    }
+
+    /// Returns how many calls have failed.
+    ///
+    /// # Example
+    ///
+    /// See [`Pulse`].
+    pub fn failures(&self) -> u64 {
+        self.failures.get()
+    }
+
+    /// Waits until the store answers, at once if it does.
+    pub async fn well(&self) {
+        while !self.is_well() {
+            self.changed().await;
+        }
+    }
+
+    /// Waits until the store stops answering, at once if it doesn't.
+    pub async fn ill(&self) {
+        while self.is_well() {
+            self.changed().await;
+        }
+    }
+
+    async fn changed(&self) {
+        let signal = self.change.borrow().1.clone();
+        // An error is the wake-up: the sender was dropped.
+        let _ = signal.await;
+    }
+}
--- a/engine/src/register.rs
+++ b/engine/src/register.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     fleet::{Keys, Vm},
+    pulse::Pulse,
     report::Report,
     store::{Error, LeaseId, Put, Store, Transaction},
 };
@@ -13,9 +14,12 @@
 /// How long the entry's lease lasts: nothing safe rests on it, and each renewal is paid for.
 const LEASE: Duration = Duration::from_secs(10);
 /// The time from one renewal to the next.
-const RENEW: Duration = Duration::from_millis(4000);
+///
+/// A renewal costs a tenth of a call, and shows within a second or two that the store is out of
+/// reach; a configuration must be in force two seconds after the store has accepted it.
+const RENEW: Duration = Duration::from_millis(1000);
 /// The pause after a call that failed.
-const PAUSE: Duration = Duration::from_millis(1500);
+const PAUSE: Duration = Duration::from_millis(600);
 
 /// What the task needs.
 #[derive(Clone)]
@@ -26,6 +30,8 @@
     pub store: Rc<dyn Store>,
     /// Keys in the store.
     pub keys: Rc<Keys>,
+    /// Whether the store answers; told here.
+    pub pulse: Pulse,
     /// The clock.
     pub clock: Clock,
     /// Logs and counters.
@@ -88,6 +94,12 @@
                 None => self.announce().await,
                 Some(lease) => self.context.store.renew(lease).await.map(|_| ()),
             };
+            let answered = matches!(result, Ok(()) | Err(Error::NoLease(_)));
+            let was_well = self.context.pulse.is_well();
+            self.context.pulse.beat(answered);
+            if answered && !was_well {
+                self.context.report.line("event=pulse-back");
+            }
             let span = match result {
                 Ok(()) => RENEW,
                 Err(Error::NoLease(_)) => {
