--- /dev/null
+++ b/engine/src/fleet/journal.rs
@@ -0,0 +1,132 @@
+//! What a VM has taken in lately, so that others can be told only what they lack.
+
+use std::{collections::VecDeque, rc::Rc};
+
+use serde::{Deserialize, Serialize};
+
+use crate::store::{Change, Item, Revision};
+
+/// How many changes are kept; who lacks more is told everything.
+const CHANGES: usize = 512;
+
+/// How far somebody has followed a VM's journal.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Place {
+    /// The start of the process whose journal it is.
+    pub start: String,
+    /// How many of its changes are known.
+    pub count: u64,
+}
+
+/// What somebody lacks.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Relay {
+    /// Some changes.
+    Changes {
+        /// The changes, oldest first.
+        changes: Vec<Change>,
+        /// Where that leads.
+        place: Place,
+    },
+    /// Everything that is known.
+    Whole {
+        /// The items.
+        items: Vec<Item>,
+        /// What stood in the store at this revision is among them.
+        upto: Revision,
+        /// Where that leads.
+        place: Place,
+    },
+}
+
+impl Relay {
+    /// Returns where the relay leads.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_engine::fleet::{Place, Relay};
+    ///
+    /// let relay = Relay::Whole { items: vec![], upto: 0, place: Place::default() };
+    /// assert_eq!(relay.place().count, 0);
+    /// ```
+    pub fn place(&self) -> &Place {
+        match self {
+            Self::Changes { place, .. } | Self::Whole { place, .. } => place,
+        }
+    }
+}
+
+/// The latest changes, with a count of all before.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier_engine::{
+///     fleet::{Journal, Relay},
+///     store::Change,
+/// };
+///
+/// let mut journal = Journal::default();
+/// let place = journal.place("start");
+/// journal.add(&Change::Removed { key: "a".into(), revision: 1 });
+/// let relay = journal.since("start", &place).unwrap();
+/// assert!(matches!(relay, Relay::Changes { changes, .. } if changes.len() == 1));
+/// assert!(journal.since("another start", &place).is_none());
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Journal {
+    changes: VecDeque<Rc<Change>>,
+    count: u64,
+}
+
+impl Journal {
+    /// Adds a change.
+    ///
+    /// # Example
+    ///
+    /// See [`Journal`].
+    pub fn add(&mut self, change: &Change) {
+        if self.changes.len() >= CHANGES {
+            self.changes.pop_front();
+        }
+        self.changes.push_back(Rc::new(change.clone()));
+        self.count += 1;
+    }
+
+    /// Returns the place after the last change.
+    ///
+    /// # Example
+    ///
+    /// See [`Journal`].
+    pub fn place(&self, start: &str) -> Place {
+        Place {
+            start: start.to_owned(),
+            count: self.count,
+        }
+    }
+
+    /// Returns the changes after a place; none if the place is another process's or too old.
+    ///
+    /// # Example
+    ///
+    /// See [`Journal`].
+    pub fn since(&self, start: &str, place: &Place) -> Option<Relay> {
+        let lacking = self.count.checked_sub(place.count)?;
+        let lacking = usize::try_from(lacking).ok()?;
+        if place.start != start || lacking > self.changes.len() {
+            return None;
+        }
+        let first = self.changes.len() - lacking;
+        Some(Relay::Changes {
+            changes: self
+                .changes
+                .range(first..)
+                .map(|it| Change::clone(it))
+                .collect(),
+            place: self.place(start),
+        })
+    }
+}
--- a/engine/src/fleet.rs
+++ b/engine/src/fleet/mod.rs
@@ -3,14 +3,21 @@
 //! [`Fleet`] changes by what the store tells and never goes backwards; [`Beliefs`] shows its newest
 //! state to the tasks of the process and wakes those that listen.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+mod beliefs;
+mod entry;
+mod journal;
+
+use std::{collections::HashSet, rc::Rc, time::Duration};
 
-use futures_channel::mpsc;
 use indexmap::IndexMap;
-use serde::{Deserialize, Serialize};
 
+pub use self::{
+    beliefs::Beliefs,
+    entry::{Keys, Vm},
+    journal::{Journal, Place, Relay},
+};
 use crate::{
-    catalogue::{Catalogue, Config, DomainId, ServiceId, Target, TargetId},
+    catalogue::{Catalogue, Config, ServiceId, Target, TargetId},
     owner::record::Record,
     place::desk,
     store::{Change, Item, Listing, Revision},
@@ -24,98 +31,8 @@
 /// Targets announce themselves again within some 2 s of the store's return.
 pub const REMOVAL_PATIENCE: Duration = Duration::from_millis(2500);
 
-/// Where the engine keeps its own items in the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Keys {
-    /// What all keys begin with.
-    pub prefix: String,
-}
-
-impl Keys {
-    /// Returns the key of the manager's entry.
-    ///
-    /// # Example
-    ///
-    /// ```
-    /// use bramleypier_engine::fleet::Keys;
-    ///
-    /// assert_eq!(Keys { prefix: "b/".into() }.manager(), "b/manager");
-    /// ```
-    pub fn manager(&self) -> String {
-        format!("{}manager", self.prefix)
-    }
-
-    /// Returns the key of a service's record.
-    ///
-    /// # Example
-    ///
-    /// ```
-    /// use bramleypier_engine::fleet::Keys;
-    ///
-    /// assert_eq!(Keys { prefix: "b/".into() }.record("s"), "b/owners/s");
-    /// ```
-    pub fn record(&self, service: &str) -> String {
-        format!("{}owners/{service}", self.prefix)
-    }
-
-    /// Returns the key of a VM's entry.
-    ///
-    /// # Example
-    ///
-    /// ```
-    /// use bramleypier_engine::fleet::Keys;
-    ///
-    /// assert_eq!(Keys { prefix: "b/".into() }.vm("a"), "b/vms/a");
-    /// ```
-    pub fn vm(&self, vm: &str) -> String {
-        format!("{}vms/{vm}", self.prefix)
-    }
-}
-
-/// A start of a VM's process, as it announces itself to the others.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct Vm {
-    /// The VM's name.
-    pub name: VmId,
-    /// The start of its process; another start has another.
-    pub start: String,
-    /// Where other VMs reach it.
-    pub address: SocketAddr,
-    /// Its failure domain.
-    pub domain: DomainId,
-}
-
-impl Vm {
-    /// Encodes the entry for the store.
-    ///
-    /// # Example
-    ///
-    /// ```
-    /// use bramleypier_engine::fleet::Vm;
-    ///
-    /// let vm = Vm {
-    ///     name: "a".into(),
-    ///     start: "1".into(),
-    ///     address: "127.0.0.1:1".parse().unwrap(),
-    ///     domain: "d".into(),
-    /// };
-    /// assert_eq!(Vm::decode(&vm.encode()), Some(vm));
-    /// ```
-    pub fn encode(&self) -> Vec<u8> {
-        // Text and numbers always encode.
-        rmp_serde::to_vec(self).unwrap_or_default()
-    }
-
-    /// Decodes a stored entry; `None` if the bytes are none.
-    ///
-    /// # Example
-    ///
-    /// See [`Vm::encode`].
-    pub fn decode(bytes: &[u8]) -> Option<Self> {
-        rmp_serde::from_slice(bytes).ok()
-    }
-}
+/// How many keys are remembered, removed ones among them: so many targets come and go within hours.
+const KNOWN_MOST: usize = 20_000;
 
 /// A record with the revision at which it stands.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -126,6 +43,14 @@
     pub record: Rc<Record>,
 }
 
+/// The newest that is known of one key.
+#[derive(Clone, Debug)]
+struct Known {
+    revision: Revision,
+    /// None once it was removed.
+    value: Option<Rc<Vec<u8>>>,
+}
+
 /// Everything that one VM believes.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
@@ -141,10 +66,14 @@
     pub vms: IndexMap<VmId, Vm>,
     /// Whether the targets have been listed.
     pub listed: bool,
-    /// Revision by key, of what is known or was removed.
-    revisions: IndexMap<String, Revision>,
+    /// What stands in the store, and what was removed from it.
+    known: IndexMap<String, Known>,
+    /// Up to which revision of the store each prefix was followed here.
+    followed: IndexMap<String, Revision>,
+    /// What was taken in, for other VMs.
+    journal: Journal,
     /// Targets that vanished in or after trouble of the store, and when they count as gone.
-    vanished: IndexMap<String, Duration>,
+    vanished: IndexMap<String, (Duration, Revision)>,
     /// When the store was last in trouble.
     trouble: Option<Duration>,
 }
@@ -181,22 +110,8 @@
     where
         C: Catalogue + ?Sized,
     {
-        let mut notes = Vec::new();
-        let listed: std::collections::HashSet<&str> =
-            listing.items.iter().map(|item| item.key.as_str()).collect();
-        let missing: Vec<String> = self
-            .revisions
-            .keys()
-            .filter(|key| key.starts_with(prefix) && !listed.contains(key.as_str()))
-            .cloned()
-            .collect();
-        for key in missing {
-            let change = Change::Removed {
-                key,
-                revision: listing.revision,
-            };
-            notes.extend(self.on_change(now, &change, keys, catalogue));
-        }
+        let items = &listing.items;
+        let mut notes = self.remove_missing(now, prefix, items, listing.revision, keys, catalogue);
         for item in &listing.items {
             let change = Change::Put(item.clone());
             notes.extend(self.on_change(now, &change, keys, catalogue));
@@ -207,6 +122,36 @@
         notes
     }
 
+    /// Removes what a listing as of `upto` lacks.
+    fn remove_missing<C>(
+        &mut self,
+        now: Duration,
+        prefix: &str,
+        items: &[Item],
+        upto: Revision,
+        keys: &Keys,
+        catalogue: &C,
+    ) -> Vec<String>
+    where
+        C: Catalogue + ?Sized,
+    {
+        let listed: HashSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
+        let missing: Vec<String> = self
+            .known
+            .iter()
+            .filter(|(_, known)| known.value.is_some() && known.revision <= upto)
+            .filter(|(key, _)| key.starts_with(prefix) && !listed.contains(key.as_str()))
+            .map(|(key, _)| key.clone())
+            .collect();
+        let mut notes = Vec::new();
+        for key in missing {
+            let revision = upto;
+            let change = Change::Removed { key, revision };
+            notes.extend(self.on_change(now, &change, keys, catalogue));
+        }
+        notes
+    }
+
     /// Takes a change in; one that is older than what is known changes nothing.
     ///
     /// Returns what changed, for the log.
@@ -224,51 +169,138 @@
             Change::Put(item) => (&item.key, item.revision),
             Change::Removed { key, revision } => (key, *revision),
         };
-        if self
-            .revisions
-            .get(key)
-            .is_some_and(|known| revision < *known)
-        {
-            return Vec::new();
-        }
+        let known = self.known.get(key);
+        let newest = known.map_or(0, |known| known.revision);
         match change {
+            Change::Put(_) if revision <= newest => Vec::new(),
             Change::Put(item) => {
-                if self.revisions.insert(key.clone(), revision) == Some(revision) {
-                    return Vec::new();
-                }
+                self.keep(key, revision, Some(Rc::new(item.value.clone())));
+                self.journal.add(change);
                 self.put(item, keys, catalogue)
             }
+            Change::Removed { .. } if revision < newest => Vec::new(),
             Change::Removed { key, .. } => {
                 let until = self.trouble.map(|at| at + REMOVAL_PATIENCE);
                 let patience = until.filter(|until| now < *until);
                 let announced = key.starts_with(catalogue.targets_prefix());
                 if let Some(until) = patience.filter(|_| announced) {
-                    self.vanished.insert(key.clone(), until);
+                    self.vanished.insert(key.clone(), (until, revision));
                     return Vec::new();
                 }
+                self.keep(key, revision, None);
+                self.journal.add(change);
                 self.remove(key, keys, catalogue)
             }
         }
     }
 
+    fn keep(&mut self, key: &str, revision: Revision, value: Option<Rc<Vec<u8>>>) {
+        if self.known.len() >= KNOWN_MOST {
+            let removed = self
+                .known
+                .iter()
+                .position(|(_, known)| known.value.is_none());
+            if let Some(index) = removed {
+                self.known.shift_remove_index(index);
+            }
+        }
+        self.known.insert(key.to_owned(), Known { revision, value });
+    }
+
+    /// Returns what another VM lacks that has followed up to a place.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_engine::fleet::{Fleet, Place, Relay};
+    ///
+    /// let fleet = Fleet::default();
+    /// let relay = fleet.relay("start", &Place::default());
+    /// assert!(matches!(relay, Relay::Whole { .. }));
+    /// ```
+    pub fn relay(&self, start: &str, place: &Place) -> Relay {
+        if let Some(relay) = self.journal.since(start, place) {
+            return relay;
+        }
+        let items = self.known.iter().filter_map(|(key, known)| {
+            let value = known.value.as_ref()?;
+            Some(Item {
+                key: key.clone(),
+                value: value.to_vec(),
+                revision: known.revision,
+            })
+        });
+        Relay::Whole {
+            items: items.collect(),
+            upto: self.followed.values().min().copied().unwrap_or(0),
+            place: self.journal.place(start),
+        }
+    }
+
+    /// Takes note up to which revision a prefix was followed in the store itself.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_engine::fleet::Fleet;
+    ///
+    /// let mut fleet = Fleet::default();
+    /// fleet.on_followed("a/", 7);
+    /// ```
+    pub fn on_followed(&mut self, prefix: &str, revision: Revision) {
+        self.followed.insert(prefix.to_owned(), revision);
+    }
+
+    /// Takes in what another VM relays; returns what changed, for the log.
+    ///
+    /// What a relay of everything lacks is gone, unless it is newer than what the other VM has
+    /// followed.
+    pub fn on_relay<C>(
+        &mut self,
+        now: Duration,
+        relay: &Relay,
+        keys: &Keys,
+        catalogue: &C,
+    ) -> Vec<String>
+    where
+        C: Catalogue + ?Sized,
+    {
+        let mut notes = Vec::new();
+        match relay {
+            Relay::Whole { items, upto, .. } => {
+                notes.extend(self.remove_missing(now, "", items, *upto, keys, catalogue));
+                for item in items {
+                    let change = Change::Put(item.clone());
+                    notes.extend(self.on_change(now, &change, keys, catalogue));
+                }
+            }
+            Relay::Changes { changes, .. } => {
+                for change in changes {
+                    notes.extend(self.on_change(now, change, keys, catalogue));
+                }
+            }
+        }
+        notes
+    }
+
     /// Removes targets that have been missing for long enough after trouble of the store.
     ///
     /// # Example
     ///
     /// See [`Fleet::on_trouble`].
     pub fn expire(&mut self, now: Duration) -> Vec<TargetId> {
-        let due = |at: &Duration| now >= *at;
-        let gone: Vec<String> = self
+        let gone: Vec<(String, Revision)> = self
             .vanished
             .iter()
-            .filter(|(_, at)| due(at))
-            .map(|(key, _)| key.clone())
+            .filter(|(_, (at, _))| now >= *at)
+            .map(|(key, (_, revision))| (key.clone(), *revision))
             .collect();
         let mut ids = Vec::new();
-        for key in gone {
+        for (key, revision) in gone {
             self.vanished.swap_remove(&key);
-            self.revisions.swap_remove(&key);
+            self.keep(&key, revision, None);
             let id = key.rsplit('/').next().unwrap_or_default().to_owned();
+            self.journal.add(&Change::Removed { key, revision });
             if self.targets.swap_remove(&id).is_some() {
                 ids.push(id);
             }
@@ -286,7 +318,7 @@
     /// assert!(Fleet::default().expiry().is_none());
     /// ```
     pub fn expiry(&self) -> Option<Duration> {
-        self.vanished.values().min().copied()
+        self.vanished.values().map(|(at, _)| *at).min()
     }
 
     fn put<C>(&mut self, item: &Item, keys: &Keys, catalogue: &C) -> Vec<String>
@@ -403,7 +435,6 @@
     where
         C: Catalogue + ?Sized,
     {
-        self.revisions.swap_remove(key);
         let id = key.rsplit('/').next().unwrap_or_default();
         if key.starts_with(catalogue.targets_prefix()) {
             let known = self.targets.swap_remove(id).is_some();
@@ -462,64 +493,3 @@
         self.config.is_some() && self.listed
     }
 }
-
-/// The newest beliefs, shared by the tasks of a process.
-#[derive(Clone, Debug, Default)]
-pub struct Beliefs {
-    now: Rc<RefCell<Rc<Fleet>>>,
-    listeners: Rc<RefCell<Vec<mpsc::UnboundedSender<()>>>>,
-}
-
-impl Beliefs {
-    /// Returns the newest state.
-    ///
-    /// # Example
-    ///
-    /// ```
-    /// use bramleypier_engine::fleet::Beliefs;
-    ///
-    /// assert!(Beliefs::default().get().config.is_none());
-    /// ```
-    pub fn get(&self) -> Rc<Fleet> {
-        self.now.borrow().clone()
-    }
-
-    /// Changes the state and wakes all listeners.
-    ///
-    /// # Example
-    ///
-    /// ```
-    /// use bramleypier_engine::fleet::Beliefs;
-    ///
-    /// let beliefs = Beliefs::default();
-    /// beliefs.change(|fleet| fleet.listed = true);
-    /// assert!(beliefs.get().listed);
-    /// ```
-    pub fn change<F, R>(&self, change: F) -> R
-    where
-        F: FnOnce(&mut Fleet) -> R,
-    {
-        let result = change(Rc::make_mut(&mut *self.now.borrow_mut()));
-        let mut listeners = self.listeners.borrow_mut();
-        listeners.retain(|listener| listener.unbounded_send(()).is_ok());
-        result
-    }
-
-    /// Returns a stream with an item for each change from now on.
-    ///
-    /// # Example
-    ///
-    /// ```
-    /// use bramleypier_engine::fleet::Beliefs;
-    ///
-    /// let beliefs = Beliefs::default();
-    /// let mut changes = beliefs.listen();
-    /// beliefs.change(|_| ());
-    /// assert!(changes.try_recv().is_ok());
-    /// ```
-    pub fn listen(&self) -> mpsc::UnboundedReceiver<()> {
-        let (sender, receiver) = mpsc::unbounded();
-        self.listeners.borrow_mut().push(sender);
-        receiver
-    }
-}
--- a/engine/src/follow.rs
+++ b/engine/src/follow.rs
@@ -36,6 +36,8 @@
     pub beliefs: Beliefs,
     /// Whether the store answers.
     pub pulse: Pulse,
+    /// Whether the manager is heard, who relays what is new.
+    pub heard: Pulse,
     /// The clock.
     pub clock: Clock,
     /// Logs and counters.
@@ -48,20 +50,36 @@
     }
 }
 
+/// Who tells what is new under a prefix.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The store only.
+    Store,
+    /// The manager while it is heard, the store otherwise.
+    Relayed,
+}
+
 /// Follows one prefix for as long as the process lives.
-pub async fn run(context: Context, prefix: String) {
+pub async fn run(context: Context, prefix: String, source: Source) {
     let follower = Follower { context, prefix };
     let mut pause = PAUSE;
     let mut after = None;
     let mut lost = false;
     loop {
+        if source == Source::Relayed && after.is_some() {
+            follower.context.heard.ill().await;
+        }
         let wait = if lost { PROBE_WAIT } else { WAIT };
         let result = match after {
             None => follower.list().await,
-            Some(revision) => follower.watch(revision, wait).await,
+            Some(revision) => follower.watch(revision, wait, source).await,
         };
         match result {
             Ok(revision) => {
+                follower
+                    .context
+                    .beliefs
+                    .change(|it| it.on_followed(&follower.prefix, revision));
                 if lost {
                     follower.note("store-back", "");
                 }
@@ -122,16 +140,28 @@
     }
 
     /// Watches, unless the pulse fails meanwhile: then nothing is known of the watch.
-    async fn watch(&self, after: Revision, wait: Duration) -> Result<Revision, Error> {
+    async fn watch(
+        &self,
+        after: Revision,
+        wait: Duration,
+        source: Source,
+    ) -> Result<Revision, Error> {
         let context = &self.context;
+        let relayed = async {
+            match source {
+                Source::Store => future::pending().await,
+                Source::Relayed => context.heard.well().await,
+            }
+        };
         let watch = context.store.watch(&self.prefix, after, wait);
-        let news = match future::select(watch, Box::pin(context.pulse.ill())).await {
+        let ended = future::select(Box::pin(relayed), Box::pin(context.pulse.ill()));
+        let news = match future::select(watch, ended).await {
             Either::Left((news, _)) => news?,
-            Either::Right(_) => {
-                return Err(Error::Refused(
-                    "watch",
-                    "other calls are not answered".to_owned(),
-                ));
+            // From now on the manager tells.
+            Either::Right((Either::Left(_), _)) => return Ok(after),
+            Either::Right((Either::Right(_), _)) => {
+                let reason = "other calls are not answered".to_owned();
+                return Err(Error::Refused("watch", reason));
             }
         };
         let now = context.clock.now();
--- a/engine/src/owner/manager.rs
+++ b/engine/src/owner/manager.rs
@@ -1,6 +1,6 @@
 //! The task that seeks the manager's lease, and keeps the owners while it holds it.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::Cell, collections::HashMap, rc::Rc, time::Duration};
 
 use bramleypier_util::{body, body::Body, client, client::Client, clock::Clock};
 use futures_channel::{mpsc, oneshot};
@@ -16,10 +16,11 @@
     record::{Point, Record, Term},
 };
 use crate::{
-    catalogue::{ServiceId, TargetId},
+    catalogue::{Catalogue, ServiceId, Target, TargetId},
     fleet::{Beliefs, Fleet, Keys, Vm},
+    peer::{self, TargetHash},
     report::Report,
-    store::{Commit, Error, Item, Lease, LeaseId, Put, Revision, Store, Transaction},
+    store::{Change, Commit, Error, Item, Lease, LeaseId, Put, Revision, Store, Transaction},
     target::Targets,
 };
 
@@ -47,17 +48,21 @@
 /// How long a manager that stops waits for its last writes.
 const RESIGN_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// From how many service times on a target's speed is taken as measured: times scatter as much as
+/// their mean, so 20 are right to within a quarter.
+const SAMPLES_LEAST: f64 = 20.0;
+/// Beyond how many the older ones lose half their weight: some ten seconds of a busy target.
+const SAMPLES_MOST: f64 = 150.0;
+
 /// What the manager's task is told.
 #[derive(Debug)]
 pub enum Message {
-    /// Another VM's, or this VM's, count of requests.
+    /// What a VM counted since its last word.
     Load {
-        /// The service.
-        service: ServiceId,
-        /// Requests by key.
-        counts: Vec<(Point, u32)>,
-        /// Measured service times by target, in seconds.
-        times: IndexMap<TargetId, f64>,
+        /// Requests by service and key.
+        counts: Vec<(ServiceId, Vec<(Point, u32)>)>,
+        /// Sums in seconds and counts of service times without waiting, by target.
+        times: Vec<(TargetHash, f64, u32)>,
     },
     /// The process stops: hand over, and tell when done.
     Stop(oneshot::Sender<()>),
@@ -86,6 +91,10 @@
     pub client: Client,
     /// What is believed of the fleet.
     pub beliefs: Beliefs,
+    /// Decodes what is stored.
+    pub catalogue: Rc<dyn Catalogue>,
+    /// Whether this VM holds the lease; told here.
+    pub leading: Rc<Cell<bool>>,
     /// Keys in the store.
     pub keys: Rc<Keys>,
     /// The clock.
@@ -110,14 +119,14 @@
     revision: Revision,
     /// The record that is being written.
     written: Option<Record>,
-    /// Service times by target, as VMs reported them.
-    times: IndexMap<TargetId, f64>,
 }
 
 struct Manager {
     context: Context,
     sender: mpsc::UnboundedSender<Message>,
     kept: IndexMap<ServiceId, Kept>,
+    /// Sums in seconds and counts of service times without waiting, by target.
+    times: HashMap<TargetHash, (f64, f64)>,
     reading: Vec<ServiceId>,
     lease: Option<(LeaseId, Duration)>,
     bidding: bool,
@@ -133,6 +142,7 @@
         context,
         sender: sender.clone(),
         kept: IndexMap::new(),
+        times: HashMap::new(),
         reading: Vec::new(),
         lease: None,
         bidding: false,
@@ -176,11 +186,7 @@
 
     fn hear(&mut self, message: Message) {
         match message {
-            Message::Load {
-                service,
-                counts,
-                times,
-            } => self.loaded(&service, counts, times),
+            Message::Load { counts, times } => self.loaded(counts, &times),
             Message::Stop(done) => self.stopping = Some(done),
             Message::Called(service, term, from, grant, ending) => {
                 self.called(&service, term, from, grant, ending);
@@ -219,16 +225,27 @@
         }
     }
 
-    fn loaded(&mut self, service: &str, counts: Vec<(Point, u32)>, times: IndexMap<TargetId, f64>) {
-        const PART: f64 = 0.3;
-        if let Some(kept) = self.kept.get_mut(service) {
-            for (id, time) in times {
-                let mean = kept.times.entry(id).or_insert(time);
-                *mean += (time - *mean) * PART;
+    fn loaded(
+        &mut self,
+        counts: Vec<(ServiceId, Vec<(Point, u32)>)>,
+        times: &[(TargetHash, f64, u32)],
+    ) {
+        for (target, sum, count) in times {
+            let total = self.times.entry(*target).or_default();
+            if total.1 > SAMPLES_MOST {
+                *total = (total.0 / 2.0, total.1 / 2.0);
+            }
+            total.0 += sum;
+            total.1 += f64::from(*count);
+        }
+        for (service, counts) in counts {
+            let fleet = self.context.beliefs.get();
+            let speeds = speeds(&self.times, &targets(&fleet, &service));
+            if let Some(kept) = self.kept.get_mut(&service) {
+                kept.keeper.set_speeds(speeds);
             }
-            kept.keeper.set_speeds(speeds(&kept.times));
+            self.feed(&service, Event::Load(counts));
         }
-        self.feed(service, Event::Load(counts));
     }
 
     fn called(&mut self, service: &str, term: Term, from: Point, grant: bool, ending: Ending) {
@@ -269,7 +286,7 @@
                 manager.name
             ));
             self.kept.clear();
-            self.lease = None;
+            self.drop_lease();
         }
     }
 
@@ -311,12 +328,18 @@
         .detach();
     }
 
+    fn drop_lease(&mut self) {
+        self.lease = None;
+        self.context.leading.set(false);
+    }
+
     fn bid_ended(&mut self, result: Result<Option<Lease>, Error>, sent: Duration) {
         self.bidding = false;
         match result {
             Ok(Some(lease)) => {
                 self.log(&format!("event=manager-elected lease={}", lease.id));
                 self.lease = Some((lease.id, sent + lease.span));
+                self.context.leading.set(true);
                 self.renew_due = self.now() + RENEW;
                 self.kept.clear();
             }
@@ -332,7 +355,7 @@
         };
         if now >= until {
             self.log("event=lease-lost cause=not-renewed-in-time");
-            self.lease = None;
+            self.drop_lease();
             return;
         }
         if now < self.renew_due {
@@ -363,7 +386,7 @@
             }
             Err(Error::NoLease(_)) => {
                 self.log("event=lease-lost cause=ended-in-store");
-                self.lease = None;
+                self.drop_lease();
             }
             Err(error) => self.log(&format!("event=renewal-failed {error}")),
         }
@@ -431,7 +454,6 @@
             keeper,
             revision,
             written: None,
-            times: IndexMap::new(),
         };
         self.kept.insert(service.to_owned(), kept);
         self.apply(service, effects);
@@ -492,6 +514,8 @@
         match revision {
             Some(revision) => {
                 kept.revision = revision;
+                let record = kept.written.as_ref().map(Record::encode);
+                self.tell(service, revision, record.unwrap_or_default());
                 self.feed(service, Event::Committed);
             }
             None => {
@@ -503,6 +527,21 @@
         }
     }
 
+    /// Takes a record that was written into this VM's beliefs, from where other VMs hear it.
+    fn tell(&self, service: &str, revision: Revision, value: Vec<u8>) {
+        let context = &self.context;
+        let change = Change::Put(Item {
+            key: context.keys.record(service),
+            value,
+            revision,
+        });
+        let now = self.now();
+        let notes = context
+            .beliefs
+            .change(|fleet| fleet.on_change(now, &change, &context.keys, &*context.catalogue));
+        context.report.lines(&notes);
+    }
+
     fn call(&mut self, service: &str, order: Order, grant: bool) {
         let Some(kept) = self.kept.get(service) else {
             return;
@@ -553,7 +592,7 @@
         // What could not be written in time is settled by the lease's own end.
         let _ = context.clock.timeout(RESIGN_TIMEOUT, work).await;
         self.kept.clear();
-        self.lease = None;
+        self.drop_lease();
         if let Some(done) = self.stopping.take() {
             let _ = done.send(());
         }
@@ -562,7 +601,7 @@
 }
 
 /// The targets of one service, also those that leave.
-fn targets(fleet: &Fleet, service: &str) -> Vec<crate::catalogue::Target> {
+fn targets(fleet: &Fleet, service: &str) -> Vec<Target> {
     let of_service = fleet.targets.values().filter(|it| it.service == service);
     of_service.cloned().collect()
 }
@@ -654,18 +693,23 @@
     }
 }
 
-/// Speeds relative to the median, from service times.
-fn speeds(times: &IndexMap<TargetId, f64>) -> IndexMap<TargetId, f64> {
-    const LEAST: f64 = 0.4;
-    const MOST: f64 = 2.0;
+/// Speeds relative to the median, from service times of targets that were measured often enough.
+fn speeds(times: &HashMap<TargetHash, (f64, f64)>, targets: &[Target]) -> IndexMap<TargetId, f64> {
+    const LEAST: f64 = 0.3;
+    const MOST: f64 = 3.0;
+    let time = |target: &Target| {
+        let (sum, count) = times.get(&peer::hash(&target.id)).copied()?;
+        (count >= SAMPLES_LEAST).then(|| (target.id.clone(), (sum / count).max(0.001)))
+    };
+    let times: IndexMap<TargetId, f64> = targets.iter().filter_map(time).collect();
     let mut sorted: Vec<f64> = times.values().copied().collect();
     sorted.sort_by(f64::total_cmp);
     let Some(median) = sorted.get(sorted.len() / 2).copied() else {
         return IndexMap::new();
     };
-    let speed = |time: f64| (median / time.max(0.001)).clamp(LEAST, MOST);
+    let speed = |time: f64| (median / time).clamp(LEAST, MOST);
     times
-        .iter()
-        .map(|(id, time)| (id.clone(), speed(*time)))
+        .into_iter()
+        .map(|(id, time)| (id, speed(time)))
         .collect()
 }
--- a/engine/src/peer/mod.rs
+++ b/engine/src/peer/mod.rs
@@ -1,4 +1,11 @@
 //! What VMs tell each other, over HTTP with MessagePack.
+//!
+//! Each VM tells the manager several times a second what it has under way, and hears what the
+//! others have under way and what is new in the store. So targets' queues are known to within a
+//! few ten milliseconds, and the store is watched by one VM instead of all.
+
+mod board;
+pub mod sync;
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -6,20 +13,21 @@
     body::{self, Body},
     client::{self, Client},
 };
-use hyper::{Method, Request, Response, StatusCode, body::Incoming, header};
-use indexmap::IndexMap;
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 
+pub use self::board::Board;
 use crate::{
-    catalogue::{ServiceId, TargetId},
+    catalogue::ServiceId,
+    fleet::{Place, Relay},
     owner::record::Point,
 };
 
 /// The path of messages between VMs.
 pub const PATH: &str = "/peer";
 /// How long a message may take: VMs are a few milliseconds apart.
-const TIMEOUT: Duration = Duration::from_millis(800);
+const TIMEOUT: Duration = Duration::from_millis(300);
 /// The largest message.
 const BYTES: usize = 1 << 20;
 
@@ -32,62 +40,100 @@
             display("step=peer peer={peer} cause={cause}")
             source(cause)
         }
-        /// The other VM did not take it.
-        Refused(peer: SocketAddr, status: StatusCode) {
-            display("step=peer peer={peer} cause=status {status}")
+        /// The answer can't be used.
+        Answer(peer: SocketAddr, reason: String) {
+            display("step=peer peer={peer} cause={reason}")
         }
     }
 }
 
-/// A message from one VM to another.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+/// A target's id, hashed: messages between VMs name targets many times a second.
+pub type TargetHash = u32;
+
+/// Hashes a target's id.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier_engine::peer;
+///
+/// assert_ne!(peer::hash("a"), peer::hash("b"));
+/// ```
+pub fn hash(id: &str) -> TargetHash {
+    let wide = xxhash_rust::xxh3::xxh3_64(id.as_bytes());
+    // The low half is as good as any.
+    (wide & u64::from(u32::MAX)) as u32
+}
+
+/// What a VM tells the manager, several times a second.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
-pub enum Message {
-    /// What the sender sent to a service's targets since its last message.
-    Load {
-        /// The service.
-        service: ServiceId,
-        /// Requests by key.
-        counts: Vec<(Point, u32)>,
-        /// Measured service times by target, in seconds.
-        times: IndexMap<TargetId, f64>,
-    },
+pub struct Sync {
+    /// The start of the VM that tells.
+    pub start: String,
+    /// Its requests at each target.
+    pub flights: Vec<(TargetHash, u32)>,
+    /// How far it has followed the manager's journal.
+    pub place: Place,
+    /// Requests by service and key since the last message.
+    pub counts: Vec<(ServiceId, Vec<(Point, u32)>)>,
+    /// Sums and counts of service times without waiting, in seconds, since the last message.
+    pub times: Vec<(TargetHash, f64, u32)>,
 }
 
-/// Sends a message.
+/// What the manager answers.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Synced {
+    /// Whether it is the manager and follows the store without trouble.
+    pub well: bool,
+    /// Other VMs' requests at each target.
+    pub others: Vec<(TargetHash, u32)>,
+    /// What the VM lacks.
+    pub relay: Option<Relay>,
+}
+
+/// Tells the manager, and returns its answer.
 ///
 /// # Errors
 ///
-/// [`Error`] when it did not arrive, or can't be known to have.
-pub async fn send(client: &Client, peer: SocketAddr, message: &Message) -> Result<(), Error> {
+/// [`Error`] when there is no answer that can be read.
+pub async fn sync(client: &Client, peer: SocketAddr, message: &Sync) -> Result<Synced, Error> {
     // Text and numbers always encode.
     let bytes = rmp_serde::to_vec(message).unwrap_or_default();
     let mut request = Request::new(Body::from(bytes));
     *request.method_mut() = Method::POST;
     *request.uri_mut() = http::Uri::from_static(PATH);
-    if let Ok(host) = header::HeaderValue::from_str(&peer.to_string()) {
-        request.headers_mut().insert(header::HOST, host);
-    }
     let sent = client.send(peer, request, TIMEOUT).await;
     let response = sent.map_err(|cause| Error::Send(peer, cause))?;
     let status = response.status();
-    // The connection is used again once the empty body has been read.
-    let _ = body::read(response.into_body(), BYTES).await;
-    if status.is_success() {
-        Ok(())
-    } else {
-        Err(Error::Refused(peer, status))
+    let bytes = body::read(response.into_body(), BYTES).await;
+    let bytes = bytes.map_err(|cause| Error::Answer(peer, cause.to_string()))?;
+    if !status.is_success() {
+        return Err(Error::Answer(peer, format!("status {}", status.as_u16())));
     }
+    rmp_serde::from_slice(&bytes).map_err(|cause| Error::Answer(peer, cause.to_string()))
 }
 
 /// Reads a message that came in.
-pub async fn read(request: Request<Incoming>) -> Option<Message> {
-    let bytes = body::read(request.into_body(), BYTES).await.ok()?;
-    rmp_serde::from_slice(&bytes).ok()
+///
+/// # Errors
+///
+/// The reason, for the log.
+pub async fn read(request: Request<Incoming>) -> Result<Sync, String> {
+    let bytes = body::read(request.into_body(), BYTES).await;
+    let bytes = bytes.map_err(|cause| cause.to_string())?;
+    rmp_serde::from_slice(&bytes).map_err(|cause| cause.to_string())
+}
+
+/// Builds the answer to a message.
+pub fn answer(synced: &Synced) -> Response<Body> {
+    // Text and numbers always encode.
+    Response::new(Body::from(rmp_serde::to_vec(synced).unwrap_or_default()))
 }
 
-/// Builds an empty answer.
-pub fn answer(status: StatusCode) -> Response<Body> {
+/// Builds an answer that says only that a message could not be taken.
+pub fn refuse(status: StatusCode) -> Response<Body> {
     let mut response = Response::new(Body::empty());
     *response.status_mut() = status;
     response
--- /dev/null
+++ b/engine/src/peer/sync.rs
@@ -0,0 +1,198 @@
+//! Both sides of the exchange between a VM and the manager.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+
+use bramleypier_util::{body::Body, client::Client, clock::Clock};
+use futures_channel::mpsc;
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+
+use super::{Board, Sync, Synced};
+use crate::{
+    catalogue::Catalogue,
+    fleet::{Beliefs, Keys, Place, Vm},
+    owner::{manager, tally::Tally},
+    place::{desk, task},
+    pulse::Pulse,
+    report::Report,
+};
+
+/// The time between two exchanges while requests are under way.
+///
+/// A target gets a request every 40 to 60 ms at the loads that are known; older counts would let
+/// several VMs take the same free place.
+const PERIOD: Duration = Duration::from_millis(40);
+/// The time between two exchanges while nothing is under way.
+const IDLE_PERIOD: Duration = Duration::from_millis(150);
+/// How long after the last good answer the manager still counts as heard.
+const FRESH: Duration = Duration::from_millis(450);
+
+/// What both sides share.
+#[derive(Clone)]
+pub struct Context {
+    /// This start of this VM.
+    pub vm: Vm,
+    /// What is believed of the fleet.
+    pub beliefs: Beliefs,
+    /// Decodes what is stored.
+    pub catalogue: Rc<dyn Catalogue>,
+    /// The engine's own keys.
+    pub keys: Rc<Keys>,
+    /// Whether the store answers this VM.
+    pub pulse: Pulse,
+    /// Whether the manager is heard; told here.
+    pub heard: Pulse,
+    /// Whether this VM is the manager.
+    pub leading: Rc<Cell<bool>>,
+    /// What all VMs have under way, if this is the manager.
+    pub board: Rc<RefCell<Board>>,
+    /// This VM's requests by key.
+    pub tally: Tally,
+    /// Decides on targets.
+    pub desk: task::Handle,
+    /// This VM's manager task.
+    pub manager: mpsc::UnboundedSender<manager::Message>,
+    /// Connections to other VMs.
+    pub client: Client,
+    /// The clock.
+    pub clock: Clock,
+    /// Logs and counters.
+    pub report: Report,
+}
+
+impl std::fmt::Debug for Context {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Context")
+            .field("vm", &self.vm)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Answers a VM that tells this one, the manager, what it has under way.
+pub async fn hear(context: Context, request: Request<Incoming>) -> Response<Body> {
+    if request.method() == Method::GET {
+        return Response::new(Body::from(context.report.text()));
+    }
+    match super::read(request).await {
+        Ok(message) => super::answer(&context.take(message)),
+        Err(reason) => {
+            context
+                .report
+                .line(&format!("event=message-unreadable cause=\"{reason}\""));
+            super::refuse(StatusCode::BAD_REQUEST)
+        }
+    }
+}
+
+impl Context {
+    /// Takes a VM's message in and builds the answer.
+    fn take(&self, message: Sync) -> Synced {
+        let now = self.clock.now();
+        let well = self.leading.get() && self.pulse.is_well();
+        let mut board = self.board.borrow_mut();
+        board.set(now, &message.start, message.flights);
+        let others = board.others(now, &message.start);
+        let load = manager::Message::Load {
+            counts: message.counts,
+            times: message.times,
+        };
+        // The manager's task ends with the process only.
+        let _ = self.manager.unbounded_send(load);
+        let relay = well.then(|| self.beliefs.get().relay(&self.vm.start, &message.place));
+        Synced {
+            well,
+            others,
+            relay,
+        }
+    }
+
+    /// Builds this VM's message.
+    async fn message(&self, place: Place) -> Sync {
+        let state = self.desk.take_state().await;
+        Sync {
+            start: self.vm.start.clone(),
+            flights: state.flights,
+            place,
+            counts: self.tally.take(),
+            times: state.times,
+        }
+    }
+}
+
+/// Tells the manager for as long as the process lives.
+pub async fn run(context: Context) {
+    let mut place = Place::default();
+    let mut heard_at = Duration::ZERO;
+    context.heard.beat(false);
+    loop {
+        let manager = context.beliefs.get().manager.clone();
+        let message = context.message(place.clone()).await;
+        let busy = !message.flights.is_empty();
+        let answer = match manager {
+            Some(vm) if vm.start == context.vm.start => {
+                // The manager follows the store itself.
+                context.heard.beat(false);
+                Some(context.take(message))
+            }
+            Some(vm) => exchange(&context, &vm, &message, &mut place, &mut heard_at).await,
+            None => None,
+        };
+        if let Some(synced) = answer {
+            let others = synced.others.into_iter().collect();
+            context.desk.tell(desk::Event::Others(others));
+        }
+        let stale = context.clock.now() > heard_at + FRESH;
+        if stale && context.heard.is_well() {
+            context.report.line("event=manager-unheard");
+            context.heard.beat(false);
+        }
+        let period = if busy { PERIOD } else { IDLE_PERIOD };
+        context.clock.sleep(period).await;
+    }
+}
+
+async fn exchange(
+    context: &Context,
+    vm: &Vm,
+    message: &Sync,
+    place: &mut Place,
+    heard_at: &mut Duration,
+) -> Option<Synced> {
+    let sent = context.clock.now();
+    let synced = match super::sync(&context.client, vm.address, message).await {
+        Ok(synced) => synced,
+        Err(error) => {
+            if context.heard.is_well() {
+                context
+                    .report
+                    .line(&format!("event=sync-failed vm={} {error}", vm.name));
+            }
+            return None;
+        }
+    };
+    let took = context.clock.now().saturating_sub(sent);
+    context.report.time("sync", took, &[]);
+    if let Some(relay) = &synced.relay {
+        let now = context.clock.now();
+        if relay.place() != place {
+            let notes = context
+                .beliefs
+                .change(|fleet| fleet.on_relay(now, relay, &context.keys, &*context.catalogue));
+            context.report.lines(&notes);
+            *place = relay.place().clone();
+        }
+    }
+    if synced.well {
+        *heard_at = sent;
+        if !context.heard.is_well() {
+            context
+                .report
+                .line(&format!("event=manager-heard vm={}", vm.name));
+        }
+        context.heard.beat(true);
+    }
+    Some(synced)
+}
--- a/engine/src/place/desk.rs
+++ b/engine/src/place/desk.rs
@@ -10,7 +10,7 @@
 //! - *A target that fails fast looks idle*: answers count, not promptness; one that fails often gets
 //!   single requests until it does well.
 
-use std::{rc::Rc, time::Duration};
+use std::{collections::HashMap, rc::Rc, time::Duration};
 
 use indexmap::IndexMap;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -23,6 +23,7 @@
 use crate::{
     catalogue::{ServiceId, Target, TargetId},
     owner::record::{Fence, Point, Record},
+    peer::{self, TargetHash},
     target::LoadReport,
 };
 
@@ -95,10 +96,21 @@
     Left(Ticket),
     /// The announced targets, the owners of keys and the number of VMs are these.
     View(Rc<View>),
+    /// Other VMs' requests by target, as the manager told; targets that are missing have none.
+    Others(HashMap<TargetHash, u32>),
     /// Time passed.
     Tick,
 }
 
+/// What a desk has under way, for other VMs.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct State {
+    /// Requests at each target.
+    pub flights: Vec<(TargetHash, u32)>,
+    /// Sums in seconds and counts of service times without waiting.
+    pub times: Vec<(TargetHash, f64, u32)>,
+}
+
 /// What a desk is told of the fleet.
 #[derive(Clone, Debug, Default)]
 pub struct View {
@@ -248,6 +260,13 @@
                 self.look(now, view);
                 self.serve(now, &mut effects);
             }
+            Event::Others(others) => {
+                for member in self.members.values_mut() {
+                    let count = others.get(&peer::hash(&member.target.id));
+                    member.tell(now, count.copied().unwrap_or(0));
+                }
+                self.serve(now, &mut effects);
+            }
             Event::Tick => self.serve(now, &mut effects),
         }
         effects
@@ -262,14 +281,25 @@
         self.waiting.len()
     }
 
-    /// Returns the measured service time of each target in seconds.
+    /// Returns this VM's requests at each target, and the service times measured since the last
+    /// call.
     ///
     /// # Example
     ///
     /// See [`Desk::new`].
-    pub fn times(&self) -> IndexMap<TargetId, f64> {
-        let measured = |it: &Member| Some((it.target.id.clone(), it.measured()?));
-        self.members.values().filter_map(measured).collect()
+    pub fn take_state(&mut self) -> State {
+        let mut state = State::default();
+        for member in self.members.values_mut() {
+            let hash = peer::hash(&member.target.id);
+            if member.own > 0 {
+                state.flights.push((hash, member.own));
+            }
+            let (sum, count) = member.take_samples();
+            if count > 0 {
+                state.times.push((hash, sum, count));
+            }
+        }
+        state
     }
 
     fn look(&mut self, now: Duration, view: Rc<View>) {
--- a/engine/src/place/member.rs
+++ b/engine/src/place/member.rs
@@ -10,6 +10,8 @@
 ///
 /// Requests last some 50 to 250 ms; a report older than that tells little of who runs now.
 const REPORT_LIFE: Duration = Duration::from_millis(200);
+/// How long the manager's word on other VMs' requests counts; it comes every 40 ms.
+const TOLD_LIFE: Duration = Duration::from_millis(250);
 /// The service time that is assumed of a service of which nothing was measured.
 const UNKNOWN_TIME: Duration = Duration::from_millis(80);
 /// How long a target is left alone after it could not be reached.
@@ -55,6 +57,10 @@
     others: f64,
     others_mean: f64,
     reported: Option<Duration>,
+    /// Other VMs' requests, as the manager told, and when.
+    told: Option<(u32, Duration)>,
+    /// Sum in seconds and count of service times without waiting, not yet told.
+    samples: (f64, u32),
     time: Option<f64>,
     failures: f64,
     failed_at: Duration,
@@ -73,6 +79,8 @@
             others: 0.0,
             others_mean: 0.0,
             reported: None,
+            told: None,
+            samples: (0.0, 0),
             time: None,
             failures: 0.0,
             failed_at: now,
@@ -84,6 +92,11 @@
 
     /// Returns how many requests are probably there, from all VMs.
     pub fn depth(&self, now: Duration) -> f64 {
+        if let Some((others, at)) = self.told {
+            if now < at + TOLD_LIFE {
+                return f64::from(self.own + others);
+            }
+        }
         let others = self.reported.map_or(self.others_mean, |at| {
             let age = now.saturating_sub(at).as_secs_f64() / REPORT_LIFE.as_secs_f64();
             self.others_mean + (self.others - self.others_mean) * (-age).exp()
@@ -91,6 +104,16 @@
         f64::from(self.own) + others
     }
 
+    /// Takes note of other VMs' requests there.
+    pub fn tell(&mut self, now: Duration, others: u32) {
+        self.told = Some((others, now));
+    }
+
+    /// Takes the sum in seconds and the count of service times without waiting since the last call.
+    pub fn take_samples(&mut self) -> (f64, u32) {
+        std::mem::take(&mut self.samples)
+    }
+
     /// Returns the time that one request takes there, without waiting, in seconds.
     pub fn time(&self, usual: Option<f64>) -> f64 {
         let time = self.time.or(usual);
@@ -173,6 +196,10 @@
     /// Learns the service time from an answer that came after `depth` others.
     fn learn(&mut self, took: Duration, depth: f64) {
         let slots = self.target.slots.max(1) as f64;
+        if depth + 1.0 <= slots {
+            self.samples.0 += took.as_secs_f64();
+            self.samples.1 += 1;
+        }
         let queued = ((depth + 1.0 - slots).max(0.0) / slots).min(4.0);
         let sample = took.as_secs_f64() / (1.0 + queued);
         let mean = self.time.get_or_insert(sample);
--- a/engine/src/place/task.rs
+++ b/engine/src/place/task.rs
@@ -8,14 +8,9 @@
     StreamExt,
     future::{self, Either},
 };
-use indexmap::IndexMap;
 
-use super::desk::{Ask, Desk, Effect, Ended, Event, Ticket, View, Why};
-use crate::{
-    catalogue::{Target, TargetId},
-    owner::record::Fence,
-    target::LoadReport,
-};
+use super::desk::{Ask, Desk, Effect, Ended, Event, State, Ticket, View, Why};
+use crate::{catalogue::Target, owner::record::Fence, target::LoadReport};
 
 /// How often waiting requests are looked at when nothing else happens: their time may have ended,
 /// and load reports lose weight with age.
@@ -25,7 +20,7 @@
 enum Message {
     Ask(Ask, oneshot::Sender<Result<Permit, Refused>>),
     Event(Event),
-    Times(oneshot::Sender<IndexMap<TargetId, f64>>),
+    State(oneshot::Sender<State>),
 }
 
 /// Why a request got no target.
@@ -144,10 +139,11 @@
         self.tell(Event::View(view));
     }
 
-    /// Returns the measured service time of each target in seconds.
-    pub async fn times(&self) -> IndexMap<TargetId, f64> {
+    /// Returns what is under way, and the service times measured since the last call.
+    pub async fn take_state(&self) -> State {
         let (sender, receiver) = oneshot::channel();
-        let _ = self.sender.unbounded_send(Message::Times(sender));
+        // The task ends with the process only.
+        let _ = self.sender.unbounded_send(Message::State(sender));
         receiver.await.unwrap_or_default()
     }
 }
@@ -181,8 +177,9 @@
         };
         let event = match message {
             None => return,
-            Some(Message::Times(sender)) => {
-                let _ = sender.send(desk.times());
+            Some(Message::State(sender)) => {
+                // Whoever asked may be gone with its own task.
+                let _ = sender.send(desk.take_state());
                 continue;
             }
             Some(Message::Event(event)) => event,
--- a/engine/src/process.rs
+++ b/engine/src/process.rs
@@ -1,6 +1,6 @@
 //! One process: its sockets and tasks, from start to stop.
 
-use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bramleypier_util::{
     body::Body,
@@ -14,7 +14,7 @@
     StreamExt,
     future::{self, Either},
 };
-use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use hyper::Response;
 use quick_error::quick_error;
 
 use crate::{
@@ -26,9 +26,9 @@
     },
     catalogue::Catalogue,
     fleet::{Beliefs, Keys, Vm},
-    follow,
+    follow::{self, Source},
     owner::{manager, tally::Tally},
-    peer,
+    peer::sync,
     place::{desk::Desk, task},
     pulse::Pulse,
     register,
@@ -42,8 +42,6 @@
 const CONNECTIONS: usize = 24;
 /// The most connections to one peer.
 const PEER_CONNECTIONS: usize = 4;
-/// How often counts of requests go to the manager.
-const LOAD_PERIOD: Duration = Duration::from_millis(700);
 /// What is left of the grace when the process gives up waiting for requests in flight.
 const FAREWELL: Duration = Duration::from_millis(500);
 /// How often a stopping process looks whether its last request has ended.
@@ -152,6 +150,8 @@
     keys: Rc<Keys>,
     vm: Vm,
     pulse: Pulse,
+    heard: Pulse,
+    leading: Rc<Cell<bool>>,
     gate: Gate,
     tally: Tally,
     peers: Client,
@@ -178,6 +178,8 @@
             keys,
             vm,
             pulse: Pulse::default(),
+            heard: Pulse::default(),
+            leading: Rc::default(),
             gate: Gate::default(),
             tally: Tally::default(),
             peers,
@@ -202,8 +204,9 @@
             clock: self.clock.clone(),
             report: self.report.clone(),
         });
-        self.serve(listeners, &callers, &desk, &manager);
-        spawn(load(self.reporter(&desk, &manager)));
+        let exchange = self.exchange(&desk, &manager);
+        self.serve(listeners, &callers, &desk, &exchange);
+        spawn(sync::run(exchange));
         spawn(watch_settings(
             reload,
             self.settings.clone(),
@@ -218,9 +221,9 @@
     fn follow(&self) {
         let catalogue = &self.seams.catalogue;
         let prefixes = [
-            catalogue.config_key().to_owned(),
-            catalogue.targets_prefix().to_owned(),
-            self.keys.prefix.clone(),
+            (catalogue.config_key().to_owned(), Source::Store),
+            (catalogue.targets_prefix().to_owned(), Source::Relayed),
+            (self.keys.prefix.clone(), Source::Relayed),
         ];
         let context = follow::Context {
             store: self.seams.store.clone(),
@@ -228,11 +231,12 @@
             keys: self.keys.clone(),
             beliefs: self.beliefs.clone(),
             pulse: self.pulse.clone(),
+            heard: self.heard.clone(),
             clock: self.clock.clone(),
             report: self.report.clone(),
         };
-        for prefix in prefixes {
-            spawn(follow::run(context.clone(), prefix));
+        for (prefix, source) in prefixes {
+            spawn(follow::run(context.clone(), prefix, source));
         }
         spawn(follow::expire(
             self.beliefs.clone(),
@@ -262,6 +266,8 @@
             targets: self.seams.targets.clone(),
             client: Client::new(self.clock.clone(), CONNECTIONS),
             beliefs: self.beliefs.clone(),
+            catalogue: self.seams.catalogue.clone(),
+            leading: self.leading.clone(),
             keys: self.keys.clone(),
             clock: self.clock.clone(),
             report: self.report.clone(),
@@ -274,7 +280,7 @@
         listeners: Listeners,
         callers: &Control,
         desk: &task::Handle,
-        manager: &mpsc::UnboundedSender<manager::Message>,
+        exchange: &sync::Context,
     ) {
         let context = forward::Context {
             beliefs: self.beliefs.clone(),
@@ -299,9 +305,8 @@
         // These go on until the process ends: a stopping VM still says that it is not ready.
         let always = Control::default();
         spawn(serve::readiness(listeners.readiness, always.clone(), gate));
-        let (report, manager) = (self.report.clone(), manager.clone());
-        let shown = report.clone();
-        let peers = move |request| hear(request, manager.clone(), report.clone());
+        let (shown, exchange) = (self.report.clone(), exchange.clone());
+        let peers = move |request| sync::hear(exchange.clone(), request);
         spawn(server::serve(listeners.peers, always.clone(), peers));
         let metrics = move |_| {
             let text = shown.text();
@@ -310,14 +315,20 @@
         spawn(server::serve(listeners.metrics, always, metrics));
     }
 
-    fn reporter(
+    fn exchange(
         &self,
         desk: &task::Handle,
         manager: &mpsc::UnboundedSender<manager::Message>,
-    ) -> Reporter {
-        Reporter {
+    ) -> sync::Context {
+        sync::Context {
             vm: self.vm.clone(),
             beliefs: self.beliefs.clone(),
+            catalogue: self.seams.catalogue.clone(),
+            keys: self.keys.clone(),
+            pulse: self.pulse.clone(),
+            heard: self.heard.clone(),
+            leading: self.leading.clone(),
+            board: Rc::default(),
             tally: self.tally.clone(),
             desk: desk.clone(),
             manager: manager.clone(),
@@ -387,103 +398,6 @@
     future::select(term, interrupt).await;
 }
 
-/// Takes a message of another VM.
-async fn hear(
-    request: Request<Incoming>,
-    manager: mpsc::UnboundedSender<manager::Message>,
-    report: Report,
-) -> Response<Body> {
-    if request.method() == Method::GET {
-        return Response::new(Body::from(report.text()));
-    }
-    let Some(message) = peer::read(request).await else {
-        report.line("event=message-unreadable peer=unknown");
-        return peer::answer(StatusCode::BAD_REQUEST);
-    };
-    let peer::Message::Load {
-        service,
-        counts,
-        times,
-    } = message;
-    let load = manager::Message::Load {
-        service,
-        counts,
-        times,
-    };
-    let taken = manager.unbounded_send(load).is_ok();
-    peer::answer(if taken {
-        StatusCode::NO_CONTENT
-    } else {
-        StatusCode::SERVICE_UNAVAILABLE
-    })
-}
-
-struct Reporter {
-    vm: Vm,
-    beliefs: Beliefs,
-    tally: Tally,
-    desk: task::Handle,
-    manager: mpsc::UnboundedSender<manager::Message>,
-    client: Client,
-    clock: Clock,
-    report: Report,
-}
-
-/// Tells the manager which keys are busy.
-async fn load(reporter: Reporter) {
-    loop {
-        reporter.clock.sleep(LOAD_PERIOD).await;
-        let counted = reporter.tally.take();
-        let Some(leader) = reporter.beliefs.get().manager.clone() else {
-            continue;
-        };
-        let times = reporter.desk.times().await;
-        for (service, counts) in counted {
-            let fleet = reporter.beliefs.get();
-            let own = |id: &String| {
-                fleet
-                    .targets
-                    .get(id)
-                    .is_some_and(|it| it.service == service)
-            };
-            let times = times.iter().filter(|(id, _)| own(id));
-            let times = times.map(|(id, time)| (id.clone(), *time)).collect();
-            reporter.tell(&leader, service, counts, times).await;
-        }
-    }
-}
-
-impl Reporter {
-    async fn tell(
-        &self,
-        leader: &Vm,
-        service: String,
-        counts: Vec<(u64, u32)>,
-        times: indexmap::IndexMap<String, f64>,
-    ) {
-        if leader.start == self.vm.start {
-            // The manager's task ends with the process only.
-            let _ = self.manager.unbounded_send(manager::Message::Load {
-                service,
-                counts,
-                times,
-            });
-            return;
-        }
-        let message = peer::Message::Load {
-            service,
-            counts,
-            times,
-        };
-        if let Err(error) = peer::send(&self.client, leader.address, &message).await {
-            self.report.line(&format!(
-                "event=load-report-failed vm={} {error}",
-                leader.name
-            ));
-        }
-    }
-}
-
 /// Reads the settings again when their file changes or a signal asks for it.
 ///
 /// Addresses and names stay as they are until the next start; the log tells what was read.
--- a/engine/src/store.rs
+++ b/engine/src/store.rs
@@ -7,6 +7,7 @@
 use futures_util::future::LocalBoxFuture;
 use indexmap::IndexMap;
 use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
 
 /// A count of the store's changes; it only grows.
 pub type Revision = u64;
@@ -37,18 +38,21 @@
 }
 
 /// A stored item.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub struct Item {
     /// Its key.
     pub key: String,
     /// Its value.
+    #[serde(with = "serde_bytes")]
     pub value: Vec<u8>,
     /// When it was last written.
     pub revision: Revision,
 }
 
 /// What happened to one key.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Change {
     /// It was written.
     Put(Item),
