Keys move by utilisation, with a fast and a slow count of each key

Cause: a key with a third of the requests stayed on whichever target had it, also a slow one. Change: targets' power from measured service times; the run of keys that lowers the higher utilisation most moves, a single key too; rounds every 0.4 s.

--- a/engine/src/owner/balance.rs
+++ b/engine/src/owner/balance.rs
@@ -1,7 +1,12 @@
 //! Which keys move to which target.
 //!
-//! Moving is paid by the share of keys that change hands, so the narrowest run of keys that carries
-//! the needed load is taken. Busy keys lie close together; a few keys out of 65,536 often suffice.
+//! Load patterns that it answers:
+//!
+//! - *Busy keys lie close together and change*: the narrowest run of keys that carries the needed
+//!   load moves, since moving is paid by the share of keys that change hands.
+//! - *One key has more requests than a slow target can do*: it moves to a target on which it leaves
+//!   the lowest utilisation, usually the fastest; then that target's other keys move away.
+//! - *A target joins*: it gets some load at once, the rest as others grow busy.
 
 use std::collections::HashMap;
 
@@ -12,16 +17,22 @@
     record::{Life, Part, Point, Record},
 };
 
-/// How far a target's load per slot may lie above the mean before keys move, as a factor.
+/// Up to which utilisation a target is left alone: below it, few requests wait.
+const CALM: f64 = 0.5;
+/// How far a target's utilisation may lie above the mean before keys move, as a factor.
 ///
-/// Counts of some 50 requests scatter by 14 %; below 1.3 the scatter alone would move keys.
-const TOLERANCE: f64 = 1.3;
-/// The least load, in requests of the last seconds, worth a move.
-const WORTH_MOVING: f64 = 6.0;
+/// Rates over some seconds scatter by a tenth or two; below 1.25 the scatter alone would move keys.
+const TOLERANCE: f64 = 1.25;
+/// How much a move must lower the higher of the two utilisations to be worth its disturbance.
+const GAIN: f64 = 0.08;
 /// The most moves begun at once: each makes its keys wait for a moment.
-const MOVES: usize = 4;
-/// What a busy target's surplus may be undershot by, so that a narrower run is found.
+const MOVES: usize = 5;
+/// The utilisation that a target without load is filled up to, as a part of the mean.
+const FILL: f64 = 0.5;
+/// The least part of the wanted load that a run of keys must carry, so that a narrower one is found.
 const LEAST_PART: f64 = 0.5;
+/// The most that it may carry beyond the wanted load.
+const MOST_PART: f64 = 1.25;
 
 /// A move of some keys to another owner.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -39,7 +50,7 @@
 pub struct Holder {
     /// Its life.
     pub life: Life,
-    /// How much it can do beside the others; slots times relative speed.
+    /// How many requests a second it can do.
     pub power: f64,
 }
 
@@ -153,7 +164,7 @@
     low
 }
 
-/// Plans moves from the busiest holders to the idlest.
+/// Plans moves from the busiest holders to others.
 ///
 /// Returns nothing while no holder stands out: see the constants of this module.
 ///
@@ -173,101 +184,167 @@
 /// let record = Record { parts: vec![part(0, 49, "a"), part(50, 99, "b")], ..Record::default() };
 /// let mut load = Load::default();
 /// load.add(Duration::ZERO, [(1, 30), (9, 30), (60, 2)]);
-/// let holders = [
-///     Holder { life: life("a"), power: 2.0 },
-///     Holder { life: life("b"), power: 2.0 },
-/// ];
+/// let holders = [Holder { life: life("a"), power: 20.0 }, Holder { life: life("b"), power: 20.0 }];
 /// let moves = balance::even(&record, &holders, &load);
-/// assert_eq!((moves[0].from, moves[0].to), (1, 1));
+/// assert_eq!(moves.len(), 1);
+/// assert_eq!(moves[0].from, moves[0].to);
 /// assert_eq!(moves[0].owner.id, "b");
 /// ```
 pub fn even(record: &Record, holders: &[Holder], load: &Load) -> Vec<Move> {
-    let power: f64 = holders.iter().map(|it| it.power).sum();
-    let mut loads: HashMap<&Life, f64> = holders.iter().map(|it| (&it.life, 0.0)).collect();
-    for part in &record.parts {
-        if let Some(sum) = part.owner.as_ref().and_then(|life| loads.get_mut(life)) {
-            *sum += load.sum(part.from, part.to);
+    let mut plan = Plan::new(record, holders, load);
+    while plan.moves.len() < MOVES && plan.step() {}
+    plan.moves
+}
+
+/// A plan under way.
+struct Plan<'a> {
+    record: &'a Record,
+    holders: &'a [Holder],
+    load: &'a Load,
+    /// Rates by holder, as they will be after the moves.
+    rates: Vec<f64>,
+    mean: f64,
+    moves: Vec<Move>,
+}
+
+/// A run of keys with its rate.
+#[derive(Clone, Copy)]
+struct Run {
+    from: Point,
+    to: Point,
+    rate: f64,
+}
+
+impl<'a> Plan<'a> {
+    fn new(record: &'a Record, holders: &'a [Holder], load: &'a Load) -> Self {
+        let index: HashMap<&Life, usize> = holders
+            .iter()
+            .enumerate()
+            .map(|(at, it)| (&it.life, at))
+            .collect();
+        let mut rates = vec![0.0; holders.len()];
+        for part in &record.parts {
+            if let Some(at) = part.owner.as_ref().and_then(|life| index.get(life)) {
+                rates[*at] += load.sum(part.from, part.to);
+            }
+        }
+        let power: f64 = holders.iter().map(|it| it.power).sum();
+        Self {
+            record,
+            holders,
+            load,
+            mean: rates.iter().sum::<f64>() / power.max(0.01),
+            rates,
+            moves: Vec::new(),
         }
     }
-    let total: f64 = loads.values().sum();
-    let mean = total / power.max(0.01);
-    let mut moves: Vec<Move> = Vec::new();
-    while moves.len() < MOVES {
-        let level = |it: &&Holder| loads[&it.life] / it.power;
-        let by_level = |a: &&Holder, b: &&Holder| level(a).total_cmp(&level(b));
-        let Some(busiest) = holders.iter().max_by(by_level) else {
-            break;
+
+    fn used(&self, at: usize) -> f64 {
+        self.rates[at] / self.holders[at].power.max(0.01)
+    }
+
+    /// Adds one move; returns whether there was one worth making.
+    fn step(&mut self) -> bool {
+        let order = |a: &usize, b: &usize| self.used(*a).total_cmp(&self.used(*b));
+        let Some(busiest) = (0..self.holders.len()).max_by(order) else {
+            return false;
         };
-        let Some(idlest) = holders.iter().min_by(by_level) else {
-            break;
+        let Some(idlest) = (0..self.holders.len()).min_by(order) else {
+            return false;
         };
-        let surplus = loads[&busiest.life] - mean * busiest.power;
-        let room = mean * idlest.power - loads[&idlest.life];
-        let empty = loads[&idlest.life] < 1.0;
-        let stands_out = level(&busiest) > mean * TOLERANCE;
-        if !stands_out && !empty {
-            break;
-        }
-        let want = surplus
-            .max(0.0)
-            .min(room)
-            .max(if empty { room / 2.0 } else { 0.0 });
-        if want < WORTH_MOVING / 2.0 || (want < WORTH_MOVING && !empty) {
-            break;
-        }
-        let Some((from, to, weight)) = narrowest(record, &busiest.life, want, load, &moves) else {
-            break;
+        let used = self.used(busiest);
+        let hot = used > CALM && used > self.mean * TOLERANCE;
+        let empty = self.rates[idlest] < 0.2 && self.mean > 0.0;
+        let chosen = if hot {
+            self.relieve(busiest)
+        } else if empty {
+            self.fill(busiest, idlest)
+        } else {
+            None
         };
-        moves.push(Move {
-            from,
-            to,
-            owner: idlest.life.clone(),
+        let Some((run, to)) = chosen else {
+            return false;
+        };
+        self.rates[busiest] -= run.rate;
+        self.rates[to] += run.rate;
+        self.moves.push(Move {
+            from: run.from,
+            to: run.to,
+            owner: self.holders[to].life.clone(),
         });
-        *loads.entry(&busiest.life).or_default() -= weight;
-        *loads.entry(&idlest.life).or_default() += weight;
+        true
     }
-    moves
-}
 
-/// The narrowest run of an owner's keys that carries between half of `want` and a little more.
-fn narrowest(
-    record: &Record,
-    owner: &Life,
-    want: f64,
-    load: &Load,
-    taken: &[Move],
-) -> Option<(Point, Point, f64)> {
-    const MOST_PART: f64 = 1.2;
-    let own = record
-        .parts
-        .iter()
-        .filter(|part| part.owner.as_ref() == Some(owner));
-    let mut best: Option<(Point, Point, f64)> = None;
-    for part in own {
-        let keys = load.keys(part.from, part.to);
-        let mut start = 0;
-        let mut sum = 0.0;
-        for (end, (last, weight)) in keys.iter().enumerate() {
-            sum += weight;
-            while start < end && sum - keys[start].1 >= want * LEAST_PART && sum > want * MOST_PART
-            {
-                sum -= keys[start].1;
-                start += 1;
-            }
-            while start < end && sum - keys[start].1 >= want {
-                sum -= keys[start].1;
-                start += 1;
+    /// The run of the busiest holder's keys, and its new owner, that lower the load most.
+    fn relieve(&self, busiest: usize) -> Option<(Run, usize)> {
+        let before = self.used(busiest);
+        let mut best: Option<(Run, usize, f64)> = None;
+        for to in (0..self.holders.len()).filter(|to| *to != busiest) {
+            // Both ends would be used alike after a move of this rate.
+            let (from, into) = (&self.holders[busiest], &self.holders[to]);
+            let want = (self.rates[busiest] * into.power - self.rates[to] * from.power)
+                / (from.power + into.power);
+            if want <= 0.0 {
+                continue;
             }
-            let first = keys[start].0;
-            let overlaps = taken.iter().any(|it| it.from <= *last && first <= it.to);
-            if sum < want * LEAST_PART || sum > want * MOST_PART || overlaps {
+            let Some(run) = self.narrowest(busiest, want) else {
                 continue;
+            };
+            let left = (self.rates[busiest] - run.rate) / from.power;
+            let filled = (self.rates[to] + run.rate) / into.power;
+            let after = left.max(filled);
+            if best.is_none_or(|(_, _, least)| after < least) {
+                best = Some((run, to, after));
+            }
+        }
+        let (run, to, after) = best?;
+        (after < before - GAIN).then_some((run, to))
+    }
+
+    /// A run of the busiest holder's keys for one that has nothing to do.
+    fn fill(&self, busiest: usize, idlest: usize) -> Option<(Run, usize)> {
+        let want = self.mean * self.holders[idlest].power * FILL;
+        let run = self.narrowest(busiest, want)?;
+        Some((run, idlest))
+    }
+
+    /// The narrowest run of a holder's keys that carries about `want`.
+    fn narrowest(&self, owner: usize, want: f64) -> Option<Run> {
+        let life = &self.holders[owner].life;
+        let own = self
+            .record
+            .parts
+            .iter()
+            .filter(|part| part.owner.as_ref() == Some(life));
+        let runs = own.filter_map(|part| self.narrowest_of(part, want));
+        runs.min_by_key(|run| run.to - run.from)
+    }
+
+    fn narrowest_of(&self, part: &Part, want: f64) -> Option<Run> {
+        let keys = self.load.keys(part.from, part.to);
+        let (mut start, mut rate) = (0, 0.0);
+        let mut best: Option<Run> = None;
+        for (end, (last, own)) in keys.iter().enumerate() {
+            rate += own;
+            while start < end && (rate - keys[start].1 >= want || rate > want * MOST_PART) {
+                rate -= keys[start].1;
+                start += 1;
             }
-            let width = last - first;
-            if best.is_none_or(|(from, to, _)| width < to - from) {
-                best = Some((first, *last, sum));
+            let run = Run {
+                from: keys[start].0,
+                to: *last,
+                rate,
+            };
+            let fits = rate >= want * LEAST_PART && rate <= want * MOST_PART;
+            let taken = self
+                .moves
+                .iter()
+                .any(|it| it.from <= run.to && run.from <= it.to);
+            let narrower = best.is_none_or(|least| run.to - run.from < least.to - least.from);
+            if fits && !taken && narrower {
+                best = Some(run);
             }
         }
+        best
     }
-    best
 }
--- a/engine/src/owner/keeper.rs
+++ b/engine/src/owner/keeper.rs
@@ -38,12 +38,13 @@
 const SILENCES: u32 = 6;
 /// How long a target that lost its ranges by silence or death gets no others.
 const SHUN: Duration = Duration::from_secs(2);
-/// The least time between two rounds of moves for balance.
-///
-/// Load is forgotten by half in 3 s; a shorter pause would act twice on the same load.
-const BALANCE_PAUSE: Duration = Duration::from_millis(1500);
+/// The least time between two rounds of moves for balance: a move takes some 100 ms, and the counts
+/// that show its effect come every 40 ms.
+const BALANCE_PAUSE: Duration = Duration::from_millis(400);
 /// The part of its power that a target counts for while it is cold.
 const COLD_POWER: f64 = 0.5;
+/// The time that one request takes, in seconds, while nothing was measured.
+const USUAL_TIME: f64 = 0.1;
 /// How long the first assignment waits for more targets to announce themselves.
 ///
 /// All processes of a fleet start within some 0.3 s; a later target costs moves.
@@ -231,8 +232,8 @@
     targets: IndexMap<TargetId, Target>,
     shunned: IndexMap<Life, Duration>,
     load: Load,
-    /// Relative speeds of targets, as measured by those who send to them.
-    speeds: IndexMap<TargetId, f64>,
+    /// The times that one request takes at targets, in seconds, as measured by those who send.
+    times: IndexMap<TargetId, f64>,
     started: Duration,
     balanced: Duration,
     stopped: bool,
@@ -273,7 +274,7 @@
             targets: IndexMap::new(),
             shunned: IndexMap::new(),
             load: Load::default(),
-            speeds: IndexMap::new(),
+            times: IndexMap::new(),
             started: now,
             balanced: now,
             stopped: false,
@@ -300,13 +301,13 @@
         pending.unwrap_or(self.record.term)
     }
 
-    /// Sets how fast targets are beside each other, 1.0 being usual.
+    /// Sets the times that one request takes at targets, in seconds.
     ///
     /// # Example
     ///
     /// See [`Keeper`].
-    pub fn set_speeds(&mut self, speeds: IndexMap<TargetId, f64>) {
-        self.speeds = speeds;
+    pub fn set_times(&mut self, times: IndexMap<TargetId, f64>) {
+        self.times = times;
     }
 
     /// Stops for good and returns the record that tells so, if it can be written now.
@@ -537,13 +538,14 @@
 
     /// Returns the targets that may own keys.
     fn holders(&self, now: Duration) -> Vec<Holder> {
+        let usual = median(self.times.values().copied().collect()).unwrap_or(USUAL_TIME);
         let ready = self.targets.values().filter(|it| !it.leaving);
         let holders = ready.map(|it| {
-            let speed = self.speeds.get(&it.id).copied().unwrap_or(1.0);
+            let time = self.times.get(&it.id).copied().unwrap_or(usual);
             let cold = if it.cold.is_zero() { 1.0 } else { COLD_POWER };
             Holder {
                 life: Life::of(it),
-                power: it.slots.max(1) as f64 * speed * cold,
+                power: it.slots.max(1) as f64 / time * cold,
             }
         });
         let shunned = |it: &Holder| self.shunned.get(&it.life).is_some_and(|until| now < *until);
@@ -698,6 +700,12 @@
     }
 }
 
+/// The middle of some values.
+fn median(mut values: Vec<f64>) -> Option<f64> {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied()
+}
+
 /// The record of the term after `earlier`: the same owners, every fence raised.
 fn successor(earlier: Record, manager: &str) -> Record {
     let mut record = Record {
--- a/engine/src/owner/load.rs
+++ b/engine/src/owner/load.rs
@@ -4,15 +4,34 @@
 
 use super::record::Point;
 
-/// The time in which a key's load is forgotten by half.
+/// The times in which a key's two counts lose half their weight.
 ///
-/// Long enough that keys at two requests a second count steadily, short enough that keys that were
-/// busy a few seconds ago no longer decide.
-const HALF_LIFE: Duration = Duration::from_secs(3);
+/// The slow one is steady for keys with two requests a second; the fast one shows within half a
+/// second that a key has become busy.
+const HALF_LIVES: [f64; 2] = [3.0, 0.6];
+/// The least fast count that is believed: below, chance alone makes keys look busy.
+const FAST_LEAST: f64 = 6.0;
 /// What is dropped as nothing, in requests.
 const NOTHING: f64 = 0.02;
 
-/// Requests by key, as a sum in which each loses half its weight in three seconds.
+#[derive(Clone, Copy, Debug, Default)]
+struct Counts {
+    slow: f64,
+    fast: f64,
+}
+
+impl Counts {
+    /// The rate in requests a second.
+    fn rate(self) -> f64 {
+        let slow = self.slow * std::f64::consts::LN_2 / HALF_LIVES[0];
+        if self.fast < FAST_LEAST {
+            return slow;
+        }
+        slow.max(self.fast * std::f64::consts::LN_2 / HALF_LIVES[1])
+    }
+}
+
+/// Rates of requests by key.
 ///
 /// # Example
 ///
@@ -22,14 +41,15 @@
 /// use bramleypier_engine::owner::load::Load;
 ///
 /// let mut load = Load::default();
-/// load.add(Duration::ZERO, [(7, 4)]);
-/// assert_eq!(load.sum(0, 9), 4.0);
-/// load.add(Duration::from_secs(3), []);
-/// assert_eq!(load.sum(0, 9), 2.0);
+/// for second in 0..30 {
+///     load.add(Duration::from_secs(second), [(7, 4)]);
+/// }
+/// assert!((load.sum(0, 9) - 4.0).abs() < 1.0);
+/// assert_eq!(load.sum(0, 6), 0.0);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Load {
-    weights: BTreeMap<Point, f64>,
+    counts: BTreeMap<Point, Counts>,
     at: Duration,
 }
 
@@ -43,31 +63,34 @@
     where
         I: IntoIterator<Item = (Point, u32)>,
     {
-        let passed = now.saturating_sub(self.at);
-        self.at = now;
-        let kept = (-passed.as_secs_f64() / HALF_LIFE.as_secs_f64()).exp2();
-        self.weights.retain(|_, weight| {
-            *weight *= kept;
-            *weight > NOTHING
-        });
+        let passed = now.saturating_sub(self.at).as_secs_f64();
+        if passed > 0.0 {
+            self.at = now;
+            let kept = HALF_LIVES.map(|half| (-passed / half).exp2());
+            self.counts.retain(|_, counts| {
+                counts.slow *= kept[0];
+                counts.fast *= kept[1];
+                counts.slow > NOTHING
+            });
+        }
         for (point, count) in counts {
-            *self.weights.entry(point).or_default() += f64::from(count);
+            let entry = self.counts.entry(point).or_default();
+            entry.slow += f64::from(count);
+            entry.fast += f64::from(count);
         }
     }
 
-    /// Returns the load of a range.
+    /// Returns the rate of a range, in requests a second.
     ///
     /// # Example
     ///
     /// See [`Load`].
     pub fn sum(&self, from: Point, to: Point) -> f64 {
-        self.weights
-            .range(from..=to)
-            .map(|(_, weight)| weight)
-            .sum()
+        let range = self.counts.range(from..=to);
+        range.map(|(_, counts)| counts.rate()).sum()
     }
 
-    /// Returns the busy keys of a range with their loads, in order.
+    /// Returns the busy keys of a range with their rates, in order.
     ///
     /// # Example
     ///
@@ -78,10 +101,13 @@
     ///
     /// let mut load = Load::default();
     /// load.add(Duration::ZERO, [(7, 4), (3, 1)]);
-    /// assert_eq!(load.keys(0, 9), [(3, 1.0), (7, 4.0)]);
+    /// let keys: Vec<_> = load.keys(0, 9).into_iter().map(|(key, _)| key).collect();
+    /// assert_eq!(keys, [3, 7]);
     /// ```
     pub fn keys(&self, from: Point, to: Point) -> Vec<(Point, f64)> {
-        let range = self.weights.range(from..=to);
-        range.map(|(point, weight)| (*point, *weight)).collect()
+        let range = self.counts.range(from..=to);
+        range
+            .map(|(point, counts)| (*point, counts.rate()))
+            .collect()
     }
 }
--- a/engine/src/owner/manager.rs
+++ b/engine/src/owner/manager.rs
@@ -50,9 +50,9 @@
 
 /// From how many service times on a target's speed is taken as measured: times scatter as much as
 /// their mean, so 20 are right to within a quarter.
-const SAMPLES_LEAST: f64 = 20.0;
-/// Beyond how many the older ones lose half their weight: some ten seconds of a busy target.
-const SAMPLES_MOST: f64 = 150.0;
+const SAMPLES_LEAST: f64 = 12.0;
+/// Beyond how many the older ones lose half their weight: some four seconds of a busy target.
+const SAMPLES_MOST: f64 = 60.0;
 
 /// What the manager's task is told.
 #[derive(Debug)]
@@ -240,9 +240,9 @@
         }
         for (service, counts) in counts {
             let fleet = self.context.beliefs.get();
-            let speeds = speeds(&self.times, &targets(&fleet, &service));
+            let times = measured(&self.times, &targets(&fleet, &service));
             if let Some(kept) = self.kept.get_mut(&service) {
-                kept.keeper.set_speeds(speeds);
+                kept.keeper.set_times(times);
             }
             self.feed(&service, Event::Load(counts));
         }
@@ -693,23 +693,14 @@
     }
 }
 
-/// Speeds relative to the median, from service times of targets that were measured often enough.
-fn speeds(times: &HashMap<TargetHash, (f64, f64)>, targets: &[Target]) -> IndexMap<TargetId, f64> {
-    const LEAST: f64 = 0.3;
-    const MOST: f64 = 3.0;
+/// The time that one request takes, in seconds, at each target that was measured often enough.
+fn measured(
+    times: &HashMap<TargetHash, (f64, f64)>,
+    targets: &[Target],
+) -> IndexMap<TargetId, f64> {
     let time = |target: &Target| {
         let (sum, count) = times.get(&peer::hash(&target.id)).copied()?;
         (count >= SAMPLES_LEAST).then(|| (target.id.clone(), (sum / count).max(0.001)))
     };
-    let times: IndexMap<TargetId, f64> = targets.iter().filter_map(time).collect();
-    let mut sorted: Vec<f64> = times.values().copied().collect();
-    sorted.sort_by(f64::total_cmp);
-    let Some(median) = sorted.get(sorted.len() / 2).copied() else {
-        return IndexMap::new();
-    };
-    let speed = |time: f64| (median / time).clamp(LEAST, MOST);
-    times
-        .into_iter()
-        .map(|(id, time)| (id, speed(time)))
-        .collect()
+    targets.iter().filter_map(time).collect()
 }
--- a/engine/src/place/member.rs
+++ b/engine/src/place/member.rs
@@ -59,7 +59,7 @@
     reported: Option<Duration>,
     /// Other VMs' requests, as the manager told, and when.
     told: Option<(u32, Duration)>,
-    /// Sum in seconds and count of service times without waiting, not yet told.
+    /// Sum in seconds and count of service times, not yet told.
     samples: (f64, u32),
     time: Option<f64>,
     failures: f64,
@@ -109,7 +109,7 @@
         self.told = Some((others, now));
     }
 
-    /// Takes the sum in seconds and the count of service times without waiting since the last call.
+    /// Takes the sum in seconds and the count of service times since the last call.
     pub fn take_samples(&mut self) -> (f64, u32) {
         std::mem::take(&mut self.samples)
     }
@@ -196,12 +196,10 @@
     /// Learns the service time from an answer that came after `depth` others.
     fn learn(&mut self, took: Duration, depth: f64) {
         let slots = self.target.slots.max(1) as f64;
-        if depth + 1.0 <= slots {
-            self.samples.0 += took.as_secs_f64();
-            self.samples.1 += 1;
-        }
         let queued = ((depth + 1.0 - slots).max(0.0) / slots).min(4.0);
         let sample = took.as_secs_f64() / (1.0 + queued);
+        self.samples.0 += sample;
+        self.samples.1 += 1;
         let mean = self.time.get_or_insert(sample);
         *mean += (sample - *mean) * PART;
     }
