--- a/engine/src/caller/forward.rs
+++ b/engine/src/caller/forward.rs
@@ -15,6 +15,7 @@
     attempt::{LEAST_TIME, Payload, Sender, Tried, Work},
     body::{self, Streamed, Taken},
     headers,
+    patience::Patience,
     words::Word,
 };
 use crate::{
@@ -49,6 +50,8 @@
     pub desk: task::Handle,
     /// Sends to targets.
     pub sender: Sender,
+    /// How long callers wait at the most, by route.
+    pub patience: Patience,
     /// Counts requests by key.
     pub tally: Tally,
     /// The clock.
@@ -103,6 +106,7 @@
     keyed: bool,
     version: u64,
     came: Duration,
+    goal: Duration,
     until: Duration,
 }
 
@@ -123,7 +127,7 @@
         let own = Own::not_run("no configuration is known yet", COME_BACK);
         return finish(&context, &asked, None, came, &Trace::default(), Err(own));
     };
-    let job = match plan(&asked, &config, &request, came) {
+    let job = match plan(&context, &asked, &config, &request, came) {
         Ok(job) => job,
         Err(own) => return finish(&context, &asked, None, came, &Trace::default(), Err(own)),
     };
@@ -176,6 +180,7 @@
 
 /// Finds a request's route and the end of its time.
 fn plan(
+    context: &Context,
     asked: &Asked,
     config: &Rc<Config>,
     request: &Request<Incoming>,
@@ -195,7 +200,10 @@
     if keyed && asked.point.is_none() {
         return Err(Own::new(Word::Malformed, "the request has no key"));
     }
-    let wait = asked.wait.unwrap_or(WAIT).min(route.timeout);
+    let told = asked.wait.unwrap_or(WAIT);
+    let wait = told.min(route.timeout);
+    // A caller that tries again counts from its first try.
+    let before = context.patience.passed(&route.name, told);
     Ok(Job {
         asked: asked.clone(),
         route: route.clone(),
@@ -203,6 +211,7 @@
         keyed,
         version: config.version,
         came,
+        goal: (came + route.goal).saturating_sub(before),
         until: came + wait,
     })
 }
@@ -340,7 +349,7 @@
         point: job.asked.point.filter(|_| job.keyed),
         priority: job.route.priority,
         came: job.came,
-        goal: job.came + job.route.goal,
+        goal: job.goal,
         until: job.until,
         // Only the owner can serve a key, also a second time.
         tried: if job.keyed {
--- a/engine/src/caller/mod.rs
+++ b/engine/src/caller/mod.rs
@@ -7,6 +7,7 @@
 mod body;
 pub mod forward;
 pub mod headers;
+pub mod patience;
 pub mod serve;
 pub mod words;
 
--- a/engine/src/place/desk.rs
+++ b/engine/src/place/desk.rs
@@ -39,6 +39,10 @@
 const OWNER_WAIT_PART: f64 = 0.6;
 /// The share of the time left within which an answer must be expected for a request to be sent.
 const WITHIN: f64 = 1.0;
+/// How many may wait at a target before those that can't be answered within the goal are refused.
+///
+/// With one waiting, a target is never idle; more would make requests late that still have time.
+const LATE_QUEUE: f64 = 1.0;
 /// The least time to come back that is told.
 const COME_BACK_LEAST: Duration = Duration::from_millis(20);
 /// The time to come back when a key has no owner.
@@ -156,6 +160,8 @@
     NoOwner,
     /// No answer is expected in time.
     Late,
+    /// No answer is expected within the route's goal, and others wait that can still have one.
+    Goal,
     /// The budget for repeats is spent.
     Budget,
     /// Too many wait here.
@@ -177,6 +183,7 @@
             Self::NoTarget => "no-target",
             Self::NoOwner => "no-owner",
             Self::Late => "late",
+            Self::Goal => "goal",
             Self::Budget => "budget",
             Self::Full => "full",
         }
@@ -488,14 +495,20 @@
     ) -> Choice {
         let left = ask.until.saturating_sub(now);
         let expected = Duration::from_secs_f64(member.expected(now, usual));
-        let most = member.target.slots.max(1) as f64 + QUEUE_USED;
         if expected > left.mul_f64(WITHIN) {
             let over = expected.saturating_sub(left.mul_f64(WITHIN));
             return Choice::Refuse(Why::Late, over.max(COME_BACK_LEAST));
         }
-        if member.depth(now) + 1.0 > most {
+        let slots = member.target.slots.max(1) as f64;
+        let depth = member.depth(now);
+        if depth + 1.0 > slots + QUEUE_USED {
             return Choice::Wait;
         }
+        let goal_left = ask.goal.saturating_sub(now);
+        if depth >= slots + LATE_QUEUE && expected > goal_left {
+            let over = expected.saturating_sub(goal_left);
+            return Choice::Refuse(Why::Goal, over.max(COME_BACK_LEAST));
+        }
         Choice::Send(member.target.id.clone(), fence)
     }
 
