--- a/engine/src/place/desk.rs
+++ b/engine/src/place/desk.rs
@@ -506,8 +506,7 @@
         }
         let goal_left = ask.goal.saturating_sub(now);
         if depth >= slots + LATE_QUEUE && expected > goal_left {
-            let over = expected.saturating_sub(goal_left);
-            return Choice::Refuse(Why::Goal, over.max(COME_BACK_LEAST));
+            return Choice::Wait;
         }
         Choice::Send(member.target.id.clone(), fence)
     }
