Moved keys rest for three seconds, and a move must gain a fifth

Cause: a key busier than any one target went to and fro among fast targets, whose powers are known to within some 15 %.

--- a/engine/src/caller/forward.rs
+++ b/engine/src/caller/forward.rs
@@ -376,7 +376,11 @@
     let target = permit.target.id.clone();
     let fence = permit.fence;
     trace.targets.push(target.clone());
-    if let Some(point) = job.asked.point.filter(|_| job.keyed) {
+    if let Some(point) = job
+        .asked
+        .point
+        .filter(|_| job.keyed && history.arrivals == 0)
+    {
         context.tally.count(&job.service, point);
     }
     let tried = context.sender.send(work, body, permit, left).await;
--- a/engine/src/owner/balance.rs
+++ b/engine/src/owner/balance.rs
@@ -23,8 +23,12 @@
 ///
 /// Rates over some seconds scatter by a tenth or two; below 1.25 the scatter alone would move keys.
 const TOLERANCE: f64 = 1.25;
-/// How much a move must lower the higher of the two utilisations to be worth its disturbance.
-const GAIN: f64 = 0.08;
+/// To which part a move must lower the higher of two utilisations to be worth its disturbance.
+///
+/// Powers are known to within some 15 %; at 0.9 a busy key went to and fro among fast targets.
+const WORTH: f64 = 0.8;
+/// Utilisations that differ by less count as even; then the run found first is taken.
+const EVEN: f64 = 0.01;
 /// The most moves begun at once: each makes its keys wait for a moment.
 const MOVES: usize = 5;
 /// The utilisation that a target without load is filled up to, as a part of the mean.
@@ -185,13 +189,14 @@
 /// let mut load = Load::default();
 /// load.add(Duration::ZERO, [(1, 30), (9, 30), (60, 2)]);
 /// let holders = [Holder { life: life("a"), power: 20.0 }, Holder { life: life("b"), power: 20.0 }];
-/// let moves = balance::even(&record, &holders, &load);
+/// let moves = balance::even(&record, &holders, &load, &[]);
 /// assert_eq!(moves.len(), 1);
 /// assert_eq!(moves[0].from, moves[0].to);
 /// assert_eq!(moves[0].owner.id, "b");
 /// ```
-pub fn even(record: &Record, holders: &[Holder], load: &Load) -> Vec<Move> {
+pub fn even(record: &Record, holders: &[Holder], load: &Load, resting: &[Move]) -> Vec<Move> {
     let mut plan = Plan::new(record, holders, load);
+    plan.resting = resting;
     while plan.moves.len() < MOVES && plan.step() {}
     plan.moves
 }
@@ -205,6 +210,8 @@
     rates: Vec<f64>,
     mean: f64,
     moves: Vec<Move>,
+    /// Keys that moved lately and are left alone.
+    resting: &'a [Move],
 }
 
 /// A run of keys with its rate.
@@ -236,9 +243,16 @@
             mean: rates.iter().sum::<f64>() / power.max(0.01),
             rates,
             moves: Vec::new(),
+            resting: &[],
         }
     }
 
+    /// Returns whether some of a range moves already, or has moved lately.
+    fn is_taken(&self, from: Point, to: Point) -> bool {
+        let mut taken = self.moves.iter().chain(self.resting);
+        taken.any(|it| it.from <= to && from <= it.to)
+    }
+
     fn used(&self, at: usize) -> f64 {
         self.rates[at] / self.holders[at].power.max(0.01)
     }
@@ -278,6 +292,7 @@
     /// The run of the busiest holder's keys, and its new owner, that lower the load most.
     fn relieve(&self, busiest: usize) -> Option<(Run, usize)> {
         let before = self.used(busiest);
+        let hottest = self.hottest(busiest);
         let mut best: Option<(Run, usize, f64)> = None;
         for to in (0..self.holders.len()).filter(|to| *to != busiest) {
             // Both ends would be used alike after a move of this rate.
@@ -287,18 +302,36 @@
             if want <= 0.0 {
                 continue;
             }
-            let Some(run) = self.narrowest(busiest, want) else {
-                continue;
-            };
-            let left = (self.rates[busiest] - run.rate) / from.power;
-            let filled = (self.rates[to] + run.rate) / into.power;
-            let after = left.max(filled);
-            if best.is_none_or(|(_, _, least)| after < least) {
-                best = Some((run, to, after));
+            let runs = [self.narrowest(busiest, want), hottest];
+            for run in runs.into_iter().flatten() {
+                let left = (self.rates[busiest] - run.rate) / from.power;
+                let filled = (self.rates[to] + run.rate) / into.power;
+                let after = left.max(filled);
+                if best.is_none_or(|(_, _, least)| after < least - EVEN) {
+                    best = Some((run, to, after));
+                }
             }
         }
         let (run, to, after) = best?;
-        (after < before - GAIN).then_some((run, to))
+        (after < before * WORTH).then_some((run, to))
+    }
+
+    /// The busiest single key of a holder.
+    fn hottest(&self, owner: usize) -> Option<Run> {
+        let life = &self.holders[owner].life;
+        let own = self
+            .record
+            .parts
+            .iter()
+            .filter(|part| part.owner.as_ref() == Some(life));
+        let keys = own.flat_map(|part| self.load.keys(part.from, part.to));
+        let free = keys.filter(|(key, _)| !self.is_taken(*key, *key));
+        let (key, rate) = free.max_by(|a, b| a.1.total_cmp(&b.1))?;
+        Some(Run {
+            from: key,
+            to: key,
+            rate,
+        })
     }
 
     /// A run of the busiest holder's keys for one that has nothing to do.
@@ -336,10 +369,7 @@
                 rate,
             };
             let fits = rate >= want * LEAST_PART && rate <= want * MOST_PART;
-            let taken = self
-                .moves
-                .iter()
-                .any(|it| it.from <= run.to && run.from <= it.to);
+            let taken = self.is_taken(run.from, run.to);
             let narrower = best.is_none_or(|least| run.to - run.from < least.to - least.from);
             if fits && !taken && narrower {
                 best = Some(run);
--- a/engine/src/owner/keeper.rs
+++ b/engine/src/owner/keeper.rs
@@ -41,6 +41,9 @@
 /// The least time between two rounds of moves for balance: a move takes some 100 ms, and the counts
 /// that show its effect come every 40 ms.
 const BALANCE_PAUSE: Duration = Duration::from_millis(400);
+/// How long keys that have moved for balance are left alone: a busy key's requests wait at each
+/// move, and its new owner's power is known better after a few seconds.
+const REST: Duration = Duration::from_secs(3);
 /// The part of its power that a target counts for while it is cold.
 const COLD_POWER: f64 = 0.5;
 /// The time that one request takes, in seconds, while nothing was measured.
@@ -236,6 +239,8 @@
     times: IndexMap<TargetId, f64>,
     started: Duration,
     balanced: Duration,
+    /// Moves for balance, and until when their keys are left alone.
+    moved: Vec<(Move, Duration)>,
     stopped: bool,
 }
 
@@ -277,6 +282,7 @@
             times: IndexMap::new(),
             started: now,
             balanced: now,
+            moved: Vec::new(),
             stopped: false,
         };
         (keeper, vec![Effect::Commit(record)])
@@ -561,7 +567,9 @@
         }
         self.balanced = now;
         let holders = self.holders(now);
-        for it in balance::even(&self.record, &holders, &self.load) {
+        self.moved.retain(|(_, until)| now < *until);
+        let resting: Vec<Move> = self.moved.iter().map(|(it, _)| it.clone()).collect();
+        for it in balance::even(&self.record, &holders, &self.load, &resting) {
             self.begin(now, it, out);
         }
     }
@@ -591,6 +599,7 @@
             it.owner.id,
             self.load.sum(it.from, it.to)
         )));
+        self.moved.push((it.clone(), now + REST));
         if let Some(live) = self.live.get_mut(&it.from) {
             live.phase = Phase::Releasing(Some(it.owner));
             live.due = now;
