--- a/engine/src/caller/attempt.rs
+++ b/engine/src/caller/attempt.rs
@@ -119,7 +119,7 @@
                     return Tried::Unsent(error);
                 }
                 if let client::Error::Timeout(..) = error {
-                    permit.finish(Ended::Given, None);
+                    drop(permit);
                     return Tried::TimedOut;
                 }
                 permit.finish(Ended::Lost, None);
@@ -161,7 +161,7 @@
                 return Tried::Lost(format!("cause=the answer was cut: {error}"));
             }
             Err(_) => {
-                permit.finish(Ended::Given, reply.load);
+                drop(permit);
                 return Tried::TimedOut;
             }
         };
--- a/engine/src/caller/forward.rs
+++ b/engine/src/caller/forward.rs
@@ -19,7 +19,7 @@
     words::Word,
 };
 use crate::{
-    catalogue::{Config, Found, Route},
+    catalogue::{Config, Found, Kind, Route},
     fleet::Beliefs,
     owner::{record::Fence, tally::Tally},
     place::{desk::Ask, task},
@@ -357,6 +357,7 @@
         } else {
             history.reached.clone()
         },
+        large: job.route.kind == Kind::Download,
         repeat,
         refused: history.refused,
     };
--- a/engine/src/owner/keeper.rs
+++ b/engine/src/owner/keeper.rs
@@ -19,6 +19,7 @@
 
 use super::{
     balance::{self, Holder, Move},
+    deal,
     load::Load,
     record::{Fence, Life, Part, Point, Record, Term},
 };
@@ -44,6 +45,8 @@
 /// How long keys that have moved for balance are left alone: a busy key's requests wait at each
 /// move, and its new owner's power is known better after a few seconds.
 const REST: Duration = Duration::from_secs(3);
+/// The least time between two deals of all keys, which wait for a moment each time.
+const DEAL_PAUSE: Duration = Duration::from_secs(5);
 /// The part of its power that a target counts for while it is cold.
 const COLD_POWER: f64 = 0.5;
 /// The time that one request takes, in seconds, while nothing was measured.
@@ -239,6 +242,8 @@
     times: IndexMap<TargetId, f64>,
     started: Duration,
     balanced: Duration,
+    /// When keys were last dealt anew.
+    dealt: Duration,
     /// Moves for balance, and until when their keys are left alone.
     moved: Vec<(Move, Duration)>,
     stopped: bool,
@@ -282,6 +287,7 @@
             times: IndexMap::new(),
             started: now,
             balanced: now,
+            dealt: now,
             moved: Vec::new(),
             stopped: false,
         };
@@ -568,6 +574,20 @@
         self.balanced = now;
         let holders = self.holders(now);
         self.moved.retain(|(_, until)| now < *until);
+        if now >= self.dealt + DEAL_PAUSE {
+            let moves = deal::anew(&self.record, &holders, &self.load);
+            if !moves.is_empty() {
+                self.dealt = now;
+                out.push(Effect::Note(format!(
+                    "event=dealt-anew moves={}",
+                    moves.len()
+                )));
+                for it in moves {
+                    self.begin(now, it, out);
+                }
+                return;
+            }
+        }
         let resting: Vec<Move> = self.moved.iter().map(|(it, _)| it.clone()).collect();
         for it in balance::even(&self.record, &holders, &self.load, &resting) {
             self.begin(now, it, out);
--- a/engine/src/owner/mod.rs
+++ b/engine/src/owner/mod.rs
@@ -5,6 +5,7 @@
 //! both on the VM that holds the manager's lease.
 
 pub mod balance;
+pub mod deal;
 pub mod keeper;
 pub mod load;
 pub mod manager;
--- a/engine/src/place/desk.rs
+++ b/engine/src/place/desk.rs
@@ -15,16 +15,15 @@
 use indexmap::IndexMap;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-pub use super::member::Ended;
+pub use super::member::{End, Ended};
 use super::{
     budget::{Allowance, Budget},
     member::Member,
 };
 use crate::{
-    catalogue::{ServiceId, Target, TargetId},
+    catalogue::{DomainId, ServiceId, Target, TargetId},
     owner::record::{Fence, Point, Record},
     peer::{self, TargetHash},
-    target::LoadReport,
 };
 
 /// How many requests a target may have waiting, from all VMs, as far as this VM can tell.
@@ -52,6 +51,12 @@
 /// By how much estimates are varied, so that VMs with the same news don't all pick the same target.
 const JITTER: f64 = 0.12;
 
+/// How much longer a request in another failure domain counts as taking: the way there and back is
+/// some 3 ms of 60.
+const AWAY: f64 = 1.04;
+/// The same for a large answer: bytes between failure domains are paid for.
+const AWAY_LARGE: f64 = 1.4;
+
 /// The number of a request; never used twice.
 pub type Ticket = u64;
 
@@ -74,6 +79,8 @@
     pub until: Duration,
     /// Targets that it was sent to already.
     pub tried: Vec<TargetId>,
+    /// Whether its answer is large.
+    pub large: bool,
     /// Whether it draws on the budget for repeats.
     pub repeat: bool,
     /// The fence of the owner that has just refused its key, and how long to wait for a newer one.
@@ -89,12 +96,8 @@
     Done {
         /// Its target.
         target: TargetId,
-        /// How it ended.
-        ended: Ended,
-        /// The target's depth when it was sent.
-        depth: f64,
-        /// The load that the target reported.
-        load: Option<LoadReport>,
+        /// Its end.
+        end: End,
     },
     /// A request that waits was given up by its caller.
     Left(Ticket),
@@ -206,6 +209,7 @@
 /// One VM's decisions on where requests go.
 #[derive(Debug)]
 pub struct Desk {
+    domain: DomainId,
     allowance: Allowance,
     view: Rc<View>,
     members: IndexMap<TargetId, Member>,
@@ -215,7 +219,7 @@
 }
 
 impl Desk {
-    /// Creates a desk that knows no target yet.
+    /// Creates the desk of a VM in a failure domain; it knows no target yet.
     ///
     /// # Example
     ///
@@ -228,11 +232,12 @@
     /// };
     ///
     /// let allowance = Allowance { ratio: 0.2, slack: 60.0, window: Duration::from_secs(10) };
-    /// let mut desk = Desk::new(allowance, 1);
+    /// let mut desk = Desk::new("domain-1", allowance, 1);
     /// assert!(desk.on(Duration::ZERO, Event::Tick).is_empty());
     /// ```
-    pub fn new(allowance: Allowance, seed: u64) -> Self {
+    pub fn new(domain: &str, allowance: Allowance, seed: u64) -> Self {
         Self {
+            domain: domain.to_owned(),
             allowance,
             view: Rc::default(),
             members: IndexMap::new(),
@@ -251,14 +256,9 @@
         let mut effects = Vec::new();
         match event {
             Event::Ask(ask) => self.ask(now, ask, &mut effects),
-            Event::Done {
-                target,
-                ended,
-                depth,
-                load,
-            } => {
+            Event::Done { target, end } => {
                 if let Some(member) = self.members.get_mut(&target) {
-                    member.ended(now, ended, depth, load);
+                    member.ended(now, end);
                 }
                 self.serve(now, &mut effects);
             }
@@ -463,6 +463,9 @@
             let vary = 1.0 + self.random.random_range(-JITTER..JITTER);
             let mut score = member.expected(now, usual) * vary;
             score *= 1.0 + 4.0 * member.failures(now);
+            if target.domain != self.domain {
+                score *= if ask.large { AWAY_LARGE } else { AWAY };
+            }
             if member.is_bad(now) {
                 // Behind all others, so that it is used only when they are out of reach.
                 score += 1000.0;
--- a/engine/src/place/member.rs
+++ b/engine/src/place/member.rs
@@ -20,6 +20,8 @@
 const LEFT_ALONE_MOST: Duration = Duration::from_millis(1600);
 /// The share of failures above which a target is tried by single requests only.
 const BAD: f64 = 0.35;
+/// After how many usual times a request counts as overdue: one in a hundred takes five.
+const OVERDUE: f64 = 4.0;
 /// The pause between two of those.
 const TRIAL_PAUSE: Duration = Duration::from_millis(500);
 /// What failed requests weigh in the share of failures.
@@ -42,8 +44,21 @@
     Unreached,
     /// Nobody listens at its address.
     Gone,
-    /// The caller left, or the time ran out.
-    Given,
+    /// The caller left, or the time ran out, after it had been there so long.
+    Given(Duration),
+}
+
+/// The end of a request at a target.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct End {
+    /// How it ended.
+    pub ended: Ended,
+    /// When it was sent.
+    pub sent: Duration,
+    /// How many requests were probably there before it.
+    pub depth: f64,
+    /// The load that the target reported.
+    pub load: Option<LoadReport>,
 }
 
 /// One target as this VM knows it.
@@ -53,6 +68,8 @@
     pub target: Target,
     /// This VM's requests there.
     pub own: u32,
+    /// When those were sent.
+    sent_at: Vec<Duration>,
     since: Duration,
     others: f64,
     others_mean: f64,
@@ -75,6 +92,7 @@
         Self {
             target,
             own: 0,
+            sent_at: Vec::new(),
             since: now,
             others: 0.0,
             others_mean: 0.0,
@@ -138,7 +156,17 @@
         let cold = if self.is_cold(now) { 1.7 } else { 1.0 };
         // Even below its slots, a target with fewer requests is the better choice.
         let busy = depth.min(slots) / slots * 0.25;
-        self.time(usual) * cold * (1.0 + queued + busy)
+        let time = self.time(usual) * cold;
+        time * (1.0 + queued + busy) + self.overdue(now, time * (1.0 + queued))
+    }
+
+    /// Returns by how much the oldest request outlasts what is usual, in seconds.
+    ///
+    /// A target that has turned slow shows so before its first answer.
+    fn overdue(&self, now: Duration, usual: f64) -> f64 {
+        let oldest = self.sent_at.iter().min();
+        let waited = oldest.map_or(0.0, |at| now.saturating_sub(*at).as_secs_f64());
+        (waited - usual * OVERDUE).max(0.0)
     }
 
     /// Returns the share of failures among the latest answers.
@@ -160,12 +188,22 @@
     /// Takes note of a request that is sent.
     pub fn sent(&mut self, now: Duration) {
         self.own += 1;
+        self.sent_at.push(now);
         self.trial_at = now;
     }
 
     /// Takes note of a request's end.
-    pub fn ended(&mut self, now: Duration, ended: Ended, depth: f64, load: Option<LoadReport>) {
+    pub fn ended(&mut self, now: Duration, end: End) {
+        let End {
+            ended,
+            sent,
+            depth,
+            load,
+        } = end;
         self.own = self.own.saturating_sub(1);
+        if let Some(at) = self.sent_at.iter().position(|at| *at == sent) {
+            self.sent_at.swap_remove(at);
+        }
         if let Some(load) = load {
             self.report(now, load);
         }
@@ -182,7 +220,7 @@
                 self.alone_until = now + self.alone_for;
                 self.alone_for = (self.alone_for * 2).min(LEFT_ALONE_MOST);
             }
-            Ended::Given => {}
+            Ended::Given(waited) => self.outlast(waited, depth),
         }
     }
 
@@ -204,6 +242,16 @@
         *mean += (sample - *mean) * PART;
     }
 
+    /// Learns from a request that was given up: it would have taken longer still.
+    fn outlast(&mut self, waited: Duration, depth: f64) {
+        let slots = self.target.slots.max(1) as f64;
+        let queued = ((depth + 1.0 - slots).max(0.0) / slots).min(4.0);
+        let least = waited.as_secs_f64() / (1.0 + queued);
+        if self.time.is_some_and(|time| least > time) {
+            self.learn(waited, depth);
+        }
+    }
+
     fn fail(&mut self, now: Duration, sample: f64) {
         let before = self.failures(now);
         self.failures = before + (sample - before) * FAILURE_PART;
--- a/engine/src/place/task.rs
+++ b/engine/src/place/task.rs
@@ -9,7 +9,7 @@
     future::{self, Either},
 };
 
-use super::desk::{Ask, Desk, Effect, Ended, Event, State, Ticket, View, Why};
+use super::desk::{Ask, Desk, Effect, End, Ended, Event, State, Ticket, View, Why};
 use crate::{catalogue::Target, owner::record::Fence, target::LoadReport};
 
 /// How often waiting requests are looked at when nothing else happens: their time may have ended,
@@ -39,6 +39,9 @@
     pub target: Target,
     /// How many requests were probably there before it.
     pub depth: f64,
+    /// When the right was given.
+    pub sent: Duration,
+    clock: Clock,
     /// The fence of the target's ownership of the key; 0 where keys have no owners.
     pub fence: Fence,
     desk: Option<Handle>,
@@ -54,9 +57,12 @@
         if let Some(desk) = self.desk.take() {
             desk.tell(Event::Done {
                 target: self.target.id.clone(),
-                ended,
-                depth: self.depth,
-                load,
+                end: End {
+                    ended,
+                    sent: self.sent,
+                    depth: self.depth,
+                    load,
+                },
             });
         }
     }
@@ -64,7 +70,8 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.tell(Ended::Given, None);
+        let waited = self.clock.now().saturating_sub(self.sent);
+        self.tell(Ended::Given(waited), None);
     }
 }
 
@@ -191,8 +198,9 @@
         if let Event::Left(ticket) = &event {
             asked.remove(ticket);
         }
-        for effect in desk.on(clock.now(), event) {
-            answer(effect, &mut asked, &handle);
+        let now = clock.now();
+        for effect in desk.on(now, event) {
+            answer(effect, &mut asked, &handle, &clock, now);
         }
     }
 }
@@ -201,6 +209,8 @@
     effect: Effect,
     asked: &mut HashMap<Ticket, oneshot::Sender<Result<Permit, Refused>>>,
     handle: &Handle,
+    clock: &Clock,
+    now: Duration,
 ) {
     let (ticket, result) = match effect {
         Effect::Refuse { ticket, why, retry } => (ticket, Err(Refused { why, retry })),
@@ -213,6 +223,8 @@
             let permit = Permit {
                 target,
                 depth,
+                sent: now,
+                clock: clock.clone(),
                 fence,
                 desk: Some(handle.clone()),
             };
--- a/engine/src/process.rs
+++ b/engine/src/process.rs
@@ -247,7 +247,11 @@
     }
 
     fn start_desk(&self) -> task::Handle {
-        let desk = Desk::new(self.settings.allowance, rand::random());
+        let desk = Desk::new(
+            &self.settings.domain,
+            self.settings.allowance,
+            rand::random(),
+        );
         let handle = task::start(desk, self.clock.clone());
         let (beliefs, shown) = (self.beliefs.clone(), handle.clone());
         let mut changes = beliefs.listen();
