Rates count over the time that has passed; dealt keys don't rest

Cause: in the first seconds the counts of keys had not yet added up, so loads looked small and the deal came after four seconds.

--- a/engine/src/owner/deal.rs
+++ b/engine/src/owner/deal.rs
@@ -12,8 +12,8 @@
     record::{Life, Point, Record},
 };
 
-/// From how many requests a second on the measured load is taken as known.
-const RATE_LEAST: f64 = 8.0;
+/// From how many requests on the load is taken as known: with fifteen targets, three each.
+const COUNTED_LEAST: f64 = 40.0;
 /// The part of all load that must lie above its holder's part, before keys are dealt anew.
 ///
 /// Dealing moves most keys; runs of keys move for less.
@@ -55,7 +55,7 @@
     let total = load.sum(0, Point::MAX);
     let power: f64 = holders.iter().map(|it| it.power).sum();
     let uneven = excess(record, holders, load) > total * EXCESS;
-    if total < RATE_LEAST || total < power * USED_LEAST || !uneven {
+    if load.counted() < COUNTED_LEAST || total < power * USED_LEAST || !uneven {
         return Vec::new();
     }
     let Some(last) = record.parts.last().map(|part| part.to) else {
--- a/engine/src/owner/keeper.rs
+++ b/engine/src/owner/keeper.rs
@@ -287,7 +287,7 @@
             times: IndexMap::new(),
             started: now,
             balanced: now,
-            dealt: now,
+            dealt: Duration::ZERO,
             moved: Vec::new(),
             stopped: false,
         };
@@ -583,19 +583,19 @@
                     moves.len()
                 )));
                 for it in moves {
-                    self.begin(now, it, out);
+                    self.begin(now, it, Duration::ZERO, out);
                 }
                 return;
             }
         }
         let resting: Vec<Move> = self.moved.iter().map(|(it, _)| it.clone()).collect();
         for it in balance::even(&self.record, &holders, &self.load, &resting) {
-            self.begin(now, it, out);
+            self.begin(now, it, REST, out);
         }
     }
 
     /// Begins a move: cuts the range out and asks its owner to let go.
-    fn begin(&mut self, now: Duration, it: Move, out: &mut Vec<Effect>) {
+    fn begin(&mut self, now: Duration, it: Move, rest: Duration, out: &mut Vec<Effect>) {
         let Some(from) = self.record.find(it.from).map(|part| part.from) else {
             return;
         };
@@ -619,7 +619,7 @@
             it.owner.id,
             self.load.sum(it.from, it.to)
         )));
-        self.moved.push((it.clone(), now + REST));
+        self.moved.push((it.clone(), now + rest));
         if let Some(live) = self.live.get_mut(&it.from) {
             live.phase = Phase::Releasing(Some(it.owner));
             live.due = now;
--- a/engine/src/owner/load.rs
+++ b/engine/src/owner/load.rs
@@ -11,6 +11,8 @@
 const HALF_LIVES: [f64; 2] = [3.0, 0.6];
 /// The least fast count that is believed: below, chance alone makes keys look busy.
 const FAST_LEAST: f64 = 6.0;
+/// The least time over which a rate is taken.
+const SPAN_LEAST: Duration = Duration::from_millis(200);
 /// What is dropped as nothing, in requests.
 const NOTHING: f64 = 0.02;
 
@@ -21,13 +23,13 @@
 }
 
 impl Counts {
-    /// The rate in requests a second.
-    fn rate(self) -> f64 {
-        let slow = self.slow * std::f64::consts::LN_2 / HALF_LIVES[0];
+    /// The rate in requests a second, over so many seconds.
+    fn rate(self, spans: [f64; 2]) -> f64 {
+        let slow = self.slow / spans[0];
         if self.fast < FAST_LEAST {
             return slow;
         }
-        slow.max(self.fast * std::f64::consts::LN_2 / HALF_LIVES[1])
+        slow.max(self.fast / spans[1])
     }
 }
 
@@ -50,6 +52,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Load {
     counts: BTreeMap<Point, Counts>,
+    /// When the first request was counted.
+    since: Option<Duration>,
     at: Duration,
 }
 
@@ -74,12 +78,39 @@
             });
         }
         for (point, count) in counts {
+            self.since.get_or_insert(now);
             let entry = self.counts.entry(point).or_default();
             entry.slow += f64::from(count);
             entry.fast += f64::from(count);
         }
     }
 
+    /// The time over which each count adds up, in seconds: less than its mean life at first.
+    fn spans(&self) -> [f64; 2] {
+        let passed = self
+            .since
+            .map_or(Duration::ZERO, |since| self.at.saturating_sub(since));
+        let passed = passed.max(SPAN_LEAST).as_secs_f64();
+        HALF_LIVES.map(|half| half / std::f64::consts::LN_2 * (1.0 - (-passed / half).exp2()))
+    }
+
+    /// Returns how many requests were counted, less those forgotten.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier_engine::owner::load::Load;
+    ///
+    /// let mut load = Load::default();
+    /// load.add(Duration::ZERO, [(7, 4), (3, 1)]);
+    /// assert_eq!(load.counted(), 5.0);
+    /// ```
+    pub fn counted(&self) -> f64 {
+        self.counts.values().map(|counts| counts.slow).sum()
+    }
+
     /// Returns the rate of a range, in requests a second.
     ///
     /// # Example
@@ -87,7 +118,9 @@
     /// See [`Load`].
     pub fn sum(&self, from: Point, to: Point) -> f64 {
         let range = self.counts.range(from..=to);
-        range.map(|(_, counts)| counts.rate()).sum()
+        let spans = self.spans();
+        // A sum of nothing is negative zero, which reads oddly in logs.
+        range.map(|(_, counts)| counts.rate(spans)).sum::<f64>() + 0.0
     }
 
     /// Returns the busy keys of a range with their rates, in order.
@@ -105,9 +138,10 @@
     /// assert_eq!(keys, [3, 7]);
     /// ```
     pub fn keys(&self, from: Point, to: Point) -> Vec<(Point, f64)> {
+        let spans = self.spans();
         let range = self.counts.range(from..=to);
         range
-            .map(|(point, counts)| (*point, counts.rate()))
+            .map(|(point, counts)| (*point, counts.rate(spans)))
             .collect()
     }
 }
