A VM that reaches neither store nor manager learns from other VMs

Change: it asks the seeds of its settings and the VMs it knows, one after the other; they relay what they have from the store or the manager just now.

--- a/engine/src/fleet/mod.rs
+++ b/engine/src/fleet/mod.rs
@@ -269,6 +269,8 @@
         match relay {
             Relay::Whole { items, upto, .. } => {
                 notes.extend(self.remove_missing(now, "", items, *upto, keys, catalogue));
+                let prefix = catalogue.targets_prefix();
+                self.listed |= items.iter().any(|item| item.key.starts_with(prefix));
                 for item in items {
                     let change = Change::Put(item.clone());
                     notes.extend(self.on_change(now, &change, keys, catalogue));
--- a/engine/src/peer/mod.rs
+++ b/engine/src/peer/mod.rs
@@ -89,7 +89,7 @@
     pub well: bool,
     /// Other VMs' requests at each target.
     pub others: Vec<(TargetHash, u32)>,
-    /// What the VM lacks.
+    /// What the VM lacks; only from one that has it from the store or the manager just now.
     pub relay: Option<Relay>,
 }
 
--- a/engine/src/peer/sync.rs
+++ b/engine/src/peer/sync.rs
@@ -2,6 +2,8 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
@@ -55,6 +57,8 @@
     pub desk: task::Handle,
     /// This VM's manager task.
     pub manager: mpsc::UnboundedSender<manager::Message>,
+    /// Other VMs to ask while none is known.
+    pub seeds: Vec<SocketAddr>,
     /// Connections to other VMs.
     pub client: Client,
     /// The clock.
@@ -101,7 +105,10 @@
         };
         // The manager's task ends with the process only.
         let _ = self.manager.unbounded_send(load);
-        let relay = well.then(|| self.beliefs.get().relay(&self.vm.start, &message.place));
+        // Who isn't the manager tells what it knows, so that a VM that reaches neither manager nor
+        // store learns at least who is the manager.
+        let knows = well || self.heard.is_well() || self.pulse.is_well();
+        let relay = knows.then(|| self.beliefs.get().relay(&self.vm.start, &message.place));
         Synced {
             well,
             others,
@@ -126,6 +133,7 @@
 pub async fn run(context: Context) {
     let mut place = Place::default();
     let mut heard_at = Duration::ZERO;
+    let mut others = Others::default();
     context.heard.beat(false);
     loop {
         let manager = context.beliefs.get().manager.clone();
@@ -140,6 +148,9 @@
             Some(vm) => exchange(&context, &vm, &message, &mut place, &mut heard_at).await,
             None => None,
         };
+        if answer.is_none() && !context.heard.is_well() && !context.pulse.is_well() {
+            ask_others(&context, &mut others, &mut heard_at).await;
+        }
         if let Some(synced) = answer {
             let others = synced.others.into_iter().collect();
             context.desk.tell(desk::Event::Others(others));
@@ -154,6 +165,39 @@
     }
 }
 
+/// Whom to ask next, and how far each was followed.
+#[derive(Debug, Default)]
+struct Others {
+    next: usize,
+    places: HashMap<SocketAddr, Place>,
+}
+
+/// Asks one other VM for what it knows: neither the store nor the manager answers this one.
+async fn ask_others(context: &Context, others: &mut Others, heard_at: &mut Duration) {
+    let fleet = context.beliefs.get();
+    let known = fleet.vms.values().map(|vm| vm.address);
+    let mut addresses: Vec<SocketAddr> = known.chain(context.seeds.iter().copied()).collect();
+    addresses.retain(|address| *address != context.vm.address);
+    if addresses.is_empty() {
+        return;
+    }
+    others.next = (others.next + 1) % addresses.len();
+    let address = addresses[others.next];
+    let vm = Vm {
+        name: address.to_string(),
+        address,
+        ..context.vm.clone()
+    };
+    let place = others.places.entry(address).or_default();
+    let message = Sync {
+        start: context.vm.start.clone(),
+        place: place.clone(),
+        ..Sync::default()
+    };
+    // What it tells of requests is the manager's business.
+    exchange(context, &vm, &message, place, heard_at).await;
+}
+
 async fn exchange(
     context: &Context,
     vm: &Vm,
--- a/engine/src/process.rs
+++ b/engine/src/process.rs
@@ -338,6 +338,7 @@
             tally: self.tally.clone(),
             desk: desk.clone(),
             manager: manager.clone(),
+            seeds: self.settings.seeds.clone(),
             client: self.peers.clone(),
             clock: self.clock.clone(),
             report: self.report.clone(),
--- a/engine/src/settings.rs
+++ b/engine/src/settings.rs
@@ -19,6 +19,8 @@
     pub readiness: SocketAddr,
     /// Where other VMs reach it.
     pub peers: SocketAddr,
+    /// Other VMs to ask while neither the store nor the manager is known.
+    pub seeds: Vec<SocketAddr>,
     /// Where counters and latencies are served as text.
     pub metrics: SocketAddr,
     /// Where the platform's store answers.
