--- a/engine/tests/ownership.rs
+++ b/engine/tests/ownership.rs
@@ -125,7 +125,7 @@
     assert!(shows(Flaw::NoWaitForEarlier, 1500).is_some());
 }
 
-/// The manager loses the store and goes on alone; its successor doesn't reach one target.
+/// The manager loses the store and all targets but one, which its successor doesn't reach.
 fn lonely_manager() -> Vec<Step> {
     let mut steps = vec![
         Step::Store { vm: 1, open: false },
@@ -139,6 +139,12 @@
         target: 2,
         open: false,
     });
+    let cut = |target| Step::Link {
+        vm: 0,
+        target,
+        open: false,
+    };
+    steps.extend([cut(0), cut(1), cut(3)]);
     steps.extend([Step::Run; 400]);
     steps
 }
