--- /dev/null
+++ b/engine/tests/balance.rs
@@ -0,0 +1,181 @@
+//! Which keys move, replayed under the loads that hurt: a skewed start, one key busier than a slow
+//! target can serve, targets that join, and loads that only scatter.
+
+use std::time::Duration;
+
+use bramleypier_engine::owner::{
+    balance::{self, Holder, Move},
+    deal,
+    load::Load,
+    record::{Life, Part, Point, Record},
+};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+const LAST: Point = 65_535;
+
+fn holder(number: u16, power: f64) -> Holder {
+    Holder {
+        life: Life {
+            id: format!("t{number}"),
+            born: 1,
+            address: format!("127.0.0.1:{}", 100 + number).parse().unwrap(),
+        },
+        power,
+    }
+}
+
+/// Keys split evenly.
+fn even(holders: &[Holder]) -> Record {
+    let count = holders.len() as u64;
+    let width = (LAST + 1) / count;
+    let part = |(at, holder): (u64, &Holder)| Part {
+        from: at * width,
+        to: if at + 1 == count {
+            LAST
+        } else {
+            (at + 1) * width - 1
+        },
+        fence: 1,
+        owner: Some(holder.life.clone()),
+    };
+    Record {
+        parts: (0..).zip(holders).map(part).collect(),
+        ..Record::default()
+    }
+}
+
+fn apply(record: &mut Record, moves: &[Move]) {
+    for it in moves {
+        record.cut(it.from, it.to);
+        let parts = record.parts.iter_mut();
+        for part in parts.filter(|part| it.from <= part.from && part.to <= it.to) {
+            part.owner = Some(it.owner.clone());
+        }
+    }
+}
+
+fn used(record: &Record, holders: &[Holder], load: &Load) -> Vec<f64> {
+    let rate = |holder: &Holder| {
+        let own = record
+            .parts
+            .iter()
+            .filter(|part| part.owner.as_ref() == Some(&holder.life));
+        own.map(|part| load.sum(part.from, part.to)).sum::<f64>() / holder.power
+    };
+    holders.iter().map(rate).collect()
+}
+
+fn moved(moves: &[Move]) -> f64 {
+    let keys: u64 = moves.iter().map(|it| it.to - it.from + 1).sum();
+    keys as f64 / (LAST + 1) as f64
+}
+
+/// Requests at a rate for some seconds, on keys drawn by `key`.
+fn requests<F>(load: &mut Load, from: Duration, seconds: u64, rate: u64, mut key: F)
+where
+    F: FnMut() -> Point,
+{
+    for tick in 0..seconds * 25 {
+        let now = from + Duration::from_millis(tick * 40);
+        let counts: Vec<_> = (0..rate / 25).map(|_| (key(), 1)).collect();
+        load.add(now, counts);
+    }
+}
+
+#[test]
+fn a_skewed_start_is_dealt_once_by_load() {
+    let holders: Vec<_> = (0..15).map(|number| holder(number, 30.0)).collect();
+    let mut record = even(&holders);
+    let mut load = Load::default();
+    let mut random = StdRng::seed_from_u64(3);
+    requests(&mut load, Duration::ZERO, 1, 250, || {
+        38_000 + random.random_range(0..4000)
+    });
+    let before = used(&record, &holders, &load);
+    assert!(before.iter().any(|it| *it > 3.0), "{before:?}");
+    let moves = deal::anew(&record, &holders, &load);
+    apply(&mut record, &moves);
+    let after = used(&record, &holders, &load);
+    assert!(after.iter().all(|it| *it < 1.0), "{after:?}");
+    assert!(
+        deal::anew(&record, &holders, &load).is_empty(),
+        "dealt again"
+    );
+}
+
+#[test]
+fn a_key_busier_than_its_slow_owner_moves_to_a_fast_one_and_stays() {
+    let mut holders: Vec<_> = (0..15).map(|number| holder(number, 22.0)).collect();
+    for fast in [4, 9, 14] {
+        holders[fast].power = 50.0;
+    }
+    let mut record = even(&holders);
+    let mut load = Load::default();
+    let mut random = StdRng::seed_from_u64(5);
+    requests(&mut load, Duration::ZERO, 5, 150, || {
+        random.random_range(0..=LAST)
+    });
+    let hot = 100;
+    let mut owners = Vec::new();
+    let mut resting: Vec<Move> = Vec::new();
+    for round in 0..10 {
+        let from = Duration::from_secs(5) + Duration::from_millis(400 * round);
+        for tick in 0..10 {
+            let now = from + Duration::from_millis(tick * 40);
+            let counts = [(hot, 2), (random.random_range(0..=LAST), 4)];
+            load.add(now, counts);
+        }
+        let moves = balance::even(&record, &holders, &load, &resting);
+        apply(&mut record, &moves);
+        resting.extend(moves);
+        owners.push(record.find(hot).unwrap().owner.clone().unwrap().id);
+    }
+    let last = owners.last().unwrap();
+    assert!(["t4", "t9", "t14"].contains(&last.as_str()), "{owners:?}");
+    owners.dedup();
+    assert!(owners.len() <= 3, "it went to and fro: {owners:?}");
+}
+
+#[test]
+fn a_target_that_joins_gets_some_load() {
+    let mut holders: Vec<_> = (0..4).map(|number| holder(number, 30.0)).collect();
+    let record = even(&holders);
+    holders.push(holder(9, 30.0));
+    let mut load = Load::default();
+    let mut random = StdRng::seed_from_u64(8);
+    requests(&mut load, Duration::ZERO, 8, 50, || {
+        random.random_range(0..=LAST)
+    });
+    let moves = balance::even(&record, &holders, &load, &[]);
+    assert!(moves.iter().any(|it| it.owner.id == "t9"), "{moves:?}");
+}
+
+#[test]
+fn loads_that_only_scatter_move_nothing() {
+    let holders: Vec<_> = (0..8).map(|number| holder(number, 40.0)).collect();
+    let record = even(&holders);
+    let mut load = Load::default();
+    let mut random = StdRng::seed_from_u64(9);
+    requests(&mut load, Duration::ZERO, 20, 100, || {
+        random.random_range(0..=LAST)
+    });
+    assert!(balance::even(&record, &holders, &load, &[]).is_empty());
+    assert!(deal::anew(&record, &holders, &load).is_empty());
+}
+
+#[test]
+fn busy_runs_move_by_few_keys() {
+    let holders: Vec<_> = (0..8).map(|number| holder(number, 30.0)).collect();
+    let record = even(&holders);
+    let mut load = Load::default();
+    let mut random = StdRng::seed_from_u64(10);
+    requests(&mut load, Duration::ZERO, 8, 75, || {
+        match random.random_range(0..3) {
+            0 => 500 + random.random_range(0..60),
+            _ => random.random_range(0..=LAST),
+        }
+    });
+    let moves = balance::even(&record, &holders, &load, &[]);
+    assert!(!moves.is_empty());
+    assert!(moved(&moves) < 0.02, "{moves:?}");
+}
--- /dev/null
+++ b/engine/tests/desk.rs
@@ -0,0 +1,355 @@
+//! Where requests go, which wait and which are refused, each under the load that it answers.
+
+use std::{collections::HashMap, rc::Rc, time::Duration};
+
+use bramleypier_engine::{
+    catalogue::Target,
+    owner::record::{Life, Part, Record},
+    peer,
+    place::{
+        budget::Allowance,
+        desk::{Ask, Desk, Effect, End, Ended, Event, View, Why},
+    },
+};
+use proptest::prelude::*;
+
+const ALLOWANCE: Allowance = Allowance {
+    ratio: 0.2,
+    slack: 20.0,
+    window: Duration::from_secs(10),
+};
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn target(number: u16, domain: &str) -> Target {
+    Target {
+        id: format!("t{number}"),
+        born: 1,
+        service: "s".to_owned(),
+        address: format!("127.0.0.1:{}", 100 + number).parse().unwrap(),
+        domain: domain.to_owned(),
+        slots: 2,
+        leaving: false,
+        cold: Duration::ZERO,
+    }
+}
+
+fn view(targets: Vec<Target>, records: Option<Record>) -> Event {
+    let records = records.into_iter().map(|it| ("s".to_owned(), Rc::new(it)));
+    Event::View(Rc::new(View {
+        targets: [("s".to_owned(), targets)].into_iter().collect(),
+        records: records.collect(),
+        vms: 2,
+    }))
+}
+
+fn desk(targets: Vec<Target>, record: Option<Record>) -> Desk {
+    let mut desk = Desk::new("d1", ALLOWANCE, 7);
+    desk.on(Duration::ZERO, view(targets, record));
+    desk
+}
+
+fn owned_by(target: &Target) -> Record {
+    let mut record = Record::first(99);
+    record.parts = vec![Part {
+        from: 0,
+        to: 99,
+        fence: 5,
+        owner: Some(Life::of(target)),
+    }];
+    record
+}
+
+fn ask(ticket: u64, now: Duration) -> Ask {
+    Ask {
+        ticket,
+        service: "s".to_owned(),
+        point: None,
+        priority: 1,
+        came: now,
+        goal: now + ms(200),
+        until: now + ms(500),
+        tried: Vec::new(),
+        large: false,
+        repeat: false,
+        refused: None,
+    }
+}
+
+fn keyed(ticket: u64, now: Duration) -> Ask {
+    Ask {
+        point: Some(7),
+        ..ask(ticket, now)
+    }
+}
+
+fn sent(effects: &[Effect]) -> Vec<(u64, String)> {
+    let send = |effect: &Effect| match effect {
+        Effect::Send { ticket, target, .. } => Some((*ticket, target.id.clone())),
+        Effect::Refuse { .. } => None,
+    };
+    effects.iter().filter_map(send).collect()
+}
+
+fn refused(effects: &[Effect]) -> Vec<(u64, Why)> {
+    let refuse = |effect: &Effect| match effect {
+        Effect::Refuse { ticket, why, .. } => Some((*ticket, *why)),
+        Effect::Send { .. } => None,
+    };
+    effects.iter().filter_map(refuse).collect()
+}
+
+fn done(target: &str, ended: Ended, sent: Duration) -> Event {
+    Event::Done {
+        target: target.to_owned(),
+        end: End {
+            ended,
+            sent,
+            depth: 0.0,
+            load: None,
+        },
+    }
+}
+
+#[test]
+fn requests_spread_over_targets_that_have_room() {
+    let targets = (0..3).map(|it| target(it, "d1")).collect();
+    let mut desk = desk(targets, None);
+    let mut counts: HashMap<String, u32> = HashMap::new();
+    for ticket in 0..6 {
+        for (_, id) in sent(&desk.on(ms(1), Event::Ask(ask(ticket, ms(1))))) {
+            *counts.entry(id).or_default() += 1;
+        }
+    }
+    assert_eq!(counts.values().copied().collect::<Vec<_>>(), [2, 2, 2]);
+}
+
+#[test]
+fn other_vms_requests_count_as_own() {
+    let mut desk = desk(vec![target(0, "d1"), target(1, "d1")], None);
+    let others = HashMap::from([(peer::hash("t0"), 4)]);
+    desk.on(ms(1), Event::Others(others));
+    for ticket in 0..3 {
+        let effects = desk.on(ms(2), Event::Ask(ask(ticket, ms(2))));
+        assert_eq!(sent(&effects)[0].1, "t1");
+    }
+}
+
+#[test]
+fn a_full_target_makes_requests_wait_and_serves_them_by_rank() {
+    let mut desk = desk(vec![target(0, "d1")], None);
+    let others = HashMap::from([(peer::hash("t0"), 7)]);
+    desk.on(ms(1), Event::Others(others));
+    let mut late = ask(1, ms(2));
+    late.until = ms(5000);
+    late.goal = ms(4000);
+    let mut urgent = late.clone();
+    (urgent.ticket, urgent.priority) = (2, 0);
+    assert!(desk.on(ms(2), Event::Ask(late)).is_empty());
+    assert!(desk.on(ms(2), Event::Ask(urgent)).is_empty());
+    assert_eq!(desk.waiting(), 2);
+    let others = HashMap::from([(peer::hash("t0"), 6)]);
+    let effects = desk.on(ms(10), Event::Others(others));
+    assert_eq!(sent(&effects), [(2, "t0".to_owned())]);
+}
+
+#[test]
+fn what_can_not_be_answered_in_time_is_refused_at_once_with_a_time_to_come_back() {
+    let mut desk = desk(vec![target(0, "d1")], None);
+    for ticket in 0..20 {
+        desk.on(ms(1), done("t0", Ended::Answered(ms(300)), ms(0)));
+        let _ = ticket;
+    }
+    let others = HashMap::from([(peer::hash("t0"), 4)]);
+    desk.on(ms(2), Event::Others(others));
+    let effects = desk.on(ms(3), Event::Ask(ask(99, ms(3))));
+    let [Effect::Refuse { why, retry, .. }] = &effects[..] else {
+        panic!("not refused: {effects:?}");
+    };
+    assert_eq!(*why, Why::Late);
+    assert!(*retry >= ms(20) && *retry < ms(2000), "{retry:?}");
+}
+
+#[test]
+fn late_requests_stand_behind_those_that_can_still_make_the_goal() {
+    let mut desk = desk(vec![target(0, "d1")], None);
+    let others = HashMap::from([(peer::hash("t0"), 3)]);
+    desk.on(ms(1), Event::Others(others));
+    let mut late = ask(1, ms(2));
+    late.goal = ms(3);
+    assert!(desk.on(ms(2), Event::Ask(late)).is_empty(), "it waits");
+    let effects = desk.on(ms(3), Event::Ask(ask(2, ms(3))));
+    assert_eq!(
+        sent(&effects),
+        [(2, "t0".to_owned())],
+        "the newer one goes first"
+    );
+}
+
+#[test]
+fn a_key_goes_to_its_owner_only() {
+    let targets = vec![target(0, "d1"), target(1, "d1")];
+    let record = owned_by(&targets[1]);
+    let mut desk = desk(targets, Some(record));
+    for ticket in 0..4 {
+        let effects = desk.on(ms(1), Event::Ask(keyed(ticket, ms(1))));
+        assert_eq!(sent(&effects)[0].1, "t1");
+    }
+}
+
+#[test]
+fn a_key_without_an_owner_waits_briefly_and_is_refused_then() {
+    let mut desk = desk(vec![target(0, "d1")], Some(Record::first(99)));
+    assert!(desk.on(ms(0), Event::Ask(keyed(1, ms(0)))).is_empty());
+    assert!(desk.on(ms(100), Event::Tick).is_empty());
+    assert_eq!(refused(&desk.on(ms(121), Event::Tick)), [(1, Why::NoOwner)]);
+}
+
+#[test]
+fn a_key_whose_owner_has_begun_another_life_has_no_owner() {
+    let old = target(0, "d1");
+    let mut reborn = old.clone();
+    reborn.born = 2;
+    let mut desk = desk(vec![reborn], Some(owned_by(&old)));
+    assert!(desk.on(ms(0), Event::Ask(keyed(1, ms(0)))).is_empty());
+}
+
+#[test]
+fn a_request_that_its_owner_refused_waits_for_a_newer_owner() {
+    let targets = vec![target(0, "d1"), target(1, "d1")];
+    let mut desk = desk(targets.clone(), Some(owned_by(&targets[0])));
+    let mut asked = keyed(1, ms(0));
+    asked.refused = Some((5, ms(80)));
+    assert!(desk.on(ms(0), Event::Ask(asked)).is_empty());
+    let mut newer = owned_by(&targets[1]);
+    newer.parts[0].fence = 7;
+    let effects = desk.on(ms(10), view(targets, Some(newer)));
+    assert_eq!(sent(&effects), [(1, "t1".to_owned())]);
+}
+
+#[test]
+fn a_target_that_fails_fast_gets_little() {
+    let targets: Vec<_> = (0..3).map(|it| target(it, "d1")).collect();
+    let mut desk = desk(targets, None);
+    let mut now = ms(1);
+    let mut at_bad = 0;
+    for ticket in 0..200 {
+        now += ms(10);
+        let effects = desk.on(now, Event::Ask(ask(ticket, now)));
+        let id = sent(&effects)[0].1.clone();
+        let ended = if id == "t0" {
+            at_bad += u32::from(ticket >= 50);
+            Ended::Failed
+        } else {
+            Ended::Answered(ms(60))
+        };
+        desk.on(now + ms(2), done(&id, ended, now));
+    }
+    assert!(at_bad < 15, "{at_bad} of 150 went to the target that fails");
+}
+
+#[test]
+fn a_target_that_has_turned_slow_shows_before_its_first_answer() {
+    let targets: Vec<_> = (0..2).map(|it| target(it, "d1")).collect();
+    let mut desk = desk(targets, None);
+    for _ in 0..10 {
+        for id in ["t0", "t1"] {
+            desk.on(ms(1), done(id, Ended::Answered(ms(60)), ms(0)));
+        }
+    }
+    let first = sent(&desk.on(ms(10), Event::Ask(ask(1, ms(10)))))[0]
+        .1
+        .clone();
+    let second = sent(&desk.on(ms(10), Event::Ask(ask(2, ms(10)))))[0]
+        .1
+        .clone();
+    assert_ne!(first, second);
+    desk.on(ms(70), done(&second, Ended::Answered(ms(60)), ms(10)));
+    let now = ms(700);
+    for ticket in 3..5 {
+        let effects = desk.on(now, Event::Ask(ask(ticket, now)));
+        assert_eq!(
+            sent(&effects)[0].1,
+            second,
+            "the other holds a request for 690 ms"
+        );
+    }
+}
+
+#[test]
+fn large_answers_come_from_near_while_there_is_room() {
+    let mut desk = desk(vec![target(0, "d2"), target(1, "d1")], None);
+    for ticket in 0..2 {
+        let mut asked = ask(ticket, ms(1));
+        asked.large = true;
+        assert_eq!(sent(&desk.on(ms(1), Event::Ask(asked)))[0].1, "t1");
+    }
+    let mut third = ask(3, ms(1));
+    third.large = true;
+    assert_eq!(sent(&desk.on(ms(1), Event::Ask(third)))[0].1, "t0");
+}
+
+#[test]
+fn repeats_draw_on_the_budget() {
+    let targets = (0..3).map(|it| target(it, "d1")).collect();
+    let mut desk = desk(targets, None);
+    let mut repeated = 0;
+    for ticket in 0..40 {
+        let now = ms(ticket);
+        let mut again = ask(ticket, now);
+        again.repeat = true;
+        let effects = desk.on(now, Event::Ask(again));
+        for (_, id) in sent(&effects) {
+            repeated += 1;
+            desk.on(now, done(&id, Ended::Answered(ms(1)), now));
+        }
+        let out = refused(&effects);
+        assert!(out.iter().all(|(_, why)| *why == Why::Budget));
+    }
+    // A slack of 20 for two VMs, of which four fifths are used.
+    assert_eq!(repeated, 8);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Each request is decided once, and none is forgotten.
+    #[test]
+    fn every_request_is_decided_once(gaps in prop::collection::vec((0..30_u64, 0..3_u8), 1..120)) {
+        let targets: Vec<_> = (0..3).map(|it| target(it, "d1")).collect();
+        let mut desk = desk(targets, None);
+        let mut now = ms(1);
+        let mut decided: HashMap<u64, u32> = HashMap::new();
+        let mut under_way: Vec<(String, Duration)> = Vec::new();
+        let mut asked = 0;
+        for (gap, kind) in gaps {
+            now += ms(gap);
+            let effects = match (kind, under_way.pop()) {
+                (0, Some((id, at))) => desk.on(now, done(&id, Ended::Answered(now - at), at)),
+                (_, other) => {
+                    under_way.extend(other);
+                    asked += 1;
+                    desk.on(now, Event::Ask(ask(asked, now)))
+                }
+            };
+            for (ticket, id) in sent(&effects) {
+                *decided.entry(ticket).or_default() += 1;
+                under_way.push((id, now));
+            }
+            for (ticket, _) in refused(&effects) {
+                *decided.entry(ticket).or_default() += 1;
+            }
+        }
+        let last = desk.on(now + ms(10_000), Event::Tick);
+        for (ticket, _) in sent(&last) {
+            *decided.entry(ticket).or_default() += 1;
+        }
+        for (ticket, _) in refused(&last) {
+            *decided.entry(ticket).or_default() += 1;
+        }
+        prop_assert_eq!(decided.len() as u64 + desk.waiting() as u64, asked);
+        prop_assert!(decided.values().all(|count| *count == 1));
+    }
+}
--- /dev/null
+++ b/engine/tests/fleet.rs
@@ -0,0 +1,244 @@
+//! What a VM believes: never backwards, whichever way news comes, and in whichever order.
+
+use std::time::Duration;
+
+use bramleypier_engine::{
+    catalogue::{Catalogue, Config, Error, Target},
+    fleet::{Fleet, Keys, Place, Relay, Vm},
+    owner::record::Record,
+    store::{Change, Item, Listing},
+};
+use proptest::prelude::*;
+
+const NOW: Duration = Duration::from_secs(50);
+
+/// Values are plain text: a version, or `leaving`, `ready` or anything unreadable.
+struct Plain;
+
+impl Catalogue for Plain {
+    fn config_key(&self) -> &str {
+        "config"
+    }
+
+    fn targets_prefix(&self) -> &str {
+        "targets/"
+    }
+
+    fn config(&self, value: &[u8]) -> Result<Config, Error> {
+        let text = String::from_utf8_lossy(value);
+        let version = text.parse();
+        let version = version.map_err(|_| Error::Unreadable("config".into(), text.into_owned()))?;
+        Ok(Config {
+            version,
+            ..Config::default()
+        })
+    }
+
+    fn target(&self, key: &str, value: &[u8]) -> Result<Target, Error> {
+        let leaving = match value {
+            b"ready" => false,
+            b"leaving" => true,
+            _ => return Err(Error::Unreadable(key.into(), "no target".into())),
+        };
+        Ok(Target {
+            id: key.trim_start_matches("targets/").into(),
+            born: 1,
+            service: "s".into(),
+            address: "127.0.0.1:9".parse().unwrap(),
+            domain: "d".into(),
+            slots: 2,
+            leaving,
+            cold: Duration::ZERO,
+        })
+    }
+}
+
+fn keys() -> Keys {
+    Keys {
+        prefix: "own/".into(),
+    }
+}
+
+fn put(key: &str, value: &[u8], revision: u64) -> Change {
+    Change::Put(Item {
+        key: key.into(),
+        value: value.to_vec(),
+        revision,
+    })
+}
+
+fn removed(key: &str, revision: u64) -> Change {
+    Change::Removed {
+        key: key.into(),
+        revision,
+    }
+}
+
+fn hear(fleet: &mut Fleet, now: Duration, change: &Change) -> Vec<String> {
+    fleet.on_change(now, change, &keys(), &Plain)
+}
+
+fn version(fleet: &Fleet) -> u64 {
+    fleet.config.as_ref().map_or(0, |config| config.version)
+}
+
+#[test]
+fn a_configuration_never_goes_back() {
+    let mut fleet = Fleet::default();
+    hear(&mut fleet, NOW, &put("config", b"7", 20));
+    hear(&mut fleet, NOW, &put("config", b"5", 30));
+    assert_eq!(version(&fleet), 7);
+    hear(&mut fleet, NOW, &put("config", b"not one", 40));
+    hear(&mut fleet, NOW, &removed("config", 50));
+    assert_eq!(version(&fleet), 7);
+    hear(&mut fleet, NOW, &put("config", b"8", 60));
+    assert_eq!(version(&fleet), 8);
+}
+
+#[test]
+fn an_unreadable_entry_names_no_target_and_leaves_the_others() {
+    let mut fleet = Fleet::default();
+    hear(&mut fleet, NOW, &put("targets/a", b"ready", 1));
+    hear(&mut fleet, NOW, &put("targets/b", b"ready", 2));
+    let notes = hear(&mut fleet, NOW, &put("targets/b", b"\xff", 3));
+    assert_eq!(notes.len(), 1, "told once");
+    assert_eq!(fleet.targets.keys().collect::<Vec<_>>(), ["a"]);
+}
+
+#[test]
+fn older_news_changes_nothing() {
+    let mut fleet = Fleet::default();
+    hear(&mut fleet, NOW, &put("targets/a", b"ready", 5));
+    hear(&mut fleet, NOW, &removed("targets/a", 9));
+    hear(&mut fleet, NOW, &put("targets/a", b"ready", 5));
+    hear(&mut fleet, NOW, &put("targets/a", b"ready", 8));
+    assert!(fleet.targets.is_empty(), "a target that is gone came back");
+    hear(&mut fleet, NOW, &put("targets/a", b"ready", 10));
+    assert_eq!(fleet.targets.len(), 1);
+}
+
+#[test]
+fn a_target_that_leaves_gets_no_work() {
+    let mut fleet = Fleet::default();
+    hear(&mut fleet, NOW, &put("targets/a", b"ready", 5));
+    assert_eq!(fleet.view().targets["s"].len(), 1);
+    hear(&mut fleet, NOW, &put("targets/a", b"leaving", 6));
+    assert!(fleet.view().targets.is_empty());
+}
+
+#[test]
+fn targets_that_vanish_in_trouble_have_time_to_come_back() {
+    let second = Duration::from_secs(1);
+    let mut fleet = Fleet::default();
+    hear(&mut fleet, NOW, &put("targets/a", b"ready", 5));
+    hear(&mut fleet, NOW, &put("targets/b", b"ready", 6));
+    fleet.on_trouble(NOW);
+    hear(&mut fleet, NOW + second, &removed("targets/a", 7));
+    hear(&mut fleet, NOW + second, &removed("targets/b", 8));
+    assert_eq!(fleet.targets.len(), 2);
+    hear(&mut fleet, NOW + second, &put("targets/b", b"ready", 9));
+    assert!(fleet.expire(NOW + second * 2).is_empty());
+    assert_eq!(fleet.expire(NOW + second * 3), ["a"]);
+    assert_eq!(fleet.targets.keys().collect::<Vec<_>>(), ["b"]);
+    hear(&mut fleet, NOW + second * 4, &removed("targets/b", 10));
+    assert!(
+        fleet.targets.is_empty(),
+        "long after the trouble, gone is gone"
+    );
+}
+
+#[test]
+fn a_listing_removes_what_it_lacks() {
+    let mut fleet = Fleet::default();
+    hear(&mut fleet, NOW, &put("targets/a", b"ready", 5));
+    hear(&mut fleet, NOW, &put("targets/new", b"ready", 30));
+    let listing = Listing {
+        items: Vec::new(),
+        revision: 20,
+    };
+    fleet.on_listing(NOW, "targets/", &listing, &keys(), &Plain);
+    assert_eq!(fleet.targets.keys().collect::<Vec<_>>(), ["new"]);
+    assert!(fleet.listed);
+}
+
+#[test]
+fn own_entries_are_understood() {
+    let mut fleet = Fleet::default();
+    let vm = Vm {
+        name: "v".into(),
+        start: "v/1".into(),
+        address: "127.0.0.1:8".parse().unwrap(),
+        domain: "d".into(),
+    };
+    hear(&mut fleet, NOW, &put("own/manager", &vm.encode(), 5));
+    hear(&mut fleet, NOW, &put("own/vms/v", &vm.encode(), 6));
+    hear(
+        &mut fleet,
+        NOW,
+        &put("own/owners/s", &Record::first(9).encode(), 7),
+    );
+    assert_eq!(fleet.manager, Some(vm));
+    assert_eq!((fleet.vms.len(), fleet.records.len()), (1, 1));
+    hear(&mut fleet, NOW, &put("own/owners/s", b"\x00", 8));
+    assert_eq!(
+        fleet.records["s"].revision, 7,
+        "an unreadable record changes nothing"
+    );
+    hear(&mut fleet, NOW, &removed("own/manager", 9));
+    assert_eq!(fleet.manager, None);
+}
+
+#[test]
+fn a_relay_of_everything_removes_only_what_the_other_would_know() {
+    let mut teller = Fleet::default();
+    hear(&mut teller, NOW, &put("targets/a", b"ready", 5));
+    teller.on_followed("targets/", 20);
+    let mut fleet = Fleet::default();
+    hear(&mut fleet, NOW, &put("targets/old", b"ready", 10));
+    hear(&mut fleet, NOW, &put("targets/new", b"ready", 30));
+    let relay = teller.relay("teller/1", &Place::default());
+    fleet.on_relay(NOW, &relay, &keys(), &Plain);
+    let mut known: Vec<_> = fleet.targets.keys().collect();
+    known.sort();
+    assert_eq!(known, ["a", "new"]);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 96, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// A VM that hears everything from another, in pieces, believes the same.
+    #[test]
+    fn relays_bring_the_same_beliefs(
+        steps in prop::collection::vec((0..5_u8, 0..4_u8, any::<bool>()), 1..60)
+    ) {
+        let (mut teller, mut fleet) = (Fleet::default(), Fleet::default());
+        let mut place = Place::default();
+        for (revision, (target, kind, relayed)) in (1..).zip(steps) {
+            let key = format!("targets/{target}");
+            let change = match kind {
+                0 => removed(&key, revision),
+                1 => put(&key, b"leaving", revision),
+                2 => put(&key, b"ready", revision),
+                _ => put("config", revision.to_string().as_bytes(), revision),
+            };
+            hear(&mut teller, NOW, &change);
+            teller.on_followed("targets/", revision);
+            if relayed {
+                let relay = teller.relay("teller/1", &place);
+                fleet.on_relay(NOW, &relay, &keys(), &Plain);
+                place = relay.place().clone();
+                let is_whole = matches!(relay, Relay::Whole { .. });
+                prop_assert!(!is_whole || fleet.targets == teller.targets);
+            }
+        }
+        let relay = teller.relay("teller/1", &place);
+        fleet.on_relay(NOW, &relay, &keys(), &Plain);
+        let sorted = |fleet: &Fleet| {
+            let mut targets: Vec<_> = fleet.targets.values().cloned().collect();
+            targets.sort_by(|a, b| a.id.cmp(&b.id));
+            targets
+        };
+        prop_assert_eq!(sorted(&fleet), sorted(&teller));
+        prop_assert_eq!(version(&fleet), version(&teller));
+    }
+}
