--- a/engine/src/register.rs
+++ b/engine/src/register.rs
@@ -107,9 +107,10 @@
                     Duration::ZERO
                 }
                 Err(error) => {
-                    self.context
-                        .report
-                        .line(&format!("event=entry-not-renewed {error}"));
+                    if was_well {
+                        let line = format!("event=pulse-lost {error}");
+                        self.context.report.line(&line);
+                    }
                     PAUSE
                 }
             };
