--- a/engine/src/caller/forward.rs
+++ b/engine/src/caller/forward.rs
@@ -364,6 +364,9 @@
     let permit = match context.desk.ask(ask).await {
         Ok(permit) => permit,
         Err(refused) => {
+            trace
+                .notes
+                .push(format!("{}: {}", refused.why.name(), refused.basis));
             return history.give_up(Own::not_run(refused.why.name(), refused.retry));
         }
     };
@@ -375,8 +378,9 @@
         return history.give_up(Own::not_run("its body has been sent once", COME_BACK));
     };
     let target = permit.target.id.clone();
-    let fence = permit.fence;
+    let fence = permit.basis.fence;
     trace.targets.push(target.clone());
+    trace.notes.push(format!("sent: {}", permit.basis));
     if let Some(point) = job
         .asked
         .point
--- a/engine/src/place/desk.rs
+++ b/engine/src/place/desk.rs
@@ -10,7 +10,7 @@
 //! - *A target that fails fast looks idle*: answers count, not promptness; one that fails often gets
 //!   single requests until it does well.
 
-use std::{collections::HashMap, rc::Rc, time::Duration};
+use std::{collections::HashMap, fmt, rc::Rc, time::Duration};
 
 use indexmap::IndexMap;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -129,6 +129,37 @@
     pub vms: usize,
 }
 
+/// What a decision rested on, for the log.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Basis {
+    /// The target that was looked at, if there was one.
+    pub target: TargetId,
+    /// How many requests were probably there.
+    pub depth: f64,
+    /// How long an answer would probably have taken.
+    pub expected: Duration,
+    /// How old the manager's word on other VMs' requests was; none without one.
+    pub age: Option<Duration>,
+    /// The fence of the target's ownership of the key; 0 where keys have no owners.
+    pub fence: Fence,
+}
+
+impl fmt::Display for Basis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let age = self
+            .age
+            .map_or_else(|| "unknown".to_owned(), |age| age.as_millis().to_string());
+        write!(
+            f,
+            "{} depth={:.1} expected_ms={} age_ms={age} fence={}",
+            self.target,
+            self.depth,
+            self.expected.as_millis(),
+            self.fence
+        )
+    }
+}
+
 /// What a desk decides.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
@@ -138,10 +169,8 @@
         ticket: Ticket,
         /// The target.
         target: Target,
-        /// How many requests were probably there before it.
-        depth: f64,
-        /// The fence of the target's ownership of the key; 0 where keys have no owners.
-        fence: Fence,
+        /// What the decision rests on.
+        basis: Basis,
     },
     /// Refuse the request.
     Refuse {
@@ -151,6 +180,8 @@
         why: Why,
         /// When a place is likely free.
         retry: Duration,
+        /// What the decision rests on.
+        basis: Basis,
     },
 }
 
@@ -195,9 +226,9 @@
 
 /// What can be done for a request now.
 enum Choice {
-    Send(TargetId, Fence),
+    Send(Basis),
     Wait,
-    Refuse(Why, Duration),
+    Refuse(Why, Duration, Basis),
 }
 
 #[derive(Debug)]
@@ -346,6 +377,7 @@
                 ticket: waiting.ask.ticket,
                 why: Why::Full,
                 retry: COME_BACK_UNOWNED,
+                basis: Basis::default(),
             });
             return;
         }
@@ -371,32 +403,40 @@
         let ticket = it.ask.ticket;
         match self.choose(now, &it.ask) {
             Choice::Wait => false,
-            Choice::Refuse(why, retry) => {
-                out.push(Effect::Refuse { ticket, why, retry });
+            Choice::Refuse(why, retry, basis) => {
+                out.push(Effect::Refuse {
+                    ticket,
+                    why,
+                    retry,
+                    basis,
+                });
                 true
             }
-            Choice::Send(id, fence) => {
+            Choice::Send(basis) => {
                 if it.ask.repeat && !it.counted {
                     let vms = self.view.vms;
                     let budget = self.budgets.entry(it.ask.service.clone()).or_default();
                     if !budget.spend(now, self.allowance, vms) {
                         let retry = self.allowance.window / 10;
                         let why = Why::Budget;
-                        out.push(Effect::Refuse { ticket, why, retry });
+                        out.push(Effect::Refuse {
+                            ticket,
+                            why,
+                            retry,
+                            basis,
+                        });
                         return true;
                     }
                     it.counted = true;
                 }
-                let Some(member) = self.members.get_mut(&id) else {
+                let Some(member) = self.members.get_mut(&basis.target) else {
                     return false;
                 };
-                let depth = member.depth(now);
                 member.sent(now);
                 out.push(Effect::Send {
                     ticket,
                     target: member.target.clone(),
-                    depth,
-                    fence,
+                    basis,
                 });
                 true
             }
@@ -444,7 +484,21 @@
         if now < patience.min(ask.until) {
             return Choice::Wait;
         }
-        Choice::Refuse(Why::NoOwner, COME_BACK_UNOWNED)
+        Choice::Refuse(Why::NoOwner, COME_BACK_UNOWNED, self.owner_basis(ask))
+    }
+
+    /// Tells which owner was known for a request that none could serve.
+    fn owner_basis(&self, ask: &Ask) -> Basis {
+        let record = self.view.records.get(&ask.service);
+        let part = record
+            .zip(ask.point)
+            .and_then(|(record, point)| record.find(point));
+        let owner = part.and_then(|part| part.owner.as_ref());
+        Basis {
+            target: owner.map_or_else(|| "none".to_owned(), |life| life.id.clone()),
+            fence: part.map_or(0, |part| part.fence),
+            ..Basis::default()
+        }
     }
 
     fn choose_any(&mut self, now: Duration, ask: &Ask) -> Choice {
@@ -482,7 +536,7 @@
 
     fn untargeted(&self, now: Duration, ask: &Ask) -> Choice {
         match self.unowned(now, ask) {
-            Choice::Refuse(_, retry) => Choice::Refuse(Why::NoTarget, retry),
+            Choice::Refuse(_, retry, basis) => Choice::Refuse(Why::NoTarget, retry, basis),
             choice => choice,
         }
     }
@@ -498,12 +552,19 @@
     ) -> Choice {
         let left = ask.until.saturating_sub(now);
         let expected = Duration::from_secs_f64(member.expected(now, usual));
+        let basis = Basis {
+            target: member.target.id.clone(),
+            depth: member.depth(now),
+            expected,
+            age: member.told_age(now),
+            fence,
+        };
         if expected > left.mul_f64(WITHIN) {
             let over = expected.saturating_sub(left.mul_f64(WITHIN));
-            return Choice::Refuse(Why::Late, over.max(COME_BACK_LEAST));
+            return Choice::Refuse(Why::Late, over.max(COME_BACK_LEAST), basis);
         }
         let slots = member.target.slots.max(1) as f64;
-        let depth = member.depth(now);
+        let depth = basis.depth;
         if depth + 1.0 > slots + QUEUE_USED {
             return Choice::Wait;
         }
@@ -511,7 +572,7 @@
         if depth >= slots + LATE_QUEUE && expected > goal_left {
             return Choice::Wait;
         }
-        Choice::Send(member.target.id.clone(), fence)
+        Choice::Send(basis)
     }
 
     /// The median service time of a service's targets, in seconds.
--- a/engine/src/place/member.rs
+++ b/engine/src/place/member.rs
@@ -122,6 +122,11 @@
         f64::from(self.own) + others
     }
 
+    /// Returns how old the manager's word on other VMs' requests is.
+    pub fn told_age(&self, now: Duration) -> Option<Duration> {
+        self.told.map(|(_, at)| now.saturating_sub(at))
+    }
+
     /// Takes note of other VMs' requests there.
     pub fn tell(&mut self, now: Duration, others: u32) {
         self.told = Some((others, now));
--- a/engine/src/place/task.rs
+++ b/engine/src/place/task.rs
@@ -9,8 +9,8 @@
     future::{self, Either},
 };
 
-use super::desk::{Ask, Desk, Effect, End, Ended, Event, State, Ticket, View, Why};
-use crate::{catalogue::Target, owner::record::Fence, target::LoadReport};
+use super::desk::{Ask, Basis, Desk, Effect, End, Ended, Event, State, Ticket, View, Why};
+use crate::{catalogue::Target, target::LoadReport};
 
 /// How often waiting requests are looked at when nothing else happens: their time may have ended,
 /// and load reports lose weight with age.
@@ -24,12 +24,14 @@
 }
 
 /// Why a request got no target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Refused {
     /// Why.
     pub why: Why,
     /// When a place is likely free.
     pub retry: Duration,
+    /// What the decision rests on.
+    pub basis: Basis,
 }
 
 /// The right to send one request to a target; must be given back by its end.
@@ -37,13 +39,11 @@
 pub struct Permit {
     /// The target.
     pub target: Target,
-    /// How many requests were probably there before it.
-    pub depth: f64,
+    /// What the decision rests on.
+    pub basis: Basis,
     /// When the right was given.
     pub sent: Duration,
     clock: Clock,
-    /// The fence of the target's ownership of the key; 0 where keys have no owners.
-    pub fence: Fence,
     desk: Option<Handle>,
 }
 
@@ -60,7 +60,7 @@
                 end: End {
                     ended,
                     sent: self.sent,
-                    depth: self.depth,
+                    depth: self.basis.depth,
                     load,
                 },
             });
@@ -117,6 +117,7 @@
         let closed = Refused {
             why: Why::NoTarget,
             retry: TICK,
+            basis: Basis::default(),
         };
         let mut queued = Queued {
             desk: self.clone(),
@@ -213,19 +214,22 @@
     now: Duration,
 ) {
     let (ticket, result) = match effect {
-        Effect::Refuse { ticket, why, retry } => (ticket, Err(Refused { why, retry })),
+        Effect::Refuse {
+            ticket,
+            why,
+            retry,
+            basis,
+        } => (ticket, Err(Refused { why, retry, basis })),
         Effect::Send {
             ticket,
             target,
-            depth,
-            fence,
+            basis,
         } => {
             let permit = Permit {
                 target,
-                depth,
+                basis,
                 sent: now,
                 clock: clock.clone(),
-                fence,
                 desk: Some(handle.clone()),
             };
             (ticket, Ok(permit))
--- a/util/src/client.rs
+++ b/util/src/client.rs
@@ -26,7 +26,10 @@
 use crate::{body::Body, clock::Clock, socket, stream::Stream};
 
 /// How long a new connection may take.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+///
+/// Peers are a few milliseconds apart. An opening packet that is lost is sent again after a second
+/// only, so waiting longer gains nothing, and a peer behind a cut never answers.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
 quick_error! {
     /// Why a request got no answer.
