--- a/engine/src/caller/attempt.rs
+++ b/engine/src/caller/attempt.rs
@@ -15,7 +15,7 @@
 use super::{body, headers};
 use crate::{
     place::{desk::Ended, task::Permit},
-    target::{Reply, Targets},
+    target::{Refusal, Targets},
 };
 
 /// The largest answer that is read whole before its head goes on, in bytes.
@@ -69,7 +69,7 @@
     /// The target answered; the answer may be passed on.
     Answered(Response<Body>),
     /// The target states that it did not run the request.
-    Refused(Reply, StatusCode),
+    Refused(Refusal, StatusCode),
     /// Nothing was sent.
     Unsent(client::Error),
     /// It may have run, and there is no answer that can be used.
@@ -140,7 +140,7 @@
         let (mut head, rest) = response.into_parts();
         let reply = self.targets.read(head.status, &head.headers);
         let foreign = reply.request.as_ref().is_some_and(|id| *id != work.id);
-        if foreign || !reply.refused && !reply.signed {
+        if foreign || reply.refusal.is_none() && !reply.signed {
             // Dropping the body closes the connection, so that nothing of it is used again.
             drop(rest);
             permit.finish(Ended::Lost, None);
@@ -165,9 +165,9 @@
                 return Tried::TimedOut;
             }
         };
-        if reply.refused {
+        if let Some(refusal) = reply.refusal {
             permit.finish(Ended::Refused, reply.load);
-            return Tried::Refused(reply, head.status);
+            return Tried::Refused(refusal, head.status);
         }
         headers::strip(&mut head.headers);
         let took = self.clock.now().saturating_sub(started);
--- a/engine/src/caller/forward.rs
+++ b/engine/src/caller/forward.rs
@@ -6,7 +6,7 @@
 use futures_channel::oneshot;
 use hyper::{
     Request, Response,
-    body::{Body as _, Incoming},
+    body::{Body as _, Bytes, Incoming},
     header,
 };
 
@@ -24,6 +24,7 @@
     owner::{record::Fence, tally::Tally},
     place::{desk::Ask, task},
     report::Report,
+    target::Refusal,
 };
 
 /// The largest request body that is read whole, in bytes; only such a one can be sent twice.
@@ -263,7 +264,7 @@
     let payload = match taken {
         Ok(Ok(Taken::Whole(bytes))) => Payload::Whole(bytes),
         Ok(Ok(Taken::Begun(pieces, rest))) => {
-            let read: usize = pieces.iter().map(|it| it.len()).sum();
+            let read: usize = pieces.iter().map(Bytes::len).sum();
             if read as u64 > limit {
                 return Err(Own::new(
                     Word::TooLarge,
@@ -392,7 +393,7 @@
     if !matches!(tried, Tried::Unsent(_)) {
         history.arrivals += 1;
     }
-    if matches!(&tried, Tried::Refused(reply, _) if reply.unowned || reply.stranger) {
+    if matches!(&tried, Tried::Refused(Refusal::Unowned, _)) {
         history.refused = Some((
             fence,
             context.clock.now() + UNOWNED_PAUSE * history.arrivals,
@@ -425,7 +426,7 @@
             history.failure = Some(response);
             Step::Again
         }
-        Tried::Refused(reply, status) if reply.unowned || reply.stranger => {
+        Tried::Refused(Refusal::Unowned, status) => {
             trace
                 .notes
                 .push(format!("not its owner, status {}", status.as_u16()));
--- a/engine/src/owner/balance.rs
+++ b/engine/src/owner/balance.rs
@@ -8,6 +8,11 @@
 //!   the lowest utilisation, usually the fastest; then that target's other keys move away.
 //! - *A target joins*: it gets some load at once, the rest as others grow busy.
 
+#![allow(
+    clippy::cast_precision_loss,
+    reason = "counts of requests, slots and keys are far below 2^52"
+)]
+
 use std::collections::HashMap;
 
 use indexmap::IndexMap;
--- a/engine/src/owner/deal.rs
+++ b/engine/src/owner/deal.rs
@@ -4,6 +4,13 @@
 //! narrow run of keys. Moving run by run takes seconds; one deal by the measured load takes as long
 //! as one move.
 
+#![allow(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "keys and their counts are far below 2^52 and never negative"
+)]
+
 use std::collections::HashMap;
 
 use super::{
--- a/engine/src/owner/keeper.rs
+++ b/engine/src/owner/keeper.rs
@@ -15,6 +15,11 @@
 //!   of a life counts only once no earlier manager is left, or once the next life was fenced.
 //! - A grant without an answer may have arrived until the moment at which its connection was reset.
 
+#![allow(
+    clippy::cast_precision_loss,
+    reason = "counts of requests, slots and keys are far below 2^52"
+)]
+
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -360,7 +365,7 @@
         let mut effects = Vec::new();
         match event {
             Event::Targets(targets) => self.targets(targets),
-            Event::Granted(from, ending) => self.granted(now, from, ending, &mut effects),
+            Event::Granted(from, ending) => self.granted(now, from, &ending, &mut effects),
             Event::Released(from, ending) => self.released(now, from, ending, &mut effects),
             Event::Committed => self.committed(now),
             Event::CommitFailed => self.retry_commit(now),
@@ -386,14 +391,14 @@
         self.targets = by_id.collect();
     }
 
-    fn granted(&mut self, now: Duration, from: Point, ending: Ending, out: &mut Vec<Effect>) {
+    fn granted(&mut self, now: Duration, from: Point, ending: &Ending, out: &mut Vec<Effect>) {
         let hold = self.timing.renew;
         let Some(live) = self.live.get_mut(&from) else {
             return;
         };
         live.busy = false;
         live.due = now + AGAIN;
-        if ending != Ending::Unsent {
+        if *ending != Ending::Unsent {
             live.unsent = 0;
         }
         match ending {
--- a/engine/src/owner/manager.rs
+++ b/engine/src/owner/manager.rs
@@ -218,7 +218,7 @@
             match effect {
                 Effect::Grant(order) => self.call(service, order, true),
                 Effect::Release(order) => self.call(service, order, false),
-                Effect::Commit(record) => self.commit(service, record),
+                Effect::Commit(record) => self.commit(service, &record),
                 Effect::Note(text) => self.log(&format!("{text} service={service}")),
                 Effect::Deposed => {
                     self.log(&format!(
@@ -513,7 +513,7 @@
         self.feed(service, Event::Targets(targets(&fleet, service)));
     }
 
-    fn commit(&mut self, service: &str, record: Record) {
+    fn commit(&mut self, service: &str, record: &Record) {
         let Some(kept) = self.kept.get_mut(service) else {
             return;
         };
@@ -561,20 +561,17 @@
                 return;
             }
         };
-        match revision {
-            Some(revision) => {
-                kept.revision = revision;
-                let record = kept.written.as_ref().map(Record::encode);
-                self.tell(service, revision, record.unwrap_or_default());
-                self.feed(service, Event::Committed);
-            }
-            None => {
-                self.log(&format!(
-                    "event=deposed service={service} cause=record-changed"
-                ));
-                self.kept.shift_remove(service);
-            }
-        }
+        let Some(revision) = revision else {
+            self.log(&format!(
+                "event=deposed service={service} cause=record-changed"
+            ));
+            self.kept.shift_remove(service);
+            return;
+        };
+        kept.revision = revision;
+        let record = kept.written.as_ref().map(Record::encode);
+        self.tell(service, revision, record.unwrap_or_default());
+        self.feed(service, Event::Committed);
     }
 
     /// Takes a record that was written into this VM's beliefs, from where other VMs hear it.
--- a/engine/src/peer/mod.rs
+++ b/engine/src/peer/mod.rs
@@ -1,4 +1,4 @@
-//! What VMs tell each other, over HTTP with MessagePack.
+//! What VMs tell each other, over HTTP with `MessagePack`.
 //!
 //! Each VM tells the manager several times a second what it has under way, and hears what the
 //! others have under way and what is new in the store. So targets' queues are known to within a
@@ -60,9 +60,7 @@
 /// assert_ne!(peer::hash("a"), peer::hash("b"));
 /// ```
 pub fn hash(id: &str) -> TargetHash {
-    let wide = xxhash_rust::xxh3::xxh3_64(id.as_bytes());
-    // The low half is as good as any.
-    (wide & u64::from(u32::MAX)) as u32
+    xxhash_rust::xxh32::xxh32(id.as_bytes(), 0)
 }
 
 /// What a VM tells the manager, several times a second.
--- a/engine/src/place/budget.rs
+++ b/engine/src/place/budget.rs
@@ -1,5 +1,10 @@
 //! The budget for sending a request to a second target, shared by all VMs.
 
+#![allow(
+    clippy::cast_precision_loss,
+    reason = "counts of requests, slots and keys are far below 2^52"
+)]
+
 use std::{collections::VecDeque, time::Duration};
 
 /// The part of this VM's allowance that is used: VMs' counts of each other differ for a while.
--- a/engine/src/place/desk.rs
+++ b/engine/src/place/desk.rs
@@ -10,6 +10,11 @@
 //! - *A target that fails fast looks idle*: answers count, not promptness; one that fails often gets
 //!   single requests until it does well.
 
+#![allow(
+    clippy::cast_precision_loss,
+    reason = "counts of requests, slots and keys are far below 2^52"
+)]
+
 use std::{collections::HashMap, fmt, rc::Rc, time::Duration};
 
 use indexmap::IndexMap;
@@ -474,7 +479,7 @@
         if !member.is_open(now) || ask.tried.contains(&member.target.id) {
             return self.unowned(now, ask);
         }
-        self.fit(now, ask, member, self.usual(&ask.service), part.fence)
+        Self::fit(now, ask, member, self.usual(&ask.service), part.fence)
     }
 
     /// What to do for a request whose key has no owner that can be reached.
@@ -529,7 +534,7 @@
             }
         }
         match best {
-            Some((member, _)) => self.fit(now, ask, member, usual, 0),
+            Some((member, _)) => Self::fit(now, ask, member, usual, 0),
             None => self.untargeted(now, ask),
         }
     }
@@ -542,14 +547,7 @@
     }
 
     /// Decides whether a request fits at a target, waits for it, or is too late for it.
-    fn fit(
-        &self,
-        now: Duration,
-        ask: &Ask,
-        member: &Member,
-        usual: Option<f64>,
-        fence: Fence,
-    ) -> Choice {
+    fn fit(now: Duration, ask: &Ask, member: &Member, usual: Option<f64>, fence: Fence) -> Choice {
         let left = ask.until.saturating_sub(now);
         let expected = Duration::from_secs_f64(member.expected(now, usual));
         let basis = Basis {
--- a/engine/src/place/member.rs
+++ b/engine/src/place/member.rs
@@ -1,5 +1,10 @@
 //! What one VM believes of one target's load and health.
 
+#![allow(
+    clippy::cast_precision_loss,
+    reason = "counts of requests, slots and keys are far below 2^52"
+)]
+
 use std::time::Duration;
 
 use crate::{catalogue::Target, target::LoadReport};
@@ -110,10 +115,8 @@
 
     /// Returns how many requests are probably there, from all VMs.
     pub fn depth(&self, now: Duration) -> f64 {
-        if let Some((others, at)) = self.told {
-            if now < at + TOLD_LIFE {
-                return f64::from(self.own + others);
-            }
+        if let Some((others, _)) = self.told.filter(|(_, at)| now < *at + TOLD_LIFE) {
+            return f64::from(self.own + others);
         }
         let others = self.reported.map_or(self.others_mean, |at| {
             let age = now.saturating_sub(at).as_secs_f64() / REPORT_LIFE.as_secs_f64();
@@ -218,9 +221,8 @@
                 self.fail(now, 0.0);
                 self.alone_for = LEFT_ALONE;
             }
-            Ended::Failed => self.fail(now, 1.0),
             Ended::Refused => self.fail(now, 0.5),
-            Ended::Lost => self.fail(now, 1.0),
+            Ended::Failed | Ended::Lost => self.fail(now, 1.0),
             Ended::Unreached | Ended::Gone => {
                 self.alone_until = now + self.alone_for;
                 self.alone_for = (self.alone_for * 2).min(LEFT_ALONE_MOST);
--- a/engine/src/register.rs
+++ b/engine/src/register.rs
@@ -17,7 +17,7 @@
 ///
 /// A renewal costs a tenth of a call, and shows within a second or two that the store is out of
 /// reach; a configuration must be in force two seconds after the store has accepted it.
-const RENEW: Duration = Duration::from_millis(1000);
+const RENEW: Duration = Duration::from_secs(1);
 /// The pause after a call that failed.
 const PAUSE: Duration = Duration::from_millis(600);
 
--- a/engine/src/settings.rs
+++ b/engine/src/settings.rs
@@ -41,7 +41,7 @@
 ///
 /// Longer than it takes to replace a lost manager (a lease of 2 s and some 0.4 s), and short, since
 /// the keys of a target that falls silent wait for its end.
-const HOLD: Duration = Duration::from_millis(4000);
+const HOLD: Duration = Duration::from_secs(4);
 /// How many renewals fit into a hold: one may be lost with time to spare for the next.
 const RENEWALS: u32 = 3;
 /// How long a manager without its lease goes on renewing grants, in holds.
--- a/engine/src/target.rs
+++ b/engine/src/target.rs
@@ -21,23 +21,26 @@
     pub waiting: u32,
 }
 
+/// Why a target did not run a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// It is full, or the request's time was over.
+    Busy,
+    /// It doesn't hold the request's key, or isn't the target that was meant.
+    Unowned,
+}
+
 /// What the head of a target's answer says.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Reply {
     /// The target states that it did not run the request.
-    pub refused: bool,
-    /// Another target answers at that address.
-    pub stranger: bool,
-    /// The target does not hold the request's key.
-    pub unowned: bool,
+    pub refusal: Option<Refusal>,
     /// The answer bears the target's signature.
     pub signed: bool,
     /// The request id that the answer belongs to.
     pub request: Option<String>,
     /// The load that the target reports.
     pub load: Option<LoadReport>,
-    /// The connection ends after this answer.
-    pub closing: bool,
 }
 
 /// A call to a target in the dialect's own form.
--- a/engine/tests/balance.rs
+++ b/engine/tests/balance.rs
@@ -67,7 +67,8 @@
 
 fn moved(moves: &[Move]) -> f64 {
     let keys: u64 = moves.iter().map(|it| it.to - it.from + 1).sum();
-    keys as f64 / (LAST + 1) as f64
+    let share = |count: u64| f64::from(u32::try_from(count).unwrap());
+    share(keys) / share(LAST + 1)
 }
 
 /// Requests at a rate for some seconds, on keys drawn by `key`.
--- a/engine/tests/desk.rs
+++ b/engine/tests/desk.rs
@@ -327,7 +327,7 @@
         for (gap, kind) in gaps {
             now += ms(gap);
             let effects = match (kind, under_way.pop()) {
-                (0, Some((id, at))) => desk.on(now, done(&id, Ended::Answered(now - at), at)),
+                (0, Some((id, at))) => desk.on(now, done(&id, Ended::Answered(now.saturating_sub(at)), at)),
                 (_, other) => {
                     under_way.extend(other);
                     asked += 1;
--- a/engine/tests/fleet.rs
+++ b/engine/tests/fleet.rs
@@ -16,11 +16,11 @@
 struct Plain;
 
 impl Catalogue for Plain {
-    fn config_key(&self) -> &str {
+    fn config_key(&self) -> &'static str {
         "config"
     }
 
-    fn targets_prefix(&self) -> &str {
+    fn targets_prefix(&self) -> &'static str {
         "targets/"
     }
 
--- a/engine/tests/ownership_world/mod.rs
+++ b/engine/tests/ownership_world/mod.rs
@@ -20,9 +20,9 @@
 const TIMEOUT: Duration = Duration::from_millis(400);
 
 pub const TIMING: Timing = Timing {
-    hold: Duration::from_millis(2000),
+    hold: Duration::from_secs(2),
     renew: Duration::from_millis(600),
-    grace: Duration::from_millis(3000),
+    grace: Duration::from_secs(3),
 };
 
 /// A rule that is left out.
@@ -269,7 +269,7 @@
             self.lease = Some((vm, start, now + LEASE));
             self.vms[vm].lease = now + LEASE;
             let known = if self.flaw == Flaw::RenewsForEver {
-                now + Duration::from_secs(3600)
+                now + Duration::from_hours(1)
             } else {
                 now + LEASE
             };
--- a/util/src/fields.rs
+++ b/util/src/fields.rs
@@ -358,6 +358,10 @@
     }
 
     /// Returns the value of a key as a type, or `None` if it has neither value nor preset.
+    ///
+    /// # Errors
+    ///
+    /// A [`Fault`] at the key, when the value doesn't fit or is missing.
     pub fn optional<T>(&self, section: &str, key: &str) -> Result<Option<T>, Fault>
     where
         T: FromStr,
@@ -370,6 +374,10 @@
     }
 
     /// Returns the value of a key as a type.
+    ///
+    /// # Errors
+    ///
+    /// A [`Fault`] at the key, when the value doesn't fit or is missing.
     pub fn value<T>(&self, section: &str, key: &str) -> Result<T, Fault>
     where
         T: FromStr,
@@ -379,12 +387,20 @@
     }
 
     /// Returns the value of a key in milliseconds as a duration.
+    ///
+    /// # Errors
+    ///
+    /// A [`Fault`] at the key, when the value doesn't fit or is missing.
     pub fn millis(&self, section: &str, key: &str) -> Result<std::time::Duration, Fault> {
         self.value(section, key)
             .map(std::time::Duration::from_millis)
     }
 
     /// Returns the parts of a list.
+    ///
+    /// # Errors
+    ///
+    /// A [`Fault`] at the key, when the value doesn't fit or is missing.
     pub fn list<T>(&self, section: &str, key: &str) -> Result<Vec<T>, Fault>
     where
         T: FromStr,
