--- a/engine/src/place/desk.rs
+++ b/engine/src/place/desk.rs
@@ -487,7 +487,12 @@
             return self.unowned(now, ask);
         };
         if self.is_moving(now, point, part.fence) {
-            return self.unowned(now, ask);
+            // A move ends within a few hundred milliseconds, a loss doesn't.
+            return if now < ask.goal.min(ask.until) {
+                Choice::Wait
+            } else {
+                self.unowned(now, ask)
+            };
         }
         let member = part.owner.as_ref().and_then(|life| {
             let member = self.members.get(&life.id);
