A manager whose lease paused goes on with what it kept; silent lives are shunned longer

Cause (incident in Quito): in an outage of the store the lease was not renewed in time; two seconds after its return the same VM won it again, began anew and had to wait out holds that it knew to have run out; and ranges went to targets that were just as dark. Change: only the store's word ends a lease; a lease won again goes on with each record that nobody has changed since; a life that lost ranges by silence gets none for 10 s. Test: ports of the program's tests lie below the system's own range; one test in six runs had found its port taken (traced: 'Address already in use').

--- a/engine/src/owner/keeper.rs
+++ b/engine/src/owner/keeper.rs
@@ -46,8 +46,11 @@
 const SILENCES: u32 = 6;
 /// How long the last grants of a manager that knows that it is replaced may be under way.
 const LAST_GRANTS: Duration = Duration::from_millis(500);
-/// How long a target that lost its ranges by silence or death gets no others.
-const SHUN: Duration = Duration::from_secs(2);
+/// How long a life that lost its ranges by silence or death gets no others.
+///
+/// A target that is dark stays announced for a while, and each range given to it waits for nothing;
+/// one that starts again is another life and counts at once.
+const SHUN: Duration = Duration::from_secs(10);
 /// The least time between two rounds of moves for balance: a move takes some 100 ms, and the counts
 /// that show its effect come every 40 ms.
 const BALANCE_PAUSE: Duration = Duration::from_millis(400);
--- a/engine/src/owner/manager.rs
+++ b/engine/src/owner/manager.rs
@@ -123,6 +123,8 @@
     revision: Revision,
     /// The record that is being written.
     written: Option<Record>,
+    /// Whether the record is known to be unchanged since this VM won its present lease.
+    verified: bool,
 }
 
 struct Manager {
@@ -341,7 +343,7 @@
         let now = self.now();
         self.seek(now);
         self.keep_lease(now);
-        if self.lease.is_some() {
+        if self.context.leading.get() {
             self.take_services();
         }
         let services: Vec<_> = self.kept.keys().cloned().collect();
@@ -388,7 +390,10 @@
                 self.lease = Some((lease.id, sent + lease.span));
                 self.context.leading.set(true);
                 self.renew_due = self.now() + RENEW;
-                self.kept.clear();
+                // What was kept under an earlier lease goes on if nobody has changed it since.
+                for kept in self.kept.values_mut() {
+                    kept.verified = false;
+                }
             }
             Ok(None) => {}
             Err(error) => self.log(&format!("event=bid-failed {error}")),
@@ -400,10 +405,9 @@
         let Some((id, until)) = self.lease else {
             return;
         };
-        if now >= until {
-            self.log("event=lease-lost cause=not-renewed-in-time");
-            self.drop_lease();
-            return;
+        if now >= until && self.context.leading.replace(false) {
+            // It may still stand in the store, whose leases can pause: only the store tells.
+            self.log("event=lease-uncertain cause=not-renewed-in-time");
         }
         if now < self.renew_due {
             return;
@@ -425,11 +429,7 @@
                     return;
                 };
                 *until = (*until).max(sent + span);
-                let until = *until;
-                let services: Vec<_> = self.kept.keys().cloned().collect();
-                for service in services {
-                    self.feed(&service, Event::Lease(until));
-                }
+                self.extend();
             }
             Err(Error::NoLease(_)) => {
                 self.log("event=lease-lost cause=ended-in-store");
@@ -439,6 +439,21 @@
         }
     }
 
+    /// Lets keepers grant for as long as the lease holds.
+    fn extend(&mut self) {
+        let Some((_, until)) = self.lease else {
+            return;
+        };
+        if self.now() < until && !self.context.leading.replace(true) {
+            self.log("event=lease-regained");
+        }
+        let verified = self.kept.iter().filter(|(_, kept)| kept.verified);
+        let services: Vec<_> = verified.map(|(name, _)| name.clone()).collect();
+        for service in services {
+            self.feed(&service, Event::Lease(until));
+        }
+    }
+
     /// Takes over each service with owners that isn't kept yet.
     fn take_services(&mut self) {
         let fleet = self.context.beliefs.get();
@@ -448,7 +463,8 @@
         let keyed = config.services.values().filter(|it| it.keyed);
         for service in keyed {
             let name = &service.name;
-            if self.kept.contains_key(name) || self.reading.contains(name) {
+            let is_kept = self.kept.get(name).is_some_and(|kept| kept.verified);
+            if is_kept || self.reading.contains(name) {
                 continue;
             }
             self.reading.push(name.clone());
@@ -468,7 +484,8 @@
 
     fn read(&mut self, service: &str, result: Result<Option<Item>, Error>) {
         self.reading.retain(|it| it != service);
-        if self.lease.is_none() || self.kept.contains_key(service) {
+        let is_kept = self.kept.get(service).is_some_and(|kept| kept.verified);
+        if self.lease.is_none() || is_kept {
             return;
         }
         let item = match result {
@@ -479,6 +496,9 @@
             }
         };
         let revision = item.as_ref().map_or(0, |item| item.revision);
+        if self.goes_on(service, revision, item.as_ref()) {
+            return;
+        }
         let known = item.map(|item| Record::decode(&item.value));
         let record = match known {
             Some(Ok(record)) => record,
@@ -503,6 +523,7 @@
             earlier,
             revision,
             written: None,
+            verified: true,
         };
         self.kept.insert(service.to_owned(), kept);
         self.apply(service, effects);
@@ -513,6 +534,32 @@
         self.feed(service, Event::Targets(targets(&fleet, service)));
     }
 
+    /// Goes on with a service that was kept under an earlier lease, if its record is unchanged.
+    ///
+    /// Another manager in between would have changed it: it writes before it grants.
+    fn goes_on(&mut self, service: &str, revision: Revision, item: Option<&Item>) -> bool {
+        let Some(kept) = self.kept.get_mut(service) else {
+            return false;
+        };
+        let written = kept.written.as_ref().map(Record::encode);
+        let landed = item.is_some_and(|item| Some(&item.value) == written.as_ref());
+        if revision != kept.revision && !landed {
+            self.kept.shift_remove(service);
+            return false;
+        }
+        kept.verified = true;
+        let late = landed && revision != kept.revision;
+        kept.revision = revision;
+        self.log(&format!(
+            "event=service-kept service={service} revision={revision}"
+        ));
+        if late {
+            self.feed(service, Event::Committed);
+        }
+        self.extend();
+        true
+    }
+
     fn commit(&mut self, service: &str, record: &Record) {
         let Some(kept) = self.kept.get_mut(service) else {
             return;
--- a/program/tests/serve.rs
+++ b/program/tests/serve.rs
@@ -5,7 +5,10 @@
     io::{BufRead as _, BufReader, Read as _},
     net::{SocketAddr, TcpListener},
     process::{Child, Command, Stdio},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU16, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -28,14 +31,22 @@
 const PATIENCE: Duration = Duration::from_secs(15);
 const WORK: Duration = Duration::from_millis(20);
 
-/// Four free ports of the loopback interface.
-fn ports() -> Vec<u16> {
-    let held: Vec<_> = (0..4)
-        .map(|_| TcpListener::bind("127.0.0.1:0").unwrap())
-        .collect();
-    held.iter()
-        .map(|it| it.local_addr().unwrap().port())
-        .collect()
+/// The next port to look at. They lie below those that the system gives out by itself, or another
+/// test's connection could take one before the program listens there.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+const FIRST_PORT: u16 = 20_000;
+const PORTS: u16 = 12_000;
+
+/// A free port of the loopback interface.
+fn port() -> u16 {
+    let own = u16::try_from(std::process::id() % 97).unwrap() * 120;
+    loop {
+        let next = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PORT + (own + next) % PORTS;
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return port;
+        }
+    }
 }
 
 /// A running program, which is ended with the test.
@@ -58,7 +69,7 @@
 
 impl Program {
     fn start(store: SocketAddr) -> Self {
-        let ports = ports();
+        let ports = [port(), port(), port(), port()];
         let at = |index: usize| SocketAddr::from(([127, 0, 0, 1], ports[index]));
         let folder = TempDir::new().unwrap();
         let path = folder.path().join("vm.ini");
