Engine: smaller modules; no circle between fleet, place and peer

Messages of keeper and desk, what is live of a range, and the manager's calls have files of their own; the hash of a target's id is the catalogue's. No behaviour changed.

--- a/engine/src/catalogue/mod.rs
+++ b/engine/src/catalogue/mod.rs
@@ -24,6 +24,22 @@
 /// When a target's life began, in Unix milliseconds by the target's own clock.
 pub type Born = u64;
 
+/// A target's id, hashed: messages between VMs name targets many times a second.
+pub type TargetHash = u32;
+
+/// Hashes a target's id.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier_engine::catalogue;
+///
+/// assert_ne!(catalogue::hash("a"), catalogue::hash("b"));
+/// ```
+pub fn hash(id: &str) -> TargetHash {
+    xxhash_rust::xxh32::xxh32(id.as_bytes(), 0)
+}
+
 quick_error! {
     /// Why a stored value could not be decoded.
     #[derive(Clone, Debug, PartialEq, Eq)]
--- /dev/null
+++ b/engine/src/owner/calls.rs
@@ -0,0 +1,141 @@
+//! The manager's calls to the store and to targets, and small sums over what it knows.
+
+use std::{collections::HashMap, time::Duration};
+
+use bramleypier_util::{body, body::Body, client};
+use hyper::Request;
+use indexmap::IndexMap;
+
+use super::{
+    keeper::{Ending, Order},
+    manager::Context,
+};
+use crate::{
+    catalogue::{self, Target, TargetHash, TargetId},
+    fleet::{Fleet, Vm},
+    store::{Commit, Error, Lease, Put, Transaction},
+};
+
+/// How long the manager's lease lasts.
+///
+/// With a renewal each third of it, two lost renewals are borne; a manager that is lost is replaced
+/// before grants of 4 s run out.
+const LEASE: Duration = Duration::from_secs(2);
+/// How much later each next candidate bids, so that one bid usually does: a call takes some 5 ms.
+const BID_STEP: Duration = Duration::from_millis(40);
+/// The most by which a bid is put off.
+const BID_LATEST: Duration = Duration::from_millis(600);
+/// How long a target has to answer a grant.
+const GRANT_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long a target has to answer a release: it ends the work on those keys first.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(3);
+/// The most bytes of an answer to a grant or release.
+const ANSWER_BYTES: usize = 64 * 1024;
+/// From how many service times on a target's speed is taken as measured: times scatter as much as
+/// their mean, so 20 are right to within a quarter.
+const SAMPLES_LEAST: f64 = 12.0;
+
+/// The targets of one service, also those that leave.
+pub(super) fn targets(fleet: &Fleet, service: &str) -> Vec<Target> {
+    let of_service = fleet.targets.values().filter(|it| it.service == service);
+    of_service.cloned().collect()
+}
+
+/// How long this VM waits before it bids: VMs are ranked by a hash of their start.
+pub(super) fn rank(fleet: &Fleet, own: &Vm) -> Duration {
+    let hash = |start: &str| xxhash_rust::xxh3::xxh3_64(start.as_bytes());
+    let mine = hash(&own.start);
+    let before = fleet
+        .vms
+        .values()
+        .filter(|vm| hash(&vm.start) < mine)
+        .count();
+    let steps = u32::try_from(before).unwrap_or(u32::MAX);
+    BID_STEP.saturating_mul(steps).min(BID_LATEST)
+}
+
+/// Takes a lease and writes the manager's entry under it, if there is none.
+pub(super) async fn bid(context: &Context) -> Result<Option<Lease>, Error> {
+    let lease = context.store.lease(LEASE).await?;
+    let key = context.keys.manager();
+    let transaction = Transaction {
+        expected: [(key.clone(), 0)].into_iter().collect(),
+        puts: vec![Put {
+            key,
+            value: context.vm.encode(),
+            lease: Some(lease.id),
+        }],
+        removes: Vec::new(),
+    };
+    match context.store.commit(transaction).await? {
+        Commit::Done(_) => Ok(Some(lease)),
+        Commit::Conflict(_) => Ok(None),
+    }
+}
+
+/// Sends a grant or release and tells how it ended.
+pub(super) async fn send(context: &Context, service: &str, order: &Order, grant: bool) -> Ending {
+    let (call, timeout, name) = if grant {
+        let call = context.targets.grant(order, context.timing.hold);
+        (call, GRANT_TIMEOUT, "grant")
+    } else {
+        (context.targets.release(order), RELEASE_TIMEOUT, "release")
+    };
+    let mut request = Request::new(Body::from(call.body));
+    *request.method_mut() = call.method;
+    *request.uri_mut() = http::Uri::from_static(call.path);
+    *request.headers_mut() = call.headers;
+    let started = context.clock.now();
+    let result = context
+        .client
+        .send(order.owner.address, request, timeout)
+        .await;
+    let ending = match result {
+        Ok(response) => {
+            let (head, rest) = response.into_parts();
+            let ending = context.targets.settled(head.status, &head.headers);
+            // Read to its end so that the connection can be used again.
+            let _ = body::read(rest, ANSWER_BYTES).await;
+            ending
+        }
+        Err(error) => {
+            let ending = classify(&error);
+            context.report.line(&format!(
+                "event={name}-failed service={service} target={} from={} to={} fence={} ending={ending:?} {error}",
+                order.owner.id, order.from, order.to, order.fence
+            ));
+            ending
+        }
+    };
+    let took = context.clock.now().saturating_sub(started);
+    context.report.time(name, took, &[("service", service)]);
+    if !matches!(ending, Ending::Done(_)) {
+        context
+            .report
+            .count("grant.failed", &[("service", service)]);
+    }
+    ending
+}
+
+/// Tells what a failed call means for the grant that it may have carried.
+fn classify(error: &client::Error) -> Ending {
+    if error.is_refused() {
+        Ending::Gone
+    } else if error.unsent() {
+        Ending::Unsent
+    } else {
+        Ending::Silent
+    }
+}
+
+/// The time that one request takes, in seconds, at each target that was measured often enough.
+pub(super) fn measured(
+    times: &HashMap<TargetHash, (f64, f64)>,
+    targets: &[Target],
+) -> IndexMap<TargetId, f64> {
+    let time = |target: &Target| {
+        let (sum, count) = times.get(&catalogue::hash(&target.id)).copied()?;
+        (count >= SAMPLES_LEAST).then(|| (target.id.clone(), (sum / count).max(0.001)))
+    };
+    targets.iter().filter_map(time).collect()
+}
--- a/engine/src/owner/keeper.rs
+++ b/engine/src/owner/keeper.rs
@@ -24,9 +24,11 @@
 
 use indexmap::IndexMap;
 
+pub use super::order::{Effect, Ending, Event, Order, Timing};
 use super::{
     balance::{self, Holder, Move},
     deal,
+    live::{Live, Phase},
     load::Load,
     record::{Fence, Life, Part, Point, Record, Term},
 };
@@ -68,145 +70,6 @@
 /// All processes of a fleet start within some 0.3 s; a later target costs moves.
 const GATHER: Duration = Duration::from_millis(1500);
 
-/// Spans by which a keeper works.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Timing {
-    /// How long a grant holds.
-    pub hold: Duration,
-    /// The time from one renewal to the next.
-    pub renew: Duration,
-    /// How long a manager without its lease may go on renewing.
-    pub grace: Duration,
-}
-
-/// A grant or release to be sent to a target.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Order {
-    /// To which life of a target.
-    pub owner: Life,
-    /// The first key.
-    pub from: Point,
-    /// The last key.
-    pub to: Point,
-    /// The fence.
-    pub fence: Fence,
-    /// What the last owner handed over, for a grant.
-    pub handover: Option<String>,
-}
-
-/// How a call to a target ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Ending {
-    /// It was done; a release may bring a handover.
-    Done(Option<String>),
-    /// The target has seen a higher fence.
-    Fenced,
-    /// That life of the target has ended.
-    Gone,
-    /// Nothing was sent.
-    Unsent,
-    /// It got no answer, and can't arrive any more.
-    Silent,
-}
-
-/// What happens to a keeper.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Event {
-    /// These lives of targets are announced.
-    Targets(Vec<Target>),
-    /// A grant ended.
-    Granted(Point, Ending),
-    /// A release ended.
-    Released(Point, Ending),
-    /// A commit ended: the record stands at this revision.
-    Committed,
-    /// A commit failed and did not take effect; it is to be made again.
-    CommitFailed,
-    /// The manager's lease holds until then, by this VM's clock.
-    Lease(Duration),
-    /// Earlier managers have stopped, or will within half a second.
-    EarlierStopped,
-    /// Requests ran on these keys.
-    Load(Vec<(Point, u32)>),
-    /// Time passed.
-    Tick,
-}
-
-/// What a keeper wants done.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Effect {
-    /// Send a grant.
-    Grant(Order),
-    /// Send a release.
-    Release(Order),
-    /// Write the record under the condition that it has not changed.
-    Commit(Record),
-    /// Another manager has taken over; nothing more may be sent.
-    Deposed,
-    /// A belief changed: for the log.
-    Note(String),
-}
-
-#[derive(Clone, Debug, PartialEq)]
-enum Phase {
-    /// The owner is to hold the range.
-    Held,
-    /// The owner is asked to let go, in favour of this life if any.
-    Releasing(Option<Life>),
-    /// Nobody holds the range.
-    Free(Option<Life>),
-}
-
-#[derive(Clone, Debug)]
-struct Live {
-    phase: Phase,
-    /// A call is under way.
-    busy: bool,
-    /// The owner has confirmed the fence, so that no earlier manager can renew.
-    confirmed: bool,
-    /// An earlier manager may have granted the range to its owner.
-    inherited: bool,
-    /// The latest time at which a grant can have arrived; none if none was sent.
-    arrived: Option<Duration>,
-    /// When the next call is due.
-    due: Duration,
-    /// Grants in a row without an answer.
-    silences: u32,
-    /// Calls in a row that could not be sent.
-    unsent: u32,
-    handover: Option<String>,
-}
-
-impl Live {
-    fn free() -> Self {
-        Self {
-            phase: Phase::Free(None),
-            busy: false,
-            confirmed: false,
-            inherited: false,
-            arrived: None,
-            due: Duration::ZERO,
-            silences: 0,
-            unsent: 0,
-            handover: None,
-        }
-    }
-
-    fn held(now: Duration, arrived: Option<Duration>, handover: Option<String>) -> Self {
-        Self {
-            phase: Phase::Held,
-            arrived,
-            due: now,
-            handover,
-            ..Self::free()
-        }
-    }
-
-    fn is_free(&self) -> bool {
-        matches!(self.phase, Phase::Free(_)) && !self.busy
-    }
-}
-
 /// What a commit under way will change.
 #[derive(Clone, Debug)]
 struct Pending {
--- a/engine/src/owner/manager.rs
+++ b/engine/src/owner/manager.rs
@@ -2,55 +2,36 @@
 
 use std::{cell::Cell, collections::HashMap, rc::Rc, time::Duration};
 
-use bramleypier_util::{body, body::Body, client, client::Client, clock::Clock};
+use bramleypier_util::{client::Client, clock::Clock};
 use futures_channel::{mpsc, oneshot};
 use futures_util::{
     StreamExt,
     future::{self, Either},
 };
-use hyper::Request;
 use indexmap::IndexMap;
 
 use super::{
+    calls,
     keeper::{Effect, Ending, Event, Keeper, Order, Timing},
     record::{Point, Record, Term},
 };
 use crate::{
-    catalogue::{Catalogue, ServiceId, Target, TargetId},
+    catalogue::{Catalogue, ServiceId, TargetHash},
     fleet::{Beliefs, Fleet, Keys, Vm},
-    peer::{self, TargetHash},
     report::Report,
     store::{Change, Commit, Error, Item, Lease, LeaseId, Put, Revision, Store, Transaction},
     target::Targets,
 };
 
-/// How long the manager's lease lasts.
-///
-/// With a renewal each third of it, two lost renewals are borne; a manager that is lost is replaced
-/// before grants of 4 s run out.
-const LEASE: Duration = Duration::from_secs(2);
 /// The time from one renewal of the lease to the next.
 const RENEW: Duration = Duration::from_millis(600);
 /// The time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(50);
-/// How much later each next candidate bids, so that one bid usually does: a call takes some 5 ms.
-const BID_STEP: Duration = Duration::from_millis(40);
-/// The most by which a bid is put off.
-const BID_LATEST: Duration = Duration::from_millis(600);
 /// The pause after a bid that failed.
 const BID_PAUSE: Duration = Duration::from_millis(700);
-/// How long a target has to answer a grant.
-const GRANT_TIMEOUT: Duration = Duration::from_millis(400);
-/// How long a target has to answer a release: it ends the work on those keys first.
-const RELEASE_TIMEOUT: Duration = Duration::from_secs(3);
-/// The most bytes of an answer to a grant or release.
-const ANSWER_BYTES: usize = 64 * 1024;
 /// How long a manager that stops waits for its last writes.
 const RESIGN_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// From how many service times on a target's speed is taken as measured: times scatter as much as
-/// their mean, so 20 are right to within a quarter.
-const SAMPLES_LEAST: f64 = 12.0;
 /// Beyond how many the older ones lose half their weight: some four seconds of a busy target.
 const SAMPLES_MOST: f64 = 60.0;
 
@@ -247,7 +228,7 @@
         }
         for (service, counts) in counts {
             let fleet = self.context.beliefs.get();
-            let times = measured(&self.times, &targets(&fleet, &service));
+            let times = calls::measured(&self.times, &calls::targets(&fleet, &service));
             if let Some(kept) = self.kept.get_mut(&service) {
                 kept.keeper.set_times(times);
             }
@@ -319,7 +300,7 @@
         self.yield_to_other(&fleet);
         let services: Vec<_> = self.kept.keys().cloned().collect();
         for service in services {
-            self.feed(&service, Event::Targets(targets(&fleet, &service)));
+            self.feed(&service, Event::Targets(calls::targets(&fleet, &service)));
         }
     }
 
@@ -361,7 +342,7 @@
         }
         let due = *self
             .bid_due
-            .get_or_insert_with(|| now + rank(&fleet, &self.context.vm));
+            .get_or_insert_with(|| now + calls::rank(&fleet, &self.context.vm));
         if now < due {
             return;
         }
@@ -370,7 +351,7 @@
         let (context, sender) = (self.context.clone(), self.sender.clone());
         compio::runtime::spawn(async move {
             let sent = context.clock.now();
-            let result = bid(&context).await;
+            let result = calls::bid(&context).await;
             // The manager's task ends with the process only.
             let _ = sender.unbounded_send(Message::Bid(result, sent));
         })
@@ -531,7 +512,7 @@
         self.feed(service, Event::Lease(until));
         let fleet = self.context.beliefs.get();
         self.look_for_earlier(&fleet);
-        self.feed(service, Event::Targets(targets(&fleet, service)));
+        self.feed(service, Event::Targets(calls::targets(&fleet, service)));
     }
 
     /// Goes on with a service that was kept under an earlier lease, if its record is unchanged.
@@ -644,7 +625,7 @@
         let (context, sender) = (self.context.clone(), self.sender.clone());
         let service = service.to_owned();
         compio::runtime::spawn(async move {
-            let ending = send(&context, &service, &order, grant).await;
+            let ending = calls::send(&context, &service, &order, grant).await;
             let _ =
                 sender.unbounded_send(Message::Called(service, term, order.from, grant, ending));
         })
@@ -693,108 +674,3 @@
         true
     }
 }
-
-/// The targets of one service, also those that leave.
-fn targets(fleet: &Fleet, service: &str) -> Vec<Target> {
-    let of_service = fleet.targets.values().filter(|it| it.service == service);
-    of_service.cloned().collect()
-}
-
-/// How long this VM waits before it bids: VMs are ranked by a hash of their start.
-fn rank(fleet: &Fleet, own: &Vm) -> Duration {
-    let hash = |start: &str| xxhash_rust::xxh3::xxh3_64(start.as_bytes());
-    let mine = hash(&own.start);
-    let before = fleet
-        .vms
-        .values()
-        .filter(|vm| hash(&vm.start) < mine)
-        .count();
-    let steps = u32::try_from(before).unwrap_or(u32::MAX);
-    BID_STEP.saturating_mul(steps).min(BID_LATEST)
-}
-
-/// Takes a lease and writes the manager's entry under it, if there is none.
-async fn bid(context: &Context) -> Result<Option<Lease>, Error> {
-    let lease = context.store.lease(LEASE).await?;
-    let key = context.keys.manager();
-    let transaction = Transaction {
-        expected: [(key.clone(), 0)].into_iter().collect(),
-        puts: vec![Put {
-            key,
-            value: context.vm.encode(),
-            lease: Some(lease.id),
-        }],
-        removes: Vec::new(),
-    };
-    match context.store.commit(transaction).await? {
-        Commit::Done(_) => Ok(Some(lease)),
-        Commit::Conflict(_) => Ok(None),
-    }
-}
-
-/// Sends a grant or release and tells how it ended.
-async fn send(context: &Context, service: &str, order: &Order, grant: bool) -> Ending {
-    let (call, timeout, name) = if grant {
-        let call = context.targets.grant(order, context.timing.hold);
-        (call, GRANT_TIMEOUT, "grant")
-    } else {
-        (context.targets.release(order), RELEASE_TIMEOUT, "release")
-    };
-    let mut request = Request::new(Body::from(call.body));
-    *request.method_mut() = call.method;
-    *request.uri_mut() = http::Uri::from_static(call.path);
-    *request.headers_mut() = call.headers;
-    let started = context.clock.now();
-    let result = context
-        .client
-        .send(order.owner.address, request, timeout)
-        .await;
-    let ending = match result {
-        Ok(response) => {
-            let (head, rest) = response.into_parts();
-            let ending = context.targets.settled(head.status, &head.headers);
-            // Read to its end so that the connection can be used again.
-            let _ = body::read(rest, ANSWER_BYTES).await;
-            ending
-        }
-        Err(error) => {
-            let ending = classify(&error);
-            context.report.line(&format!(
-                "event={name}-failed service={service} target={} from={} to={} fence={} ending={ending:?} {error}",
-                order.owner.id, order.from, order.to, order.fence
-            ));
-            ending
-        }
-    };
-    let took = context.clock.now().saturating_sub(started);
-    context.report.time(name, took, &[("service", service)]);
-    if !matches!(ending, Ending::Done(_)) {
-        context
-            .report
-            .count("grant.failed", &[("service", service)]);
-    }
-    ending
-}
-
-/// Tells what a failed call means for the grant that it may have carried.
-fn classify(error: &client::Error) -> Ending {
-    if error.is_refused() {
-        Ending::Gone
-    } else if error.unsent() {
-        Ending::Unsent
-    } else {
-        Ending::Silent
-    }
-}
-
-/// The time that one request takes, in seconds, at each target that was measured often enough.
-fn measured(
-    times: &HashMap<TargetHash, (f64, f64)>,
-    targets: &[Target],
-) -> IndexMap<TargetId, f64> {
-    let time = |target: &Target| {
-        let (sum, count) = times.get(&peer::hash(&target.id)).copied()?;
-        (count >= SAMPLES_LEAST).then(|| (target.id.clone(), (sum / count).max(0.001)))
-    };
-    targets.iter().filter_map(time).collect()
-}
--- a/engine/src/owner/mod.rs
+++ b/engine/src/owner/mod.rs
@@ -5,9 +5,12 @@
 //! both on the VM that holds the manager's lease.
 
 pub mod balance;
+mod calls;
 pub mod deal;
 pub mod keeper;
+mod live;
 pub mod load;
 pub mod manager;
+mod order;
 pub mod record;
 pub mod tally;
--- a/engine/src/peer/mod.rs
+++ b/engine/src/peer/mod.rs
@@ -19,7 +19,7 @@
 
 pub use self::board::Board;
 use crate::{
-    catalogue::ServiceId,
+    catalogue::{ServiceId, TargetHash},
     fleet::{Place, Relay},
     owner::record::Point,
 };
@@ -47,22 +47,6 @@
     }
 }
 
-/// A target's id, hashed: messages between VMs name targets many times a second.
-pub type TargetHash = u32;
-
-/// Hashes a target's id.
-///
-/// # Example
-///
-/// ```
-/// use bramleypier_engine::peer;
-///
-/// assert_ne!(peer::hash("a"), peer::hash("b"));
-/// ```
-pub fn hash(id: &str) -> TargetHash {
-    xxhash_rust::xxh32::xxh32(id.as_bytes(), 0)
-}
-
 /// What a VM tells the manager, several times a second.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- /dev/null
+++ b/engine/src/place/message.rs
@@ -0,0 +1,178 @@
+//! What a desk is told and what it answers.
+
+use std::{collections::HashMap, fmt, rc::Rc, time::Duration};
+
+use indexmap::IndexMap;
+
+pub use super::member::{End, Ended};
+use crate::{
+    catalogue::{ServiceId, Target, TargetHash, TargetId},
+    owner::record::{Fence, Point, Record},
+};
+
+/// The number of a request; never used twice.
+pub type Ticket = u64;
+
+/// A request that asks for a target.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ask {
+    /// Its number.
+    pub ticket: Ticket,
+    /// The service.
+    pub service: ServiceId,
+    /// The key, where the service's keys have owners.
+    pub point: Option<Point>,
+    /// Its rank; 0 is the highest.
+    pub priority: u32,
+    /// When it came.
+    pub came: Duration,
+    /// When an answer is worth less.
+    pub goal: Duration,
+    /// When an answer is worth nothing.
+    pub until: Duration,
+    /// Targets that it was sent to already.
+    pub tried: Vec<TargetId>,
+    /// Whether its answer is large.
+    pub large: bool,
+    /// Whether it draws on the budget for repeats.
+    pub repeat: bool,
+}
+
+/// What happens to a desk.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A request asks for a target.
+    Ask(Ask),
+    /// A request that was sent has ended.
+    Done {
+        /// Its target.
+        target: TargetId,
+        /// Its end.
+        end: End,
+    },
+    /// A request that waits was given up by its caller.
+    Left(Ticket),
+    /// The announced targets, the owners of keys and the number of VMs are these.
+    View(Rc<View>),
+    /// Other VMs' requests by target, as the manager told; targets that are missing have none.
+    Others(HashMap<TargetHash, u32>),
+    /// Time passed.
+    Tick,
+}
+
+/// What a desk has under way, for other VMs.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct State {
+    /// Requests at each target.
+    pub flights: Vec<(TargetHash, u32)>,
+    /// Sums in seconds and counts of service times without waiting.
+    pub times: Vec<(TargetHash, f64, u32)>,
+}
+
+/// What a desk is told of the fleet.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// Targets that may be sent work, by service.
+    pub targets: IndexMap<ServiceId, Vec<Target>>,
+    /// Owners by service.
+    pub records: IndexMap<ServiceId, Rc<Record>>,
+    /// How many VMs there are.
+    pub vms: usize,
+}
+
+/// What a decision rested on, for the log.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Basis {
+    /// The target that was looked at, if there was one.
+    pub target: TargetId,
+    /// The request's key, where its service has owners.
+    pub point: Option<Point>,
+    /// How many requests were probably there.
+    pub depth: f64,
+    /// How long an answer would probably have taken.
+    pub expected: Duration,
+    /// How old the manager's word on other VMs' requests was; none without one.
+    pub age: Option<Duration>,
+    /// The fence of the target's ownership of the key; 0 where keys have no owners.
+    pub fence: Fence,
+}
+
+impl fmt::Display for Basis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let age = self
+            .age
+            .map_or_else(|| "unknown".to_owned(), |age| age.as_millis().to_string());
+        write!(
+            f,
+            "{} depth={:.1} expected_ms={} age_ms={age} fence={}",
+            self.target,
+            self.depth,
+            self.expected.as_millis(),
+            self.fence
+        )
+    }
+}
+
+/// What a desk decides.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Send the request there.
+    Send {
+        /// The request.
+        ticket: Ticket,
+        /// The target.
+        target: Target,
+        /// What the decision rests on.
+        basis: Basis,
+    },
+    /// Refuse the request.
+    Refuse {
+        /// The request.
+        ticket: Ticket,
+        /// Why.
+        why: Why,
+        /// When a place is likely free.
+        retry: Duration,
+        /// What the decision rests on.
+        basis: Basis,
+    },
+}
+
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Why {
+    /// The service has no target that can be reached.
+    NoTarget,
+    /// Its key has no owner that can be reached.
+    NoOwner,
+    /// No answer is expected in time.
+    Late,
+    /// No answer is expected within the route's goal, and others wait that can still have one.
+    Goal,
+    /// The budget for repeats is spent.
+    Budget,
+    /// Too many wait here.
+    Full,
+}
+
+impl Why {
+    /// Returns the reason as logs and callers read it.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_engine::place::desk::Why;
+    ///
+    /// assert_eq!(Why::Late.name(), "late");
+    /// ```
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoTarget => "no-target",
+            Self::NoOwner => "no-owner",
+            Self::Late => "late",
+            Self::Goal => "goal",
+            Self::Budget => "budget",
+            Self::Full => "full",
+        }
+    }
+}
--- a/engine/src/place/mod.rs
+++ b/engine/src/place/mod.rs
@@ -6,4 +6,5 @@
 pub mod budget;
 pub mod desk;
 mod member;
+mod message;
 pub mod task;
--- a/engine/tests/desk.rs
+++ b/engine/tests/desk.rs
@@ -3,9 +3,8 @@
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
 use bramleypier_engine::{
-    catalogue::Target,
+    catalogue::{self, Target},
     owner::record::{Life, Part, Record},
-    peer,
     place::{
         budget::Allowance,
         desk::{Ask, Desk, Effect, End, Ended, Event, View, Why},
@@ -129,7 +128,7 @@
 #[test]
 fn other_vms_requests_count_as_own() {
     let mut desk = desk(vec![target(0, "d1"), target(1, "d1")], None);
-    let others = HashMap::from([(peer::hash("t0"), 4)]);
+    let others = HashMap::from([(catalogue::hash("t0"), 4)]);
     desk.on(ms(1), Event::Others(others));
     for ticket in 0..3 {
         let effects = desk.on(ms(2), Event::Ask(ask(ticket, ms(2))));
@@ -140,7 +139,7 @@
 #[test]
 fn a_full_target_makes_requests_wait_and_serves_them_by_rank() {
     let mut desk = desk(vec![target(0, "d1")], None);
-    let others = HashMap::from([(peer::hash("t0"), 7)]);
+    let others = HashMap::from([(catalogue::hash("t0"), 7)]);
     desk.on(ms(1), Event::Others(others));
     let mut late = ask(1, ms(2));
     late.until = ms(5000);
@@ -150,7 +149,7 @@
     assert!(desk.on(ms(2), Event::Ask(late)).is_empty());
     assert!(desk.on(ms(2), Event::Ask(urgent)).is_empty());
     assert_eq!(desk.waiting(), 2);
-    let others = HashMap::from([(peer::hash("t0"), 6)]);
+    let others = HashMap::from([(catalogue::hash("t0"), 6)]);
     let effects = desk.on(ms(10), Event::Others(others));
     assert_eq!(sent(&effects), [(2, "t0".to_owned())]);
 }
@@ -162,7 +161,7 @@
         desk.on(ms(1), done("t0", Ended::Answered(ms(300)), ms(0)));
         let _ = ticket;
     }
-    let others = HashMap::from([(peer::hash("t0"), 4)]);
+    let others = HashMap::from([(catalogue::hash("t0"), 4)]);
     desk.on(ms(2), Event::Others(others));
     let effects = desk.on(ms(3), Event::Ask(ask(99, ms(3))));
     let [Effect::Refuse { why, retry, .. }] = &effects[..] else {
@@ -175,7 +174,7 @@
 #[test]
 fn late_requests_stand_behind_those_that_can_still_make_the_goal() {
     let mut desk = desk(vec![target(0, "d1")], None);
-    let others = HashMap::from([(peer::hash("t0"), 3)]);
+    let others = HashMap::from([(catalogue::hash("t0"), 3)]);
     desk.on(ms(1), Event::Others(others));
     let mut late = ask(1, ms(2));
     late.goal = ms(3);
