--- a/engine/src/owner/keeper.rs
+++ b/engine/src/owner/keeper.rs
@@ -258,7 +258,7 @@
     }
 
     fn granted(&mut self, now: Duration, from: Point, ending: &Ending, out: &mut Vec<Effect>) {
-        let hold = self.timing.renew;
+        let renew = self.timing.renew;
         let Some(live) = self.live.get_mut(&from) else {
             return;
         };
@@ -273,7 +273,7 @@
                 live.arrived = Some(now);
                 live.silences = 0;
                 live.handover = None;
-                live.due = now + hold;
+                live.due = now + renew;
             }
             Ending::Fenced => {
                 self.stopped = true;
