An order whose caller has left while it waits is not sent

Cause: work that may not repeat runs in a task of its own, which went on to send it after its caller had gone. Found by reading; the test was red before. Change: the task asks whether the caller is still there just before each try; what was sent already goes on to its end.

--- a/engine/src/caller/forward.rs
+++ b/engine/src/caller/forward.rs
@@ -1,6 +1,6 @@
 //! A request's way: limits, route, target, tries, answer.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use bramleypier_util::{body::Body, clock::Clock};
 use futures_channel::oneshot;
@@ -153,8 +153,10 @@
             );
         }
     };
+    let here = Here::default();
+    let caller = here.clone();
     compio::runtime::spawn(async move {
-        let (result, trace) = attempts(&inner, &order, work, payload).await;
+        let (result, trace) = attempts(&inner, &order, work, payload, &caller).await;
         let response = finish(&inner, &order.asked, Some(&order), came, &trace, result);
         if sender.send(response).is_err() {
             inner
@@ -164,6 +166,7 @@
     })
     .detach();
     let lost = || Own::new(Word::Lost, "the request's task ended early");
+    let _leaving = Leaving(here);
     match receiver.await {
         Ok(response) => response,
         Err(_) => finish(
@@ -177,6 +180,25 @@
     }
 }
 
+/// Whether a request's caller is still there.
+#[derive(Clone, Debug)]
+struct Here(Rc<Cell<bool>>);
+
+impl Default for Here {
+    fn default() -> Self {
+        Self(Rc::new(Cell::new(true)))
+    }
+}
+
+/// Tells that a caller has left when its connection's task is dropped.
+struct Leaving(Here);
+
+impl Drop for Leaving {
+    fn drop(&mut self) {
+        self.0.0.set(false);
+    }
+}
+
 /// Finds a request's route and the end of its time.
 fn plan(
     context: &Context,
@@ -222,7 +244,7 @@
     limit: u64,
 ) -> (Result<Response<Body>, Own>, Trace) {
     match payload(context, job, request.into_parts(), limit).await {
-        Ok((work, payload)) => attempts(context, job, work, payload).await,
+        Ok((work, payload)) => attempts(context, job, work, payload, &Here::default()).await,
         Err(own) => (Err(own), Trace::default()),
     }
 }
@@ -288,11 +310,21 @@
     job: &Job,
     work: Work,
     mut payload: Payload,
+    here: &Here,
 ) -> (Result<Response<Body>, Own>, Trace) {
     let mut trace = Trace::default();
     let mut history = History::default();
     let result = loop {
-        match next(context, job, &work, &mut payload, &mut history, &mut trace).await {
+        let step = next(
+            context,
+            job,
+            &work,
+            &mut payload,
+            &mut history,
+            &mut trace,
+            here,
+        );
+        match step.await {
             Step::Again => {}
             Step::End(result) => break result,
         }
@@ -338,6 +370,7 @@
     payload: &mut Payload,
     history: &mut History,
     trace: &mut Trace,
+    here: &Here,
 ) -> Step {
     let repeat = history.arrivals > 0;
     let ask = Ask {
@@ -370,6 +403,9 @@
     if left < LEAST_TIME {
         return history.give_up(Own::not_run("its time ended while it waited", COME_BACK));
     }
+    if !here.0.get() {
+        return history.give_up(Own::not_run("its caller left while it waited", COME_BACK));
+    }
     let Some(body) = payload.take() else {
         return history.give_up(Own::not_run("its body has been sent once", COME_BACK));
     };
--- a/program/tests/serve.rs
+++ b/program/tests/serve.rs
@@ -402,6 +402,31 @@
     });
 }
 
+#[test]
+fn an_order_whose_caller_leaves_while_it_waits_is_not_sent() {
+    play(async |stage| {
+        let plain = &stage.servers[..2];
+        for server in plain {
+            stage.store.remove(&format!("servers/{}", server.id));
+        }
+        let clock = Clock::real();
+        clock.sleep(Duration::from_millis(400)).await;
+        let asking = stage.ask("POST", "/order/x", "left");
+        let left = clock.timeout(Duration::from_millis(100), asking).await;
+        assert!(left.is_err(), "it was answered without a target");
+        for server in plain {
+            let key = format!("servers/{}", server.id);
+            stage.store.put(&key, &server.entry("plain", "ready"));
+        }
+        clock.sleep(Duration::from_millis(600)).await;
+        assert_eq!(stage.ran("left"), 0);
+        assert_eq!(
+            stage.ask("POST", "/order/x", "stays").await.0,
+            StatusCode::OK
+        );
+    });
+}
+
 #[test]
 fn serving_goes_on_while_the_store_is_away() {
     play(async |stage| {
