A refused connection alone no longer ends a target's life

Ruled out: asking other VMs (all of them are refused alike); the entry in the store (it lapses behind a cut too). Waiting for the hold at each crash would be safe too, but leaves keys of each crashed target without an owner for 4.2 s. Change: the client notes when a peer ends a connection in use in order, which only the peer's own system does, never a path. Only with that, within a second, a refusal proves an end. A reset, an announced end or an idle time that ran out proves nothing; then the hold is waited for. The manager hears of such an end within 50 ms and calls at once, and the first answer settles all ranges of that life together.

--- a/engine/src/owner/calls.rs
+++ b/engine/src/owner/calls.rs
@@ -29,6 +29,10 @@
 const GRANT_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long a target has to answer a release: it ends the work on those keys first.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long after a target has closed a connection a refused one proves that its process ended.
+///
+/// The manager calls within 50 ms of the end; the rest allows for packets sent again.
+const CLOSED_WITHIN: Duration = Duration::from_secs(1);
 /// The most bytes of an answer to a grant or release.
 const ANSWER_BYTES: usize = 64 * 1024;
 /// From how many service times on a target's speed is taken as measured: times scatter as much as
@@ -99,7 +103,8 @@
             ending
         }
         Err(error) => {
-            let ending = classify(&error);
+            let closed = context.client.closed(order.owner.address);
+            let ending = classify(&error, closed, context.clock.now());
             context.report.line(&format!(
                 "event={name}-failed service={service} target={} from={} to={} fence={} ending={ending:?} {error}",
                 order.owner.id, order.from, order.to, order.fence
@@ -118,8 +123,13 @@
 }
 
 /// Tells what a failed call means for the grant that it may have carried.
-fn classify(error: &client::Error) -> Ending {
-    if error.is_refused() {
+///
+/// A refusal alone may come from a path that is cut while the target works on. Only together with
+/// the orderly end of a connection in use, which no path sends, does it prove that the process has
+/// ended.
+fn classify(error: &client::Error, closed: Option<Duration>, now: Duration) -> Ending {
+    let lately = closed.is_some_and(|at| now.saturating_sub(at) <= CLOSED_WITHIN);
+    if error.is_refused() && lately {
         Ending::Gone
     } else if error.unsent() {
         Ending::Unsent
--- a/engine/src/owner/keeper.rs
+++ b/engine/src/owner/keeper.rs
@@ -20,7 +20,7 @@
     reason = "counts of requests, slots and keys are far below 2^52"
 )]
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use indexmap::IndexMap;
 
@@ -240,6 +240,7 @@
                 self.earlier_until = self.earlier_until.min(now + LAST_GRANTS);
             }
             Event::Load(counts) => self.load.add(now, counts),
+            Event::Closed(address) => self.hurry(now, address),
             Event::Tick => {}
         }
         if !self.stopped {
@@ -279,7 +280,7 @@
                 self.stopped = true;
                 out.push(Effect::Deposed);
             }
-            Ending::Gone => self.bury(now, from, out),
+            Ending::Gone => self.bury_all(now, from, out),
             Ending::Unsent => live.unsent += 1,
             Ending::Silent => {
                 live.arrived = live.arrived.max(Some(now));
@@ -309,12 +310,40 @@
                 live.handover = handover;
                 live.arrived = None;
             }
-            Ending::Gone => self.bury(now, from, out),
+            Ending::Gone => self.bury_all(now, from, out),
             // A release extends no hold; the hold runs out meanwhile.
             Ending::Fenced | Ending::Unsent | Ending::Silent => {}
         }
     }
 
+    /// Makes grants to the owners at an address due at once: their answers tell whether they live.
+    ///
+    /// Keys of a target that has ended are without an owner for some 0.1 s instead of up to a whole
+    /// time between renewals.
+    fn hurry(&mut self, now: Duration, address: SocketAddr) {
+        for part in &self.record.parts {
+            let owned = part.owner.as_ref().is_some_and(|it| it.address == address);
+            if let Some(live) = self.live.get_mut(&part.from).filter(|_| owned) {
+                live.due = live.due.min(now);
+            }
+        }
+    }
+
+    /// The owner of a range has ended, and with it the hold of each range that it owned.
+    fn bury_all(&mut self, now: Duration, from: Point, out: &mut Vec<Effect>) {
+        let owner = self.record.find(from).and_then(|part| part.owner.clone());
+        let owned = self.record.parts.iter().filter(|part| part.owner == owner);
+        // What a call is under way for is settled by that call's end.
+        let idle = owned.filter(|part| {
+            let live = self.live.get(&part.from);
+            live.is_some_and(|live| !live.busy && !matches!(live.phase, Phase::Free(_)))
+        });
+        let lost: Vec<Point> = idle.map(|part| part.from).collect();
+        for from in lost {
+            self.bury(now, from, out);
+        }
+    }
+
     /// A range's owner has ended. Its next life could be granted the range by an earlier manager.
     fn bury(&mut self, now: Duration, from: Point, out: &mut Vec<Effect>) {
         if now >= self.earlier_until {
--- a/engine/src/owner/manager.rs
+++ b/engine/src/owner/manager.rs
@@ -119,6 +119,8 @@
     bidding: bool,
     bid_due: Option<Duration>,
     renew_due: Duration,
+    /// When closed connections were last looked for.
+    looked: Duration,
     stopping: Option<oneshot::Sender<()>>,
 }
 
@@ -135,6 +137,7 @@
         bidding: false,
         bid_due: None,
         renew_due: Duration::ZERO,
+        looked: Duration::ZERO,
         stopping: None,
     };
     compio::runtime::spawn(manager.run(receiver)).detach();
@@ -327,12 +330,26 @@
         if self.context.leading.get() {
             self.take_services();
         }
+        self.look_for_closed(now);
         let services: Vec<_> = self.kept.keys().cloned().collect();
         for service in services {
             self.feed(&service, Event::Tick);
         }
     }
 
+    /// Tells keepers which targets have closed connections since the last look.
+    fn look_for_closed(&mut self, now: Duration) {
+        let closed = self.context.client.closed_since(self.looked);
+        self.looked = now;
+        let services: Vec<_> = self.kept.keys().cloned().collect();
+        for address in closed {
+            self.log(&format!("event=target-closed address={address}"));
+            for service in &services {
+                self.feed(service, Event::Closed(address));
+            }
+        }
+    }
+
     /// Bids for the lease when nobody has it, in an order that differs by VM.
     fn seek(&mut self, now: Duration) {
         let fleet = self.context.beliefs.get();
--- a/engine/src/owner/order.rs
+++ b/engine/src/owner/order.rs
@@ -1,6 +1,6 @@
 //! What goes into a keeper and what it wants done.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use super::record::{Fence, Life, Point, Record};
 use crate::catalogue::Target;
@@ -61,6 +61,8 @@
     CommitFailed,
     /// The manager's lease holds until then, by this VM's clock.
     Lease(Duration),
+    /// A target at this address has closed a connection in use: its process may have ended.
+    Closed(SocketAddr),
     /// Earlier managers have stopped, or will within half a second.
     EarlierStopped,
     /// Requests ran on these keys.
--- /dev/null
+++ b/engine/tests/keeper.rs
@@ -0,0 +1,139 @@
+//! What a keeper does when a life of a target ends.
+
+use std::time::Duration;
+
+use bramleypier_engine::{
+    catalogue::Target,
+    owner::{
+        keeper::{Effect, Ending, Event, Keeper, Order, Timing},
+        record::{Life, Part, Point, Record},
+    },
+};
+
+const TIMING: Timing = Timing {
+    hold: Duration::from_secs(4),
+    renew: Duration::from_millis(1300),
+    grace: Duration::from_secs(8),
+};
+const LAST: Point = 99;
+
+fn target(number: u16) -> Target {
+    Target {
+        id: format!("t{number}"),
+        born: 1,
+        service: "s".to_owned(),
+        address: ([127, 0, 0, 1], 9000 + number).into(),
+        domain: "d".to_owned(),
+        slots: 2,
+        leaving: false,
+        cold: Duration::ZERO,
+    }
+}
+
+/// A keeper whose first target owns three ranges apart, all granted; returns it with the grants.
+fn keeper() -> (Keeper, Vec<Order>, Duration) {
+    let targets: Vec<Target> = (1..=3).map(target).collect();
+    let owners = [0, 1, 0, 2, 0];
+    let parts = owners.iter().zip(0..).map(|(owner, place)| Part {
+        from: place * 20,
+        to: place * 20 + 19,
+        fence: 1,
+        owner: Some(Life::of(&targets[*owner])),
+    });
+    let record = Record {
+        term: 1,
+        resigned: true,
+        parts: parts.collect(),
+        ..Record::first(LAST)
+    };
+    let now = Duration::from_secs(10);
+    let (mut keeper, _) = Keeper::take_over("vm-1", record, TIMING, now);
+    keeper.on(now, Event::Lease(now + Duration::from_secs(2)));
+    keeper.on(now, Event::Targets(targets));
+    let grants = grants(&keeper.on(now, Event::Committed));
+    assert_eq!(grants.len(), owners.len());
+    for order in &grants {
+        keeper.on(now, Event::Granted(order.from, Ending::Done(None)));
+    }
+    (keeper, grants, now)
+}
+
+fn grants(effects: &[Effect]) -> Vec<Order> {
+    let orders = effects.iter().filter_map(|effect| match effect {
+        Effect::Grant(order) => Some(order.clone()),
+        _ => None,
+    });
+    orders.collect()
+}
+
+fn committed(effects: &[Effect]) -> Option<&Record> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Commit(record) => Some(record),
+        _ => None,
+    })
+}
+
+#[test]
+fn the_end_of_a_life_frees_all_its_ranges_at_once() {
+    let (mut keeper, _, now) = keeper();
+    let due = now + TIMING.renew;
+    let lost = grants(&keeper.on(due, Event::Tick));
+    let first = lost.iter().find(|order| order.owner.id == "t1").unwrap();
+    for order in lost.iter().filter(|order| order.owner.id != "t1") {
+        keeper.on(due, Event::Granted(order.from, Ending::Done(None)));
+    }
+    // Its other two calls are still under way when the first tells.
+    let others: Vec<_> = lost
+        .iter()
+        .filter(|order| order.owner.id == "t1" && order.from != first.from)
+        .collect();
+    for order in &others {
+        keeper.on(due, Event::Granted(order.from, Ending::Done(None)));
+    }
+    let effects = keeper.on(due, Event::Granted(first.from, Ending::Gone));
+    let record = committed(&effects).expect("new owners are written at once");
+    let left = record.parts.iter().filter(|part| {
+        let owner = part.owner.as_ref();
+        owner.is_some_and(|owner| owner.id == "t1")
+    });
+    assert_eq!(left.count(), 0, "no range stays with a life that has ended");
+}
+
+#[test]
+fn a_closed_connection_makes_its_targets_grants_due() {
+    let (mut keeper, granted, now) = keeper();
+    let soon = now + Duration::from_millis(100);
+    assert!(grants(&keeper.on(soon, Event::Tick)).is_empty());
+    let effects = keeper.on(soon, Event::Closed(target(1).address));
+    let expected: Vec<Point> = granted
+        .iter()
+        .filter(|order| order.owner.id == "t1")
+        .map(|order| order.from)
+        .collect();
+    let sent: Vec<Point> = grants(&effects).iter().map(|order| order.from).collect();
+    assert_eq!(sent, expected);
+}
+
+#[test]
+fn a_target_that_only_refuses_keeps_its_ranges_until_its_hold_ran_out() {
+    let (mut keeper, _, now) = keeper();
+    let step = Duration::from_millis(50);
+    let mut at = now;
+    let freed = loop {
+        at += step;
+        let mut effects = keeper.on(at, Event::Lease(at + Duration::from_secs(2)));
+        for order in grants(&effects) {
+            let ending = if order.owner.id == "t1" {
+                Ending::Unsent
+            } else {
+                Ending::Done(None)
+            };
+            effects.extend(keeper.on(at, Event::Granted(order.from, ending)));
+        }
+        if committed(&effects).is_some() {
+            break at;
+        }
+        assert!(at < now + Duration::from_secs(10), "its keys move at last");
+    };
+    assert!(freed >= now + TIMING.hold, "freed after {:?}", freed - now);
+}
--- a/util/src/client.rs
+++ b/util/src/client.rs
@@ -18,6 +18,7 @@
     Request, Response,
     body::Incoming,
     client::conn::http1::{self, SendRequest},
+    header,
     rt::{Read, ReadBufCursor, Write},
 };
 use indexmap::IndexMap;
@@ -30,6 +31,11 @@
 /// Peers are a few milliseconds apart. An opening packet that is lost is sent again after a second
 /// only, so waiting longer gains nothing, and a peer behind a cut never answers.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// How lately a connection must have been used for its end to tell of the peer's process.
+///
+/// One that was idle for longer may have met the peer's idle timeout, of which 2 s is the least
+/// that a server can announce and still be of use to a caller of once a second.
+const USED_WITHIN: Duration = Duration::from_millis(1500);
 
 quick_error! {
     /// Why a request got no answer.
@@ -81,6 +87,8 @@
 struct Connection {
     sender: SendRequest<Body>,
     written: Rc<Cell<u64>>,
+    /// When it was last used, once the peer has answered on it and goes on listening.
+    used: Rc<Cell<Option<Duration>>>,
 }
 
 /// Connections by address.
@@ -91,6 +99,8 @@
     opened: Rc<Cell<u64>>,
     connections: Rc<RefCell<IndexMap<SocketAddr, Vec<Connection>>>>,
     connecting: Rc<RefCell<IndexMap<SocketAddr, usize>>>,
+    /// When peers last closed a connection that was in use.
+    closed: Rc<RefCell<IndexMap<SocketAddr, Duration>>>,
 }
 
 impl std::fmt::Debug for Client {
@@ -110,6 +120,7 @@
             opened: Rc::default(),
             connections: Rc::default(),
             connecting: Rc::default(),
+            closed: Rc::default(),
         }
     }
 
@@ -118,6 +129,21 @@
         self.opened.get()
     }
 
+    /// Returns when the peer last closed a connection on which it had just answered.
+    ///
+    /// An orderly end is sent by the system of the peer's VM when its process ends, and by no
+    /// path between. A reset, an announced end and an idle timeout don't count.
+    pub fn closed(&self, peer: SocketAddr) -> Option<Duration> {
+        self.closed.borrow().get(&peer).copied()
+    }
+
+    /// Returns the peers that closed a connection in use after `since`; see [`Client::closed`].
+    pub fn closed_since(&self, since: Duration) -> Vec<SocketAddr> {
+        let closed = self.closed.borrow();
+        let later = closed.iter().filter(|(_, at)| **at > since);
+        later.map(|(peer, _)| *peer).collect()
+    }
+
     /// Sends a request and waits for the head of the answer.
     ///
     /// # Errors
@@ -152,10 +178,15 @@
         // only the count of written bytes could tell, so `sent` errs towards having sent.
         let before = connection.written.get();
         sent.set(true);
+        if connection.used.get().is_some() {
+            connection.used.set(Some(self.clock.now()));
+        }
         let result = connection.sender.try_send_request(request).await;
         let unsent = connection.written.get() == before;
         match result {
             Ok(response) => {
+                let used = (!is_last(&response)).then(|| self.clock.now());
+                connection.used.set(used);
                 self.keep(peer, connection);
                 Ok(response)
             }
@@ -199,22 +230,49 @@
         socket::prepare(&stream);
         socket::reset_on_close(&stream);
         let written = Rc::new(Cell::new(0));
+        let used = Rc::new(Cell::new(None));
+        let stream = Stream::new(stream);
+        let ended = stream.ended();
         let counted = Counted {
-            stream: Stream::new(stream),
+            stream,
             written: written.clone(),
         };
         let (sender, task) = http1::handshake(counted)
             .await
             .map_err(|cause| Error::Unsent(peer, cause))?;
         self.opened.set(self.opened.get() + 1);
+        let (client, last) = (self.clone(), used.clone());
         compio::runtime::spawn(async move {
             // The sender hears of a failure by itself.
             let _ = task.await;
+            if ended.get() {
+                client.note_closed(peer, last.get());
+            }
             drop(permit);
         })
         .detach();
-        Ok(Connection { sender, written })
+        Ok(Connection {
+            sender,
+            written,
+            used,
+        })
     }
+
+    /// Takes note of an orderly end by the peer, if the connection was in use.
+    fn note_closed(&self, peer: SocketAddr, used: Option<Duration>) {
+        let now = self.clock.now();
+        if used.is_some_and(|used| now.saturating_sub(used) <= USED_WITHIN) {
+            self.closed.borrow_mut().insert(peer, now);
+        }
+    }
+}
+
+/// Returns whether the peer announces that it closes the connection after this answer.
+fn is_last(response: &Response<Incoming>) -> bool {
+    let values = response.headers().get_all(header::CONNECTION);
+    values
+        .iter()
+        .any(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
 }
 
 /// The right to one open connection; given back when its task ends.
--- a/util/src/stream.rs
+++ b/util/src/stream.rs
@@ -1,8 +1,10 @@
 //! A TCP stream as hyper reads and writes it.
 
 use std::{
+    cell::Cell,
     io,
     pin::Pin,
+    rc::Rc,
     task::{Context, Poll, ready},
 };
 
@@ -15,6 +17,7 @@
 #[derive(Debug)]
 pub struct Stream {
     inner: Pin<Box<AsyncStream<TcpStream>>>,
+    ended: Rc<Cell<bool>>,
 }
 
 impl Stream {
@@ -22,8 +25,14 @@
     pub fn new(stream: TcpStream) -> Self {
         Self {
             inner: Box::pin(AsyncStream::new(stream)),
+            ended: Rc::default(),
         }
     }
+
+    /// Returns what turns true once the peer has ended the stream in order; a reset doesn't.
+    pub fn ended(&self) -> Rc<Cell<bool>> {
+        self.ended.clone()
+    }
 }
 
 impl Read for Stream {
@@ -32,10 +41,14 @@
         context: &mut Context<'_>,
         mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let bytes = ready!(self.inner.as_mut().poll_fill_buf(context))?;
+        let Self { inner, ended } = &mut *self;
+        let bytes = ready!(inner.as_mut().poll_fill_buf(context))?;
+        if bytes.is_empty() {
+            ended.set(true);
+        }
         let count = bytes.len().min(buffer.remaining());
         buffer.put_slice(&bytes[..count]);
-        self.inner.as_mut().consume(count);
+        inner.as_mut().consume(count);
         Poll::Ready(Ok(()))
     }
 }
