Limits on callers hold for slow heads and for bodies in pieces

Cause: a head in slow pieces was given up only after the longer of head and idle time, since one timer of the library covered both; a body without a length was cut only up to 256 KiB, beyond that never. Ruled out: setting the library's timer to the head's time (it also ends idle connections, which callers use again for four fifths of the idle time). Change: a connection's pace (`util/src/pace.rs`, free of I/O) knows idle, head and busy; a streamed body counts on and breaks off at the operator's limit, and its caller is told so. `forward` is split into the way, the payload and the tries; the tests' stage is a module of its own.

--- a/engine/src/caller/attempt.rs
+++ b/engine/src/caller/attempt.rs
@@ -7,10 +7,7 @@
     client::{self, Client},
     clock::Clock,
 };
-use hyper::{
-    HeaderMap, Method, Request, Response, StatusCode, Uri,
-    body::{Bytes, Incoming},
-};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming};
 
 use super::{body, headers};
 use crate::{
@@ -39,30 +36,6 @@
     pub headers: HeaderMap,
 }
 
-/// A request's body, for one try or for all.
-#[derive(Debug)]
-pub enum Payload {
-    /// Read whole.
-    Whole(Bytes),
-    /// Streams; there is one try only.
-    Once(Option<Body>),
-}
-
-impl Payload {
-    /// Takes a copy for a try; none if it is spent.
-    pub fn take(&mut self) -> Option<Body> {
-        match self {
-            Self::Whole(bytes) => Some(Body::from(bytes.clone())),
-            Self::Once(body) => body.take(),
-        }
-    }
-
-    /// Returns whether another try is possible.
-    pub fn is_left(&self) -> bool {
-        matches!(self, Self::Whole(_) | Self::Once(Some(_)))
-    }
-}
-
 /// How a try ended.
 #[derive(Debug)]
 pub enum Tried {
--- a/engine/src/caller/body.rs
+++ b/engine/src/caller/body.rs
@@ -2,7 +2,9 @@
 //! where they are not.
 
 use std::{
+    cell::Cell,
     pin::Pin,
+    rc::Rc,
     task::{Context, Poll},
 };
 
@@ -58,6 +60,8 @@
     rest: Incoming,
     left: Option<u64>,
     permit: Option<(Permit, std::time::Duration)>,
+    /// How many more bytes may come, and what is set once there are more.
+    room: Option<(u64, Rc<Cell<bool>>)>,
 }
 
 impl Streamed {
@@ -70,9 +74,29 @@
             rest,
             left,
             permit: None,
+            room: None,
         }
     }
 
+    /// Breaks the body off, and sets `over`, once it is longer than `limit`.
+    pub fn within(mut self, limit: u64, over: Rc<Cell<bool>>) -> Self {
+        let read: u64 = self.before.iter().map(|it| it.len() as u64).sum();
+        self.room = Some((limit.saturating_sub(read), over));
+        self
+    }
+
+    /// Counts a piece; tells whether it is still within the limit.
+    fn admit(&mut self, piece: u64) -> bool {
+        let Some((room, over)) = &mut self.room else {
+            return true;
+        };
+        match room.checked_sub(piece) {
+            Some(left) => *room = left,
+            None => over.set(true),
+        }
+        !over.get()
+    }
+
     /// Keeps a target's place until the body has ended.
     pub fn holding(mut self, permit: Permit, took: std::time::Duration) -> Self {
         self.permit = Some((permit, took));
@@ -106,7 +130,13 @@
         match &polled {
             Poll::Ready(None) => self.end(true),
             Poll::Ready(Some(Err(_))) => self.end(false),
-            _ => {}
+            Poll::Ready(Some(Ok(frame))) => {
+                let piece = frame.data_ref().map_or(0, |it| it.len() as u64);
+                if !self.admit(piece) {
+                    return Poll::Ready(Some(Err("the body is longer than allowed".into())));
+                }
+            }
+            Poll::Pending => {}
         }
         polled.map_err(Into::into)
     }
--- a/engine/src/caller/mod.rs
+++ b/engine/src/caller/mod.rs
@@ -1,14 +1,18 @@
 //! Callers: what they ask, how a request goes through, and what they are answered.
 //!
 //! [`serve`] owns callers' connections; [`forward`] takes one request from its route to its answer;
-//! [`attempt`] sends it to one target; [`words`] are the answers of our own.
+//! `tries` decides which targets it goes to one after the other; [`attempt`] sends it to one;
+//! [`words`] are the answers of our own.
 
 pub mod attempt;
 mod body;
 pub mod forward;
 pub mod headers;
+mod outcome;
 pub mod patience;
+mod payload;
 pub mod serve;
+mod tries;
 pub mod words;
 
 use std::time::Duration;
--- a/engine/src/caller/serve.rs
+++ b/engine/src/caller/serve.rs
@@ -39,7 +39,7 @@
 
 /// Serves callers until the control stops it.
 pub async fn callers(listener: TcpListener, control: Control, context: Context, gate: Gate) {
-    let beliefs = context.beliefs.clone();
+    let (beliefs, clock) = (context.beliefs.clone(), context.clock.clone());
     let bounds = move || {
         let fleet = beliefs.get();
         bounds(
@@ -60,7 +60,7 @@
             response
         }
     };
-    server::serve_with(listener, control, bounds, handler).await;
+    server::serve_with(listener, control, clock, bounds, handler).await;
 }
 
 fn bounds(limits: CallerLimits) -> Bounds {
--- /dev/null
+++ b/engine/src/caller/tries.rs
@@ -0,0 +1,231 @@
+//! A request's tries: which come, what each means, and when it is given up.
+
+use std::{cell::Cell, rc::Rc};
+
+use bramleypier_util::body::Body;
+use hyper::Response;
+
+use super::{
+    attempt::{LEAST_TIME, Tried, Work},
+    forward::{Context, Job},
+    outcome::{COME_BACK, Own, Trace},
+    payload::Payload,
+    words::Word,
+};
+use crate::{catalogue::Kind, place::desk::Ask, target::Refusal};
+
+/// How often a try may end without anything sent until the request is refused.
+const UNSENT_MOST: u32 = 4;
+/// How often a target may say that it doesn't own a key until the request is refused.
+const UNOWNED_MOST: u32 = 3;
+
+/// Whether a request's caller is still there.
+#[derive(Clone, Debug)]
+pub(super) struct Here(Rc<Cell<bool>>);
+
+impl Default for Here {
+    fn default() -> Self {
+        Self(Rc::new(Cell::new(true)))
+    }
+}
+
+impl Here {
+    /// Takes note that the caller has left.
+    pub(super) fn leave(&self) {
+        self.0.set(false);
+    }
+}
+
+/// Tries targets until one answers or the request is given up.
+pub(super) async fn run(
+    context: &Context,
+    job: &Job,
+    work: Work,
+    mut payload: Payload,
+    here: &Here,
+) -> (Result<Response<Body>, Own>, Trace) {
+    let mut trace = Trace::default();
+    let mut history = History::default();
+    let result = loop {
+        let step = next(
+            context,
+            job,
+            &work,
+            &mut payload,
+            &mut history,
+            &mut trace,
+            here,
+        );
+        match step.await {
+            Step::Again => {}
+            Step::End(result) => break result,
+        }
+    };
+    (result, trace)
+}
+
+/// What has happened to a request so far.
+#[derive(Debug, Default)]
+struct History {
+    /// Targets that it reached.
+    reached: Vec<String>,
+    /// How often it arrived at a target.
+    arrivals: u32,
+    unsent: u32,
+    unowned: u32,
+    /// It may have run.
+    doubt: Option<Own>,
+    /// A target's failure that can be passed on if nothing better comes.
+    failure: Option<Response<Body>>,
+}
+
+enum Step {
+    Again,
+    End(Result<Response<Body>, Own>),
+}
+
+impl History {
+    /// Ends a request that can't be sent any more.
+    fn give_up(&mut self, own: Own) -> Step {
+        if let Some(response) = self.failure.take() {
+            return Step::End(Ok(response));
+        }
+        // Once it may have run, no refusal can say otherwise.
+        Step::End(Err(self.doubt.take().unwrap_or(own)))
+    }
+}
+
+async fn next(
+    context: &Context,
+    job: &Job,
+    work: &Work,
+    payload: &mut Payload,
+    history: &mut History,
+    trace: &mut Trace,
+    here: &Here,
+) -> Step {
+    let repeat = history.arrivals > 0;
+    let ask = Ask {
+        ticket: 0,
+        service: job.service.clone(),
+        point: job.asked.point.filter(|_| job.keyed),
+        priority: job.route.priority,
+        came: job.came,
+        goal: job.goal,
+        until: job.until,
+        // Only the owner can serve a key, also a second time.
+        tried: if job.keyed {
+            Vec::new()
+        } else {
+            history.reached.clone()
+        },
+        large: job.route.kind == Kind::Download,
+        repeat,
+    };
+    let permit = match context.desk.ask(ask).await {
+        Ok(permit) => permit,
+        Err(refused) => {
+            trace
+                .notes
+                .push(format!("{}: {}", refused.why.name(), refused.basis));
+            return history.give_up(Own::not_run(refused.why.name(), refused.retry));
+        }
+    };
+    let left = job.until.saturating_sub(context.clock.now());
+    if left < LEAST_TIME {
+        return history.give_up(Own::not_run("its time ended while it waited", COME_BACK));
+    }
+    if !here.0.get() {
+        return history.give_up(Own::not_run("its caller left while it waited", COME_BACK));
+    }
+    let Some(body) = payload.take() else {
+        return history.give_up(Own::not_run("its body has been sent once", COME_BACK));
+    };
+    let target = permit.target.id.clone();
+    trace.targets.push(target.clone());
+    trace.notes.push(format!("sent: {}", permit.basis));
+    if let Some(point) = job
+        .asked
+        .point
+        .filter(|_| job.keyed && history.arrivals == 0)
+    {
+        context.tally.count(&job.service, point);
+    }
+    let tried = context.sender.send(work, body, permit, left).await;
+    if !matches!(tried, Tried::Unsent(_)) {
+        history.arrivals += 1;
+    }
+    judge(job, payload, history, trace, target, tried)
+}
+
+/// Decides what a try's end means for the request.
+fn judge(
+    job: &Job,
+    payload: &Payload,
+    history: &mut History,
+    trace: &mut Trace,
+    target: String,
+    tried: Tried,
+) -> Step {
+    let may_repeat = job.route.kind.may_repeat();
+    let attempts = usize::try_from(job.route.attempts).unwrap_or(usize::MAX);
+    let step = match tried {
+        Tried::Answered(response) => {
+            history.reached.push(target);
+            let failed = response.status().is_server_error();
+            if !failed || !may_repeat || history.reached.len() >= attempts {
+                return Step::End(Ok(response));
+            }
+            trace
+                .notes
+                .push(format!("status {}", response.status().as_u16()));
+            history.failure = Some(response);
+            Step::Again
+        }
+        Tried::Refused(Refusal::Unowned, status) => {
+            trace
+                .notes
+                .push(format!("not its owner, status {}", status.as_u16()));
+            history.unowned += 1;
+            if history.unowned > UNOWNED_MOST {
+                return history.give_up(Own::not_run("the key is moving", COME_BACK));
+            }
+            return Step::Again;
+        }
+        Tried::Refused(_, status) => {
+            trace
+                .notes
+                .push(format!("refused with {}", status.as_u16()));
+            history.reached.push(target);
+            Step::Again
+        }
+        Tried::Unsent(error) => {
+            trace.notes.push(error.to_string());
+            history.unsent += 1;
+            if history.unsent > UNSENT_MOST {
+                return history.give_up(Own::not_run("no target could be reached", COME_BACK));
+            }
+            return Step::Again;
+        }
+        Tried::Lost(cause) => {
+            trace.notes.push(cause.clone());
+            history.reached.push(target);
+            if payload.is_too_large() {
+                return Step::End(Err(Own::new(Word::TooLarge, cause)));
+            }
+            history.doubt = Some(Own::new(Word::Lost, cause));
+            if !may_repeat {
+                return history.give_up(Own::new(Word::Lost, "lost"));
+            }
+            Step::Again
+        }
+        Tried::TimedOut => {
+            history.doubt = Some(Own::new(Word::TimedOut, "no answer in time"));
+            return history.give_up(Own::new(Word::TimedOut, "no answer in time"));
+        }
+    };
+    if history.reached.len() >= attempts || !payload.is_left() {
+        return history.give_up(Own::not_run("every allowed target refused it", COME_BACK));
+    }
+    step
+}
--- a/util/src/lib.rs
+++ b/util/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod decimal;
 pub mod fields;
 pub mod ini;
+pub mod pace;
 pub mod server;
 pub mod socket;
 pub mod stream;
--- a/util/src/server.rs
+++ b/util/src/server.rs
@@ -3,20 +3,28 @@
 use std::{
     cell::{Cell, RefCell},
     convert::Infallible,
+    io,
+    pin::Pin,
     rc::Rc,
+    task::{Context, Poll, ready},
     time::Duration,
 };
 
 use compio::net::{TcpListener, TcpStream};
-use cyper_core::CompioTimer;
 use futures_channel::oneshot;
 use futures_util::{
     FutureExt,
-    future::{self, Either, Shared},
+    future::{self, Either, LocalBoxFuture, Shared},
+};
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    rt::{Read, ReadBufCursor, Write},
+    server::conn::http1,
+    service,
 };
-use hyper::{Request, Response, body::Incoming, server::conn::http1, service};
 
-use crate::{body::Body, socket, stream::Stream};
+use crate::{body::Body, clock::Clock, pace::Pace, socket, stream::Stream};
 
 /// How long a caller may take over the head of a request, where nothing else is set.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -104,12 +112,17 @@
     H: Fn(Request<Incoming>) -> F + Clone + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
-    serve_with(listener, control, Bounds::default, handler).await;
+    serve_with(listener, control, Clock::real(), Bounds::default, handler).await;
 }
 
 /// Accepts connections as [`serve`] does; `bounds` gives each new one its limits.
-pub async fn serve_with<B, H, F>(listener: TcpListener, control: Control, bounds: B, handler: H)
-where
+pub async fn serve_with<B, H, F>(
+    listener: TcpListener,
+    control: Control,
+    clock: Clock,
+    bounds: B,
+    handler: H,
+) where
     B: Fn() -> Bounds,
     H: Fn(Request<Incoming>) -> F + Clone + 'static,
     F: Future<Output = Response<Body>> + 'static,
@@ -126,33 +139,169 @@
             }
         };
         let open = Open::new(control.clone());
-        compio::runtime::spawn(connection(stream, open, bounds(), handler.clone())).detach();
+        let pace = Paced::new(clock.clone(), bounds());
+        compio::runtime::spawn(connection(stream, open, pace, handler.clone())).detach();
     }
 }
 
 /// Serves one connection to its end.
-async fn connection<H, F>(stream: TcpStream, open: Open, bounds: Bounds, handler: H)
+async fn connection<H, F>(stream: TcpStream, open: Open, pace: Paced, handler: H)
 where
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
     socket::prepare(&stream);
+    let served = pace.clone();
     let answer = service::service_fn(move |request| {
-        let answer = handler(request);
-        async move { Ok::<_, Infallible>(answer.await) }
+        served.on_request();
+        let (answer, served) = (handler(request), served.clone());
+        async move {
+            let answer = answer.await;
+            served.on_answer();
+            Ok::<_, Infallible>(answer)
+        }
     });
-    let connection = Box::pin(
-        http1::Builder::new()
-            .timer(CompioTimer)
-            // Counts from the end of the last answer, so it bounds idle connections too.
-            .header_read_timeout(bounds.idle_time.max(bounds.head_time))
-            .max_headers(HEADERS)
-            .max_buf_size(bounds.head_bytes.max(BUFFER_LEAST))
-            .serve_connection(Stream::new(stream), answer),
-    );
-    let stopped = open.0.stopped.clone();
-    if let Either::Right((_, mut connection)) = future::select(connection, stopped).await {
+    let stream = Timed {
+        stream: Stream::new(stream),
+        pace: pace.clone(),
+    };
+    let connection = http1::Builder::new()
+        .max_headers(HEADERS)
+        .max_buf_size(pace.bounds.head_bytes.max(BUFFER_LEAST))
+        .serve_connection(stream, answer);
+    let mut connection = Box::pin(connection);
+    let ended = {
+        let too_slow = Box::pin(pace.ran_out());
+        // What has come is read before the time is looked at.
+        let served = future::select(connection.as_mut(), open.0.stopped.clone());
+        match future::select(served, too_slow).await {
+            Either::Left((Either::Left(_), _)) | Either::Right(_) => true,
+            Either::Left((Either::Right(_), _)) => false,
+        }
+    };
+    if !ended {
         connection.as_mut().graceful_shutdown();
+        // A failure ends the connection as well.
         let _ = connection.await;
     }
 }
+
+/// A connection's pace, shared by its task, its stream and its service.
+#[derive(Clone, Debug)]
+struct Paced {
+    clock: Clock,
+    bounds: Bounds,
+    pace: Rc<RefCell<Pace>>,
+}
+
+impl Paced {
+    fn new(clock: Clock, bounds: Bounds) -> Self {
+        let pace = Pace::new(bounds, clock.now());
+        Self {
+            clock,
+            bounds,
+            pace: Rc::new(RefCell::new(pace)),
+        }
+    }
+
+    fn on_request(&self) {
+        self.pace.borrow_mut().on_request();
+    }
+
+    fn on_answer(&self) {
+        self.pace.borrow_mut().on_answer(self.clock.now());
+    }
+
+    /// Takes note of bytes that came or left; between requests only these tell anything.
+    fn on_bytes(&self, note: fn(&mut Pace, Duration)) {
+        let mut pace = self.pace.borrow_mut();
+        if pace.is_idle() {
+            note(&mut pace, self.clock.now());
+        }
+    }
+
+    /// Waits until the peer has taken longer than it may.
+    ///
+    /// It is looked at after each step of the connection, so a timer is set anew only when the time
+    /// ends earlier than it would ring.
+    async fn ran_out(&self) {
+        let mut timer: Option<(Duration, LocalBoxFuture<'_, ()>)> = None;
+        future::poll_fn(|context| {
+            loop {
+                let Some(due) = self.pace.borrow().due() else {
+                    return Poll::Pending;
+                };
+                if timer.as_ref().is_none_or(|(rings, _)| *rings > due) {
+                    let left = due.saturating_sub(self.clock.now());
+                    if left.is_zero() {
+                        return Poll::Ready(());
+                    }
+                    timer = Some((due, self.clock.sleep(left).boxed_local()));
+                }
+                if let Some((_, sleep)) = &mut timer {
+                    ready!(sleep.as_mut().poll(context));
+                }
+                timer = None;
+            }
+        })
+        .await;
+    }
+}
+
+/// A stream that tells a connection's pace of what passes.
+struct Timed {
+    stream: Stream,
+    pace: Paced,
+}
+
+impl Read for Timed {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if let Poll::Ready(Ok(())) = result {
+            self.pace.on_bytes(Pace::on_read);
+        }
+        result
+    }
+}
+
+impl Write for Timed {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write(context, bytes);
+        if let Poll::Ready(Ok(_)) = result {
+            self.pace.on_bytes(Pace::on_write);
+        }
+        result
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
+        if let Poll::Ready(Ok(_)) = result {
+            self.pace.on_bytes(Pace::on_write);
+        }
+        result
+    }
+}
