Whoever starts while nobody reaches the store learns from the others; a manager renews for 16 s without it

A VM told others what it knows only while it heard the manager or the store itself. And a manager without its lease went on renewing for two holds, 8 s, after which all keys lost their owners at once. Ruled out: letting only VMs that were lately in touch tell (a longer outage ends that too). What is old can't do harm: no belief goes back by it, and who hears it reaches no newer source. Change: every VM answers another with what it knows; the time without a lease is four holds. Price of the latter: when a manager's VM goes for good and a target falls silent with it, the target's keys wait for 8 s longer. Test: program/tests/serve.rs, red before.

--- a/engine/src/peer/mod.rs
+++ b/engine/src/peer/mod.rs
@@ -66,15 +66,15 @@
 }
 
 /// What the manager answers.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct Synced {
     /// Whether it is the manager and follows the store without trouble.
     pub well: bool,
     /// Other VMs' requests at each target.
     pub others: Vec<(TargetHash, u32)>,
-    /// What the VM lacks; only from one that has it from the store or the manager just now.
-    pub relay: Option<Relay>,
+    /// What the VM lacks of what this one knows, however old.
+    pub relay: Relay,
 }
 
 /// Tells the manager, and returns its answer.
--- a/engine/src/peer/sync.rs
+++ b/engine/src/peer/sync.rs
@@ -110,10 +110,9 @@
                 .manager
                 .unbounded_send(manager::Message::Told(message.start.clone()));
         }
-        // Who isn't the manager tells what it knows, so that a VM that reaches neither manager nor
-        // store learns at least who is the manager.
-        let knows = well || self.heard.is_well() || self.pulse.is_well();
-        let relay = knows.then(|| self.beliefs.get().relay(&self.vm.start, &message.place));
+        // Who isn't the manager tells what it knows too, however old: a VM that starts while nobody
+        // reaches the store could serve nothing otherwise, and no belief goes back by it.
+        let relay = self.beliefs.get().relay(&self.vm.start, &message.place);
         Synced {
             well,
             others,
@@ -121,6 +120,26 @@
         }
     }
 
+    /// Takes in what another VM relays.
+    fn take_relay(&self, vm: &Vm, relay: &Relay) {
+        let now = self.clock.now();
+        let notes = self
+            .beliefs
+            .change(|fleet| fleet.on_relay(now, relay, &self.keys, &*self.catalogue));
+        if let Relay::Whole {
+            items, followed, ..
+        } = relay
+        {
+            self.report.line(&format!(
+                "event=told-everything vm={} items={} followed={followed:?} changes={}",
+                vm.name,
+                items.len(),
+                notes.len()
+            ));
+        }
+        self.report.lines(&notes);
+    }
+
     /// Builds this VM's message.
     async fn message(&self, place: Place) -> Sync {
         let state = self.desk.take_state().await;
@@ -225,26 +244,9 @@
     };
     let took = context.clock.now().saturating_sub(sent);
     context.report.time("sync", took, &[]);
-    if let Some(relay) = &synced.relay {
-        let now = context.clock.now();
-        if relay.place() != place {
-            let notes = context
-                .beliefs
-                .change(|fleet| fleet.on_relay(now, relay, &context.keys, &*context.catalogue));
-            if let Relay::Whole {
-                items, followed, ..
-            } = relay
-            {
-                context.report.line(&format!(
-                    "event=told-everything vm={} items={} followed={followed:?} changes={}",
-                    vm.name,
-                    items.len(),
-                    notes.len()
-                ));
-            }
-            context.report.lines(&notes);
-            *place = relay.place().clone();
-        }
+    if synced.relay.place() != place {
+        context.take_relay(vm, &synced.relay);
+        *place = synced.relay.place().clone();
     }
     if synced.well {
         *heard_at = sent;
--- a/engine/src/settings.rs
+++ b/engine/src/settings.rs
@@ -46,8 +46,9 @@
 const RENEWALS: u32 = 3;
 /// How long a manager without its lease goes on renewing grants, in holds.
 ///
-/// An outage of the store of some ten seconds then costs no key its owner.
-const GRACE_HOLDS: u32 = 2;
+/// An outage of the store of up to 18 s then costs no key its owner. What a longer time costs: the keys
+/// of a target that falls silent together with the loss of the manager's VM for good wait for its end.
+const GRACE_HOLDS: u32 = 4;
 
 impl Settings {
     /// Returns the spans by which grants are kept.
--- a/program/tests/serve.rs
+++ b/program/tests/serve.rs
@@ -17,7 +17,7 @@
 use compio::runtime::Runtime;
 use hyper::{Request, StatusCode};
 use rustix::process::Signal;
-use stage::{PATIENCE, Stage, config, play};
+use stage::{PATIENCE, Program, Stage, config, play};
 use tempfile::TempDir;
 
 #[test]
@@ -216,6 +216,21 @@
     });
 }
 
+#[test]
+fn a_vm_that_starts_while_nobody_reaches_the_store_learns_from_others() {
+    play(async |stage| {
+        stage.store.set_fault(Some(store::Fault::Silent));
+        // Longer than the manager's lease, and than the first VM takes to notice.
+        Clock::real().sleep(Duration::from_millis(3500)).await;
+        assert!(stage.program.log("event=pulse-lost").is_some());
+        let second = Program::start_as("vm-2", stage.store_address, Some(&stage.program));
+        stage.until_ready_at(&second).await;
+        Clock::real().sleep(Duration::from_millis(300)).await;
+        assert!(second.log("event=told-everything").is_some());
+        assert!(second.log("event=config-in-force version=1").is_some());
+    });
+}
+
 #[test]
 fn a_stop_cuts_nothing_off() {
     play(async |stage| {
--- a/program/tests/stage/mod.rs
+++ b/program/tests/stage/mod.rs
@@ -54,6 +54,7 @@
     pub lines: Arc<Mutex<Vec<String>>>,
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
+    pub peers: SocketAddr,
     pub metrics: SocketAddr,
     _folder: TempDir,
 }
@@ -68,12 +69,18 @@
 
 impl Program {
     pub fn start(store: SocketAddr) -> Self {
+        Self::start_as("vm-1", store, None)
+    }
+
+    /// Starts a VM that knows of another.
+    pub fn start_as(name: &str, store: SocketAddr, other: Option<&Self>) -> Self {
         let ports = [port(), port(), port(), port()];
         let at = |index: usize| SocketAddr::from(([127, 0, 0, 1], ports[index]));
+        let seeds = other.map_or_else(String::new, |it| it.peers.to_string());
         let folder = TempDir::new().unwrap();
         let path = folder.path().join("vm.ini");
         let text = format!(
-            "[vm]\nname = vm-1\ndomain = z1\n[listen]\ncallers = {}\nreadiness = {}\npeers = {}\n\
+            "[vm]\nname = {name}\ndomain = z1\n[peers]\nseeds = {seeds}\n[listen]\ncallers = {}\nreadiness = {}\npeers = {}\n\
              metrics = {}\n[store]\naddress = {store}\n[platform]\n\
              figures = grace=6s,hold-max=10000ms,retry-slack=60\n",
             at(0),
@@ -100,6 +107,7 @@
             lines,
             callers: at(0),
             readiness: at(1),
+            peers: at(2),
             metrics: at(3),
             _folder: folder,
         }
@@ -139,6 +147,7 @@
 
 pub struct Stage {
     pub store: Store,
+    pub store_address: SocketAddr,
     pub servers: Vec<Server>,
     pub program: Program,
     pub client: Client,
@@ -162,6 +171,7 @@
         Self {
             store,
             servers,
+            store_address: address,
             program: Program::start(address),
             client: Client::new(Clock::real(), 8),
         }
@@ -175,24 +185,30 @@
     }
 
     pub async fn until_ready(&self) {
+        self.until_ready_at(&self.program).await;
+    }
+
+    /// Waits until a VM is ready.
+    pub async fn until_ready_at(&self, program: &Program) {
         let clock = Clock::real();
         let end = Instant::now() + PATIENCE;
         while Instant::now() < end {
-            if self.ready().await == Some(StatusCode::OK) {
+            if self.ready_at(program).await == Some(StatusCode::OK) {
                 return;
             }
             clock.sleep(Duration::from_millis(20)).await;
         }
-        panic!("not ready: {:?}", self.program.lines.lock().unwrap());
+        panic!("not ready: {:?}", program.lines.lock().unwrap());
     }
 
     pub async fn ready(&self) -> Option<StatusCode> {
+        self.ready_at(&self.program).await
+    }
+
+    async fn ready_at(&self, program: &Program) -> Option<StatusCode> {
         let mut request = Request::new(Body::empty());
         *request.uri_mut() = "/-/ready".parse().unwrap();
-        let sent = self
-            .client
-            .send(self.program.readiness, request, PATIENCE)
-            .await;
+        let sent = self.client.send(program.readiness, request, PATIENCE).await;
         sent.ok().map(|response| response.status())
     }
 
