--- a/engine/src/owner/calls.rs
+++ b/engine/src/owner/calls.rs
@@ -80,7 +80,7 @@
 /// Sends a grant or release and tells how it ended.
 pub(super) async fn send(context: &Context, service: &str, order: &Order, grant: bool) -> Ending {
     let (call, timeout, name) = if grant {
-        let call = context.targets.grant(order, context.timing.hold);
+        let call = context.targets.grant(order);
         (call, GRANT_TIMEOUT, "grant")
     } else {
         (context.targets.release(order), RELEASE_TIMEOUT, "release")
--- a/engine/src/owner/keeper.rs
+++ b/engine/src/owner/keeper.rs
@@ -28,16 +28,14 @@
 use super::{
     balance::{self, Holder, Move},
     deal,
-    live::{Live, Phase},
+    live::{Live, Phase, lasting},
     load::Load,
     record::{Fence, Life, Part, Point, Record, Term},
 };
 use crate::catalogue::{Target, TargetId};
 
-/// How much slower than true a target's clock may run, as a factor on holds.
-const DRIFT: f64 = 1.03;
-/// What is added to a hold before a range counts as free, for scheduling at the target.
-const MARGIN: Duration = Duration::from_millis(100);
+/// How little may be left of the lease until grants hold for longer: two renewals are late then.
+const ALONE: Duration = Duration::from_secs(1);
 /// The pause before a call that got no answer is made again.
 const AGAIN: Duration = Duration::from_millis(150);
 /// The longest pause between two tries of a commit: each call to a store that is down is paid for.
@@ -94,6 +92,7 @@
 ///
 /// let timing = Timing {
 ///     hold: Duration::from_secs(4),
+///     hold_alone: Duration::from_secs(10),
 ///     renew: Duration::from_secs(1),
 ///     grace: Duration::from_secs(8),
 /// };
@@ -271,7 +270,7 @@
         match ending {
             Ending::Done(_) => {
                 live.confirmed = true;
-                live.arrived = Some(now);
+                live.extend(now);
                 live.silences = 0;
                 live.handover = None;
                 live.due = now + renew;
@@ -283,7 +282,7 @@
             Ending::Gone => self.bury_all(now, from, out),
             Ending::Unsent => live.unsent += 1,
             Ending::Silent => {
-                live.arrived = live.arrived.max(Some(now));
+                live.extend(now);
                 live.silences += 1;
                 live.unsent = 0;
                 if live.silences >= SILENCES && live.phase == Phase::Held {
@@ -308,7 +307,7 @@
                 };
                 live.phase = Phase::Free(to);
                 live.handover = handover;
-                live.arrived = None;
+                live.until = None;
             }
             Ending::Gone => self.bury_all(now, from, out),
             // A release extends no hold; the hold runs out meanwhile.
@@ -354,7 +353,7 @@
         };
         live.confirmed = false;
         live.inherited = true;
-        live.arrived = Some(now);
+        live.until = Some(now + lasting(self.timing.hold_alone));
         if live.phase == Phase::Held {
             live.phase = Phase::Releasing(None);
             out.push(Effect::Note(format!(
@@ -373,7 +372,7 @@
             Phase::Held | Phase::Free(_) => None,
         };
         live.phase = Phase::Free(to);
-        live.arrived = None;
+        live.until = None;
         live.handover = None;
         let owner = self.record.find(from).and_then(|part| part.owner.clone());
         if let Some(owner) = owner {
@@ -398,11 +397,13 @@
         };
         if pending.takeover {
             self.record = pending.record;
+            // The earlier manager may have been alone just now.
+            let until = now + lasting(self.timing.hold_alone);
             let live = self.record.parts.iter().map(|part| {
                 let live = match part.owner {
                     Some(_) => Live {
                         inherited: true,
-                        ..Live::held(now, Some(now), None)
+                        ..Live::held(now, Some(until), None)
                     },
                     None => Live::free(),
                 };
@@ -436,14 +437,11 @@
 
     /// Returns when a range's last grant has run out for certain.
     fn lapse(&self, live: &Live) -> Option<Duration> {
-        let span = self.timing.hold.mul_f64(DRIFT) + MARGIN;
-        let arrived = live.arrived?;
-        let last = if live.confirmed || !live.inherited {
-            arrived
-        } else {
-            arrived.max(self.earlier_until)
-        };
-        Some(last + span)
+        let until = live.until?;
+        if live.confirmed || !live.inherited {
+            return Some(until);
+        }
+        Some(until.max(self.earlier_until + lasting(self.timing.hold_alone)))
     }
 
     fn free_lapsed(&mut self, now: Duration, out: &mut Vec<Effect>) {
@@ -631,9 +629,22 @@
         }
     }
 
+    /// Returns how long a grant that is sent now is to hold.
+    ///
+    /// Without the store nobody can replace the manager, and when it goes too, keys are served only
+    /// until their holds run out.
+    fn hold(&self, now: Duration) -> Duration {
+        if now + ALONE < self.lease {
+            self.timing.hold
+        } else {
+            self.timing.hold_alone
+        }
+    }
+
     /// Sends what is due: renewals of what is held, releases of what is to be let go.
     fn call(&mut self, now: Duration, out: &mut Vec<Effect>) {
         let may_grant = now < self.lease + self.timing.grace;
+        let hold = self.hold(now);
         for part in &self.record.parts {
             let (Some(live), Some(owner)) = (self.live.get_mut(&part.from), &part.owner) else {
                 continue;
@@ -641,21 +652,24 @@
             if live.busy || now < live.due {
                 continue;
             }
-            let order = |fence, handover| Order {
+            let order = |fence, hold, handover| Order {
                 owner: owner.clone(),
                 from: part.from,
                 to: part.to,
                 fence,
+                hold,
                 handover,
             };
             match live.phase {
                 Phase::Held if may_grant => {
                     live.busy = true;
-                    out.push(Effect::Grant(order(part.fence, live.handover.clone())));
+                    live.hold = hold;
+                    let order = order(part.fence, hold, live.handover.clone());
+                    out.push(Effect::Grant(order));
                 }
                 Phase::Releasing(_) => {
                     live.busy = true;
-                    out.push(Effect::Release(order(part.fence + 1, None)));
+                    out.push(Effect::Release(order(part.fence + 1, Duration::ZERO, None)));
                 }
                 Phase::Held | Phase::Free(_) => {}
             }
@@ -714,7 +728,7 @@
             last.to = part.to;
             let gone = live.shift_remove(&part.from);
             if let (Some(kept), Some(gone)) = (live.get_mut(&last.from), gone) {
-                kept.arrived = kept.arrived.max(gone.arrived);
+                kept.until = kept.until.max(gone.until);
                 kept.confirmed &= gone.confirmed;
                 kept.due = kept.due.min(gone.due);
             }
--- a/engine/src/owner/live.rs
+++ b/engine/src/owner/live.rs
@@ -4,6 +4,16 @@
 
 use super::record::Life;
 
+/// How much slower than true a target's clock may run, as a factor on holds.
+const DRIFT: f64 = 1.03;
+/// What is added to a hold before a range counts as free, for scheduling at the target.
+const MARGIN: Duration = Duration::from_millis(100);
+
+/// How long a hold may last by this VM's clock.
+pub(super) fn lasting(hold: Duration) -> Duration {
+    hold.mul_f64(DRIFT) + MARGIN
+}
+
 /// Whether a range's owner is to hold it.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) enum Phase {
@@ -25,8 +35,10 @@
     pub(super) confirmed: bool,
     /// An earlier manager may have granted the range to its owner.
     pub(super) inherited: bool,
-    /// The latest time at which a grant can have arrived; none if none was sent.
-    pub(super) arrived: Option<Duration>,
+    /// When the last grant that can have arrived runs out for certain; none if none was sent.
+    pub(super) until: Option<Duration>,
+    /// The hold of the grant that was sent last.
+    pub(super) hold: Duration,
     /// When the next call is due.
     pub(super) due: Duration,
     /// Grants in a row without an answer.
@@ -43,7 +55,8 @@
             busy: false,
             confirmed: false,
             inherited: false,
-            arrived: None,
+            until: None,
+            hold: Duration::ZERO,
             due: Duration::ZERO,
             silences: 0,
             unsent: 0,
@@ -51,16 +64,21 @@
         }
     }
 
-    pub(super) fn held(now: Duration, arrived: Option<Duration>, handover: Option<String>) -> Self {
+    pub(super) fn held(now: Duration, until: Option<Duration>, handover: Option<String>) -> Self {
         Self {
             phase: Phase::Held,
-            arrived,
+            until,
             due: now,
             handover,
             ..Self::free()
         }
     }
 
+    /// Takes note that the grant sent last may have arrived until now.
+    pub(super) fn extend(&mut self, now: Duration) {
+        self.until = self.until.max(Some(now + lasting(self.hold)));
+    }
+
     pub(super) fn is_free(&self) -> bool {
         matches!(self.phase, Phase::Free(_)) && !self.busy
     }
--- a/engine/src/owner/order.rs
+++ b/engine/src/owner/order.rs
@@ -10,6 +10,8 @@
 pub struct Timing {
     /// How long a grant holds.
     pub hold: Duration,
+    /// How long a grant holds while the manager can't renew its lease.
+    pub hold_alone: Duration,
     /// The time from one renewal to the next.
     pub renew: Duration,
     /// How long a manager without its lease may go on renewing.
@@ -27,6 +29,8 @@
     pub to: Point,
     /// The fence.
     pub fence: Fence,
+    /// How long a grant holds; zero for a release.
+    pub hold: Duration,
     /// What the last owner handed over, for a grant.
     pub handover: Option<String>,
 }
--- a/engine/src/settings.rs
+++ b/engine/src/settings.rs
@@ -42,6 +42,11 @@
 /// Longer than it takes to replace a lost manager (a lease of 2 s and some 0.4 s), and short, since
 /// the keys of a target that falls silent wait for its end.
 const HOLD: Duration = Duration::from_secs(4);
+/// The hold of a grant while the manager can't renew its lease, if the platform allows it.
+///
+/// An outage of the store of some 9 s then costs no key its owner, also when the manager goes in it.
+/// The keys of a target that falls silent soon after a takeover wait for its end.
+const HOLD_ALONE: Duration = Duration::from_secs(10);
 /// How many renewals fit into a hold: one may be lost with time to spare for the next.
 const RENEWALS: u32 = 3;
 /// How long a manager without its lease goes on renewing grants, in holds.
@@ -77,6 +82,7 @@
     let hold = HOLD.min(hold_most);
     keeper::Timing {
         hold,
+        hold_alone: hold_most.min(HOLD_ALONE),
         renew: hold / RENEWALS,
         grace: hold * GRACE_HOLDS,
     }
--- a/engine/src/target.rs
+++ b/engine/src/target.rs
@@ -68,7 +68,7 @@
     fn read(&self, status: StatusCode, headers: &HeaderMap) -> Reply;
 
     /// Builds a grant.
-    fn grant(&self, order: &Order, hold: Duration) -> Call;
+    fn grant(&self, order: &Order) -> Call;
 
     /// Builds a release.
     fn release(&self, order: &Order) -> Call;
--- a/engine/tests/keeper.rs
+++ b/engine/tests/keeper.rs
@@ -12,6 +12,7 @@
 
 const TIMING: Timing = Timing {
     hold: Duration::from_secs(4),
+    hold_alone: Duration::from_secs(10),
     renew: Duration::from_millis(1300),
     grace: Duration::from_secs(8),
 };
@@ -115,25 +116,68 @@
 }
 
 #[test]
-fn a_target_that_only_refuses_keeps_its_ranges_until_its_hold_ran_out() {
+fn grants_hold_longer_while_the_lease_is_not_renewed() {
+    let (mut keeper, granted, now) = keeper();
+    assert!(granted.iter().all(|order| order.hold == TIMING.hold));
+    // The lease of two seconds was last renewed at `now`.
+    let alone = now + TIMING.renew;
+    let sent = grants(&keeper.on(alone, Event::Tick));
+    assert_eq!(sent.len(), granted.len());
+    assert!(sent.iter().all(|order| order.hold == TIMING.hold_alone));
+    for order in &sent {
+        keeper.on(alone, Event::Granted(order.from, Ending::Done(None)));
+    }
+    // The store answers again, and one target falls silent.
+    let back = alone + Duration::from_secs(1);
+    keeper.on(back, Event::Lease(back + Duration::from_secs(2)));
+    let freed = freed(&mut keeper, back, Ending::Silent);
+    assert!(freed >= alone + TIMING.hold_alone, "freed at {freed:?}");
+}
+
+#[test]
+fn a_takeover_reckons_with_a_manager_that_was_alone() {
     let (mut keeper, _, now) = keeper();
+    let freed = freed(&mut keeper, now, Ending::Unsent);
+    assert!(freed >= now + TIMING.hold_alone, "freed at {freed:?}");
+}
+
+/// Plays on until the keys of the first target move, whose calls all end so.
+fn freed(keeper: &mut Keeper, from: Duration, ending: Ending) -> Duration {
     let step = Duration::from_millis(50);
-    let mut at = now;
-    let freed = loop {
+    let mut at = from;
+    loop {
         at += step;
         let mut effects = keeper.on(at, Event::Lease(at + Duration::from_secs(2)));
         for order in grants(&effects) {
-            let ending = if order.owner.id == "t1" {
-                Ending::Unsent
+            let first = order.owner.id == "t1";
+            let ending = if first {
+                ending.clone()
             } else {
                 Ending::Done(None)
             };
             effects.extend(keeper.on(at, Event::Granted(order.from, ending)));
         }
+        for from in releases(&effects) {
+            effects.extend(keeper.on(at, Event::Released(from, Ending::Unsent)));
+        }
         if committed(&effects).is_some() {
-            break at;
+            return at;
         }
-        assert!(at < now + Duration::from_secs(10), "its keys move at last");
-    };
+        assert!(at < from + Duration::from_secs(30), "its keys move at last");
+    }
+}
+
+fn releases(effects: &[Effect]) -> Vec<Point> {
+    let orders = effects.iter().filter_map(|effect| match effect {
+        Effect::Release(order) => Some(order.from),
+        _ => None,
+    });
+    orders.collect()
+}
+
+#[test]
+fn a_target_that_only_refuses_keeps_its_ranges_until_its_hold_ran_out() {
+    let (mut keeper, _, now) = keeper();
+    let freed = freed(&mut keeper, now, Ending::Unsent);
     assert!(freed >= now + TIMING.hold, "freed at {freed:?}");
 }
--- a/engine/tests/ownership_world/mod.rs
+++ b/engine/tests/ownership_world/mod.rs
@@ -21,6 +21,7 @@
 
 pub const TIMING: Timing = Timing {
     hold: Duration::from_secs(2),
+    hold_alone: Duration::from_secs(3),
     renew: Duration::from_millis(600),
     grace: Duration::from_secs(3),
 };
@@ -377,10 +378,10 @@
         }
         if self.is_unanswered() {
             let late = self.random.random_range(0..4) * Duration::from_millis(900);
-            self.targets.grant_late(self.now, late, order, TIMING.hold);
+            self.targets.grant_late(self.now, late, order);
             return (TIMEOUT, Ending::Silent);
         }
-        (TICK, self.targets.grant(self.now, order, TIMING.hold))
+        (TICK, self.targets.grant(self.now, order))
     }
 
     fn release(
--- a/engine/tests/ownership_world/targets.rs
+++ b/engine/tests/ownership_world/targets.rs
@@ -38,7 +38,6 @@
     /// Cut links, by VM and target.
     cut: Vec<(usize, usize)>,
     late: Vec<Late>,
-    hold: Duration,
 }
 
 impl Targets {
@@ -63,7 +62,6 @@
             all: (0..4).map(own).collect(),
             cut: Vec::new(),
             late: Vec::new(),
-            hold: Duration::ZERO,
         }
     }
 
@@ -119,8 +117,7 @@
             .partition(|late| late.at <= now);
         self.late = later;
         for late in due {
-            let hold = self.hold;
-            self.apply(late.arrived, &late.order, hold);
+            self.apply(late.arrived, &late.order);
         }
     }
 
@@ -139,7 +136,7 @@
         self.place(life).is_some_and(|target| self.all[target].up)
     }
 
-    fn apply(&mut self, arrived: Duration, order: &Order, hold: Duration) -> Ending {
+    fn apply(&mut self, arrived: Duration, order: &Order) -> Ending {
         let Some(target) = self.place(&order.owner) else {
             return Ending::Gone;
         };
@@ -155,20 +152,21 @@
         if (order.from..=order.to).any(higher) {
             return Ending::Fenced;
         }
-        let until = arrived + hold.mul_f64(SLOW);
+        let until = arrived + order.hold.mul_f64(SLOW);
         for key in order.from..=order.to {
-            own.holds.insert(key, (order.fence, until));
+            // Nothing says that a shorter grant ends a longer one.
+            let before = own.holds.get(&key).map_or(until, |(_, before)| *before);
+            own.holds.insert(key, (order.fence, until.max(before)));
         }
         Ending::Done(None)
     }
 
-    pub fn grant(&mut self, now: Duration, order: &Order, hold: Duration) -> Ending {
+    pub fn grant(&mut self, now: Duration, order: &Order) -> Ending {
         // It arrives within the step.
-        self.apply(now + TICK, order, hold)
+        self.apply(now + TICK, order)
     }
 
-    pub fn grant_late(&mut self, now: Duration, late: Duration, order: &Order, hold: Duration) {
-        self.hold = hold;
+    pub fn grant_late(&mut self, now: Duration, late: Duration, order: &Order) {
         self.late.push(Late {
             at: now + TICK + late,
             arrived: now + TICK,
