--- a/engine/tests/keeper.rs
+++ b/engine/tests/keeper.rs
@@ -130,19 +130,19 @@
     // The store answers again, and one target falls silent.
     let back = alone + Duration::from_secs(1);
     keeper.on(back, Event::Lease(back + Duration::from_secs(2)));
-    let freed = freed(&mut keeper, back, Ending::Silent);
+    let freed = freed(&mut keeper, back, &Ending::Silent);
     assert!(freed >= alone + TIMING.hold_alone, "freed at {freed:?}");
 }
 
 #[test]
 fn a_takeover_reckons_with_a_manager_that_was_alone() {
     let (mut keeper, _, now) = keeper();
-    let freed = freed(&mut keeper, now, Ending::Unsent);
+    let freed = freed(&mut keeper, now, &Ending::Unsent);
     assert!(freed >= now + TIMING.hold_alone, "freed at {freed:?}");
 }
 
 /// Plays on until the keys of the first target move, whose calls all end so.
-fn freed(keeper: &mut Keeper, from: Duration, ending: Ending) -> Duration {
+fn freed(keeper: &mut Keeper, from: Duration, ending: &Ending) -> Duration {
     let step = Duration::from_millis(50);
     let mut at = from;
     loop {
@@ -178,6 +178,6 @@
 #[test]
 fn a_target_that_only_refuses_keeps_its_ranges_until_its_hold_ran_out() {
     let (mut keeper, _, now) = keeper();
-    let freed = freed(&mut keeper, now, Ending::Unsent);
+    let freed = freed(&mut keeper, now, &Ending::Unsent);
     assert!(freed >= now + TIMING.hold, "freed at {freed:?}");
 }
