--- a/engine/src/owner/keeper.rs
+++ b/engine/src/owner/keeper.rs
@@ -8,9 +8,12 @@
 //! - A takeover raises every fence. The owners stay; earlier managers are refused by each target
 //!   that has heard of the new fence.
 //! - A range gets a new owner only once nobody can hold it: its owner has confirmed the release,
-//!   or that life of it has ended, or the last grant that can have arrived has run out. An earlier
-//!   manager may renew for [`Timing::grace`] after the takeover, unless it is known to have
-//!   stopped; that counts as such a grant until the owner has confirmed a later fence.
+//!   or that life of it has ended, or the last grant that can have arrived has run out. A shorter
+//!   grant doesn't end a longer one.
+//! - A manager that can't renew its lease goes on granting, with holds that all end by
+//!   [`Timing::horizon`] after the lease. A successor reckons with such grants, unless every manager
+//!   before it is known to have stopped; the end of the last one alone says nothing of those that
+//!   it had not waited for itself ([`Record::settled`]).
 //! - The next life of a target knows no fence, and an earlier manager could grant to it. So the end
 //!   of a life counts only once no earlier manager is left, or once the next life was fenced.
 //! - A grant without an answer may have arrived until the moment at which its connection was reset.
@@ -28,12 +31,14 @@
 use super::{
     balance::{self, Holder, Move},
     deal,
-    live::{Live, Phase, lasting},
+    live::{Live, Phase, lasting, shrunk},
     load::Load,
     record::{Fence, Life, Part, Point, Record, Term},
 };
 use crate::catalogue::{Target, TargetId};
 
+/// The shortest hold that is worth a grant: a renewal takes up to its timeout of 0.4 s.
+const HOLD_LEAST: Duration = Duration::from_millis(500);
 /// How little may be left of the lease until grants hold for longer: two renewals are late then.
 const ALONE: Duration = Duration::from_secs(1);
 /// The pause before a call that got no answer is made again.
@@ -94,7 +99,7 @@
 ///     hold: Duration::from_secs(4),
 ///     hold_alone: Duration::from_secs(10),
 ///     renew: Duration::from_secs(1),
-///     grace: Duration::from_secs(8),
+///     horizon: Duration::from_secs(12),
 /// };
 /// let now = Duration::ZERO;
 /// let (mut keeper, effects) = Keeper::take_over("vm-1", Record::first(99), timing, now);
@@ -115,6 +120,10 @@
     lease: Duration,
     /// Until when earlier managers may send grants.
     earlier_until: Duration,
+    /// Until when grants of earlier managers may hold.
+    earlier_end: Duration,
+    /// Whether the manager before this one knew that those before it had stopped.
+    earlier_settled: bool,
     live: IndexMap<Point, Live>,
     targets: IndexMap<TargetId, Target>,
     shunned: IndexMap<Life, Duration>,
@@ -145,9 +154,21 @@
         timing: Timing,
         now: Duration,
     ) -> (Self, Vec<Effect>) {
-        let quiet = earlier.resigned || earlier.term == 0;
-        let earlier_until = if quiet { now } else { now + timing.grace };
-        let record = successor(earlier, manager);
+        let first = earlier.term == 0;
+        let earlier_settled = first || earlier.settled;
+        let quiet = first || earlier.resigned && earlier.settled;
+        let earlier_until = if quiet { now } else { now + timing.horizon };
+        let earlier_end = if first {
+            now
+        } else if quiet {
+            now + lasting(timing.hold_alone)
+        } else {
+            now + timing.horizon
+        };
+        let record = Record {
+            settled: quiet,
+            ..successor(earlier, manager)
+        };
         let pending = Pending {
             record: record.clone(),
             fence: 0,
@@ -162,6 +183,8 @@
             commit_pause: AGAIN,
             lease: now,
             earlier_until,
+            earlier_end,
+            earlier_settled,
             live: IndexMap::new(),
             targets: IndexMap::new(),
             shunned: IndexMap::new(),
@@ -211,13 +234,14 @@
     /// # Example
     ///
     /// See [`Keeper`].
-    pub fn resign(&mut self) -> Option<Record> {
+    pub fn resign(&mut self, now: Duration) -> Option<Record> {
         self.stopped = true;
         if self.pending.is_some() || self.live.values().any(|live| live.busy) {
             return None;
         }
         let mut record = self.record.clone();
         record.resigned = true;
+        record.settled = self.is_settled(now);
         Some(record)
     }
 
@@ -235,9 +259,7 @@
             Event::Committed => self.committed(now),
             Event::CommitFailed => self.retry_commit(now),
             Event::Lease(until) => self.lease = until,
-            Event::EarlierStopped => {
-                self.earlier_until = self.earlier_until.min(now + LAST_GRANTS);
-            }
+            Event::EarlierStopped => self.earlier_stopped(now),
             Event::Load(counts) => self.load.add(now, counts),
             Event::Closed(address) => self.hurry(now, address),
             Event::Tick => {}
@@ -252,6 +274,22 @@
         effects
     }
 
+    /// Takes note that the manager before this one sends nothing any more.
+    fn earlier_stopped(&mut self, now: Duration) {
+        if !self.earlier_settled {
+            return;
+        }
+        let last = now + LAST_GRANTS;
+        self.earlier_until = self.earlier_until.min(last);
+        let end = last + lasting(self.timing.hold_alone);
+        self.earlier_end = self.earlier_end.min(end);
+    }
+
+    /// Returns whether no earlier manager sends grants any more.
+    fn is_settled(&self, now: Duration) -> bool {
+        now >= self.earlier_until
+    }
+
     fn targets(&mut self, targets: Vec<Target>) {
         let by_id = targets.into_iter().map(|it| (it.id.clone(), it));
         self.targets = by_id.collect();
@@ -345,7 +383,7 @@
 
     /// A range's owner has ended. Its next life could be granted the range by an earlier manager.
     fn bury(&mut self, now: Duration, from: Point, out: &mut Vec<Effect>) {
-        if now >= self.earlier_until {
+        if self.is_settled(now) {
             return self.lose(now, from, "its life ended", out);
         }
         let Some(live) = self.live.get_mut(&from) else {
@@ -353,7 +391,7 @@
         };
         live.confirmed = false;
         live.inherited = true;
-        live.until = Some(now + lasting(self.timing.hold_alone));
+        live.until = Some(now);
         if live.phase == Phase::Held {
             live.phase = Phase::Releasing(None);
             out.push(Effect::Note(format!(
@@ -398,7 +436,8 @@
         if pending.takeover {
             self.record = pending.record;
             // The earlier manager may have been alone just now.
-            let until = now + lasting(self.timing.hold_alone);
+            let alone = now + lasting(self.timing.hold_alone);
+            let until = alone.min(self.earlier_end);
             let live = self.record.parts.iter().map(|part| {
                 let live = match part.owner {
                     Some(_) => Live {
@@ -412,6 +451,7 @@
             self.live = live.collect();
             return;
         }
+        self.record.settled = pending.record.settled;
         for it in &pending.moves {
             self.settle(now, it, pending.fence);
         }
@@ -441,7 +481,7 @@
         if live.confirmed || !live.inherited {
             return Some(until);
         }
-        Some(until.max(self.earlier_until + lasting(self.timing.hold_alone)))
+        Some(until.max(self.earlier_end))
     }
 
     fn free_lapsed(&mut self, now: Duration, out: &mut Vec<Effect>) {
@@ -581,6 +621,12 @@
         if self.pending.is_some() || gathering {
             return;
         }
+        if !first && !self.record.settled && self.is_settled(now) {
+            let next = self.next(now, Vec::new());
+            out.push(Effect::Commit(next.record.clone()));
+            self.pending = Some(next);
+            return;
+        }
         let is_free = |part: &&Part| self.live.get(&part.from).is_some_and(Live::is_free);
         let free: Vec<Part> = self.record.parts.iter().filter(is_free).cloned().collect();
         let holders = self.holders(now);
@@ -600,7 +646,7 @@
             }
         }
         moves.extend(balance::assign(&self.record, &open, &holders, &self.load));
-        let next = self.next(moves);
+        let next = self.next(now, moves);
         out.push(Effect::Commit(next.record.clone()));
         self.pending = Some(next);
     }
@@ -614,10 +660,11 @@
     }
 
     /// Builds the record after some moves.
-    fn next(&mut self, moves: Vec<Move>) -> Pending {
+    fn next(&mut self, now: Duration, moves: Vec<Move>) -> Pending {
         // The counter moves here too, so that no fence is given out twice.
         let fence = self.record.next_fence();
         let mut record = self.record.clone();
+        record.settled = self.is_settled(now);
         for it in &moves {
             assign(&mut record, it, fence);
         }
@@ -629,21 +676,22 @@
         }
     }
 
-    /// Returns how long a grant that is sent now is to hold.
+    /// Returns how long a grant that is sent now is to hold; none if it may not be sent.
     ///
     /// Without the store nobody can replace the manager, and when it goes too, keys are served only
-    /// until their holds run out.
-    fn hold(&self, now: Duration) -> Duration {
+    /// until their holds run out: so these are longer then.
+    fn hold(&self, now: Duration) -> Option<Duration> {
         if now + ALONE < self.lease {
-            self.timing.hold
-        } else {
-            self.timing.hold_alone
+            return Some(self.timing.hold);
         }
+        let end = self.lease + self.timing.horizon;
+        let left = end.saturating_sub(now + LAST_GRANTS);
+        let hold = shrunk(left).min(self.timing.hold_alone);
+        (hold >= HOLD_LEAST).then_some(hold)
     }
 
     /// Sends what is due: renewals of what is held, releases of what is to be let go.
     fn call(&mut self, now: Duration, out: &mut Vec<Effect>) {
-        let may_grant = now < self.lease + self.timing.grace;
         let hold = self.hold(now);
         for part in &self.record.parts {
             let (Some(live), Some(owner)) = (self.live.get_mut(&part.from), &part.owner) else {
@@ -660,18 +708,18 @@
                 hold,
                 handover,
             };
-            match live.phase {
-                Phase::Held if may_grant => {
+            match (&live.phase, hold) {
+                (Phase::Held, Some(hold)) => {
                     live.busy = true;
                     live.hold = hold;
                     let order = order(part.fence, hold, live.handover.clone());
                     out.push(Effect::Grant(order));
                 }
-                Phase::Releasing(_) => {
+                (Phase::Releasing(_), _) => {
                     live.busy = true;
                     out.push(Effect::Release(order(part.fence + 1, Duration::ZERO, None)));
                 }
-                Phase::Held | Phase::Free(_) => {}
+                (Phase::Held | Phase::Free(_), _) => {}
             }
         }
     }
@@ -700,6 +748,7 @@
         resigned: false,
         counter: 0,
         parts: earlier.parts,
+        settled: false,
     };
     let fence = record.next_fence();
     let mut parts: Vec<Part> = Vec::new();
--- a/engine/src/owner/live.rs
+++ b/engine/src/owner/live.rs
@@ -14,6 +14,11 @@
     hold.mul_f64(DRIFT) + MARGIN
 }
 
+/// The hold that lasts for so long at the most; the inverse of [`lasting`].
+pub(super) fn shrunk(span: Duration) -> Duration {
+    span.saturating_sub(MARGIN).div_f64(DRIFT)
+}
+
 /// Whether a range's owner is to hold it.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) enum Phase {
--- a/engine/src/owner/manager.rs
+++ b/engine/src/owner/manager.rs
@@ -654,7 +654,7 @@
         let context = self.context.clone();
         let work = async {
             for (service, kept) in &mut self.kept {
-                let Some(record) = kept.keeper.resign() else {
+                let Some(record) = kept.keeper.resign(context.clock.now()) else {
                     continue;
                 };
                 let key = context.keys.record(service);
--- a/engine/src/owner/order.rs
+++ b/engine/src/owner/order.rs
@@ -14,8 +14,8 @@
     pub hold_alone: Duration,
     /// The time from one renewal to the next.
     pub renew: Duration,
-    /// How long a manager without its lease may go on renewing.
-    pub grace: Duration,
+    /// How long after the end of a manager's lease its last grant may hold.
+    pub horizon: Duration,
 }
 
 /// A grant or release to be sent to a target.
@@ -67,7 +67,7 @@
     Lease(Duration),
     /// A target at this address has closed a connection in use: its process may have ended.
     Closed(SocketAddr),
-    /// Earlier managers have stopped, or will within half a second.
+    /// The manager before this one has stopped, or will within half a second.
     EarlierStopped,
     /// Requests ran on these keys.
     Load(Vec<(Point, u32)>),
--- a/engine/src/owner/record.rs
+++ b/engine/src/owner/record.rs
@@ -102,7 +102,7 @@
 
 /// All ranges of a service.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
+#[serde(default, rename_all = "kebab-case")]
 pub struct Record {
     /// The manager's turn.
     pub term: Term,
@@ -114,6 +114,8 @@
     pub counter: u64,
     /// The ranges in order; they cover all keys.
     pub parts: Vec<Part>,
+    /// Whether all managers of earlier terms have stopped for good.
+    pub settled: bool,
 }
 
 impl Record {
--- a/engine/src/settings.rs
+++ b/engine/src/settings.rs
@@ -49,11 +49,11 @@
 const HOLD_ALONE: Duration = Duration::from_secs(10);
 /// How many renewals fit into a hold: one may be lost with time to spare for the next.
 const RENEWALS: u32 = 3;
-/// How long a manager without its lease goes on renewing grants, in holds.
+/// How long after its lease a manager's last grant may hold, beyond a hold that began at its end.
 ///
-/// An outage of the store of up to 18 s then costs no key its owner. What a longer time costs: the keys
-/// of a target that falls silent together with the loss of the manager's VM for good wait for its end.
-const GRACE_HOLDS: u32 = 4;
+/// With holds of 10 s an outage of 14 s costs no key its owner while the manager lives. The keys of a
+/// target that falls silent at the moment of a takeover wait for all of it.
+const BEYOND_HOLD: Duration = Duration::from_secs(2);
 
 impl Settings {
     /// Returns the spans by which grants are kept.
@@ -80,10 +80,11 @@
 /// See [`Settings::timing`].
 pub fn timing(hold_most: Duration) -> keeper::Timing {
     let hold = HOLD.min(hold_most);
+    let hold_alone = HOLD_ALONE.min(hold_most);
     keeper::Timing {
         hold,
-        hold_alone: hold_most.min(HOLD_ALONE),
+        hold_alone,
         renew: hold / RENEWALS,
-        grace: hold * GRACE_HOLDS,
+        horizon: hold_alone + BEYOND_HOLD,
     }
 }
--- a/engine/tests/keeper.rs
+++ b/engine/tests/keeper.rs
@@ -14,7 +14,7 @@
     hold: Duration::from_secs(4),
     hold_alone: Duration::from_secs(10),
     renew: Duration::from_millis(1300),
-    grace: Duration::from_secs(8),
+    horizon: Duration::from_secs(12),
 };
 const LAST: Point = 99;
 
@@ -44,6 +44,7 @@
     let record = Record {
         term: 1,
         resigned: true,
+        settled: true,
         parts: parts.collect(),
         ..Record::first(LAST)
     };
--- a/engine/tests/ownership.rs
+++ b/engine/tests/ownership.rs
@@ -30,6 +30,7 @@
         30 => Just(Step::Run),
         2 => (vm.clone(), 1..60_u32).prop_map(|(vm, ticks)| Step::Freeze { vm, ticks }),
         2 => vm.clone().prop_map(Step::Restart),
+        1 => vm.clone().prop_map(Step::Resign),
         3 => (vm.clone(), any::<bool>()).prop_map(|(vm, open)| Step::Store { vm, open }),
         3 => (vm.clone(), target.clone(), any::<bool>())
             .prop_map(|(vm, target, open)| Step::Link { vm, target, open }),
@@ -127,31 +128,42 @@
 
 /// The manager loses the store and all targets but one, which its successor doesn't reach.
 fn lonely_manager() -> Vec<Step> {
-    let mut steps = vec![
-        Step::Store { vm: 1, open: false },
-        Step::Store { vm: 2, open: false },
-    ];
-    steps.extend([Step::Run; 120]);
-    steps.push(Step::Store { vm: 0, open: false });
-    steps.push(Step::Store { vm: 1, open: true });
-    steps.push(Step::Link {
-        vm: 1,
-        target: 2,
-        open: false,
-    });
-    let cut = |target| Step::Link {
-        vm: 0,
+    let store = |vm, open| Step::Store { vm, open };
+    let cut = |vm, target| Step::Link {
+        vm,
         target,
         open: false,
     };
-    steps.extend([cut(0), cut(1), cut(3)]);
-    steps.extend([Step::Run; 400]);
+    let mut steps = vec![store(1, false), store(2, false)];
+    steps.extend([Step::Run; 120]);
+    steps.extend([store(0, false), store(1, true)]);
+    steps.extend([cut(1, 2), cut(2, 2), cut(0, 0), cut(0, 1), cut(0, 3)]);
     steps
 }
 
 #[test]
 fn a_manager_that_renews_without_end_is_noticed() {
-    let steps = lonely_manager();
+    let mut steps = lonely_manager();
+    steps.extend([Step::Run; 400]);
     assert_eq!(play(Flaw::None, 1, &steps), Ok(()));
     assert!(play(Flaw::RenewsForEver, 1, &steps).is_err());
 }
+
+/// The successor goes in turn, by `end`, while the first manager renews on, and a third follows.
+fn two_successors(end: Step, seed: u64) -> Result<(), String> {
+    let mut steps = lonely_manager();
+    steps.extend([Step::Run; 60]);
+    steps.extend([end, Step::Store { vm: 2, open: true }]);
+    steps.push(Step::Store { vm: 1, open: false });
+    steps.extend([Step::Run; 200]);
+    play(Flaw::None, seed, &steps)
+}
+
+#[test]
+fn the_end_of_one_earlier_manager_says_nothing_of_those_before_it() {
+    for seed in 0..40 {
+        for end in [Step::Resign(1), Step::Restart(1)] {
+            assert_eq!(two_successors(end, seed), Ok(()), "{end:?}, seed {seed}");
+        }
+    }
+}
--- a/engine/tests/ownership_world/mod.rs
+++ b/engine/tests/ownership_world/mod.rs
@@ -23,7 +23,7 @@
     hold: Duration::from_secs(2),
     hold_alone: Duration::from_secs(3),
     renew: Duration::from_millis(600),
-    grace: Duration::from_secs(3),
+    horizon: Duration::from_secs(5),
 };
 
 /// A rule that is left out.
@@ -44,6 +44,8 @@
         ticks: u32,
     },
     Restart(usize),
+    /// A planned stop: the process hands over as far as it can, and starts again.
+    Resign(usize),
     Store {
         vm: usize,
         open: bool,
@@ -95,6 +97,8 @@
     start: u64,
     heard: Vec<(Duration, u64, Heard)>,
     written: Option<Record>,
+    /// The manager before this VM, until it is known to have stopped.
+    earlier: Option<String>,
 }
 
 /// Everything.
@@ -111,6 +115,8 @@
     writes_lost: u8,
     /// Writes that may still take effect: when, by whom, expected revision, record.
     late_writes: Vec<(Duration, u64, Record)>,
+    /// Starts of processes that have ended.
+    ended: Vec<String>,
 }
 
 impl World {
@@ -124,6 +130,7 @@
             start,
             heard: Vec::new(),
             written: None,
+            earlier: None,
         };
         Self {
             flaw,
@@ -136,6 +143,7 @@
             unanswered: 0,
             writes_lost: 0,
             late_writes: Vec::new(),
+            ended: Vec::new(),
         }
     }
 
@@ -144,6 +152,7 @@
             Step::Run => {}
             Step::Freeze { vm, ticks } => self.vms[vm].frozen = ticks,
             Step::Restart(vm) => self.restart(vm),
+            Step::Resign(vm) => self.resign(vm),
             Step::Store { vm, open } => self.vms[vm].store = open,
             Step::Link { vm, target, open } => self.targets.set_link(vm, target, open),
             Step::Crash { target, ticks } => self.targets.crash(target, ticks),
@@ -177,6 +186,8 @@
     fn restart(&mut self, vm: usize) {
         let start = self.random.random();
         let own = &mut self.vms[vm];
+        self.ended.push(own.start.to_string());
+        own.earlier = None;
         own.keeper = None;
         own.heard.clear();
         own.start = start;
@@ -184,6 +195,30 @@
         own.written = None;
     }
 
+    /// Ends a process in order: its record says so if the store takes that.
+    fn resign(&mut self, vm: usize) {
+        let own = &mut self.vms[vm];
+        let now = self.now;
+        let record = own.keeper.as_mut().and_then(|it| it.resign(now));
+        let stands = self.record.0 == own.revision && own.store;
+        if let Some(record) = record.filter(|_| stands) {
+            self.record = (self.record.0 + 1, record);
+        }
+        if self.lease.is_some_and(|(holder, ..)| holder == vm) && self.vms[vm].store {
+            self.lease = None;
+        }
+        self.restart(vm);
+    }
+
+    /// Tells a manager that the one before it has ended, once its VM has started again.
+    fn look_for_earlier(&mut self, vm: usize) {
+        let own = &mut self.vms[vm];
+        let ended = |start: &mut String| self.ended.contains(start);
+        if own.keeper.is_some() && own.earlier.take_if(ended).is_some() {
+            self.feed(vm, Event::EarlierStopped);
+        }
+    }
+
     fn load(&mut self, key: Point, count: u32) {
         for vm in 0..self.vms.len() {
             self.feed(vm, Event::Load(vec![(key, count)]));
@@ -205,6 +240,7 @@
             }
             self.hear(vm);
             self.renew_or_bid(vm);
+            self.look_for_earlier(vm);
             let announced = self.targets.announced();
             self.feed(vm, Event::Targets(announced));
             self.feed(vm, Event::Tick);
@@ -283,13 +319,14 @@
         self.lease = Some((vm, start, now + LEASE));
         let mut timing = TIMING;
         if self.flaw == Flaw::NoWaitForEarlier {
-            timing.grace = Duration::ZERO;
+            timing.horizon = Duration::ZERO;
         }
         let (revision, record) = self.record.clone();
+        self.vms[vm].earlier = Some(record.manager.clone());
         let (mut keeper, effects) = Keeper::take_over(&start.to_string(), record, timing, now);
         if self.flaw == Flaw::NoWaitForEarlier {
             // It still renews as long itself: only the waiting is left out.
-            let _ = keeper.on(now, Event::Lease(now + LEASE + TIMING.grace));
+            let _ = keeper.on(now, Event::Lease(now + LEASE + TIMING.horizon));
         }
         self.vms[vm].keeper = Some(keeper);
         self.vms[vm].revision = revision;
@@ -304,7 +341,7 @@
         let now = self.now;
         let event = match event {
             Event::Lease(until) if self.flaw == Flaw::NoWaitForEarlier => {
-                Event::Lease(until + TIMING.grace)
+                Event::Lease(until + TIMING.horizon)
             }
             other => other,
         };
