Keeper and manager in rooms of their own

Now: what answers say, commits, moves, earlier managers (a unit of its own); the lease, records, news.

--- /dev/null
+++ b/engine/src/owner/keeper/mod.rs
@@ -0,0 +1,330 @@
+//! What a manager records, grants and releases for one service; free of I/O.
+//!
+//! The rules, and what each protects against:
+//!
+//! - An owner and its fence stand in the store before the first grant at that fence leaves, and the
+//!   record changes only by compare-and-swap. So a manager that was replaced unawares can only
+//!   renew pairs that once stood there.
+//! - A takeover raises every fence. The owners stay; earlier managers are refused by each target
+//!   that has heard of the new fence.
+//! - A range gets a new owner only once nobody can hold it: its owner has confirmed the release,
+//!   or that life of it has ended, or the last grant that can have arrived has run out. A shorter
+//!   grant doesn't end a longer one.
+//! - A manager that can't renew its lease goes on granting, with holds that all end by
+//!   [`Timing::horizon`] after the lease. A successor reckons with such grants, unless every manager
+//!   before it is known to have stopped; the end of the last one alone says nothing of those that
+//!   it had not waited for itself ([`Record::settled`]).
+//! - The next life of a target knows no fence, and an earlier manager could grant to it. So the end
+//!   of a life counts only once no earlier manager is left, or once the next life was fenced.
+//! - A grant without an answer may have arrived until the moment at which its connection was reset.
+
+mod answers;
+mod commit;
+mod earlier;
+mod moves;
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use self::{commit::Pending, earlier::Earlier};
+pub use super::order::{Effect, Ending, Event, Order, Timing};
+use super::{
+    balance::Move,
+    live::{Live, Phase, shrunk},
+    load::Load,
+    record::{Life, Point, Record, Term},
+};
+use crate::catalogue::{Target, TargetId};
+
+/// The shortest hold that is worth a grant: a renewal takes up to its timeout of 0.4 s.
+const HOLD_LEAST: Duration = Duration::from_millis(500);
+/// How little may be left of the lease until grants hold for longer: two renewals are late then.
+const ALONE: Duration = Duration::from_secs(1);
+/// The pause before a call that got no answer is made again.
+const AGAIN: Duration = Duration::from_millis(150);
+/// How long the last grants of a manager that knows that it is replaced may be under way.
+const LAST_GRANTS: Duration = Duration::from_millis(500);
+
+/// The manager's state for one service.
+///
+/// # Example
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use bramleypier_engine::owner::{
+///     keeper::{Effect, Event, Keeper, Timing},
+///     record::Record,
+/// };
+///
+/// let timing = Timing {
+///     hold: Duration::from_secs(4),
+///     hold_alone: Duration::from_secs(10),
+///     renew: Duration::from_secs(1),
+///     horizon: Duration::from_secs(12),
+/// };
+/// let now = Duration::ZERO;
+/// let (mut keeper, effects) = Keeper::take_over("vm-1", Record::first(99), timing, now);
+/// assert!(matches!(&effects[..], [Effect::Commit(record)] if record.term == 1));
+/// assert!(keeper.on(now, Event::Committed).is_empty());
+/// ```
+#[derive(Debug)]
+pub struct Keeper {
+    timing: Timing,
+    record: Record,
+    /// The commit under way.
+    pending: Option<Pending>,
+    /// When a failed commit is made again.
+    commit_due: Option<Duration>,
+    /// How long to wait after the next failed commit.
+    commit_pause: Duration,
+    /// Until when the manager's lease holds.
+    lease: Duration,
+    /// Managers of earlier terms.
+    earlier: Earlier,
+    live: IndexMap<Point, Live>,
+    targets: IndexMap<TargetId, Target>,
+    shunned: IndexMap<Life, Duration>,
+    load: Load,
+    /// The times that one request takes at targets, in seconds, as measured by those who send.
+    times: IndexMap<TargetId, f64>,
+    started: Duration,
+    balanced: Duration,
+    /// When keys were last dealt anew.
+    dealt: Duration,
+    /// Moves for balance, and until when their keys are left alone.
+    moved: Vec<(Move, Duration)>,
+    stopped: bool,
+}
+
+impl Keeper {
+    /// Takes a service over from the manager that wrote `record`.
+    ///
+    /// The first effect writes the record for the new term; until [`Event::Committed`] nothing is
+    /// granted.
+    ///
+    /// # Example
+    ///
+    /// See [`Keeper`].
+    pub fn take_over(
+        manager: &str,
+        earlier: Record,
+        timing: Timing,
+        now: Duration,
+    ) -> (Self, Vec<Effect>) {
+        let past = Earlier::of(&earlier, timing, now);
+        let record = Record {
+            settled: past.is_over(now),
+            ..commit::successor(earlier, manager)
+        };
+        let pending = Pending {
+            record: record.clone(),
+            fence: 0,
+            moves: Vec::new(),
+            takeover: true,
+        };
+        let keeper = Self {
+            timing,
+            record: Record::default(),
+            pending: Some(pending),
+            commit_due: None,
+            commit_pause: AGAIN,
+            lease: now,
+            earlier: past,
+            live: IndexMap::new(),
+            targets: IndexMap::new(),
+            shunned: IndexMap::new(),
+            load: Load::default(),
+            times: IndexMap::new(),
+            started: now,
+            balanced: now,
+            dealt: Duration::ZERO,
+            moved: Vec::new(),
+            stopped: false,
+        };
+        (keeper, vec![Effect::Commit(record)])
+    }
+
+    /// Returns the record as it was last known to stand in the store.
+    ///
+    /// # Example
+    ///
+    /// See [`Keeper`].
+    pub fn record(&self) -> &Record {
+        &self.record
+    }
+
+    /// Returns the term.
+    ///
+    /// # Example
+    ///
+    /// See [`Keeper`].
+    pub fn term(&self) -> Term {
+        let pending = self.pending.as_ref().map(|it| it.record.term);
+        pending.unwrap_or(self.record.term)
+    }
+
+    /// Sets the times that one request takes at targets, in seconds.
+    ///
+    /// # Example
+    ///
+    /// See [`Keeper`].
+    pub fn set_times(&mut self, times: IndexMap<TargetId, f64>) {
+        self.times = times;
+    }
+
+    /// Stops for good and returns the record that tells so, if it can be written now.
+    ///
+    /// After this no grant leaves; the next manager need not wait for this one.
+    ///
+    /// # Example
+    ///
+    /// See [`Keeper`].
+    pub fn resign(&mut self, now: Duration) -> Option<Record> {
+        self.stopped = true;
+        if self.pending.is_some() || self.live.values().any(|live| live.busy) {
+            return None;
+        }
+        let mut record = self.record.clone();
+        record.resigned = true;
+        record.settled = self.earlier.is_over(now);
+        Some(record)
+    }
+
+    /// Takes an event and returns what is to be done.
+    ///
+    /// # Example
+    ///
+    /// See [`Keeper`].
+    pub fn on(&mut self, now: Duration, event: Event) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        match event {
+            Event::Targets(targets) => self.targets(targets),
+            Event::Granted(from, ending) => self.granted(now, from, &ending, &mut effects),
+            Event::Released(from, ending) => self.released(now, from, ending, &mut effects),
+            Event::Committed => self.committed(now),
+            Event::CommitFailed => self.retry_commit(now),
+            Event::Lease(until) => self.lease = until,
+            Event::EarlierStopped => self.earlier.on_stopped(now),
+            Event::Load(counts) => self.load.add(now, counts),
+            Event::Closed(address) => self.hurry(now, address),
+            Event::Tick => {}
+        }
+        if !self.stopped {
+            self.free_lapsed(now, &mut effects);
+            self.empty_leaving(now, &mut effects);
+            self.balance(now, &mut effects);
+            self.reassign(now, &mut effects);
+            self.call(now, &mut effects);
+        }
+        effects
+    }
+
+    fn targets(&mut self, targets: Vec<Target>) {
+        let by_id = targets.into_iter().map(|it| (it.id.clone(), it));
+        self.targets = by_id.collect();
+    }
+
+    /// Returns when a range's last grant has run out for certain.
+    fn lapse(&self, live: &Live) -> Option<Duration> {
+        let until = live.until?;
+        if live.confirmed || !live.inherited {
+            return Some(until);
+        }
+        Some(until.max(self.earlier.holds()))
+    }
+
+    fn free_lapsed(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        let lapsed: Vec<Point> = self
+            .live
+            .iter()
+            .filter(|(_, live)| !live.busy && !matches!(live.phase, Phase::Free(_)))
+            .filter(|(_, live)| match self.lapse(live) {
+                Some(lapse) => now >= lapse,
+                // Nothing was ever sent that arrived: whoever can't be reached twice is left.
+                None => live.unsent >= 2,
+            })
+            .map(|(from, _)| *from)
+            .collect();
+        for from in lapsed {
+            self.lose(now, from, "no answer until its hold ran out", out);
+        }
+    }
+
+    /// Asks owners that leave, or that are no longer announced, to let go.
+    fn empty_leaving(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        for part in &self.record.parts {
+            let Some(live) = self.live.get_mut(&part.from) else {
+                continue;
+            };
+            let Some(owner) = &part.owner else {
+                continue;
+            };
+            if live.phase != Phase::Held || live.busy {
+                continue;
+            }
+            let target = self.targets.get(&owner.id);
+            let stays = target.is_some_and(|it| owner.is(it) && !it.leaving);
+            if !stays {
+                live.phase = Phase::Releasing(None);
+                live.due = now;
+                out.push(Effect::Note(format!(
+                    "event=release-begun from={} to={} owner={} announced={}",
+                    part.from,
+                    part.to,
+                    owner.id,
+                    target.is_some()
+                )));
+            }
+        }
+    }
+
+    /// Returns how long a grant that is sent now is to hold; none if it may not be sent.
+    ///
+    /// Without the store nobody can replace the manager, and when it goes too, keys are served only
+    /// until their holds run out: so these are longer then.
+    fn hold(&self, now: Duration) -> Option<Duration> {
+        if now + ALONE < self.lease {
+            return Some(self.timing.hold);
+        }
+        let end = self.lease + self.timing.horizon;
+        let left = end.saturating_sub(now + LAST_GRANTS);
+        let hold = shrunk(left).min(self.timing.hold_alone);
+        (hold >= HOLD_LEAST).then_some(hold)
+    }
+
+    /// Sends what is due: renewals of what is held, releases of what is to be let go.
+    fn call(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        let hold = self.hold(now);
+        for part in &self.record.parts {
+            let (Some(live), Some(owner)) = (self.live.get_mut(&part.from), &part.owner) else {
+                continue;
+            };
+            if live.busy || now < live.due {
+                continue;
+            }
+            let order = |fence, hold, handover| Order {
+                owner: owner.clone(),
+                from: part.from,
+                to: part.to,
+                fence,
+                hold,
+                handover,
+            };
+            match (&live.phase, hold) {
+                (Phase::Held, Some(hold)) => {
+                    live.busy = true;
+                    live.hold = hold;
+                    let order = order(part.fence, hold, live.handover.clone());
+                    out.push(Effect::Grant(order));
+                }
+                (Phase::Releasing(_), _) => {
+                    live.busy = true;
+                    out.push(Effect::Release(order(part.fence + 1, Duration::ZERO, None)));
+                }
+                (Phase::Held | Phase::Free(_), _) => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/engine/src/owner/manager/news.rs
@@ -0,0 +1,119 @@
+//! What the manager hears of the fleet: load, other managers, targets, closed connections.
+
+use std::time::Duration;
+
+use super::{Kept, Manager};
+use crate::{
+    catalogue::{ServiceId, TargetHash},
+    fleet::Fleet,
+    owner::{calls, keeper::Event, record::Point},
+};
+
+/// Beyond how many the older ones lose half their weight: some four seconds of a busy target.
+const SAMPLES_MOST: f64 = 60.0;
+
+impl Manager {
+    pub(super) fn loaded(
+        &mut self,
+        counts: Vec<(ServiceId, Vec<(Point, u32)>)>,
+        times: &[(TargetHash, f64, u32)],
+    ) {
+        for (target, sum, count) in times {
+            let total = self.times.entry(*target).or_default();
+            if total.1 > SAMPLES_MOST {
+                *total = (total.0 / 2.0, total.1 / 2.0);
+            }
+            total.0 += sum;
+            total.1 += f64::from(*count);
+        }
+        for (service, counts) in counts {
+            let fleet = self.context.beliefs.get();
+            let times = calls::measured(&self.times, &calls::targets(&fleet, &service));
+            if let Some(kept) = self.kept.get_mut(&service) {
+                kept.keeper.set_times(times);
+            }
+            self.feed(&service, Event::Load(counts));
+        }
+    }
+
+    /// Takes note that a process knows of this manager: an earlier one has stopped then.
+    pub(super) fn told(&mut self, start: &str) {
+        let earlier = |kept: &Kept| kept.earlier.as_deref() == Some(start);
+        let services = self.kept.iter().filter(|(_, kept)| earlier(kept));
+        let services: Vec<_> = services.map(|(name, _)| name.clone()).collect();
+        for service in services {
+            self.earlier_stopped(&service, "it knows its successor");
+        }
+    }
+
+    fn earlier_stopped(&mut self, service: &str, cause: &str) {
+        let earlier = self
+            .kept
+            .get_mut(service)
+            .and_then(|kept| kept.earlier.take());
+        if let Some(start) = earlier {
+            self.log(&format!(
+                "event=earlier-manager-stopped start={start} cause=\"{cause}\""
+            ));
+            self.feed(service, Event::EarlierStopped);
+        }
+    }
+
+    /// Looks whether earlier managers' processes have been followed by later starts.
+    pub(super) fn look_for_earlier(&mut self, fleet: &Fleet) {
+        let own = &self.context.vm;
+        let ended = |start: &str| {
+            let name = start.rsplit_once('/').map_or(start, |(name, _)| name);
+            let later = fleet.vms.get(name).is_some_and(|vm| vm.start != start);
+            start != own.start && (name == own.name || later)
+        };
+        let services = self
+            .kept
+            .iter()
+            .filter(|(_, kept)| kept.earlier.as_deref().is_some_and(ended));
+        let services: Vec<_> = services.map(|(name, _)| name.clone()).collect();
+        for service in services {
+            self.earlier_stopped(&service, "its VM has started again");
+        }
+    }
+
+    /// Takes a change of beliefs in.
+    pub(super) fn look(&mut self) {
+        let fleet = self.context.beliefs.get();
+        self.look_for_earlier(&fleet);
+        self.yield_to_other(&fleet);
+        let services: Vec<_> = self.kept.keys().cloned().collect();
+        for service in services {
+            self.feed(&service, Event::Targets(calls::targets(&fleet, &service)));
+        }
+    }
+
+    /// Stops at once when another start is known to be the manager.
+    fn yield_to_other(&mut self, fleet: &Fleet) {
+        let Some(manager) = &fleet.manager else {
+            return;
+        };
+        self.bid_due = None;
+        if manager.start != self.context.vm.start && !self.kept.is_empty() {
+            self.log(&format!(
+                "event=deposed cause=manager-is vm={}",
+                manager.name
+            ));
+            self.kept.clear();
+            self.drop_lease();
+        }
+    }
+
+    /// Tells keepers which targets have closed connections since the last look.
+    pub(super) fn look_for_closed(&mut self, now: Duration) {
+        let closed = self.context.client.closed_since(self.looked);
+        self.looked = now;
+        let services: Vec<_> = self.kept.keys().cloned().collect();
+        for address in closed {
+            self.log(&format!("event=target-closed address={address}"));
+            for service in &services {
+                self.feed(service, Event::Closed(address));
+            }
+        }
+    }
+}
