--- a/engine/src/fleet/mod.rs
+++ b/engine/src/fleet/mod.rs
@@ -4,8 +4,10 @@
 //! state to the tasks of the process and wakes those that listen.
 
 mod beliefs;
+mod entries;
 mod entry;
 mod journal;
+mod relaying;
 
 use std::{collections::HashSet, rc::Rc, time::Duration};
 
@@ -220,88 +222,6 @@
         self.known.insert(key.to_owned(), Known { revision, value });
     }
 
-    /// Returns what another VM lacks that has followed up to a place.
-    ///
-    /// # Example
-    ///
-    /// ```
-    /// use bramleypier_engine::fleet::{Fleet, Place, Relay};
-    ///
-    /// let fleet = Fleet::default();
-    /// let relay = fleet.relay("start", &Place::default());
-    /// assert!(matches!(relay, Relay::Whole { .. }));
-    /// ```
-    pub fn relay(&self, start: &str, place: &Place) -> Relay {
-        if let Some(relay) = self.journal.since(start, place) {
-            return relay;
-        }
-        let items = self.known.iter().filter_map(|(key, known)| {
-            let value = known.value.as_ref()?;
-            Some(Item {
-                key: key.clone(),
-                value: value.to_vec(),
-                revision: known.revision,
-            })
-        });
-        Relay::Whole {
-            items: items.collect(),
-            followed: self.followed.clone(),
-            place: self.journal.place(start),
-        }
-    }
-
-    /// Takes note up to which revision a prefix was followed in the store itself.
-    ///
-    /// # Example
-    ///
-    /// ```
-    /// use bramleypier_engine::fleet::Fleet;
-    ///
-    /// let mut fleet = Fleet::default();
-    /// fleet.on_followed("a/", 7);
-    /// ```
-    pub fn on_followed(&mut self, prefix: &str, revision: Revision) {
-        self.followed.insert(prefix.to_owned(), revision);
-    }
-
-    /// Takes in what another VM relays; returns what changed, for the log.
-    ///
-    /// What a relay of everything lacks is gone, if the other VM has followed its prefix in the
-    /// store, and unless it is newer than that.
-    pub fn on_relay<C>(
-        &mut self,
-        now: Duration,
-        relay: &Relay,
-        keys: &Keys,
-        catalogue: &C,
-    ) -> Vec<String>
-    where
-        C: Catalogue + ?Sized,
-    {
-        let mut notes = Vec::new();
-        match relay {
-            Relay::Whole {
-                items, followed, ..
-            } => {
-                for (prefix, upto) in followed {
-                    notes.extend(self.remove_missing(now, prefix, items, *upto, keys, catalogue));
-                }
-                let prefix = catalogue.targets_prefix();
-                self.listed |= items.iter().any(|item| item.key.starts_with(prefix));
-                for item in items {
-                    let change = Change::Put(item.clone());
-                    notes.extend(self.on_change(now, &change, keys, catalogue));
-                }
-            }
-            Relay::Changes { changes, .. } => {
-                for change in changes {
-                    notes.extend(self.on_change(now, change, keys, catalogue));
-                }
-            }
-        }
-        notes
-    }
-
     /// Removes targets that have been missing for long enough after trouble of the store.
     ///
     /// # Example
@@ -340,140 +260,6 @@
         self.vanished.values().map(|(at, _)| *at).min()
     }
 
-    fn put<C>(&mut self, item: &Item, keys: &Keys, catalogue: &C) -> Vec<String>
-    where
-        C: Catalogue + ?Sized,
-    {
-        let Item {
-            key,
-            value,
-            revision,
-        } = item;
-        if key == catalogue.config_key() {
-            return self.put_config(key, value, *revision, catalogue);
-        }
-        if key.starts_with(catalogue.targets_prefix()) {
-            self.vanished.swap_remove(key);
-            return self.put_target(key, value, *revision, catalogue);
-        }
-        if *key == keys.manager() {
-            self.manager = Vm::decode(value);
-            let name = self.manager.as_ref().map_or("", |vm| &vm.name);
-            return vec![format!("event=manager vm={name} revision={revision}")];
-        }
-        if let Some(service) = key.strip_prefix(&keys.record("")) {
-            return self.put_record(service, value, *revision);
-        }
-        if let Some(vm) = key.strip_prefix(&keys.vm("")).zip(Vm::decode(value)) {
-            let note = format!("event=vm-up vm={} start={}", vm.0, vm.1.start);
-            self.vms.insert(vm.0.to_owned(), vm.1);
-            return vec![note];
-        }
-        Vec::new()
-    }
-
-    fn put_config<C>(
-        &mut self,
-        key: &str,
-        value: &[u8],
-        revision: Revision,
-        catalogue: &C,
-    ) -> Vec<String>
-    where
-        C: Catalogue + ?Sized,
-    {
-        let config = match catalogue.config(value) {
-            Ok(config) => config,
-            Err(error) => {
-                return vec![format!(
-                    "event=config-refused key={key} revision={revision} {error}"
-                )];
-            }
-        };
-        let known = self.config.as_ref().map_or(0, |config| config.version);
-        if config.version <= known {
-            return Vec::new();
-        }
-        let note = format!(
-            "event=config-in-force version={} before={known} revision={revision} routes={}",
-            config.version,
-            config.routes.len()
-        );
-        self.config = Some(Rc::new(config));
-        vec![note]
-    }
-
-    fn put_target<C>(
-        &mut self,
-        key: &str,
-        value: &[u8],
-        revision: Revision,
-        catalogue: &C,
-    ) -> Vec<String>
-    where
-        C: Catalogue + ?Sized,
-    {
-        match catalogue.target(key, value) {
-            Ok(target) => {
-                let note = format!(
-                    "event=target-announced target={} born={} service={} address={} leaving={} \
-                     revision={revision}",
-                    target.id, target.born, target.service, target.address, target.leaving
-                );
-                self.targets.insert(target.id.clone(), target);
-                vec![note]
-            }
-            Err(error) => {
-                let id = key.rsplit('/').next().unwrap_or_default();
-                self.targets.swap_remove(id);
-                vec![format!(
-                    "event=target-unreadable revision={revision} {error}"
-                )]
-            }
-        }
-    }
-
-    fn put_record(&mut self, service: &str, value: &[u8], revision: Revision) -> Vec<String> {
-        let record = match Record::decode(value) {
-            Ok(record) => Rc::new(record),
-            Err(error) => {
-                return vec![format!("event=record-unreadable service={service} {error}")];
-            }
-        };
-        let note = format!(
-            "event=owners-in-force service={service} term={} revision={revision} ranges={}",
-            record.term,
-            record.parts.len()
-        );
-        let recorded = Recorded { revision, record };
-        self.records.insert(service.to_owned(), recorded);
-        vec![note]
-    }
-
-    fn remove<C>(&mut self, key: &str, keys: &Keys, catalogue: &C) -> Vec<String>
-    where
-        C: Catalogue + ?Sized,
-    {
-        let id = key.rsplit('/').next().unwrap_or_default();
-        if key.starts_with(catalogue.targets_prefix()) {
-            let known = self.targets.swap_remove(id).is_some();
-            return if known {
-                vec![format!("event=target-gone target={id}")]
-            } else {
-                Vec::new()
-            };
-        }
-        if key == keys.manager() {
-            self.manager = None;
-            return vec!["event=manager-gone".to_owned()];
-        }
-        if key.starts_with(&keys.vm("")) && self.vms.swap_remove(id).is_some() {
-            return vec![format!("event=vm-gone vm={id}")];
-        }
-        // A configuration or a record that was removed stays in force: neither may go backwards.
-        Vec::new()
-    }
-
     /// Returns what the desk needs to know: targets that leave get no new work.
     ///
     /// # Example
--- a/engine/src/process.rs
+++ b/engine/src/process/mod.rs
@@ -1,5 +1,8 @@
 //! One process: its sockets and tasks, from start to stop.
 
+mod listeners;
+mod signals;
+
 use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bramleypier_util::{
@@ -8,7 +11,6 @@
     clock::Clock,
     server::{self, Control},
 };
-use compio::net::TcpListener;
 use futures_channel::{mpsc, oneshot};
 use futures_util::{
     StreamExt,
@@ -17,6 +19,7 @@
 use hyper::Response;
 use quick_error::quick_error;
 
+use self::listeners::Listeners;
 use crate::{
     caller::{
         Callers,
@@ -47,14 +50,6 @@
 const FAREWELL: Duration = Duration::from_millis(500);
 /// How often a stopping process looks whether its last request has ended.
 const POLL: Duration = Duration::from_millis(20);
-/// How often the settings file is looked at.
-const RELOAD_PERIOD: Duration = Duration::from_secs(1);
-/// The signal that asks for a stop.
-const SIGTERM: i32 = 15;
-/// The signal that a terminal sends.
-const SIGINT: i32 = 2;
-/// The signal that says that the settings file has changed.
-const SIGHUP: i32 = 1;
 
 quick_error! {
     /// Why a process could not start.
@@ -95,29 +90,6 @@
 /// Reads the settings file again; the text tells what is wrong with it.
 pub type Reload = Box<dyn Fn() -> Result<Settings, String>>;
 
-struct Listeners {
-    callers: TcpListener,
-    readiness: TcpListener,
-    peers: TcpListener,
-    metrics: TcpListener,
-}
-
-async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
-    let bound = TcpListener::bind(address).await;
-    bound.map_err(|cause| Error::Listen(address, cause))
-}
-
-impl Listeners {
-    async fn open(settings: &Settings) -> Result<Self, Error> {
-        Ok(Self {
-            callers: listen(settings.callers).await?,
-            readiness: listen(settings.readiness).await?,
-            peers: listen(settings.peers).await?,
-            metrics: listen(settings.metrics).await?,
-        })
-    }
-}
-
 /// Runs a process until it is told to stop.
 ///
 /// # Errors
@@ -208,7 +180,7 @@
         let exchange = self.exchange(&desk, &manager);
         self.serve(listeners, &callers, &desk, &exchange);
         spawn(sync::run(exchange));
-        spawn(watch_settings(
+        spawn(signals::watch_settings(
             reload,
             self.settings.clone(),
             self.clock.clone(),
@@ -348,7 +320,7 @@
     /// Becomes ready with the first configuration, and returns when the process is told to stop.
     async fn open_when_ready(&self) {
         let mut changes = self.beliefs.listen();
-        let mut stop = Box::pin(stop_signal());
+        let mut stop = Box::pin(signals::stop_signal());
         while !self.beliefs.get().is_ready() {
             match future::select(changes.next(), &mut stop).await {
                 Either::Left(_) => {}
@@ -398,41 +370,3 @@
 {
     compio::runtime::spawn(future).detach();
 }
-
-async fn stop_signal() {
-    let term = Box::pin(compio::signal::unix::signal(SIGTERM));
-    let interrupt = Box::pin(compio::signal::unix::signal(SIGINT));
-    future::select(term, interrupt).await;
-}
-
-/// Reads the settings again when their file changes or a signal asks for it.
-///
-/// Addresses and names stay as they are until the next start; the log tells what was read.
-async fn watch_settings(reload: Reload, first: Settings, clock: Clock, report: Report) {
-    let mut known = Ok(first);
-    loop {
-        let signal = Box::pin(compio::signal::unix::signal(SIGHUP));
-        let asked = matches!(
-            future::select(signal, Box::pin(clock.sleep(RELOAD_PERIOD))).await,
-            Either::Left(_)
-        );
-        let read = reload();
-        if read == known && !asked {
-            continue;
-        }
-        match &read {
-            Ok(settings) => report.line(&format!(
-                "event=settings-reloaded asked={asked} changed={} log_level={}",
-                read != known,
-                settings.log_level
-            )),
-            Err(reason) => report.line(&format!(
-                "event=settings-refused asked={asked} cause=\"{reason}\""
-            )),
-        }
-        if let Ok(settings) = &read {
-            log::set_max_level(settings.log_level);
-        }
-        known = read;
-    }
-}
--- /dev/null
+++ b/engine/src/process/signals.rs
@@ -0,0 +1,57 @@
+//! Signals: a stop, and settings that are read again.
+
+use std::time::Duration;
+
+use bramleypier_util::clock::Clock;
+use futures_util::future::{self, Either};
+
+use super::Reload;
+use crate::{report::Report, settings::Settings};
+
+/// How often the settings file is looked at.
+const RELOAD_PERIOD: Duration = Duration::from_secs(1);
+/// The signal that asks for a stop.
+const SIGTERM: i32 = 15;
+/// The signal that a terminal sends.
+const SIGINT: i32 = 2;
+/// The signal that says that the settings file has changed.
+const SIGHUP: i32 = 1;
+
+/// Waits until the process is asked to stop.
+pub(super) async fn stop_signal() {
+    let term = Box::pin(compio::signal::unix::signal(SIGTERM));
+    let interrupt = Box::pin(compio::signal::unix::signal(SIGINT));
+    future::select(term, interrupt).await;
+}
+
+/// Reads the settings again when their file changes or a signal asks for it.
+///
+/// Addresses and names stay as they are until the next start; the log tells what was read.
+pub(super) async fn watch_settings(reload: Reload, first: Settings, clock: Clock, report: Report) {
+    let mut known = Ok(first);
+    loop {
+        let signal = Box::pin(compio::signal::unix::signal(SIGHUP));
+        let asked = matches!(
+            future::select(signal, Box::pin(clock.sleep(RELOAD_PERIOD))).await,
+            Either::Left(_)
+        );
+        let read = reload();
+        if read == known && !asked {
+            continue;
+        }
+        match &read {
+            Ok(settings) => report.line(&format!(
+                "event=settings-reloaded asked={asked} changed={} log_level={}",
+                read != known,
+                settings.log_level
+            )),
+            Err(reason) => report.line(&format!(
+                "event=settings-refused asked={asked} cause=\"{reason}\""
+            )),
+        }
+        if let Ok(settings) = &read {
+            log::set_max_level(settings.log_level);
+        }
+        known = read;
+    }
+}
