Status, time line and check cover the VMs on the users' platform

Until now these commands knew the project's own interface only. Each VM keeps its last events with hybrid logical times, which the exchange between VMs carries; `status` and `timeline` find the VMs from one that the settings name, with or without the store. `check` takes the deploy template and fills it in with sample values. The stamps moved to `util`, so that there is one copy. Ruled out: a command of another name (the settings file tells which interface it is for); the store as the list of VMs (an outage is when operators ask). Tests: program/tests/operate.rs (two VMs, one ended; the template and three faults in it).

--- a/engine/src/peer/mod.rs
+++ b/engine/src/peer/mod.rs
@@ -4,6 +4,7 @@
 //! others have under way and what is new in the store. So targets' queues are known to within a
 //! few ten milliseconds, and the store is watched by one VM instead of all.
 
+pub mod admin;
 mod board;
 pub mod sync;
 
@@ -12,6 +13,7 @@
 use bramleypier_util::{
     body::{self, Body},
     client::{self, Client},
+    stamp::Stamp,
 };
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use quick_error::quick_error;
@@ -63,6 +65,8 @@
     pub counts: Vec<(ServiceId, Vec<(Point, u32)>)>,
     /// Sums and counts of service times without waiting, in seconds, since the last message.
     pub times: Vec<(TargetHash, f64, u32)>,
+    /// When it was sent, for the time line.
+    pub stamp: Stamp,
 }
 
 /// What the manager answers.
@@ -75,6 +79,8 @@
     pub others: Vec<(TargetHash, u32)>,
     /// What the VM lacks of what this one knows, however old.
     pub relay: Relay,
+    /// When it was sent, for the time line.
+    pub stamp: Stamp,
 }
 
 /// Tells the manager, and returns its answer.
--- a/engine/src/peer/sync.rs
+++ b/engine/src/peer/sync.rs
@@ -10,9 +10,9 @@
 
 use bramleypier_util::{body::Body, client::Client, clock::Clock};
 use futures_channel::mpsc;
-use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use hyper::{Request, Response, StatusCode, body::Incoming};
 
-use super::{Board, Sync, Synced};
+use super::{Board, Sync, Synced, admin};
 use crate::{
     catalogue::Catalogue,
     fleet::{Beliefs, Keys, Place, Relay, Vm},
@@ -77,8 +77,8 @@
 
 /// Answers a VM that tells this one, the manager, what it has under way.
 pub async fn hear(context: Context, request: Request<Incoming>) -> Response<Body> {
-    if request.method() == Method::GET {
-        return Response::new(Body::from(context.report.text()));
+    if request.uri().path() != super::PATH {
+        return admin::answer(&context, &request);
     }
     match super::read(request).await {
         Ok(message) => super::answer(&context.take(message)),
@@ -94,6 +94,7 @@
 impl Context {
     /// Takes a VM's message in and builds the answer.
     fn take(&self, message: Sync) -> Synced {
+        self.report.merge(message.stamp);
         let now = self.clock.now();
         let well = self.leading.get() && self.pulse.is_well();
         let mut board = self.board.borrow_mut();
@@ -117,6 +118,7 @@
             well,
             others,
             relay,
+            stamp: self.report.stamp(),
         }
     }
 
@@ -150,6 +152,7 @@
             place,
             counts: self.tally.take(),
             times: state.times,
+            stamp: self.report.stamp(),
         }
     }
 }
@@ -217,6 +220,7 @@
     let message = Sync {
         start: context.vm.start.clone(),
         place: place.clone(),
+        stamp: context.report.stamp(),
         ..Sync::default()
     };
     // What it tells of requests is the manager's business.
@@ -244,6 +248,7 @@
     };
     let took = context.clock.now().saturating_sub(sent);
     context.report.time("sync", took, &[]);
+    context.report.merge(synced.stamp);
     if synced.relay.place() != place {
         context.take_relay(vm, &synced.relay);
         *place = synced.relay.place().clone();
--- a/engine/src/report/mod.rs
+++ b/engine/src/report/mod.rs
@@ -5,15 +5,21 @@
 //! up; what doesn't fit is counted and told later.
 
 mod buffer;
+mod events;
 mod metrics;
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
 
-use bramleypier_util::clock::Clock;
+use bramleypier_util::{clock::Clock, stamp::Stamp};
 use cadence::{CountedExt, StatsdClient, Timed};
 use log::{LevelFilter, SetLoggerError};
 use simplelog::{Config, ConfigBuilder, WriteLogger};
 
+pub use self::events::{Event, Events, Part};
 use self::{buffer::Buffer, metrics::Totals};
 
 /// What precedes each metric's name.
@@ -30,6 +36,7 @@
     client: Rc<StatsdClient>,
     totals: Totals,
     buffer: Buffer,
+    events: Rc<RefCell<Events>>,
     second: Rc<Cell<(u64, u32)>>,
     left_out: Rc<Cell<u64>>,
 }
@@ -55,6 +62,7 @@
             client: Rc::new(client),
             totals,
             buffer: Buffer::default(),
+            events: Rc::default(),
             second: Rc::default(),
             left_out: Rc::default(),
         }
@@ -85,11 +93,38 @@
         self.buffer.flush_out();
     }
 
-    /// Logs one line of `key=value` pairs.
+    /// Logs one line of `key=value` pairs, and keeps it for the time line.
     pub fn line(&self, text: &str) {
+        self.events.borrow_mut().add(text, false);
         log::info!("{text}");
     }
 
+    /// Returns a stamp for a message to another process.
+    pub fn stamp(&self) -> Stamp {
+        self.events.borrow_mut().stamp()
+    }
+
+    /// Takes the stamp of another process's message.
+    pub fn merge(&self, theirs: Stamp) {
+        self.events.borrow_mut().merge(theirs);
+    }
+
+    /// Returns the events of this process since a stamp.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_engine::report::Report;
+    /// use bramleypier_util::clock::Clock;
+    ///
+    /// let report = Report::new(Clock::paused());
+    /// report.line("event=started");
+    /// assert_eq!(report.part("vm-1", 0).events.len(), 1);
+    /// ```
+    pub fn part(&self, vm: &str, since: Stamp) -> Part {
+        self.events.borrow().part(vm, since)
+    }
+
     /// Logs several lines.
     pub fn lines(&self, lines: &[String]) {
         for line in lines {
@@ -107,7 +142,9 @@
         let count = if second == now { count } else { 0 };
         self.second.set((now, count + 1));
         if count < REQUEST_LINES {
-            self.line(&text());
+            let text = text();
+            self.events.borrow_mut().add(&text, true);
+            log::info!("{text}");
         } else {
             self.left_out.set(self.left_out.get() + 1);
         }
--- a/program/src/main.rs
+++ b/program/src/main.rs
@@ -1,5 +1,7 @@
 //! The one binary.
 
+mod operate;
+
 use std::{
     env,
     io::{self, Write as _},
@@ -13,13 +15,14 @@
     logging, settings,
     vm::{self, Ending},
 };
+use bramleypier_platform::settings::is_meant;
 use compio::runtime::Runtime;
 
 fn main() -> ExitCode {
     let output = match cli::parse(env::args_os().skip(1)) {
         Ok(Command::Run { settings }) => run(&settings),
         Ok(Command::Serve { settings }) => serve(settings),
-        Ok(command) => cli::execute(command),
+        Ok(command) => operate_on(command),
         Err(output) => output,
     };
     // A reader that has gone away ends the command no other way.
@@ -27,6 +30,23 @@
     ExitCode::from(output.exit.code())
 }
 
+/// Runs a command of operators, on the interface that its settings file is meant for.
+fn operate_on(command: Command) -> Output {
+    match command {
+        Command::Check {
+            settings: Some(settings),
+            documents,
+        } if documents.is_empty() && is_meant(&settings) => operate::check(&settings),
+        Command::Status { settings, json } if is_meant(&settings) => {
+            operate::status(&settings, json)
+        }
+        Command::Timeline(timeline) if is_meant(&timeline.settings) => {
+            operate::timeline(&timeline.settings, &timeline)
+        }
+        command => cli::execute(command),
+    }
+}
+
 /// Runs a process until it is told to stop.
 fn run(path: &Path) -> Output {
     let settings = match settings::load(path) {
--- a/program/tests/stage/mod.rs
+++ b/program/tests/stage/mod.rs
@@ -6,6 +6,7 @@
     fs,
     io::{BufRead as _, BufReader},
     net::{SocketAddr, TcpListener},
+    path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{
         Arc, Mutex,
@@ -56,6 +57,7 @@
     pub readiness: SocketAddr,
     pub peers: SocketAddr,
     pub metrics: SocketAddr,
+    pub settings: PathBuf,
     _folder: TempDir,
 }
 
@@ -109,6 +111,7 @@
             readiness: at(1),
             peers: at(2),
             metrics: at(3),
+            settings: path,
             _folder: folder,
         }
     }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -20,6 +20,7 @@
 pub use error::Error;
 pub use output::{Exit, Output};
 pub use parser::{Command, Document, Timeline, command};
+pub use timeline::since;
 
 /// The program's name in help texts.
 const NAME: &str = "bramleypier";
--- a/src/cli/timeline.rs
+++ b/src/cli/timeline.rs
@@ -39,7 +39,20 @@
 }
 
 /// Reads a span before now, or a time.
-fn since(text: &str) -> Result<Stamp, Error> {
+///
+/// # Errors
+///
+/// The text is neither.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier::cli;
+///
+/// assert!(cli::since("10m").is_ok());
+/// assert!(cli::since("yesterday").is_err());
+/// ```
+pub fn since(text: &str) -> Result<Stamp, Error> {
     if let Some(time) = render::parse(text) {
         return Ok(time);
     }
--- a/src/timeline/mod.rs
+++ b/src/timeline/mod.rs
@@ -11,9 +11,8 @@
 pub mod event;
 pub mod render;
 pub mod ring;
-pub mod stamp;
 
 pub use account::{Account, Filter};
+pub use bramleypier_util::stamp::{self, Stamp};
 pub use event::{Duty, Event, Kind};
 pub use ring::{Part, Ring};
-pub use stamp::Stamp;
--- a/util/src/lib.rs
+++ b/util/src/lib.rs
@@ -18,4 +18,5 @@
 pub mod pace;
 pub mod server;
 pub mod socket;
+pub mod stamp;
 pub mod stream;
--- a/src/timeline/stamp.rs
+++ b/util/src/stamp.rs
@@ -17,7 +17,7 @@
 /// # Example
 ///
 /// ```
-/// use bramleypier::timeline::stamp;
+/// use bramleypier_util::stamp;
 ///
 /// assert!(stamp::wall().as_secs() > 0);
 /// ```
@@ -33,7 +33,7 @@
 /// ```
 /// use std::time::Duration;
 ///
-/// use bramleypier::timeline::stamp;
+/// use bramleypier_util::stamp;
 ///
 /// let time = Duration::from_millis(7);
 /// assert_eq!(stamp::time(stamp::first(time)), time);
@@ -48,7 +48,7 @@
 /// # Example
 ///
 /// ```
-/// use bramleypier::timeline::stamp;
+/// use bramleypier_util::stamp;
 ///
 /// assert_eq!(stamp::time(3 << 16).as_millis(), 3);
 /// ```
@@ -61,7 +61,7 @@
 /// # Example
 ///
 /// ```
-/// use bramleypier::timeline::stamp;
+/// use bramleypier_util::stamp;
 ///
 /// assert_eq!(stamp::count((3 << 16) + 5), 5);
 /// ```
@@ -84,7 +84,7 @@
     /// ```
     /// use std::time::Duration;
     ///
-    /// use bramleypier::timeline::stamp::Hybrid;
+    /// use bramleypier_util::stamp::Hybrid;
     ///
     /// let mut hybrid = Hybrid::default();
     /// let first = hybrid.tick(Duration::from_secs(9));
@@ -106,7 +106,7 @@
     /// ```
     /// use std::time::Duration;
     ///
-    /// use bramleypier::timeline::stamp::{self, Hybrid};
+    /// use bramleypier_util::stamp::{self, Hybrid};
     ///
     /// let mut hybrid = Hybrid::default();
     /// let theirs = stamp::first(Duration::from_secs(5));
@@ -128,7 +128,7 @@
     /// ```
     /// use std::time::Duration;
     ///
-    /// use bramleypier::timeline::stamp::Hybrid;
+    /// use bramleypier_util::stamp::Hybrid;
     ///
     /// let mut hybrid = Hybrid::default();
     /// hybrid.merge(Duration::ZERO, u64::MAX);
