--- a/engine/src/process/mod.rs
+++ b/engine/src/process/mod.rs
@@ -1,9 +1,10 @@
 //! One process: its sockets and tasks, from start to stop.
 
+mod life;
 mod listeners;
 mod signals;
 
-use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, io, net::SocketAddr, rc::Rc};
 
 use bramleypier_util::{
     body::Body,
@@ -11,15 +12,15 @@
     clock::Clock,
     server::{self, Control},
 };
-use futures_channel::{mpsc, oneshot};
-use futures_util::{
-    StreamExt,
-    future::{self, Either},
-};
+use futures_channel::mpsc;
+use futures_util::StreamExt;
 use hyper::Response;
 use quick_error::quick_error;
 
-use self::listeners::Listeners;
+use self::{
+    life::{Duties, Life},
+    listeners::Listeners,
+};
 use crate::{
     caller::{
         Callers,
@@ -46,10 +47,6 @@
 const CONNECTIONS: usize = 24;
 /// The most connections to one peer.
 const PEER_CONNECTIONS: usize = 4;
-/// What is left of the grace when the process gives up waiting for requests in flight.
-const FAREWELL: Duration = Duration::from_millis(500);
-/// How often a stopping process looks whether its last request has ended.
-const POLL: Duration = Duration::from_millis(20);
 
 quick_error! {
     /// Why a process could not start.
@@ -169,7 +166,7 @@
         self.follow();
         let desk = self.start_desk();
         let manager = self.start_manager();
-        let lease = register::start(register::Context {
+        let entry = register::start(register::Context {
             vm: self.vm.clone(),
             store: self.seams.store.clone(),
             keys: self.keys.clone(),
@@ -186,8 +183,21 @@
             self.clock.clone(),
             self.report.clone(),
         ));
-        self.open_when_ready().await;
-        self.stop(&callers, &manager, &lease).await;
+        let starting = Life::new(Duties {
+            clock: self.clock.clone(),
+            report: self.report.clone(),
+            beliefs: self.beliefs.clone(),
+            gate: self.gate.clone(),
+            grace: self.settings.grace,
+            callers,
+            manager,
+            entry,
+        });
+        let leaving = match starting.until_ready().await {
+            Ok(ready) => ready.until_told().await,
+            Err(leaving) => leaving,
+        };
+        leaving.drain().await;
         Ok(())
     }
 
@@ -316,52 +326,6 @@
             report: self.report.clone(),
         }
     }
-
-    /// Becomes ready with the first configuration, and returns when the process is told to stop.
-    async fn open_when_ready(&self) {
-        let mut changes = self.beliefs.listen();
-        let mut stop = Box::pin(signals::stop_signal());
-        while !self.beliefs.get().is_ready() {
-            match future::select(changes.next(), &mut stop).await {
-                Either::Left(_) => {}
-                Either::Right(_) => return,
-            }
-        }
-        self.gate.set_ready(true);
-        self.report.line("event=ready");
-        stop.await;
-    }
-
-    /// Stops in order: no new connections, duties handed over, requests in flight ended.
-    async fn stop(
-        &self,
-        callers: &Control,
-        manager: &mpsc::UnboundedSender<manager::Message>,
-        lease: &register::Handle,
-    ) {
-        let end = self.clock.now() + self.settings.grace.saturating_sub(FAREWELL);
-        self.gate.leave();
-        self.report
-            .line(&format!("event=stopping open={}", callers.open()));
-        let (sender, done) = oneshot::channel();
-        let resign = async {
-            if manager
-                .unbounded_send(manager::Message::Stop(sender))
-                .is_ok()
-            {
-                let _ = done.await;
-            }
-        };
-        let noticed = self.clock.sleep(serve::NOTICED);
-        future::join(resign, noticed).await;
-        lease.end().await;
-        callers.stop();
-        while callers.open() > 0 && self.clock.now() < end {
-            self.clock.sleep(POLL).await;
-        }
-        self.report
-            .line(&format!("event=drained cut={}", callers.open()));
-    }
 }
 
 fn spawn<F>(future: F)
