One watched stream in place of two wrappers; one way to replace a value

Client and server each wrapped the stream with the same pass-through code to count or to time what passes; the stream itself tells a watcher now. Two places built the same transaction.

--- a/engine/src/owner/manager/lease.rs
+++ b/engine/src/owner/manager/lease.rs
@@ -5,7 +5,7 @@
 use super::{BID_PAUSE, Manager, Message};
 use crate::{
     owner::{calls, keeper::Event},
-    store::{Error, Lease, Put, Transaction},
+    store::{Error, Lease, Transaction},
 };
 
 /// The time from one renewal of the lease to the next.
@@ -125,15 +125,7 @@
                     continue;
                 };
                 let key = context.keys.record(service);
-                let transaction = Transaction {
-                    expected: [(key.clone(), kept.revision)].into_iter().collect(),
-                    puts: vec![Put {
-                        key,
-                        value: record.encode(),
-                        lease: None,
-                    }],
-                    removes: Vec::new(),
-                };
+                let transaction = Transaction::replace(key, kept.revision, record.encode());
                 let result = context.store.commit(transaction).await;
                 if let Err(error) = result {
                     context
--- a/engine/src/owner/manager/records.rs
+++ b/engine/src/owner/manager/records.rs
@@ -7,7 +7,7 @@
         keeper::{Event, Keeper},
         record::{Record, Term},
     },
-    store::{Change, Commit, Error, Item, Put, Revision, Transaction},
+    store::{Change, Commit, Error, Item, Revision, Transaction},
 };
 
 impl Manager {
@@ -124,15 +124,7 @@
         kept.written = Some(record.clone());
         let term = kept.keeper.term();
         let key = self.context.keys.record(service);
-        let transaction = Transaction {
-            expected: [(key.clone(), kept.revision)].into_iter().collect(),
-            puts: vec![Put {
-                key,
-                value: record.encode(),
-                lease: None,
-            }],
-            removes: Vec::new(),
-        };
+        let transaction = Transaction::replace(key, kept.revision, record.encode());
         let (context, sender) = (self.context.clone(), self.sender.clone());
         let service = service.to_owned();
         compio::runtime::spawn(async move {
--- a/engine/src/store.rs
+++ b/engine/src/store.rs
@@ -114,6 +114,30 @@
     pub removes: Vec<String>,
 }
 
+impl Transaction {
+    /// Writes one value for good, if its key still stands at a revision.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_engine::store::Transaction;
+    ///
+    /// let transaction = Transaction::replace("a".to_owned(), 7, vec![1]);
+    /// assert_eq!(transaction.expected["a"], 7);
+    /// ```
+    pub fn replace(key: String, revision: Revision, value: Vec<u8>) -> Self {
+        Self {
+            expected: [(key.clone(), revision)].into_iter().collect(),
+            puts: vec![Put {
+                key,
+                value,
+                lease: None,
+            }],
+            removes: Vec::new(),
+        }
+    }
+}
+
 /// How a transaction ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Commit {
--- a/util/src/client.rs
+++ b/util/src/client.rs
@@ -7,9 +7,7 @@
     cell::{Cell, RefCell},
     io,
     net::SocketAddr,
-    pin::Pin,
     rc::Rc,
-    task::{Context, Poll},
     time::Duration,
 };
 
@@ -19,12 +17,16 @@
     body::Incoming,
     client::conn::http1::{self, SendRequest},
     header,
-    rt::{Read, ReadBufCursor, Write},
 };
 use indexmap::IndexMap;
 use quick_error::quick_error;
 
-use crate::{body::Body, clock::Clock, socket, stream::Stream};
+use crate::{
+    body::Body,
+    clock::Clock,
+    socket,
+    stream::{Stream, Watch},
+};
 
 /// How long a new connection may take.
 ///
@@ -229,19 +231,13 @@
             .map_err(|cause| Error::Connect(peer, cause))?;
         socket::prepare(&stream);
         socket::reset_on_close(&stream);
-        let written = Rc::new(Cell::new(0));
         let used = Rc::new(Cell::new(None));
-        let stream = Stream::new(stream);
-        let ended = stream.ended();
-        let counted = Counted {
-            stream,
-            written: written.clone(),
-        };
-        let (sender, task) = http1::handshake(counted)
+        let passed = Passed::default();
+        let (sender, task) = http1::handshake(Stream::new(stream, passed.clone()))
             .await
             .map_err(|cause| Error::Unsent(peer, cause))?;
         self.opened.set(self.opened.get() + 1);
-        let (client, last) = (self.clone(), used.clone());
+        let (client, last, ended) = (self.clone(), used.clone(), passed.ended);
         compio::runtime::spawn(async move {
             // The sender hears of a failure by itself.
             let _ = task.await;
@@ -253,7 +249,7 @@
         .detach();
         Ok(Connection {
             sender,
-            written,
+            written: passed.written,
             used,
         })
     }
@@ -304,65 +300,23 @@
     }
 }
 
-/// A stream that counts what it has written.
-struct Counted<S> {
-    stream: S,
+/// What a connection's task tells of its stream.
+#[derive(Clone, Debug, Default)]
+struct Passed {
+    /// How many bytes have left.
     written: Rc<Cell<u64>>,
+    /// Whether the peer has ended the stream in order.
+    ended: Rc<Cell<bool>>,
 }
 
-impl<S> Counted<S> {
-    fn count(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if let Poll::Ready(Ok(bytes)) = &result {
-            self.written.set(self.written.get() + *bytes as u64);
+impl Watch for Passed {
+    fn on_read(&mut self, bytes: usize) {
+        if bytes == 0 {
+            self.ended.set(true);
         }
-        result
-    }
-}
-
-impl<S> Read for Counted<S>
-where
-    S: Read + Unpin,
-{
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: ReadBufCursor<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
-    }
-}
-
-impl<S> Write for Counted<S>
-where
-    S: Write + Unpin,
-{
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.count(result)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
     }
 
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffers: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
-        self.count(result)
+    fn on_write(&mut self, bytes: usize) {
+        self.written.set(self.written.get() + bytes as u64);
     }
 }
--- a/util/src/server.rs
+++ b/util/src/server.rs
@@ -3,10 +3,8 @@
 use std::{
     cell::{Cell, RefCell},
     convert::Infallible,
-    io,
-    pin::Pin,
     rc::Rc,
-    task::{Context, Poll, ready},
+    task::{Poll, ready},
     time::Duration,
 };
 
@@ -16,15 +14,15 @@
     FutureExt,
     future::{self, Either, LocalBoxFuture, Shared},
 };
-use hyper::{
-    Request, Response,
-    body::Incoming,
-    rt::{Read, ReadBufCursor, Write},
-    server::conn::http1,
-    service,
-};
+use hyper::{Request, Response, body::Incoming, server::conn::http1, service};
 
-use crate::{body::Body, clock::Clock, pace::Pace, socket, stream::Stream};
+use crate::{
+    body::Body,
+    clock::Clock,
+    pace::Pace,
+    socket,
+    stream::{Stream, Watch},
+};
 
 /// How long a caller may take over the head of a request, where nothing else is set.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -161,10 +159,7 @@
             Ok::<_, Infallible>(answer)
         }
     });
-    let stream = Timed {
-        stream: Stream::new(stream),
-        pace: pace.clone(),
-    };
+    let stream = Stream::new(stream, pace.clone());
     let connection = http1::Builder::new()
         .max_headers(HEADERS)
         .max_buf_size(pace.bounds.head_bytes.max(BUFFER_LEAST))
@@ -248,60 +243,14 @@
     }
 }
 
-/// A stream that tells a connection's pace of what passes.
-struct Timed {
-    stream: Stream,
-    pace: Paced,
-}
-
-impl Read for Timed {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: ReadBufCursor<'_>,
-    ) -> Poll<io::Result<()>> {
-        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if let Poll::Ready(Ok(())) = result {
-            self.pace.on_bytes(Pace::on_read);
-        }
-        result
-    }
-}
-
-impl Write for Timed {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write(context, bytes);
-        if let Poll::Ready(Ok(_)) = result {
-            self.pace.on_bytes(Pace::on_write);
+impl Watch for Paced {
+    fn on_read(&mut self, bytes: usize) {
+        if bytes > 0 {
+            self.on_bytes(Pace::on_read);
         }
-        result
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
     }
 
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffers: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
-        if let Poll::Ready(Ok(_)) = result {
-            self.pace.on_bytes(Pace::on_write);
-        }
-        result
+    fn on_write(&mut self, _bytes: usize) {
+        self.on_bytes(Pace::on_write);
     }
 }
--- a/util/src/stream.rs
+++ b/util/src/stream.rs
@@ -1,10 +1,8 @@
-//! A TCP stream as hyper reads and writes it.
+//! A TCP stream as hyper reads and writes it, and whoever watches what passes.
 
 use std::{
-    cell::Cell,
     io,
     pin::Pin,
-    rc::Rc,
     task::{Context, Poll, ready},
 };
 
@@ -12,54 +10,74 @@
 use futures_util::{AsyncBufRead as _, AsyncWrite as _};
 use hyper::rt::{Read, ReadBufCursor, Write};
 
+/// Is told what passes through a stream.
+pub trait Watch: Unpin {
+    /// Takes note of bytes that came; none mean that the peer has ended the stream in order, which a
+    /// reset doesn't.
+    fn on_read(&mut self, bytes: usize);
+
+    /// Takes note of bytes that left.
+    fn on_write(&mut self, bytes: usize);
+}
+
 /// A stream that hands over what was read without clearing hyper's buffer first, which the
 /// library's own does at each look.
 #[derive(Debug)]
-pub struct Stream {
+pub struct Stream<W> {
     inner: Pin<Box<AsyncStream<TcpStream>>>,
-    ended: Rc<Cell<bool>>,
+    watch: W,
 }
 
-impl Stream {
+impl<W> Stream<W>
+where
+    W: Watch,
+{
     /// Wraps a connected stream.
-    pub fn new(stream: TcpStream) -> Self {
+    pub fn new(stream: TcpStream, watch: W) -> Self {
         Self {
             inner: Box::pin(AsyncStream::new(stream)),
-            ended: Rc::default(),
+            watch,
         }
     }
 
-    /// Returns what turns true once the peer has ended the stream in order; a reset doesn't.
-    pub fn ended(&self) -> Rc<Cell<bool>> {
-        self.ended.clone()
+    fn wrote(&mut self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(bytes)) = &result {
+            self.watch.on_write(*bytes);
+        }
+        result
     }
 }
 
-impl Read for Stream {
+impl<W> Read for Stream<W>
+where
+    W: Watch,
+{
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let Self { inner, ended } = &mut *self;
+        let Self { inner, watch } = &mut *self;
         let bytes = ready!(inner.as_mut().poll_fill_buf(context))?;
-        if bytes.is_empty() {
-            ended.set(true);
-        }
         let count = bytes.len().min(buffer.remaining());
         buffer.put_slice(&bytes[..count]);
         inner.as_mut().consume(count);
+        watch.on_read(count);
         Poll::Ready(Ok(()))
     }
 }
 
-impl Write for Stream {
+impl<W> Write for Stream<W>
+where
+    W: Watch,
+{
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.inner.as_mut().poll_write(context, bytes)
+        let result = self.inner.as_mut().poll_write(context, bytes);
+        self.wrote(result)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -79,6 +97,7 @@
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.inner.as_mut().poll_write_vectored(context, buffers)
+        let result = self.inner.as_mut().poll_write_vectored(context, buffers);
+        self.wrote(result)
     }
 }
