Five pairs of modules no longer lean on each other

balance and grantor, order/held and memory, order/pending and starter, spread/exchange and store, timeline/account and ring each named a type of the other; the types have rooms of their own now (load in balance, order/entry, order/decision, spread/call, timeline/filter).

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -4,13 +4,21 @@
 
 use crate::{
     document::Document,
-    grantor::Load,
     group::{Entry, Record, heirs, resize},
     id::TargetId,
     key::Point,
     range::Range,
 };
 
+/// The load of a part of the hash space.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Load {
+    /// The part: a range, or a single hot point.
+    pub range: Range,
+    /// Work a second, in slots kept busy or requests; all of one unit.
+    pub rate: f64,
+}
+
 /// The imbalance that is let be when churn and unavailable time weigh the same.
 const THRESHOLD: f64 = 0.1;
 /// The least and the greatest imbalance that weights can make of it.
--- a/src/entry/demand.rs
+++ b/src/entry/demand.rs
@@ -6,7 +6,7 @@
 
 use indexmap::IndexMap;
 
-use crate::{grantor::Load, key::Point, range::Range};
+use crate::{balance::Load, key::Point, range::Range};
 
 /// How many points are counted at a time.
 pub const POINTS: usize = 512;
--- a/src/grantor/event.rs
+++ b/src/grantor/event.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 
 use crate::{
+    balance::Load,
     document::Document,
     grant::{Grant, TargetState},
     grantor::message::Message,
     group::{Record, build::Candidate},
     handover::Handover,
     id::{TargetId, Version, VmId},
-    range::Range,
 };
 
 /// What reaches a grantor.
@@ -95,15 +95,6 @@
     Retire,
 }
 
-/// The load of a part of the hash space.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Load {
-    /// The part: a range, or a single hot point.
-    pub range: Range,
-    /// Work a second, in slots kept busy or requests; all of one unit.
-    pub rate: f64,
-}
-
 /// How a write ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- a/src/grantor/mod.rs
+++ b/src/grantor/mod.rs
@@ -9,6 +9,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use crate::{
+    balance::Load,
     document::Document,
     group::{self, Record, build::Candidate, merge},
     handover::{Facts, Handover},
@@ -28,7 +29,7 @@
 pub mod timing;
 mod watch;
 
-pub use event::{Effect, Event, Kind, Load, Note, Outcome};
+pub use event::{Effect, Event, Kind, Note, Outcome};
 pub use message::{Leased, Message, Stop};
 pub use routes::Route;
 pub use timing::Timing;
--- /dev/null
+++ b/src/order/entry.rs
@@ -0,0 +1,54 @@
+//! What is remembered of one order, and what that says to an attempt.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use super::{Answer, Attempt, Fate};
+use crate::request::Fingerprint;
+
+/// What an entry costs besides its texts and bodies, in bytes: resident memory as measured, with the
+/// maps' spare room.
+pub(super) const ENTRY_BYTES: usize = 768;
+
+/// One order.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Entry {
+    /// The time that its id carries.
+    pub made: Option<Duration>,
+    /// How long ago it last changed, where the entry travels.
+    pub age: Duration,
+    /// The attempts.
+    pub attempts: IndexMap<Attempt, Trial>,
+}
+
+/// One attempt, as remembered.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Trial {
+    /// What it asked for.
+    pub print: Fingerprint,
+    /// What became of it.
+    pub fate: Fate,
+}
+
+/// What the memory says to an attempt that wants to run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// No attempt ran or may run.
+    Free,
+    /// This one is the one that may run.
+    Mine,
+    /// Another may be running.
+    Running,
+    /// One ran.
+    Ran(Answer),
+    /// One may have run, or the memory doesn't reach back so far.
+    Unknown,
+    /// One that asked for something else ran or may run.
+    Mismatch,
+    /// This attempt has ended without running.
+    Ended,
+}
--- a/src/order/held.rs
+++ b/src/order/held.rs
@@ -4,7 +4,7 @@
 
 use super::{
     Attempt, Fate, Flaw, Order,
-    memory::{ENTRY_BYTES, Entry, Standing, Trial},
+    entry::{ENTRY_BYTES, Entry, Standing, Trial},
 };
 use crate::request::Fingerprint;
 
--- a/src/order/mod.rs
+++ b/src/order/mod.rs
@@ -15,6 +15,8 @@
 //! lost, which needs proof that both VMs are gone for good, the next view has a *horizon*, and ids
 //! not provably younger than it are answered `unknown`.
 
+pub mod decision;
+pub mod entry;
 mod held;
 pub mod ledger;
 pub mod memory;
--- a/src/order/pending.rs
+++ b/src/order/pending.rs
@@ -6,7 +6,7 @@
 
 use super::{
     Attempt, Effect, Fate, Flaw, Message, Number, Order, View, Views,
-    starter::{Decision, Why},
+    decision::{Decision, Why},
 };
 use crate::id::VmId;
 
--- a/src/spread/exchange.rs
+++ b/src/spread/exchange.rs
@@ -6,19 +6,13 @@
 
 use super::{
     CallId, Digest, Effect, Id, Item, Kind, Known, Message,
+    call::Call,
     store::{Held, Store, size},
 };
 
 /// Others remembered to have had nothing newer.
 const MOST_AGREED: usize = 8;
 
-/// A call under way.
-#[derive(Clone, Debug)]
-pub(super) enum Call {
-    Compare { address: String },
-    Fetch { ids: Vec<Id> },
-}
-
 impl Store {
     /// Fetches items that are not being fetched already.
     pub(super) fn fetch(&mut self, address: &str, mut ids: Vec<Id>, effects: &mut Vec<Effect>) {
--- a/src/spread/mod.rs
+++ b/src/spread/mod.rs
@@ -15,6 +15,7 @@
 //! that lasts; memory stays bounded.
 
 mod buckets;
+mod call;
 mod exchange;
 mod store;
 
--- a/src/spread/store.rs
+++ b/src/spread/store.rs
@@ -6,7 +6,7 @@
 
 use super::{
     CallId, Content, Digest, Effect, Event, Id, Item, Kind, Known, Limits, Message,
-    buckets::Buckets, exchange::Call,
+    buckets::Buckets, call::Call,
 };
 use crate::id::Version;
 
--- a/src/timeline/ring.rs
+++ b/src/timeline/ring.rs
@@ -7,8 +7,8 @@
 use crate::{
     id::VmId,
     timeline::{
-        account::Filter,
         event::Event,
+        filter::Filter,
         stamp::{Hybrid, Stamp},
     },
 };
--- a/src/vm/owners.rs
+++ b/src/vm/owners.rs
@@ -17,6 +17,7 @@
     ticks, wire,
 };
 use crate::{
+    balance,
     document::{Document, Fencing, Ownership},
     entry::ticket,
     grant::{Grant, TargetState},
@@ -49,7 +50,7 @@
     /// A group's record was read.
     Record(GroupId, Version, Bytes),
     /// What callers ask a group for.
-    Load(GroupId, Vec<grantor::Load>),
+    Load(GroupId, Vec<balance::Load>),
     /// A handover was heard of.
     Fact(Handover),
     /// Another VM writes.
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -3,9 +3,9 @@
 mod model;
 
 use bramleypier::{
+    balance::Load,
     balance::{self, Step},
     document::Document,
-    grantor::Load,
     group::{Record, build, build::Candidate, check},
     key,
     range::Range,
--- a/tests/model/faults.rs
+++ b/tests/model/faults.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use bramleypier::{
+    balance::Load,
     document::{Fencing, TargetState},
     grant::Holder,
-    grantor::{Event, Load},
+    grantor::Event,
     range::Range,
 };
 use indexmap::IndexMap;
