Hop-by-hop headers and rows of settings tables in one place each

Both stood twice or thrice (caller::headers and src/target.rs; three constructors of a row). No behaviour changes.

--- a/engine/src/caller/attempt.rs
+++ b/engine/src/caller/attempt.rs
@@ -6,10 +6,11 @@
     body::Body,
     client::{self, Client},
     clock::Clock,
+    headers,
 };
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming};
 
-use super::{body, headers};
+use super::body;
 use crate::{
     place::{desk::Ended, task::Permit},
     target::{Refusal, Targets},
--- a/engine/src/caller/mod.rs
+++ b/engine/src/caller/mod.rs
@@ -7,7 +7,6 @@
 pub mod attempt;
 mod body;
 pub mod forward;
-pub mod headers;
 mod outcome;
 pub mod patience;
 mod payload;
--- a/engine/src/caller/payload.rs
+++ b/engine/src/caller/payload.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::Cell, rc::Rc};
 
-use bramleypier_util::body::Body;
+use bramleypier_util::{body::Body, headers};
 use hyper::{
     body::{Body as _, Bytes, Incoming},
     header,
@@ -12,7 +12,6 @@
     attempt::Work,
     body::{self, Streamed, Taken},
     forward::{Context, Job},
-    headers,
     outcome::Own,
     words::Word,
 };
--- a/src/document/text.rs
+++ b/src/document/text.rs
@@ -15,22 +15,6 @@
 /// The longest text of a document, in bytes; the platform's service holds a megabyte in one value.
 pub const TEXT_MAX: usize = 900_000;
 
-const fn field(
-    section: &'static str,
-    key: &'static str,
-    kind: Kind,
-    preset: Preset,
-    meaning: &'static str,
-) -> Field {
-    Field {
-        section,
-        key,
-        kind,
-        preset,
-        meaning,
-    }
-}
-
 const SERVICE: &str = "service";
 const CLASS: &str = "class *";
 const TARGET: &str = "target *";
@@ -38,133 +22,133 @@
 
 /// Every key of a service document.
 pub static FIELDS: &[Field] = &[
-    field(
+    Field::new(
         SERVICE,
         "name",
         Kind::Name,
         Preset::Required,
         "The service's name, the first segment of callers' paths.",
     ),
-    field(
+    Field::new(
         SERVICE,
         "ownership",
         Kind::Word(&["exclusive", "shared"]),
         Preset::Value("exclusive"),
         "Whether each key has one owner, or any target serves any key. Fixed once the service exists.",
     ),
-    field(
+    Field::new(
         SERVICE,
         "groups",
         Kind::Number("groups", 1, 4096),
         Preset::Value("1"),
         "How many groups the targets form. Fixed once the service exists.",
     ),
-    field(
+    Field::new(
         SERVICE,
         "ranges",
         Kind::Number("ranges", 1, 256),
         Preset::Value("4"),
         "How many ranges each target starts with.",
     ),
-    field(
+    Field::new(
         SERVICE,
         "unavailable_weight",
         Kind::Decimal(0.0, 1e6),
         Preset::Value("1"),
         "What a second of unavailable time costs, relative to `churn_weight`.",
     ),
-    field(
+    Field::new(
         SERVICE,
         "churn_weight",
         Kind::Decimal(0.0, 1e6),
         Preset::Value("1"),
         "What the move of a range costs, relative to `unavailable_weight`.",
     ),
-    field(
+    Field::new(
         SERVICE,
         "body_limit",
         Kind::Number("bytes", 1, 1 << 30),
         Preset::Value("1048576"),
         "The largest body of a request.",
     ),
-    field(
+    Field::new(
         CLASS,
         "methods",
         Kind::Methods,
         Preset::Value(""),
         "The methods that the class takes; empty for all.",
     ),
-    field(
+    Field::new(
         CLASS,
         "path",
         Kind::Prefix,
         Preset::Value(""),
         "The start of the path after the key that the class takes; empty for all.",
     ),
-    field(
+    Field::new(
         CLASS,
         "idempotent",
         Kind::Flag,
         Preset::Required,
         "Whether a request may run more than once without harm. If `false`, callers must send `Idempotency-Key`.",
     ),
-    field(
+    Field::new(
         CLASS,
         "share",
         Kind::Number("%", 1, 100),
         Preset::Required,
         "The class's share of the targets' slots; what it leaves unused is lent. All shares are 100 at the most.",
     ),
-    field(
+    Field::new(
         CLASS,
         "deadline_ms",
         Kind::Number("ms", 1, DAY_MS),
         Preset::Value("10000"),
         "The longest deadline that a request may have.",
     ),
-    field(
+    Field::new(
         CLASS,
         "queue_ms",
         Kind::Number("ms", 0, DAY_MS),
         Preset::Value("1000"),
         "The longest time that a request may wait for a slot.",
     ),
-    field(
+    Field::new(
         TARGET,
         "address",
         Kind::Address,
         Preset::Required,
         "Where the target answers, its own among all targets. Fixed for the target's name.",
     ),
-    field(
+    Field::new(
         TARGET,
         "domain",
         Kind::Name,
         Preset::Required,
         "The failure domain the target stands in. Fixed for the target's name.",
     ),
-    field(
+    Field::new(
         TARGET,
         "fencing",
         Kind::Word(&["checked", "unchecked"]),
         Preset::Value("unchecked"),
         "Whether the target checks who gives it an order. Fixed for the target's name.",
     ),
-    field(
+    Field::new(
         TARGET,
         "slots",
         Kind::Number("requests", 1, 10_000),
         Preset::Value("2"),
         "How many requests the target runs at a time.",
     ),
-    field(
+    Field::new(
         TARGET,
         "connections",
         Kind::Number("connections", 1, 100_000),
         Preset::Value("100"),
         "How many connections the target takes.",
     ),
-    field(
+    Field::new(
         TARGET,
         "state",
         Kind::Word(&["serving", "leaving"]),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -115,22 +115,6 @@
     pub order_bytes: usize,
 }
 
-const fn field(
-    section: &'static str,
-    key: &'static str,
-    kind: Kind,
-    preset: Preset,
-    meaning: &'static str,
-) -> Field {
-    Field {
-        section,
-        key,
-        kind,
-        preset,
-        meaning,
-    }
-}
-
 const fn span(
     key: &'static str,
     preset: &'static str,
@@ -138,7 +122,7 @@
     max: u64,
     meaning: &'static str,
 ) -> Field {
-    field(
+    Field::new(
         "timing",
         key,
         Kind::Number("ms", min, max),
@@ -154,7 +138,7 @@
     max: u64,
     meaning: &'static str,
 ) -> Field {
-    field(
+    Field::new(
         "limits",
         key,
         Kind::Number(unit, 1, max),
@@ -165,77 +149,77 @@
 
 /// Every key of the settings.
 pub static FIELDS: &[Field] = &[
-    field(
+    Field::new(
         "vm",
         "name",
         Kind::Name,
         Preset::Required,
         "The VM's name, its own among all VMs: a later start of the same name takes the earlier one's place.",
     ),
-    field(
+    Field::new(
         "vm",
         "domain",
         Kind::Name,
         Preset::Required,
         "The failure domain the VM stands in.",
     ),
-    field(
+    Field::new(
         "listen",
         "callers",
         Kind::Address,
         Preset::Required,
         "Where callers and the balancer's health check reach it.",
     ),
-    field(
+    Field::new(
         "listen",
         "peers",
         Kind::Address,
         Preset::Required,
         "Where other processes and operators reach it.",
     ),
-    field(
+    Field::new(
         "listen",
         "advertise",
         Kind::Address,
         Preset::Nothing,
         "Where other processes are told to reach it, if not where it listens.",
     ),
-    field(
+    Field::new(
         "platform",
         "address",
         Kind::Address,
         Preset::Required,
         "Where the platform's service answers.",
     ),
-    field(
+    Field::new(
         "platform",
         "list_lag_ms",
         Kind::Number("ms", 0, DAY_MS),
         Preset::Value("120000"),
         "How far the platform's list of VMs may lag, rather too long than too short: a VM that is known for less is never taken for gone by the list.",
     ),
-    field(
+    Field::new(
         "peers",
         "seeds",
         Kind::Addresses,
         Preset::Value(""),
         "Peers to try before the platform's list is known.",
     ),
-    field(
+    Field::new(
         "log",
         "level",
         Kind::Word(&["error", "warn", "info", "debug", "trace"]),
         Preset::Value("info"),
         "The least grave kind of line to log.",
     ),
-    field(
+    Field::new(
         "log",
         "file",
         Kind::Path,
         Preset::Nothing,
         "The log's file; standard error without one.",
     ),
-    field(
+    Field::new(
         "metrics",
         "statsd",
         Kind::Address,
--- a/src/target.rs
+++ b/src/target.rs
@@ -4,6 +4,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use bramleypier_util::headers;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 use hyper::{Request, Response, body::Incoming};
 use percent_encoding as percent;
@@ -39,18 +40,6 @@
 const HASH: HeaderName = HeaderName::from_static("bramleypier-hash");
 /// Carries the epoch of the key's range.
 const EPOCH: HeaderName = HeaderName::from_static("bramleypier-epoch");
-/// Headers that belong to one connection and are not passed on.
-const HOP_HEADERS: [HeaderName; 9] = [
-    HeaderName::from_static("keep-alive"),
-    header::CONNECTION,
-    header::HOST,
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-];
 
 quick_error! {
     /// Why a target did not answer a grant.
@@ -252,16 +241,8 @@
 
 /// Removes the headers that belong to one connection, those that `Connection` names too.
 pub fn drop_hop_headers(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|list| list.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named.iter().chain(&HOP_HEADERS) {
-        headers.remove(name);
-    }
+    headers::strip(headers);
+    headers.remove(header::HOST);
 }
 
 fn set_host(headers: &mut HeaderMap, peer: SocketAddr) {
--- a/util/src/client.rs
+++ b/util/src/client.rs
@@ -16,7 +16,6 @@
     Request, Response,
     body::Incoming,
     client::conn::http1::{self, SendRequest},
-    header,
 };
 use indexmap::IndexMap;
 use quick_error::quick_error;
@@ -24,7 +23,7 @@
 use crate::{
     body::Body,
     clock::Clock,
-    socket,
+    headers, socket,
     stream::{Stream, Watch},
 };
 
@@ -187,7 +186,7 @@
         let unsent = connection.written.get() == before;
         match result {
             Ok(response) => {
-                let used = (!is_last(&response)).then(|| self.clock.now());
+                let used = (!headers::closes(response.headers())).then(|| self.clock.now());
                 connection.used.set(used);
                 self.keep(peer, connection);
                 Ok(response)
@@ -263,14 +262,6 @@
     }
 }
 
-/// Returns whether the peer announces that it closes the connection after this answer.
-fn is_last(response: &Response<Incoming>) -> bool {
-    let values = response.headers().get_all(header::CONNECTION);
-    values
-        .iter()
-        .any(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
-}
-
 /// The right to one open connection; given back when its task ends.
 struct Permit {
     peer: SocketAddr,
--- a/util/src/fields.rs
+++ b/util/src/fields.rs
@@ -22,6 +22,34 @@
     pub meaning: &'static str,
 }
 
+impl Field {
+    /// Creates a row of a table.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_util::fields::{Field, Kind, Preset};
+    ///
+    /// const NAME: Field = Field::new("vm", "name", Kind::Name, Preset::Required, "The VM's name.");
+    /// assert_eq!(NAME.key, "name");
+    /// ```
+    pub const fn new(
+        section: &'static str,
+        key: &'static str,
+        kind: Kind,
+        preset: Preset,
+        meaning: &'static str,
+    ) -> Self {
+        Self {
+            section,
+            key,
+            kind,
+            preset,
+            meaning,
+        }
+    }
+}
+
 /// What a value may be.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Kind {
--- a/engine/src/caller/headers.rs
+++ b/util/src/headers.rs
@@ -22,7 +22,7 @@
 /// # Example
 ///
 /// ```
-/// use bramleypier_engine::caller::headers;
+/// use bramleypier_util::headers;
 /// use hyper::{HeaderMap, header::{self, HeaderValue}};
 ///
 /// let mut map = HeaderMap::new();
@@ -50,7 +50,7 @@
 /// # Example
 ///
 /// ```
-/// use bramleypier_engine::caller::headers;
+/// use bramleypier_util::headers;
 /// use hyper::{HeaderMap, header::{self, HeaderValue}};
 ///
 /// let mut map = HeaderMap::new();
--- a/util/src/lib.rs
+++ b/util/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod clock;
 pub mod decimal;
 pub mod fields;
+pub mod headers;
 pub mod ini;
 pub mod pace;
 pub mod server;
