A grant is dropped when its call begins long after it was decided

Cause, by thought: a grant's task may first run after a freeze of the process, when the lease by which it was decided has long run out; the deadline of its call would begin only then. Ruled out: a second look at the time once the connection stands (tried with a test; the call's own timeout ends it before a byte leaves, so the test was green without it, and both were taken out again). Change: an order tells when it was decided; a call that begins more than 0.1 s later sends nothing.

--- a/engine/src/owner/calls.rs
+++ b/engine/src/owner/calls.rs
@@ -33,6 +33,9 @@
 ///
 /// The manager calls within 50 ms of the end; the rest allows for packets sent again.
 const CLOSED_WITHIN: Duration = Duration::from_secs(1);
+/// How late after its decision a grant may be begun: a process that was frozen in between has an older
+/// lease than it knew.
+const DECISION_VALID: Duration = Duration::from_millis(100);
 /// The most bytes of an answer to a grant or release.
 const ANSWER_BYTES: usize = 64 * 1024;
 /// From how many service times on a target's speed is taken as measured: times scatter as much as
@@ -79,6 +82,18 @@
 
 /// Sends a grant or release and tells how it ended.
 pub(super) async fn send(context: &Context, service: &str, order: &Order, grant: bool) -> Ending {
+    let age = context.clock.now().saturating_sub(order.decided);
+    if grant && age > DECISION_VALID {
+        context.report.line(&format!(
+            "event=grant-dropped service={service} target={} from={} to={} fence={} age_ms={}",
+            order.owner.id,
+            order.from,
+            order.to,
+            order.fence,
+            age.as_millis()
+        ));
+        return Ending::Unsent;
+    }
     let (call, timeout, name) = if grant {
         let call = context.targets.grant(order);
         (call, GRANT_TIMEOUT, "grant")
--- a/engine/src/owner/keeper/mod.rs
+++ b/engine/src/owner/keeper/mod.rs
@@ -310,6 +310,7 @@
                 to: part.to,
                 fence,
                 hold,
+                decided: now,
                 handover,
             };
             match (&live.phase, hold) {
--- a/engine/src/owner/order.rs
+++ b/engine/src/owner/order.rs
@@ -31,6 +31,8 @@
     pub fence: Fence,
     /// How long a grant holds; zero for a release.
     pub hold: Duration,
+    /// When it was decided.
+    pub decided: Duration,
     /// What the last owner handed over, for a grant.
     pub handover: Option<String>,
 }
