--- a/engine/tests/ownership_world/mod.rs
+++ b/engine/tests/ownership_world/mod.rs
@@ -1,5 +1,6 @@
 //! A small model of VMs, targets and the store around the real keepers.
 
+mod calls;
 mod targets;
 
 use std::time::Duration;
@@ -388,94 +389,4 @@
             }
         }
     }
-
-    fn answer(&mut self, vm: usize, delay: Duration, heard: Heard) {
-        let Some(keeper) = &self.vms[vm].keeper else {
-            return;
-        };
-        let term = keeper.term();
-        let at = self.now + delay;
-        self.vms[vm].heard.push((at, term, heard));
-    }
-
-    fn is_unanswered(&mut self) -> bool {
-        self.random.random_range(0..100) < self.unanswered
-    }
-
-    fn grant(
-        &mut self,
-        vm: usize,
-        order: &bramleypier_engine::owner::keeper::Order,
-    ) -> (Duration, Ending) {
-        if !self.targets.is_open(vm, &order.owner) {
-            return (TIMEOUT, Ending::Unsent);
-        }
-        if !self.targets.listens(&order.owner) {
-            return (TICK, Ending::Gone);
-        }
-        if self.is_unanswered() {
-            let late = self.random.random_range(0..4) * Duration::from_millis(900);
-            self.targets.grant_late(self.now, late, order);
-            return (TIMEOUT, Ending::Silent);
-        }
-        (TICK, self.targets.grant(self.now, order))
-    }
-
-    fn release(
-        &mut self,
-        vm: usize,
-        order: &bramleypier_engine::owner::keeper::Order,
-    ) -> (Duration, Ending) {
-        if !self.targets.is_open(vm, &order.owner) {
-            return (TIMEOUT, Ending::Unsent);
-        }
-        if !self.targets.listens(&order.owner) {
-            return (TICK, Ending::Gone);
-        }
-        self.targets.release(order);
-        if self.is_unanswered() {
-            return (TIMEOUT, Ending::Silent);
-        }
-        (TICK * 2, Ending::Done(None))
-    }
-
-    fn commit(&mut self, vm: usize, record: Record) {
-        let lost = self.random.random_range(0..100) < self.writes_lost;
-        self.vms[vm].written = Some(record.clone());
-        if !self.vms[vm].store {
-            return self.answer(vm, TICK, Heard::Committed(false));
-        }
-        let expected = self.vms[vm].revision;
-        if lost && self.random.random() {
-            let late = self.now + TICK * self.random.random_range(1..60);
-            self.late_writes.push((late, expected, record));
-            return self.answer(vm, TIMEOUT, Heard::Committed(false));
-        }
-        let own = self.record.1 == record;
-        if self.record.0 != expected && !own {
-            self.vms[vm].keeper = None;
-            return;
-        }
-        if !own {
-            self.record = (self.record.0 + 1, record);
-        }
-        if lost {
-            return self.answer(vm, TIMEOUT, Heard::Committed(false));
-        }
-        self.vms[vm].revision = self.record.0;
-        self.answer(vm, TICK, Heard::Committed(true));
-    }
-
-    fn apply_late_writes(&mut self) {
-        let now = self.now;
-        let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.late_writes)
-            .into_iter()
-            .partition(|(at, ..)| *at <= now);
-        self.late_writes = later;
-        for (_, expected, record) in due {
-            if self.record.0 == expected {
-                self.record = (expected + 1, record);
-            }
-        }
-    }
 }
--- a/program/tests/operate.rs
+++ b/program/tests/operate.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use bramleypier_platform_standin::store;
 use bramleypier_util::clock::Clock;
 use stage::{Program, play};
 use tempfile::TempDir;
@@ -55,6 +56,16 @@
         let (_, text) = command(&["timeline", "--settings", first, "--request", "id-1"]).await;
         assert_eq!(text.lines().count(), 1, "{text}");
 
+        // Neither needs the store.
+        stage.store.set_fault(Some(store::Fault::Silent));
+        Clock::real().sleep(Duration::from_millis(3500)).await;
+        let (code, text) = command(&["status", "--settings", first]).await;
+        assert_eq!(code, 0, "{text}");
+        assert_eq!(text.matches("store=silent").count(), 2, "{text}");
+        let (code, text) = command(&["timeline", "--settings", first]).await;
+        assert_eq!(code, 0, "{text}");
+        assert!(text.contains("event=pulse-lost"), "{text}");
+
         drop(second);
         let (code, text) = command(&["status", "--settings", first]).await;
         assert_eq!(code, 4, "{text}");
