A refusal for want of budget tells when a place is free

VMs' budget for sending again is used up after 3 s; 1,303 requests were refused for it. Cause: those were told to come back in a tenth of the budget's window, 1 s, which callers cut to a third of their time, 267 ms: beyond the goal of 200 ms. But a caller's own next try draws on no budget. Ruled out: that the budget's part is too small (0.8 of it is used; more would come near the rule). Change: the time told is how often the target ends a request while busy, also when every allowed target has refused. Test: without_a_budget_callers_are_told_to_come_back_when_a_place_is_free, red before.

--- a/engine/src/caller/tries.rs
+++ b/engine/src/caller/tries.rs
@@ -1,6 +1,6 @@
 //! A request's tries: which come, what each means, and when it is given up.
 
-use std::{cell::Cell, rc::Rc};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use bramleypier_util::body::Body;
 use hyper::Response;
@@ -12,7 +12,11 @@
     payload::Payload,
     words::Word,
 };
-use crate::{catalogue::Kind, place::desk::Ask, target::Refusal};
+use crate::{
+    catalogue::Kind,
+    place::desk::{Ask, COME_BACK_LEAST},
+    target::Refusal,
+};
 
 /// How often a try may end without anything sent until the request is refused.
 const UNSENT_MOST: u32 = 4;
@@ -73,6 +77,8 @@
     arrivals: u32,
     unsent: u32,
     unowned: u32,
+    /// How often the target asked last ends a request.
+    turn: Duration,
     /// It may have run.
     doubt: Option<Own>,
     /// A target's failure that can be passed on if nothing better comes.
@@ -144,6 +150,7 @@
     let target = permit.target.id.clone();
     trace.targets.push(target.clone());
     trace.notes.push(format!("sent: {}", permit.basis));
+    history.turn = permit.basis.turn;
     if let Some(point) = job
         .asked
         .point
@@ -225,7 +232,8 @@
         }
     };
     if history.reached.len() >= attempts || !payload.is_left() {
-        return history.give_up(Own::not_run("every allowed target refused it", COME_BACK));
+        let retry = history.turn.max(COME_BACK_LEAST);
+        return history.give_up(Own::not_run("every allowed target refused it", retry));
     }
     step
 }
--- a/engine/src/place/desk/choose.rs
+++ b/engine/src/place/desk/choose.rs
@@ -31,8 +31,8 @@
 ///
 /// With one waiting, a target is never idle; more would make requests late that still have time.
 const LATE_QUEUE: f64 = 1.0;
-/// The least time to come back that is told.
-const COME_BACK_LEAST: Duration = Duration::from_millis(20);
+/// The least time to come back that is told: a caller is some 10 ms away.
+pub const COME_BACK_LEAST: Duration = Duration::from_millis(20);
 /// By how much estimates are varied, so that VMs with the same news don't all pick the same target.
 const JITTER: f64 = 0.12;
 /// How much longer a request in another failure domain counts as taking: the way there and back is
@@ -158,6 +158,7 @@
             point: ask.point,
             depth: member.depth(now),
             expected,
+            turn: member.turn(now, usual),
             age: member.told_age(now),
             fence,
         };
--- a/engine/src/place/desk/mod.rs
+++ b/engine/src/place/desk/mod.rs
@@ -17,6 +17,7 @@
 use indexmap::IndexMap;
 use rand::{SeedableRng, rngs::SmallRng};
 
+pub use self::choose::COME_BACK_LEAST;
 use self::choose::Choice;
 pub use super::message::{Ask, Basis, Effect, End, Ended, Event, State, Ticket, View, Why};
 use super::{
@@ -242,12 +243,12 @@
                     let vms = self.view.vms;
                     let budget = self.budgets.entry(it.ask.service.clone()).or_default();
                     if !budget.spend(now, self.allowance, vms) {
-                        let retry = self.allowance.window / 10;
-                        let why = Why::Budget;
+                        // The caller's own next try draws on no budget: all that it need wait for
+                        // is a place.
                         out.push(Effect::Refuse {
                             ticket,
-                            why,
-                            retry,
+                            why: Why::Budget,
+                            retry: basis.turn.max(COME_BACK_LEAST),
                             basis,
                         });
                         return true;
--- a/engine/src/place/member.rs
+++ b/engine/src/place/member.rs
@@ -23,6 +23,8 @@
 const TOLD_LIFE: Duration = Duration::from_millis(250);
 /// The service time that is assumed of a service of which nothing was measured.
 const UNKNOWN_TIME: Duration = Duration::from_millis(80);
+/// By how much a target that has just started is taken to be slower: a factor of two that wears off.
+const COLD: f64 = 1.7;
 /// How long a target is left alone after it could not be reached.
 const LEFT_ALONE: Duration = Duration::from_millis(400);
 /// The longest time for which it is left alone: a target that came back earlier is missed so long.
@@ -154,6 +156,12 @@
         time.unwrap_or(UNKNOWN_TIME.as_secs_f64())
     }
 
+    /// Returns how often the target ends a request while all its slots are in use.
+    pub fn turn(&self, now: Duration, usual: Option<f64>) -> Duration {
+        let time = self.time(usual) * self.cold_factor(now);
+        Duration::from_secs_f64(time / self.target.slots.max(1) as f64)
+    }
+
     /// Returns the measured service time in seconds, if any was measured.
     pub fn measured(&self) -> Option<f64> {
         self.time
@@ -164,15 +172,19 @@
         now < self.since + self.target.cold
     }
 
+    /// By how much service times are longer now than when the target is warm.
+    fn cold_factor(&self, now: Duration) -> f64 {
+        if self.is_cold(now) { COLD } else { 1.0 }
+    }
+
     /// Returns the time that a request sent now would probably take, in seconds.
     pub fn expected(&self, now: Duration, usual: Option<f64>) -> f64 {
         let slots = self.target.slots.max(1) as f64;
         let depth = self.depth(now);
         let queued = (depth + 1.0 - slots).max(0.0) / slots;
-        let cold = if self.is_cold(now) { 1.7 } else { 1.0 };
         // Even below its slots, a target with fewer requests is the better choice.
         let busy = depth.min(slots) / slots * 0.25;
-        let time = self.time(usual) * cold;
+        let time = self.time(usual) * self.cold_factor(now);
         time * (1.0 + queued + busy) + self.overdue(now, time * (1.0 + queued))
     }
 
--- a/engine/src/place/message.rs
+++ b/engine/src/place/message.rs
@@ -91,6 +91,8 @@
     pub depth: f64,
     /// How long an answer would probably have taken.
     pub expected: Duration,
+    /// How often the target ends a request while it is busy; zero without a target.
+    pub turn: Duration,
     /// How old the manager's word on other VMs' requests was; none without one.
     pub age: Option<Duration>,
     /// The fence of the target's ownership of the key; 0 where keys have no owners.
--- a/engine/tests/desk.rs
+++ b/engine/tests/desk.rs
@@ -326,6 +326,35 @@
     assert_eq!(repeated, 8);
 }
 
+/// Targets that turn away half of their work though they have room soon use up the budget; what
+/// comes again by its caller is new, and half of it is taken.
+#[test]
+fn without_a_budget_callers_are_told_to_come_back_when_a_place_is_free() {
+    let mut desk = desk(vec![target(0, "d1")], Some(owned_by(&target(0, "d1"))));
+    for _ in 0..20 {
+        desk.on(ms(1), done("t0", Ended::Answered(ms(60)), ms(0)));
+    }
+    let mut told = Vec::new();
+    for ticket in 0..40 {
+        let mut again = keyed(ticket, ms(2));
+        again.repeat = true;
+        for effect in desk.on(ms(2), Event::Ask(again)) {
+            match effect {
+                Effect::Send { .. } => {
+                    desk.on(ms(2), done("t0", Ended::Refused, ms(2)));
+                }
+                Effect::Refuse { why, retry, .. } => {
+                    assert_eq!(why, Why::Budget);
+                    told.push(retry);
+                }
+            }
+        }
+    }
+    assert!(!told.is_empty());
+    // Two slots and 60 ms a request: one ends every 30 ms.
+    assert!(told.iter().all(|it| *it <= ms(35)), "{told:?}");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, ..ProptestConfig::default() })]
 
