Busy keys move while other ranges wait for a silent owner, and though they have just moved

Load pattern: one key takes a third of all requests, a few hundred milliseconds after the run that it lies in was moved for balance, or while a dark target's ranges wait for their holds. Change: rest ends once the rate has more than doubled. A round of moves waits for moves under way, but not for owners that don't answer; those get no keys.

--- a/engine/src/owner/keeper/answers.rs
+++ b/engine/src/owner/keeper/answers.rs
@@ -80,10 +80,14 @@
                 live.phase = Phase::Free(to);
                 live.handover = handover;
                 live.until = None;
+                live.silences = 0;
+                live.unsent = 0;
             }
             Ending::Gone => self.bury_all(now, from, out),
             // A release extends no hold; the hold runs out meanwhile.
-            Ending::Fenced | Ending::Unsent | Ending::Silent => {}
+            Ending::Fenced => {}
+            Ending::Unsent => live.unsent += 1,
+            Ending::Silent => live.silences += 1,
         }
     }
 
--- a/engine/src/owner/keeper/mod.rs
+++ b/engine/src/owner/keeper/mod.rs
@@ -27,10 +27,9 @@
 
 use indexmap::IndexMap;
 
-use self::{commit::Pending, earlier::Earlier};
+use self::{commit::Pending, earlier::Earlier, moves::Rested};
 pub use super::order::{Effect, Ending, Event, Order, Timing};
 use super::{
-    balance::Move,
     live::{Live, Phase, shrunk},
     load::Load,
     record::{Life, Point, Record, Term},
@@ -93,8 +92,8 @@
     balanced: Duration,
     /// When keys were last dealt anew.
     dealt: Duration,
-    /// Moves for balance, and until when their keys are left alone.
-    moved: Vec<(Move, Duration)>,
+    /// Moves for balance whose keys are left alone.
+    moved: Vec<Rested>,
     stopped: bool,
 }
 
--- a/engine/src/owner/keeper/moves.rs
+++ b/engine/src/owner/keeper/moves.rs
@@ -5,13 +5,14 @@
     reason = "counts of requests, slots and keys are far below 2^52"
 )]
 
-use std::time::Duration;
+use std::{collections::HashSet, time::Duration};
 
 use super::{Effect, Keeper};
 use crate::owner::{
     balance::{self, Holder, Move},
     deal,
-    live::Phase,
+    live::{Live, Phase},
+    load::Load,
     record::Life,
 };
 
@@ -23,6 +24,15 @@
 /// move, and its new owner's power is known better after a few seconds.
 const REST: Duration = Duration::from_secs(3);
 
+/// By how much the rate of keys that have moved must have grown for them to move again at once.
+///
+/// Twice is more than rates scatter; a key that turned busy within a range that had just moved stayed
+/// 3 s on a target that could answer a seventh of its requests.
+const GROWN: f64 = 2.0;
+
+/// The least growth that counts, in requests a second: fewer are counted too slowly to tell.
+const GROWN_LEAST: f64 = 8.0;
+
 /// The least time between two deals of all keys, which wait for a moment each time.
 const DEAL_PAUSE: Duration = Duration::from_secs(5);
 
@@ -32,6 +42,23 @@
 /// The time that one request takes, in seconds, while nothing was measured.
 const USUAL_TIME: f64 = 0.1;
 
+/// Keys that moved lately and are left alone for a while.
+#[derive(Debug)]
+pub(super) struct Rested {
+    keys: Move,
+    until: Duration,
+    /// Their rate when they moved, in requests a second.
+    rate: f64,
+}
+
+impl Rested {
+    /// Returns whether the keys are so much busier that what was known when they moved is void.
+    fn has_grown(&self, load: &Load) -> bool {
+        let rate = load.sum(self.keys.from, self.keys.to);
+        rate > self.rate * GROWN + GROWN_LEAST
+    }
+}
+
 impl Keeper {
     /// Returns the targets that may own keys.
     pub(super) fn holders(&self, now: Duration) -> Vec<Holder> {
@@ -45,21 +72,39 @@
                 power: it.slots.max(1) as f64 / time * cold,
             }
         });
-        let shunned = |it: &Holder| self.shunned.get(&it.life).is_some_and(|until| now < *until);
-        let (bad, good): (Vec<_>, Vec<_>) = holders.partition(shunned);
+        let shunned = |life: &Life| self.shunned.get(life).is_some_and(|until| now < *until);
+        let silent = self.silent();
+        let (bad, good): (Vec<_>, Vec<_>) =
+            holders.partition(|it| shunned(&it.life) || silent.contains(&it.life));
         if good.is_empty() { bad } else { good }
     }
 
+    /// Returns the owners that did not answer when they were last called.
+    ///
+    /// One that is dark stays announced for a while, and looks idle.
+    fn silent(&self) -> HashSet<&Life> {
+        let parts = self.record.parts.iter();
+        let silent = parts.filter(|part| self.live.get(&part.from).is_some_and(Live::is_silent));
+        silent.filter_map(|part| part.owner.as_ref()).collect()
+    }
+
+    /// Begins moves for balance, one round at a time.
+    ///
+    /// A range whose owner doesn't answer waits seconds for its hold to run out. The others go on
+    /// meanwhile: a busy key that fell on a slow target then was answered in time in 0 of 261 tries.
     pub(super) fn balance(&mut self, now: Duration, out: &mut Vec<Effect>) {
-        let calm = self.live.values().all(|live| live.phase == Phase::Held);
+        let settled = |live: &Live| live.phase == Phase::Held || live.is_silent();
         let rested = now >= self.balanced + BALANCE_PAUSE;
-        if !calm || !rested || self.pending.is_some() {
+        if !self.live.values().all(settled) || !rested || self.pending.is_some() {
             return;
         }
+        let calm = self.live.values().all(|live| live.phase == Phase::Held);
         self.balanced = now;
         let holders = self.holders(now);
-        self.moved.retain(|(_, until)| now < *until);
-        if now >= self.dealt + DEAL_PAUSE {
+        let load = &self.load;
+        self.moved
+            .retain(|it| now < it.until && !it.has_grown(load));
+        if calm && now >= self.dealt + DEAL_PAUSE {
             let moves = deal::anew(&self.record, &holders, &self.load);
             if !moves.is_empty() {
                 self.dealt = now;
@@ -73,7 +118,7 @@
                 return;
             }
         }
-        let resting: Vec<Move> = self.moved.iter().map(|(it, _)| it.clone()).collect();
+        let resting: Vec<Move> = self.moved.iter().map(|it| it.keys.clone()).collect();
         for it in balance::even(&self.record, &holders, &self.load, &resting) {
             self.begin(now, it, REST, out);
         }
@@ -88,7 +133,10 @@
             .record
             .find(it.to)
             .is_some_and(|part| part.from == from);
-        let idle = self.live.get(&from).is_some_and(|live| !live.busy);
+        let idle = self
+            .live
+            .get(&from)
+            .is_some_and(|live| !live.busy && live.phase == Phase::Held);
         if !within || !idle {
             return;
         }
@@ -97,14 +145,16 @@
         for part in &self.record.parts {
             self.live.entry(part.from).or_insert_with(|| whole.clone());
         }
+        let rate = self.load.sum(it.from, it.to);
         out.push(Effect::Note(format!(
-            "event=move-begun from={} to={} owner={} load={:.1}",
-            it.from,
-            it.to,
-            it.owner.id,
-            self.load.sum(it.from, it.to)
+            "event=move-begun from={} to={} owner={} load={rate:.1}",
+            it.from, it.to, it.owner.id,
         )));
-        self.moved.push((it.clone(), now + rest));
+        self.moved.push(Rested {
+            keys: it.clone(),
+            until: now + rest,
+            rate,
+        });
         if let Some(live) = self.live.get_mut(&it.from) {
             live.phase = Phase::Releasing(Some(it.owner));
             live.due = now;
--- a/engine/src/owner/live.rs
+++ b/engine/src/owner/live.rs
@@ -46,7 +46,7 @@
     pub(super) hold: Duration,
     /// When the next call is due.
     pub(super) due: Duration,
-    /// Grants in a row without an answer.
+    /// Calls in a row without an answer.
     pub(super) silences: u32,
     /// Calls in a row that could not be sent.
     pub(super) unsent: u32,
@@ -84,6 +84,11 @@
         self.until = self.until.max(Some(now + lasting(self.hold)));
     }
 
+    /// Returns whether the owner did not answer when it was last called.
+    pub(super) fn is_silent(&self) -> bool {
+        self.silences > 0 || self.unsent > 0
+    }
+
     pub(super) fn is_free(&self) -> bool {
         matches!(self.phase, Phase::Free(_)) && !self.busy
     }
--- a/engine/tests/keeper.rs
+++ b/engine/tests/keeper.rs
@@ -182,3 +182,126 @@
     let freed = freed(&mut keeper, now, &Ending::Unsent);
     assert!(freed >= now + TIMING.hold, "freed at {freed:?}");
 }
+
+/// A dark target's ranges wait for its hold; a key that grows busy elsewhere must not wait with them.
+#[test]
+fn a_busy_key_moves_while_a_silent_owners_ranges_wait() {
+    let (mut keeper, _, now) = keeper();
+    let step = Duration::from_millis(50);
+    let mut at = now;
+    let mut begun = None;
+    while at < now + Duration::from_secs(4) && begun.is_none() {
+        at += step;
+        let mut effects = keeper.on(at, Event::Lease(at + Duration::from_secs(2)));
+        // The first target is dark and asked to let go; then two keys of the second grow busy.
+        let busy = at > now + TIMING.renew + Duration::from_millis(1200);
+        let counts = if busy {
+            vec![(25, 4), (26, 2)]
+        } else {
+            Vec::new()
+        };
+        effects.extend(keeper.on(at, Event::Load(counts)));
+        for order in grants(&effects) {
+            let dark = order.owner.id == "t1";
+            let ending = if dark {
+                Ending::Silent
+            } else {
+                Ending::Done(None)
+            };
+            effects.extend(keeper.on(at, Event::Granted(order.from, ending)));
+        }
+        let moved = effects.iter().find_map(|effect| match effect {
+            Effect::Note(note) if note.starts_with("event=move-begun") => Some(note.clone()),
+            _ => None,
+        });
+        begun = moved;
+        for order in orders_released(&effects) {
+            let dark = order.owner.id == "t1";
+            let ending = if dark {
+                Ending::Silent
+            } else {
+                Ending::Done(None)
+            };
+            keeper.on(at, Event::Released(order.from, ending));
+        }
+        keeper.on(at, Event::Committed);
+    }
+    let begun = begun.expect("nothing moves beside a dark target");
+    assert!(
+        !begun.contains("owner=t1"),
+        "moved to the dark target: {begun}"
+    );
+}
+
+fn orders_released(effects: &[Effect]) -> Vec<Order> {
+    let orders = effects.iter().filter_map(|effect| match effect {
+        Effect::Release(order) => Some(order.clone()),
+        _ => None,
+    });
+    orders.collect()
+}
+
+/// A run of keys moves while they are calm; then one of them takes most requests, and another target
+/// has turned out to be three times as fast.
+#[test]
+fn a_key_that_turns_busy_in_a_run_that_has_just_moved_moves_again() {
+    let (mut keeper, _, now) = keeper();
+    let step = Duration::from_millis(50);
+    let mut at = now;
+    let mut first: Option<(Point, Duration)> = None;
+    let mut second = None;
+    while at < now + Duration::from_secs(6) && second.is_none() {
+        at += step;
+        let mut effects = keeper.on(at, Event::Lease(at + Duration::from_secs(2)));
+        let mut counts = vec![(25, 1), (30, 1), (35, 1)];
+        counts.extend(first.map(|(key, _)| (key, 8)));
+        effects.extend(keeper.on(at, Event::Load(counts)));
+        effects = settled(&mut keeper, at, effects);
+        for (from, to, owner) in effects.iter().filter_map(begun) {
+            match first {
+                None => {
+                    first = Some((if from <= 30 && 30 <= to { 30 } else { from }, at));
+                    let fast = if owner == "t1" { "t3" } else { "t1" };
+                    let time = |id: &str| (id.to_owned(), if id == fast { 0.03 } else { 0.1 });
+                    keeper.set_times(["t1", "t2", "t3"].map(time).into_iter().collect());
+                }
+                Some((key, _)) if from <= key && key <= to => second = Some(at),
+                Some(_) => {}
+            }
+        }
+    }
+    let (_, first) = first.expect("nothing moved");
+    let waited = second.expect("the busy key stays").saturating_sub(first);
+    assert!(waited < Duration::from_secs(2), "{waited:?}");
+}
+
+/// The bounds of a move that has begun and its new owner, from its line in the log.
+fn begun(effect: &Effect) -> Option<(Point, Point, String)> {
+    let Effect::Note(note) = effect else {
+        return None;
+    };
+    let rest = note.strip_prefix("event=move-begun ")?;
+    let mut values = rest
+        .split(' ')
+        .filter_map(|pair| Some(pair.split_once('=')?.1));
+    let from = values.next()?.parse().ok()?;
+    let to = values.next()?.parse().ok()?;
+    Some((from, to, values.next()?.to_owned()))
+}
+
+/// Answers every call and commit until nothing is left to do, and returns all effects.
+fn settled(keeper: &mut Keeper, at: Duration, mut effects: Vec<Effect>) -> Vec<Effect> {
+    let mut next = 0;
+    while let Some(effect) = effects.get(next).cloned() {
+        next += 1;
+        effects.extend(match effect {
+            Effect::Grant(order) => keeper.on(at, Event::Granted(order.from, Ending::Done(None))),
+            Effect::Release(order) => {
+                keeper.on(at, Event::Released(order.from, Ending::Done(None)))
+            }
+            Effect::Commit(_) => keeper.on(at, Event::Committed),
+            Effect::Deposed | Effect::Note(_) => Vec::new(),
+        });
+    }
+    effects
+}
