A silent owner gets no longer hold than it has; holds of 3.2 s

Load pattern: targets turn dark with a busy key. Cause: the manager went on renewing with full holds for up to six silent calls, and each may have arrived; the range then waited for the last of them. Change: while an owner is silent it is asked with holds that end no later than the one it may have; once it answers it is renewed early. Holds of 3.2 s, renewed five times, in place of 4 s and three times: a manager that is lost after a renewal that was just due is still replaced in time (2.4 s). Ruled out: taking a silent owner for gone earlier; only its hold's end proves that (rule 5 in DESIGN).

--- a/engine/src/owner/keeper/answers.rs
+++ b/engine/src/owner/keeper/answers.rs
@@ -24,7 +24,7 @@
         ending: &Ending,
         out: &mut Vec<Effect>,
     ) {
-        let renew = self.timing.renew;
+        let (usual, renew) = (self.timing.hold, self.timing.renew);
         let Some(live) = self.live.get_mut(&from) else {
             return;
         };
@@ -39,7 +39,9 @@
                 live.extend(now);
                 live.silences = 0;
                 live.handover = None;
-                live.due = now + renew;
+                // One that was silent has got a shorter hold.
+                let shorter = usual.saturating_sub(live.hold);
+                live.due = now + renew.saturating_sub(shorter);
             }
             Ending::Fenced => {
                 self.stopped = true;
--- a/engine/src/owner/keeper/mod.rs
+++ b/engine/src/owner/keeper/mod.rs
@@ -38,6 +38,8 @@
 
 /// The shortest hold that is worth a grant: a renewal takes up to its timeout of 0.4 s.
 const HOLD_LEAST: Duration = Duration::from_millis(500);
+/// The shortest hold by which a silent owner is asked whether it answers again.
+const HOLD_ASKING: Duration = Duration::from_millis(200);
 /// How little may be left of the lease until grants hold for longer: two renewals are late then.
 const ALONE: Duration = Duration::from_secs(1);
 /// The pause before a call that got no answer is made again.
@@ -312,6 +314,14 @@
                 decided: now,
                 handover,
             };
+            let hold = hold.and_then(|hold| no_longer(now, live, hold));
+            if hold.is_none() && live.phase == Phase::Held && live.is_silent() {
+                live.phase = Phase::Releasing(None);
+                out.push(Effect::Note(format!(
+                    "event=grant-silent from={}",
+                    part.from
+                )));
+            }
             match (&live.phase, hold) {
                 (Phase::Held, Some(hold)) => {
                     live.busy = true;
@@ -328,3 +338,15 @@
         }
     }
 }
+
+/// Shortens a hold so that a silent owner gets none beyond the one that it may have.
+///
+/// A dark owner's range waits for the last grant that may have arrived. Renewed while it was silent, it
+/// waited up to 6.1 s, of which 1.5 s after the owner was gone from the store.
+fn no_longer(now: Duration, live: &Live, hold: Duration) -> Option<Duration> {
+    let Some(until) = live.until.filter(|_| live.is_silent()) else {
+        return Some(hold);
+    };
+    let left = shrunk(until.saturating_sub(now + LAST_GRANTS));
+    (left >= HOLD_ASKING).then(|| left.min(hold))
+}
--- a/engine/src/settings.rs
+++ b/engine/src/settings.rs
@@ -39,16 +39,16 @@
 
 /// The hold of a grant, if the platform allows it.
 ///
-/// Longer than it takes to replace a lost manager (a lease of 2 s and some 0.4 s), and short, since
-/// the keys of a target that falls silent wait for its end.
-const HOLD: Duration = Duration::from_secs(4);
+/// Longer than it takes to replace a lost manager (a lease of 2 s and some 0.4 s) after a renewal that
+/// was just due, and no longer, since the keys of a target that falls silent wait for its end.
+const HOLD: Duration = Duration::from_millis(3200);
 /// The hold of a grant while the manager can't renew its lease, if the platform allows it.
 ///
 /// An outage of the store of some 9 s then costs no key its owner, also when the manager goes in it.
 /// The keys of a target that falls silent soon after a takeover wait for its end.
 const HOLD_ALONE: Duration = Duration::from_secs(10);
-/// How many renewals fit into a hold: one may be lost with time to spare for the next.
-const RENEWALS: u32 = 3;
+/// How many renewals fit into a hold: 2.4 s are left of one when the next is due.
+const RENEWALS: u32 = 5;
 /// How long after its lease a manager's last grant may hold, beyond a hold that began at its end.
 ///
 /// With holds of 10 s an outage of 14 s costs no key its owner while the manager lives. The keys of a
@@ -65,7 +65,7 @@
     ///
     /// use bramleypier_engine::settings::timing;
     ///
-    /// assert_eq!(timing(Duration::from_secs(10)).hold, Duration::from_secs(4));
+    /// assert_eq!(timing(Duration::from_secs(10)).hold, Duration::from_millis(3200));
     /// assert_eq!(timing(Duration::from_secs(1)).hold, Duration::from_secs(1));
     /// ```
     pub fn timing(&self) -> keeper::Timing {
--- a/engine/tests/keeper.rs
+++ b/engine/tests/keeper.rs
@@ -305,3 +305,64 @@
     }
     effects
 }
+
+/// Dark owners answer nothing and are still announced for some seconds.
+#[test]
+fn a_silent_owner_is_not_granted_beyond_the_hold_that_it_has() {
+    let (mut keeper, now) = rested();
+    let freed = freed(&mut keeper, now, &Ending::Silent);
+    // Its last renewal has just been answered; the next may have arrived.
+    let least = now + TIMING.hold;
+    assert!(
+        freed >= least,
+        "freed at {freed:?}, before its hold ran out"
+    );
+    let most = least + TIMING.renew + Duration::from_millis(400);
+    assert!(freed <= most, "freed at {freed:?} instead of {most:?}");
+}
+
+/// Three in ten answers are lost on the way: a target that lives keeps its keys.
+#[test]
+fn an_owner_that_answers_again_is_renewed_before_less_is_left_than_usual() {
+    let (mut keeper, now) = rested();
+    let at = now + TIMING.renew + Duration::from_millis(50);
+    let first = grants(&keeper.on(at, Event::Lease(at + Duration::from_secs(2))));
+    for order in &first {
+        let ending = if order.owner.id == "t1" {
+            Ending::Silent
+        } else {
+            Ending::Done(None)
+        };
+        keeper.on(at, Event::Granted(order.from, ending));
+    }
+    let again = at + Duration::from_millis(200);
+    let asked = grants(&keeper.on(again, Event::Lease(again + Duration::from_secs(2))));
+    assert_eq!(asked.len(), 3, "it is asked at once");
+    assert!(asked.iter().all(|order| order.hold < TIMING.hold));
+    for order in &asked {
+        keeper.on(again, Event::Granted(order.from, Ending::Done(None)));
+    }
+    let shorter = TIMING.hold.saturating_sub(asked[0].hold);
+    let due = again + TIMING.renew.saturating_sub(shorter);
+    let renewed = grants(&keeper.on(due, Event::Lease(due + Duration::from_secs(2))));
+    let its = renewed.iter().filter(|order| order.owner.id == "t1");
+    assert!(its.clone().all(|order| order.hold == TIMING.hold));
+    assert_eq!(its.count(), 3, "renewed early, and in full");
+}
+
+/// A keeper whose owners have answered for so long that no earlier manager's grant holds any more, at
+/// the moment at which they have just been renewed.
+fn rested() -> (Keeper, Duration) {
+    let (mut keeper, _, now) = keeper();
+    let step = Duration::from_millis(50);
+    let mut at = now;
+    loop {
+        at += step;
+        let effects = keeper.on(at, Event::Lease(at + Duration::from_secs(2)));
+        let renewed = !grants(&effects).is_empty();
+        settled(&mut keeper, at, effects);
+        if renewed && at > now + TIMING.hold_alone + TIMING.hold {
+            return (keeper, at);
+        }
+    }
+}
