The manager shares the room at busy targets out to VMs

Load pattern: one key takes a third of all requests, up to 200 a second for an owner that does 54. Requests for it wait at each VM. Change: VMs tell what waits for which target and for how long; the manager gives rights to send, in all as many as there is room for, to the most urgent and oldest first. Late requests get room only while no other waits, and are refused at once when a line has lasted as long as the goal. A target's room is its slots and what it ends between two words (before: five more for all). Keys count as busy as callers ask for them, capped at what the fastest target can do; before, a refused key looked calm and went to a slow target. A desk test's word now brings the right to send that the waiting request needs; what it checks is the same.

--- a/engine/src/caller/tries.rs
+++ b/engine/src/caller/tries.rs
@@ -50,6 +50,11 @@
 ) -> (Result<Response<Body>, Own>, Trace) {
     let mut trace = Trace::default();
     let mut history = History::default();
+    // What is refused here counts too: a key is as busy as its callers ask for it, also while its
+    // owner can answer few of them.
+    if let Some(point) = job.asked.point.filter(|_| job.keyed) {
+        context.tally.count(&job.service, point);
+    }
     let result = loop {
         let step = next(
             context,
@@ -151,13 +156,6 @@
     trace.targets.push(target.clone());
     trace.notes.push(format!("sent: {}", permit.basis));
     history.turn = permit.basis.turn;
-    if let Some(point) = job
-        .asked
-        .point
-        .filter(|_| job.keyed && history.arrivals == 0)
-    {
-        context.tally.count(&job.service, point);
-    }
     let tried = context.sender.send(work, body, permit, left).await;
     if !matches!(tried, Tried::Unsent(_)) {
         history.arrivals += 1;
--- a/engine/src/owner/keeper/moves.rs
+++ b/engine/src/owner/keeper/moves.rs
@@ -101,11 +101,12 @@
         let calm = self.live.values().all(|live| live.phase == Phase::Held);
         self.balanced = now;
         let holders = self.holders(now);
-        let load = &self.load;
+        let fastest = holders.iter().map(|it| it.power).fold(0.0, f64::max);
+        let load = self.load.capped(fastest);
         self.moved
-            .retain(|it| now < it.until && !it.has_grown(load));
+            .retain(|it| now < it.until && !it.has_grown(&load));
         if calm && now >= self.dealt + DEAL_PAUSE {
-            let moves = deal::anew(&self.record, &holders, &self.load);
+            let moves = deal::anew(&self.record, &holders, &load);
             if !moves.is_empty() {
                 self.dealt = now;
                 out.push(Effect::Note(format!(
@@ -119,7 +120,7 @@
             }
         }
         let resting: Vec<Move> = self.moved.iter().map(|it| it.keys.clone()).collect();
-        for it in balance::even(&self.record, &holders, &self.load, &resting) {
+        for it in balance::even(&self.record, &holders, &load, &resting) {
             self.begin(now, it, REST, out);
         }
     }
--- a/engine/src/owner/load.rs
+++ b/engine/src/owner/load.rs
@@ -123,6 +123,35 @@
         range.map(|(_, counts)| counts.rate(spans)).sum::<f64>() + 0.0
     }
 
+    /// Returns the same load with no key above a rate.
+    ///
+    /// What callers ask of one key beyond what any target can do is refused wherever the key lies, so
+    /// it says nothing of where other keys should lie.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier_engine::owner::load::Load;
+    ///
+    /// let mut load = Load::default();
+    /// load.add(Duration::ZERO, [(7, 40), (8, 4)]);
+    /// let capped = load.capped(50.0);
+    /// assert!((capped.sum(7, 7) - 50.0).abs() < 0.1);
+    /// assert!((capped.sum(8, 8) - load.sum(8, 8)).abs() < 0.1);
+    /// ```
+    pub fn capped(&self, most: f64) -> Self {
+        let spans = self.spans();
+        let mut capped = self.clone();
+        for counts in capped.counts.values_mut() {
+            let part = (most / counts.rate(spans)).min(1.0);
+            counts.slow *= part;
+            counts.fast *= part;
+        }
+        capped
+    }
+
     /// Returns the busy keys of a range with their rates, in order.
     ///
     /// # Example
--- a/engine/src/peer/board.rs
+++ b/engine/src/peer/board.rs
@@ -1,14 +1,42 @@
-//! What all VMs have under way, as they told the manager.
+//! What all VMs have under way and waiting, as they told the manager.
 
 use std::{collections::HashMap, time::Duration};
 
 use super::TargetHash;
+use crate::place::share::{self, Queue, Share};
 
 /// How long a VM's word counts. A VM that is lost has no requests; one that is slow still tells
 /// several times a second.
 const LIFE: Duration = Duration::from_millis(600);
 
-/// The requests of each VM at each target.
+/// One VM's word.
+#[derive(Clone, Debug)]
+struct Word {
+    flights: Vec<(TargetHash, u32)>,
+    queues: Vec<Queue>,
+    /// What it may have sent since, by the rights that it got.
+    given: Vec<(TargetHash, u32)>,
+    at: Duration,
+}
+
+impl Word {
+    /// Takes note of rights that the VM gets: what waited is on its way.
+    fn give(&mut self, share: &Share) {
+        let count = share.fresh + share.late;
+        if count > 0 {
+            self.given.push((share.target, count));
+        }
+        let queues = self.queues.iter_mut();
+        for queue in queues.filter(|queue| queue.target == share.target) {
+            let gone = queue.first.len().min(share.fresh as usize);
+            queue.first.drain(..gone);
+            queue.fresh = queue.fresh.saturating_sub(share.fresh);
+            queue.late = queue.late.saturating_sub(share.late);
+        }
+    }
+}
+
+/// The requests of each VM at each target, and those that wait for one.
 ///
 /// # Example
 ///
@@ -18,25 +46,37 @@
 /// use bramleypier_engine::peer::Board;
 ///
 /// let mut board = Board::default();
-/// board.set(Duration::ZERO, "vm-1", vec![(7, 2)]);
-/// board.set(Duration::ZERO, "vm-2", vec![(7, 1)]);
+/// board.set(Duration::ZERO, "vm-1", vec![(7, 2)], Vec::new());
+/// board.set(Duration::ZERO, "vm-2", vec![(7, 1)], Vec::new());
 /// assert_eq!(board.others(Duration::ZERO, "vm-1"), [(7, 1)]);
 /// assert!(board.others(Duration::from_secs(1), "vm-1").is_empty());
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Board {
-    flights: HashMap<String, (Vec<(TargetHash, u32)>, Duration)>,
+    words: HashMap<String, Word>,
 }
 
 impl Board {
-    /// Takes in what a VM has under way.
+    /// Takes in what a VM has under way and waiting.
     ///
     /// # Example
     ///
     /// See [`Board`].
-    pub fn set(&mut self, now: Duration, start: &str, flights: Vec<(TargetHash, u32)>) {
-        self.flights.retain(|_, (_, at)| now < *at + LIFE);
-        self.flights.insert(start.to_owned(), (flights, now));
+    pub fn set(
+        &mut self,
+        now: Duration,
+        start: &str,
+        flights: Vec<(TargetHash, u32)>,
+        queues: Vec<Queue>,
+    ) {
+        self.words.retain(|_, word| now < word.at + LIFE);
+        let word = Word {
+            flights,
+            queues,
+            given: Vec::new(),
+            at: now,
+        };
+        self.words.insert(start.to_owned(), word);
     }
 
     /// Returns what all others have under way.
@@ -46,12 +86,93 @@
     /// See [`Board`].
     pub fn others(&self, now: Duration, start: &str) -> Vec<(TargetHash, u32)> {
         let mut sums: HashMap<TargetHash, u32> = HashMap::new();
-        let others = self.flights.iter().filter(|(other, _)| *other != start);
-        for (_, (flights, _)) in others.filter(|(_, (_, at))| now < *at + LIFE) {
-            for (target, count) in flights {
+        for (_, word) in self.live(now).filter(|(other, _)| *other != start) {
+            for (target, count) in word.flights.iter().chain(&word.given) {
                 *sums.entry(*target).or_default() += count;
             }
         }
         sums.into_iter().collect()
     }
+
+    /// Shares out the room at each target for which requests wait, and notes what this VM got.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier_engine::{peer::Board, place::share::Queue};
+    ///
+    /// let waiting = |age| Queue {
+    ///     target: 7,
+    ///     slots: 2,
+    ///     limit: 3,
+    ///     fresh: 1,
+    ///     first: vec![(1, age)],
+    ///     late: 0,
+    /// };
+    /// let mut board = Board::default();
+    /// let now = Duration::ZERO;
+    /// board.set(now, "vm-1", vec![(7, 2)], vec![waiting(20)]);
+    /// board.set(now, "vm-2", Vec::new(), vec![waiting(30)]);
+    /// assert_eq!(board.share(now, "vm-1")[0].fresh, 0, "the other waits longer");
+    /// assert_eq!(board.share(now, "vm-2")[0].fresh, 1);
+    /// ```
+    pub fn share(&mut self, now: Duration, start: &str) -> Vec<Share> {
+        let mut targets: Vec<TargetHash> = self
+            .live(now)
+            .flat_map(|(_, word)| word.queues.iter().map(|queue| queue.target))
+            .collect();
+        targets.sort_unstable();
+        targets.dedup();
+        let shares = targets.iter().map(|target| self.one(now, start, *target));
+        let shares: Vec<Share> = shares
+            .filter(|share| share.busy || share.late > 0)
+            .collect();
+        if let Some(word) = self.words.get_mut(start) {
+            for share in &shares {
+                word.give(share);
+            }
+        }
+        shares
+    }
+
+    /// Shares out the room at one target.
+    fn one(&self, now: Duration, start: &str, target: TargetHash) -> Share {
+        let mut own = Queue {
+            target,
+            ..Queue::default()
+        };
+        let mut others = Vec::new();
+        let mut flights = 0;
+        for (name, word) in self.live(now) {
+            let counts = word.flights.iter().chain(&word.given);
+            flights += sum(counts, target);
+            let queue = word.queues.iter().find(|queue| queue.target == target);
+            if name == start {
+                own = queue.cloned().unwrap_or(own);
+            } else if let Some(queue) = queue {
+                let since = now.saturating_sub(word.at).as_millis();
+                others.push((queue, u32::try_from(since).unwrap_or(u32::MAX)));
+            }
+        }
+        share::of(&own, &others, flights)
+    }
+
+    fn live(&self, now: Duration) -> impl Iterator<Item = (&str, &Word)> {
+        let words = self.words.iter();
+        let live = words.filter(move |(_, word)| now < word.at + LIFE);
+        live.map(|(start, word)| (start.as_str(), word))
+    }
+}
+
+/// The sum of counts for one target.
+fn sum<'a, I>(counts: I, target: TargetHash) -> u32
+where
+    I: Iterator<Item = &'a (TargetHash, u32)>,
+{
+    counts
+        .filter(|(other, _)| *other == target)
+        .map(|(_, count)| count)
+        .sum()
 }
--- a/engine/src/peer/mod.rs
+++ b/engine/src/peer/mod.rs
@@ -24,6 +24,7 @@
     catalogue::{ServiceId, TargetHash},
     fleet::{Place, Relay},
     owner::record::Point,
+    place::share::{Queue, Share},
 };
 
 /// The path of messages between VMs.
@@ -59,6 +60,8 @@
     pub knows: bool,
     /// Its requests at each target.
     pub flights: Vec<(TargetHash, u32)>,
+    /// What waits there for room at targets.
+    pub queues: Vec<Queue>,
     /// How far it has followed the manager's journal.
     pub place: Place,
     /// Requests by service and key since the last message.
@@ -77,6 +80,8 @@
     pub well: bool,
     /// Other VMs' requests at each target.
     pub others: Vec<(TargetHash, u32)>,
+    /// What the VM may send to targets for which requests wait.
+    pub shares: Vec<Share>,
     /// What the VM lacks of what this one knows, however old.
     pub relay: Relay,
     /// When it was sent, for the time line.
--- a/engine/src/peer/sync.rs
+++ b/engine/src/peer/sync.rs
@@ -98,8 +98,9 @@
         let now = self.clock.now();
         let well = self.leading.get() && self.pulse.is_well();
         let mut board = self.board.borrow_mut();
-        board.set(now, &message.start, message.flights);
+        board.set(now, &message.start, message.flights, message.queues);
         let others = board.others(now, &message.start);
+        let shares = board.share(now, &message.start);
         let load = manager::Message::Load {
             counts: message.counts,
             times: message.times,
@@ -117,6 +118,7 @@
         Synced {
             well,
             others,
+            shares,
             relay,
             stamp: self.report.stamp(),
         }
@@ -149,6 +151,7 @@
             start: self.vm.start.clone(),
             knows: true,
             flights: state.flights,
+            queues: state.queues,
             place,
             counts: self.tally.take(),
             times: state.times,
@@ -180,8 +183,11 @@
             ask_others(&context, &mut others, &mut heard_at).await;
         }
         if let Some(synced) = answer {
-            let others = synced.others.into_iter().collect();
-            context.desk.tell(desk::Event::Others(others));
+            let shares = synced.shares.into_iter();
+            context.desk.tell(desk::Event::Word(desk::Word {
+                others: synced.others.into_iter().collect(),
+                shares: shares.map(|share| (share.target, share)).collect(),
+            }));
         }
         let stale = context.clock.now() > heard_at + FRESH;
         if stale && context.heard.is_well() {
--- a/engine/src/place/desk/choose.rs
+++ b/engine/src/place/desk/choose.rs
@@ -9,28 +9,20 @@
 
 use rand::Rng;
 
-use super::{Ask, Basis, COME_BACK_UNOWNED, Desk, Why};
+use super::{
+    Ask, Basis, COME_BACK_UNOWNED, Desk, Why,
+    fit::{Choice, Place},
+};
 use crate::{
-    owner::record::{Fence, Point, Record},
-    place::member::Member,
+    owner::record::{Point, Record},
+    place::{member::Member, share::Share},
 };
 
-/// How many requests a target may have waiting, from all VMs, as far as this VM can tell.
-///
-/// Targets queue some 8 and may break connections when full; VMs see each other's requests late, so
-/// the last places are left empty.
-const QUEUE_USED: f64 = 5.0;
 /// How long a request waits for its key to have an owner, as a part of the route's goal.
 ///
 /// A planned move takes one release, one write and one grant, some 50 to 200 ms; a lost owner takes
 /// seconds, for which no request should be held.
 const OWNER_WAIT_PART: f64 = 0.6;
-/// The share of the time left within which an answer must be expected for a request to be sent.
-const WITHIN: f64 = 1.0;
-/// How many may wait at a target before those that can't be answered within the goal are refused.
-///
-/// With one waiting, a target is never idle; more would make requests late that still have time.
-const LATE_QUEUE: f64 = 1.0;
 /// The least time to come back that is told: a caller is some 10 ms away.
 pub const COME_BACK_LEAST: Duration = Duration::from_millis(20);
 /// By how much estimates are varied, so that VMs with the same news don't all pick the same target.
@@ -41,33 +33,33 @@
 /// The same for a large answer: bytes between failure domains are paid for.
 const AWAY_LARGE: f64 = 1.4;
 
-/// What can be done for a request now.
-pub(super) enum Choice {
-    Send(Basis),
-    Wait,
-    Refuse(Why, Duration, Basis),
-}
-
 impl Desk {
-    pub(super) fn choose(&mut self, now: Duration, ask: &Ask) -> Choice {
+    pub(super) fn choose(&mut self, now: Duration, ask: &Ask, first: bool) -> Choice {
         match (ask.point, self.view.records.get(&ask.service)) {
             (Some(point), Some(record)) => {
                 let record = record.clone();
-                self.choose_owner(now, ask, point, &record)
+                self.choose_owner(now, ask, first, point, &record)
             }
             (Some(_), None) => self.unowned(now, ask),
-            (None, _) => self.choose_any(now, ask),
+            (None, _) => self.choose_any(now, ask, first),
         }
     }
 
-    fn choose_owner(&self, now: Duration, ask: &Ask, point: Point, record: &Record) -> Choice {
+    fn choose_owner(
+        &self,
+        now: Duration,
+        ask: &Ask,
+        first: bool,
+        point: Point,
+        record: &Record,
+    ) -> Choice {
         let Some(part) = record.find(point) else {
             return self.unowned(now, ask);
         };
         if self.is_moving(now, point, part.fence) {
             // A move ends within a few hundred milliseconds, a loss doesn't.
             return if now < ask.goal.min(ask.until) {
-                Choice::Wait
+                Choice::Wait(None)
             } else {
                 self.unowned(now, ask)
             };
@@ -82,7 +74,13 @@
         if !member.is_open(now) || ask.tried.contains(&member.target.id) {
             return self.unowned(now, ask);
         }
-        Self::fit(now, ask, member, self.usual(&ask.service), part.fence)
+        let place = Place {
+            member,
+            usual: self.usual(&ask.service),
+            fence: part.fence,
+            before: first.then(|| self.line(&member.target.id)),
+        };
+        place.fit(now, ask)
     }
 
     /// What to do for a request whose key has no owner that can be reached.
@@ -90,7 +88,7 @@
         let goal = ask.goal.saturating_sub(ask.came);
         let patience = ask.came + goal.mul_f64(OWNER_WAIT_PART);
         if now < patience.min(ask.until) {
-            return Choice::Wait;
+            return Choice::Wait(None);
         }
         Choice::Refuse(Why::NoOwner, COME_BACK_UNOWNED, self.owner_basis(ask))
     }
@@ -109,7 +107,7 @@
         }
     }
 
-    fn choose_any(&mut self, now: Duration, ask: &Ask) -> Choice {
+    fn choose_any(&mut self, now: Duration, ask: &Ask, first: bool) -> Choice {
         let usual = self.usual(&ask.service);
         let Some(targets) = self.view.targets.get(&ask.service) else {
             return self.untargeted(now, ask);
@@ -128,6 +126,11 @@
             if target.domain != self.domain {
                 score *= if ask.large { AWAY_LARGE } else { AWAY };
             }
+            let taken = |share: &Share| share.busy && share.fresh == 0;
+            if member.is_shared(now) && member.share().is_some_and(taken) {
+                // Behind all that have room, however fast it is.
+                score += 100.0;
+            }
             if member.is_bad(now) {
                 // Behind all others, so that it is used only when they are out of reach.
                 score += 1000.0;
@@ -137,7 +140,15 @@
             }
         }
         match best {
-            Some((member, _)) => Self::fit(now, ask, member, usual, 0),
+            Some((member, _)) => {
+                let place = Place {
+                    member,
+                    usual,
+                    fence: 0,
+                    before: first.then(|| self.line(&member.target.id)),
+                };
+                place.fit(now, ask)
+            }
             None => self.untargeted(now, ask),
         }
     }
@@ -149,37 +160,8 @@
         }
     }
 
-    /// Decides whether a request fits at a target, waits for it, or is too late for it.
-    fn fit(now: Duration, ask: &Ask, member: &Member, usual: Option<f64>, fence: Fence) -> Choice {
-        let left = ask.until.saturating_sub(now);
-        let expected = Duration::from_secs_f64(member.expected(now, usual));
-        let basis = Basis {
-            target: member.target.id.clone(),
-            point: ask.point,
-            depth: member.depth(now),
-            expected,
-            turn: member.turn(now, usual),
-            age: member.told_age(now),
-            fence,
-        };
-        if expected > left.mul_f64(WITHIN) {
-            let over = expected.saturating_sub(left.mul_f64(WITHIN));
-            return Choice::Refuse(Why::Late, over.max(COME_BACK_LEAST), basis);
-        }
-        let slots = member.target.slots.max(1) as f64;
-        let depth = basis.depth;
-        if depth + 1.0 > slots + QUEUE_USED {
-            return Choice::Wait;
-        }
-        let goal_left = ask.goal.saturating_sub(now);
-        if depth >= slots + LATE_QUEUE && expected > goal_left {
-            return Choice::Wait;
-        }
-        Choice::Send(basis)
-    }
-
     /// The median service time of a service's targets, in seconds.
-    fn usual(&self, service: &str) -> Option<f64> {
+    pub(super) fn usual(&self, service: &str) -> Option<f64> {
         let targets = self.view.targets.get(service)?;
         let members = targets.iter().filter_map(|it| self.members.get(&it.id));
         let mut times: Vec<f64> = members.filter_map(Member::measured).collect();
--- /dev/null
+++ b/engine/src/place/desk/fit.rs
@@ -0,0 +1,157 @@
+//! Whether a request fits at one target now, waits for it, or is refused.
+//!
+//! Load patterns that it answers, each by one rule:
+//!
+//! - *A target falls behind*: what no answer is expected for in time is refused at once.
+//! - *Requests wait for a target at several VMs*: none is sent without a share of its room (see
+//!   [`crate::place::share`]).
+//! - *The line at a target is longer than a goal*: whoever comes then can't be answered within it, and
+//!   what is late stands behind all that isn't. A line that lasts for as long as a goal is no passing
+//!   burst: from then on late requests are refused at once, since the others take every place.
+
+use std::time::Duration;
+
+use super::{Ask, Basis, COME_BACK_LEAST, Why};
+use crate::{
+    catalogue::TargetId,
+    owner::record::Fence,
+    place::{member::Member, share::LATE_QUEUE},
+};
+
+/// What can be done for a request now.
+pub(super) enum Choice {
+    /// Send it, by a right to send if it needs one.
+    Send(Basis, Option<Right>),
+    /// Let it wait, in a target's line if it waits for room there.
+    Wait(Option<Line>),
+    /// Refuse it.
+    Refuse(Why, Duration, Basis),
+}
+
+/// A right to send to a busy target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Right {
+    /// For a request that can still be answered within its goal.
+    Fresh,
+    /// For any other.
+    Late,
+}
+
+/// Where a request waits.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Line {
+    pub(super) target: TargetId,
+    /// Whether it can still be answered within its goal.
+    pub(super) fresh: bool,
+}
+
+/// A target that a request could go to.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Place<'a> {
+    pub(super) member: &'a Member,
+    /// The median service time of the service's targets, in seconds.
+    pub(super) usual: Option<f64>,
+    /// The fence of the target's ownership of the key; 0 where keys have no owners.
+    pub(super) fence: Fence,
+    /// This VM's requests that wait for it and were there before, if the request has just come.
+    pub(super) before: Option<u32>,
+}
+
+impl Place<'_> {
+    /// Decides for a request.
+    pub(super) fn fit(&self, now: Duration, ask: &Ask) -> Choice {
+        let left = ask.until.saturating_sub(now);
+        let basis = self.basis(now, ask);
+        if basis.expected > left {
+            let over = basis.expected.saturating_sub(left);
+            return Choice::Refuse(Why::Late, over.max(COME_BACK_LEAST), basis);
+        }
+        let fresh = basis.expected <= ask.goal.saturating_sub(now);
+        if !self.member.is_shared(now) {
+            return self.unshared(now, fresh, basis);
+        }
+        if fresh {
+            self.fresh(now, ask, basis)
+        } else {
+            self.late(now, ask, basis)
+        }
+    }
+
+    fn basis(&self, now: Duration, ask: &Ask) -> Basis {
+        Basis {
+            target: self.member.target.id.clone(),
+            point: ask.point,
+            depth: self.member.depth(now),
+            expected: Duration::from_secs_f64(self.member.expected(now, self.usual)),
+            turn: self.member.turn(now, self.usual),
+            age: self.member.told_age(now),
+            fence: self.fence,
+        }
+    }
+
+    /// Decides by what this VM knows alone, while the manager isn't heard.
+    fn unshared(&self, now: Duration, fresh: bool, basis: Basis) -> Choice {
+        let room = self.member.limit(now, self.usual);
+        let most = if fresh { room } else { self.idle_limit() };
+        if basis.depth + 1.0 <= f64::from(most) {
+            Choice::Send(basis, None)
+        } else {
+            self.wait(fresh)
+        }
+    }
+
+    /// Decides for a request that can still be answered within its goal.
+    fn fresh(&self, now: Duration, ask: &Ask, basis: Basis) -> Choice {
+        let Some(share) = self.member.share().filter(|share| share.busy) else {
+            let limit = f64::from(self.member.limit(now, self.usual));
+            return if basis.depth + 1.0 <= limit {
+                Choice::Send(basis, None)
+            } else {
+                self.wait(true)
+            };
+        };
+        let line = share.line + self.before.unwrap_or(0);
+        if self.before.is_some()
+            && basis.expected + basis.turn * line > ask.goal.saturating_sub(now)
+        {
+            return self.late(now, ask, basis);
+        }
+        if share.fresh > 0 {
+            Choice::Send(basis, Some(Right::Fresh))
+        } else {
+            self.wait(true)
+        }
+    }
+
+    /// Decides for a request that can't be answered within its goal any more.
+    fn late(&self, now: Duration, ask: &Ask, basis: Basis) -> Choice {
+        let share = self.member.share();
+        if share.is_some_and(|share| share.late > 0) {
+            return Choice::Send(basis, Some(Right::Late));
+        }
+        let goal = ask.goal.saturating_sub(ask.came);
+        let busy_since = self.member.busy_since();
+        if busy_since.is_some_and(|since| now >= since + goal) {
+            let line = share.map_or(0, |share| share.line) + self.before.unwrap_or(0);
+            let drained = basis.expected + basis.turn * line;
+            return Choice::Refuse(Why::Goal, drained.max(COME_BACK_LEAST), basis);
+        }
+        let alone = share.is_none() && self.before == Some(0);
+        if alone && basis.depth + 1.0 <= f64::from(self.idle_limit()) {
+            return Choice::Send(basis, None);
+        }
+        self.wait(false)
+    }
+
+    /// Up to how many requests the target has while late ones may be sent.
+    fn idle_limit(&self) -> u32 {
+        self.member.slots() + LATE_QUEUE
+    }
+
+    fn wait(&self, fresh: bool) -> Choice {
+        Choice::Wait(Some(Line {
+            target: self.member.target.id.clone(),
+            fresh,
+        }))
+    }
+}
--- a/engine/src/place/desk/mod.rs
+++ b/engine/src/place/desk/mod.rs
@@ -11,6 +11,7 @@
 //!   single requests until it does well.
 
 mod choose;
+mod fit;
 
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
@@ -18,11 +19,12 @@
 use rand::{SeedableRng, rngs::SmallRng};
 
 pub use self::choose::COME_BACK_LEAST;
-use self::choose::Choice;
-pub use super::message::{Ask, Basis, Effect, End, Ended, Event, State, Ticket, View, Why};
+use self::fit::{Choice, Line, Right};
+pub use super::message::{Ask, Basis, Effect, End, Ended, Event, State, Ticket, View, Why, Word};
 use super::{
     budget::{Allowance, Budget},
     member::Member,
+    share::Queue,
 };
 use crate::{
     catalogue::{self, DomainId, ServiceId, TargetId},
@@ -43,6 +45,8 @@
 struct Waiting {
     ask: Ask,
     counted: bool,
+    /// Where it waits, if for room at a target.
+    line: Option<Line>,
 }
 
 /// One VM's decisions on where requests go.
@@ -110,10 +114,11 @@
                 self.look(now, view);
                 self.serve(now, &mut effects);
             }
-            Event::Others(others) => {
+            Event::Word(word) => {
                 for member in self.members.values_mut() {
-                    let count = others.get(&catalogue::hash(&member.target.id));
-                    member.tell(now, count.copied().unwrap_or(0));
+                    let hash = catalogue::hash(&member.target.id);
+                    let others = word.others.get(&hash).copied().unwrap_or(0);
+                    member.tell(now, others, word.shares.get(&hash).copied());
                 }
                 self.serve(now, &mut effects);
             }
@@ -131,14 +136,17 @@
         self.waiting.len()
     }
 
-    /// Returns this VM's requests at each target, and the service times measured since the last
-    /// call.
+    /// Returns this VM's requests at each target, what waits for one, and the service times measured
+    /// since the last call.
     ///
     /// # Example
     ///
     /// See [`Desk::new`].
-    pub fn take_state(&mut self) -> State {
-        let mut state = State::default();
+    pub fn take_state(&mut self, now: Duration) -> State {
+        let mut state = State {
+            queues: self.queues(now),
+            ..State::default()
+        };
         for member in self.members.values_mut() {
             let hash = catalogue::hash(&member.target.id);
             if member.own > 0 {
@@ -152,6 +160,46 @@
         state
     }
 
+    /// How many requests that can still be answered within their goals wait for a target.
+    fn line(&self, target: &str) -> u32 {
+        let lines = self.waiting.iter().filter_map(|it| it.line.as_ref());
+        let count = lines
+            .filter(|line| line.fresh && line.target == target)
+            .count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    /// What waits for each target, by rank.
+    fn queues(&self, now: Duration) -> Vec<Queue> {
+        let mut queues: IndexMap<&TargetId, Queue> = IndexMap::new();
+        for it in &self.waiting {
+            let Some((line, member)) = it
+                .line
+                .as_ref()
+                .and_then(|line| Some((line, self.members.get(&line.target)?)))
+            else {
+                continue;
+            };
+            let queue = queues.entry(&line.target).or_insert_with(|| Queue {
+                target: catalogue::hash(&line.target),
+                slots: member.slots(),
+                limit: member.limit(now, self.usual(&it.ask.service)),
+                ..Queue::default()
+            });
+            if !line.fresh {
+                queue.late += 1;
+                continue;
+            }
+            queue.fresh += 1;
+            if queue.first.len() < queue.limit as usize {
+                let age = now.saturating_sub(it.ask.came).as_millis();
+                let age = u32::try_from(age).unwrap_or(u32::MAX);
+                queue.first.push((it.ask.priority, age));
+            }
+        }
+        queues.into_values().collect()
+    }
+
     /// Remembers a key whose owner has refused it: it is moving.
     fn note_unowned(&mut self, now: Duration, end: &End) {
         if let (Ended::Unowned, Some((point, fence))) = (end.ended, end.owned) {
@@ -191,8 +239,9 @@
         let mut waiting = Waiting {
             ask,
             counted: false,
+            line: None,
         };
-        if !self.decide(now, &mut waiting, out) {
+        if !self.decide(now, &mut waiting, true, out) {
             self.hold(waiting, out);
         }
     }
@@ -218,17 +267,26 @@
     fn serve(&mut self, now: Duration, out: &mut Vec<Effect>) {
         let waiting = std::mem::take(&mut self.waiting);
         for mut it in waiting {
-            if !self.decide(now, &mut it, out) {
+            if !self.decide(now, &mut it, false, out) {
                 self.waiting.push(it);
             }
         }
     }
 
     /// Decides for one request; returns whether that is its end here.
-    fn decide(&mut self, now: Duration, it: &mut Waiting, out: &mut Vec<Effect>) -> bool {
+    fn decide(
+        &mut self,
+        now: Duration,
+        it: &mut Waiting,
+        first: bool,
+        out: &mut Vec<Effect>,
+    ) -> bool {
         let ticket = it.ask.ticket;
-        match self.choose(now, &it.ask) {
-            Choice::Wait => false,
+        match self.choose(now, &it.ask, first) {
+            Choice::Wait(line) => {
+                it.line = line;
+                false
+            }
             Choice::Refuse(why, retry, basis) => {
                 out.push(Effect::Refuse {
                     ticket,
@@ -238,7 +296,7 @@
                 });
                 true
             }
-            Choice::Send(basis) => {
+            Choice::Send(basis, right) => {
                 if it.ask.repeat && !it.counted {
                     let vms = self.view.vms;
                     let budget = self.budgets.entry(it.ask.service.clone()).or_default();
@@ -259,6 +317,9 @@
                     return false;
                 };
                 member.sent(now);
+                if let Some(right) = right {
+                    member.use_share(right == Right::Fresh);
+                }
                 out.push(Effect::Send {
                     ticket,
                     target: member.target.clone(),
--- a/engine/src/place/member.rs
+++ b/engine/src/place/member.rs
@@ -2,11 +2,14 @@
 
 #![allow(
     clippy::cast_precision_loss,
-    reason = "counts of requests, slots and keys are far below 2^52"
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "counts of requests, slots and keys are far below 2^31 and never negative"
 )]
 
 use std::time::Duration;
 
+use super::share::Share;
 use crate::{
     catalogue::Target,
     owner::record::{Fence, Point},
@@ -21,6 +24,17 @@
 const REPORT_LIFE: Duration = Duration::from_millis(200);
 /// How long the manager's word on other VMs' requests counts; it comes every 40 ms.
 const TOLD_LIFE: Duration = Duration::from_millis(250);
+/// How long it may take from a request's end until the next has its place: one and a half times
+/// the pause between two words of the manager.
+const EXCHANGE: Duration = Duration::from_millis(60);
+/// How many requests a target may have waiting, from all VMs, as far as this VM can tell.
+///
+/// Targets queue some 8 and may break connections when full; VMs see each other's requests late, so
+/// the last places are left empty.
+pub const QUEUE_USED: f64 = 5.0;
+/// For how long no request may wait for a target until its line counts as ended: a few words of the
+/// manager, in which the line may be empty by chance.
+const BUSY_PAUSE: Duration = Duration::from_millis(250);
 /// The service time that is assumed of a service of which nothing was measured.
 const UNKNOWN_TIME: Duration = Duration::from_millis(80);
 /// By how much a target that has just started is taken to be slower: a factor of two that wears off.
@@ -91,6 +105,12 @@
     reported: Option<Duration>,
     /// Other VMs' requests, as the manager told, and when.
     told: Option<(u32, Duration)>,
+    /// What may be sent here until the manager's next word, while requests wait for this target.
+    share: Option<Share>,
+    /// Since when requests have waited for it, with short pauses at the most.
+    busy_since: Option<Duration>,
+    /// When they did so last.
+    busy_at: Duration,
     /// Sum in seconds and count of service times, not yet told.
     samples: (f64, u32),
     time: Option<f64>,
@@ -113,6 +133,9 @@
             others_mean: 0.0,
             reported: None,
             told: None,
+            share: None,
+            busy_since: None,
+            busy_at: Duration::ZERO,
             samples: (0.0, 0),
             time: None,
             failures: 0.0,
@@ -140,9 +163,58 @@
         self.told.map(|(_, at)| now.saturating_sub(at))
     }
 
-    /// Takes note of other VMs' requests there.
-    pub fn tell(&mut self, now: Duration, others: u32) {
+    /// Takes note of other VMs' requests there, and of this VM's share of the room.
+    pub fn tell(&mut self, now: Duration, others: u32, share: Option<Share>) {
         self.told = Some((others, now));
+        self.share = share;
+        if share.is_some_and(|share| share.busy) {
+            self.busy_since.get_or_insert(now);
+            self.busy_at = now;
+        } else if now > self.busy_at + BUSY_PAUSE {
+            self.busy_since = None;
+        }
+    }
+
+    /// Returns whether the manager has told lately, so that it shares out the room here.
+    pub fn is_shared(&self, now: Duration) -> bool {
+        self.told.is_some_and(|(_, at)| now < at + TOLD_LIFE)
+    }
+
+    /// Returns this VM's share of the room, if requests wait for this target.
+    pub fn share(&self) -> Option<&Share> {
+        self.share.as_ref()
+    }
+
+    /// Uses a right to send, of a request that can still be answered within its goal or of another.
+    pub fn use_share(&mut self, fresh: bool) {
+        if let Some(share) = &mut self.share {
+            let room = if fresh {
+                &mut share.fresh
+            } else {
+                &mut share.late
+            };
+            *room = room.saturating_sub(1);
+        }
+    }
+
+    /// Returns since when requests that can still be answered in time have waited for this target.
+    pub fn busy_since(&self) -> Option<Duration> {
+        self.busy_since
+    }
+
+    /// Returns how many requests the target works on at a time.
+    pub fn slots(&self) -> u32 {
+        u32::try_from(self.target.slots.max(1)).unwrap_or(u32::MAX)
+    }
+
+    /// Returns how many requests may be there at once: what it works on, and what it ends until the
+    /// manager has told every VM of its free places.
+    pub fn limit(&self, now: Duration, usual: Option<f64>) -> u32 {
+        let turn = self.turn(now, usual).as_secs_f64().max(0.001);
+        let ahead = (EXCHANGE.as_secs_f64() / turn).ceil();
+        let ahead = ahead.clamp(1.0, QUEUE_USED);
+        // A few at most.
+        self.slots() + ahead as u32
     }
 
     /// Takes the sum in seconds and the count of service times since the last call.
--- a/engine/src/place/message.rs
+++ b/engine/src/place/message.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 
 pub use super::member::{End, Ended};
+use super::share::{Queue, Share};
 use crate::{
     catalogue::{ServiceId, Target, TargetHash, TargetId},
     owner::record::{Fence, Point, Record},
@@ -54,12 +55,21 @@
     Left(Ticket),
     /// The announced targets, the owners of keys and the number of VMs are these.
     View(Rc<View>),
-    /// Other VMs' requests by target, as the manager told; targets that are missing have none.
-    Others(HashMap<TargetHash, u32>),
+    /// The manager has told of other VMs.
+    Word(Word),
     /// Time passed.
     Tick,
 }
 
+/// What the manager tells a VM of the others; targets that are missing have and get nothing.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Word {
+    /// Other VMs' requests by target.
+    pub others: HashMap<TargetHash, u32>,
+    /// What may be sent to busy targets.
+    pub shares: HashMap<TargetHash, Share>,
+}
+
 /// What a desk has under way, for other VMs.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct State {
@@ -67,6 +77,8 @@
     pub flights: Vec<(TargetHash, u32)>,
     /// Sums in seconds and counts of service times without waiting.
     pub times: Vec<(TargetHash, f64, u32)>,
+    /// What waits for busy targets.
+    pub queues: Vec<Queue>,
 }
 
 /// What a desk is told of the fleet.
--- a/engine/src/place/mod.rs
+++ b/engine/src/place/mod.rs
@@ -1,10 +1,11 @@
 //! Which target a request goes to, when, and which requests are refused.
 //!
-//! [`desk`] decides, free of I/O; [`budget`] bounds what is sent a second time; [`task`] owns the
-//! desk and answers by messages.
+//! [`desk`] decides, free of I/O; [`share`] shares the room at busy targets among VMs; [`budget`] bounds
+//! what is sent a second time; [`task`] owns the desk and answers by messages.
 
 pub mod budget;
 pub mod desk;
 mod member;
 mod message;
+pub mod share;
 pub mod task;
--- a/engine/src/place/task.rs
+++ b/engine/src/place/task.rs
@@ -188,7 +188,7 @@
             None => return,
             Some(Message::State(sender)) => {
                 // Whoever asked may be gone with its own task.
-                let _ = sender.send(desk.take_state());
+                let _ = sender.send(desk.take_state(clock.now()));
                 continue;
             }
             Some(Message::Event(event)) => event,
--- a/engine/tests/desk.rs
+++ b/engine/tests/desk.rs
@@ -7,7 +7,8 @@
     owner::record::{Life, Part, Record},
     place::{
         budget::Allowance,
-        desk::{Ask, Desk, Effect, End, Ended, Event, View, Why},
+        desk::{Ask, Desk, Effect, End, Ended, Event, View, Why, Word},
+        share::Share,
     },
 };
 use proptest::prelude::*;
@@ -50,6 +51,32 @@
     desk
 }
 
+/// The manager's word on other VMs' requests, while nothing waits for any target.
+fn told(others: HashMap<catalogue::TargetHash, u32>) -> Event {
+    Event::Word(Word {
+        others,
+        ..Word::default()
+    })
+}
+
+/// The manager's word on one target for which requests wait.
+fn shared(others: u32, share: Share) -> Event {
+    Event::Word(Word {
+        others: [(share.target, others)].into(),
+        shares: [(share.target, share)].into(),
+    })
+}
+
+fn busy(fresh: u32, line: u32) -> Share {
+    Share {
+        target: catalogue::hash("t0"),
+        fresh,
+        late: 0,
+        line,
+        busy: true,
+    }
+}
+
 fn owned_by(target: &Target) -> Record {
     let mut record = Record::first(99);
     record.parts = vec![Part {
@@ -129,7 +156,7 @@
 fn other_vms_requests_count_as_own() {
     let mut desk = desk(vec![target(0, "d1"), target(1, "d1")], None);
     let others = HashMap::from([(catalogue::hash("t0"), 4)]);
-    desk.on(ms(1), Event::Others(others));
+    desk.on(ms(1), told(others));
     for ticket in 0..3 {
         let effects = desk.on(ms(2), Event::Ask(ask(ticket, ms(2))));
         assert_eq!(sent(&effects)[0].1, "t1");
@@ -140,7 +167,7 @@
 fn a_full_target_makes_requests_wait_and_serves_them_by_rank() {
     let mut desk = desk(vec![target(0, "d1")], None);
     let others = HashMap::from([(catalogue::hash("t0"), 7)]);
-    desk.on(ms(1), Event::Others(others));
+    desk.on(ms(1), told(others));
     let mut late = ask(1, ms(2));
     late.until = ms(5000);
     late.goal = ms(4000);
@@ -149,11 +176,57 @@
     assert!(desk.on(ms(2), Event::Ask(late)).is_empty());
     assert!(desk.on(ms(2), Event::Ask(urgent)).is_empty());
     assert_eq!(desk.waiting(), 2);
-    let others = HashMap::from([(catalogue::hash("t0"), 6)]);
-    let effects = desk.on(ms(10), Event::Others(others));
+    let effects = desk.on(ms(10), shared(6, busy(1, 0)));
     assert_eq!(sent(&effects), [(2, "t0".to_owned())]);
 }
 
+/// All VMs hear at the same moment that a busy target's queue has become short.
+#[test]
+fn without_a_share_of_its_room_nothing_is_sent_to_a_busy_target() {
+    let mut desk = desk(vec![target(0, "d1")], Some(owned_by(&target(0, "d1"))));
+    desk.on(ms(1), told(HashMap::from([(catalogue::hash("t0"), 7)])));
+    for ticket in 0..3 {
+        let mut it = keyed(ticket, ms(2));
+        it.goal = ms(1000);
+        it.until = ms(2000);
+        assert!(desk.on(ms(2), Event::Ask(it)).is_empty());
+    }
+    let queues = desk.take_state(ms(12)).queues;
+    assert_eq!(queues.len(), 1);
+    assert_eq!(queues[0].fresh, 3);
+    assert_eq!(queues[0].first[0], (1, 10), "rank and age");
+    let none = desk.on(ms(14), shared(1, busy(0, 5)));
+    assert!(none.is_empty(), "others wait longer: {none:?}");
+    let two = desk.on(ms(54), shared(1, busy(2, 4)));
+    assert_eq!(sent(&two).len(), 2);
+    assert!(
+        desk.on(ms(60), Event::Tick).is_empty(),
+        "the share is used up"
+    );
+}
+
+/// A line as long as the goal for as long as the goal: late ones take places from others only.
+#[test]
+fn late_requests_are_refused_at_once_while_a_line_lasts() {
+    let mut desk = desk(vec![target(0, "d1")], Some(owned_by(&target(0, "d1"))));
+    for _ in 0..20 {
+        desk.on(ms(1), done("t0", Ended::Answered(ms(60)), ms(0)));
+    }
+    desk.on(ms(2), shared(4, busy(0, 10)));
+    let early = desk.on(ms(3), Event::Ask(keyed(1, ms(3))));
+    assert!(early.is_empty(), "it may be a passing burst: {early:?}");
+    for at in (40..=240).step_by(40) {
+        desk.on(ms(at), shared(4, busy(0, 10)));
+    }
+    let effects = desk.on(ms(241), Event::Ask(keyed(2, ms(241))));
+    let [Effect::Refuse { why, retry, .. }] = &effects[..] else {
+        panic!("not refused: {effects:?}");
+    };
+    assert_eq!(*why, Why::Goal);
+    // Ten in line and three in the queue, at one each 30 ms.
+    assert!(*retry > ms(300) && *retry < ms(600), "{retry:?}");
+}
+
 #[test]
 fn what_can_not_be_answered_in_time_is_refused_at_once_with_a_time_to_come_back() {
     let mut desk = desk(vec![target(0, "d1")], None);
@@ -162,7 +235,7 @@
         let _ = ticket;
     }
     let others = HashMap::from([(catalogue::hash("t0"), 4)]);
-    desk.on(ms(2), Event::Others(others));
+    desk.on(ms(2), told(others));
     let effects = desk.on(ms(3), Event::Ask(ask(99, ms(3))));
     let [Effect::Refuse { why, retry, .. }] = &effects[..] else {
         panic!("not refused: {effects:?}");
@@ -175,7 +248,7 @@
 fn late_requests_stand_behind_those_that_can_still_make_the_goal() {
     let mut desk = desk(vec![target(0, "d1")], None);
     let others = HashMap::from([(catalogue::hash("t0"), 3)]);
-    desk.on(ms(1), Event::Others(others));
+    desk.on(ms(1), told(others));
     let mut late = ask(1, ms(2));
     late.goal = ms(3);
     assert!(desk.on(ms(2), Event::Ask(late)).is_empty(), "it waits");
