--- a/engine/src/owner/calls.rs
+++ b/engine/src/owner/calls.rs
@@ -16,11 +16,6 @@
     store::{Commit, Error, Lease, Put, Transaction},
 };
 
-/// How long the manager's lease lasts.
-///
-/// With a renewal each third of it, two lost renewals are borne; a manager that is lost is replaced
-/// before grants of 4 s run out.
-const LEASE: Duration = Duration::from_secs(2);
 /// How much later each next candidate bids, so that one bid usually does: a call takes some 5 ms.
 const BID_STEP: Duration = Duration::from_millis(40);
 /// The most by which a bid is put off.
@@ -63,7 +58,7 @@
 
 /// Takes a lease and writes the manager's entry under it, if there is none.
 pub(super) async fn bid(context: &Context) -> Result<Option<Lease>, Error> {
-    let lease = context.store.lease(LEASE).await?;
+    let lease = context.store.lease(context.timing.lease).await?;
     let key = context.keys.manager();
     let transaction = Transaction {
         expected: [(key.clone(), 0)].into_iter().collect(),
--- a/engine/src/owner/keeper/mod.rs
+++ b/engine/src/owner/keeper/mod.rs
@@ -38,10 +38,15 @@
 
 /// The shortest hold that is worth a grant: a renewal takes up to its timeout of 0.4 s.
 const HOLD_LEAST: Duration = Duration::from_millis(500);
+/// The hold of the first grant to an owner, which may have turned dark unnoticed.
+///
+/// It outlasts the call's timeout of 0.4 s. A busy key that was moved to a target 0.3 s after that had
+/// been cut off waited 3.9 s for the next owner with a full first hold.
+const HOLD_FIRST: Duration = Duration::from_millis(600);
 /// The shortest hold by which a silent owner is asked whether it answers again.
 const HOLD_ASKING: Duration = Duration::from_millis(200);
-/// How little may be left of the lease until grants hold for longer: two renewals are late then.
-const ALONE: Duration = Duration::from_secs(1);
+/// How little of the lease may be left until grants hold for longer: two renewals are late then.
+const ALONE_PART: f64 = 0.4;
 /// The pause before a call that got no answer is made again.
 const AGAIN: Duration = Duration::from_millis(150);
 /// How long after its decision a grant may arrive: it is begun within 0.4 s, and given up after 0.4 s.
@@ -60,6 +65,7 @@
 /// };
 ///
 /// let timing = Timing {
+///     lease: Duration::from_secs(2),
 ///     hold: Duration::from_secs(4),
 ///     hold_alone: Duration::from_secs(10),
 ///     renew: Duration::from_secs(1),
@@ -286,7 +292,7 @@
     /// Without the store nobody can replace the manager, and when it goes too, keys are served only
     /// until their holds run out: so these are longer then.
     fn hold(&self, now: Duration) -> Option<Duration> {
-        if now + ALONE < self.lease {
+        if now + self.timing.lease.mul_f64(ALONE_PART) < self.lease {
             return Some(self.timing.hold);
         }
         let end = self.lease + self.timing.horizon;
@@ -314,7 +320,7 @@
                 decided: now,
                 handover,
             };
-            let hold = hold.and_then(|hold| no_longer(now, live, hold));
+            let hold = hold.and_then(|hold| bounded(now, live, hold));
             if hold.is_none() && live.phase == Phase::Held && live.is_silent() {
                 live.phase = Phase::Releasing(None);
                 out.push(Effect::Note(format!(
@@ -339,13 +345,16 @@
     }
 }
 
-/// Shortens a hold so that a silent owner gets none beyond the one that it may have.
+/// Shortens a hold so that a silent owner gets none beyond the one that it may have, and a new owner a
+/// short one until it has answered.
 ///
 /// A dark owner's range waits for the last grant that may have arrived. Renewed while it was silent, it
 /// waited up to 6.1 s, of which 1.5 s after the owner was gone from the store.
-fn no_longer(now: Duration, live: &Live, hold: Duration) -> Option<Duration> {
-    let Some(until) = live.until.filter(|_| live.is_silent()) else {
-        return Some(hold);
+fn bounded(now: Duration, live: &Live, hold: Duration) -> Option<Duration> {
+    let until = match live.until {
+        None => return Some(hold.min(HOLD_FIRST)),
+        Some(_) if !live.is_silent() => return Some(hold),
+        Some(until) => until,
     };
     let left = shrunk(until.saturating_sub(now + LAST_GRANTS));
     (left >= HOLD_ASKING).then(|| left.min(hold))
--- a/engine/src/owner/load.rs
+++ b/engine/src/owner/load.rs
@@ -141,6 +141,7 @@
     /// assert!((capped.sum(7, 7) - 50.0).abs() < 0.1);
     /// assert!((capped.sum(8, 8) - load.sum(8, 8)).abs() < 0.1);
     /// ```
+    #[must_use]
     pub fn capped(&self, most: f64) -> Self {
         let spans = self.spans();
         let mut capped = self.clone();
--- a/engine/src/owner/manager/lease.rs
+++ b/engine/src/owner/manager/lease.rs
@@ -8,8 +8,8 @@
     store::{Error, Lease, Transaction},
 };
 
-/// The time from one renewal of the lease to the next.
-const RENEW: Duration = Duration::from_millis(600);
+/// How many renewals fit into the lease.
+const RENEWALS: u32 = 4;
 /// How long a manager that stops waits for its last writes.
 const RESIGN_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -51,7 +51,7 @@
                 self.log(&format!("event=manager-elected lease={}", lease.id));
                 self.lease = Some((lease.id, sent + lease.span));
                 self.context.leading.set(true);
-                self.renew_due = self.now() + RENEW;
+                self.renew_due = self.now() + self.context.timing.lease / RENEWALS;
                 // What was kept under an earlier lease goes on if nobody has changed it since.
                 for kept in self.kept.values_mut() {
                     kept.verified = false;
@@ -74,7 +74,7 @@
         if now < self.renew_due {
             return;
         }
-        self.renew_due = now + RENEW;
+        self.renew_due = now + self.context.timing.lease / RENEWALS;
         let (context, sender) = (self.context.clone(), self.sender.clone());
         compio::runtime::spawn(async move {
             let sent = context.clock.now();
--- a/engine/src/owner/order.rs
+++ b/engine/src/owner/order.rs
@@ -8,6 +8,8 @@
 /// Spans by which a keeper works.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Timing {
+    /// How long the manager's lease lasts.
+    pub lease: Duration,
     /// How long a grant holds.
     pub hold: Duration,
     /// How long a grant holds while the manager can't renew its lease.
--- a/engine/src/settings.rs
+++ b/engine/src/settings.rs
@@ -33,21 +33,27 @@
     pub allowance: Allowance,
     /// The longest hold that a grant may have.
     pub hold_most: Duration,
+    /// The shortest lease that the store gives.
+    pub lease_least: Duration,
     /// The least grave kind of line that is logged.
     pub log_level: LevelFilter,
 }
 
-/// The hold of a grant, if the platform allows it.
+/// How long the manager's lease lasts, if the store allows it.
 ///
-/// Longer than it takes to replace a lost manager (a lease of 2 s and some 0.4 s) after a renewal that
-/// was just due, and no longer, since the keys of a target that falls silent wait for its end.
-const HOLD: Duration = Duration::from_millis(3200);
+/// With a renewal each quarter of it, two lost renewals are borne. Until a lost manager's lease has ended
+/// no busy key moves and no dark target's keys get an owner.
+const LEASE: Duration = Duration::from_millis(1200);
+/// How long it takes from the end of a manager's lease until another has renewed the grants: bids, a
+/// record read and written, one call to each target.
+const TAKEOVER: Duration = Duration::from_millis(600);
 /// The hold of a grant while the manager can't renew its lease, if the platform allows it.
 ///
 /// An outage of the store of some 9 s then costs no key its owner, also when the manager goes in it.
 /// The keys of a target that falls silent soon after a takeover wait for its end.
 const HOLD_ALONE: Duration = Duration::from_secs(10);
-/// How many renewals fit into a hold: 2.4 s are left of one when the next is due.
+/// How many renewals fit into a hold; when the next is due, enough of it is left to replace the
+/// manager.
 const RENEWALS: u32 = 5;
 /// How long after its lease a manager's last grant may hold, beyond a hold that began at its end.
 ///
@@ -56,7 +62,7 @@
 const BEYOND_HOLD: Duration = Duration::from_secs(2);
 
 impl Settings {
-    /// Returns the spans by which grants are kept.
+    /// Returns the spans by which the manager's lease and grants are kept.
     ///
     /// # Example
     ///
@@ -65,23 +71,30 @@
     ///
     /// use bramleypier_engine::settings::timing;
     ///
-    /// assert_eq!(timing(Duration::from_secs(10)).hold, Duration::from_millis(3200));
-    /// assert_eq!(timing(Duration::from_secs(1)).hold, Duration::from_secs(1));
+    /// let ms = Duration::from_millis;
+    /// assert_eq!(timing(ms(1000), ms(10_000)).hold, ms(2250));
+    /// assert_eq!(timing(ms(3000), ms(10_000)).hold, ms(4500));
+    /// assert_eq!(timing(ms(1000), ms(1000)).hold, ms(1000));
     /// ```
     pub fn timing(&self) -> keeper::Timing {
-        timing(self.hold_most)
+        timing(self.lease_least, self.hold_most)
     }
 }
 
-/// Returns the spans by which grants are kept under a longest hold.
+/// Returns the spans under the shortest lease that the store gives and the longest hold.
+///
+/// A hold outlasts the replacement of a manager that is lost when a renewal was just due, and is no
+/// longer, since the keys of a target that falls silent wait for its end.
 ///
 /// # Example
 ///
 /// See [`Settings::timing`].
-pub fn timing(hold_most: Duration) -> keeper::Timing {
-    let hold = HOLD.min(hold_most);
+pub fn timing(lease_least: Duration, hold_most: Duration) -> keeper::Timing {
+    let lease = LEASE.max(lease_least);
+    let hold = ((lease + TAKEOVER) * RENEWALS / (RENEWALS - 1)).min(hold_most);
     let hold_alone = HOLD_ALONE.min(hold_most);
     keeper::Timing {
+        lease,
         hold,
         hold_alone,
         renew: hold / RENEWALS,
--- a/engine/tests/keeper.rs
+++ b/engine/tests/keeper.rs
@@ -11,6 +11,7 @@
 };
 
 const TIMING: Timing = Timing {
+    lease: Duration::from_secs(2),
     hold: Duration::from_secs(4),
     hold_alone: Duration::from_secs(10),
     renew: Duration::from_millis(1300),
@@ -366,3 +367,48 @@
         }
     }
 }
+
+/// Busy keys move to the target that looks best, and that may just have been cut off.
+#[test]
+fn a_new_owner_that_never_answers_holds_keys_up_for_a_second() {
+    let (mut keeper, now) = rested();
+    // The first target leaves; its ranges go to others, of which the second turns dark.
+    let mut targets: Vec<Target> = (1..=3).map(target).collect();
+    targets[0].leaving = true;
+    let step = Duration::from_millis(50);
+    let mut first: Option<Duration> = None;
+    let mut at = now;
+    let mut effects = keeper.on(at, Event::Targets(targets));
+    loop {
+        at += step;
+        effects.extend(keeper.on(at, Event::Lease(at + Duration::from_secs(2))));
+        let mut next = 0;
+        while let Some(effect) = effects.get(next).cloned() {
+            next += 1;
+            let event = match effect {
+                Effect::Grant(order) if order.owner.id == "t2" && order.from != 20 => {
+                    first.get_or_insert(at);
+                    Event::Granted(order.from, Ending::Silent)
+                }
+                Effect::Grant(order) => Event::Granted(order.from, Ending::Done(None)),
+                Effect::Release(order) if order.owner.id == "t2" => {
+                    Event::Released(order.from, Ending::Silent)
+                }
+                Effect::Release(order) => Event::Released(order.from, Ending::Done(None)),
+                Effect::Commit(_) => Event::Committed,
+                Effect::Deposed | Effect::Note(_) => continue,
+            };
+            effects.extend(keeper.on(at, event));
+        }
+        let lost = effects.iter().any(
+            |effect| matches!(effect, Effect::Note(note) if note.starts_with("event=range-lost")),
+        );
+        if lost {
+            break;
+        }
+        effects.clear();
+        assert!(at < now + Duration::from_secs(20), "nothing is lost");
+    }
+    let waited = at.saturating_sub(first.unwrap());
+    assert!(waited < Duration::from_secs(1), "{waited:?}");
+}
--- a/engine/tests/ownership_world/mod.rs
+++ b/engine/tests/ownership_world/mod.rs
@@ -21,6 +21,7 @@
 const TIMEOUT: Duration = Duration::from_millis(400);
 
 pub const TIMING: Timing = Timing {
+    lease: LEASE,
     hold: Duration::from_secs(2),
     hold_alone: Duration::from_secs(3),
     renew: Duration::from_millis(600),
