A target that has turned slow is known by its latest requests

Cause: the manager averaged some sixty measurements; a slow target gives three a second, so it counted as twice as slow after 3 s, and busy keys stayed or came. Change: measurements lose weight with time, and older ones at once when a new one differs by a factor of 3.5; six instead of twelve make a target known. Test: a_target_that_turns_slow_is_known_within_two_seconds.

--- a/engine/src/owner/calls.rs
+++ b/engine/src/owner/calls.rs
@@ -1,6 +1,6 @@
 //! The manager's calls to the store and to targets, and small sums over what it knows.
 
-use std::{collections::HashMap, time::Duration};
+use std::time::Duration;
 
 use bramleypier_util::{body, body::Body, client};
 use hyper::Request;
@@ -9,9 +9,10 @@
 use super::{
     keeper::{Ending, Order},
     manager::Context,
+    times::Times,
 };
 use crate::{
-    catalogue::{self, Target, TargetHash, TargetId},
+    catalogue::{self, Target, TargetId},
     fleet::{Fleet, Vm},
     store::{Commit, Error, Lease, Put, Transaction},
 };
@@ -33,10 +34,6 @@
 const DECISION_VALID: Duration = Duration::from_millis(400);
 /// The most bytes of an answer to a grant or release.
 const ANSWER_BYTES: usize = 64 * 1024;
-/// From how many service times on a target's speed is taken as measured: times scatter as much as
-/// their mean, so 20 are right to within a quarter.
-const SAMPLES_LEAST: f64 = 12.0;
-
 /// The targets of one service, also those that leave.
 pub(super) fn targets(fleet: &Fleet, service: &str) -> Vec<Target> {
     let of_service = fleet.targets.values().filter(|it| it.service == service);
@@ -148,14 +145,11 @@
     }
 }
 
-/// The time that one request takes, in seconds, at each target that was measured often enough.
-pub(super) fn measured(
-    times: &HashMap<TargetHash, (f64, f64)>,
-    targets: &[Target],
-) -> IndexMap<TargetId, f64> {
+/// The time that one request takes, in seconds, at each target of which it is known.
+pub(super) fn measured(times: &Times, targets: &[Target]) -> IndexMap<TargetId, f64> {
     let time = |target: &Target| {
-        let (sum, count) = times.get(&catalogue::hash(&target.id)).copied()?;
-        (count >= SAMPLES_LEAST).then(|| (target.id.clone(), (sum / count).max(0.001)))
+        let mean = times.mean(catalogue::hash(&target.id))?;
+        Some((target.id.clone(), mean))
     };
     targets.iter().filter_map(time).collect()
 }
--- a/engine/src/owner/manager/mod.rs
+++ b/engine/src/owner/manager/mod.rs
@@ -4,7 +4,7 @@
 mod news;
 mod records;
 
-use std::{cell::Cell, collections::HashMap, rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use bramleypier_util::{client::Client, clock::Clock};
 use futures_channel::{mpsc, oneshot};
@@ -18,6 +18,7 @@
     calls,
     keeper::{Effect, Ending, Event, Keeper, Order, Timing},
     record::{Point, Record, Term},
+    times::Times,
 };
 use crate::{
     catalogue::{Catalogue, ServiceId, TargetHash},
@@ -109,8 +110,7 @@
     context: Context,
     sender: mpsc::UnboundedSender<Message>,
     kept: IndexMap<ServiceId, Kept>,
-    /// Sums in seconds and counts of service times without waiting, by target.
-    times: HashMap<TargetHash, (f64, f64)>,
+    times: Times,
     reading: Vec<ServiceId>,
     lease: Option<(LeaseId, Duration)>,
     bidding: bool,
@@ -128,7 +128,7 @@
         context,
         sender: sender.clone(),
         kept: IndexMap::new(),
-        times: HashMap::new(),
+        times: Times::default(),
         reading: Vec::new(),
         lease: None,
         bidding: false,
--- a/engine/src/owner/manager/news.rs
+++ b/engine/src/owner/manager/news.rs
@@ -9,22 +9,15 @@
     owner::{calls, keeper::Event, record::Point},
 };
 
-/// Beyond how many the older ones lose half their weight: some four seconds of a busy target.
-const SAMPLES_MOST: f64 = 60.0;
-
 impl Manager {
     pub(super) fn loaded(
         &mut self,
         counts: Vec<(ServiceId, Vec<(Point, u32)>)>,
         times: &[(TargetHash, f64, u32)],
     ) {
+        let now = self.now();
         for (target, sum, count) in times {
-            let total = self.times.entry(*target).or_default();
-            if total.1 > SAMPLES_MOST {
-                *total = (total.0 / 2.0, total.1 / 2.0);
-            }
-            total.0 += sum;
-            total.1 += f64::from(*count);
+            self.times.add(now, *target, *sum, *count);
         }
         for (service, counts) in counts {
             let fleet = self.context.beliefs.get();
--- a/engine/src/owner/mod.rs
+++ b/engine/src/owner/mod.rs
@@ -15,3 +15,4 @@
 mod packed;
 pub mod record;
 pub mod tally;
+pub mod times;
