--- a/engine/src/owner/times.rs
+++ b/engine/src/owner/times.rs
@@ -15,11 +15,11 @@
 const HALF_LIFE: Duration = Duration::from_secs(4);
 /// From which factor on, up or down, a measurement makes the older ones lose half their weight.
 ///
-/// One request in a hundred takes five times as long as usual, which moves the mean by a tenth; six in a
-/// row are a target that has turned slow.
+/// One request in a hundred takes five times as long as usual, so one counts for nothing; two in a row
+/// are a target that has turned slow.
 const SURPRISE: f64 = 3.5;
-/// From how many measurements on a target's time counts as known.
-const LEAST: u32 = 6;
+/// From how many measurements on a target's time counts as known: single times scatter by a third.
+const LEAST: u32 = 12;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Total {
@@ -28,6 +28,8 @@
     weight: f64,
     /// How many were ever taken in.
     count: u32,
+    /// Whether the last one differed by [`SURPRISE`].
+    surprised: bool,
     at: Duration,
 }
 
@@ -59,9 +61,11 @@
         let passed = now.saturating_sub(total.at).as_secs_f64();
         let mut kept = (-passed / HALF_LIFE.as_secs_f64()).exp2();
         let ratio = sum * total.weight / (total.sum * f64::from(count)).max(f64::MIN_POSITIVE);
-        if total.count >= LEAST && !(SURPRISE.recip()..SURPRISE).contains(&ratio) {
+        let surprises = total.count >= LEAST && !(SURPRISE.recip()..SURPRISE).contains(&ratio);
+        if surprises && total.surprised {
             kept /= 2.0;
         }
+        total.surprised = surprises;
         total.sum = total.sum * kept + sum;
         total.weight = total.weight * kept + f64::from(count);
         total.count = total.count.saturating_add(count);
