The load of one key at eight VMs, replayed against desks and board

Three times what the owner can do arrives for 10 s. With shares of room: at least 480 of some 540 answered in time, at most 20 late and 5 broken off.

--- /dev/null
+++ b/engine/tests/busy_key.rs
@@ -0,0 +1,205 @@
+//! One key takes three times what its owner can do, at eight VMs: who is answered, and when.
+
+use std::{collections::HashMap, rc::Rc, time::Duration};
+
+use bramleypier_engine::{
+    catalogue::{self, Target},
+    owner::record::{Life, Part, Record},
+    peer::Board,
+    place::{
+        budget::Allowance,
+        desk::{Ask, Desk, Effect, End, Ended, Event, Ticket, View, Word},
+    },
+};
+
+const VMS: usize = 8;
+/// Two slots and 37 ms a request: 54 a second.
+const SLOTS: usize = 2;
+const SERVICE: u64 = 37;
+/// How many wait at the target until it breaks connections.
+const QUEUE: usize = 8;
+const GOAL: u64 = 200;
+const DEADLINE: u64 = 800;
+/// The time between two words of the manager to one VM.
+const PERIOD: u64 = 40;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn owner() -> Target {
+    Target {
+        id: "t0".to_owned(),
+        born: 1,
+        service: "s".to_owned(),
+        address: "127.0.0.1:100".parse().unwrap(),
+        domain: "d1".to_owned(),
+        slots: SLOTS,
+        leaving: false,
+        cold: Duration::ZERO,
+    }
+}
+
+fn view() -> Event {
+    let mut record = Record::first(99);
+    record.parts = vec![Part {
+        from: 0,
+        to: 99,
+        fence: 5,
+        owner: Some(Life::of(&owner())),
+    }];
+    Event::View(Rc::new(View {
+        targets: [("s".to_owned(), vec![owner()])].into_iter().collect(),
+        records: [("s".to_owned(), Rc::new(record))].into_iter().collect(),
+        vms: VMS,
+    }))
+}
+
+#[derive(Debug, Default)]
+struct Outcome {
+    in_time: u32,
+    late: u32,
+    refused: u32,
+    broken: u32,
+}
+
+/// A request at the target: its VM, its ticket, when it was sent there.
+type Sent = (usize, Ticket, u64);
+
+struct Load {
+    desks: Vec<Desk>,
+    board: Board,
+    came: HashMap<Ticket, u64>,
+    running: Vec<(Sent, u64)>,
+    queued: Vec<Sent>,
+    outcome: Outcome,
+}
+
+impl Load {
+    fn new() -> Self {
+        let allowance = Allowance {
+            ratio: 0.2,
+            slack: 60.0,
+            window: Duration::from_secs(10),
+        };
+        let desk = |seed| {
+            let mut desk = Desk::new("d1", allowance, seed);
+            desk.on(Duration::ZERO, view());
+            desk
+        };
+        Self {
+            desks: (0..VMS as u64).map(desk).collect(),
+            board: Board::default(),
+            came: HashMap::new(),
+            running: Vec::new(),
+            queued: Vec::new(),
+            outcome: Outcome::default(),
+        }
+    }
+
+    fn feed(&mut self, now: u64, vm: usize, event: Event) {
+        for effect in self.desks[vm].on(ms(now), event) {
+            match effect {
+                Effect::Send { ticket, .. } => self.arrive(now, (vm, ticket, now)),
+                Effect::Refuse { .. } => self.outcome.refused += 1,
+            }
+        }
+    }
+
+    fn arrive(&mut self, now: u64, sent: Sent) {
+        if self.running.len() < SLOTS {
+            self.running.push((sent, now + SERVICE));
+        } else if self.queued.len() < QUEUE {
+            self.queued.push(sent);
+        } else {
+            self.outcome.broken += 1;
+            self.end(now, sent, Ended::Lost);
+        }
+    }
+
+    fn end(&mut self, now: u64, (vm, _, at): Sent, ended: Ended) {
+        let end = End {
+            ended,
+            sent: ms(at),
+            depth: 0.0,
+            load: None,
+            owned: Some((7, 5)),
+        };
+        let target = "t0".to_owned();
+        self.feed(now, vm, Event::Done { target, end });
+    }
+
+    /// Ends what the target has done.
+    fn work(&mut self, now: u64) {
+        while let Some(at) = self.running.iter().position(|(_, until)| *until <= now) {
+            let (sent, _) = self.running.swap_remove(at);
+            if !self.queued.is_empty() {
+                let next = self.queued.remove(0);
+                self.running.push((next, now + SERVICE));
+            }
+            if now - self.came[&sent.1] <= GOAL {
+                self.outcome.in_time += 1;
+            } else {
+                self.outcome.late += 1;
+            }
+            self.end(now, sent, Ended::Answered(ms(SERVICE)));
+        }
+    }
+
+    /// A VM tells the manager, and hears its word.
+    fn exchange(&mut self, now: u64, vm: usize) {
+        let state = self.desks[vm].take_state(ms(now));
+        let start = format!("vm-{vm}");
+        self.board.set(ms(now), &start, state.flights, state.queues);
+        let others = self.board.others(ms(now), &start);
+        let shares = self.board.share(ms(now), &start);
+        let word = Word {
+            others: others.into_iter().collect(),
+            shares: shares.into_iter().map(|it| (it.target, it)).collect(),
+        };
+        self.feed(now, vm, Event::Word(word));
+    }
+
+    fn ask(&mut self, now: u64, ticket: Ticket) {
+        self.came.insert(ticket, now);
+        let ask = Ask {
+            ticket,
+            service: "s".to_owned(),
+            point: Some(7),
+            priority: 1,
+            came: ms(now),
+            goal: ms(now + GOAL),
+            until: ms(now + DEADLINE),
+            tried: Vec::new(),
+            large: false,
+            repeat: false,
+        };
+        let vm = catalogue::hash(&ticket.to_string()) as usize % VMS;
+        self.feed(now, vm, Event::Ask(ask));
+    }
+}
+
+#[test]
+fn a_key_busier_than_its_owner_is_answered_in_time_as_often_as_the_owner_can() {
+    let mut load = Load::new();
+    let span = 10_000;
+    for now in 1..span {
+        load.work(now);
+        for vm in 0..VMS {
+            if now % PERIOD == vm as u64 * PERIOD / VMS as u64 {
+                load.exchange(now, vm);
+            }
+            if now % 10 == 0 {
+                load.feed(now, vm, Event::Tick);
+            }
+        }
+        // 150 a second.
+        if now % 20 < 3 {
+            load.ask(now, now);
+        }
+    }
+    let outcome = &load.outcome;
+    assert!(outcome.in_time >= 480, "of some 540: {outcome:?}");
+    assert!(outcome.late <= 20, "{outcome:?}");
+    assert!(outcome.broken <= 5, "{outcome:?}");
+}
