--- a/engine/src/fleet/entry.rs
+++ b/engine/src/fleet/entry.rs
@@ -67,6 +67,8 @@
     pub address: SocketAddr,
     /// Its failure domain.
     pub domain: DomainId,
+    /// Its processor, in thousandths of a core.
+    pub power: u32,
 }
 
 impl Vm {
@@ -82,6 +84,7 @@
     ///     start: "1".into(),
     ///     address: "127.0.0.1:1".parse().unwrap(),
     ///     domain: "d".into(),
+    ///     power: 200,
     /// };
     /// assert_eq!(Vm::decode(&vm.encode()), Some(vm));
     /// ```
--- a/engine/src/owner/calls.rs
+++ b/engine/src/owner/calls.rs
@@ -1,6 +1,6 @@
 //! The manager's calls to the store and to targets, and small sums over what it knows.
 
-use std::time::Duration;
+use std::{cmp::Reverse, time::Duration};
 
 use bramleypier_util::{body, body::Body, client};
 use hyper::Request;
@@ -40,22 +40,23 @@
     of_service.cloned().collect()
 }
 
-/// How long this VM waits before it bids: VMs are ranked by a hash of their start.
+/// How long this VM waits before it bids: the strongest processors go first, ties by a hash of the start.
+///
+/// The manager hears all others and renews all grants; on a tenth of a core that took longer than its lease.
 pub(super) fn rank(fleet: &Fleet, own: &Vm) -> Duration {
-    let hash = |start: &str| xxhash_rust::xxh3::xxh3_64(start.as_bytes());
-    let mine = hash(&own.start);
-    let before = fleet
-        .vms
-        .values()
-        .filter(|vm| hash(&vm.start) < mine)
-        .count();
+    let rank = |vm: &Vm| {
+        let hash = xxhash_rust::xxh3::xxh3_64(vm.start.as_bytes());
+        (Reverse(vm.power), hash)
+    };
+    let mine = rank(own);
+    let before = fleet.vms.values().filter(|vm| rank(vm) < mine).count();
     let steps = u32::try_from(before).unwrap_or(u32::MAX);
     BID_STEP.saturating_mul(steps).min(BID_LATEST)
 }
 
 /// Takes a lease and writes the manager's entry under it, if there is none.
-pub(super) async fn bid(context: &Context) -> Result<Option<Lease>, Error> {
-    let lease = context.store.lease(context.timing.lease).await?;
+pub(super) async fn bid(context: &Context, span: Duration) -> Result<Option<Lease>, Error> {
+    let lease = context.store.lease(span).await?;
     let key = context.keys.manager();
     let transaction = Transaction {
         expected: [(key.clone(), 0)].into_iter().collect(),
--- a/engine/src/owner/manager/lease.rs
+++ b/engine/src/owner/manager/lease.rs
@@ -28,11 +28,13 @@
             return;
         }
         self.bidding = true;
+        self.timing = self.context.spans.timing(fleet.vms.len());
+        let span = self.timing.lease;
         self.bid_due = Some(now + BID_PAUSE);
         let (context, sender) = (self.context.clone(), self.sender.clone());
         compio::runtime::spawn(async move {
             let sent = context.clock.now();
-            let result = calls::bid(&context).await;
+            let result = calls::bid(&context, span).await;
             // The manager's task ends with the process only.
             let _ = sender.unbounded_send(Message::Bid(result, sent));
         })
@@ -51,7 +53,7 @@
                 self.log(&format!("event=manager-elected lease={}", lease.id));
                 self.lease = Some((lease.id, sent + lease.span));
                 self.context.leading.set(true);
-                self.renew_due = self.now() + self.context.timing.lease / RENEWALS;
+                self.renew_due = self.now() + self.timing.lease / RENEWALS;
                 // What was kept under an earlier lease goes on if nobody has changed it since.
                 for kept in self.kept.values_mut() {
                     kept.verified = false;
@@ -74,7 +76,7 @@
         if now < self.renew_due {
             return;
         }
-        self.renew_due = now + self.context.timing.lease / RENEWALS;
+        self.renew_due = now + self.timing.lease / RENEWALS;
         let (context, sender) = (self.context.clone(), self.sender.clone());
         compio::runtime::spawn(async move {
             let sent = context.clock.now();
--- a/engine/src/owner/manager/mod.rs
+++ b/engine/src/owner/manager/mod.rs
@@ -24,6 +24,7 @@
     catalogue::{Catalogue, ServiceId, TargetHash},
     fleet::{Beliefs, Keys, Vm},
     report::Report,
+    settings::Spans,
     store::{Commit, Error, Item, Lease, LeaseId, Revision, Store},
     target::Targets,
 };
@@ -82,8 +83,8 @@
     pub clock: Clock,
     /// Logs and counters.
     pub report: Report,
-    /// Spans of grants.
-    pub timing: Timing,
+    /// What the platform sets for leases and holds.
+    pub spans: Spans,
 }
 
 impl std::fmt::Debug for Context {
@@ -111,6 +112,8 @@
     sender: mpsc::UnboundedSender<Message>,
     kept: IndexMap<ServiceId, Kept>,
     times: Times,
+    /// The spans of the lease and of grants, by the number of VMs at the last bid.
+    timing: Timing,
     reading: Vec<ServiceId>,
     lease: Option<(LeaseId, Duration)>,
     bidding: bool,
@@ -124,11 +127,13 @@
 /// Starts the task and returns the way to talk to it.
 pub fn start(context: Context) -> mpsc::UnboundedSender<Message> {
     let (sender, receiver) = mpsc::unbounded();
+    let timing = context.spans.timing(1);
     let manager = Manager {
         context,
         sender: sender.clone(),
         kept: IndexMap::new(),
         times: Times::default(),
+        timing,
         reading: Vec::new(),
         lease: None,
         bidding: false,
--- a/engine/src/owner/manager/records.rs
+++ b/engine/src/owner/manager/records.rs
@@ -67,7 +67,7 @@
             }
             None => Record::first(self.context.targets.last_point()),
         };
-        let timing = self.context.timing;
+        let timing = self.timing;
         let now = self.now();
         let earlier = Some(record.manager.clone());
         let (keeper, effects) = Keeper::take_over(&self.context.vm.start, record, timing, now);
--- a/engine/src/peer/sync.rs
+++ b/engine/src/peer/sync.rs
@@ -29,6 +29,11 @@
 const PERIOD: Duration = Duration::from_millis(40);
 /// The time between two exchanges while nothing is under way.
 const IDLE_PERIOD: Duration = Duration::from_millis(150);
+/// From how many VMs on they exchange less often: at the usual period 600 words a second reach the
+/// manager then.
+const VMS_USUAL: u32 = 24;
+/// The longest time between two exchanges: counts of requests are believed for 250 ms.
+const PERIOD_MOST: Duration = Duration::from_millis(150);
 /// How long after the last good answer the manager still counts as heard.
 const FRESH: Duration = Duration::from_millis(450);
 
@@ -194,11 +199,19 @@
             context.report.line("event=manager-unheard");
             context.heard.beat(false);
         }
-        let period = if busy { PERIOD } else { IDLE_PERIOD };
-        context.clock.sleep(period).await;
+        let vms = context.beliefs.get().vms.len();
+        context.clock.sleep(period(busy, vms)).await;
     }
 }
 
+/// The time until the next exchange; it grows with the number of VMs, so that the manager hears no more
+/// than [`VMS_USUAL`] of them would tell it.
+fn period(busy: bool, vms: usize) -> Duration {
+    let period = if busy { PERIOD } else { IDLE_PERIOD };
+    let vms = u32::try_from(vms).unwrap_or(u32::MAX).max(VMS_USUAL);
+    (period * vms / VMS_USUAL).min(PERIOD_MOST)
+}
+
 /// Whom to ask next, and how far each was followed.
 #[derive(Debug, Default)]
 struct Others {
--- a/engine/src/process/mod.rs
+++ b/engine/src/process/mod.rs
@@ -134,6 +134,7 @@
             start: format!("{}/{:016x}", settings.name, rand::random::<u64>()),
             address: settings.peers,
             domain: settings.domain.clone(),
+            power: settings.power,
         };
         let keys = Rc::new(Keys {
             prefix: settings.prefix.clone(),
@@ -258,7 +259,7 @@
             keys: self.keys.clone(),
             clock: self.clock.clone(),
             report: self.report.clone(),
-            timing: self.settings.timing(),
+            spans: self.settings.spans,
         })
     }
 
--- a/engine/src/settings.rs
+++ b/engine/src/settings.rs
@@ -31,10 +31,10 @@
     pub grace: Duration,
     /// What all VMs together may send again.
     pub allowance: Allowance,
-    /// The longest hold that a grant may have.
-    pub hold_most: Duration,
-    /// The shortest lease that the store gives.
-    pub lease_least: Duration,
+    /// The VM's processor, in thousandths of a core.
+    pub power: u32,
+    /// What the platform sets for leases and holds.
+    pub spans: Spans,
     /// The least grave kind of line that is logged.
     pub log_level: LevelFilter,
 }
@@ -44,6 +44,8 @@
 /// With a renewal each quarter of it, two lost renewals are borne. Until a lost manager's lease has ended
 /// no busy key moves and no dark target's keys get an owner.
 const LEASE: Duration = Duration::from_millis(1200);
+/// The longest lease, however many VMs there are: keys are to be served again within 4 s of a loss.
+const LEASE_MOST: Duration = Duration::from_secs(3);
 /// How long it takes from the end of a manager's lease until another has renewed the grants: bids, a
 /// record read and written, one call to each target.
 const TAKEOVER: Duration = Duration::from_millis(600);
@@ -61,43 +63,53 @@
 /// target that falls silent at the moment of a takeover wait for all of it.
 const BEYOND_HOLD: Duration = Duration::from_secs(2);
 
-impl Settings {
-    /// Returns the spans by which the manager's lease and grants are kept.
+/// From how many VMs on the manager's lease grows in proportion to them.
+///
+/// The manager hears each VM some ten times a second beside its callers' work. With 60 VMs and a lease
+/// that fits 12, managers lost it before they had renewed the grants.
+const VMS_USUAL: u32 = 24;
+
+/// What the platform sets for leases and holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Spans {
+    /// The shortest lease that the store gives.
+    pub lease_least: Duration,
+    /// The longest hold that a grant may have.
+    pub hold_most: Duration,
+}
+
+impl Spans {
+    /// Returns the spans of the manager's lease and of grants for so many VMs.
+    ///
+    /// A hold outlasts the replacement of a manager that is lost when a renewal was just due, and is no
+    /// longer, since the keys of a target that falls silent wait for its end.
     ///
     /// # Example
     ///
     /// ```
     /// use std::time::Duration;
     ///
-    /// use bramleypier_engine::settings::timing;
+    /// use bramleypier_engine::settings::Spans;
     ///
     /// let ms = Duration::from_millis;
-    /// assert_eq!(timing(ms(1000), ms(10_000)).hold, ms(2250));
-    /// assert_eq!(timing(ms(3000), ms(10_000)).hold, ms(4500));
-    /// assert_eq!(timing(ms(1000), ms(1000)).hold, ms(1000));
+    /// let spans = |lease_least, hold_most| Spans { lease_least, hold_most };
+    /// assert_eq!(spans(ms(1000), ms(10_000)).timing(8).hold, ms(2250));
+    /// assert_eq!(spans(ms(1000), ms(10_000)).timing(60).lease, ms(3000));
+    /// assert_eq!(spans(ms(3000), ms(10_000)).timing(8).hold, ms(4500));
+    /// assert_eq!(spans(ms(1000), ms(1000)).timing(8).hold, ms(1000));
     /// ```
-    pub fn timing(&self) -> keeper::Timing {
-        timing(self.lease_least, self.hold_most)
-    }
-}
-
-/// Returns the spans under the shortest lease that the store gives and the longest hold.
-///
-/// A hold outlasts the replacement of a manager that is lost when a renewal was just due, and is no
-/// longer, since the keys of a target that falls silent wait for its end.
-///
-/// # Example
-///
-/// See [`Settings::timing`].
-pub fn timing(lease_least: Duration, hold_most: Duration) -> keeper::Timing {
-    let lease = LEASE.max(lease_least);
-    let hold = ((lease + TAKEOVER) * RENEWALS / (RENEWALS - 1)).min(hold_most);
-    let hold_alone = HOLD_ALONE.min(hold_most);
-    keeper::Timing {
-        lease,
-        hold,
-        hold_alone,
-        renew: hold / RENEWALS,
-        horizon: hold_alone + BEYOND_HOLD,
+    pub fn timing(&self, vms: usize) -> keeper::Timing {
+        let vms = u32::try_from(vms).unwrap_or(u32::MAX).max(VMS_USUAL);
+        let lease = (LEASE * vms / VMS_USUAL).min(LEASE_MOST);
+        let lease = lease.max(self.lease_least);
+        let hold = ((lease + TAKEOVER) * RENEWALS / (RENEWALS - 1)).min(self.hold_most);
+        let hold_alone = HOLD_ALONE.min(self.hold_most);
+        keeper::Timing {
+            lease,
+            hold,
+            hold_alone,
+            renew: hold / RENEWALS,
+            horizon: hold_alone + BEYOND_HOLD,
+        }
     }
 }
--- a/engine/tests/fleet.rs
+++ b/engine/tests/fleet.rs
@@ -169,6 +169,7 @@
         start: "v/1".into(),
         address: "127.0.0.1:8".parse().unwrap(),
         domain: "d".into(),
+        power: 200,
     };
     hear(&mut fleet, NOW, &put("own/manager", &vm.encode(), 5));
     hear(&mut fleet, NOW, &put("own/vms/v", &vm.encode(), 6));
