--- a/engine/src/owner/times.rs
+++ b/engine/src/owner/times.rs
@@ -1,8 +1,8 @@
 //! How long one request takes at each target, as all VMs measured it lately.
 //!
-//! Load pattern: two in five targets of a service turn twelve times slower at one moment. A target answers
-//! few requests then, so an average over the last sixty went on telling of the time before for some ten
-//! seconds, and busy keys stayed there.
+//! Load pattern: two in five targets of a service turn twelve times slower at one moment. A target with two
+//! slots answers three requests a second then, so an average over sixty would take it for twice as slow after
+//! three seconds, and busy keys would stay.
 
 use std::{collections::HashMap, time::Duration};
 
