--- a/engine/src/owner/times.rs
+++ b/engine/src/owner/times.rs
@@ -43,7 +43,7 @@
 /// use bramleypier_engine::owner::times::Times;
 ///
 /// let mut times = Times::default();
-/// times.add(Duration::from_secs(1), 7, 0.6, 10);
+/// times.add(Duration::from_secs(1), 7, 1.2, 20);
 /// assert_eq!(times.mean(7), Some(0.06));
 /// assert_eq!(times.mean(8), None);
 /// ```
