A VM without news still tells callers that a route is missing: a test that fails

Cause: a VM whose following of the configuration has broken off answers 404 for a route that it does not know, though a newer configuration may have it.

--- a/program/tests/serve.rs
+++ b/program/tests/serve.rs
@@ -98,6 +98,41 @@
     });
 }
 
+/// VMs told callers for up to 3.8 s that routes did not exist which operators had added: they held the
+/// manager's lease, had too little processor for it, and took their own late calls for an outage of the
+/// store. They had logged `event=store-lost prefix=op/config` 0.6 s before the change was accepted
+/// (`event=config-in-force version=4` came 3.8 s after it), so they knew that they knew nothing new.
+#[test]
+fn a_vm_without_news_tells_nobody_that_a_route_is_missing() {
+    play(async |stage| {
+        let clock = Clock::real();
+        let (known, _) = stage.ask("GET", "/nowhere/", "id-1").await;
+        assert_eq!(known, StatusCode::NOT_FOUND);
+        stage.store.set_fault(Some(store::Fault::Silent));
+        let end = Instant::now() + PATIENCE;
+        while stage
+            .program
+            .log("event=store-lost prefix=op/config")
+            .is_none()
+        {
+            assert!(Instant::now() < end, "the store's silence is not noticed");
+            clock.sleep(Duration::from_millis(20)).await;
+        }
+        let (status, answer) = stage.ask("GET", "/nowhere/", "id-2").await;
+        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(answer.headers().contains_key("retry-after"));
+        let (served, _) = stage.ask("GET", "/look/x", "id-3").await;
+        assert_eq!(served, StatusCode::OK, "what is known is served");
+        stage.store.set_fault(None);
+        let mut after = StatusCode::SERVICE_UNAVAILABLE;
+        while after == StatusCode::SERVICE_UNAVAILABLE && Instant::now() < end {
+            clock.sleep(Duration::from_millis(50)).await;
+            after = stage.ask("GET", "/nowhere/", "id-4").await.0;
+        }
+        assert_eq!(after, StatusCode::NOT_FOUND, "news are back");
+    });
+}
+
 #[test]
 fn a_newer_configuration_is_in_force_within_its_bound() {
     play(async |stage| {
