A VM without news of the configuration refuses what it knows no route for, with 503

What callers saw: 404 for routes that had been added up to 3.8 s before, from a VM whose following of the configuration had broken off. A 404 is final for a caller.

Now such a request gets 503 with a time to come back while neither the store nor the manager tells this VM what is new; known routes are served as before.

Ruled out: making such a VM not ready (an outage of the store would make all not ready), and refusing known routes too (most haven't changed, and nobody else is better off in an outage).

--- a/engine/src/caller/forward.rs
+++ b/engine/src/caller/forward.rs
@@ -20,6 +20,7 @@
     fleet::Beliefs,
     owner::tally::Tally,
     place::task,
+    pulse::Pulse,
     report::Report,
 };
 
@@ -31,6 +32,8 @@
 pub struct Context {
     /// What is believed of the fleet.
     pub beliefs: Beliefs,
+    /// Whether the manager is heard, who relays what is new.
+    pub heard: Pulse,
     /// How callers are understood.
     pub callers: Rc<dyn Callers>,
     /// Decides on targets.
@@ -157,8 +160,7 @@
         .and_then(|it| it.to_str().ok());
     let host = host.or_else(|| request.uri().host()).unwrap_or_default();
     let Found::Route(route) = config.routes.find(host, request.uri().path()) else {
-        let cause = format!("no route for host={host} version={}", config.version);
-        return Err(Own::new(Word::NoRoute, cause));
+        return Err(no_route(context, host, config));
     };
     let service = route.pick(rand::random()).to_owned();
     let keyed = config.services.get(&service).is_some_and(|it| it.keyed);
@@ -181,6 +183,19 @@
     })
 }
 
+/// What a caller is told whose route isn't known.
+///
+/// A VM without news can't say that there is none: one that took its own late calls for an outage of
+/// the store told callers so of routes that had been added 3.8 s before.
+fn no_route(context: &Context, host: &str, config: &Config) -> Own {
+    let cause = format!("no route for host={host} version={}", config.version);
+    if context.beliefs.get().config_followed || context.heard.is_well() {
+        Own::new(Word::NoRoute, cause)
+    } else {
+        Own::not_run(format!("{cause}, and no news of newer ones"), COME_BACK)
+    }
+}
+
 async fn run(
     context: &Context,
     job: &Job,
--- a/engine/src/fleet/mod.rs
+++ b/engine/src/fleet/mod.rs
@@ -58,6 +58,8 @@
 pub struct Fleet {
     /// The configuration in force; none until the first is known.
     pub config: Option<Rc<Config>>,
+    /// Whether this VM itself follows the configuration in the store, so that it knows the newest.
+    pub config_followed: bool,
     /// The targets that are announced.
     pub targets: IndexMap<TargetId, Target>,
     /// The owners by service.
--- a/engine/src/follow.rs
+++ b/engine/src/follow.rs
@@ -80,10 +80,7 @@
         };
         match result {
             Ok(revision) => {
-                follower
-                    .context
-                    .beliefs
-                    .change(|it| it.on_followed(&follower.prefix, revision));
+                follower.followed(revision);
                 if lost {
                     follower.note("store-back", "");
                 }
@@ -118,9 +115,23 @@
             .line(&format!("event={event} prefix={prefix} {rest}"));
     }
 
+    fn is_of_config(&self) -> bool {
+        self.prefix == self.context.catalogue.config_key()
+    }
+
+    fn followed(&self, revision: Revision) {
+        self.context.beliefs.change(|fleet| {
+            fleet.on_followed(&self.prefix, revision);
+            fleet.config_followed |= self.is_of_config();
+        });
+    }
+
     fn trouble(&self, lost: bool, error: &Error) {
         let now = self.context.clock.now();
-        self.context.beliefs.change(|fleet| fleet.on_trouble(now));
+        self.context.beliefs.change(|fleet| {
+            fleet.on_trouble(now);
+            fleet.config_followed &= !self.is_of_config();
+        });
         if !lost {
             self.note("store-lost", &error.to_string());
         }
--- a/engine/src/process/mod.rs
+++ b/engine/src/process/mod.rs
@@ -272,6 +272,7 @@
     ) {
         let context = forward::Context {
             beliefs: self.beliefs.clone(),
+            heard: self.heard.clone(),
             callers: self.seams.callers.clone(),
             desk: desk.clone(),
             sender: Sender {
