--- a/engine/src/peer/mod.rs
+++ b/engine/src/peer/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod admin;
 mod board;
+pub mod pause;
 pub mod sync;
 
 use std::{net::SocketAddr, time::Duration};
--- a/engine/src/peer/sync.rs
+++ b/engine/src/peer/sync.rs
@@ -12,7 +12,7 @@
 use futures_channel::mpsc;
 use hyper::{Request, Response, StatusCode, body::Incoming};
 
-use super::{Board, Sync, Synced, admin};
+use super::{Board, Sync, Synced, admin, pause::Pause};
 use crate::{
     catalogue::Catalogue,
     fleet::{Beliefs, Keys, Place, Relay, Vm},
@@ -22,18 +22,6 @@
     report::Report,
 };
 
-/// The time between two exchanges while requests are under way.
-///
-/// A target gets a request every 40 to 60 ms at the loads that are known; older counts would let
-/// several VMs take the same free place.
-const PERIOD: Duration = Duration::from_millis(40);
-/// The time between two exchanges while nothing is under way.
-const IDLE_PERIOD: Duration = Duration::from_millis(150);
-/// From how many VMs on they exchange less often: at the usual period 600 words a second reach the
-/// manager then.
-const VMS_USUAL: u32 = 24;
-/// The longest time between two exchanges: counts of requests are believed for 250 ms.
-const PERIOD_MOST: Duration = Duration::from_millis(150);
 /// How long after the last good answer the manager still counts as heard.
 const FRESH: Duration = Duration::from_millis(450);
 
@@ -170,11 +158,13 @@
     let mut place = Place::default();
     let mut heard_at = Duration::ZERO;
     let mut others = Others::default();
+    let mut pause = Pause::default();
     context.heard.beat(false);
     loop {
         let manager = context.beliefs.get().manager.clone();
         let message = context.message(place.clone()).await;
         let busy = !message.flights.is_empty();
+        let begun = context.clock.now();
         let answer = match manager {
             Some(vm) if vm.start == context.vm.start => {
                 // The manager follows the store itself.
@@ -184,6 +174,7 @@
             Some(vm) => exchange(&context, &vm, &message, &mut place, &mut heard_at).await,
             None => None,
         };
+        let took = context.clock.now().saturating_sub(begun);
         if answer.is_none() && !context.heard.is_well() && !context.pulse.is_well() {
             ask_others(&context, &mut others, &mut heard_at).await;
         }
@@ -200,18 +191,10 @@
             context.heard.beat(false);
         }
         let vms = context.beliefs.get().vms.len();
-        context.clock.sleep(period(busy, vms)).await;
+        context.clock.sleep(pause.after(took, busy, vms)).await;
     }
 }
 
-/// The time until the next exchange; it grows with the number of VMs, so that the manager hears no more
-/// than [`VMS_USUAL`] of them would tell it.
-fn period(busy: bool, vms: usize) -> Duration {
-    let period = if busy { PERIOD } else { IDLE_PERIOD };
-    let vms = u32::try_from(vms).unwrap_or(u32::MAX).max(VMS_USUAL);
-    (period * vms / VMS_USUAL).min(PERIOD_MOST)
-}
-
 /// Whom to ask next, and how far each was followed.
 #[derive(Debug, Default)]
 struct Others {
