--- a/engine/src/fleet/entry.rs
+++ b/engine/src/fleet/entry.rs
@@ -67,7 +67,7 @@
     pub address: SocketAddr,
     /// Its failure domain.
     pub domain: DomainId,
-    /// Its processor, in thousandths of a core.
+    /// What it can do as the manager, in thousandths of a core.
     pub power: u32,
 }
 
--- a/engine/src/fleet/journal.rs
+++ b/engine/src/fleet/journal.rs
@@ -1,6 +1,9 @@
 //! What a VM has taken in lately, so that others can be told only what they lack.
 
-use std::{collections::VecDeque, rc::Rc};
+use std::{
+    collections::{HashSet, VecDeque},
+    rc::Rc,
+};
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -26,7 +29,7 @@
 pub enum Relay {
     /// Some changes.
     Changes {
-        /// The changes, oldest first.
+        /// The newest change of each key, oldest first.
         changes: Vec<Change>,
         /// Where that leads.
         place: Place,
@@ -127,12 +130,17 @@
             return None;
         }
         let first = self.changes.len() - lacking;
+        // Of a key that changed several times only the newest is of use: with 88 VMs a manager sent up to
+        // 13 MB a second, nearly all of it records.
+        let mut told = HashSet::new();
+        let newest = self.changes.range(first..).rev();
+        let mut changes: Vec<Change> = newest
+            .filter(|it| told.insert(it.key()))
+            .map(|it| Change::clone(it))
+            .collect();
+        changes.reverse();
         Some(Relay::Changes {
-            changes: self
-                .changes
-                .range(first..)
-                .map(|it| Change::clone(it))
-                .collect(),
+            changes,
             place: self.place(start),
         })
     }
--- a/engine/src/fleet/relaying.rs
+++ b/engine/src/fleet/relaying.rs
@@ -2,14 +2,17 @@
 
 use std::time::Duration;
 
-use super::{Fleet, Keys, Place, Relay};
+use indexmap::IndexMap;
+
+use super::{Fleet, Keys, Known, Place, Relay};
 use crate::{
     catalogue::Catalogue,
     store::{Change, Item, Revision},
 };
 
 impl Fleet {
-    /// Returns what another VM lacks that has followed up to a place.
+    /// Returns what another VM lacks that has followed this one up to a place, and the store up to
+    /// `followed` by prefix.
     ///
     /// # Example
     ///
@@ -17,13 +20,25 @@
     /// use bramleypier_engine::fleet::{Fleet, Place, Relay};
     ///
     /// let fleet = Fleet::default();
-    /// let relay = fleet.relay("start", &Place::default());
+    /// let relay = fleet.relay("start", &Place::default(), &[].into());
     /// assert!(matches!(relay, Relay::Whole { .. }));
     /// ```
-    pub fn relay(&self, start: &str, place: &Place) -> Relay {
+    pub fn relay(
+        &self,
+        start: &str,
+        place: &Place,
+        followed: &IndexMap<String, Revision>,
+    ) -> Relay {
         if let Some(relay) = self.journal.since(start, place) {
             return relay;
         }
+        let knows = |prefix: &String| followed.contains_key(prefix);
+        if !self.followed.is_empty() && self.followed.keys().all(knows) {
+            return Relay::Changes {
+                changes: self.changes_since(followed),
+                place: self.journal.place(start),
+            };
+        }
         let items = self.known.iter().filter_map(|(key, known)| {
             let value = known.value.as_ref()?;
             Some(Item {
@@ -39,6 +54,41 @@
         }
     }
 
+    /// Returns what has changed since prefixes were followed up to these revisions.
+    ///
+    /// All VMs hear a new manager for the first time at once. Told everything, 88 of them took some 10 MB
+    /// of it (459 targets, 189 ranges), which is 8 s of a link of 10 Mbit/s.
+    fn changes_since(&self, followed: &IndexMap<String, Revision>) -> Vec<Change> {
+        let old = |key: &str, known: &Known| {
+            followed
+                .iter()
+                .any(|(prefix, upto)| key.starts_with(prefix.as_str()) && known.revision <= *upto)
+        };
+        let newer = self.known.iter().filter(|(key, known)| !old(key, known));
+        newer
+            .map(|(key, known)| {
+                let (key, revision) = (key.clone(), known.revision);
+                match &known.value {
+                    Some(value) => Change::Put(Item {
+                        key,
+                        value: value.to_vec(),
+                        revision,
+                    }),
+                    None => Change::Removed { key, revision },
+                }
+            })
+            .collect()
+    }
+
+    /// Returns up to which revision each prefix was followed in the store itself.
+    ///
+    /// # Example
+    ///
+    /// See [`Fleet::on_followed`].
+    pub fn followed(&self) -> &IndexMap<String, Revision> {
+        &self.followed
+    }
+
     /// Takes note up to which revision a prefix was followed in the store itself.
     ///
     /// # Example
@@ -48,6 +98,7 @@
     ///
     /// let mut fleet = Fleet::default();
     /// fleet.on_followed("a/", 7);
+    /// assert_eq!(fleet.followed()["a/"], 7);
     /// ```
     pub fn on_followed(&mut self, prefix: &str, revision: Revision) {
         self.followed.insert(prefix.to_owned(), revision);
--- a/engine/src/peer/mod.rs
+++ b/engine/src/peer/mod.rs
@@ -17,6 +17,7 @@
     stamp::Stamp,
 };
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use indexmap::IndexMap;
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 
@@ -26,6 +27,7 @@
     fleet::{Place, Relay},
     owner::record::Point,
     place::share::{Queue, Share},
+    store::Revision,
 };
 
 /// The path of messages between VMs.
@@ -65,6 +67,8 @@
     pub queues: Vec<Queue>,
     /// How far it has followed the manager's journal.
     pub place: Place,
+    /// How far it has followed the store itself, by prefix; empty once it follows the journal.
+    pub followed: IndexMap<String, Revision>,
     /// Requests by service and key since the last message.
     pub counts: Vec<(ServiceId, Vec<(Point, u32)>)>,
     /// Sums and counts of service times without waiting, in seconds, since the last message.
--- a/engine/src/peer/sync.rs
+++ b/engine/src/peer/sync.rs
@@ -11,8 +11,12 @@
 use bramleypier_util::{body::Body, client::Client, clock::Clock};
 use futures_channel::mpsc;
 use hyper::{Request, Response, StatusCode, body::Incoming};
+use indexmap::IndexMap;
 
-use super::{Board, Sync, Synced, admin, pause::{self, Lag}};
+use super::{
+    Board, Sync, Synced, admin,
+    pause::{self, Lag},
+};
 use crate::{
     catalogue::Catalogue,
     fleet::{Beliefs, Keys, Place, Relay, Vm},
@@ -117,7 +121,10 @@
         }
         // Who isn't the manager tells what it knows too, however old: a VM that starts while nobody
         // reaches the store could serve nothing otherwise, and no belief goes back by it.
-        let relay = self.beliefs.get().relay(&self.vm.start, &message.place);
+        let relay = self
+            .beliefs
+            .get()
+            .relay(&self.vm.start, &message.place, &message.followed);
         Synced {
             well,
             others,
@@ -151,12 +158,23 @@
     /// Builds this VM's message.
     async fn message(&self, place: Place, pause: Duration) -> Sync {
         let state = self.desk.take_state().await;
+        let fleet = self.beliefs.get();
+        let follows = fleet
+            .manager
+            .as_ref()
+            .is_some_and(|it| it.start == place.start);
+        let followed = if follows {
+            IndexMap::new()
+        } else {
+            fleet.followed().clone()
+        };
         Sync {
             start: self.vm.start.clone(),
             knows: true,
             flights: state.flights,
             queues: state.queues,
             place,
+            followed,
             counts: self.tally.take(),
             times: state.times,
             pause,
@@ -238,6 +256,7 @@
     let message = Sync {
         start: context.vm.start.clone(),
         place: place.clone(),
+        followed: fleet.followed().clone(),
         stamp: context.report.stamp(),
         ..Sync::default()
     };
--- a/engine/src/settings.rs
+++ b/engine/src/settings.rs
@@ -31,7 +31,7 @@
     pub grace: Duration,
     /// What all VMs together may send again.
     pub allowance: Allowance,
-    /// The VM's processor, in thousandths of a core.
+    /// What the VM can do as the manager, in thousandths of a core.
     pub power: u32,
     /// What the platform sets for leases and holds.
     pub spans: Spans,
--- a/engine/src/store.rs
+++ b/engine/src/store.rs
@@ -65,6 +65,25 @@
     },
 }
 
+impl Change {
+    /// Returns the key that changed.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_engine::store::Change;
+    ///
+    /// let change = Change::Removed { key: "a".into(), revision: 1 };
+    /// assert_eq!(change.key(), "a");
+    /// ```
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Put(item) => &item.key,
+            Self::Removed { key, .. } => key,
+        }
+    }
+}
+
 /// All items under a prefix.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Listing {
--- a/engine/tests/busy_key.rs
+++ b/engine/tests/busy_key.rs
@@ -150,7 +150,8 @@
     fn exchange(&mut self, now: u64, vm: usize) {
         let state = self.desks[vm].take_state(ms(now));
         let start = format!("vm-{vm}");
-        self.board.set(ms(now), &start, state.flights, state.queues, ms(40));
+        self.board
+            .set(ms(now), &start, state.flights, state.queues, ms(40));
         let others = self.board.others(ms(now), &start);
         let shares = self.board.share(ms(now), &start);
         let word = Word {
--- a/engine/tests/fleet.rs
+++ b/engine/tests/fleet.rs
@@ -6,8 +6,9 @@
     catalogue::{Catalogue, Config, Error, Target},
     fleet::{Fleet, Keys, Place, Relay, Vm},
     owner::record::Record,
-    store::{Change, Item, Listing},
+    store::{Change, Item, Listing, Revision},
 };
+use indexmap::IndexMap;
 use proptest::prelude::*;
 
 const NOW: Duration = Duration::from_secs(50);
@@ -189,6 +190,53 @@
     assert_eq!(fleet.manager, None);
 }
 
+/// What a VM has followed in the store that has followed nothing there.
+fn nothing() -> IndexMap<String, Revision> {
+    IndexMap::new()
+}
+
+/// A manager that 88 VMs heard for the first time told each of them everything: it sent 2 to 3 MB a second
+/// for 4 s, on a link that may carry 1.25 MB a second.
+#[test]
+fn who_has_followed_the_store_is_told_only_what_is_newer() {
+    let mut teller = Fleet::default();
+    hear(&mut teller, NOW, &put("targets/old", b"ready", 5));
+    hear(&mut teller, NOW, &put("targets/gone", b"ready", 6));
+    let mut fleet = teller.clone();
+    fleet.on_followed("targets/", 6);
+    hear(&mut teller, NOW, &put("targets/new", b"ready", 8));
+    hear(&mut teller, NOW, &removed("targets/gone", 9));
+    teller.on_followed("targets/", 9);
+    let relay = teller.relay("teller/1", &Place::default(), fleet.followed());
+    let Relay::Changes { changes, .. } = &relay else {
+        panic!("{relay:?}");
+    };
+    assert_eq!(changes.len(), 2, "{changes:?}");
+    fleet.on_relay(NOW, &relay, &keys(), &Plain);
+    let mut known: Vec<_> = fleet.targets.keys().collect();
+    known.sort();
+    assert_eq!(known, ["new", "old"]);
+    // Who has followed less than the teller may lack anything.
+    let relay = teller.relay("teller/1", &Place::default(), &nothing());
+    assert!(matches!(relay, Relay::Whole { .. }));
+}
+
+#[test]
+fn of_a_key_that_changed_twice_only_the_newest_is_told() {
+    let mut teller = Fleet::default();
+    let place = teller.relay("teller/1", &Place::default(), &nothing());
+    let place = place.place().clone();
+    hear(&mut teller, NOW, &put("config", b"3", 1));
+    hear(&mut teller, NOW, &put("targets/a", b"ready", 2));
+    hear(&mut teller, NOW, &put("config", b"4", 3));
+    let relay = teller.relay("teller/1", &place, &nothing());
+    let Relay::Changes { changes, .. } = relay else {
+        panic!("{relay:?}");
+    };
+    let keys: Vec<_> = changes.iter().map(Change::key).collect();
+    assert_eq!(keys, ["targets/a", "config"]);
+}
+
 #[test]
 fn a_relay_of_everything_removes_only_what_the_other_would_know() {
     let mut teller = Fleet::default();
@@ -197,7 +245,7 @@
     let mut fleet = Fleet::default();
     hear(&mut fleet, NOW, &put("targets/old", b"ready", 10));
     hear(&mut fleet, NOW, &put("targets/new", b"ready", 30));
-    let relay = teller.relay("teller/1", &Place::default());
+    let relay = teller.relay("teller/1", &Place::default(), &nothing());
     fleet.on_relay(NOW, &relay, &keys(), &Plain);
     let mut known: Vec<_> = fleet.targets.keys().collect();
     known.sort();
@@ -211,7 +259,7 @@
     started.on_followed("config", 30);
     let mut fleet = Fleet::default();
     hear(&mut fleet, NOW, &put("targets/a", b"ready", 10));
-    let relay = started.relay("started/1", &Place::default());
+    let relay = started.relay("started/1", &Place::default(), &nothing());
     fleet.on_relay(NOW, &relay, &keys(), &Plain);
     assert_eq!(version(&fleet), 8);
     assert_eq!(fleet.targets.len(), 1, "its relay says nothing of targets");
@@ -258,14 +306,14 @@
             hear(&mut teller, NOW, &change);
             teller.on_followed("targets/", revision);
             if relayed {
-                let relay = teller.relay("teller/1", &place);
+                let relay = teller.relay("teller/1", &place, &nothing());
                 fleet.on_relay(NOW, &relay, &keys(), &Plain);
                 place = relay.place().clone();
                 let is_whole = matches!(relay, Relay::Whole { .. });
                 prop_assert!(!is_whole || fleet.targets == teller.targets);
             }
         }
-        let relay = teller.relay("teller/1", &place);
+        let relay = teller.relay("teller/1", &place, &nothing());
         fleet.on_relay(NOW, &relay, &keys(), &Plain);
         let sorted = |fleet: &Fleet| {
             let mut targets: Vec<_> = fleet.targets.values().cloned().collect();
