--- a/engine/src/caller/tries.rs
+++ b/engine/src/caller/tries.rs
@@ -13,7 +13,8 @@
     words::Word,
 };
 use crate::{
-    catalogue::Kind,
+    catalogue::{Kind, TargetId},
+    owner::record::Fence,
     place::desk::{Ask, COME_BACK_LEAST},
     target::Refusal,
 };
@@ -82,6 +83,8 @@
     arrivals: u32,
     unsent: u32,
     unowned: u32,
+    /// Owners that don't hold its key, with the fences at which they were asked.
+    misdirected: Vec<(TargetId, Fence)>,
     /// How often the target asked last ends a request.
     turn: Duration,
     /// It may have run.
@@ -130,6 +133,7 @@
         } else {
             history.reached.clone()
         },
+        misdirected: history.misdirected.clone(),
         large: job.route.kind == Kind::Download,
         repeat,
     };
@@ -153,6 +157,7 @@
         return history.give_up(Own::not_run("its body has been sent once", COME_BACK));
     };
     let target = permit.target.id.clone();
+    let fence = permit.basis.fence;
     trace.targets.push(target.clone());
     trace.notes.push(format!("sent: {}", permit.basis));
     history.turn = permit.basis.turn;
@@ -160,6 +165,9 @@
     if !matches!(tried, Tried::Unsent(_)) {
         history.arrivals += 1;
     }
+    if matches!(tried, Tried::Refused(Refusal::Unowned, _)) {
+        history.misdirected.push((target.clone(), fence));
+    }
     judge(job, payload, history, trace, target, tried)
 }
 
--- a/engine/src/place/message.rs
+++ b/engine/src/place/message.rs
@@ -33,6 +33,8 @@
     pub until: Duration,
     /// Targets that it was sent to already.
     pub tried: Vec<TargetId>,
+    /// Owners that said that they don't hold its key, with the fences at which they were asked.
+    pub misdirected: Vec<(TargetId, Fence)>,
     /// Whether its answer is large.
     pub large: bool,
     /// Whether it draws on the budget for repeats.
--- a/engine/tests/busy_key.rs
+++ b/engine/tests/busy_key.rs
@@ -172,6 +172,7 @@
             goal: ms(now + GOAL),
             until: ms(now + DEADLINE),
             tried: Vec::new(),
+            misdirected: Vec::new(),
             large: false,
             repeat: false,
         };
--- a/engine/tests/desk.rs
+++ b/engine/tests/desk.rs
@@ -98,6 +98,7 @@
         goal: now + ms(200),
         until: now + ms(500),
         tried: Vec::new(),
+        misdirected: Vec::new(),
         large: false,
         repeat: false,
     }
