A request reaches a key's owner once at one fence; an owner that refuses is asked seldom

What callers saw: nothing at first, but 1,787 repeats in 10 s at a service whose targets had taken the addresses of others, and with its budget gone, refusals. It holds since a request that its owner refused waits for newer news, and is refused with 503 when another has found out that the owner holds the key by now; and since after two refusals in a row all of the range waits while one request asks, after 100, 200, 400 and then each 800 ms.

The test that other keys of a range stay open after one key's refusal holds as it was.

--- a/engine/src/place/desk/choose.rs
+++ b/engine/src/place/desk/choose.rs
@@ -15,7 +15,7 @@
 };
 use crate::{
     owner::record::{Point, Record},
-    place::{member::Member, share::Share},
+    place::{member::Member, share::Share, unowned::Standing},
 };
 
 /// How long a request waits for its key to have an owner, as a part of the route's goal.
@@ -54,13 +54,16 @@
         let Some(part) = record.find(point) else {
             return self.unowned(now, ask);
         };
-        if self.is_moving(now, point, part.fence) {
+        match self.unowned.standing(now, &ask.service, part, point) {
             // A move ends within a few hundred milliseconds, a loss doesn't.
-            return if now < ask.goal.min(ask.until) {
-                Choice::Wait(None)
-            } else {
-                self.unowned(now, ask)
-            };
+            Standing::Moving if now < ask.goal.min(ask.until) => return Choice::Wait(None),
+            Standing::Moving | Standing::Lost => return self.unowned(now, ask),
+            Standing::Open => {}
+        }
+        if ask.refused_by(part) {
+            // Its owner takes others by now, or another request finds out. To ask once more would be a
+            // repeat: 1,787 of them in 10 s went to a service that was not even meant.
+            return Choice::Refuse(Why::Moved, COME_BACK_LEAST, self.owner_basis(ask));
         }
         let member = part.owner.as_ref().and_then(|life| {
             let member = self.members.get(&life.id);
--- a/engine/src/place/desk/mod.rs
+++ b/engine/src/place/desk/mod.rs
@@ -13,7 +13,7 @@
 mod choose;
 mod fit;
 
-use std::{collections::HashMap, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use indexmap::IndexMap;
 use rand::{SeedableRng, rngs::SmallRng};
@@ -25,17 +25,10 @@
     budget::{Allowance, Budget},
     member::Member,
     share::Queue,
+    unowned::Unowned,
 };
-use crate::{
-    catalogue::{self, DomainId, ServiceId, TargetId},
-    owner::record::{Fence, Point},
-};
+use crate::catalogue::{self, DomainId, ServiceId, TargetId};
 
-/// How long a key whose owner has refused it counts as moving, unless a newer owner is known.
-///
-/// A move takes as long as the work that runs on the key; asking its old owner again meanwhile cost
-/// 1,361 refused calls on a day with two busy keys.
-const UNOWNED_SPAN: Duration = Duration::from_millis(100);
 /// The time to come back when a key has no owner.
 const COME_BACK_UNOWNED: Duration = Duration::from_millis(400);
 /// How many requests may wait on one VM.
@@ -58,8 +51,8 @@
     members: IndexMap<TargetId, Member>,
     budgets: IndexMap<ServiceId, Budget>,
     waiting: Vec<Waiting>,
-    /// Keys whose owners have refused them, with the owner's fence and for how long that counts.
-    unowned: HashMap<Point, (Fence, Duration)>,
+    /// Keys whose owners have refused them.
+    unowned: Unowned,
     random: SmallRng,
 }
 
@@ -88,7 +81,7 @@
             members: IndexMap::new(),
             budgets: IndexMap::new(),
             waiting: Vec::new(),
-            unowned: HashMap::new(),
+            unowned: Unowned::default(),
             random: SmallRng::seed_from_u64(seed),
         }
     }
@@ -103,7 +96,7 @@
         match event {
             Event::Ask(ask) => self.ask(now, ask, &mut effects),
             Event::Done { target, end } => {
-                self.note_unowned(now, &end);
+                self.note_owner(now, &target, &end);
                 if let Some(member) = self.members.get_mut(&target) {
                     member.ended(now, end);
                 }
@@ -200,20 +193,29 @@
         queues.into_values().collect()
     }
 
-    /// Remembers a key whose owner has refused it: it is moving.
-    fn note_unowned(&mut self, now: Duration, end: &End) {
-        if let (Ended::Unowned, Some((point, fence))) = (end.ended, end.owned) {
-            self.unowned.retain(|_, (_, until)| now < *until);
-            self.unowned.insert(point, (fence, now + UNOWNED_SPAN));
+    /// Takes note whether a key's owner holds it, unless newer news are known than it was asked by.
+    fn note_owner(&mut self, now: Duration, target: &str, end: &End) {
+        let Some((point, fence)) = end.owned else {
+            return;
+        };
+        let Some(service) = self.members.get(target).map(|it| &it.target.service) else {
+            return;
+        };
+        let part = self.view.records.get(service).and_then(|it| it.find(point));
+        let Some(part) = part.filter(|part| part.fence == fence) else {
+            return;
+        };
+        match end.ended {
+            Ended::Unowned => self.unowned.refused(now, service, part, point),
+            Ended::Answered(_) | Ended::Failed | Ended::Refused => {
+                self.unowned.taken(service, part, point);
+            }
+            Ended::Lost | Ended::Unreached | Ended::Gone | Ended::Given(_) => {
+                self.unowned.untold(now, service, part, point);
+            }
         }
     }
 
-    /// Returns whether the owner of a key at a fence has just refused it.
-    fn is_moving(&self, now: Duration, point: Point, fence: Fence) -> bool {
-        let refused = self.unowned.get(&point);
-        refused.is_some_and(|(own, until)| *own == fence && now < *until)
-    }
-
     fn look(&mut self, now: Duration, view: Rc<View>) {
         let mut members = IndexMap::new();
         for target in view.targets.values().flatten() {
@@ -229,6 +231,9 @@
         }
         self.members = members;
         self.view = view;
+        let records = &self.view.records;
+        let find = |service: &str, point| records.get(service)?.find(point);
+        self.unowned.keep(find);
     }
 
     fn ask(&mut self, now: Duration, ask: Ask, out: &mut Vec<Effect>) {
@@ -317,6 +322,11 @@
                     return false;
                 };
                 member.sent(now);
+                let record = self.view.records.get(&it.ask.service);
+                if let Some(part) = record.zip(basis.point).and_then(|(it, at)| it.find(at)) {
+                    self.unowned
+                        .sent(&it.ask.service, part, basis.point.unwrap_or_default());
+                }
                 if let Some(right) = right {
                     member.use_share(right == Right::Fresh);
                 }
--- a/engine/src/place/message.rs
+++ b/engine/src/place/message.rs
@@ -8,7 +8,7 @@
 use super::share::{Queue, Share};
 use crate::{
     catalogue::{ServiceId, Target, TargetHash, TargetId},
-    owner::record::{Fence, Point, Record},
+    owner::record::{Fence, Part, Point, Record},
 };
 
 /// The number of a request; never used twice.
@@ -41,6 +41,17 @@
     pub repeat: bool,
 }
 
+impl Ask {
+    /// Returns whether a range's owner has refused the request at its present fence.
+    pub(super) fn refused_by(&self, part: &Part) -> bool {
+        let Some(owner) = &part.owner else {
+            return false;
+        };
+        let mut asked = self.misdirected.iter();
+        asked.any(|(id, fence)| *id == owner.id && *fence == part.fence)
+    }
+}
+
 /// What happens to a desk.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -161,6 +172,8 @@
     NoTarget,
     /// Its key has no owner that can be reached.
     NoOwner,
+    /// Its key's owner has refused it, though it may hold the key by now.
+    Moved,
     /// No answer is expected in time.
     Late,
     /// No answer is expected within the route's goal, and others wait that can still have one.
@@ -185,6 +198,7 @@
         match self {
             Self::NoTarget => "no-target",
             Self::NoOwner => "no-owner",
+            Self::Moved => "moved",
             Self::Late => "late",
             Self::Goal => "goal",
             Self::Budget => "budget",
--- a/engine/src/place/mod.rs
+++ b/engine/src/place/mod.rs
@@ -1,7 +1,8 @@
 //! Which target a request goes to, when, and which requests are refused.
 //!
 //! [`desk`] decides, free of I/O; [`share`] shares the room at busy targets among VMs; [`budget`] bounds
-//! what is sent a second time; [`task`] owns the desk and answers by messages.
+//! what is sent a second time; [`unowned`] tells when to ask an owner
+//! again that has refused a key; [`task`] owns the desk and answers by messages.
 
 pub mod budget;
 pub mod desk;
@@ -9,3 +10,4 @@
 mod message;
 pub mod share;
 pub mod task;
+pub mod unowned;
--- /dev/null
+++ b/engine/src/place/unowned.rs
@@ -0,0 +1,238 @@
+//! Keys that their owners refuse, and when to ask again.
+//!
+//! Load pattern: an owner lets a key go, or ends and another service's target gets its address. Until the
+//! news of the next owner come, each request for its keys would go there and be refused.
+
+use std::{collections::HashMap, time::Duration};
+
+use crate::{
+    catalogue::ServiceId,
+    owner::record::{Fence, Part, Point},
+};
+
+/// How long a key whose owner has refused it counts as moving at first, unless a newer owner is known.
+///
+/// A move takes as long as the work that runs on the key; asking its old owner again meanwhile cost
+/// 1,361 refused calls on a day with two busy keys.
+const SPAN: Duration = Duration::from_millis(100);
+/// The longest such time: an owner that has its grant back at the same fence is missed so long.
+const SPAN_MOST: Duration = Duration::from_millis(800);
+/// How many keys in a row an owner must refuse until all of its range count as refused: one key alone
+/// may have been taken from the range.
+const KEYS_LEAST: u32 = 2;
+/// How long after its first refusal a range that is still refused counts as lost.
+///
+/// A move takes one release, one write and one grant, some 50 to 200 ms.
+const MOVE_MOST: Duration = Duration::from_millis(400);
+
+/// A range of keys, by service and its first key.
+type RangeId = (ServiceId, Point);
+
+/// When something that was refused may be asked for again.
+#[derive(Clone, Copy, Debug)]
+struct Asking {
+    since: Duration,
+    until: Duration,
+    span: Duration,
+    /// One request is there to find out.
+    trial: bool,
+}
+
+impl Asking {
+    fn refused(now: Duration, before: Option<Self>) -> Self {
+        let span = before.map_or(SPAN, |it| (it.span * 2).min(SPAN_MOST));
+        Self {
+            since: before.map_or(now, |it| it.since),
+            until: now + span,
+            span,
+            trial: false,
+        }
+    }
+
+    fn is_closed(&self, now: Duration) -> bool {
+        self.trial || now < self.until
+    }
+}
+
+/// What one owner refuses of a range at one fence.
+#[derive(Clone, Debug)]
+struct Refused {
+    fence: Fence,
+    keys: HashMap<Point, Asking>,
+    /// How many refusals came in a row.
+    count: u32,
+    all: Option<Asking>,
+}
+
+/// How a key stands that its owner has refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It may be asked for.
+    Open,
+    /// It is probably on its way to another owner.
+    Moving,
+    /// It has been refused for longer than a move takes.
+    Lost,
+}
+
+/// The keys that owners refuse.
+///
+/// # Example
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use bramleypier_engine::{
+///     owner::record::Part,
+///     place::unowned::{Standing, Unowned},
+/// };
+///
+/// let ms = Duration::from_millis;
+/// let part = Part { from: 0, to: 9, fence: 5, owner: None };
+/// let mut unowned = Unowned::default();
+/// unowned.refused(ms(0), "s", &part, 7);
+/// assert_eq!(unowned.standing(ms(50), "s", &part, 7), Standing::Moving);
+/// assert_eq!(unowned.standing(ms(50), "s", &part, 8), Standing::Open, "another key");
+/// assert_eq!(unowned.standing(ms(100), "s", &part, 7), Standing::Open, "one may ask");
+/// unowned.sent("s", &part, 7);
+/// assert_eq!(unowned.standing(ms(110), "s", &part, 7), Standing::Moving, "and only one");
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Unowned {
+    ranges: HashMap<RangeId, Refused>,
+}
+
+impl Unowned {
+    /// Returns how a key of a range stands.
+    ///
+    /// # Example
+    ///
+    /// See [`Unowned`].
+    pub fn standing(&self, now: Duration, service: &str, part: &Part, point: Point) -> Standing {
+        let Some(range) = self.range(service, part) else {
+            return Standing::Open;
+        };
+        let closed = [range.all.as_ref(), range.keys.get(&point)];
+        let closed = closed.into_iter().flatten().find(|it| it.is_closed(now));
+        match closed {
+            None => Standing::Open,
+            Some(asking) if now < asking.since + MOVE_MOST => Standing::Moving,
+            Some(_) => Standing::Lost,
+        }
+    }
+
+    /// Takes note of a request that is sent to the owner: others wait for its end.
+    ///
+    /// # Example
+    ///
+    /// See [`Unowned`].
+    pub fn sent(&mut self, service: &str, part: &Part, point: Point) {
+        self.change(service, part, point, |asking| asking.trial = true);
+    }
+
+    /// Takes note that the owner has refused a key.
+    ///
+    /// # Example
+    ///
+    /// See [`Unowned`].
+    pub fn refused(&mut self, now: Duration, service: &str, part: &Part, point: Point) {
+        let fresh = || Refused {
+            fence: part.fence,
+            keys: HashMap::new(),
+            count: 0,
+            all: None,
+        };
+        let id = (service.to_owned(), part.from);
+        let range = self.ranges.entry(id).or_insert_with(fresh);
+        if range.fence != part.fence {
+            *range = fresh();
+        }
+        let before = range.keys.get(&point).copied();
+        range.keys.insert(point, Asking::refused(now, before));
+        range.count += 1;
+        if range.count >= KEYS_LEAST {
+            range.all = Some(Asking::refused(now, range.all));
+        }
+    }
+
+    /// Takes note that the owner has taken a request for a key: it holds it.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier_engine::{
+    ///     owner::record::Part,
+    ///     place::unowned::{Standing, Unowned},
+    /// };
+    ///
+    /// let part = Part { from: 0, to: 9, fence: 5, owner: None };
+    /// let mut unowned = Unowned::default();
+    /// unowned.refused(Duration::ZERO, "s", &part, 7);
+    /// unowned.taken("s", &part, 7);
+    /// assert_eq!(unowned.standing(Duration::ZERO, "s", &part, 7), Standing::Open);
+    /// ```
+    pub fn taken(&mut self, service: &str, part: &Part, point: Point) {
+        let id = (service.to_owned(), part.from);
+        let Some(range) = self.ranges.get_mut(&id) else {
+            return;
+        };
+        if range.fence != part.fence {
+            return;
+        }
+        range.keys.remove(&point);
+        range.all = None;
+        range.count = 0;
+        if range.keys.is_empty() {
+            self.ranges.remove(&id);
+        }
+    }
+
+    /// Takes note that a request for a key ended without showing whether the owner holds it.
+    ///
+    /// # Example
+    ///
+    /// See [`Unowned`].
+    pub fn untold(&mut self, now: Duration, service: &str, part: &Part, point: Point) {
+        self.change(service, part, point, |asking| {
+            asking.trial = false;
+            asking.until = now + asking.span;
+        });
+    }
+
+    /// Forgets ranges that have changed; `find` returns the range of a key as it stands now.
+    pub fn keep<'a, F>(&mut self, find: F)
+    where
+        F: Fn(&str, Point) -> Option<&'a Part>,
+    {
+        self.ranges.retain(|(service, from), range| {
+            find(service, *from).is_some_and(|part| part.fence == range.fence)
+        });
+    }
+
+    fn range(&self, service: &str, part: &Part) -> Option<&Refused> {
+        if self.ranges.is_empty() {
+            return None;
+        }
+        let range = self.ranges.get(&(service.to_owned(), part.from))?;
+        (range.fence == part.fence).then_some(range)
+    }
+
+    /// Changes what holds for a key, and for all of its range.
+    fn change<F>(&mut self, service: &str, part: &Part, point: Point, change: F)
+    where
+        F: Fn(&mut Asking),
+    {
+        if self.ranges.is_empty() {
+            return;
+        }
+        let Some(range) = self.ranges.get_mut(&(service.to_owned(), part.from)) else {
+            return;
+        };
+        if range.fence == part.fence {
+            range.all.as_mut().map(&change);
+            range.keys.get_mut(&point).map(&change);
+        }
+    }
+}
