A target that another one answers for gets nothing until it is announced anew; misdirected requests by reason

What callers saw: one try after the other lost on an address that another service's target has taken, and a place of that target's queue. It holds since a refusal as not the one, without a key, can come from another target only, which goes on to have the address.

A counter on the metrics address tells misdirected requests by service and reason.

--- a/engine/src/caller/tries.rs
+++ b/engine/src/caller/tries.rs
@@ -166,11 +166,31 @@
         history.arrivals += 1;
     }
     if matches!(tried, Tried::Refused(Refusal::Unowned, _)) {
+        let reason = misdirected(context, job, fence);
+        context.report.count(
+            "misdirected",
+            &[("service", &job.service), ("reason", reason)],
+        );
         history.misdirected.push((target.clone(), fence));
     }
     judge(job, payload, history, trace, target, tried)
 }
 
+/// Tells why a request reached a target that refused it as not the one.
+fn misdirected(context: &Context, job: &Job, fence: Fence) -> &'static str {
+    let Some(point) = job.asked.point.filter(|_| job.keyed) else {
+        return "another-target";
+    };
+    let fleet = context.beliefs.get();
+    let record = fleet.records.get(&job.service);
+    let part = record.and_then(|it| it.record.find(point));
+    if part.is_some_and(|part| part.fence == fence) {
+        "owner-refuses"
+    } else {
+        "old-owner"
+    }
+}
+
 /// Decides what a try's end means for the request.
 fn judge(
     job: &Job,
--- a/engine/src/place/desk/mod.rs
+++ b/engine/src/place/desk/mod.rs
@@ -222,7 +222,7 @@
             let known = self.members.swap_remove(&target.id);
             let member = match known {
                 Some(mut member) if member.target.same_life(target) => {
-                    member.target = target.clone();
+                    member.announce(target);
                     member
                 }
                 _ => Member::new(target.clone(), now),
--- a/engine/src/place/member.rs
+++ b/engine/src/place/member.rs
@@ -63,7 +63,7 @@
     Failed,
     /// The target refused it and did not run it.
     Refused,
-    /// The target doesn't own the request's key, and did not run it.
+    /// The target doesn't own the request's key, or is another than was meant, and did not run it.
     Unowned,
     /// The connection broke, or the answer could not be used.
     Lost,
@@ -119,6 +119,8 @@
     alone_until: Duration,
     alone_for: Duration,
     trial_at: Duration,
+    /// Another target answers at its address.
+    absent: bool,
 }
 
 impl Member {
@@ -143,9 +145,16 @@
             alone_until: Duration::ZERO,
             alone_for: LEFT_ALONE,
             trial_at: Duration::ZERO,
+            absent: false,
         }
     }
 
+    /// Takes a newer announcement of the same life in.
+    pub fn announce(&mut self, target: &Target) {
+        self.absent &= self.target.address == target.address;
+        self.target = target.clone();
+    }
+
     /// Returns how many requests are probably there, from all VMs.
     pub fn depth(&self, now: Duration) -> f64 {
         if let Some((others, _)) = self.told.filter(|(_, at)| now < *at + TOLD_LIFE) {
@@ -277,7 +286,7 @@
 
     /// Returns whether a request may be sent now.
     pub fn is_open(&self, now: Duration) -> bool {
-        now >= self.alone_until
+        now >= self.alone_until && !self.absent
     }
 
     /// Returns whether it fails too often for other than single trials.
@@ -299,7 +308,7 @@
             sent,
             depth,
             load,
-            owned: _,
+            owned,
         } = end;
         self.own = self.own.saturating_sub(1);
         if let Some(at) = self.sent_at.iter().position(|at| *at == sent) {
@@ -320,8 +329,9 @@
                 self.alone_until = now + self.alone_for;
                 self.alone_for = (self.alone_for * 2).min(LEFT_ALONE_MOST);
             }
-            // It says nothing of the target's health.
-            Ended::Unowned => {}
+            // Without a key only another target refuses so, and goes on to: the address was used again.
+            // With one it says nothing of the target's health.
+            Ended::Unowned => self.absent |= owned.is_none(),
             Ended::Given(waited) => self.outlast(waited, depth),
         }
     }
