--- a/engine/src/peer/pause.rs
+++ b/engine/src/peer/pause.rs
@@ -28,6 +28,8 @@
 const YIELD_MOST: Duration = Duration::from_secs(1);
 /// The part of a new measurement in the mean lag, as a divisor: one late wake-up is no trend.
 const PART: u32 = 4;
+/// From which mean lag on a process's own calls can fail by it: a connection has 150 ms to open.
+const LONG: Duration = Duration::from_millis(75);
 
 /// How much later than asked for a process wakes up, as far as it has too little processor.
 ///
@@ -40,8 +42,9 @@
 ///
 /// let ms = Duration::from_millis;
 /// let mut lag = Lag::default();
-/// lag.add(ms(40), ms(120));
+/// assert!(!lag.add(ms(40), ms(120)));
 /// assert_eq!(lag.mean(), ms(20));
+/// assert!(lag.add(ms(40), ms(340)) && lag.is_long());
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Lag {
@@ -49,13 +52,25 @@
 }
 
 impl Lag {
-    /// Takes in a sleep that should have taken `asked`.
+    /// Takes in a sleep that should have taken `asked`; returns whether the lag has become long by it, or is
+    /// long no more.
     ///
     /// # Example
     ///
     /// See [`Lag`].
-    pub fn add(&mut self, asked: Duration, took: Duration) {
+    pub fn add(&mut self, asked: Duration, took: Duration) -> bool {
+        let was_long = self.is_long();
         self.mean = (self.mean * (PART - 1) + took.saturating_sub(asked)) / PART;
+        was_long != self.is_long()
+    }
+
+    /// Returns whether the process has too little processor for its own calls to be in time.
+    ///
+    /// # Example
+    ///
+    /// See [`Lag`].
+    pub fn is_long(&self) -> bool {
+        self.mean >= LONG
     }
 
     /// Returns the mean of the latest.
--- a/engine/src/peer/sync.rs
+++ b/engine/src/peer/sync.rs
@@ -135,6 +135,24 @@
         }
     }
 
+    /// Takes note of how late this process woke up.
+    fn note_lag(&self, asked: Duration, took: Duration) {
+        let mut lag = self.lag.borrow_mut();
+        self.report.time("lag", took.saturating_sub(asked), &[]);
+        if lag.add(asked, took) {
+            let event = if lag.is_long() {
+                "lagging"
+            } else {
+                "keeping-up"
+            };
+            self.report.line(&format!(
+                "event={event} lag_ms={} leading={}",
+                lag.mean().as_millis(),
+                self.leading.get()
+            ));
+        }
+    }
+
     /// Takes in what another VM relays.
     fn take_relay(&self, vm: &Vm, relay: &Relay) {
         let now = self.clock.now();
@@ -224,8 +242,7 @@
         pause = pause::until_next(busy, vms, lag);
         let slept = context.clock.now();
         context.clock.sleep(pause).await;
-        let took = context.clock.now().saturating_sub(slept);
-        context.lag.borrow_mut().add(pause, took);
+        context.note_lag(pause, context.clock.now().saturating_sub(slept));
     }
 }
 
