An owner that was asked to find out holds others up for as long as a refusal takes, not until its answer; a new manager begins without lag

Read again: a request that is long at work showed nothing until its end, and its key's others waited for it; a lag of a few milliseconds, which timers have anyway, stretched the pauses of small fleets; and what one manager lagged delayed the first word to the next by up to a second.

--- a/engine/src/peer/pause.rs
+++ b/engine/src/peer/pause.rs
@@ -23,6 +23,8 @@
 /// 88 VMs then leave a manager that can hear 84 words a second some 50 ms behind; its calls to the
 /// store may take 150 ms to connect.
 const YIELD: u32 = 16;
+/// The lag that leaves the pause as it is: timers fire some milliseconds late.
+const LAG_USUAL: Duration = Duration::from_millis(5);
 /// The longest pause, however far the manager lags: targets that leave may be known so much later, and
 /// get no new work 2 s after they have said so.
 const YIELD_MOST: Duration = Duration::from_secs(1);
@@ -104,5 +106,6 @@
     let vms = u32::try_from(vms).unwrap_or(u32::MAX).max(VMS_USUAL);
     let period = (period * vms / VMS_USUAL).min(PERIOD_MOST);
     // Without this a manager of a tenth of a core had its own calls wait 11.7 s behind 88 VMs' words.
-    (period + lag * YIELD).min(YIELD_MOST)
+    let late = lag.saturating_sub(LAG_USUAL);
+    (period + late * YIELD).min(YIELD_MOST)
 }
--- a/engine/src/peer/sync.rs
+++ b/engine/src/peer/sync.rs
@@ -208,9 +208,15 @@
     let mut others = Others::default();
     let mut pause = Duration::ZERO;
     let mut lag = Duration::ZERO;
+    let mut follows = None;
     context.heard.beat(false);
     loop {
         let manager = context.beliefs.get().manager.clone();
+        let start = manager.as_ref().map(|vm| vm.start.clone());
+        if start != follows {
+            // What the one before lagged says nothing of this one.
+            (follows, lag) = (start, Duration::ZERO);
+        }
         let message = context.message(place.clone(), pause).await;
         let busy = !message.flights.is_empty();
         let answer = match manager {
--- a/engine/src/place/desk/mod.rs
+++ b/engine/src/place/desk/mod.rs
@@ -210,9 +210,8 @@
             Ended::Answered(_) | Ended::Failed | Ended::Refused => {
                 self.unowned.taken(service, part, point);
             }
-            Ended::Lost | Ended::Unreached | Ended::Gone | Ended::Given(_) => {
-                self.unowned.untold(now, service, part, point);
-            }
+            // These show nothing of the key.
+            Ended::Lost | Ended::Unreached | Ended::Gone | Ended::Given(_) => {}
         }
     }
 
@@ -323,9 +322,10 @@
                 };
                 member.sent(now);
                 let record = self.view.records.get(&it.ask.service);
-                if let Some(part) = record.zip(basis.point).and_then(|(it, at)| it.find(at)) {
-                    self.unowned
-                        .sent(&it.ask.service, part, basis.point.unwrap_or_default());
+                if let Some((record, point)) = record.zip(basis.point)
+                    && let Some(part) = record.find(point)
+                {
+                    self.unowned.sent(now, &it.ask.service, part, point);
                 }
                 if let Some(right) = right {
                     member.use_share(right == Right::Fresh);
--- a/engine/src/place/unowned.rs
+++ b/engine/src/place/unowned.rs
@@ -17,6 +17,9 @@
 const SPAN: Duration = Duration::from_millis(100);
 /// The longest such time: an owner that has its grant back at the same fence is missed so long.
 const SPAN_MOST: Duration = Duration::from_millis(800);
+/// How soon an owner refuses a key that it doesn't hold: refusals wait for no slot, and targets are a few
+/// milliseconds away.
+const REFUSAL: Duration = Duration::from_millis(100);
 /// How many keys in a row an owner must refuse until all of its range count as refused: one key alone
 /// may have been taken from the range.
 const KEYS_LEAST: u32 = 2;
@@ -34,8 +37,6 @@
     since: Duration,
     until: Duration,
     span: Duration,
-    /// One request is there to find out.
-    trial: bool,
 }
 
 impl Asking {
@@ -45,13 +46,8 @@
             since: before.map_or(now, |it| it.since),
             until: now + span,
             span,
-            trial: false,
         }
     }
-
-    fn is_closed(&self, now: Duration) -> bool {
-        self.trial || now < self.until
-    }
 }
 
 /// What one owner refuses of a range at one fence.
@@ -94,7 +90,7 @@
 /// assert_eq!(unowned.standing(ms(50), "s", &part, 7), Standing::Moving);
 /// assert_eq!(unowned.standing(ms(50), "s", &part, 8), Standing::Open, "another key");
 /// assert_eq!(unowned.standing(ms(100), "s", &part, 7), Standing::Open, "one may ask");
-/// unowned.sent("s", &part, 7);
+/// unowned.sent(ms(100), "s", &part, 7);
 /// assert_eq!(unowned.standing(ms(110), "s", &part, 7), Standing::Moving, "and only one");
 /// ```
 #[derive(Clone, Debug, Default)]
@@ -113,7 +109,7 @@
             return Standing::Open;
         };
         let closed = [range.all.as_ref(), range.keys.get(&point)];
-        let closed = closed.into_iter().flatten().find(|it| it.is_closed(now));
+        let closed = closed.into_iter().flatten().find(|it| now < it.until);
         match closed {
             None => Standing::Open,
             Some(asking) if now < asking.since + MOVE_MOST => Standing::Moving,
@@ -121,13 +117,25 @@
         }
     }
 
-    /// Takes note of a request that is sent to the owner: others wait for its end.
+    /// Takes note of a request that is sent to the owner: others wait until it would have been refused.
     ///
     /// # Example
     ///
     /// See [`Unowned`].
-    pub fn sent(&mut self, service: &str, part: &Part, point: Point) {
-        self.change(service, part, point, |asking| asking.trial = true);
+    pub fn sent(&mut self, now: Duration, service: &str, part: &Part, point: Point) {
+        if self.ranges.is_empty() {
+            return;
+        }
+        let Some(range) = self.ranges.get_mut(&(service.to_owned(), part.from)) else {
+            return;
+        };
+        if range.fence != part.fence {
+            return;
+        }
+        let asked = [range.all.as_mut(), range.keys.get_mut(&point)];
+        for asking in asked.into_iter().flatten() {
+            asking.until = asking.until.max(now + REFUSAL);
+        }
     }
 
     /// Takes note that the owner has refused a key.
@@ -189,18 +197,6 @@
         }
     }
 
-    /// Takes note that a request for a key ended without showing whether the owner holds it.
-    ///
-    /// # Example
-    ///
-    /// See [`Unowned`].
-    pub fn untold(&mut self, now: Duration, service: &str, part: &Part, point: Point) {
-        self.change(service, part, point, |asking| {
-            asking.trial = false;
-            asking.until = now + asking.span;
-        });
-    }
-
     /// Forgets ranges that have changed; `find` returns the range of a key as it stands now.
     pub fn keep<'a, F>(&mut self, find: F)
     where
@@ -218,21 +214,4 @@
         let range = self.ranges.get(&(service.to_owned(), part.from))?;
         (range.fence == part.fence).then_some(range)
     }
-
-    /// Changes what holds for a key, and for all of its range.
-    fn change<F>(&mut self, service: &str, part: &Part, point: Point, change: F)
-    where
-        F: Fn(&mut Asking),
-    {
-        if self.ranges.is_empty() {
-            return;
-        }
-        let Some(range) = self.ranges.get_mut(&(service.to_owned(), part.from)) else {
-            return;
-        };
-        if range.fence == part.fence {
-            range.all.as_mut().map(&change);
-            range.keys.get_mut(&point).map(&change);
-        }
-    }
 }
