Removals that are forgotten are not skipped; a process that was stopped does not lag

Found at reading, each with a test: a VM that had followed the store up to a revision was told changes since then without removals that the teller no longer remembers; and a manager that was stopped for seconds had all VMs wait a second between words for as long as its mean lag took to fall.

--- a/engine/src/fleet/mod.rs
+++ b/engine/src/fleet/mod.rs
@@ -72,6 +72,8 @@
     pub listed: bool,
     /// What stands in the store, and what was removed from it.
     known: IndexMap<String, Known>,
+    /// The revision of the newest removal that isn't remembered any more.
+    forgotten: Revision,
     /// Up to which revision of the store each prefix was followed here.
     followed: IndexMap<String, Revision>,
     /// What was taken in, for other VMs.
@@ -217,8 +219,8 @@
                 .known
                 .iter()
                 .position(|(_, known)| known.value.is_none());
-            if let Some(index) = removed {
-                self.known.shift_remove_index(index);
+            if let Some((_, known)) = removed.and_then(|it| self.known.shift_remove_index(it)) {
+                self.forgotten = self.forgotten.max(known.revision);
             }
         }
         self.known.insert(key.to_owned(), Known { revision, value });
--- a/engine/src/peer/pause.rs
+++ b/engine/src/peer/pause.rs
@@ -30,6 +30,9 @@
 const YIELD_MOST: Duration = Duration::from_secs(1);
 /// The part of a new measurement in the mean lag, as a divisor: one late wake-up is no trend.
 const PART: u32 = 4;
+/// A wake-up that is later than this tells of a process that was stopped, not of one with too little
+/// processor.
+const STOPPED: Duration = Duration::from_secs(1);
 /// From which mean lag on a process's own calls can fail by it: a connection has 150 ms to open.
 const LONG: Duration = Duration::from_millis(75);
 
@@ -62,7 +65,10 @@
     /// See [`Lag`].
     pub fn add(&mut self, asked: Duration, took: Duration) -> bool {
         let was_long = self.is_long();
-        self.mean = (self.mean * (PART - 1) + took.saturating_sub(asked)) / PART;
+        let late = took.saturating_sub(asked);
+        if late < STOPPED {
+            self.mean = (self.mean * (PART - 1) + late) / PART;
+        }
         was_long != self.is_long()
     }
 
--- a/engine/src/peer/sync.rs
+++ b/engine/src/peer/sync.rs
@@ -232,7 +232,12 @@
             ask_others(&context, &mut others, &mut heard_at).await;
         }
         if let Some(synced) = answer {
-            lag = synced.lag;
+            // The manager's own words cost it no exchange.
+            lag = if context.leading.get() {
+                Duration::ZERO
+            } else {
+                synced.lag
+            };
             let shares = synced.shares.into_iter();
             context.desk.tell(desk::Event::Word(desk::Word {
                 others: synced.others.into_iter().collect(),
--- a/engine/tests/fleet.rs
+++ b/engine/tests/fleet.rs
@@ -221,6 +221,28 @@
     assert!(matches!(relay, Relay::Whole { .. }));
 }
 
+#[test]
+fn who_may_have_missed_a_removal_that_is_forgotten_is_told_everything() {
+    let mut teller = Fleet::default();
+    hear(&mut teller, NOW, &put("targets/a", b"ready", 1));
+    let mut fleet = teller.clone();
+    fleet.on_followed("targets/", 1);
+    hear(&mut teller, NOW, &removed("targets/a", 2));
+    // More removals than a VM remembers.
+    for revision in 3..20_100 {
+        hear(
+            &mut teller,
+            NOW,
+            &removed(&format!("targets/t{revision}"), revision),
+        );
+    }
+    teller.on_followed("targets/", 20_100);
+    let relay = teller.relay("teller/1", &Place::default(), fleet.followed());
+    assert!(matches!(relay, Relay::Whole { .. }), "it lacks the removal");
+    fleet.on_relay(NOW, &relay, &keys(), &Plain);
+    assert!(fleet.targets.is_empty());
+}
+
 #[test]
 fn of_a_key_that_changed_twice_only_the_newest_is_told() {
     let mut teller = Fleet::default();
--- a/engine/tests/pause.rs
+++ b/engine/tests/pause.rs
@@ -98,3 +98,14 @@
         assert!(pause <= Duration::from_millis(60), "{pause:?}");
     }
 }
+
+/// A manager that was stopped for seconds has its whole processor again when it goes on.
+#[test]
+fn a_process_that_was_stopped_does_not_lag() {
+    let mut lag = Lag::default();
+    lag.add(Duration::from_millis(40), Duration::from_secs(5));
+    assert_eq!(
+        pause::until_next(true, 8, lag.mean()),
+        Duration::from_millis(40)
+    );
+}
