--- a/engine/src/fleet/relaying.rs
+++ b/engine/src/fleet/relaying.rs
@@ -107,12 +107,16 @@
 
     /// Takes in what another VM relays; returns what changed, for the log.
     ///
+    /// `well` tells that the other is the manager and follows the store without trouble. Targets that it
+    /// says are gone are gone then, however this VM itself fares with the store.
+    ///
     /// What a relay of everything lacks is gone, if the other VM has followed its prefix in the
     /// store, and unless it is newer than that.
     pub fn on_relay<C>(
         &mut self,
         now: Duration,
         relay: &Relay,
+        well: bool,
         keys: &Keys,
         catalogue: &C,
     ) -> Vec<String>
@@ -135,9 +139,12 @@
                 }
             }
             Relay::Changes { changes, .. } => {
+                // One that took its own late calls for an outage sent work to a target 2.7 s after it had left.
+                let trouble = if well { self.trouble.take() } else { None };
                 for change in changes {
                     notes.extend(self.on_change(now, change, keys, catalogue));
                 }
+                self.trouble = self.trouble.or(trouble);
             }
         }
         notes
--- a/engine/src/peer/sync.rs
+++ b/engine/src/peer/sync.rs
@@ -154,11 +154,11 @@
     }
 
     /// Takes in what another VM relays.
-    fn take_relay(&self, vm: &Vm, relay: &Relay) {
+    fn take_relay(&self, vm: &Vm, relay: &Relay, well: bool) {
         let now = self.clock.now();
         let notes = self
             .beliefs
-            .change(|fleet| fleet.on_relay(now, relay, &self.keys, &*self.catalogue));
+            .change(|fleet| fleet.on_relay(now, relay, well, &self.keys, &*self.catalogue));
         if let Relay::Whole {
             items, followed, ..
         } = relay
@@ -315,7 +315,7 @@
     context.report.time("sync", took, &[]);
     context.report.merge(synced.stamp);
     if synced.relay.place() != place {
-        context.take_relay(vm, &synced.relay);
+        context.take_relay(vm, &synced.relay, synced.well);
         *place = synced.relay.place().clone();
     }
     if synced.well {
--- a/engine/tests/fleet.rs
+++ b/engine/tests/fleet.rs
@@ -212,7 +212,7 @@
         panic!("{relay:?}");
     };
     assert_eq!(changes.len(), 2, "{changes:?}");
-    fleet.on_relay(NOW, &relay, &keys(), &Plain);
+    fleet.on_relay(NOW, &relay, false, &keys(), &Plain);
     let mut known: Vec<_> = fleet.targets.keys().collect();
     known.sort();
     assert_eq!(known, ["new", "old"]);
@@ -239,7 +239,50 @@
     teller.on_followed("targets/", 20_100);
     let relay = teller.relay("teller/1", &Place::default(), fleet.followed());
     assert!(matches!(relay, Relay::Whole { .. }), "it lacks the removal");
-    fleet.on_relay(NOW, &relay, &keys(), &Plain);
+    fleet.on_relay(NOW, &relay, false, &keys(), &Plain);
+    assert!(fleet.targets.is_empty());
+}
+
+/// A manager that started after a removal never knew the target, so it can't tell that it is gone.
+#[test]
+fn a_removal_from_before_the_teller_listed_is_not_missed() {
+    let mut fleet = Fleet::default();
+    hear(&mut fleet, NOW, &put("targets/gone", b"ready", 5));
+    fleet.on_followed("targets/", 5);
+    let mut teller = Fleet::default();
+    let listing = Listing {
+        items: Vec::new(),
+        revision: 9,
+    };
+    teller.on_listing(NOW, "targets/", &listing, &keys(), &Plain);
+    teller.on_followed("targets/", 9);
+    let relay = teller.relay("teller/1", &Place::default(), fleet.followed());
+    fleet.on_relay(NOW, &relay, false, &keys(), &Plain);
+    assert!(fleet.targets.is_empty(), "{:?}", fleet.targets);
+}
+
+/// A VM whose own calls were late (`pulse-lost` at 27.25 s, the store was well) heard from the manager that a
+/// target was gone, kept it for 2.5 s as after an outage, and sent it a request 2.71 s after its removal.
+#[test]
+fn a_removal_told_by_a_manager_that_follows_the_store_counts_at_once() {
+    let mut teller = Fleet::default();
+    let mut fleet = Fleet::default();
+    for fleet in [&mut teller, &mut fleet] {
+        hear(fleet, NOW, &put("targets/a", b"ready", 5));
+    }
+    let place = teller.relay("teller/1", &Place::default(), &nothing());
+    let place = place.place().clone();
+    fleet.on_trouble(NOW);
+    hear(&mut teller, NOW, &removed("targets/a", 6));
+    let relay = teller.relay("teller/1", &place, &nothing());
+    let mut doubtful = fleet.clone();
+    doubtful.on_relay(NOW, &relay, false, &keys(), &Plain);
+    assert_eq!(
+        doubtful.targets.len(),
+        1,
+        "a teller in trouble may be wrong"
+    );
+    fleet.on_relay(NOW, &relay, true, &keys(), &Plain);
     assert!(fleet.targets.is_empty());
 }
 
@@ -268,7 +311,7 @@
     hear(&mut fleet, NOW, &put("targets/old", b"ready", 10));
     hear(&mut fleet, NOW, &put("targets/new", b"ready", 30));
     let relay = teller.relay("teller/1", &Place::default(), &nothing());
-    fleet.on_relay(NOW, &relay, &keys(), &Plain);
+    fleet.on_relay(NOW, &relay, false, &keys(), &Plain);
     let mut known: Vec<_> = fleet.targets.keys().collect();
     known.sort();
     assert_eq!(known, ["a", "new"]);
@@ -282,7 +325,7 @@
     let mut fleet = Fleet::default();
     hear(&mut fleet, NOW, &put("targets/a", b"ready", 10));
     let relay = started.relay("started/1", &Place::default(), &nothing());
-    fleet.on_relay(NOW, &relay, &keys(), &Plain);
+    fleet.on_relay(NOW, &relay, false, &keys(), &Plain);
     assert_eq!(version(&fleet), 8);
     assert_eq!(fleet.targets.len(), 1, "its relay says nothing of targets");
 }
@@ -329,14 +372,14 @@
             teller.on_followed("targets/", revision);
             if relayed {
                 let relay = teller.relay("teller/1", &place, &nothing());
-                fleet.on_relay(NOW, &relay, &keys(), &Plain);
+                fleet.on_relay(NOW, &relay, false, &keys(), &Plain);
                 place = relay.place().clone();
                 let is_whole = matches!(relay, Relay::Whole { .. });
                 prop_assert!(!is_whole || fleet.targets == teller.targets);
             }
         }
         let relay = teller.relay("teller/1", &place, &nothing());
-        fleet.on_relay(NOW, &relay, &keys(), &Plain);
+        fleet.on_relay(NOW, &relay, false, &keys(), &Plain);
         let sorted = |fleet: &Fleet| {
             let mut targets: Vec<_> = fleet.targets.values().cloned().collect();
             targets.sort_by(|a, b| a.id.cmp(&b.id));
