A VM is told changes only since a revision from which the teller knows all removals

It may have missed a removal otherwise, and would have sent requests to a target that is gone until it lists for itself. Else it is told everything, as before.

--- a/engine/src/fleet/mod.rs
+++ b/engine/src/fleet/mod.rs
@@ -72,7 +72,8 @@
     pub listed: bool,
     /// What stands in the store, and what was removed from it.
     known: IndexMap<String, Known>,
-    /// The revision of the newest removal that isn't remembered any more.
+    /// Up to which revision removals may be missing from what is known: they were forgotten, or came
+    /// before a listing.
     forgotten: Revision,
     /// Up to which revision of the store each prefix was followed here.
     followed: IndexMap<String, Revision>,
@@ -117,6 +118,8 @@
         C: Catalogue + ?Sized,
     {
         let items = &listing.items;
+        // A listing doesn't tell what was removed before it.
+        self.forgotten = self.forgotten.max(listing.revision);
         let mut notes = self.remove_missing(now, prefix, items, listing.revision, keys, catalogue);
         for item in &listing.items {
             self.doubt_removal(&item.key, listing.revision);
--- a/engine/src/fleet/relaying.rs
+++ b/engine/src/fleet/relaying.rs
@@ -32,7 +32,7 @@
         if let Some(relay) = self.journal.since(start, place) {
             return relay;
         }
-        // Removals that are forgotten here can't be told one by one.
+        // Removals that aren't known here can't be told one by one.
         let knows = |prefix: &String| followed.get(prefix).is_some_and(|it| *it >= self.forgotten);
         if !self.followed.is_empty() && self.followed.keys().all(knows) {
             return Relay::Changes {
