One VM follows the store for all: one watch over all keys, seldom renewals, a first listing that may be old

Cause: each VM watched the configuration for itself, renewed its entry each second, listed three prefixes when it started, and watched three of them until it heard the manager. Hundreds of VMs pay hundreds of times for the same news.

Change: - a VM that hears the manager asks the store for nothing; the manager tells the configuration too, and up to which revision its word leads, so that whoever stops hearing it goes on from there and not from an old listing; - one listing and one watch over all keys in place of three; the listing may be old (a tenth of the price), the watch after it brings the rest; - news gather for 300 ms at a VM that is no manager; - a VM that hears the manager renews its entry every 3 s, and at once when it stops hearing it; the manager renews its lease every 0.4 s at the most. Safety of resting on one VM: the manager says that it follows the store only if a call that it sent within 0.9 s was answered; a manager that lags so much that three words take over 1.2 s isn't rested on; its loss shows after 0.45 s. A VM that has been told everything by another knows no removals from before it (the same rule as after a listing).

Calls are counted by kind on the metrics address.

--- a/engine/src/fleet/journal.rs
+++ b/engine/src/fleet/journal.rs
@@ -31,6 +31,8 @@
     Changes {
         /// The newest change of each key, oldest first.
         changes: Vec<Change>,
+        /// By prefix: who takes the changes knows what stood there in the store at this revision.
+        followed: IndexMap<String, Revision>,
         /// Where that leads.
         place: Place,
     },
@@ -61,12 +63,24 @@
     ///     place: Place::default(),
     /// };
     /// assert_eq!(relay.place().count, 0);
+    /// assert!(relay.followed().is_empty());
     /// ```
     pub fn place(&self) -> &Place {
         match self {
             Self::Changes { place, .. } | Self::Whole { place, .. } => place,
         }
     }
+
+    /// Returns up to which revision each prefix is known by whoever takes the relay in.
+    ///
+    /// # Example
+    ///
+    /// See [`Relay::place`].
+    pub fn followed(&self) -> &IndexMap<String, Revision> {
+        match self {
+            Self::Changes { followed, .. } | Self::Whole { followed, .. } => followed,
+        }
+    }
 }
 
 /// The latest changes, with a count of all before.
@@ -141,6 +155,7 @@
         changes.reverse();
         Some(Relay::Changes {
             changes,
+            followed: IndexMap::new(),
             place: self.place(start),
         })
     }
--- a/engine/src/fleet/mod.rs
+++ b/engine/src/fleet/mod.rs
@@ -126,9 +126,7 @@
             let change = Change::Put(item.clone());
             notes.extend(self.on_change(now, &change, keys, catalogue));
         }
-        if prefix == catalogue.targets_prefix() {
-            self.listed = true;
-        }
+        self.listed |= catalogue.targets_prefix().starts_with(prefix);
         notes
     }
 
@@ -191,6 +189,9 @@
             Change::Put(item) => (&item.key, item.revision),
             Change::Removed { key, revision } => (key, *revision),
         };
+        if !is_followed(key, keys, catalogue) {
+            return Vec::new();
+        }
         let known = self.known.get(key);
         let newest = known.map_or(0, |known| known.revision);
         match change {
@@ -305,3 +306,13 @@
         self.config.is_some() && self.listed
     }
 }
+
+/// Returns whether a key is one of those that this engine follows; others may stand in the store too.
+fn is_followed<C>(key: &str, keys: &Keys, catalogue: &C) -> bool
+where
+    C: Catalogue + ?Sized,
+{
+    key == catalogue.config_key()
+        || key.starts_with(catalogue.targets_prefix())
+        || key.starts_with(&keys.prefix)
+}
--- a/engine/src/fleet/relaying.rs
+++ b/engine/src/fleet/relaying.rs
@@ -29,14 +29,19 @@
         place: &Place,
         followed: &IndexMap<String, Revision>,
     ) -> Relay {
-        if let Some(relay) = self.journal.since(start, place) {
-            return relay;
+        if let Some(Relay::Changes { changes, place, .. }) = self.journal.since(start, place) {
+            return Relay::Changes {
+                changes,
+                followed: self.settled(),
+                place,
+            };
         }
         // Removals that aren't known here can't be told one by one.
         let knows = |prefix: &String| followed.get(prefix).is_some_and(|it| *it >= self.forgotten);
         if !self.followed.is_empty() && self.followed.keys().all(knows) {
             return Relay::Changes {
                 changes: self.changes_since(followed),
+                followed: self.settled(),
                 place: self.journal.place(start),
             };
         }
@@ -50,7 +55,7 @@
         });
         Relay::Whole {
             items: items.collect(),
-            followed: self.followed.clone(),
+            followed: self.settled(),
             place: self.journal.place(start),
         }
     }
@@ -81,7 +86,17 @@
             .collect()
     }
 
-    /// Returns up to which revision each prefix was followed in the store itself.
+    /// Returns up to which revision all of each prefix has been taken in.
+    ///
+    /// A removal that waits for trouble to pass is yet to be told.
+    fn settled(&self) -> IndexMap<String, Revision> {
+        let held = self.vanished.values().map(|(_, revision)| revision - 1);
+        let most = held.min().unwrap_or(Revision::MAX);
+        let settled = |(prefix, upto): (&String, &Revision)| (prefix.clone(), most.min(*upto));
+        self.followed.iter().map(settled).collect()
+    }
+
+    /// Returns up to which revision each prefix was followed, in the store itself or by what others told.
     ///
     /// # Example
     ///
@@ -90,7 +105,7 @@
         &self.followed
     }
 
-    /// Takes note up to which revision a prefix was followed in the store itself.
+    /// Takes note up to which revision a prefix was followed.
     ///
     /// # Example
     ///
@@ -102,7 +117,8 @@
     /// assert_eq!(fleet.followed()["a/"], 7);
     /// ```
     pub fn on_followed(&mut self, prefix: &str, revision: Revision) {
-        self.followed.insert(prefix.to_owned(), revision);
+        let known = self.followed.entry(prefix.to_owned()).or_default();
+        *known = revision.max(*known);
     }
 
     /// Takes in what another VM relays; returns what changed, for the log.
@@ -130,6 +146,8 @@
             } => {
                 for (prefix, upto) in followed {
                     notes.extend(self.remove_missing(now, prefix, items, *upto, keys, catalogue));
+                    // What was removed before it isn't told.
+                    self.forgotten = self.forgotten.max(*upto);
                 }
                 let prefix = catalogue.targets_prefix();
                 self.listed |= items.iter().any(|item| item.key.starts_with(prefix));
@@ -147,6 +165,9 @@
                 self.trouble = self.trouble.or(trouble);
             }
         }
+        for (prefix, upto) in relay.followed() {
+            self.on_followed(prefix, *upto);
+        }
         notes
     }
 }
--- a/engine/src/follow.rs
+++ b/engine/src/follow.rs
@@ -1,6 +1,9 @@
 //! Follows the store: a listing, then watches, and listings again when history is lost.
+//!
+//! Load pattern: hundreds of VMs need the same news, and each call to the store is paid for. So one VM, the
+//! manager, watches, and tells the others; whoever doesn't hear it watches for itself.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use bramleypier_util::clock::Clock;
 use futures_util::future::{self, Either};
@@ -14,6 +17,8 @@
     store::{Error, Read, Revision, Store},
 };
 
+/// All keys: one listing and one watch tell of everything that is followed.
+const PREFIX: &str = "";
 /// How long a watch waits: each that ends without news is paid for, and a longer one gains little.
 const WAIT: Duration = Duration::from_secs(30);
 /// How long the first watch after trouble waits: it shows whether watches are answered again.
@@ -22,10 +27,13 @@
 const PAUSE: Duration = Duration::from_millis(200);
 /// The longest such pause: a configuration must be in force two seconds after it was accepted.
 const PAUSE_MOST: Duration = Duration::from_millis(800);
-
-/// How long changes gather before those of a prefix that the manager relays are asked for: each
-/// answer of the store is paid for. Targets that leave and owners may be known so much later.
+/// How long changes gather at the manager before it asks for the next: each answer is paid for.
 const GATHER: Duration = Duration::from_millis(100);
+/// How long they gather at any other VM, which asks for itself only until it hears the manager: hundreds may ask
+/// at once.
+const GATHER_ALONE: Duration = Duration::from_millis(300);
+/// How long a VM that knows the manager waits to be told by it before it asks the store.
+const TELL_WAIT: Duration = Duration::from_millis(400);
 
 /// What following needs.
 #[derive(Clone)]
@@ -40,8 +48,10 @@
     pub beliefs: Beliefs,
     /// Whether the store answers.
     pub pulse: Pulse,
-    /// Whether the manager is heard, who relays what is new.
+    /// Whether the manager is heard, who tells what is new; never on the manager itself.
     pub heard: Pulse,
+    /// Whether this VM is the manager.
+    pub leading: Rc<Cell<bool>>,
     /// The clock.
     pub clock: Clock,
     /// Logs and counters.
@@ -54,48 +64,64 @@
     }
 }
 
-/// Who tells what is new under a prefix.
+/// How the store stands for this VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Source {
-    /// The store only.
-    Store,
-    /// The manager while it is heard, the store otherwise.
-    Relayed,
+enum Sight {
+    /// Watches are answered.
+    Clear,
+    /// This VM has not watched for a while, so that nothing is known of its watches.
+    Resumed,
+    /// A call has failed.
+    Lost,
 }
 
-/// Follows one prefix for as long as the process lives.
-pub async fn run(context: Context, prefix: String, source: Source) {
-    let follower = Follower { context, prefix };
+/// How a call ended that asked for news.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Asked {
+    /// All up to this revision is known.
+    Followed(Revision),
+    /// The manager tells from now on.
+    Told,
+}
+
+/// Follows the store for as long as the process lives, whenever the manager isn't heard.
+pub async fn run(context: Context) {
+    let follower = Follower { context };
     let mut pause = PAUSE;
-    let mut after = None;
-    let mut lost = false;
+    let mut sight = Sight::Resumed;
+    let mut listing = true;
     loop {
-        if source == Source::Relayed && after.is_some() {
-            follower.context.heard.ill().await;
+        if follower.told().await {
+            sight = Sight::Resumed;
         }
-        let wait = if lost { PROBE_WAIT } else { WAIT };
-        let result = match after {
-            None => follower.list().await,
-            Some(revision) => follower.watch(revision, wait, source).await,
+        let result = if listing {
+            follower.list().await
+        } else {
+            follower.watch(sight).await
         };
         match result {
-            Ok(revision) => {
+            Ok(Asked::Told) => {}
+            Ok(Asked::Followed(revision)) => {
                 follower.followed(revision);
-                if lost {
+                if sight == Sight::Lost {
                     follower.note("store-back", "");
                 }
-                (after, pause, lost) = (Some(revision), PAUSE, false);
+                if listing {
+                    follower.wait_to_be_told().await;
+                }
+                (sight, pause, listing) = (Sight::Clear, PAUSE, false);
             }
             Err(Error::Compacted(_)) => {
                 follower.note("history-lost", "");
-                after = None;
+                listing = true;
             }
             Err(error) => {
-                follower.trouble(lost, &error);
-                lost = true;
+                follower.trouble(sight, &error);
+                sight = Sight::Lost;
                 let jitter = rand::rng().random_range(0.7..1.3);
                 follower.context.clock.sleep(pause.mul_f64(jitter)).await;
                 follower.context.pulse.well().await;
+                follower.wait_to_be_told().await;
                 pause = (pause * 2).min(PAUSE_MOST);
             }
         }
@@ -104,88 +130,89 @@
 
 struct Follower {
     context: Context,
-    prefix: String,
 }
 
 impl Follower {
     fn note(&self, event: &str, rest: &str) {
-        let prefix = &self.prefix;
-        self.context
-            .report
-            .line(&format!("event={event} prefix={prefix} {rest}"));
-    }
-
-    fn is_of_config(&self) -> bool {
-        self.prefix == self.context.catalogue.config_key()
+        self.context.report.line(&format!("event={event} {rest}"));
     }
 
     fn followed(&self, revision: Revision) {
         self.context.beliefs.change(|fleet| {
-            fleet.on_followed(&self.prefix, revision);
-            fleet.config_followed |= self.is_of_config();
+            fleet.on_followed(PREFIX, revision);
+            fleet.config_followed = true;
         });
     }
 
-    fn trouble(&self, lost: bool, error: &Error) {
+    fn trouble(&self, sight: Sight, error: &Error) {
         let now = self.context.clock.now();
         self.context.beliefs.change(|fleet| {
             fleet.on_trouble(now);
-            fleet.config_followed &= !self.is_of_config();
+            fleet.config_followed = false;
         });
-        if !lost {
+        if sight != Sight::Lost {
             self.note("store-lost", &error.to_string());
         }
     }
 
-    async fn list(&self) -> Result<Revision, Error> {
+    /// Waits for as long as the manager is heard; returns whether it was.
+    async fn told(&self) -> bool {
         let context = &self.context;
-        let listing = context.store.list(&self.prefix, Read::Fresh).await?;
+        if !context.heard.is_well() {
+            return false;
+        }
+        context
+            .beliefs
+            .change(|fleet| fleet.config_followed = false);
+        context.heard.ill().await;
+        true
+    }
+
+    /// Gives a manager that is known the time to tell: all VMs would ask the store at once otherwise.
+    async fn wait_to_be_told(&self) {
+        let context = &self.context;
+        if context.beliefs.get().manager.is_none() {
+            return;
+        }
+        // That it doesn't is the answer: this VM asks the store itself.
+        let _ = context.clock.timeout(TELL_WAIT, context.heard.well()).await;
+    }
+
+    async fn list(&self) -> Result<Asked, Error> {
+        let context = &self.context;
+        let listing = context.store.list(PREFIX, Read::Stale).await?;
         let now = context.clock.now();
         let notes = context.beliefs.change(|fleet| {
-            fleet.on_listing(
-                now,
-                &self.prefix,
-                &listing,
-                &context.keys,
-                &*context.catalogue,
-            )
+            fleet.on_listing(now, PREFIX, &listing, &context.keys, &*context.catalogue)
         });
         context.report.lines(&notes);
-        Ok(listing.revision)
+        Ok(Asked::Followed(listing.revision))
     }
 
     /// Watches, unless the pulse fails meanwhile: then nothing is known of the watch.
-    async fn watch(
-        &self,
-        after: Revision,
-        wait: Duration,
-        source: Source,
-    ) -> Result<Revision, Error> {
+    async fn watch(&self, sight: Sight) -> Result<Asked, Error> {
         let context = &self.context;
-        let relayed = async {
-            match source {
-                Source::Store => future::pending().await,
-                Source::Relayed => context.heard.well().await,
-            }
+        let wait = if sight == Sight::Clear {
+            WAIT
+        } else {
+            PROBE_WAIT
         };
-        let watch = context.store.watch(&self.prefix, after, wait);
-        let ended = future::select(Box::pin(relayed), Box::pin(context.pulse.ill()));
+        let known = context.beliefs.get().followed().get(PREFIX).copied();
+        let after = known.unwrap_or(0);
+        let watch = context.store.watch(PREFIX, after, wait);
+        let ended = future::select(
+            Box::pin(context.heard.well()),
+            Box::pin(context.pulse.ill()),
+        );
         let news = match future::select(watch, ended).await {
             Either::Left((news, _)) => news?,
-            // From now on the manager tells.
-            Either::Right((Either::Left(_), _)) => return Ok(after),
+            Either::Right((Either::Left(_), _)) => return Ok(Asked::Told),
             Either::Right((Either::Right(_), _)) => {
                 let reason = "other calls are not answered".to_owned();
                 return Err(Error::Refused("watch", reason));
             }
         };
         let now = context.clock.now();
-        if news.changes.is_empty() {
-            return Ok(news.revision);
-        }
-        if source == Source::Relayed {
-            context.clock.sleep(GATHER).await;
-        }
         let notes = context.beliefs.change(|fleet| {
             let mut notes = Vec::new();
             for change in &news.changes {
@@ -194,7 +221,15 @@
             notes
         });
         context.report.lines(&notes);
-        Ok(news.revision)
+        if !news.changes.is_empty() {
+            let span = if context.leading.get() {
+                GATHER
+            } else {
+                GATHER_ALONE
+            };
+            context.clock.sleep(span).await;
+        }
+        Ok(Asked::Followed(news.revision))
     }
 }
 
--- a/engine/src/owner/manager/lease.rs
+++ b/engine/src/owner/manager/lease.rs
@@ -10,6 +10,9 @@
 
 /// How many renewals fit into the lease.
 const RENEWALS: u32 = 4;
+/// The longest time between two renewals: by them the manager knows that it follows the store, and the other
+/// VMs rest on its word.
+const RENEW_MOST: Duration = Duration::from_millis(400);
 /// How long a manager that stops waits for its last writes.
 const RESIGN_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -41,6 +44,10 @@
         .detach();
     }
 
+    fn renew_pause(&self) -> Duration {
+        (self.timing.lease / RENEWALS).min(RENEW_MOST)
+    }
+
     pub(super) fn drop_lease(&mut self) {
         self.lease = None;
         self.context.leading.set(false);
@@ -53,7 +60,7 @@
                 self.log(&format!("event=manager-elected lease={}", lease.id));
                 self.lease = Some((lease.id, sent + lease.span));
                 self.context.leading.set(true);
-                self.renew_due = self.now() + self.timing.lease / RENEWALS;
+                self.renew_due = self.now() + self.renew_pause();
                 // What was kept under an earlier lease goes on if nobody has changed it since.
                 for kept in self.kept.values_mut() {
                     kept.verified = false;
@@ -76,7 +83,7 @@
         if now < self.renew_due {
             return;
         }
-        self.renew_due = now + self.timing.lease / RENEWALS;
+        self.renew_due = now + self.renew_pause();
         let (context, sender) = (self.context.clone(), self.sender.clone());
         compio::runtime::spawn(async move {
             let sent = context.clock.now();
@@ -89,6 +96,7 @@
     pub(super) fn renewed(&mut self, result: Result<Duration, Error>, sent: Duration) {
         match result {
             Ok(span) => {
+                self.context.pulse.note_answer(sent);
                 let Some((_, until)) = &mut self.lease else {
                     return;
                 };
--- a/engine/src/owner/manager/mod.rs
+++ b/engine/src/owner/manager/mod.rs
@@ -23,6 +23,7 @@
 use crate::{
     catalogue::{Catalogue, ServiceId, TargetHash},
     fleet::{Beliefs, Keys, Vm},
+    pulse::Pulse,
     report::Report,
     settings::Spans,
     store::{Commit, Error, Item, Lease, LeaseId, Revision, Store},
@@ -77,6 +78,8 @@
     pub catalogue: Rc<dyn Catalogue>,
     /// Whether this VM holds the lease; told here.
     pub leading: Rc<Cell<bool>>,
+    /// When the store last answered; told here.
+    pub pulse: Pulse,
     /// Keys in the store.
     pub keys: Rc<Keys>,
     /// The clock.
--- a/engine/src/peer/sync.rs
+++ b/engine/src/peer/sync.rs
@@ -30,6 +30,13 @@
 const FRESH: Duration = Duration::from_millis(450);
 /// After how many pauses without a good answer it doesn't: one exchange may fail.
 const FRESH_PAUSES: u32 = 3;
+/// The longest pause between two exchanges at which a manager that is heard goes on to be: what is to be in
+/// force in two seconds can't wait for three such pauses.
+const PROMPT_MOST: Duration = Duration::from_millis(400);
+/// The longest pause at which a manager comes to be heard.
+const PROMPT: Duration = Duration::from_millis(250);
+/// How long ago the latest call may have been sent that the store answered the manager.
+const ANSWERED_MOST: Duration = Duration::from_millis(900);
 
 /// What both sides share.
 #[derive(Clone)]
@@ -97,7 +104,9 @@
     fn take(&self, message: Sync) -> Synced {
         self.report.merge(message.stamp);
         let now = self.clock.now();
-        let well = self.leading.get() && self.pulse.is_well();
+        let well = self.leading.get()
+            && self.pulse.is_well()
+            && self.pulse.answered_since(now.saturating_sub(ANSWERED_MOST));
         let mut board = self.board.borrow_mut();
         board.set(
             now,
@@ -173,6 +182,34 @@
         self.report.lines(&notes);
     }
 
+    /// Takes note of the manager's answer; returns whether this VM can rest on its word.
+    fn note_word(&self, synced: &Synced, vm: &Vm, pause: Duration) -> bool {
+        let heard = self.heard.is_well();
+        let prompt = if heard { PROMPT_MOST } else { PROMPT };
+        if !synced.well {
+            self.unheard("it doesn't follow the store");
+            return false;
+        }
+        if pause > prompt {
+            self.unheard("it lags");
+            return false;
+        }
+        if !heard {
+            self.report
+                .line(&format!("event=manager-heard vm={}", vm.name));
+        }
+        self.heard.beat(true);
+        true
+    }
+
+    fn unheard(&self, cause: &str) {
+        if self.heard.is_well() {
+            self.report
+                .line(&format!("event=manager-unheard cause=\"{cause}\""));
+            self.heard.beat(false);
+        }
+    }
+
     /// Builds this VM's message.
     async fn message(&self, place: Place, pause: Duration) -> Sync {
         let state = self.desk.take_state().await;
@@ -225,11 +262,20 @@
                 context.heard.beat(false);
                 Some(context.take(message))
             }
-            Some(vm) => exchange(&context, &vm, &message, &mut place, &mut heard_at).await,
+            Some(vm) => {
+                let sent = context.clock.now();
+                let answer = exchange(&context, &vm, &message, &mut place).await;
+                if let Some(synced) = &answer
+                    && context.note_word(synced, &vm, pause)
+                {
+                    heard_at = sent;
+                }
+                answer
+            }
             None => None,
         };
         if answer.is_none() && !context.heard.is_well() && !context.pulse.is_well() {
-            ask_others(&context, &mut others, &mut heard_at).await;
+            ask_others(&context, &mut others).await;
         }
         if let Some(synced) = answer {
             // The manager's own words cost it no exchange.
@@ -245,9 +291,8 @@
             }));
         }
         let stale = context.clock.now() > heard_at + FRESH.max(pause * FRESH_PAUSES);
-        if stale && context.heard.is_well() {
-            context.report.line("event=manager-unheard");
-            context.heard.beat(false);
+        if stale {
+            context.unheard("no answer");
         }
         let vms = context.beliefs.get().vms.len();
         pause = pause::until_next(busy, vms, lag);
@@ -265,7 +310,7 @@
 }
 
 /// Asks one other VM for what it knows: neither the store nor the manager answers this one.
-async fn ask_others(context: &Context, others: &mut Others, heard_at: &mut Duration) {
+async fn ask_others(context: &Context, others: &mut Others) {
     let fleet = context.beliefs.get();
     let known = fleet.vms.values().map(|vm| vm.address);
     let mut addresses: Vec<SocketAddr> = known.chain(context.seeds.iter().copied()).collect();
@@ -289,16 +334,10 @@
         ..Sync::default()
     };
     // What it tells of requests is the manager's business.
-    exchange(context, &vm, &message, place, heard_at).await;
+    exchange(context, &vm, &message, place).await;
 }
 
-async fn exchange(
-    context: &Context,
-    vm: &Vm,
-    message: &Sync,
-    place: &mut Place,
-    heard_at: &mut Duration,
-) -> Option<Synced> {
+async fn exchange(context: &Context, vm: &Vm, message: &Sync, place: &mut Place) -> Option<Synced> {
     let sent = context.clock.now();
     let synced = match super::sync(&context.client, vm.address, message).await {
         Ok(synced) => synced,
@@ -318,14 +357,5 @@
         context.take_relay(vm, &synced.relay, synced.well);
         *place = synced.relay.place().clone();
     }
-    if synced.well {
-        *heard_at = sent;
-        if !context.heard.is_well() {
-            context
-                .report
-                .line(&format!("event=manager-heard vm={}", vm.name));
-        }
-        context.heard.beat(true);
-    }
     Some(synced)
 }
--- a/engine/src/process/mod.rs
+++ b/engine/src/process/mod.rs
@@ -31,7 +31,7 @@
     },
     catalogue::Catalogue,
     fleet::{Beliefs, Keys, Vm},
-    follow::{self, Source},
+    follow,
     owner::{manager, tally::Tally},
     peer::sync,
     place::{desk::Desk, task},
@@ -39,7 +39,7 @@
     register,
     report::Report,
     settings::Settings,
-    store::Store,
+    store::{Counted, Store},
     target::Targets,
 };
 
@@ -140,6 +140,11 @@
             prefix: settings.prefix.clone(),
         });
         let peers = Client::new(clock.clone(), PEER_CONNECTIONS);
+        let store = Counted::new(seams.store.clone(), report.clone());
+        let seams = Seams {
+            store: Rc::new(store),
+            ..seams
+        };
         Self {
             settings,
             clock,
@@ -172,6 +177,7 @@
             store: self.seams.store.clone(),
             keys: self.keys.clone(),
             pulse: self.pulse.clone(),
+            heard: self.heard.clone(),
             clock: self.clock.clone(),
             report: self.report.clone(),
         });
@@ -203,25 +209,17 @@
     }
 
     fn follow(&self) {
-        let catalogue = &self.seams.catalogue;
-        let prefixes = [
-            (catalogue.config_key().to_owned(), Source::Store),
-            (catalogue.targets_prefix().to_owned(), Source::Relayed),
-            (self.keys.prefix.clone(), Source::Relayed),
-        ];
-        let context = follow::Context {
+        spawn(follow::run(follow::Context {
             store: self.seams.store.clone(),
-            catalogue: catalogue.clone(),
+            catalogue: self.seams.catalogue.clone(),
             keys: self.keys.clone(),
             beliefs: self.beliefs.clone(),
             pulse: self.pulse.clone(),
             heard: self.heard.clone(),
+            leading: self.leading.clone(),
             clock: self.clock.clone(),
             report: self.report.clone(),
-        };
-        for (prefix, source) in prefixes {
-            spawn(follow::run(context.clone(), prefix, source));
-        }
+        }));
         spawn(follow::expire(
             self.beliefs.clone(),
             self.clock.clone(),
@@ -256,6 +254,7 @@
             beliefs: self.beliefs.clone(),
             catalogue: self.seams.catalogue.clone(),
             leading: self.leading.clone(),
+            pulse: self.pulse.clone(),
             keys: self.keys.clone(),
             clock: self.clock.clone(),
             report: self.report.clone(),
--- a/engine/src/pulse.rs
+++ b/engine/src/pulse.rs
@@ -6,6 +6,7 @@
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
+    time::Duration,
 };
 
 use futures_channel::oneshot;
@@ -32,6 +33,8 @@
 pub struct Pulse {
     well: Rc<Cell<bool>>,
     failures: Rc<Cell<u64>>,
+    /// When the latest call was sent that was answered.
+    answered: Rc<Cell<Option<Duration>>>,
     change: Rc<RefCell<(oneshot::Sender<()>, Signal)>>,
 }
 
@@ -40,6 +43,7 @@
         Self {
             well: Rc::new(Cell::new(true)),
             failures: Rc::default(),
+            answered: Rc::default(),
             change: Rc::new(RefCell::new(signal())),
         }
     }
@@ -84,6 +88,34 @@
         self.failures.get()
     }
 
+    /// Takes note of a call that was sent at this time and answered, whoever made it.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier_engine::pulse::Pulse;
+    ///
+    /// let second = Duration::from_secs(1);
+    /// let pulse = Pulse::default();
+    /// pulse.note_answer(second);
+    /// assert!(pulse.answered_since(second));
+    /// assert!(!pulse.answered_since(2 * second));
+    /// ```
+    pub fn note_answer(&self, sent: Duration) {
+        self.answered.set(self.answered.get().max(Some(sent)));
+    }
+
+    /// Returns whether a call was answered that was sent at this time or later.
+    ///
+    /// # Example
+    ///
+    /// See [`Pulse::note_answer`].
+    pub fn answered_since(&self, since: Duration) -> bool {
+        self.answered.get().is_some_and(|sent| sent >= since)
+    }
+
     /// Waits until the store answers, at once if it does.
     pub async fn well(&self) {
         while !self.is_well() {
--- a/engine/src/register.rs
+++ b/engine/src/register.rs
@@ -3,6 +3,7 @@
 use std::{cell::Cell, rc::Rc, time::Duration};
 
 use bramleypier_util::clock::Clock;
+use futures_util::future;
 
 use crate::{
     fleet::{Keys, Vm},
@@ -13,11 +14,13 @@
 
 /// How long the entry's lease lasts: nothing safe rests on it, and each renewal is paid for.
 const LEASE: Duration = Duration::from_secs(10);
-/// The time from one renewal to the next.
+/// The time from one renewal to the next while this VM follows the store itself.
 ///
-/// A renewal costs a tenth of a call, and shows within a second or two that the store is out of
-/// reach; a configuration must be in force two seconds after the store has accepted it.
+/// A renewal shows within a second or two that the store is out of reach; a configuration must be in
+/// force two seconds after the store has accepted it.
 const RENEW: Duration = Duration::from_secs(1);
+/// The time from one renewal to the next while the manager tells what is new: two that are lost are borne.
+const RENEW_TOLD: Duration = Duration::from_secs(3);
 /// The pause after a call that failed.
 const PAUSE: Duration = Duration::from_millis(600);
 
@@ -32,6 +35,8 @@
     pub keys: Rc<Keys>,
     /// Whether the store answers; told here.
     pub pulse: Pulse,
+    /// Whether the manager is heard.
+    pub heard: Pulse,
     /// The clock.
     pub clock: Clock,
     /// Logs and counters.
@@ -90,6 +95,7 @@
 impl Handle {
     async fn keep(self) {
         while !self.ended.get() {
+            let sent = self.context.clock.now();
             let result = match self.lease.get() {
                 None => self.announce().await,
                 Some(lease) => self.context.store.renew(lease).await.map(|_| ()),
@@ -97,6 +103,9 @@
             let answered = matches!(result, Ok(()) | Err(Error::NoLease(_)));
             let was_well = self.context.pulse.is_well();
             self.context.pulse.beat(answered);
+            if answered {
+                self.context.pulse.note_answer(sent);
+            }
             if answered && !was_well {
                 self.context.report.line("event=pulse-back");
             }
@@ -114,8 +123,19 @@
                     PAUSE
                 }
             };
-            self.context.clock.sleep(span).await;
+            self.rest(span).await;
+        }
+    }
+
+    /// Waits until the next call: longer while the manager tells what is new, no longer than that.
+    async fn rest(&self, span: Duration) {
+        let context = &self.context;
+        if span.is_zero() || !context.heard.is_well() {
+            context.clock.sleep(span).await;
+            return;
         }
+        let unheard = Box::pin(context.heard.ill());
+        future::select(Box::pin(context.clock.sleep(RENEW_TOLD)), unheard).await;
     }
 
     async fn announce(&self) -> Result<(), Error> {
--- /dev/null
+++ b/engine/src/store/counted.rs
@@ -0,0 +1,72 @@
+//! A store that counts its calls by kind.
+
+use std::{rc::Rc, time::Duration};
+
+use super::{
+    Commit, Item, Lease, LeaseId, Listing, News, Read, Reply, Revision, Store, Transaction,
+};
+use crate::report::Report;
+
+/// The counter of calls; its tag is the kind of call.
+const CALLS: &str = "store.calls";
+
+/// Passes calls on to a store and counts them: the platform's are paid for.
+#[derive(Clone)]
+pub struct Counted {
+    store: Rc<dyn Store>,
+    report: Report,
+}
+
+impl std::fmt::Debug for Counted {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Counted")
+    }
+}
+
+impl Counted {
+    /// Counts the calls to a store on a report.
+    pub fn new(store: Rc<dyn Store>, report: Report) -> Self {
+        Self { store, report }
+    }
+
+    fn count(&self, kind: &str) {
+        self.report.count(CALLS, &[("kind", kind)]);
+    }
+}
+
+impl Store for Counted {
+    fn get<'a>(&'a self, key: &'a str) -> Reply<'a, Option<Item>> {
+        self.count("get");
+        self.store.get(key)
+    }
+
+    fn list<'a>(&'a self, prefix: &'a str, read: Read) -> Reply<'a, Listing> {
+        self.count("list");
+        self.store.list(prefix, read)
+    }
+
+    fn watch<'a>(&'a self, prefix: &'a str, after: Revision, wait: Duration) -> Reply<'a, News> {
+        self.count("watch");
+        self.store.watch(prefix, after, wait)
+    }
+
+    fn commit(&self, transaction: Transaction) -> Reply<'_, Commit> {
+        self.count("commit");
+        self.store.commit(transaction)
+    }
+
+    fn lease(&self, span: Duration) -> Reply<'_, Lease> {
+        self.count("lease");
+        self.store.lease(span)
+    }
+
+    fn renew(&self, id: LeaseId) -> Reply<'_, Duration> {
+        self.count("renew");
+        self.store.renew(id)
+    }
+
+    fn end(&self, id: LeaseId) -> Reply<'_, ()> {
+        self.count("end");
+        self.store.end(id)
+    }
+}
--- a/engine/src/store.rs
+++ b/engine/src/store/mod.rs
@@ -2,6 +2,8 @@
 //!
 //! An adapter implements [`Store`]; its calls are linearizable unless [`Read::Stale`] is asked for.
 
+mod counted;
+
 use std::time::Duration;
 
 use futures_util::future::LocalBoxFuture;
@@ -9,6 +11,8 @@
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 
+pub use self::counted::Counted;
+
 /// A count of the store's changes; it only grows.
 pub type Revision = u64;
 /// The id of a lease.
