--- a/program/tests/calls.rs
+++ b/program/tests/calls.rs
@@ -136,3 +136,24 @@
         }
     });
 }
+
+/// A store that has dropped its history answered old listings six seconds behind: VMs went on with an old
+/// configuration, lost its watch again, and listed the old state anew.
+#[test]
+fn what_is_listed_after_history_was_lost_is_never_old() {
+    play(async |stage| {
+        until_logged(&stage.program, "event=manager-elected").await;
+        pause(1000).await;
+        let old = |it: &str| it.starts_with("/-/kv-range") && it.contains("allow-stale");
+        let before = stage.store.asked(old);
+        let (listed, history) = (listings(&stage.store), "event=history-lost");
+        // A change between two watches is dropped with the history.
+        stage.store.put("op/config", &config(2, "/other/"));
+        stage.store.put("op/config", &config(3, "/other/"));
+        stage.store.compact();
+        until_logged(&stage.program, history).await;
+        until_logged(&stage.program, "event=config-in-force version=3").await;
+        assert_eq!(stage.store.asked(old), before);
+        assert!(listings(&stage.store) > listed);
+    });
+}
