What is listed after history was lost is fresh

The store had dropped its history, and its old reads were six seconds behind: the listing was old, the watch after it was told that history is gone, and so on. Holds because a listing after lost history is linearizable; only the first of a process may be old, and the watch after it tells what has changed since.

--- a/engine/src/follow.rs
+++ b/engine/src/follow.rs
@@ -89,15 +89,15 @@
     let follower = Follower { context };
     let mut pause = PAUSE;
     let mut sight = Sight::Resumed;
-    let mut listing = true;
+    // What has changed since an old listing, the watch after it tells, as long as there is history.
+    let mut listing = Some(Read::Stale);
     loop {
         if follower.told().await {
             sight = Sight::Resumed;
         }
-        let result = if listing {
-            follower.list().await
-        } else {
-            follower.watch(sight).await
+        let result = match listing {
+            Some(read) => follower.list(read).await,
+            None => follower.watch(sight).await,
         };
         match result {
             Ok(Asked::Told) => {}
@@ -106,14 +106,14 @@
                 if sight == Sight::Lost {
                     follower.note("store-back", "");
                 }
-                if listing {
+                if listing.take().is_some() {
                     follower.wait_to_be_told().await;
                 }
-                (sight, pause, listing) = (Sight::Clear, PAUSE, false);
+                (sight, pause) = (Sight::Clear, PAUSE);
             }
             Err(Error::Compacted(_)) => {
                 follower.note("history-lost", "");
-                listing = true;
+                listing = Some(Read::Fresh);
             }
             Err(error) => {
                 follower.trouble(sight, &error);
@@ -178,9 +178,9 @@
         let _ = context.clock.timeout(TELL_WAIT, context.heard.well()).await;
     }
 
-    async fn list(&self) -> Result<Asked, Error> {
+    async fn list(&self, read: Read) -> Result<Asked, Error> {
         let context = &self.context;
-        let listing = context.store.list(PREFIX, Read::Stale).await?;
+        let listing = context.store.list(PREFIX, read).await?;
         let now = context.clock.now();
         let notes = context.beliefs.change(|fleet| {
             fleet.on_listing(now, PREFIX, &listing, &context.keys, &*context.catalogue)
