Rights to a busy owner go to requests that can still use them; words tell their pause; lines count what can be answered

Rights went to the oldest requests, which were late by the time the right came. The line that told new requests to come back counted all that waited, though most of them could never be answered; when these ran out of time together, the owner stood idle with nobody in line.

Change: a word tells the pause until the next, and room, the age at which words count and the end of a line follow from it; a VM tells for how many turns each request that waits can still wait; who has more before it is told so and counts in no line; a request that can't be answered before its caller leaves, behind all that wait, is refused at once; until a line has ended nobody sends without a right. Nothing measured: a service time is assumed from the goal, and the median of service times is taken 20 times a second, not for each request.

--- a/engine/src/peer/board.rs
+++ b/engine/src/peer/board.rs
@@ -32,9 +32,11 @@
         }
         let queues = self.queues.iter_mut();
         for queue in queues.filter(|queue| queue.target == share.target) {
+            queue.first.retain(|it| !share.beyond.contains(&it.ticket));
             let gone = queue.first.len().min(share.fresh as usize);
             queue.first.drain(..gone);
-            queue.fresh = queue.fresh.saturating_sub(share.fresh);
+            let beyond = u32::try_from(share.beyond.len()).unwrap_or(u32::MAX);
+            queue.fresh = queue.fresh.saturating_sub(share.fresh + beyond);
             queue.late = queue.late.saturating_sub(share.late);
         }
     }
@@ -107,14 +109,17 @@
     /// ```
     /// use std::time::Duration;
     ///
-    /// use bramleypier_engine::{peer::Board, place::share::Queue};
+    /// use bramleypier_engine::{
+    ///     peer::Board,
+    ///     place::share::{Queue, Waited},
+    /// };
     ///
     /// let waiting = |age| Queue {
     ///     target: 7,
     ///     slots: 2,
     ///     limit: 3,
     ///     fresh: 1,
-    ///     first: vec![(1, age)],
+    ///     first: vec![Waited { ticket: 1, priority: 1, age, reach: 5 }],
     ///     late: 0,
     /// };
     /// let mut board = Board::default();
@@ -133,7 +138,7 @@
         targets.dedup();
         let shares = targets.iter().map(|target| self.one(now, start, *target));
         let shares: Vec<Share> = shares
-            .filter(|share| share.busy || share.late > 0)
+            .filter(|share| share.busy || share.late > 0 || share.behind > 0)
             .collect();
         if let Some(word) = self.words.get_mut(start) {
             for share in &shares {
--- a/engine/src/peer/sync.rs
+++ b/engine/src/peer/sync.rs
@@ -277,25 +277,27 @@
         if answer.is_none() && !context.heard.is_well() && !context.pulse.is_well() {
             ask_others(&context, &mut others).await;
         }
-        if let Some(synced) = answer {
+        if let Some(synced) = &answer {
             // The manager's own words cost it no exchange.
             lag = if context.leading.get() {
                 Duration::ZERO
             } else {
                 synced.lag
             };
+        }
+        let vms = context.beliefs.get().vms.len();
+        pause = pause::until_next(busy, vms, lag);
+        if let Some(synced) = answer {
             let shares = synced.shares.into_iter();
             context.desk.tell(desk::Event::Word(desk::Word {
                 others: synced.others.into_iter().collect(),
                 shares: shares.map(|share| (share.target, share)).collect(),
+                pause,
             }));
         }
-        let stale = context.clock.now() > heard_at + FRESH.max(pause * FRESH_PAUSES);
-        if stale {
+        if context.clock.now() > heard_at + FRESH.max(pause * FRESH_PAUSES) {
             context.unheard("no answer");
         }
-        let vms = context.beliefs.get().vms.len();
-        pause = pause::until_next(busy, vms, lag);
         let slept = context.clock.now();
         context.clock.sleep(pause).await;
         context.note_lag(pause, context.clock.now().saturating_sub(slept));
--- a/engine/src/place/desk/choose.rs
+++ b/engine/src/place/desk/choose.rs
@@ -11,11 +11,15 @@
 
 use super::{
     Ask, Basis, COME_BACK_UNOWNED, Desk, Why,
-    fit::{Choice, Place},
+    fit::{Choice, Place, Standing},
 };
 use crate::{
     owner::record::{Point, Record},
-    place::{member::Member, share::Share, unowned::Standing},
+    place::{
+        member::{Member, UNKNOWN_TIME},
+        share::Share,
+        unowned,
+    },
 };
 
 /// How long a request waits for its key to have an owner, as a part of the route's goal.
@@ -31,15 +35,20 @@
 /// some 3 ms of 60.
 const AWAY: f64 = 1.04;
 
+/// How many service times a goal is usually worth: what is assumed while nothing was measured.
+const GOAL_TIMES: f64 = 5.0;
+/// How long a median of service times counts: it changes slowly, and hundreds of targets are in it.
+const USUAL_LIFE: Duration = Duration::from_millis(50);
+
 impl Desk {
-    pub(super) fn choose(&mut self, now: Duration, ask: &Ask, first: bool) -> Choice {
+    pub(super) fn choose(&mut self, now: Duration, ask: &Ask, standing: Standing) -> Choice {
         match (ask.point, self.view.records.get(&ask.service)) {
             (Some(point), Some(record)) => {
                 let record = record.clone();
-                self.choose_owner(now, ask, first, point, &record)
+                self.choose_owner(now, ask, standing, point, &record)
             }
             (Some(_), None) => self.unowned(now, ask),
-            (None, _) => self.choose_any(now, ask, first),
+            (None, _) => self.choose_any(now, ask, standing),
         }
     }
 
@@ -47,7 +56,7 @@
         &self,
         now: Duration,
         ask: &Ask,
-        first: bool,
+        standing: Standing,
         point: Point,
         record: &Record,
     ) -> Choice {
@@ -56,9 +65,11 @@
         };
         match self.unowned.standing(now, &ask.service, part, point) {
             // A move ends within a few hundred milliseconds, a loss doesn't.
-            Standing::Moving if now < ask.goal.min(ask.until) => return Choice::Wait(None),
-            Standing::Moving | Standing::Lost => return self.unowned(now, ask),
-            Standing::Open => {}
+            unowned::Standing::Moving if now < ask.goal.min(ask.until) => {
+                return Choice::Wait(None);
+            }
+            unowned::Standing::Moving | unowned::Standing::Lost => return self.unowned(now, ask),
+            unowned::Standing::Open => {}
         }
         if ask.refused_by(part) {
             // Its owner takes others by now, or another request finds out. To ask once more would be a
@@ -77,9 +88,10 @@
         }
         let place = Place {
             member,
-            usual: self.usual(&ask.service),
+            usual: self.usual(ask),
             fence: part.fence,
-            before: first.then(|| self.line(&member.target.id)),
+            standing,
+            before: self.line(&member.target.id),
         };
         place.fit(now, ask)
     }
@@ -108,8 +120,8 @@
         }
     }
 
-    fn choose_any(&mut self, now: Duration, ask: &Ask, first: bool) -> Choice {
-        let usual = self.usual(&ask.service);
+    fn choose_any(&mut self, now: Duration, ask: &Ask, standing: Standing) -> Choice {
+        let usual = self.usual(ask);
         let Some(targets) = self.view.targets.get(&ask.service) else {
             return self.untargeted(now, ask);
         };
@@ -134,7 +146,8 @@
                     member,
                     usual,
                     fence: 0,
-                    before: first.then(|| self.line(&member.target.id)),
+                    standing,
+                    before: self.line(&member.target.id),
                 };
                 place.fit(now, ask)
             }
@@ -149,13 +162,33 @@
         }
     }
 
-    /// The median service time of a service's targets, in seconds.
-    pub(super) fn usual(&self, service: &str) -> Option<f64> {
-        let targets = self.view.targets.get(service)?;
-        let members = targets.iter().filter_map(|it| self.members.get(&it.id));
-        let mut times: Vec<f64> = members.filter_map(Member::measured).collect();
-        times.sort_by(f64::total_cmp);
-        times.get(times.len() / 2).copied()
+    /// The service time that is usual for a request, in seconds: as measured, or else by its goal.
+    pub(super) fn usual(&self, ask: &Ask) -> Option<f64> {
+        let measured = self.usual.get(&ask.service).copied();
+        measured.or_else(|| {
+            let goal = ask.goal.saturating_sub(ask.came);
+            let assumed = goal.div_f64(GOAL_TIMES).max(UNKNOWN_TIME);
+            Some(assumed.as_secs_f64())
+        })
+    }
+
+    /// Takes the median service time of each service's targets anew, unless that was done just now.
+    pub(super) fn refresh_usual(&mut self, now: Duration) {
+        if now < self.usual_due {
+            return;
+        }
+        self.usual_due = now + USUAL_LIFE;
+        let view = self.view.clone();
+        for (service, targets) in &view.targets {
+            let members = targets.iter().filter_map(|it| self.members.get(&it.id));
+            let mut times: Vec<f64> = members.filter_map(Member::measured).collect();
+            let middle = times.len() / 2;
+            if times.is_empty() {
+                continue;
+            }
+            let (_, median, _) = times.select_nth_unstable_by(middle, f64::total_cmp);
+            self.usual.insert(service.clone(), *median);
+        }
     }
 }
 
--- a/engine/src/place/desk/fit.rs
+++ b/engine/src/place/desk/fit.rs
@@ -2,7 +2,8 @@
 //!
 //! Load patterns that it answers, each by one rule:
 //!
-//! - *A target falls behind*: what no answer is expected for in time is refused at once.
+//! - *A target falls behind*, or the line for it outlasts a caller's time: what no answer is expected for in
+//!   time is refused at once.
 //! - *Requests wait for a target at several VMs*: none is sent without a share of its room (see
 //!   [`crate::place::share`]).
 //! - *The line at a target is longer than a goal*: whoever comes then can't be answered within it, and
@@ -53,8 +54,21 @@
     pub(super) usual: Option<f64>,
     /// The fence of the target's ownership of the key; 0 where keys have no owners.
     pub(super) fence: Fence,
-    /// This VM's requests that wait for it and were there before, if the request has just come.
-    pub(super) before: Option<u32>,
+    /// How the request stands there.
+    pub(super) standing: Standing,
+    /// This VM's requests that wait for it and can still be answered within their goals.
+    pub(super) before: u32,
+}
+
+/// How a request stands at a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Standing {
+    /// It has just come.
+    New,
+    /// It has waited.
+    Waiting,
+    /// It has waited, and too many go before it for an answer within its goal.
+    Beyond,
 }
 
 impl Place<'_> {
@@ -104,16 +118,21 @@
     fn fresh(&self, now: Duration, ask: &Ask, basis: Basis) -> Choice {
         let Some(share) = self.member.share().filter(|share| share.busy) else {
             let limit = f64::from(self.member.limit(now, self.usual));
-            return if basis.depth + 1.0 <= limit {
+            // After a line the others that come may be as many again, and each VM sees the same room.
+            let open = self.member.busy_since().is_none();
+            return if open && basis.depth + 1.0 <= limit {
                 Choice::Send(basis, None)
             } else {
                 self.wait(true)
             };
         };
-        let line = share.line + self.before.unwrap_or(0);
-        if self.before.is_some()
-            && basis.expected + basis.turn * line > ask.goal.saturating_sub(now)
-        {
+        let drained = self.drained(&basis);
+        let no_turn = match self.standing {
+            Standing::New => drained > ask.goal.saturating_sub(now),
+            Standing::Waiting => false,
+            Standing::Beyond => true,
+        };
+        if no_turn {
             return self.late(now, ask, basis);
         }
         if share.fresh > 0 {
@@ -129,20 +148,31 @@
         if share.is_some_and(|share| share.late > 0) {
             return Choice::Send(basis, Some(Right::Late));
         }
+        let drained = self.drained(&basis);
+        let left = ask.until.saturating_sub(now);
+        let behind = basis.turn * share.map_or(0, |share| share.behind);
+        if self.standing == Standing::New && drained + behind > left {
+            let over = (drained + behind).saturating_sub(left);
+            return Choice::Refuse(Why::Late, over.max(COME_BACK_LEAST), basis);
+        }
         let goal = ask.goal.saturating_sub(ask.came);
         let busy_since = self.member.busy_since();
         if busy_since.is_some_and(|since| now >= since + goal) {
-            let line = share.map_or(0, |share| share.line) + self.before.unwrap_or(0);
-            let drained = basis.expected + basis.turn * line;
             return Choice::Refuse(Why::Goal, drained.max(COME_BACK_LEAST), basis);
         }
-        let alone = share.is_none() && self.before == Some(0);
+        let alone = share.is_none() && self.standing == Standing::New && self.before == 0;
         if alone && basis.depth + 1.0 <= f64::from(self.idle_limit()) {
             return Choice::Send(basis, None);
         }
         self.wait(false)
     }
 
+    /// How long an answer would take if all that wait now came first.
+    fn drained(&self, basis: &Basis) -> Duration {
+        let line = self.member.share().map_or(0, |share| share.line);
+        basis.expected + basis.turn * (line + self.before)
+    }
+
     /// Up to how many requests the target has while late ones may be sent.
     fn idle_limit(&self) -> u32 {
         self.member.slots() + LATE_QUEUE
--- a/engine/src/place/desk/mod.rs
+++ b/engine/src/place/desk/mod.rs
@@ -19,12 +19,12 @@
 use rand::{SeedableRng, rngs::SmallRng};
 
 pub use self::choose::COME_BACK_LEAST;
-use self::fit::{Choice, Line, Right};
+use self::fit::{Choice, Line, Right, Standing};
 pub use super::message::{Ask, Basis, Effect, End, Ended, Event, State, Ticket, View, Why, Word};
 use super::{
     budget::{Allowance, Budget},
     member::Member,
-    share::Queue,
+    share::{Queue, Waited},
     unowned::Unowned,
 };
 use crate::catalogue::{self, DomainId, ServiceId, TargetId};
@@ -40,6 +40,8 @@
     counted: bool,
     /// Where it waits, if for room at a target.
     line: Option<Line>,
+    /// Whether too many go before it there for an answer within its goal.
+    beyond: bool,
 }
 
 /// One VM's decisions on where requests go.
@@ -51,6 +53,10 @@
     members: IndexMap<TargetId, Member>,
     budgets: IndexMap<ServiceId, Budget>,
     waiting: Vec<Waiting>,
+    /// The median service time of each service's targets, in seconds, as far as any was measured.
+    usual: IndexMap<ServiceId, f64>,
+    /// When those are taken anew.
+    usual_due: Duration,
     /// Keys whose owners have refused them.
     unowned: Unowned,
     random: SmallRng,
@@ -81,6 +87,8 @@
             members: IndexMap::new(),
             budgets: IndexMap::new(),
             waiting: Vec::new(),
+            usual: IndexMap::new(),
+            usual_due: Duration::ZERO,
             unowned: Unowned::default(),
             random: SmallRng::seed_from_u64(seed),
         }
@@ -93,6 +101,7 @@
     /// See [`Desk::new`].
     pub fn on(&mut self, now: Duration, event: Event) -> Vec<Effect> {
         let mut effects = Vec::new();
+        self.refresh_usual(now);
         match event {
             Event::Ask(ask) => self.ask(now, ask, &mut effects),
             Event::Done { target, end } => {
@@ -111,8 +120,10 @@
                 for member in self.members.values_mut() {
                     let hash = catalogue::hash(&member.target.id);
                     let others = word.others.get(&hash).copied().unwrap_or(0);
-                    member.tell(now, others, word.shares.get(&hash).copied());
+                    let share = word.shares.get(&hash).cloned();
+                    member.tell(now, others, share, word.pause);
                 }
+                self.note_beyond(&word);
                 self.serve(now, &mut effects);
             }
             Event::Tick => self.serve(now, &mut effects),
@@ -153,6 +164,18 @@
         state
     }
 
+    /// Marks the requests that the manager says too many go before.
+    fn note_beyond(&mut self, word: &Word) {
+        let beyond: Vec<Ticket> = word
+            .shares
+            .values()
+            .flat_map(|share| share.beyond.iter().copied())
+            .collect();
+        for it in &mut self.waiting {
+            it.beyond |= beyond.contains(&it.ask.ticket);
+        }
+    }
+
     /// How many requests that can still be answered within their goals wait for a target.
     fn line(&self, target: &str) -> u32 {
         let lines = self.waiting.iter().filter_map(|it| it.line.as_ref());
@@ -173,21 +196,30 @@
             else {
                 continue;
             };
+            let usual = self.usual(&it.ask);
             let queue = queues.entry(&line.target).or_insert_with(|| Queue {
                 target: catalogue::hash(&line.target),
                 slots: member.slots(),
-                limit: member.limit(now, self.usual(&it.ask.service)),
+                limit: member.limit(now, usual),
                 ..Queue::default()
             });
             if !line.fresh {
                 queue.late += 1;
                 continue;
             }
+            let Some(reach) = reach(now, &it.ask, member, usual) else {
+                // It is late by the next word, so a right that comes with it would be lost.
+                continue;
+            };
             queue.fresh += 1;
             if queue.first.len() < queue.limit as usize {
                 let age = now.saturating_sub(it.ask.came).as_millis();
-                let age = u32::try_from(age).unwrap_or(u32::MAX);
-                queue.first.push((it.ask.priority, age));
+                queue.first.push(Waited {
+                    ticket: it.ask.ticket,
+                    priority: it.ask.priority,
+                    age: u32::try_from(age).unwrap_or(u32::MAX),
+                    reach,
+                });
             }
         }
         queues.into_values().collect()
@@ -244,6 +276,7 @@
             ask,
             counted: false,
             line: None,
+            beyond: false,
         };
         if !self.decide(now, &mut waiting, true, out) {
             self.hold(waiting, out);
@@ -286,7 +319,14 @@
         out: &mut Vec<Effect>,
     ) -> bool {
         let ticket = it.ask.ticket;
-        match self.choose(now, &it.ask, first) {
+        let standing = if first {
+            Standing::New
+        } else if it.beyond {
+            Standing::Beyond
+        } else {
+            Standing::Waiting
+        };
+        match self.choose(now, &it.ask, standing) {
             Choice::Wait(line) => {
                 it.line = line;
                 false
@@ -340,3 +380,12 @@
         }
     }
 }
+
+/// Returns how many others can go before a request that waits, so that it is answered within its goal by a
+/// right that comes with the next word; none if it can't be.
+fn reach(now: Duration, ask: &Ask, member: &Member, usual: Option<f64>) -> Option<u32> {
+    let expected = Duration::from_secs_f64(member.expected(now, usual));
+    let left = ask.goal.checked_sub(now + member.pause() + expected)?;
+    let turns = left.as_millis() / member.turn(now, usual).as_millis().max(1);
+    Some(u32::try_from(turns).unwrap_or(u32::MAX))
+}
--- a/engine/src/place/member.rs
+++ b/engine/src/place/member.rs
@@ -22,21 +22,25 @@
 ///
 /// Requests last some 50 to 250 ms; a report older than that tells little of who runs now.
 const REPORT_LIFE: Duration = Duration::from_millis(200);
-/// How long the manager's word on other VMs' requests counts; it comes every 40 ms.
+/// How long the manager's word on other VMs' requests counts, at the least.
 const TOLD_LIFE: Duration = Duration::from_millis(250);
-/// How long it may take from a request's end until the next has its place: one and a half times
-/// the pause between two words of the manager.
-const EXCHANGE: Duration = Duration::from_millis(60);
+/// After how many pauses it doesn't: one word may be lost on its way.
+const TOLD_PAUSES: u32 = 3;
+/// The pause between two words that is assumed before the first.
+const PAUSE_USUAL: Duration = Duration::from_millis(40);
+/// How long it may take from a request's end until the next has its place, in pauses between two words of the
+/// manager.
+const EXCHANGE_PAUSES: f64 = 1.5;
 /// How many requests a target may have waiting, from all VMs, as far as this VM can tell.
 ///
 /// Targets queue some 8 and may break connections when full; VMs see each other's requests late, so
 /// the last places are left empty.
 pub const QUEUE_USED: f64 = 5.0;
-/// For how long no request may wait for a target until its line counts as ended: a few words of the
-/// manager, in which the line may be empty by chance.
+/// For how long no request may wait for a target until its line counts as ended, at the least: a few words
+/// of the manager, in which the line may be empty by chance.
 const BUSY_PAUSE: Duration = Duration::from_millis(250);
-/// The service time that is assumed of a service of which nothing was measured.
-const UNKNOWN_TIME: Duration = Duration::from_millis(80);
+/// The service time that is assumed, at the least, of a service of which nothing was measured.
+pub(super) const UNKNOWN_TIME: Duration = Duration::from_millis(80);
 /// By how much a target that has just started is taken to be slower: a factor of two that wears off.
 const COLD: f64 = 1.7;
 /// How long a target is left alone after it could not be reached.
@@ -105,6 +109,8 @@
     reported: Option<Duration>,
     /// Other VMs' requests, as the manager told, and when.
     told: Option<(u32, Duration)>,
+    /// The time from that word to the next.
+    pause: Duration,
     /// What may be sent here until the manager's next word, while requests wait for this target.
     share: Option<Share>,
     /// Since when requests have waited for it, with short pauses at the most.
@@ -135,6 +141,7 @@
             others_mean: 0.0,
             reported: None,
             told: None,
+            pause: PAUSE_USUAL,
             share: None,
             busy_since: None,
             busy_at: Duration::ZERO,
@@ -157,7 +164,7 @@
 
     /// Returns how many requests are probably there, from all VMs.
     pub fn depth(&self, now: Duration) -> f64 {
-        if let Some((others, _)) = self.told.filter(|(_, at)| now < *at + TOLD_LIFE) {
+        if let Some((others, _)) = self.told.filter(|(_, at)| now < *at + self.told_life()) {
             return f64::from(self.own + others);
         }
         let others = self.reported.map_or(self.others_mean, |at| {
@@ -173,20 +180,33 @@
     }
 
     /// Takes note of other VMs' requests there, and of this VM's share of the room.
-    pub fn tell(&mut self, now: Duration, others: u32, share: Option<Share>) {
+    ///
+    /// `pause` is the time until the next such word.
+    pub fn tell(&mut self, now: Duration, others: u32, share: Option<Share>, pause: Duration) {
         self.told = Some((others, now));
+        self.pause = pause;
+        let busy = share.as_ref().is_some_and(|share| share.busy);
         self.share = share;
-        if share.is_some_and(|share| share.busy) {
+        if busy {
             self.busy_since.get_or_insert(now);
             self.busy_at = now;
-        } else if now > self.busy_at + BUSY_PAUSE {
+        } else if now > self.busy_at + BUSY_PAUSE.max(pause * TOLD_PAUSES) {
             self.busy_since = None;
         }
     }
 
     /// Returns whether the manager has told lately, so that it shares out the room here.
     pub fn is_shared(&self, now: Duration) -> bool {
-        self.told.is_some_and(|(_, at)| now < at + TOLD_LIFE)
+        self.told.is_some_and(|(_, at)| now < at + self.told_life())
+    }
+
+    /// Returns the time between two words of the manager.
+    pub fn pause(&self) -> Duration {
+        self.pause
+    }
+
+    fn told_life(&self) -> Duration {
+        TOLD_LIFE.max(self.pause * TOLD_PAUSES)
     }
 
     /// Returns this VM's share of the room, if requests wait for this target.
@@ -220,7 +240,7 @@
     /// manager has told every VM of its free places.
     pub fn limit(&self, now: Duration, usual: Option<f64>) -> u32 {
         let turn = self.turn(now, usual).as_secs_f64().max(0.001);
-        let ahead = (EXCHANGE.as_secs_f64() / turn).ceil();
+        let ahead = (self.pause.as_secs_f64() * EXCHANGE_PAUSES / turn).ceil();
         let ahead = ahead.clamp(1.0, QUEUE_USED);
         // A few at most.
         self.slots() + ahead as u32
--- a/engine/src/place/message.rs
+++ b/engine/src/place/message.rs
@@ -81,6 +81,8 @@
     pub others: HashMap<TargetHash, u32>,
     /// What may be sent to busy targets.
     pub shares: HashMap<TargetHash, Share>,
+    /// The time until the manager's next word.
+    pub pause: Duration,
 }
 
 /// What a desk has under way, for other VMs.
--- a/engine/src/place/share.rs
+++ b/engine/src/place/share.rs
@@ -6,6 +6,8 @@
 //! late. So VMs tell the manager what waits, and it gives each the right to send a few: in all as many as
 //! there is room for, to the most urgent and then the oldest first.
 //!
+//! A request that has more before it than can be answered until its goal is told so, and counts in no line.
+//!
 //! Late requests get room only while no other waits. An answer in time is worth the slot more, and a
 //! late one would make the next late too.
 
@@ -13,6 +15,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::message::Ticket;
 use crate::catalogue::TargetHash;
 
 /// How many may be at a target beyond its slots until late requests get no room.
@@ -20,8 +23,19 @@
 /// With one waiting, a target is never idle; more would make requests late that still have time.
 pub const LATE_QUEUE: u32 = 1;
 
-/// How urgent a waiting request is, and for how many milliseconds it has waited.
-pub type Waited = (u32, u32);
+/// One request that waits for a target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Waited {
+    /// Its number at its VM.
+    pub ticket: Ticket,
+    /// How urgent it is; 0 is the most.
+    pub priority: u32,
+    /// For how many milliseconds it has waited.
+    pub age: u32,
+    /// How many others can go first so that it is still answered within its goal.
+    pub reach: u32,
+}
 
 /// One VM's requests that wait for one target.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -42,7 +56,7 @@
 }
 
 /// What a VM may send to a busy target until it hears again.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct Share {
     /// The target.
@@ -51,9 +65,13 @@
     pub fresh: u32,
     /// How many others.
     pub late: u32,
-    /// How many requests that can still be answered in time wait at other VMs.
+    /// How many requests wait at other VMs that are answered in time if they go by rank.
     pub line: u32,
-    /// Whether any such request waits, at whichever VM.
+    /// How many others wait there.
+    pub behind: u32,
+    /// The VM's requests that can't be answered in time any more, since too many go first.
+    pub beyond: Vec<Ticket>,
+    /// Whether any request waits that can still be answered in time, at whichever VM.
     pub busy: bool,
 }
 
@@ -65,9 +83,10 @@
 /// # Example
 ///
 /// ```
-/// use bramleypier_engine::place::share::{self, Queue};
+/// use bramleypier_engine::place::share::{self, Queue, Waited};
 ///
-/// let queue = |first: Vec<(u32, u32)>| Queue {
+/// let waited = |ticket, age| Waited { ticket, priority: 1, age, reach: 1 };
+/// let queue = |first: Vec<Waited>| Queue {
 ///     target: 7,
 ///     slots: 2,
 ///     limit: 4,
@@ -75,35 +94,54 @@
 ///     first,
 ///     late: 3,
 /// };
-/// let own = queue(vec![(1, 30), (1, 5)]);
-/// let other = queue(vec![(1, 10)]);
+/// let own = queue(vec![waited(1, 30), waited(2, 5)]);
+/// let other = queue(vec![waited(1, 10)]);
 /// // Two are there, so two more may go: its own oldest and the other VM's.
 /// let share = share::of(&own, &[(&other, 10)], 2);
 /// assert_eq!((share.fresh, share.late, share.line), (1, 0, 1));
+/// // Its second one has two before it, and reaches its goal behind one.
+/// assert_eq!(share.beyond, [2]);
 /// ```
 pub fn of(own: &Queue, others: &[(&Queue, u32)], flights: u32) -> Share {
     let waiting: u32 = others.iter().map(|(queue, _)| queue.fresh).sum();
-    let all = waiting + own.fresh;
-    let late_room = (own.slots + LATE_QUEUE).saturating_sub(flights + all);
-    Share {
+    let order = by_rank(own, others);
+    let mut share = Share {
         target: own.target,
-        fresh: first(own, others, own.limit.saturating_sub(flights)),
-        late: late_room.min(own.late),
-        line: waiting,
-        busy: all > 0,
+        busy: waiting + own.fresh > 0,
+        behind: others.iter().map(|(queue, _)| queue.late).sum(),
+        ..Share::default()
+    };
+    let room = own.limit.saturating_sub(flights);
+    let mut kept = 0;
+    for (it, is_own) in order {
+        if kept > it.reach {
+            if is_own {
+                share.beyond.push(it.ticket);
+            }
+            continue;
+        }
+        if is_own {
+            share.fresh += u32::from(kept < room);
+        } else {
+            share.line += 1;
+        }
+        kept += 1;
     }
+    let late_room = (own.slots + LATE_QUEUE).saturating_sub(flights + kept);
+    share.late = late_room.min(own.late);
+    share
 }
 
-/// How many of a VM's requests are among the first that wait for a target, of all VMs.
-fn first(own: &Queue, others: &[(&Queue, u32)], room: u32) -> u32 {
-    let rank = |(priority, age): Waited, since: u32| (priority, Reverse(age.saturating_add(since)));
-    let own = own.first.iter().map(|it| (rank(*it, 0), true));
-    let others = others
-        .iter()
-        .flat_map(|(queue, since)| queue.first.iter().map(|it| (rank(*it, *since), false)));
-    let mut order: Vec<_> = own.chain(others).collect();
-    order.sort_unstable();
-    let room = usize::try_from(room).unwrap_or(usize::MAX);
-    let count = order.iter().take(room).filter(|(_, own)| *own).count();
-    u32::try_from(count).unwrap_or(u32::MAX)
+/// What waits for a target at all VMs, the most urgent and then the oldest first; `true` marks a VM's own.
+fn by_rank(own: &Queue, others: &[(&Queue, u32)]) -> Vec<(Waited, bool)> {
+    let own = own.first.iter().map(|it| (*it, true));
+    let others = others.iter().flat_map(|(queue, since)| {
+        queue.first.iter().map(|it| {
+            let age = it.age.saturating_add(*since);
+            (Waited { age, ..*it }, false)
+        })
+    });
+    let mut order: Vec<(Waited, bool)> = own.chain(others).collect();
+    order.sort_by_key(|(it, is_own)| (it.priority, Reverse(it.age), *is_own));
+    order
 }
--- a/engine/tests/busy_key.rs
+++ b/engine/tests/busy_key.rs
@@ -173,6 +173,7 @@
         let word = Word {
             others: others.into_iter().collect(),
             shares: shares.into_iter().map(|it| (it.target, it)).collect(),
+            pause: ms(self.scene.period),
         };
         self.feed(now, vm, Event::Word(word));
     }
--- a/engine/tests/desk.rs
+++ b/engine/tests/desk.rs
@@ -69,7 +69,8 @@
     let queues = desk.take_state(ms(12)).queues;
     assert_eq!(queues.len(), 1);
     assert_eq!(queues[0].fresh, 3);
-    assert_eq!(queues[0].first[0], (1, 10), "rank and age");
+    let first = queues[0].first[0];
+    assert_eq!((first.priority, first.age), (1, 10), "rank and age");
     let none = desk.on(ms(14), shared(1, busy(0, 5)));
     assert!(none.is_empty(), "others wait longer: {none:?}");
     let two = desk.on(ms(54), shared(1, busy(2, 4)));
--- a/engine/tests/desk_world/mod.rs
+++ b/engine/tests/desk_world/mod.rs
@@ -14,6 +14,9 @@
     },
 };
 
+/// The time between two words of the manager.
+pub const PAUSE: Duration = Duration::from_millis(40);
+
 pub const ALLOWANCE: Allowance = Allowance {
     ratio: 0.2,
     slack: 20.0,
@@ -55,6 +58,7 @@
 /// The manager's word on other VMs' requests, while nothing waits for any target.
 pub fn told(others: HashMap<catalogue::TargetHash, u32>) -> Event {
     Event::Word(Word {
+        pause: PAUSE,
         others,
         ..Word::default()
     })
@@ -63,6 +67,7 @@
 /// The manager's word on one target for which requests wait.
 pub fn shared(others: u32, share: Share) -> Event {
     Event::Word(Word {
+        pause: PAUSE,
         others: [(share.target, others)].into(),
         shares: [(share.target, share)].into(),
     })
@@ -75,6 +80,7 @@
         late: 0,
         line,
         busy: true,
+        ..Share::default()
     }
 }
 
