--- a/engine/src/follow.rs
+++ b/engine/src/follow.rs
@@ -171,7 +171,7 @@
     /// Gives a manager that is known the time to tell: all VMs would ask the store at once otherwise.
     async fn wait_to_be_told(&self) {
         let context = &self.context;
-        if context.beliefs.get().manager.is_none() {
+        if context.leading.get() || context.beliefs.get().manager.is_none() {
             return;
         }
         // That it doesn't is the answer: this VM asks the store itself.
