--- a/engine/tests/fleet.rs
+++ b/engine/tests/fleet.rs
@@ -350,6 +350,69 @@
     assert_eq!(fleet.targets.len(), 1, "it stands, so it was not removed");
 }
 
+/// Who was told everything knows nothing of removals from before, so it can't tell others only what is newer.
+#[test]
+fn who_was_told_everything_tells_everything_where_it_may_miss_a_removal() {
+    let mut source = Fleet::default();
+    hear(&mut source, NOW, &put("targets/b", b"ready", 8));
+    source.on_followed("", 20);
+    let whole = source.relay("source/1", &Place::default(), &nothing());
+    let mut teller = Fleet::default();
+    teller.on_relay(NOW, &whole, true, &keys(), &Plain);
+    // This one has followed the store itself until the target was removed, at 15.
+    let mut fleet = Fleet::default();
+    hear(&mut fleet, NOW, &put("targets/a", b"ready", 5));
+    fleet.on_followed("", 10);
+    let relay = teller.relay("teller/1", &Place::default(), fleet.followed());
+    fleet.on_relay(NOW, &relay, true, &keys(), &Plain);
+    assert_eq!(fleet.targets.keys().collect::<Vec<_>>(), ["b"]);
+}
+
+#[test]
+fn who_was_told_changes_goes_on_from_where_the_teller_was() {
+    let mut teller = Fleet::default();
+    teller.on_followed("", 10);
+    let place = teller.relay("teller/1", &Place::default(), &nothing());
+    let place = place.place().clone();
+    hear(&mut teller, NOW, &put("targets/a", b"ready", 12));
+    teller.on_followed("", 30);
+    let relay = teller.relay("teller/1", &place, &nothing());
+    let mut fleet = Fleet::default();
+    fleet.on_relay(NOW, &relay, true, &keys(), &Plain);
+    assert_eq!(fleet.followed()[""], 30);
+    fleet.on_followed("", 20);
+    assert_eq!(fleet.followed()[""], 30, "it never goes back");
+}
+
+/// A removal waits at a teller in trouble with the store: whoever went on behind it would never hear of it.
+#[test]
+fn nobody_goes_on_behind_a_removal_that_waits_at_the_teller() {
+    let mut teller = Fleet::default();
+    hear(&mut teller, NOW, &put("targets/a", b"ready", 12));
+    teller.on_followed("", 12);
+    let place = teller.relay("teller/1", &Place::default(), &nothing());
+    let place = place.place().clone();
+    teller.on_trouble(NOW);
+    hear(&mut teller, NOW, &removed("targets/a", 20));
+    teller.on_followed("", 25);
+    let relay = teller.relay("teller/1", &place, &nothing());
+    assert_eq!(relay.followed()[""], 19);
+    let later = NOW + Duration::from_secs(9);
+    assert_eq!(teller.expire(later), ["a"]);
+    let relay = teller.relay("teller/1", &place, &nothing());
+    assert_eq!(relay.followed()[""], 25);
+}
+
+#[test]
+fn keys_of_others_are_neither_kept_nor_told() {
+    let mut fleet = Fleet::default();
+    hear(&mut fleet, NOW, &put("elsewhere/x", b"1", 3));
+    let Relay::Whole { items, .. } = fleet.relay("fleet/1", &Place::default(), &nothing()) else {
+        panic!("not everything");
+    };
+    assert!(items.is_empty());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 96, failure_persistence: None, ..ProptestConfig::default() })]
 
