--- a/engine/src/caller/forward.rs
+++ b/engine/src/caller/forward.rs
@@ -185,8 +185,7 @@
 
 /// What a caller is told whose route isn't known.
 ///
-/// A VM without news can't say that there is none: one that took its own late calls for an outage of
-/// the store told callers so of routes that had been added 3.8 s before.
+/// A VM without news can't say that there is none: the route may have been added since.
 fn no_route(context: &Context, host: &str, config: &Config) -> Own {
     let cause = format!("no route for host={host} version={}", config.version);
     if context.beliefs.get().config_followed || context.heard.is_well() {
--- a/engine/src/fleet/journal.rs
+++ b/engine/src/fleet/journal.rs
@@ -144,8 +144,7 @@
             return None;
         }
         let first = self.changes.len() - lacking;
-        // Of a key that changed several times only the newest is of use: with 88 VMs a manager sent up to
-        // 13 MB a second, nearly all of it records.
+        // Of a key that changed several times only the newest is of use; records are large and change often.
         let mut told = HashSet::new();
         let newest = self.changes.range(first..).rev();
         let mut changes: Vec<Change> = newest
--- a/engine/src/fleet/relaying.rs
+++ b/engine/src/fleet/relaying.rs
@@ -62,8 +62,7 @@
 
     /// Returns what has changed since prefixes were followed up to these revisions.
     ///
-    /// All VMs hear a new manager for the first time at once. Told everything, 88 of them took some 10 MB
-    /// of it (459 targets, 189 ranges), which is 8 s of a link of 10 Mbit/s.
+    /// All VMs hear a new manager for the first time at once, and its link can't bear to tell each everything.
     fn changes_since(&self, followed: &IndexMap<String, Revision>) -> Vec<Change> {
         let old = |key: &str, known: &Known| {
             followed
@@ -157,7 +156,7 @@
                 }
             }
             Relay::Changes { changes, .. } => {
-                // One that took its own late calls for an outage sent work to a target 2.7 s after it had left.
+                // This VM may take its own late calls for an outage, in which removals wait.
                 let trouble = if well { self.trouble.take() } else { None };
                 for change in changes {
                     notes.extend(self.on_change(now, change, keys, catalogue));
--- a/engine/src/owner/calls.rs
+++ b/engine/src/owner/calls.rs
@@ -42,8 +42,7 @@
 
 /// How long this VM waits before it bids: the strongest processors go first, ties by a hash of the start.
 ///
-/// The manager hears all others and renews all grants. With 60 VMs of 0.1 to 0.5 core and a manager chosen by
-/// hash alone, 60,546 of 61,242 requests reached targets that did not hold their keys; so chosen, 302.
+/// The manager hears all others and renews all grants: one with too little processor loses its lease over it.
 pub(super) fn rank(fleet: &Fleet, own: &Vm) -> Duration {
     let rank = |vm: &Vm| {
         let hash = xxhash_rust::xxh3::xxh3_64(vm.start.as_bytes());
--- a/engine/src/owner/keeper/mod.rs
+++ b/engine/src/owner/keeper/mod.rs
@@ -40,8 +40,7 @@
 const HOLD_LEAST: Duration = Duration::from_millis(500);
 /// The hold of the first grant to an owner, which may have turned dark unnoticed.
 ///
-/// It outlasts the call's timeout of 0.4 s. A busy key that was moved to a target 0.3 s after that had
-/// been cut off waited 3.9 s for the next owner with a full first hold.
+/// It outlasts the call's timeout of 0.4 s, and no key that was moved to a dark target waits for longer.
 const HOLD_FIRST: Duration = Duration::from_millis(600);
 /// The shortest hold by which a silent owner is asked whether it answers again.
 const HOLD_ASKING: Duration = Duration::from_millis(200);
@@ -348,8 +347,8 @@
 /// Shortens a hold so that a silent owner gets none beyond the one that it may have, and a new owner a
 /// short one until it has answered.
 ///
-/// A dark owner's range waits for the last grant that may have arrived. Renewed while it was silent, it
-/// waited up to 6.1 s, of which 1.5 s after the owner was gone from the store.
+/// A dark owner's range waits for the last grant that may have arrived: each one that is sent while it is
+/// silent makes it wait longer.
 fn bounded(now: Duration, live: &Live, hold: Duration) -> Option<Duration> {
     let until = match live.until {
         None => return Some(hold.min(HOLD_FIRST)),
--- a/engine/src/owner/keeper/moves.rs
+++ b/engine/src/owner/keeper/moves.rs
@@ -91,7 +91,7 @@
     /// Begins moves for balance, one round at a time.
     ///
     /// A range whose owner doesn't answer waits seconds for its hold to run out. The others go on
-    /// meanwhile: a busy key that fell on a slow target then was answered in time in 0 of 261 tries.
+    /// meanwhile: a busy key that fell on a slow target then was answered in time hardly ever.
     pub(super) fn balance(&mut self, now: Duration, out: &mut Vec<Effect>) {
         let settled = |live: &Live| live.phase == Phase::Held || live.is_silent();
         let rested = now >= self.balanced + BALANCE_PAUSE;
--- a/engine/src/owner/manager/mod.rs
+++ b/engine/src/owner/manager/mod.rs
@@ -174,7 +174,7 @@
                 }
                 Either::Right(_) => self.tick(),
             }
-            // Not for each message: some 800 come a second with 88 VMs.
+            // Not for each message: every VM sends several a second.
             if self.now() >= self.ticked + TICK {
                 self.tick();
             }
--- a/engine/src/peer/pause.rs
+++ b/engine/src/peer/pause.rs
@@ -20,8 +20,8 @@
 
 /// By how much the pause grows for each millisecond that the manager lags.
 ///
-/// 88 VMs then leave a manager that can hear 84 words a second some 50 ms behind; its calls to the
-/// store may take 150 ms to connect.
+/// Steep enough that a manager which can take in one word a second from each VM lags by less than its calls
+/// to the store may take to connect.
 const YIELD: u32 = 16;
 /// The lag that leaves the pause as it is: timers fire some milliseconds late.
 const LAG_USUAL: Duration = Duration::from_millis(5);
@@ -111,7 +111,7 @@
     let period = if busy { PERIOD } else { IDLE_PERIOD };
     let vms = u32::try_from(vms).unwrap_or(u32::MAX).max(VMS_USUAL);
     let period = (period * vms / VMS_USUAL).min(PERIOD_MOST);
-    // Without this a manager of a tenth of a core had its own calls wait 11.7 s behind 88 VMs' words.
+    // A manager with little processor would have its own calls wait behind the words of all VMs.
     let late = lag.saturating_sub(LAG_USUAL);
     (period + late * YIELD).min(YIELD_MOST)
 }
--- a/engine/src/place/desk/choose.rs
+++ b/engine/src/place/desk/choose.rs
@@ -73,7 +73,7 @@
         }
         if ask.refused_by(part) {
             // Its owner takes others by now, or another request finds out. To ask once more would be a
-            // repeat: 1,787 of them in 10 s went to a service that was not even meant.
+            // repeat, perhaps at another service's target.
             return Choice::Refuse(Why::Moved, COME_BACK_LEAST, self.owner_basis(ask));
         }
         let member = part.owner.as_ref().and_then(|life| {
@@ -217,8 +217,7 @@
     } else if member.is_shared(now) && member.share().is_some_and(taken) {
         Tier::Taken
     } else if ask.large && near && in_time {
-        // Bytes between failure domains are paid for: 0.008 of what a day earns, and 0.017 when a
-        // target elsewhere was taken as soon as it was 1.4 times as fast.
+        // Bytes between failure domains are paid for, so a faster target elsewhere is no reason.
         Tier::Near
     } else {
         Tier::Open
--- a/engine/src/place/unowned.rs
+++ b/engine/src/place/unowned.rs
@@ -12,8 +12,7 @@
 
 /// How long a key whose owner has refused it counts as moving at first, unless a newer owner is known.
 ///
-/// A move takes as long as the work that runs on the key; asking its old owner again meanwhile cost
-/// 1,361 refused calls on a day with two busy keys.
+/// A move takes as long as the work that runs on the key, and its old owner refuses each request meanwhile.
 const SPAN: Duration = Duration::from_millis(100);
 /// The longest such time: an owner that has its grant back at the same fence is missed so long.
 const SPAN_MOST: Duration = Duration::from_millis(800);
--- a/engine/src/settings.rs
+++ b/engine/src/settings.rs
@@ -66,8 +66,8 @@
 /// From how many VMs on the manager's lease, and the pause between their words to it, grow in
 /// proportion to them.
 ///
-/// At the usual pause 600 words a second reach the manager then. With 60 VMs and a lease that fits 12,
-/// managers lost it before they had renewed the grants.
+/// At the usual pause 600 words a second reach the manager then. With more, it needs longer to renew all grants
+/// than a lease that fits few VMs lasts.
 pub(crate) const VMS_USUAL: u32 = 24;
 
 /// What the platform sets for leases and holds.
