--- a/program/tests/calls.rs
+++ b/program/tests/calls.rs
@@ -49,7 +49,7 @@
     let mut others = Vec::new();
     for number in 0..OTHERS {
         let name = format!("vm-{}", number + 2);
-        let other = Program::start_as(&name, stage.store_address, Some(&stage.program));
+        let other = stage::start_vm(&name, stage.store_address, Some(&stage.program));
         stage.until_ready_at(&other).await;
         until_logged(&other, "event=manager-heard").await;
         others.push(other);
@@ -103,7 +103,7 @@
     play(async |stage| {
         until_logged(&stage.program, "event=manager-elected").await;
         let before = listings(&stage.store);
-        let other = Program::start_as("vm-2", stage.store_address, Some(&stage.program));
+        let other = stage::start_vm("vm-2", stage.store_address, Some(&stage.program));
         stage.until_ready_at(&other).await;
         until_logged(&other, "event=manager-heard").await;
         pause(500).await;
--- a/program/tests/manager.rs
+++ b/program/tests/manager.rs
@@ -7,7 +7,7 @@
 use bramleypier_platform_standin::{server::Fault, store};
 use bramleypier_util::clock::Clock;
 use hyper::StatusCode;
-use stage::{PATIENCE, Program, Stage, play};
+use stage::{PATIENCE, Stage, play};
 
 /// How long keys may be without an owner when the process of a target ends.
 const ENDED: Duration = Duration::from_secs(1);
@@ -107,7 +107,7 @@
 #[test]
 fn keys_are_served_again_after_the_manager_is_killed() {
     play(async |mut stage| {
-        let second = Program::start_as("vm-2", stage.store_address, Some(&stage.program));
+        let second = stage::start_vm("vm-2", stage.store_address, Some(&stage.program));
         stage.until_ready_at(&second).await;
         until_served(&stage, "before").await;
         let first = std::mem::replace(&mut stage.program, second);
--- a/program/tests/serve.rs
+++ b/program/tests/serve.rs
@@ -17,7 +17,7 @@
 use compio::runtime::Runtime;
 use hyper::{Request, StatusCode};
 use rustix::process::Signal;
-use stage::{PATIENCE, Program, Stage, config, play};
+use stage::{PATIENCE, Stage, config, play};
 use tempfile::TempDir;
 
 #[test]
@@ -254,7 +254,7 @@
         // Longer than the manager's lease, and than the first VM takes to notice.
         Clock::real().sleep(Duration::from_millis(3500)).await;
         assert!(stage.program.log("event=pulse-lost").is_some());
-        let second = Program::start_as("vm-2", stage.store_address, Some(&stage.program));
+        let second = stage::start_vm("vm-2", stage.store_address, Some(&stage.program));
         stage.until_ready_at(&second).await;
         Clock::real().sleep(Duration::from_millis(300)).await;
         assert!(second.log("event=told-everything").is_some());
@@ -265,7 +265,7 @@
 #[test]
 fn a_stop_cuts_nothing_off() {
     play(async |stage| {
-        stage.program.signal(Signal::TERM);
+        stage.program.signal(Signal::TERM).unwrap();
         Clock::real().sleep(Duration::from_millis(200)).await;
         assert_eq!(stage.ready().await, Some(StatusCode::SERVICE_UNAVAILABLE));
         let (status, answer) = stage.ask("GET", "/look/x", "late").await;
--- /dev/null
+++ b/program/tests/soak.rs
@@ -0,0 +1,33 @@
+//! Short runs of the soak with fixed seeds, and each seed that ever showed a fault.
+
+use std::path::Path;
+
+use bramleypier_soak::{
+    check,
+    plan::{Plan, Size},
+    run,
+};
+use compio::runtime::Runtime;
+
+/// Plays a seed with three VMs and returns the promises that it broke.
+fn breaches(seed: u64, seconds: u64) -> Vec<check::Breach> {
+    let plan = Plan::draw(seed, Size { vms: 3, seconds });
+    let binary = Path::new(env!("CARGO_BIN_EXE_bramleypier"));
+    let playing = run::play(binary, &plan, seed, None);
+    let account = Runtime::new().unwrap().block_on(playing).unwrap();
+    assert!(account.requests.len() > 100, "hardly anybody asked");
+    check::breaches(&account)
+}
+
+#[test]
+fn faults_of_all_kinds_break_no_promise() {
+    assert_eq!(breaches(1, 6), []);
+}
+
+#[test]
+fn planned_work_costs_no_caller_an_answer() {
+    // One in four plans has planned work only.
+    let size = Size { vms: 3, seconds: 6 };
+    let seed = (1..1000).find(|seed| Plan::draw(*seed, size).is_planned());
+    assert_eq!(breaches(seed.unwrap(), 6), []);
+}
--- a/program/tests/stage/mod.rs
+++ b/program/tests/stage/mod.rs
@@ -3,20 +3,13 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 use std::{
-    fs,
-    io::{BufRead as _, BufReader},
-    net::{SocketAddr, TcpListener},
-    path::PathBuf,
-    process::{Child, Command, Stdio},
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicU16, Ordering},
-    },
-    thread,
+    net::SocketAddr,
+    path::Path,
     time::{Duration, Instant},
 };
 
-use bramleypier_platform_standin::{server::Server, store::Store};
+use bramleypier_platform_standin::{server::Server, store::Store, vm::Listens};
+pub use bramleypier_platform_standin::{store::config, vm::Program};
 use bramleypier_util::{
     body::{self, Body},
     client::Client,
@@ -24,128 +17,15 @@
 };
 use compio::runtime::Runtime;
 use hyper::{Request, Response, StatusCode, header::HeaderValue};
-use rustix::process::{Pid, Signal, kill_process};
-use serde_json::json;
-use tempfile::TempDir;
 
 pub const PATIENCE: Duration = Duration::from_secs(15);
 pub const WORK: Duration = Duration::from_millis(20);
 
-/// The next port to look at. They lie below those that the system gives out by itself, or another
-/// test's connection could take one before the program listens there.
-static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
-const FIRST_PORT: u16 = 20_000;
-const PORTS: u16 = 12_000;
-
-/// A free port of the loopback interface.
-pub fn port() -> u16 {
-    let own = u16::try_from(std::process::id() % 97).unwrap() * 120;
-    loop {
-        let next = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
-        let port = FIRST_PORT + (own + next) % PORTS;
-        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
-            return port;
-        }
-    }
-}
-
-/// A running program, which is ended with the test.
-pub struct Program {
-    pub child: Child,
-    pub lines: Arc<Mutex<Vec<String>>>,
-    pub callers: SocketAddr,
-    pub readiness: SocketAddr,
-    pub peers: SocketAddr,
-    pub metrics: SocketAddr,
-    pub settings: PathBuf,
-    _folder: TempDir,
-}
-
-impl Drop for Program {
-    fn drop(&mut self) {
-        // It may have ended already.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-impl Program {
-    pub fn start(store: SocketAddr) -> Self {
-        Self::start_as("vm-1", store, None)
-    }
-
-    /// Starts a VM that knows of another.
-    pub fn start_as(name: &str, store: SocketAddr, other: Option<&Self>) -> Self {
-        let ports = [port(), port(), port(), port()];
-        let at = |index: usize| SocketAddr::from(([127, 0, 0, 1], ports[index]));
-        let seeds = other.map_or_else(String::new, |it| it.peers.to_string());
-        let folder = TempDir::new().unwrap();
-        let path = folder.path().join("vm.ini");
-        let text = format!(
-            "[vm]\nname = {name}\ndomain = z1\n[peers]\nseeds = {seeds}\n[listen]\ncallers = {}\nreadiness = {}\npeers = {}\n\
-             metrics = {}\n[store]\naddress = {store}\n[platform]\n\
-             figures = grace=6s,hold-max=10000ms,retry-slack=60\n",
-            at(0),
-            at(1),
-            at(2),
-            at(3)
-        );
-        fs::write(&path, text).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_bramleypier"))
-            .args(["serve", "--settings"])
-            .arg(&path)
-            .stdout(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let lines = Arc::new(Mutex::new(Vec::new()));
-        let (output, kept) = (child.stdout.take().unwrap(), lines.clone());
-        thread::spawn(move || {
-            for line in BufReader::new(output).lines().map_while(Result::ok) {
-                kept.lock().unwrap().push(line);
-            }
-        });
-        Self {
-            child,
-            lines,
-            callers: at(0),
-            readiness: at(1),
-            peers: at(2),
-            metrics: at(3),
-            settings: path,
-            _folder: folder,
-        }
-    }
-
-    pub fn log(&self, part: &str) -> Option<String> {
-        let lines = self.lines.lock().unwrap();
-        lines.iter().find(|line| line.contains(part)).cloned()
-    }
-
-    pub fn signal(&self, signal: Signal) {
-        let id = i32::try_from(self.child.id()).unwrap();
-        kill_process(Pid::from_raw(id).unwrap(), signal).unwrap();
-    }
-}
-
-pub fn config(version: u32, keyed: &str) -> Vec<u8> {
-    let route = |name: &str, kind: &str, prefix: &str, service: &str| {
-        json!({"name": name, "kind": kind, "goal": "500ms", "priority": 1,
-            "match": {"prefix": prefix},
-            "action": {"service": service, "timeout": "2000ms", "max-attempts": 2}})
-    };
-    let service = |name: &str, sharded: bool| json!({"name": name, "health-path": "/health", "max-conns": 130, "sharded": sharded});
-    let config = json!({
-        "version": format!("r{version}"),
-        "limits": {"max-header-bytes": 16384, "max-body-bytes": 400_000,
-            "header-timeout": "3000ms", "idle-timeout": "15000ms"},
-        "listeners": [{"host": "a.example", "rules": [
-            route("look", "idempotent", "/look/", "plain"),
-            route("order", "non_idempotent", "/order/", "plain"),
-            route("key", "idempotent", keyed, "keyed"),
-        ]}],
-        "clusters": [service("plain", false), service("keyed", true)],
-    });
-    config.to_string().into_bytes()
+/// Starts a VM that knows of another.
+pub fn start_vm(name: &str, store: SocketAddr, other: Option<&Program>) -> Program {
+    let seeds = other.map_or_else(String::new, |it| it.peers.to_string());
+    let binary = Path::new(env!("CARGO_BIN_EXE_bramleypier"));
+    Program::start(binary, name, store, &seeds, Listens::any()).unwrap()
 }
 
 pub struct Stage {
@@ -175,7 +55,7 @@
             store,
             servers,
             store_address: address,
-            program: Program::start(address),
+            program: start_vm("vm-1", address, None),
             client: Client::new(Clock::real(), 8),
         }
     }
