--- a/tools/soak/src/check.rs
+++ b/tools/soak/src/check.rs
@@ -71,6 +71,8 @@
     pub two_holders: IndexMap<u64, Duration>,
     /// Configurations in force, in the order of the logs.
     pub in_force: Vec<InForce>,
+    /// The newest version that was accepted.
+    pub newest: u32,
     /// The most memory of each VM's process, in bytes.
     pub memory: Vec<u64>,
     /// VMs whose processes ended though nobody had told them to.
@@ -98,6 +100,8 @@
     WentBack(InForce),
     /// A configuration was in force late.
     Late(InForce),
+    /// The newest configuration never was in force on a VM.
+    Stuck(usize),
     /// A process took too much memory.
     Memory(usize),
     /// A process ended by itself.
@@ -138,6 +142,7 @@
             .map(|(key, _)| Breach::TwoOwners(*key)),
     );
     found.extend(of_configurations(&account.in_force));
+    found.extend(stuck(account));
     let memory = account.memory.iter().enumerate();
     found.extend(
         memory
@@ -177,6 +182,17 @@
     }
 }
 
+/// Returns the VMs whose last start never had the newest configuration in force.
+fn stuck(account: &Account) -> Vec<Breach> {
+    let last = |vm: usize| {
+        let lines = account.in_force.iter().filter(|line| line.vm == vm);
+        lines.map(|line| (line.start, line.version)).max()
+    };
+    let vms = 0..account.memory.len();
+    let behind = |vm: &usize| last(*vm).is_none_or(|(_, version)| version < account.newest);
+    vms.filter(behind).map(Breach::Stuck).collect()
+}
+
 fn of_configurations(lines: &[InForce]) -> Vec<Breach> {
     let mut newest: IndexMap<(usize, usize), u32> = IndexMap::new();
     let mut found = Vec::new();
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -366,6 +366,7 @@
         let mut account = self.account.take();
         account.planned = plan.is_planned();
         account.recovered = recovered;
+        account.newest = u32::try_from(self.accepted.borrow().len()).unwrap_or(u32::MAX);
         account.requests = self.callers.take();
         for id in self.world.borrow().ran() {
             *account.ran.entry(id).or_default() += 1;
--- a/tools/soak/tests/check.rs
+++ b/tools/soak/tests/check.rs
@@ -35,7 +35,8 @@
         .into(),
         recovered: Some(Duration::from_secs(1)),
         memory: vec![30 << 20],
-        in_force: vec![in_force(0, 1, 1), in_force(0, 1, 2), in_force(0, 2, 1)],
+        in_force: vec![in_force(0, 1, 1), in_force(0, 1, 2), in_force(0, 2, 2)],
+        newest: 2,
         ..Account::default()
     }
 }
@@ -92,6 +93,7 @@
             |it| it.in_force.push(in_force(0, 1, 1)),
             Breach::WentBack(in_force(0, 1, 1)),
         ),
+        (|it| it.newest = 3, Breach::Stuck(0)),
         (
             |it| it.in_force[1].took = Some(Duration::from_secs(3)),
             Breach::Late(InForce {
