--- a/program/tests/soak.rs
+++ b/program/tests/soak.rs
@@ -1,6 +1,6 @@
 //! Short runs of the soak with fixed seeds, and each seed that ever showed a fault.
 
-use std::path::Path;
+use std::{env, fs, path::Path, process};
 
 use bramleypier_soak::{
     check,
@@ -13,10 +13,17 @@
 fn breaches(seed: u64, seconds: u64) -> Vec<check::Breach> {
     let plan = Plan::draw(seed, Size { vms: 3, seconds });
     let binary = Path::new(env!("CARGO_BIN_EXE_bramleypier"));
-    let playing = run::play(binary, &plan, seed, None);
+    let folder = env::temp_dir().join(format!("bramleypier-soak-{}-{seed}", process::id()));
+    let playing = run::play(binary, &plan, seed, Some(&folder));
     let account = Runtime::new().unwrap().block_on(playing).unwrap();
     assert!(account.requests.len() > 100, "hardly anybody asked");
-    check::breaches(&account)
+    let breaches = check::breaches(&account);
+    if breaches.is_empty() {
+        fs::remove_dir_all(&folder).unwrap();
+    } else {
+        println!("logs are kept in {}", folder.display());
+    }
+    breaches
 }
 
 #[test]
