--- a/engine/src/caller/attempt.rs
+++ b/engine/src/caller/attempt.rs
@@ -13,7 +13,7 @@
 use super::body;
 use crate::{
     placement::{dispatch::CompletionKind, task::Permit},
-    target::{Refusal, TargetProtocol},
+    target::{Notice, Refusal, Reply, TargetProtocol},
 };
 
 /// The largest response body that is read whole before the response is forwarded.
@@ -52,6 +52,24 @@
     TimedOut,
 }
 
+/// The end of one attempt.
+#[derive(Debug)]
+pub struct Attempt {
+    /// How it ended.
+    pub result: AttemptResult,
+    /// What the target asked for in its response, if there was one.
+    pub notice: Notice,
+}
+
+impl From<AttemptResult> for Attempt {
+    fn from(result: AttemptResult) -> Self {
+        Self {
+            result,
+            notice: Notice::default(),
+        }
+    }
+}
+
 /// Sends requests to targets.
 #[derive(Clone)]
 pub struct Sender {
@@ -77,7 +95,7 @@
         body: Body,
         permit: Permit,
         remaining: Duration,
-    ) -> AttemptResult {
+    ) -> Attempt {
         let mut request = Request::new(body);
         *request.method_mut() = outgoing.method.clone();
         *request.uri_mut() = outgoing.uri.clone();
@@ -88,8 +106,12 @@
         let address = permit.target.address;
         match self.client.send(address, request, remaining).await {
             Ok(response) => {
-                self.read(outgoing, response, permit, started, remaining)
-                    .await
+                let reply = self.targets.read(response.status(), response.headers());
+                let notice = reply.notice;
+                let result = self
+                    .read(outgoing, response, reply, permit, started, remaining)
+                    .await;
+                Attempt { result, notice }
             }
             Err(error) => {
                 let kind = if error.is_refused() {
@@ -99,29 +121,29 @@
                 };
                 if error.unsent() {
                     permit.finish(kind, None);
-                    return AttemptResult::Unsent(error);
+                    return AttemptResult::Unsent(error).into();
                 }
                 if let client::Error::Timeout(..) = error {
                     drop(permit);
-                    return AttemptResult::TimedOut;
+                    return AttemptResult::TimedOut.into();
                 }
                 permit.finish(CompletionKind::Lost, None);
-                AttemptResult::Lost(error.to_string())
+                AttemptResult::Lost(error.to_string()).into()
             }
         }
     }
 
-    /// Reads a response and decides whether it can be forwarded.
+    /// Reads a response and decides whether it can be forwarded; `reply` is what its head says.
     async fn read(
         &self,
         outgoing: &OutgoingRequest,
         response: Response<Incoming>,
+        reply: Reply,
         permit: Permit,
         started: Duration,
         remaining: Duration,
     ) -> AttemptResult {
         let (mut head, rest) = response.into_parts();
-        let reply = self.targets.read(head.status, &head.headers);
         let foreign = reply
             .request_id
             .as_ref()
--- a/engine/src/caller/attempts.rs
+++ b/engine/src/caller/attempts.rs
@@ -7,7 +7,7 @@
 use hyper::Response;
 
 use super::{
-    attempt::{AttemptResult, MIN_ATTEMPT_TIME, OutgoingRequest},
+    attempt::{Attempt, AttemptResult, MIN_ATTEMPT_TIME, OutgoingRequest},
     failure::Failure,
     forward::{Context, RoutedRequest},
     local_response::{LocalResponse, RETRY_AFTER, Trace},
@@ -17,7 +17,7 @@
     catalogue::{Kind, TargetId},
     owner::record::Fence,
     placement::dispatch::{DispatchRequest, MIN_RETRY_AFTER, RefusalReason},
-    target::Refusal,
+    target::{Notice, Refusal},
 };
 
 /// How many attempts of a request may end with nothing sent; after one more the request is refused.
@@ -179,7 +179,11 @@
     trace.targets.push(target.clone());
     trace.notes.push(format!("sent: {}", permit.basis));
     history.completion_interval = permit.basis.completion_interval;
-    let result = context.sender.send(outgoing, body, permit, remaining).await;
+    let Attempt { result, notice } = context.sender.send(outgoing, body, permit, remaining).await;
+    if !notice.is_empty() {
+        trace.notes.push(format!("the target says: {notice}"));
+        count_notice(context, routed, notice);
+    }
     if !matches!(result, AttemptResult::Unsent(_)) {
         history.arrivals += 1;
         if retrying {
@@ -213,6 +217,17 @@
     context.report.count("refused", &tags);
 }
 
+/// Counts a response that says that its target leaves, or when requests may be sent to it again.
+fn count_notice(context: &Context, routed: &RoutedRequest, notice: Notice) {
+    let kind = if notice.leaving {
+        "leaving"
+    } else {
+        "retry-after"
+    };
+    let tags = [("service", routed.service.as_str()), ("kind", kind)];
+    context.report.count("notices", &tags);
+}
+
 /// Returns why a request reached a target that refused it as misdirected.
 fn misdirected_reason(context: &Context, routed: &RoutedRequest, fence: Fence) -> &'static str {
     let Some(key) = routed.info.key.filter(|_| routed.keyed) else {
--- a/engine/src/target.rs
+++ b/engine/src/target.rs
@@ -1,6 +1,6 @@
 //! The protocol between the engine and targets: requests, grants and releases.
 
-use std::time::Duration;
+use std::{fmt, time::Duration};
 
 use hyper::{HeaderMap, Method, StatusCode};
 
@@ -33,6 +33,48 @@
     NotOwner,
 }
 
+/// What a target asks of the VM that it responds to.
+///
+/// # Example
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use bramleypier_engine::target::Notice;
+///
+/// let notice = Notice { leaving: true, retry_after: Some(Duration::from_secs(3)) };
+/// assert_eq!(notice.to_string(), "leaving=true retry_after_ms=3000");
+/// assert!(Notice::default().is_empty());
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Notice {
+    /// Whether the target is about to leave and wants no new requests.
+    pub leaving: bool,
+    /// How long the target wants no requests from this VM.
+    pub retry_after: Option<Duration>,
+}
+
+impl Notice {
+    /// Returns whether the target asks for nothing.
+    ///
+    /// # Example
+    ///
+    /// See [`Notice`].
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+impl fmt::Display for Notice {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "leaving={}", self.leaving)?;
+        match self.retry_after {
+            Some(time) => write!(f, " retry_after_ms={}", time.as_millis()),
+            None => Ok(()),
+        }
+    }
+}
+
 /// The fields that the engine reads from the head of a target's response.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Reply {
@@ -46,6 +88,8 @@
     pub load: Option<LoadReport>,
     /// The rate limit that the target asks for; `None` if it accepts any rate.
     pub rate: Option<Rate>,
+    /// What the target asks of this VM.
+    pub notice: Notice,
 }
 
 /// A grant or release as an HTTP request of the platform's protocol.
