--- /dev/null
+++ b/program/tests/leaving.rs
@@ -0,0 +1,110 @@
+//! Targets that say in their responses that they are about to leave, tested with two real VMs.
+
+mod harness;
+
+use std::time::{Duration, Instant};
+
+use bramleypier_platform_standin::{server::Server, store, vm::Program};
+use bramleypier_util::clock::Clock;
+use futures_util::future;
+use harness::{Harness, TEST_TIMEOUT, run_test, start_vm};
+use hyper::StatusCode;
+
+/// The key of all requests with a key.
+const KEY: u64 = 777;
+/// The time after which no VM may send to a target that has told it that it leaves.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+/// The interval between two requests to one VM.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Sends requests to both VMs for some time, and returns how many were served.
+async fn send_load(
+    harness: &Harness,
+    other: &Program,
+    path: &str,
+    name: &str,
+    time: Duration,
+) -> usize {
+    let rounds = u32::try_from(time.as_millis() / REQUEST_INTERVAL.as_millis()).unwrap();
+    let responses = (0..rounds).flat_map(|round| {
+        [&harness.program, other].map(|program| async move {
+            Clock::real().sleep(REQUEST_INTERVAL * round).await;
+            let id = format!("{name}-{round}-{}", program.callers.port());
+            harness.send_to(program, "GET", path, &id).await.0
+        })
+    });
+    let statuses = future::join_all(responses).await;
+    statuses.iter().filter(|it| **it == StatusCode::OK).count()
+}
+
+/// Starts a second VM, and waits until a target owns the key of the requests and both VMs are served.
+async fn start_second_vm(harness: &Harness) -> Program {
+    let other = start_vm("vm-2", harness.store_address, Some(&harness.program));
+    harness.until_ready_at(&other).await;
+    let end = Instant::now() + TEST_TIMEOUT;
+    while send_load(harness, &other, "/key/x", "first", REQUEST_INTERVAL * 4).await < 8 {
+        assert!(Instant::now() < end, "the key has no owner");
+    }
+    other
+}
+
+fn owner(harness: &Harness) -> &Server {
+    let owner = harness.servers.iter().find(|it| it.holds(KEY));
+    owner.expect("the key has an owner")
+}
+
+/// Guards against an owner that is used for as long as the store names it: while the store was down, a leaving target
+/// still got requests seconds after it had said so.
+#[test]
+fn an_owner_that_says_it_leaves_gets_no_request_while_the_store_is_down() {
+    run_test(async |harness| {
+        let other = start_second_vm(&harness).await;
+        harness.store.set_fault(Some(store::Fault::Silent));
+        let owner = owner(&harness);
+        owner.set_leaving(true);
+        send_load(&harness, &other, "/key/x", "drain", DRAIN_TIME).await;
+        let before = owner.arrivals().len();
+        send_load(&harness, &other, "/key/x", "after", DRAIN_TIME).await;
+        let late = owner.arrivals().len() - before;
+        assert_eq!(late, 0, "requests reached the leaving owner");
+    });
+}
+
+/// Guards against a target whose own statement counts for nothing: one that can't reach the store kept its keys.
+#[test]
+fn the_keys_of_an_owner_that_says_it_leaves_move_by_release() {
+    run_test(async |harness| {
+        let other = start_second_vm(&harness).await;
+        let leaving = owner(&harness);
+        leaving.set_leaving(true);
+        let served = send_load(&harness, &other, "/key/x", "move", DRAIN_TIME).await;
+        assert!(!leaving.holds(KEY), "the key stays with the leaving owner");
+        assert_ne!(owner(&harness).id, leaving.id);
+        assert!(served >= 72, "only {served} of 80 requests were served");
+        let before = leaving.arrivals().len();
+        let served = send_load(&harness, &other, "/key/x", "moved", DRAIN_TIME).await;
+        assert_eq!(served, 80);
+        assert_eq!(leaving.arrivals().len(), before);
+    });
+}
+
+/// Guards against each VM finding out by itself: one response to one VM takes the target out of use at both.
+#[test]
+fn a_target_that_tells_one_vm_that_it_leaves_gets_no_request_from_any() {
+    run_test(async |harness| {
+        let other = start_second_vm(&harness).await;
+        let leaving = &harness.servers[0];
+        leaving.set_leaving(true);
+        let end = Instant::now() + TEST_TIMEOUT;
+        while harness.metrics().await.matches("kind:leaving").count() == 0 {
+            assert!(Instant::now() < end, "the target got no request");
+            harness.send("GET", "/look/x", "tell").await;
+        }
+        leaving.set_leaving(false);
+        Clock::real().sleep(DRAIN_TIME).await;
+        let before = leaving.arrivals().len();
+        let served = send_load(&harness, &other, "/look/x", "after", DRAIN_TIME).await;
+        assert_eq!(served, 80);
+        assert_eq!(leaving.arrivals().len(), before);
+    });
+}
