DRAIN: a target that says in an answer that it leaves gets no more requests, whatever the store says

Cause: only the target's entry in the store took it out of use; what it says itself was read by nobody (hypothesis 1), so VMs had nothing to tell each other either (3). Hypothesis 2 holds as well: the record names the owner until the store can be written.

Mend: VMs record the word of a target from answers to requests, grants and releases, never take it back, and pass it on with each sync exchange, as a value behind the message that older builds ignore. The target gets no request without a key from then on; requests for its keys for one second more, since nobody else can serve them until they have moved; after that they are refused at once. The manager moves its keys away as if it were announced as draining.

Why it holds: the second begins at or before the moment at which the VM passes on the first such answer, and 2 s are allowed.

--- a/engine/src/caller/attempt.rs
+++ b/engine/src/caller/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt of a request at one target.
 
-use std::{rc::Rc, time::Duration};
+use std::{rc::Rc, slice, time::Duration};
 
 use bramleypier_util::{
     body::Body,
@@ -12,7 +12,10 @@
 
 use super::body;
 use crate::{
+    catalogue::TargetId,
+    fleet::SharedFleet,
     placement::{dispatch::CompletionKind, task::Permit},
+    report::Report,
     target::{Notice, Refusal, Reply, TargetProtocol},
 };
 
@@ -77,8 +80,12 @@
     pub client: Client,
     /// The protocol that targets use.
     pub targets: Rc<dyn TargetProtocol>,
+    /// This VM's view of the fleet, where it is recorded that targets leave.
+    pub shared_fleet: SharedFleet,
     /// The clock.
     pub clock: Clock,
+    /// The log.
+    pub report: Report,
 }
 
 impl std::fmt::Debug for Sender {
@@ -133,6 +140,14 @@
         }
     }
 
+    /// Records that a target says that it leaves.
+    fn record_leaving(&self, target: &TargetId) {
+        let ids = slice::from_ref(target);
+        let now = self.clock.now();
+        let lines = self.shared_fleet.record_leaving(now, ids, "answer");
+        self.report.lines(&lines);
+    }
+
     /// Reads a response and decides whether it can be forwarded; `reply` is what its head says.
     async fn read(
         &self,
@@ -162,6 +177,9 @@
         if reply.refusal != Some(Refusal::NotOwner) {
             permit.report_rate(reply.rate);
         }
+        if reply.notice.leaving {
+            self.record_leaving(&permit.target.id);
+        }
         let elapsed = self.clock.now().saturating_sub(started);
         let reading = body::read_up_to(rest, MAX_BUFFERED_RESPONSE_BYTES);
         let timeout = remaining.saturating_sub(elapsed);
--- /dev/null
+++ b/engine/src/fleet/leaving.rs
@@ -0,0 +1,91 @@
+//! Tracks the targets that have said in a response that they are about to leave.
+//!
+//! Load pattern: targets are emptied while the store is down or they can't reach it, so their entries in the store
+//! still announce them as ready. A target's own word counts as much as its entry, and VMs pass it on to each other
+//! through the manager. It is never taken back: a target that stays gets a new id with its next start.
+
+use std::time::Duration;
+
+use super::{Fleet, SharedFleet};
+use crate::catalogue::{Target, TargetId};
+
+/// How long the owner of a key gets requests for it after it has said that it leaves.
+///
+/// A move of its keys takes some 0.2 s, and until then nobody else can serve them. Two seconds after a target has told a
+/// VM that it leaves, nothing from that VM may reach it.
+pub(super) const OWNER_GRACE: Duration = Duration::from_secs(1);
+/// How long a VM passes the word of a target on: several sync exchanges, of which some may fail.
+const NEWS_TIME: Duration = Duration::from_secs(3);
+/// The most targets that one message names: those of a large failure domain may leave at the same moment.
+const MAX_NEWS: usize = 128;
+/// The maximum number of targets that are known to leave.
+const MAX_LEAVING: usize = 4096;
+
+impl Fleet {
+    /// Returns whether a target is about to leave, by its announcement or its own responses.
+    ///
+    /// # Example
+    ///
+    /// See [`SharedFleet::record_leaving`].
+    pub fn is_leaving(&self, target: &Target) -> bool {
+        target.leaving || self.leaving.contains_key(&target.id)
+    }
+
+    /// Returns the targets of which this VM has recently learned that they leave, for other VMs.
+    ///
+    /// # Example
+    ///
+    /// See [`SharedFleet::record_leaving`].
+    pub fn leaving_news(&self, now: Duration) -> Vec<TargetId> {
+        let newest_first = self.leaving.iter().rev();
+        let recent = newest_first.take_while(|(_, since)| now < **since + NEWS_TIME);
+        let ids = recent.map(|(id, _)| id.clone());
+        ids.take(MAX_NEWS).collect()
+    }
+
+    /// Records that a target leaves; returns a log line that names the source of this knowledge.
+    fn set_leaving(&mut self, now: Duration, id: &str, by: &str) -> String {
+        if self.leaving.len() >= MAX_LEAVING {
+            self.leaving.shift_remove_index(0);
+        }
+        self.leaving.insert(id.to_owned(), now);
+        let announced = self.targets.contains_key(id);
+        format!("event=target-leaving target={id} by={by} announced={announced}")
+    }
+}
+
+impl SharedFleet {
+    /// Records that targets leave; returns a log line for each one of which that was not known.
+    ///
+    /// `by` is the source: a target's `answer` to a request, its answer to a `grant`, or another `vm`.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier_engine::fleet::SharedFleet;
+    ///
+    /// let shared_fleet = SharedFleet::default();
+    /// let now = Duration::from_secs(1);
+    /// let lines = shared_fleet.record_leaving(now, &["t1".to_owned()], "answer");
+    /// assert_eq!(lines, ["event=target-leaving target=t1 by=answer announced=false"]);
+    /// assert!(shared_fleet.record_leaving(now, &["t1".to_owned()], "answer").is_empty());
+    /// assert_eq!(shared_fleet.get().leaving_news(now), ["t1"]);
+    /// assert!(shared_fleet.get().leaving_news(now * 4).is_empty());
+    /// ```
+    pub fn record_leaving(&self, now: Duration, targets: &[TargetId], by: &str) -> Vec<String> {
+        let fleet = self.get();
+        let unknown = targets.iter().filter(|id| !fleet.leaving.contains_key(*id));
+        let unknown: Vec<_> = unknown.collect();
+        if unknown.is_empty() {
+            return Vec::new();
+        }
+        // An update copies the state if another handle on it is held.
+        drop(fleet);
+        self.update(|fleet| {
+            let lines = unknown.iter().map(|id| fleet.set_leaving(now, id, by));
+            lines.collect()
+        })
+    }
+}
--- a/engine/src/fleet/mod.rs
+++ b/engine/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod entries;
 mod entry;
 mod evacuation;
+mod leaving;
 mod relaying;
 mod shared;
 
@@ -68,6 +69,8 @@
     pub evacuated: IndexMap<DomainId, Duration>,
     /// The targets that are or may be cold, and until when.
     pub cold: IndexMap<TargetId, Duration>,
+    /// The targets that say that they leave, and when this VM learned of it, oldest first.
+    leaving: IndexMap<TargetId, Duration>,
     /// The owners records by service.
     pub records: IndexMap<ServiceId, StoredRecord>,
     /// The current manager, if one is known.
@@ -279,7 +282,8 @@
 
     /// Returns the part of the state that the dispatcher needs.
     ///
-    /// Targets that are draining or in an evacuated failure domain are left out: they get no new requests.
+    /// Targets that are draining or in an evacuated failure domain are left out: they get no new requests. An owner of
+    /// keys that says itself that it leaves gets requests for these for a moment, see [`dispatch::LeavingOwner`].
     ///
     /// # Example
     ///
@@ -291,11 +295,19 @@
     pub fn view(&self) -> dispatch::FleetView {
         let mut targets: IndexMap<ServiceId, Vec<Target>> = IndexMap::new();
         let mut evacuated: HashSet<ServiceId> = HashSet::new();
+        let mut leaving_owners = Vec::new();
         for target in self.targets.values().filter(|it| !it.leaving) {
             if self.is_evacuated(&target.domain) {
                 evacuated.insert(target.service.clone());
                 continue;
             }
+            if let Some(since) = self.leaving.get(&target.id) {
+                leaving_owners.push(dispatch::LeavingOwner {
+                    target: target.clone(),
+                    until: *since + leaving::OWNER_GRACE,
+                });
+                continue;
+            }
             let available = targets.entry(target.service.clone()).or_default();
             available.push(target.clone());
         }
@@ -303,6 +315,7 @@
         let records = self.records.iter();
         dispatch::FleetView {
             targets,
+            leaving_owners,
             records: records
                 .map(|(name, it)| (name.clone(), it.record.clone()))
                 .collect(),
--- a/engine/src/owner/calls.rs
+++ b/engine/src/owner/calls.rs
@@ -1,9 +1,9 @@
 //! The manager's calls to the store and to targets, and what it derives from its view of the fleet.
 
-use std::{cmp::Reverse, time::Duration};
+use std::{cmp::Reverse, slice, time::Duration};
 
 use bramleypier_util::{body, body::Body, client};
-use hyper::Request;
+use hyper::{Request, http::response};
 use indexmap::IndexMap;
 
 use super::{
@@ -36,11 +36,12 @@
 /// The maximum size of a response to a grant or release.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024;
 
-/// Returns the targets of one service; those in an evacuated failure domain count as draining.
+/// Returns the targets of one service; those in an evacuated failure domain, or that say themselves that they leave,
+/// count as draining.
 pub(super) fn targets_of(fleet: &Fleet, service: &str) -> Vec<Target> {
     let of_service = fleet.targets.values().filter(|it| it.service == service);
     let targets = of_service.map(|it| Target {
-        leaving: it.leaving || fleet.is_evacuated(&it.domain),
+        leaving: fleet.is_leaving(it) || fleet.is_evacuated(&it.domain),
         ..it.clone()
     });
     targets.collect()
@@ -159,6 +160,7 @@
         Ok(response) => {
             let (head, response_body) = response.into_parts();
             let outcome = context.targets.call_result(head.status, &head.headers);
+            record_leaving(context, &command.owner.id, &head);
             // The body is read to its end so that the connection can be reused.
             let _ = body::read(response_body, MAX_RESPONSE_BYTES).await;
             outcome
@@ -183,6 +185,17 @@
     outcome
 }
 
+/// Records that a target says that it leaves, if the response to a call says so.
+fn record_leaving(context: &Context, target: &TargetId, head: &response::Parts) {
+    let reply = context.targets.read(head.status, &head.headers);
+    if reply.notice.leaving {
+        let ids = slice::from_ref(target);
+        let now = context.clock.now();
+        let lines = context.shared_fleet.record_leaving(now, ids, "grant");
+        context.report.lines(&lines);
+    }
+}
+
 /// Returns what a failed call says about the grant that it may have delivered.
 ///
 /// A refused connection alone may come from a broken network path while the target still runs. Only together
--- a/engine/src/peer/admin.rs
+++ b/engine/src/peer/admin.rs
@@ -95,7 +95,11 @@
             is_manager: context.is_manager.get(),
             version: fleet.config.as_ref().map_or(0, |it| it.version),
             targets: fleet.targets.len(),
-            leaving: fleet.targets.values().filter(|it| it.leaving).count(),
+            leaving: fleet
+                .targets
+                .values()
+                .filter(|it| fleet.is_leaving(it))
+                .count(),
             evacuated: evacuated.collect(),
             cold: cold.collect(),
             services: services.collect(),
--- a/engine/src/peer/mod.rs
+++ b/engine/src/peer/mod.rs
@@ -19,11 +19,12 @@
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use indexmap::IndexMap;
 use quick_error::quick_error;
-use serde::{Deserialize, Serialize};
+use rmp_serde::decode;
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 pub use self::fleet_load::FleetLoad;
 use crate::{
-    catalogue::{ServiceId, TargetHash},
+    catalogue::{ServiceId, TargetHash, TargetId},
     fleet::{LogPosition, Relay},
     owner::record::RequestKey,
     placement::{
@@ -113,6 +114,72 @@
     pub stamp: Stamp,
 }
 
+/// What VMs tell each other besides the fixed fields of [`SyncRequest`] and [`SyncResponse`].
+///
+/// It follows the message as a value of its own, with named fields: builds that don't know it ignore it, and builds that
+/// know more fields treat missing ones as empty.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct News {
+    /// The targets of which the sender has recently learned that they leave.
+    pub leaving: Vec<TargetId>,
+}
+
+/// A message between VMs, and the news that come with it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Envelope<M> {
+    /// The message.
+    pub message: M,
+    /// The news.
+    pub news: News,
+}
+
+impl<M> Envelope<M>
+where
+    M: Serialize + DeserializeOwned,
+{
+    /// Encodes the message and, unless there are none, the news.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_engine::peer::{Envelope, News, SyncRequest};
+    ///
+    /// let news = News { leaving: vec!["t1".to_owned()] };
+    /// let envelope = Envelope { message: SyncRequest::default(), news };
+    /// assert_eq!(Envelope::decode(&envelope.encode()).unwrap(), envelope);
+    /// ```
+    pub fn encode(&self) -> Vec<u8> {
+        // Strings and numbers always encode.
+        let mut bytes = rmp_serde::to_vec(&self.message).unwrap_or_default();
+        if self.news != News::default() {
+            bytes.extend(rmp_serde::to_vec_named(&self.news).unwrap_or_default());
+        }
+        bytes
+    }
+
+    /// Decodes a message and the news that follow it.
+    ///
+    /// # Errors
+    ///
+    /// The error of the decoder if the bytes are no such message.
+    ///
+    /// # Example
+    ///
+    /// See [`Envelope::encode`].
+    pub fn decode(bytes: &[u8]) -> Result<Self, decode::Error> {
+        let mut reader = bytes;
+        let mut decoder = rmp_serde::Deserializer::new(&mut reader);
+        let message = M::deserialize(&mut decoder)?;
+        let news = if reader.is_empty() {
+            News::default()
+        } else {
+            rmp_serde::from_slice(reader)?
+        };
+        Ok(Self { message, news })
+    }
+}
+
 /// Sends a sync request and returns the response.
 ///
 /// # Errors
@@ -121,11 +188,9 @@
 pub async fn sync(
     client: &Client,
     peer: SocketAddr,
-    message: &SyncRequest,
-) -> Result<SyncResponse, Error> {
-    // Strings and numbers always encode.
-    let bytes = rmp_serde::to_vec(message).unwrap_or_default();
-    let mut request = Request::new(Body::from(bytes));
+    message: &Envelope<SyncRequest>,
+) -> Result<Envelope<SyncResponse>, Error> {
+    let mut request = Request::new(Body::from(message.encode()));
     *request.method_mut() = Method::POST;
     *request.uri_mut() = http::Uri::from_static(SYNC_PATH);
     let sent = client.send(peer, request, SYNC_TIMEOUT).await;
@@ -136,7 +201,7 @@
     if !status.is_success() {
         return Err(Error::Answer(peer, format!("status {}", status.as_u16())));
     }
-    rmp_serde::from_slice(&bytes).map_err(|cause| Error::Answer(peer, cause.to_string()))
+    Envelope::decode(&bytes).map_err(|cause| Error::Answer(peer, cause.to_string()))
 }
 
 /// Reads and decodes a sync request.
@@ -144,16 +209,15 @@
 /// # Errors
 ///
 /// The reason as text, when the request can't be read.
-pub async fn read(request: Request<Incoming>) -> Result<SyncRequest, String> {
+pub async fn read(request: Request<Incoming>) -> Result<Envelope<SyncRequest>, String> {
     let bytes = body::read(request.into_body(), MAX_MESSAGE_BYTES).await;
     let bytes = bytes.map_err(|cause| cause.to_string())?;
-    rmp_serde::from_slice(&bytes).map_err(|cause| cause.to_string())
+    Envelope::decode(&bytes).map_err(|cause| cause.to_string())
 }
 
 /// Builds the HTTP response of a sync response.
-pub fn answer(message: &SyncResponse) -> Response<Body> {
-    // Strings and numbers always encode.
-    Response::new(Body::from(rmp_serde::to_vec(message).unwrap_or_default()))
+pub fn answer(message: &Envelope<SyncResponse>) -> Response<Body> {
+    Response::new(Body::from(message.encode()))
 }
 
 /// Builds an empty response with an error status.
--- a/engine/src/peer/sync.rs
+++ b/engine/src/peer/sync.rs
@@ -14,7 +14,7 @@
 use indexmap::IndexMap;
 
 use super::{
-    FleetLoad, SyncRequest, SyncResponse, admin,
+    Envelope, FleetLoad, News, SyncRequest, SyncResponse, admin,
     sync_interval::{self, Lag},
 };
 use crate::{
@@ -89,7 +89,7 @@
         return admin::answer(&context, &request);
     }
     match super::read(request).await {
-        Ok(message) => super::answer(&context.handle_sync(message)),
+        Ok(envelope) => super::answer(&context.handle_sync(envelope)),
         Err(reason) => {
             context
                 .report
@@ -101,8 +101,10 @@
 
 impl Context {
     /// Records a VM's sync request and builds the response.
-    fn handle_sync(&self, message: SyncRequest) -> SyncResponse {
+    fn handle_sync(&self, envelope: Envelope<SyncRequest>) -> Envelope<SyncResponse> {
+        let Envelope { message, news } = envelope;
         self.report.merge(message.stamp);
+        self.apply_news(&news);
         let now = self.clock.now();
         let healthy = self.is_manager.get()
             && self.store_health.is_healthy()
@@ -139,7 +141,7 @@
             self.shared_fleet
                 .get()
                 .relay(&self.vm.start, &message.position, &message.followed);
-        SyncResponse {
+        let message = SyncResponse {
             healthy,
             in_flight_elsewhere,
             quotas,
@@ -147,7 +149,22 @@
             relay,
             lag: self.lag.borrow().mean(),
             stamp: self.report.stamp(),
-        }
+        };
+        let news = self.news();
+        Envelope { message, news }
+    }
+
+    /// Returns what other VMs may not know yet.
+    fn news(&self) -> News {
+        let leaving = self.shared_fleet.get().leaving_news(self.clock.now());
+        News { leaving }
+    }
+
+    /// Applies what another VM knows, and logs what is new.
+    fn apply_news(&self, news: &News) {
+        let now = self.clock.now();
+        let lines = self.shared_fleet.record_leaving(now, &news.leaving, "vm");
+        self.report.lines(&lines);
     }
 
     /// Records how much later than requested this process woke up.
@@ -223,7 +240,7 @@
     }
 
     /// Builds this VM's sync request.
-    async fn message(&self, position: LogPosition, interval: Duration) -> SyncRequest {
+    async fn message(&self, position: LogPosition, interval: Duration) -> Envelope<SyncRequest> {
         let state = self.dispatcher.take_snapshot().await;
         let fleet = self.shared_fleet.get();
         let reads_log = fleet
@@ -235,7 +252,7 @@
         } else {
             fleet.followed().clone()
         };
-        SyncRequest {
+        let message = SyncRequest {
             start: self.vm.start.clone(),
             to_manager: true,
             in_flight: state.in_flight,
@@ -247,7 +264,9 @@
             rates: state.rates,
             interval,
             stamp: self.report.stamp(),
-        }
+        };
+        let news = self.news();
+        Envelope { message, news }
     }
 }
 
@@ -267,17 +286,17 @@
             // The lag of the previous manager says nothing about the new one.
             (manager_start, lag) = (start, Duration::ZERO);
         }
-        let message = context.message(position.clone(), interval).await;
-        let busy = !message.in_flight.is_empty();
+        let request = context.message(position.clone(), interval).await;
+        let busy = !request.message.in_flight.is_empty();
         let response = match manager {
             Some(vm) if vm.start == context.vm.start => {
                 // The manager follows the store itself.
                 context.manager_health.record_outcome(false);
-                Some(context.handle_sync(message))
+                Some(context.handle_sync(request).message)
             }
             Some(vm) => {
                 let sent = context.clock.now();
-                let response = exchange(&context, &vm, &message, &mut position).await;
+                let response = exchange(&context, &vm, &request, &mut position).await;
                 if let Some(response) = &response
                     && context.accept_response(response, &vm, interval)
                 {
@@ -355,19 +374,20 @@
         ..SyncRequest::default()
     };
     // Only the relay is used: quotas and counts from a VM that isn't the manager are meaningless.
-    exchange(context, &vm, &message, position).await;
+    let news = context.news();
+    exchange(context, &vm, &Envelope { message, news }, position).await;
 }
 
 /// Sends a sync request and applies the relay in the response; returns `None` after a failure.
 async fn exchange(
     context: &Context,
     vm: &Vm,
-    message: &SyncRequest,
+    request: &Envelope<SyncRequest>,
     position: &mut LogPosition,
 ) -> Option<SyncResponse> {
     let sent = context.clock.now();
-    let response = match super::sync(&context.client, vm.address, message).await {
-        Ok(response) => response,
+    let envelope = match super::sync(&context.client, vm.address, request).await {
+        Ok(envelope) => envelope,
         Err(error) => {
             if context.manager_health.is_healthy() {
                 context
@@ -379,7 +399,12 @@
     };
     let took = context.clock.now().saturating_sub(sent);
     context.report.time("sync", took, &[]);
+    let Envelope {
+        message: response,
+        news,
+    } = envelope;
     context.report.merge(response.stamp);
+    context.apply_news(&news);
     if response.relay.position() != position {
         context.apply_relay(vm, &response.relay, response.healthy);
         *position = response.relay.position().clone();
--- a/engine/src/placement/dispatch/choose.rs
+++ b/engine/src/placement/dispatch/choose.rs
@@ -110,6 +110,14 @@
         let Some(state) = state else {
             return self.wait_for_owner(now, request);
         };
+        if state.has_left(now) {
+            // Its keys have had the time of several moves, so there is no next owner to wait for.
+            return Decision::Refuse(
+                RefusalReason::NoOwner,
+                DEFAULT_RETRY_AFTER,
+                self.owner_basis(request),
+            );
+        }
         if !state.is_available(now) || request.tried.contains(&state.target.id) {
             return self.wait_for_owner(now, request);
         }
--- a/engine/src/placement/dispatch/mod.rs
+++ b/engine/src/placement/dispatch/mod.rs
@@ -23,8 +23,8 @@
 use self::admission::{Decision, QueueKey, QueueState, QuotaKind};
 pub use self::choose::MIN_RETRY_AFTER;
 pub use super::message::{
-    Basis, Completion, CompletionKind, DispatchRequest, Effect, Event, FleetView, RefusalReason,
-    Snapshot, SyncUpdate, Ticket,
+    Basis, Completion, CompletionKind, DispatchRequest, Effect, Event, FleetView, LeavingOwner,
+    RefusalReason, Snapshot, SyncUpdate, Ticket,
 };
 use super::{
     budget::{Balance, RetryAllowance, RetryBudget},
@@ -263,14 +263,7 @@
                         .or_default()
                         .push(index);
                 }
-                let known = self.target_states.swap_remove(&target.id);
-                let mut state = match known {
-                    Some(mut state) if state.target.same_incarnation(target) => {
-                        state.update(target);
-                        state
-                    }
-                    _ => TargetState::new(target.clone(), now),
-                };
+                let mut state = self.take_state(now, target);
                 let until = view.cold.get(&target.id).copied().unwrap_or_default();
                 state.set_warmup(until, limit);
                 let rate = self.rates.rate(catalogue::hash(&target.id));
@@ -278,6 +271,11 @@
                 target_states.insert(target.id.clone(), state);
             }
         }
+        for owner in &view.leaving_owners {
+            let mut state = self.take_state(now, &owner.target);
+            state.set_leaving(owner.until);
+            target_states.insert(owner.target.id.clone(), state);
+        }
         self.target_states = target_states;
         self.vm_count.record(now, view.vms.len());
         self.view = view;
@@ -286,6 +284,17 @@
         self.refused_keys.retain(find);
     }
 
+    /// Takes the known state of a target, or creates one for an incarnation that is new.
+    fn take_state(&mut self, now: Duration, target: &Target) -> TargetState {
+        match self.target_states.swap_remove(&target.id) {
+            Some(mut state) if state.target.same_incarnation(target) => {
+                state.update(target);
+                state
+            }
+            _ => TargetState::new(target.clone(), now),
+        }
+    }
+
     /// Returns the limit on this VM's requests to a target while it is cold.
     fn warmup_limit(&self, view: &FleetView, target: &Target) -> SendLimit {
         let Some(warmup) = view.warmups.get(&target.service) else {
--- a/engine/src/placement/message.rs
+++ b/engine/src/placement/message.rs
@@ -113,11 +113,22 @@
     pub rates: Vec<RateReport>,
 }
 
+/// A target that says that it leaves, and may still own keys.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LeavingOwner {
+    /// The target.
+    pub target: Target,
+    /// Until when it may get requests for its keys.
+    pub until: Duration,
+}
+
 /// The dispatcher's view of the fleet.
 #[derive(Clone, Debug, Default)]
 pub struct FleetView {
     /// Targets that accept new requests, by service.
     pub targets: IndexMap<ServiceId, Vec<Target>>,
+    /// Targets that say that they leave; they may get requests for keys that they own, and no others.
+    pub leaving_owners: Vec<LeavingOwner>,
     /// The owners of keys, by service.
     pub records: IndexMap<ServiceId, Rc<Record>>,
     /// The names of the VMs.
--- a/engine/src/placement/target_state.rs
+++ b/engine/src/placement/target_state.rs
@@ -107,6 +107,8 @@
     last_sent_at: Duration,
     /// Whether another target uses the address.
     address_reused: bool,
+    /// The time from which the target gets no more requests, if it says that it leaves.
+    leaves_at: Option<Duration>,
     /// The limit on this VM's requests while the target is cold.
     warmup_limiter: SendLimiter,
     /// The rate limit that the target asks for.
@@ -139,6 +141,7 @@
             backoff: MIN_BACKOFF,
             last_sent_at: Duration::ZERO,
             address_reused: false,
+            leaves_at: None,
             warmup_limiter: SendLimiter::default(),
             rate: None,
             rate_limiter: SendLimiter::default(),
@@ -151,6 +154,16 @@
         self.target = target.clone();
     }
 
+    /// Sets the time from which the target gets no more requests because it leaves.
+    pub fn set_leaving(&mut self, at: Duration) {
+        self.leaves_at = Some(at);
+    }
+
+    /// Returns whether the target gets no more requests because it leaves.
+    pub fn has_left(&self, now: Duration) -> bool {
+        self.leaves_at.is_some_and(|at| now >= at)
+    }
+
     /// Sets until when the target is cold, and what this VM may send to it meanwhile.
     pub fn set_warmup(&mut self, until: Duration, limit: SendLimit) {
         self.warmup_limiter.set(until, limit);
--- a/engine/src/process/mod.rs
+++ b/engine/src/process/mod.rs
@@ -283,7 +283,9 @@
             sender: Sender {
                 client: Client::new(self.clock.clone(), MAX_TARGET_CONNECTIONS),
                 targets: self.adapter.targets.clone(),
+                shared_fleet: self.shared_fleet.clone(),
                 clock: self.clock.clone(),
+                report: self.report.clone(),
             },
             startup: StartupWait::new(&self.clock),
             timeouts: RouteTimeouts::default(),
