Keys stay with their owner while the store can't take in the next one

Cause: moves and the release of draining owners look at targets and load only, not at whether the store answers. Class: a step that can't be taken back before one that may fail for long.

Mend: nothing is released unless the lease has been renewed in time, by the ratio from which grants get longer. Releases after silence are as before: those keys are served by nobody anyway. A move that begins within about 0.7 s after the store's last answer still can't be foreseen.

--- a/engine/src/owner/ownership/mod.rs
+++ b/engine/src/owner/ownership/mod.rs
@@ -48,7 +48,7 @@
 const FIRST_GRANT_DURATION: Duration = Duration::from_millis(600);
 /// The shortest grant that is sent to an unresponsive owner to learn whether it responds again.
 const MIN_PROBE_DURATION: Duration = Duration::from_millis(200);
-/// The remaining ratio of the lease below which grants get the longer duration: two renewals are late then.
+/// The remaining ratio of the lease below which the store counts as unavailable: two renewals are late then.
 const OUTAGE_LEASE_RATIO: f64 = 0.4;
 /// The delay before a call without a response is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
@@ -327,6 +327,9 @@
 
     /// Begins the release of all ranges of unsuitable owners.
     fn release_unsuitable(&mut self, now: Duration, effects: &mut Vec<Effect>) {
+        if !self.is_lease_fresh(now) {
+            return;
+        }
         let unsuitable_owners = self.unsuitable_owners(now);
         for range in &self.record.ranges {
             let Some(state) = self.states.get_mut(&range.from) else {
@@ -352,12 +355,19 @@
         }
     }
 
+    /// Returns whether the lease has been renewed in time, so the store takes in new owners.
+    ///
+    /// No key is released before that: until its next owner is in the store, nobody serves it.
+    pub(super) fn is_lease_fresh(&self, now: Duration) -> bool {
+        now + self.timing.lease.mul_f64(OUTAGE_LEASE_RATIO) < self.lease_until
+    }
+
     /// Returns how long a grant that is sent now lasts; `None` if it may not be sent.
     ///
     /// While the store is down no VM can replace the manager, and if the manager fails too, keys are served only until
     /// their grants expire. Grants are therefore longer then.
     fn next_grant_duration(&self, now: Duration) -> Option<Duration> {
-        if now + self.timing.lease.mul_f64(OUTAGE_LEASE_RATIO) < self.lease_until {
+        if self.is_lease_fresh(now) {
             return Some(self.timing.grant_duration);
         }
         let end = self.lease_until + self.timing.latest_expiry;
--- a/engine/src/owner/ownership/moves.rs
+++ b/engine/src/owner/ownership/moves.rs
@@ -125,7 +125,8 @@
     pub(super) fn balance(&mut self, now: Duration, effects: &mut Vec<Effect>) {
         let is_idle = |state: &RangeState| state.phase == Phase::Owned || state.is_unresponsive();
         let due = now >= self.balanced_at + BALANCE_INTERVAL;
-        if !self.states.values().all(is_idle) || !due || self.pending.is_some() {
+        let may_commit = self.pending.is_none() && self.is_lease_fresh(now);
+        if !self.states.values().all(is_idle) || !due || !may_commit {
             return;
         }
         let all_owned = self
