--- a/engine/tests/hold_offs.rs
+++ b/engine/tests/hold_offs.rs
@@ -39,7 +39,7 @@
         let Effect::Refuse { retry_after, .. } = &effects[0] else {
             unreachable!("the request was refused");
         };
-        assert_eq!(*retry_after, TIME - ms(at));
+        assert_eq!(*retry_after, TIME.saturating_sub(ms(at)));
     }
 }
 
@@ -48,12 +48,15 @@
     let mut it = owned_service();
     it.handle(ms(0), Event::Request(keyed(1, ms(0))));
     refuse(&mut it, ms(0), "t0");
-    let arrived = TIME - ms(50);
+    let arrived = TIME.saturating_sub(ms(50));
     assert!(
         it.handle(arrived, Event::Request(keyed(2, arrived)))
             .is_empty()
     );
-    assert!(it.handle(TIME - ms(1), Event::Tick).is_empty());
+    assert!(
+        it.handle(TIME.saturating_sub(ms(1)), Event::Tick)
+            .is_empty()
+    );
     assert_eq!(sent(&it.handle(TIME, Event::Tick)), [(2, "t0".to_owned())]);
 }
 
@@ -94,7 +97,11 @@
     let Effect::Refuse { retry_after, .. } = &effects[0] else {
         unreachable!("the request was refused");
     };
-    assert_eq!(*retry_after, TIME - ms(500), "the first that takes some");
+    assert_eq!(
+        *retry_after,
+        TIME.saturating_sub(ms(500)),
+        "the first that takes some"
+    );
 }
 
 /// Guards against a target that is forgotten with the list that it leaves for a moment.
