BUDGET: keys leave an owner that refuses the requests of several VMs, while others take some

Callers got 503 for all keys of two targets for 9 s, while the ten others of the service had room; the manager even moved keys to the two.

Class: a target's statement to single VMs that says something about the whole.

Mend: VMs tell the manager which targets want nothing from them, as a named field of the news that older builds ignore. An owner that holds off two VMs (or the only one) for a second or more releases its keys and gets none for 10 s, since without load it refuses nothing. While more than half of the service's targets refuse nothing moves: that is a service without room, and keys would only push the next one over.

--- a/engine/src/owner/calls.rs
+++ b/engine/src/owner/calls.rs
@@ -15,7 +15,6 @@
     catalogue::{self, Target, TargetHash, TargetId},
     fleet::{Fleet, Vm},
     store::{Commit, Error, Item, Lease, Put, Transaction},
-    target::Rate,
 };
 
 /// How much later each next VM bids, so that one bid is usually enough: a call takes some 5 ms.
@@ -212,16 +211,19 @@
     }
 }
 
-/// Returns the rate limits that targets of a list ask for, in requests per second.
-pub(super) fn rate_limits(
-    rates: &IndexMap<TargetHash, Rate>,
+/// Returns the values that are known for targets of a list, by their ids.
+pub(super) fn of_targets<V>(
+    values: &IndexMap<TargetHash, V>,
     targets: &[Target],
-) -> IndexMap<TargetId, Rate> {
-    let rate = |target: &Target| {
-        let rate = rates.get(&catalogue::hash(&target.id))?;
-        Some((target.id.clone(), *rate))
+) -> IndexMap<TargetId, V>
+where
+    V: Copy,
+{
+    let value = |target: &Target| {
+        let value = values.get(&catalogue::hash(&target.id))?;
+        Some((target.id.clone(), *value))
     };
-    targets.iter().filter_map(rate).collect()
+    targets.iter().filter_map(value).collect()
 }
 
 /// Returns the time that one request takes, in seconds, at each target for which it is known.
--- a/engine/src/owner/manager/mod.rs
+++ b/engine/src/owner/manager/mod.rs
@@ -49,6 +49,8 @@
         times: Vec<(TargetHash, f64, u32)>,
         /// The rate limits that targets ask for, as known from all VMs.
         rates: Vec<(TargetHash, Rate)>,
+        /// The targets that refuse the requests of several VMs, and until when.
+        refusing: Vec<(TargetHash, Duration)>,
     },
     /// The process stops: resign, then answer on the channel.
     Stop(oneshot::Sender<()>),
@@ -124,6 +126,8 @@
     service_times: ServiceTimes,
     /// The rate limits that targets ask for.
     rate_limits: IndexMap<TargetHash, Rate>,
+    /// The targets that refuse requests, and until when.
+    refusing: IndexMap<TargetHash, Duration>,
     /// The durations of the lease and of grants, for the number of VMs at the last bid.
     timing: Timing,
     /// Services whose records are being read.
@@ -158,6 +162,7 @@
         services: IndexMap::new(),
         service_times: ServiceTimes::default(),
         rate_limits: IndexMap::new(),
+        refusing: IndexMap::new(),
         timing,
         reading: Vec::new(),
         lease: None,
@@ -219,8 +224,10 @@
                 counts,
                 times,
                 rates,
+                refusing,
             } => {
                 self.rate_limits = rates.into_iter().collect();
+                self.refusing = refusing.into_iter().collect();
                 self.add_load(counts, &times);
             }
             Message::SyncReceived(start) => self.sync_received(&start),
--- a/engine/src/owner/manager/updates.rs
+++ b/engine/src/owner/manager/updates.rs
@@ -36,10 +36,12 @@
         let fleet = self.context.shared_fleet.get();
         let targets = calls::targets_of(&fleet, service);
         let times = calls::service_times(&self.service_times, &targets);
-        let rates = calls::rate_limits(&self.rate_limits, &targets);
+        let rates = calls::of_targets(&self.rate_limits, &targets);
+        let refusing = calls::of_targets(&self.refusing, &targets);
         if let Some(managed) = self.services.get_mut(service) {
             managed.ownership.set_service_times(times);
             managed.ownership.set_rate_limits(rates);
+            managed.ownership.set_refusing(refusing);
         }
         self.handle_event(service, Event::Load(counts));
     }
--- a/engine/src/owner/ownership/call_outcomes.rs
+++ b/engine/src/owner/ownership/call_outcomes.rs
@@ -10,11 +10,11 @@
 /// With three in ten responses lost, six consecutive losses happen once in 1,400 times.
 const MAX_UNANSWERED: u32 = 6;
 
-/// How long an incarnation that lost ranges by not responding or by its end gets no others.
+/// How long an incarnation that lost ranges by not responding, by its end or by refusing requests gets no others.
 ///
 /// An unresponsive target stays announced for a while, and requests for its ranges would wait without a response;
 /// a target that restarts is another incarnation and may own ranges at once.
-const AVOID_TIME: Duration = Duration::from_secs(10);
+pub(super) const AVOID_TIME: Duration = Duration::from_secs(10);
 
 impl ServiceOwnership {
     /// Handles the outcome of a grant for the range that begins at `from`.
--- a/engine/src/owner/ownership/mod.rs
+++ b/engine/src/owner/ownership/mod.rs
@@ -23,8 +23,9 @@
 mod commit;
 mod moves;
 mod predecessors;
+mod suitability;
 
-use std::{collections::HashSet, time::Duration};
+use std::time::Duration;
 
 use indexmap::IndexMap;
 
@@ -107,6 +108,8 @@
     service_times: IndexMap<TargetId, f64>,
     /// The rate limits that targets ask for.
     rate_limits: IndexMap<TargetId, Rate>,
+    /// The targets that refuse requests, and until when.
+    refusing: IndexMap<TargetId, Duration>,
     started_at: Duration,
     /// When moves were last planned.
     balanced_at: Duration,
@@ -158,6 +161,7 @@
             load: Load::default(),
             service_times: IndexMap::new(),
             rate_limits: IndexMap::new(),
+            refusing: IndexMap::new(),
             started_at: now,
             balanced_at: now,
             redistributed_at: Duration::ZERO,
@@ -204,6 +208,15 @@
         self.rate_limits = rates;
     }
 
+    /// Sets the targets that refuse requests, and until when; such a target owns no keys while most others take some.
+    ///
+    /// # Example
+    ///
+    /// See [`ServiceOwnership`].
+    pub fn set_refusing(&mut self, refusing: IndexMap<TargetId, Duration>) {
+        self.refusing = refusing;
+    }
+
     /// Sets which targets are in warm-up, and until when; such a target owns keys only if all targets are in warm-up.
     ///
     /// # Example
@@ -300,61 +313,6 @@
         }
     }
 
-    /// Returns whether a target is in warm-up.
-    fn is_warming(&self, now: Duration, target: &TargetId) -> bool {
-        self.warming.get(target).is_some_and(|until| now < *until)
-    }
-
-    /// Returns the owners that have to release their ranges: they are draining, no longer announced, or in
-    /// warm-up while another target isn't.
-    fn unsuitable_owners(&self, now: Duration) -> HashSet<Incarnation> {
-        let ready = |it: &Target| !it.leaving;
-        let warm = self
-            .targets
-            .values()
-            .any(|it| ready(it) && !self.is_warming(now, &it.id));
-        let owners = self.record.ranges.iter().filter_map(|it| it.owner.as_ref());
-        let is_suitable = |owner: &Incarnation| {
-            let target = self.targets.get(&owner.id);
-            let announced = target.is_some_and(|it| owner.is_announced_by(it) && ready(it));
-            announced && !(warm && self.is_warming(now, &owner.id))
-        };
-        owners
-            .filter(|owner| !is_suitable(owner))
-            .cloned()
-            .collect()
-    }
-
-    /// Begins the release of all ranges of unsuitable owners.
-    fn release_unsuitable(&mut self, now: Duration, effects: &mut Vec<Effect>) {
-        if !self.is_lease_fresh(now) {
-            return;
-        }
-        let unsuitable_owners = self.unsuitable_owners(now);
-        for range in &self.record.ranges {
-            let Some(state) = self.states.get_mut(&range.from) else {
-                continue;
-            };
-            let Some(owner) = &range.owner else {
-                continue;
-            };
-            if state.phase != Phase::Owned || state.in_flight {
-                continue;
-            }
-            if unsuitable_owners.contains(owner) {
-                state.phase = Phase::Releasing(None);
-                state.next_call = now;
-                effects.push(Effect::Log(format!(
-                    "event=release-begun from={} to={} owner={} announced={}",
-                    range.from,
-                    range.to,
-                    owner.id,
-                    self.targets.contains_key(&owner.id)
-                )));
-            }
-        }
-    }
-
     /// Returns whether the lease has been renewed in time, so the store takes in new owners.
     ///
     /// No key is released before that: until its next owner is in the store, nobody serves it.
--- a/engine/src/owner/ownership/moves.rs
+++ b/engine/src/owner/ownership/moves.rs
@@ -65,7 +65,7 @@
 impl ServiceOwnership {
     /// Returns the targets that may get keys, with their capacities.
     ///
-    /// Targets that are avoided, unresponsive or in warm-up are returned only if there is no other.
+    /// Targets that are avoided, unresponsive, in warm-up or refuse requests are returned only if there is no other.
     pub(super) fn candidates(&self, now: Duration) -> Vec<Candidate> {
         let default = median(self.service_times.values().copied().collect())
             .unwrap_or(DEFAULT_SERVICE_TIME_SECS);
@@ -90,10 +90,12 @@
                 .is_some_and(|until| now < *until)
         };
         let unresponsive = self.unresponsive_owners();
+        let refusing = self.refusing_targets(now);
         let (unsuitable, suitable): (Vec<_>, Vec<_>) = candidates.partition(|it| {
             let incarnation = &it.incarnation;
             avoided(incarnation)
                 || unresponsive.contains(incarnation)
+                || refusing.contains(&incarnation.id)
                 || self.is_warming(now, &incarnation.id)
         });
         if suitable.is_empty() {
--- a/engine/src/peer/fleet_load.rs
+++ b/engine/src/peer/fleet_load.rs
@@ -4,7 +4,7 @@
 //! Load pattern: many VMs queue requests for the same busy target. Each VM sends the manager its load with every sync
 //! request, and gets the load of all others and its quotas in the response.
 
-use std::{collections::HashMap, time::Duration};
+use std::{cmp::Reverse, collections::HashMap, time::Duration};
 
 use indexmap::IndexMap;
 
@@ -12,6 +12,7 @@
 use crate::{
     placement::{
         bucket::TokenBucket,
+        hold_offs::HoldOffReport,
         quota::{self, Quota, RateCapacity, TargetQueue},
         rates::{RateReport, Rates},
     },
@@ -25,6 +26,11 @@
 /// For how many of the VM's sync intervals a report counts: one report may be lost on the network.
 const VALIDITY_INTERVALS: u32 = 3;
 
+/// How many VMs a target has to refuse until its keys move away.
+const MIN_REFUSED_VMS: usize = 2;
+/// The minimum remaining time for which it has to refuse them: a move takes a part of a second itself.
+const MIN_REFUSAL_TIME: Duration = Duration::from_secs(1);
+
 /// The load that one VM has reported.
 #[derive(Clone, Debug)]
 struct VmReport {
@@ -35,6 +41,8 @@
     received_at: Duration,
     /// When the report stops counting.
     valid_until: Duration,
+    /// The targets that want no requests from the VM, and until when.
+    hold_offs: Vec<(TargetHash, Duration)>,
 }
 
 impl VmReport {
@@ -115,6 +123,7 @@
             granted: Vec::new(),
             received_at: now,
             valid_until: now + MIN_VALIDITY.max(interval * VALIDITY_INTERVALS),
+            hold_offs: Vec::new(),
         };
         self.reports.insert(start.to_owned(), report);
     }
@@ -139,6 +148,56 @@
         let _ = self.rates.expire(now);
     }
 
+    /// Sets the targets that want no requests from a VM that has just reported its load.
+    ///
+    /// # Example
+    ///
+    /// See [`FleetLoad::refusing_targets`].
+    pub fn set_hold_offs(&mut self, now: Duration, start: &str, hold_offs: &[HoldOffReport]) {
+        if let Some(report) = self.reports.get_mut(start) {
+            let until = |it: &HoldOffReport| (it.target, now.saturating_add(it.remaining));
+            report.hold_offs = hold_offs.iter().map(until).collect();
+        }
+    }
+
+    /// Returns the targets that want no requests from several VMs for a while, and until when.
+    ///
+    /// A target that holds off a single VM may serve all others, so it takes two of them, unless there is only one.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier_engine::{peer::FleetLoad, placement::hold_offs::HoldOffReport};
+    ///
+    /// let s = Duration::from_secs;
+    /// let mut fleet_load = FleetLoad::default();
+    /// for vm in ["vm-1", "vm-2"] {
+    ///     fleet_load.update(s(0), vm, Vec::new(), Vec::new(), s(1));
+    /// }
+    /// fleet_load.set_hold_offs(s(0), "vm-1", &[HoldOffReport { target: 7, remaining: s(5) }]);
+    /// assert!(fleet_load.refusing_targets(s(0)).is_empty());
+    /// fleet_load.set_hold_offs(s(0), "vm-2", &[HoldOffReport { target: 7, remaining: s(3) }]);
+    /// assert_eq!(fleet_load.refusing_targets(s(0)), [(7, s(3))]);
+    /// ```
+    pub fn refusing_targets(&self, now: Duration) -> Vec<(TargetHash, Duration)> {
+        let needed = MIN_REFUSED_VMS.min(self.valid_reports(now).count());
+        let mut ends: IndexMap<TargetHash, Vec<Duration>> = IndexMap::new();
+        for (_, report) in self.valid_reports(now) {
+            let long = |it: &&(TargetHash, Duration)| it.1 >= now + MIN_REFUSAL_TIME;
+            for (target, until) in report.hold_offs.iter().filter(long) {
+                ends.entry(*target).or_default().push(*until);
+            }
+        }
+        let refusing = ends.into_iter().filter_map(|(target, mut ends)| {
+            ends.sort_unstable_by_key(|until| Reverse(*until));
+            let until = ends.get(needed.checked_sub(1)?)?;
+            Some((target, *until))
+        });
+        refusing.collect()
+    }
+
     /// Returns the rate limits that targets have reported to any VM, with their ages.
     ///
     /// # Example
--- a/engine/src/peer/mod.rs
+++ b/engine/src/peer/mod.rs
@@ -28,6 +28,7 @@
     fleet::{LogPosition, Relay},
     owner::record::RequestKey,
     placement::{
+        hold_offs::HoldOffReport,
         quota::{Quota, TargetQueue},
         rates::RateReport,
     },
@@ -123,6 +124,8 @@
 pub struct News {
     /// The targets of which the sender has recently learned that they leave.
     pub leaving: Vec<TargetId>,
+    /// The targets that want no requests from the sender, for the manager.
+    pub hold_offs: Vec<HoldOffReport>,
 }
 
 /// A message between VMs, and the news that come with it.
@@ -145,7 +148,7 @@
     /// ```
     /// use bramleypier_engine::peer::{Envelope, News, SyncRequest};
     ///
-    /// let news = News { leaving: vec!["t1".to_owned()] };
+    /// let news = News { leaving: vec!["t1".to_owned()], ..News::default() };
     /// let envelope = Envelope { message: SyncRequest::default(), news };
     /// assert_eq!(Envelope::decode(&envelope.encode()).unwrap(), envelope);
     /// ```
--- a/engine/src/peer/sync.rs
+++ b/engine/src/peer/sync.rs
@@ -22,7 +22,7 @@
     fleet::{LogPosition, Relay, SharedFleet, StoreKeys, Vm},
     health::Health,
     owner::{manager, tally::Tally},
-    placement::{dispatch, task},
+    placement::{dispatch, hold_offs::HoldOffReport, task},
     report::Report,
 };
 
@@ -120,6 +120,7 @@
             message.interval,
         );
         fleet_load.merge_rates(now, &message.rates);
+        fleet_load.set_hold_offs(now, &message.start, &news.hold_offs);
         let in_flight_elsewhere = fleet_load.in_flight_elsewhere(now, &message.start);
         let quotas = fleet_load.assign_quotas(now, &message.start);
         let rates = fleet_load.rates(now);
@@ -127,6 +128,7 @@
             counts: message.key_counts,
             times: message.service_times,
             rates: fleet_load.rate_limits(),
+            refusing: fleet_load.refusing_targets(now),
         };
         // The send can't fail: the manager task runs until the process ends.
         let _ = self.manager.unbounded_send(load);
@@ -150,14 +152,14 @@
             lag: self.lag.borrow().mean(),
             stamp: self.report.stamp(),
         };
-        let news = self.news();
+        let news = self.news(Vec::new());
         Envelope { message, news }
     }
 
-    /// Returns what other VMs may not know yet.
-    fn news(&self) -> News {
+    /// Returns what other VMs may not know yet; only the manager needs this VM's hold-offs.
+    fn news(&self, hold_offs: Vec<HoldOffReport>) -> News {
         let leaving = self.shared_fleet.get().leaving_news(self.clock.now());
-        News { leaving }
+        News { leaving, hold_offs }
     }
 
     /// Applies what another VM knows, and logs what is new.
@@ -265,7 +267,7 @@
             interval,
             stamp: self.report.stamp(),
         };
-        let news = self.news();
+        let news = self.news(state.hold_offs);
         Envelope { message, news }
     }
 }
@@ -374,7 +376,7 @@
         ..SyncRequest::default()
     };
     // Only the relay is used: quotas and counts from a VM that isn't the manager are meaningless.
-    let news = context.news();
+    let news = context.news(Vec::new());
     exchange(context, &vm, &Envelope { message, news }, position).await;
 }
 
--- a/engine/src/placement/dispatch/mod.rs
+++ b/engine/src/placement/dispatch/mod.rs
@@ -216,6 +216,7 @@
         let mut snapshot = Snapshot {
             queues: self.queues(now),
             rates: self.rates.reports(now),
+            hold_offs: self.hold_offs.reports(now),
             ..Snapshot::default()
         };
         for state in self.target_states.values_mut() {
--- a/engine/src/placement/hold_offs.rs
+++ b/engine/src/placement/hold_offs.rs
@@ -7,8 +7,19 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
-use crate::catalogue::TargetId;
+use crate::catalogue::{self, TargetHash, TargetId};
+
+/// A target that wants no requests from a VM, as that VM tells the manager.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct HoldOffReport {
+    /// The target.
+    pub target: TargetHash,
+    /// For how much longer.
+    pub remaining: Duration,
+}
 
 /// The times until which targets want no requests from this VM.
 ///
@@ -50,6 +61,30 @@
         known.is_none()
     }
 
+    /// Returns all targets that want no requests now, for the manager.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier_engine::placement::hold_offs::HoldOffs;
+    ///
+    /// let s = Duration::from_secs;
+    /// let mut hold_offs = HoldOffs::default();
+    /// hold_offs.record(s(1), "t1", s(3));
+    /// assert_eq!(hold_offs.reports(s(2))[0].remaining, s(2));
+    /// assert!(hold_offs.reports(s(4)).is_empty());
+    /// ```
+    pub fn reports(&self, now: Duration) -> Vec<HoldOffReport> {
+        let active = self.until.iter().filter(|(_, until)| now < **until);
+        let reports = active.map(|(id, until)| HoldOffReport {
+            target: catalogue::hash(id),
+            remaining: until.saturating_sub(now),
+        });
+        reports.collect()
+    }
+
     /// Returns for how much longer a target wants no requests; `None` if it takes them.
     ///
     /// # Example
--- a/engine/src/placement/message.rs
+++ b/engine/src/placement/message.rs
@@ -12,6 +12,7 @@
 pub use super::completion::{Completion, CompletionKind};
 use super::{
     budget::Balance,
+    hold_offs::HoldOffReport,
     quota::{Quota, TargetQueue},
     rates::RateReport,
 };
@@ -113,6 +114,8 @@
     pub queues: Vec<TargetQueue>,
     /// The rate limits that targets have reported.
     pub rates: Vec<RateReport>,
+    /// The targets that want no requests from this VM.
+    pub hold_offs: Vec<HoldOffReport>,
 }
 
 /// A target that says that it leaves, and may still own keys.
--- a/engine/tests/leaving.rs
+++ b/engine/tests/leaving.rs
@@ -139,6 +139,7 @@
     };
     let news = News {
         leaving: vec!["t0".to_owned()],
+        ..News::default()
     };
     let envelope = Envelope {
         message: message.clone(),
--- a/engine/tests/service_ownership.rs
+++ b/engine/tests/service_ownership.rs
@@ -1,85 +1,18 @@
 //! Tests how the ownership of one service's keys handles ended incarnations, unresponsive targets, a lost lease and
 //! hot keys.
 
+mod ownership_fixture;
+
 use std::time::Duration;
 
-use bramleypier_engine::{
-    catalogue::Target,
-    owner::{
-        ownership::{CallOutcome, Effect, Event, OwnershipCommand, ServiceOwnership, Timing},
-        record::{Incarnation, KeyRange, Record, RequestKey},
-    },
+use bramleypier_engine::owner::{
+    ownership::{CallOutcome, Effect, Event, ServiceOwnership},
+    record::RequestKey,
 };
-
-const TIMING: Timing = Timing {
-    lease: Duration::from_secs(2),
-    grant_duration: Duration::from_secs(4),
-    outage_duration: Duration::from_secs(10),
-    renew_interval: Duration::from_millis(1300),
-    latest_expiry: Duration::from_secs(12),
+use ownership_fixture::{
+    TIMING, committed_record, grant_commands, granted_ownership, release_commands, released_ranges,
+    target,
 };
-const LAST_KEY: RequestKey = 99;
-
-fn target(number: u16) -> Target {
-    Target {
-        id: format!("t{number}"),
-        start_time: 1,
-        service: "s".to_owned(),
-        address: ([127, 0, 0, 1], 9000 + number).into(),
-        domain: "d".to_owned(),
-        slots: 2,
-        leaving: false,
-        cold: Duration::ZERO,
-    }
-}
-
-/// The ownership of five granted ranges, of which the first target owns three that are not adjacent; returned with its
-/// grants and the time.
-fn granted_ownership() -> (ServiceOwnership, Vec<OwnershipCommand>, Duration) {
-    let targets: Vec<Target> = (1..=3).map(target).collect();
-    let owners = [0, 1, 0, 2, 0];
-    let ranges = owners.iter().zip(0..).map(|(owner, index)| KeyRange {
-        from: index * 20,
-        to: index * 20 + 19,
-        fence: 1,
-        owner: Some(Incarnation::of(&targets[*owner])),
-    });
-    let record = Record {
-        term: 1,
-        resigned: true,
-        settled: true,
-        ranges: ranges.collect(),
-        ..Record::unowned(LAST_KEY)
-    };
-    let now = Duration::from_secs(10);
-    let (mut ownership, _) = ServiceOwnership::take_over("vm-1", record, TIMING, now);
-    ownership.handle(now, Event::LeaseExtended(now + Duration::from_secs(2)));
-    ownership.handle(now, Event::Targets(targets));
-    let grants = grant_commands(&ownership.handle(now, Event::Committed));
-    assert_eq!(grants.len(), owners.len());
-    for command in &grants {
-        ownership.handle(
-            now,
-            Event::GrantEnded(command.from, CallOutcome::Done(None)),
-        );
-    }
-    (ownership, grants, now)
-}
-
-fn grant_commands(effects: &[Effect]) -> Vec<OwnershipCommand> {
-    let commands = effects.iter().filter_map(|effect| match effect {
-        Effect::Grant(command) => Some(command.clone()),
-        _ => None,
-    });
-    commands.collect()
-}
-
-fn committed_record(effects: &[Effect]) -> Option<&Record> {
-    effects.iter().find_map(|effect| match effect {
-        Effect::Commit(record) => Some(record),
-        _ => None,
-    })
-}
 
 #[test]
 fn the_end_of_an_incarnation_frees_all_its_ranges_at_once() {
@@ -213,14 +146,6 @@
     }
 }
 
-fn released_ranges(effects: &[Effect]) -> Vec<RequestKey> {
-    let commands = effects.iter().filter_map(|effect| match effect {
-        Effect::Release(command) => Some(command.from),
-        _ => None,
-    });
-    commands.collect()
-}
-
 #[test]
 fn a_target_that_refuses_connections_keeps_its_ranges_until_its_grant_expires() {
     let (mut ownership, _, now) = granted_ownership();
@@ -279,14 +204,6 @@
     );
 }
 
-fn release_commands(effects: &[Effect]) -> Vec<OwnershipCommand> {
-    let commands = effects.iter().filter_map(|effect| match effect {
-        Effect::Release(command) => Some(command.clone()),
-        _ => None,
-    });
-    commands.collect()
-}
-
 /// A run of keys moves while none of them is hot; then one of them takes most requests, and another target turns out
 /// to be three times as fast.
 #[test]
@@ -448,7 +365,7 @@
 fn a_new_owner_that_never_answers_delays_its_keys_by_a_second_at_most() {
     let (mut ownership, now) = renewed_ownership();
     // The first target drains; its ranges go to others, of which the second target becomes unresponsive.
-    let mut targets: Vec<Target> = (1..=3).map(target).collect();
+    let mut targets: Vec<_> = (1..=3).map(target).collect();
     targets[0].leaving = true;
     let step = Duration::from_millis(50);
     let mut first: Option<Duration> = None;
