A VM that starts, or meets a new manager, is told of all targets that leave

VMs pass news of leaving targets on for 3 s only. A VM that started later sent requests to such a target until it had heard from it itself, and a new manager learned of it only by its grants. The first exchange with a process now names all announced targets of which the sender knows that they leave. The new test of program/tests/leaving.rs fails on the code before.

--- a/engine/src/fleet/leaving.rs
+++ b/engine/src/fleet/leaving.rs
@@ -43,6 +43,26 @@
         ids.take(MAX_NEWS).collect()
     }
 
+    /// Returns the announced targets of which this VM knows that they leave, however long, for a VM that has just started
+    /// or that this VM contacts for the first time.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier_engine::fleet::SharedFleet;
+    ///
+    /// let shared_fleet = SharedFleet::default();
+    /// shared_fleet.record_leaving(Duration::ZERO, &["t1".to_owned()], "answer");
+    /// assert!(shared_fleet.get().all_leaving().is_empty(), "no such target is announced");
+    /// ```
+    pub fn all_leaving(&self) -> Vec<TargetId> {
+        let newest_first = self.leaving.keys().rev();
+        let announced = newest_first.filter(|id| self.targets.contains_key(*id));
+        announced.take(MAX_NEWS).cloned().collect()
+    }
+
     /// Records that a target leaves; returns a log line that names the source of this knowledge.
     fn set_leaving(&mut self, now: Duration, id: &str, by: &str) -> String {
         if self.leaving.len() >= MAX_LEAVING {
--- a/engine/src/peer/sync.rs
+++ b/engine/src/peer/sync.rs
@@ -143,6 +143,7 @@
             self.shared_fleet
                 .get()
                 .relay(&self.vm.start, &message.position, &message.followed);
+        let is_first = message.position.start != self.vm.start;
         let message = SyncResponse {
             healthy,
             in_flight_elsewhere,
@@ -152,13 +153,18 @@
             lag: self.lag.borrow().mean(),
             stamp: self.report.stamp(),
         };
-        let news = self.news(Vec::new());
+        let news = self.news(is_first, Vec::new());
         Envelope { message, news }
     }
 
-    /// Returns what other VMs may not know yet; only the manager needs this VM's hold-offs.
-    fn news(&self, hold_offs: Vec<HoldOffReport>) -> News {
-        let leaving = self.shared_fleet.get().leaving_news(self.clock.now());
+    /// Returns what another VM may not know yet; only the manager needs this VM's hold-offs.
+    fn news(&self, is_first: bool, hold_offs: Vec<HoldOffReport>) -> News {
+        let fleet = self.shared_fleet.get();
+        let leaving = if is_first {
+            fleet.all_leaving()
+        } else {
+            fleet.leaving_news(self.clock.now())
+        };
         News { leaving, hold_offs }
     }
 
@@ -267,7 +273,7 @@
             interval,
             stamp: self.report.stamp(),
         };
-        let news = self.news(state.hold_offs);
+        let news = self.news(!reads_log, state.hold_offs);
         Envelope { message, news }
     }
 }
@@ -376,7 +382,7 @@
         ..SyncRequest::default()
     };
     // Only the relay is used: quotas and counts from a VM that isn't the manager are meaningless.
-    let news = context.news(Vec::new());
+    let news = context.news(true, Vec::new());
     exchange(context, &vm, &Envelope { message, news }, position).await;
 }
 
--- a/engine/tests/leaving.rs
+++ b/engine/tests/leaving.rs
@@ -118,6 +118,18 @@
     assert_eq!(available(&shared_fleet).1, ["t2"]);
 }
 
+/// Guards against a VM that starts again and sends to a target of which all others know that it leaves.
+#[test]
+fn a_vm_that_starts_is_told_of_all_announced_targets_that_leave() {
+    let shared_fleet = shared_fleet();
+    for id in ["t0", "gone"] {
+        shared_fleet.record_leaving(ms(0), &[id.to_owned()], "answer");
+    }
+    let fleet = shared_fleet.get();
+    assert!(fleet.leaving_news(ms(60_000)).is_empty());
+    assert_eq!(fleet.all_leaving(), ["t0"]);
+}
+
 #[test]
 fn news_of_leaving_targets_are_few_and_recent() {
     let shared_fleet = SharedFleet::default();
--- a/program/tests/leaving.rs
+++ b/program/tests/leaving.rs
@@ -70,6 +70,31 @@
     });
 }
 
+/// Guards against a VM that starts again later than the others have heard of it.
+#[test]
+fn a_vm_that_starts_sends_nothing_to_a_target_that_has_told_another_that_it_leaves() {
+    run_test(async |harness| {
+        let leaving = &harness.servers[0];
+        leaving.set_leaving(true);
+        let end = Instant::now() + TEST_TIMEOUT;
+        while harness.program.find_log("event=target-leaving").is_none() {
+            assert!(Instant::now() < end, "the target got no request");
+            harness.send("GET", "/look/x", "tell").await;
+        }
+        // Longer than VMs pass such news on to those that they have told before.
+        Clock::real().sleep(DRAIN_TIME * 2).await;
+        let before = leaving.arrivals().len();
+        let other = start_second_vm(&harness).await;
+        let known = |it: &Program| it.find_log("event=target-leaving").is_some();
+        while !known(&other) {
+            assert!(Instant::now() < end, "the second VM isn't told");
+            Clock::real().sleep(REQUEST_INTERVAL).await;
+        }
+        send_load(&harness, &other, "/look/x", "after", DRAIN_TIME).await;
+        assert_eq!(leaving.arrivals().len(), before);
+    });
+}
+
 /// Guards against a target whose own statement counts for nothing: one that can't reach the store kept its keys.
 #[test]
 fn the_keys_of_an_owner_that_says_it_leaves_move_by_release() {
