Soak and stand-in: targets that say that they leave, or refuse and say when to come back

Checked for each VM, also while the store is down: no request that a caller sent 2 s or more after the VM had passed on a response that says so reaches a leaving target, and at most two reach a target between half a second after its refusal and the end of the time that it stated.

--- a/program/tests/retry_after.rs
+++ b/program/tests/retry_after.rs
@@ -63,7 +63,8 @@
 /// Returns the most requests that reached a target between [`IN_TRANSIT`] after one that it refused and the end of
 /// the time for which it then wanted none; all requests since `from` were refused.
 fn requests_while_unwanted(server: &Server, from: usize) -> usize {
-    let arrivals = &server.arrivals()[from..];
+    let arrivals: Vec<_> = server.arrivals().iter().map(|it| it.at).collect();
+    let arrivals = &arrivals[from..];
     let counts = arrivals.iter().map(|refused| {
         let unwanted = *refused + IN_TRANSIT..*refused + RETRY_AFTER;
         arrivals.iter().filter(|at| unwanted.contains(at)).count()
--- a/program/tests/soak.rs
+++ b/program/tests/soak.rs
@@ -57,3 +57,11 @@
     let seed = (1..1000).find(|seed| Plan::generate(*seed, size).is_planned());
     assert_eq!(run_seed(seed.unwrap(), 6), []);
 }
+
+#[test]
+fn targets_that_leave_or_want_no_requests_get_none_under_faults() {
+    let size = Size { vms: 3, seconds: 8 };
+    for seed in [1, 2] {
+        assert_eq!(run_plan(&Plan::generate_with_notices(seed, size), seed), []);
+    }
+}
--- a/tools/soak/src/callers.rs
+++ b/tools/soak/src/callers.rs
@@ -106,12 +106,17 @@
         let request = build_request(&id, kind, length);
         let sent = self.clock.now();
         let result = self.client.send(address, request, RESPONSE_TIMEOUT).await;
+        let mut leaving = false;
         let outcome = match result {
-            Ok(response) => read_response(&id, length, response).await,
+            Ok(response) => {
+                leaving = response.headers().contains_key("server-leaving");
+                read_response(&id, length, response).await
+            }
             Err(error) if error.unsent() => Outcome::Unsent,
             Err(client::Error::Timeout(..)) => Outcome::GivenUp,
             Err(_) => Outcome::Closed,
         };
+        let answered = matches!(outcome, Outcome::Answered { .. });
         let served = outcome
             == (Outcome::Answered {
                 status: 200,
@@ -122,6 +127,8 @@
             once: kind == RequestKind::Order,
             vm,
             sent,
+            ended: answered.then(|| self.clock.now()),
+            leaving,
             outcome,
         });
         served
--- a/tools/soak/src/check.rs
+++ b/tools/soak/src/check.rs
@@ -9,6 +9,8 @@
 use bramleypier_platform_standin::store;
 use indexmap::IndexMap;
 
+use crate::notices::{self, Notice, Stop};
+
 /// The most memory that a VM's process may use, in bytes: the allowance of a node for control software.
 pub const MEMORY_MAX_BYTES: u64 = 256 << 20;
 /// The longest time for which two targets may own a key: each target measures the grant duration with its own clock.
@@ -50,6 +52,10 @@
     pub vm: usize,
     /// When it was sent, by the clock of the run.
     pub sent: Duration,
+    /// When the caller had the whole response; `None` if it got none.
+    pub ended: Option<Duration>,
+    /// Whether that response said that its target leaves.
+    pub leaving: bool,
     /// How it ended.
     pub outcome: Outcome,
 }
@@ -93,6 +99,10 @@
     pub used_while_evacuated: Vec<String>,
     /// The cold targets, with the most requests that they started within a second.
     pub cold_peaks: Vec<(String, usize)>,
+    /// The targets that said that they leave or want no requests, with the requests that reached them.
+    pub notices: Vec<Notice>,
+    /// The times in which VMs' processes were suspended or started again.
+    pub stops: Vec<Stop>,
 }
 
 /// A violated guarantee.
@@ -124,6 +134,8 @@
     Evacuated(String),
     /// A cold target got more requests per second than its warm-up rate, given here.
     WarmupExceeded(String, usize),
+    /// A target got these requests of a VM that knew that it wants none.
+    Unwanted(String, Vec<String>),
 }
 
 impl fmt::Display for Violation {
@@ -175,6 +187,10 @@
             .filter(|(_, peak)| *peak > COLD_MAX_PER_S)
             .map(|(id, peak)| Violation::WarmupExceeded(id, peak)),
     );
+    found.extend(observations.notices.iter().filter_map(|notice| {
+        let ids = notices::unwanted(notice, &observations.stops);
+        (!ids.is_empty()).then(|| Violation::Unwanted(notice.target.clone(), ids))
+    }));
     found.extend(
         observations
             .crashed_vms
--- a/tools/soak/src/lib.rs
+++ b/tools/soak/src/lib.rs
@@ -3,7 +3,8 @@
 //! A seed determines a [`plan`]: faults and their times; faults overlap and follow each other. [`run`] starts the
 //! platform's stand-in, targets and VMs on loopback, with a [`proxy`] between each VM and the store and in front of
 //! each target. It executes the plan while [`callers`] send requests, and collects what they and the targets observe.
-//! [`check`] then reports the violated guarantees, without any I/O.
+//! [`check`] then reports the violated guarantees, without any I/O; [`notices`] those about what targets say in their
+//! responses.
 //!
 //! ```
 //! use bramleypier_soak::plan::Plan;
@@ -15,6 +16,7 @@
 pub mod callers;
 pub mod check;
 pub mod fleet;
+pub mod notices;
 pub mod plan;
 pub mod proxy;
 pub mod run;
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -54,6 +54,8 @@
     seconds: u64,
     /// Also evacuate a failure domain and make targets cold from time to time
     evacuate: bool,
+    /// Also make targets say that they leave, or that they want no requests for a while
+    notices: bool,
     /// After a violation, look for a shorter plan that still has one
     shrink: bool,
     /// The folder for the logs of the VMs, with a folder for each seed
@@ -90,6 +92,8 @@
     };
     let plan = if options.evacuate {
         Plan::generate_with_evacuations(seed, size)
+    } else if options.notices {
+        Plan::generate_with_notices(seed, size)
     } else {
         Plan::generate(seed, size)
     };
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -15,6 +15,8 @@
 const FAULT_DURATION_MS: std::ops::Range<u64> = 200..4000;
 /// The duration of an evacuation.
 const EVACUATION_TIME: Duration = Duration::from_secs(6);
+/// The minimum time for which a target says something in its responses: longer than VMs may take to comply.
+const NOTICE_TIME: Duration = Duration::from_secs(4);
 /// How long a target stays cold after it has announced that.
 pub const COLD_TIME: Duration = Duration::from_secs(4);
 /// The number of targets of each service.
@@ -58,6 +60,10 @@
     TargetEnds(usize),
     /// Drains a target and starts a replacement.
     TargetLeaves(usize),
+    /// Makes a target say in its responses that it leaves, drains it later, and starts a replacement.
+    TargetSaysLeaving(usize),
+    /// Makes a target refuse all requests and say when to come back.
+    TargetHoldsOff(usize),
     /// Evacuates a failure domain and ends the evacuation again.
     Evacuate,
     /// Makes a target announce that it is cold.
@@ -73,6 +79,7 @@
                 | Self::StopAll
                 | Self::Configs(_)
                 | Self::TargetLeaves(_)
+                | Self::TargetSaysLeaving(_)
                 | Self::Evacuate
                 | Self::Cold(_)
         )
@@ -185,6 +192,40 @@
         plan
     }
 
+    /// Generates the same plan, with additional targets that say that they leave or want no requests.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_soak::plan::{Fault, Plan, Size};
+    ///
+    /// let plan = Plan::generate_with_notices(1, Size { vms: 3, seconds: 20 });
+    /// let is_notice = |fault| matches!(fault, Fault::TargetSaysLeaving(_) | Fault::TargetHoldsOff(_));
+    /// assert!(plan.steps.iter().any(|step| is_notice(step.fault)));
+    /// ```
+    pub fn generate_with_notices(seed: u64, size: Size) -> Self {
+        let mut plan = Self::generate(seed, size);
+        // A generator of its own keeps the other steps of the seed as they are in `Plan::generate`.
+        let mut random = SmallRng::seed_from_u64(seed.wrapping_add(1 << 33));
+        let mut at = Duration::ZERO;
+        while at < Duration::from_secs(size.seconds) {
+            let target = random.random_range(0..2 * TARGETS_PER_SERVICE);
+            let fault = if random.random() {
+                Fault::TargetSaysLeaving(target)
+            } else {
+                Fault::TargetHoldsOff(target)
+            };
+            plan.steps.push(Step {
+                at,
+                duration: NOTICE_TIME + Duration::from_millis(random.random_range(FAULT_GAP_MS)),
+                fault,
+            });
+            at += Duration::from_millis(random.random_range(FAULT_DURATION_MS));
+        }
+        plan.steps.sort_by_key(|step| step.at);
+        plan
+    }
+
     /// Returns whether all steps are planned work.
     pub fn is_planned(&self) -> bool {
         self.steps.iter().all(|step| step.fault.is_planned())
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -4,6 +4,7 @@
 //! send requests, and measures how long recovery takes after the last step.
 
 mod faults;
+mod notices;
 mod restrictions;
 mod watch;
 
@@ -21,7 +22,10 @@
 use futures_util::future;
 use indexmap::IndexMap;
 
-use self::restrictions::Restriction;
+use self::{
+    notices::{PathDisturbance, Statement},
+    restrictions::Restriction,
+};
 use crate::{
     callers::{Callers, RequestKind},
     check::Observations,
@@ -51,6 +55,8 @@
     observations: Rc<RefCell<Observations>>,
     disturbances: Rc<RefCell<Vec<Disturbance>>>,
     restrictions: Rc<RefCell<Vec<Restriction>>>,
+    statements: Rc<RefCell<Vec<Statement>>>,
+    path_disturbances: Rc<RefCell<Vec<PathDisturbance>>>,
     /// When each version of the configuration was accepted.
     accepted_at: Rc<RefCell<IndexMap<u32, Duration>>>,
     finished: Rc<Cell<bool>>,
@@ -75,6 +81,8 @@
         observations: Rc::default(),
         disturbances: Rc::default(),
         restrictions: Rc::default(),
+        statements: Rc::default(),
+        path_disturbances: Rc::default(),
         accepted_at: Rc::default(),
         finished: Rc::default(),
         callers: Callers::default(),
@@ -171,6 +179,7 @@
             u32::try_from(self.accepted_at.borrow().len()).unwrap_or(u32::MAX);
         observations.requests = self.callers.take();
         self.note_restriction_violations(&mut observations);
+        self.note_notices(&mut observations);
         for id in self.cluster.borrow().executions() {
             *observations.executions.entry(id).or_default() += 1;
         }
--- a/tools/soak/src/run/faults.rs
+++ b/tools/soak/src/run/faults.rs
@@ -19,7 +19,7 @@
 /// The pause before a process that has ended is started again.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 /// The time from the announcement that a target is draining to its end.
-const DRAIN_TIME: Duration = Duration::from_secs(3);
+pub(super) const DRAIN_TIME: Duration = Duration::from_secs(3);
 
 impl Run {
     /// Runs one step of the plan at its time, and ends its fault after its duration.
@@ -37,7 +37,7 @@
                 }
             }
             Fault::Pause(vm) => {
-                self.note_disturbance(Some(vm), now, to);
+                self.note_stop(vm, now, to);
                 self.signal(vm, Signal::STOP);
                 self.clock.sleep(step.duration).await;
                 self.signal(vm, Signal::CONT);
@@ -50,7 +50,7 @@
                 proxy.set(Mode::Pass);
             }
             Fault::TargetPath(target, mode) => {
-                let proxy = self.cluster.borrow().slots[target].proxy.clone();
+                let proxy = self.disturb_path(target, now, to);
                 proxy.set(mode);
                 self.clock.sleep(step.duration).await;
                 proxy.set(Mode::Pass);
@@ -83,6 +83,8 @@
             }
             Fault::TargetEnds(target) => self.replace(target, Duration::ZERO).await,
             Fault::TargetLeaves(target) => self.replace(target, DRAIN_TIME).await,
+            Fault::TargetSaysLeaving(target) => self.leave_unannounced(target, step.duration).await,
+            Fault::TargetHoldsOff(target) => self.hold_off(target, step.duration).await,
             Fault::Evacuate => self.evacuate(step.duration).await,
             Fault::Cold(target) => self.announce_cold(target).await,
         }
@@ -121,12 +123,12 @@
         if let Err(error) = self.cluster.borrow_mut().start(vm) {
             println!("event=start-failed {error}");
         }
-        self.note_disturbance(Some(vm), started, self.clock.now());
+        self.note_stop(vm, started, self.clock.now());
     }
 
     /// Replaces a target. The old one keeps running for `drain` after it has announced that it is draining, or ends at
     /// once if `drain` is zero.
-    async fn replace(&self, target: usize, drain: Duration) {
+    pub(super) async fn replace(&self, target: usize, drain: Duration) {
         let (service, zone, number) = {
             let mut cluster = self.cluster.borrow_mut();
             let number = cluster.next_target();
--- a/tools/soak/tests/check.rs
+++ b/tools/soak/tests/check.rs
@@ -10,6 +10,8 @@
         once,
         vm: 0,
         sent: Duration::ZERO,
+        ended: None,
+        leaving: false,
         outcome,
     }
 }
