--- a/program/tests/soak.rs
+++ b/program/tests/soak.rs
@@ -1,6 +1,6 @@
 //! Short runs of the soak with fixed seeds, and every seed that has ever shown a defect.
 
-use std::{env, fs, path::Path, process};
+use std::{env, fs, process};
 
 use bramleypier_soak::{
     check,
@@ -16,9 +16,9 @@
 
 /// Runs a plan and returns the violated guarantees; keeps the logs if there are any.
 fn run_plan(plan: &Plan, seed: u64) -> Vec<check::Violation> {
-    let binary = Path::new(env!("CARGO_BIN_EXE_bramleypier"));
+    let binaries = [env!("CARGO_BIN_EXE_bramleypier").into()];
     let folder = env::temp_dir().join(format!("bramleypier-soak-{}-{seed}", process::id()));
-    let execution = run::execute(binary, plan, seed, Some(&folder));
+    let execution = run::execute(&binaries, plan, seed, Some(&folder));
     let observations = Runtime::new().unwrap().block_on(execution).unwrap();
     assert!(
         observations.requests.len() > 100,
--- a/tools/soak/src/fleet.rs
+++ b/tools/soak/src/fleet.rs
@@ -2,12 +2,7 @@
 //!
 //! VMs reach the store and the targets only through proxies, so that a run can disturb each connection by itself.
 
-use std::{
-    fs, io,
-    net::SocketAddr,
-    path::{Path, PathBuf},
-    time::Duration,
-};
+use std::{fs, io, net::SocketAddr, path::PathBuf, time::Duration};
 
 use bramleypier_platform_standin::{
     server::Server,
@@ -158,17 +153,19 @@
     pub slots: Vec<TargetSlot>,
     /// The targets that have been replaced.
     pub replaced: Vec<Server>,
-    binary: PathBuf,
+    binaries: Vec<PathBuf>,
     last_target: usize,
 }
 
 impl Cluster {
     /// Starts the store, the targets and all proxies; no VM runs yet.
     ///
+    /// VMs run the builds at `binaries`, of which there is at least one, in turn: each start of a VM the next one.
+    ///
     /// # Errors
     ///
     /// [`Error::Proxy`] when a proxy can't be started.
-    pub async fn new(binary: &Path, plan: &Plan) -> Result<Self, Error> {
+    pub async fn new(binaries: &[PathBuf], plan: &Plan) -> Result<Self, Error> {
         let (store, address) = Store::start().await;
         let mut cluster = Self {
             store,
@@ -176,7 +173,7 @@
             vms: Vec::new(),
             slots: Vec::new(),
             replaced: Vec::new(),
-            binary: binary.to_owned(),
+            binaries: binaries.to_vec(),
             last_target: 0,
         };
         for number in 0..2 * TARGETS_PER_SERVICE {
@@ -225,8 +222,9 @@
             .map(|vm| vm.listen.peers.to_string())
             .collect();
         let vm = &mut self.vms[number];
+        let next = (number + vm.starts()) % self.binaries.len();
         let program = Program::start(
-            &self.binary,
+            &self.binaries[next],
             &format!("vm-{number}"),
             vm.store.address,
             &seeds.join(","),
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -56,6 +56,9 @@
     evacuate: bool,
     /// Also make targets say that they leave, or that they want no requests for a while
     notices: bool,
+    /// Another build of the program, which every other start of a VM runs
+    #[bpaf(argument("FILE"), optional)]
+    beside: Option<PathBuf>,
     /// After a violation, look for a shorter plan that still has one
     shrink: bool,
     /// The folder for the logs of the VMs, with a folder for each seed
@@ -123,9 +126,10 @@
 
 /// Executes a plan and returns the violated guarantees.
 fn run_plan(options: &Options, plan: &Plan, seed: u64) -> Result<Vec<Violation>, Error> {
-    let binary = env::current_exe()?.with_file_name("bramleypier");
+    let own = env::current_exe()?.with_file_name("bramleypier");
+    let binaries: Vec<PathBuf> = [own].into_iter().chain(options.beside.clone()).collect();
     let folder = options.keep.as_ref().map(|it| it.join(seed.to_string()));
-    let execution = run::execute(&binary, plan, seed, folder.as_deref());
+    let execution = run::execute(&binaries, plan, seed, folder.as_deref());
     let observations = Runtime::new()?.block_on(execution)?;
     let requests = observations.requests.len();
     println!(
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -12,7 +12,7 @@
     cell::{Cell, RefCell},
     fs, io,
     net::SocketAddr,
-    path::Path,
+    path::{Path, PathBuf},
     rc::Rc,
     time::Duration,
 };
@@ -64,18 +64,20 @@
     clock: Clock,
 }
 
-/// Executes a plan with the program at `binary`, and writes the logs to `folder` if there is one.
+/// Executes a plan, and writes the logs to `folder` if there is one.
+///
+/// VMs run the builds at `binaries` in turn; see [`Cluster::new`].
 ///
 /// # Errors
 ///
 /// [`Error`] when the run could not be set up.
 pub async fn execute(
-    binary: &Path,
+    binaries: &[PathBuf],
     plan: &Plan,
     seed: u64,
     folder: Option<&Path>,
 ) -> Result<Observations, Error> {
-    let cluster = Cluster::new(binary, plan).await?;
+    let cluster = Cluster::new(binaries, plan).await?;
     let run = Run {
         cluster: Rc::new(RefCell::new(cluster)),
         observations: Rc::default(),
