--- a/engine/src/peer/mod.rs
+++ b/engine/src/peer/mod.rs
@@ -8,6 +8,7 @@
 mod fleet_load;
 pub mod sync;
 pub mod sync_interval;
+pub mod sync_task;
 
 use std::{net::SocketAddr, time::Duration};
 
--- /dev/null
+++ b/engine/src/peer/sync_task.rs
@@ -0,0 +1,155 @@
+//! The task that exchanges state with the manager, or with other VMs while neither it nor the store is reachable.
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use super::{Envelope, SyncRequest, SyncResponse, sync::Context, sync_interval};
+use crate::{
+    fleet::{LogPosition, Vm},
+    placement::dispatch,
+};
+
+/// The minimum time for which a VM relies on the manager after a valid response.
+const MIN_RELIANCE: Duration = Duration::from_millis(450);
+/// The number of sync intervals for which it relies on the manager: one exchange may fail.
+const RELIANCE_INTERVALS: u32 = 2;
+/// Runs the sync exchanges with the manager until the process ends.
+pub async fn run(context: Context) {
+    let mut position = LogPosition::default();
+    let mut valid_at = Duration::ZERO;
+    let mut peers = PeerRotation::default();
+    let mut interval = Duration::ZERO;
+    let mut lag = Duration::ZERO;
+    let mut manager_start = None;
+    context.manager_health.record_outcome(false);
+    loop {
+        let manager = context.shared_fleet.get().manager.clone();
+        let start = manager.as_ref().map(|vm| vm.start.clone());
+        if start != manager_start {
+            // The lag of the previous manager says nothing about the new one.
+            (manager_start, lag) = (start, Duration::ZERO);
+        }
+        let request = context.message(position.clone(), interval).await;
+        let busy = !request.message.in_flight.is_empty();
+        let response = match manager {
+            Some(vm) if vm.start == context.vm.start => {
+                // The manager follows the store itself.
+                context.manager_health.record_outcome(false);
+                Some(context.handle_sync(request).message)
+            }
+            Some(vm) => {
+                let sent = context.clock.now();
+                let response = exchange(&context, &vm, &request, &mut position).await;
+                if let Some(response) = &response
+                    && context.accept_response(response, &vm, interval)
+                {
+                    valid_at = sent;
+                }
+                response
+            }
+            None => None,
+        };
+        if response.is_none()
+            && !context.manager_health.is_healthy()
+            && !context.store_health.is_healthy()
+        {
+            sync_with_next_peer(&context, &mut peers).await;
+        }
+        if let Some(response) = &response {
+            // The manager handles its own sync requests without an exchange, so its lag doesn't lengthen the interval.
+            lag = if context.is_manager.get() {
+                Duration::ZERO
+            } else {
+                response.lag
+            };
+        }
+        let vms = context.shared_fleet.get().vms.len();
+        interval = sync_interval::next_interval(busy, vms, lag);
+        if let Some(response) = response {
+            let quotas = response.quotas.into_iter();
+            context
+                .dispatcher
+                .send(dispatch::Event::Sync(dispatch::SyncUpdate {
+                    others: response.in_flight_elsewhere.into_iter().collect(),
+                    quotas: quotas.map(|quota| (quota.target, quota)).collect(),
+                    rates: response.rates,
+                    sync_interval: interval,
+                }));
+        }
+        if context.clock.now() > valid_at + MIN_RELIANCE.max(interval * RELIANCE_INTERVALS) {
+            context.stop_relying("no valid response in time");
+        }
+        let sleep_start = context.clock.now();
+        context.clock.sleep(interval).await;
+        context.record_lag(interval, context.clock.now().saturating_sub(sleep_start));
+    }
+}
+
+/// The next VM to contact, and how far the change log of each has been read.
+#[derive(Debug, Default)]
+struct PeerRotation {
+    next: usize,
+    positions: HashMap<SocketAddr, LogPosition>,
+}
+
+/// Gets the state of one other VM, while neither the store nor the manager answers this VM.
+async fn sync_with_next_peer(context: &Context, peers: &mut PeerRotation) {
+    let fleet = context.shared_fleet.get();
+    let known = fleet.vms.values().map(|vm| vm.address);
+    let mut addresses: Vec<SocketAddr> = known.chain(context.seeds.iter().copied()).collect();
+    addresses.retain(|address| *address != context.vm.address);
+    if addresses.is_empty() {
+        return;
+    }
+    peers.next = (peers.next + 1) % addresses.len();
+    let address = addresses[peers.next];
+    let vm = Vm {
+        name: address.to_string(),
+        address,
+        ..context.vm.clone()
+    };
+    let position = peers.positions.entry(address).or_default();
+    let message = SyncRequest {
+        start: context.vm.start.clone(),
+        position: position.clone(),
+        followed: fleet.followed().clone(),
+        stamp: context.report.stamp(),
+        ..SyncRequest::default()
+    };
+    // Only the relay is used: quotas and counts from a VM that isn't the manager are meaningless.
+    let news = context.news(true, Vec::new());
+    exchange(context, &vm, &Envelope { message, news }, position).await;
+}
+
+/// Sends a sync request and applies the relay in the response; returns `None` after a failure.
+async fn exchange(
+    context: &Context,
+    vm: &Vm,
+    request: &Envelope<SyncRequest>,
+    position: &mut LogPosition,
+) -> Option<SyncResponse> {
+    let sent = context.clock.now();
+    let envelope = match super::sync(&context.client, vm.address, request).await {
+        Ok(envelope) => envelope,
+        Err(error) => {
+            if context.manager_health.is_healthy() {
+                context
+                    .report
+                    .line(&format!("event=sync-failed vm={} {error}", vm.name));
+            }
+            return None;
+        }
+    };
+    let took = context.clock.now().saturating_sub(sent);
+    context.report.time("sync", took, &[]);
+    let Envelope {
+        message: response,
+        news,
+    } = envelope;
+    context.report.merge(response.stamp);
+    context.apply_news(&news);
+    if response.relay.position() != position {
+        context.apply_relay(vm, &response.relay, response.healthy);
+        *position = response.relay.position().clone();
+    }
+    Some(response)
+}
--- a/engine/src/placement/target_state.rs
+++ b/engine/src/placement/target_state.rs
@@ -7,21 +7,17 @@
     reason = "counts of requests, slots and keys are far below 2^31 and never negative"
 )]
 
+mod outcomes;
+
 use std::time::Duration;
 
 use super::{
-    completion::{Completion, CompletionKind},
     quota::Quota,
     rates,
     warmup::{SendLimit, SendLimiter},
 };
-use crate::{
-    catalogue::Target,
-    target::{LoadReport, Rate},
-};
+use crate::{catalogue::Target, target::Rate};
 
-/// The weight of a new sample in moving averages.
-const AVERAGE_WEIGHT: f64 = 0.15;
 /// The time in which a load report loses most of its weight to the mean of reports.
 ///
 /// Requests take some 50 to 250 ms; an older report says little about which of them still run.
@@ -52,16 +48,12 @@
 const COLD_FACTOR: f64 = 1.7;
 /// The first backoff after a target couldn't be reached.
 const MIN_BACKOFF: Duration = Duration::from_millis(400);
-/// The longest backoff; a target that recovers earlier still gets no requests until it ends.
-const MAX_BACKOFF: Duration = Duration::from_millis(1600);
 /// The failure rate above which a target only gets single probes.
 const MAX_FAILURE_RATE: f64 = 0.35;
 /// The factor on the typical time after which a request is overdue: one request in a hundred takes five times as long.
 const OVERDUE_FACTOR: f64 = 4.0;
 /// The time between two probes of a target that fails, or that seems too slow.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
-/// The weight of a new result in the failure rate.
-const FAILURE_WEIGHT: f64 = 0.2;
 /// The half-life of the failure rate without new responses, in seconds.
 const FAILURE_HALF_LIFE_SECS: f64 = 3.0;
 
@@ -384,76 +376,4 @@
         self.sent_times.push(now);
         self.last_sent_at = now;
     }
-
-    /// Records the end of a request.
-    pub fn record_completion(&mut self, now: Duration, completion: Completion) {
-        let Completion {
-            kind,
-            sent_at,
-            depth,
-            load,
-            ownership,
-        } = completion;
-        self.own_in_flight = self.own_in_flight.saturating_sub(1);
-        if let Some(at) = self.sent_times.iter().position(|at| *at == sent_at) {
-            self.sent_times.swap_remove(at);
-        }
-        if let Some(load) = load {
-            self.record_load(now, load);
-        }
-        match kind {
-            CompletionKind::Answered(took) => {
-                self.record_service_time(now, took, depth);
-                self.record_outcome(now, 0.0);
-                self.backoff = MIN_BACKOFF;
-            }
-            CompletionKind::Refused => self.record_outcome(now, 0.5),
-            CompletionKind::Failed | CompletionKind::Lost => self.record_outcome(now, 1.0),
-            CompletionKind::ConnectFailed | CompletionKind::ConnectRefused => {
-                self.backoff_until = now + self.backoff;
-                self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
-            }
-            // Without a key, only another target that reuses the address refuses like this, and it keeps refusing. With
-            // a key, this says nothing about the target's health.
-            CompletionKind::Misdirected => self.address_reused |= ownership.is_none(),
-            CompletionKind::Abandoned(waited) => self.record_abandoned(now, waited, depth),
-        }
-    }
-
-    /// Records a load report in a response.
-    fn record_load(&mut self, now: Duration, load: LoadReport) {
-        let all = f64::from(load.running + load.waiting);
-        self.reported_others = (all - f64::from(self.own_in_flight)).max(0.0);
-        self.mean_others += (self.reported_others - self.mean_others) * AVERAGE_WEIGHT;
-        self.reported_at = Some(now);
-    }
-
-    /// Records the service time of a request that was sent while `depth` others were at the target.
-    fn record_service_time(&mut self, now: Duration, took: Duration, depth: f64) {
-        self.measured_at = now;
-        let slots = self.target.slots.max(1) as f64;
-        let queued = ((depth + 1.0 - slots).max(0.0) / slots).min(4.0);
-        let sample = took.as_secs_f64() / (1.0 + queued);
-        self.samples.0 += sample;
-        self.samples.1 += 1;
-        let mean = self.service_time.get_or_insert(sample);
-        *mean += (sample - *mean) * AVERAGE_WEIGHT;
-    }
-
-    /// Records an abandoned request, whose response would have taken longer than `waited`.
-    fn record_abandoned(&mut self, now: Duration, waited: Duration, depth: f64) {
-        let slots = self.target.slots.max(1) as f64;
-        let queued = ((depth + 1.0 - slots).max(0.0) / slots).min(4.0);
-        let min_time = waited.as_secs_f64() / (1.0 + queued);
-        if self.service_time.is_some_and(|time| min_time > time) {
-            self.record_service_time(now, waited, depth);
-        }
-    }
-
-    /// Records a result in the failure rate: 0 for a success, up to 1 for a failure.
-    fn record_outcome(&mut self, now: Duration, sample: f64) {
-        let before = self.failure_rate(now);
-        self.failure_rate = before + (sample - before) * FAILURE_WEIGHT;
-        self.failures_at = now;
-    }
 }
--- a/engine/src/process/mod.rs
+++ b/engine/src/process/mod.rs
@@ -35,7 +35,7 @@
     follow,
     health::Health,
     owner::{manager, tally::Tally},
-    peer::sync,
+    peer::{sync, sync_task},
     placement::{dispatch::Dispatcher, task},
     registration,
     report::Report,
@@ -188,7 +188,7 @@
         });
         let sync_context = self.sync_context(&dispatcher, &manager);
         self.serve(listeners, &callers, &dispatcher, &sync_context);
-        spawn(sync::run(sync_context));
+        spawn(sync_task::run(sync_context));
         spawn(signals::watch_settings(
             reload,
             self.settings.clone(),
