A test of targets that say when to come back no longer needs the slower of two targets to be chosen

Traced by the requests' lines: on the loaded machine one request to the target took 274 to 851 ms before it began to refuse, so that the other one was faster for good; at one request at a time nothing was sent to it at all, and no hold-off was in force. Now the other target refuses in that phase, so that only the target in question can serve: the check that it isn't left out for good is the same and doesn't depend on which is faster.

--- a/engine/tests/hold_offs.rs
+++ b/engine/tests/hold_offs.rs
@@ -87,6 +87,16 @@
     }
 }
 
+#[test]
+fn a_target_without_keys_gets_requests_again_after_its_time() {
+    let mut it = dispatcher(vec![target(0, "d1")], None);
+    it.handle(ms(0), Event::HoldOff("t0".to_owned(), TIME));
+    let effects = it.handle(ms(0), Event::Request(ask(1, ms(0))));
+    assert_eq!(refused(&effects), [(1, RefusalReason::HoldOff)]);
+    let effects = it.handle(TIME, Event::Request(ask(2, TIME)));
+    assert_eq!(sent(&effects), [(2, "t0".to_owned())]);
+}
+
 #[test]
 fn requests_are_refused_at_once_while_all_targets_want_none() {
     let mut it = dispatcher(vec![target(0, "d1"), target(1, "d1")], None);
--- a/program/tests/retry_after.rs
+++ b/program/tests/retry_after.rs
@@ -136,6 +136,8 @@
         assert!(count <= MAX_REQUESTS, "{count} requests");
         refusing.set_fault(None);
         let before = refusing.ran().len();
+        // Only it can serve now: a target that was slow once gets nothing while a faster one has room.
+        refuse(&harness.servers[1]);
         let end = Instant::now() + TEST_TIMEOUT;
         while refusing.ran().len() == before {
             assert!(Instant::now() < end, "it is left out for good");
