--- a/program/tests/harness/mod.rs
+++ b/program/tests/harness/mod.rs
@@ -16,7 +16,7 @@
     clock::Clock,
 };
 use compio::runtime::Runtime;
-use hyper::{Request, Response, StatusCode, header::HeaderValue};
+use hyper::{Request, Response, StatusCode, body::Incoming, header::HeaderValue};
 
 /// How long tests wait for an expected state.
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(15);
@@ -139,38 +139,42 @@
         path: &str,
         id: &str,
     ) -> (StatusCode, Response<Body>) {
-        let end = Instant::now() + TEST_TIMEOUT;
-        let sent = loop {
-            let sent = self.client.send(
-                program.callers,
-                build_request(method, path, id),
-                TEST_TIMEOUT,
-            );
-            match sent.await {
-                // Connecting may time out on a loaded machine; nothing was sent in that case.
-                Err(error) if error.unsent() && Instant::now() < end => {
-                    Clock::real().sleep(Duration::from_millis(20)).await;
-                }
-                sent => break sent,
-            }
-        };
-        let (head, body) = sent.unwrap().into_parts();
+        let build = || build_request(method, path, id);
+        let (head, body) = self.send_once(program.callers, build).await.into_parts();
         let bytes = body::read(body, 1 << 20).await.unwrap_or_default();
         (head.status, Response::from_parts(head, Body::from(bytes)))
     }
 
     /// Returns the metrics of the first VM as text.
     pub async fn metrics(&self) -> String {
-        let mut request = Request::new(Body::empty());
-        *request.uri_mut() = "/metrics".parse().unwrap();
-        let sent = self
-            .client
-            .send(self.program.metrics, request, TEST_TIMEOUT);
-        let body = sent.await.unwrap().into_body();
-        let bytes = body::read(body, 1 << 20).await.unwrap();
+        let build = || {
+            let mut request = Request::new(Body::empty());
+            *request.uri_mut() = "/metrics".parse().unwrap();
+            request
+        };
+        let response = self.send_once(self.program.metrics, build).await;
+        let bytes = body::read(response.into_body(), 1 << 20).await.unwrap();
         String::from_utf8_lossy(&bytes).into_owned()
     }
 
+    /// Sends a request once, and tries again as long as nothing was sent.
+    ///
+    /// Connecting may time out on a loaded machine.
+    async fn send_once<F>(&self, address: SocketAddr, build: F) -> Response<Incoming>
+    where
+        F: Fn() -> Request<Body>,
+    {
+        let end = Instant::now() + TEST_TIMEOUT;
+        loop {
+            match self.client.send(address, build(), TEST_TIMEOUT).await {
+                Err(error) if error.unsent() && Instant::now() < end => {
+                    Clock::real().sleep(Duration::from_millis(20)).await;
+                }
+                sent => return sent.unwrap(),
+            }
+        }
+    }
+
     /// Returns how often a request ran, summed over all servers.
     pub fn executions(&self, id: &str) -> usize {
         let ids = self.servers.iter().flat_map(Server::ran);
