--- a/engine/src/peer/sync_task.rs
+++ b/engine/src/peer/sync_task.rs
@@ -12,6 +12,7 @@
 const MIN_RELIANCE: Duration = Duration::from_millis(450);
 /// The number of sync intervals for which it relies on the manager: one exchange may fail.
 const RELIANCE_INTERVALS: u32 = 2;
+
 /// Runs the sync exchanges with the manager until the process ends.
 pub async fn run(context: Context) {
     let mut position = LogPosition::default();
