--- a/engine/src/caller/attempt.rs
+++ b/engine/src/caller/attempt.rs
@@ -15,6 +15,7 @@
     catalogue::TargetId,
     fleet::SharedFleet,
     placement::{dispatch::CompletionKind, task::Permit},
+    quarantine::Fingerprint,
     report::Report,
     target::{Notice, Refusal, Reply, TargetProtocol},
 };
@@ -38,6 +39,8 @@
     pub uri: Uri,
     /// The headers that are forwarded.
     pub headers: HeaderMap,
+    /// What the request asks for.
+    pub fingerprint: Fingerprint,
 }
 
 /// How an attempt ended.
--- a/engine/src/caller/attempts.rs
+++ b/engine/src/caller/attempts.rs
@@ -50,7 +50,10 @@
     mut payload: Payload,
     presence: &CallerPresence,
 ) -> (Result<Response<Body>, LocalResponse>, Trace) {
-    let mut trace = Trace::default();
+    let mut trace = Trace {
+        fingerprint: Some(outgoing.fingerprint),
+        ..Trace::default()
+    };
     let mut history = History::default();
     // Requests that are refused count too: a key's load is the rate of requests for it, even while
     // its owner can serve only a few of them.
--- a/engine/src/caller/forward.rs
+++ b/engine/src/caller/forward.rs
@@ -282,8 +282,10 @@
         let service = routed.map_or("", |it| &it.service);
         let version = routed.map_or(0, |it| it.version);
         let key = info.key.map(|it| it.to_string()).unwrap_or_default();
+        let print = trace.fingerprint.map(|it| it.to_string());
+        let print = print.unwrap_or_default();
         format!(
-            "event=request id={} route={route} version={version} service={service} key={key} \
+            "event=request id={} route={route} version={version} service={service} key={key} print={print} \
              outcome={outcome} status={} took_ms={} wait_ms={} targets={} cause=\"{cause}\" tries=\"{}\"",
             info.id,
             status.as_u16(),
--- a/engine/src/caller/local_response.rs
+++ b/engine/src/caller/local_response.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::failure::Failure;
+use crate::quarantine::Fingerprint;
 
 /// The retry-after of a local response when no better estimate is known.
 pub(super) const RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -41,6 +42,8 @@
 /// The targets of a request's attempts and what happened at each, for the log.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Trace {
+    /// What the request asks for, once its body has been read.
+    pub(super) fingerprint: Option<Fingerprint>,
     pub(super) targets: Vec<String>,
     pub(super) notes: Vec<String>,
 }
--- a/engine/src/caller/payload.rs
+++ b/engine/src/caller/payload.rs
@@ -1,7 +1,7 @@
 //! Reads a request's body: small bodies are kept whole, so that the request can be retried; larger
 //! ones are streamed within the operator's limit.
 
-use std::{cell::Cell, rc::Rc};
+use std::{cell::Cell, rc::Rc, slice};
 
 use bramleypier_util::{body::Body, headers};
 use hyper::{
@@ -16,6 +16,7 @@
     forward::{Context, RoutedRequest},
     local_response::LocalResponse,
 };
+use crate::quarantine::Fingerprint;
 
 /// The largest request body that is read whole; only such a request can be sent more than once.
 const MAX_BUFFERED_REQUEST_BYTES: usize = 256 * 1024;
@@ -49,6 +50,24 @@
     }
 }
 
+/// Returns the fingerprint of a request, of whose body these chunks are known.
+fn fingerprint(
+    routed: &RoutedRequest,
+    outgoing: &OutgoingRequest,
+    chunks: &[Bytes],
+) -> Fingerprint {
+    let host = outgoing.headers.get(header::HOST);
+    let host = host.and_then(|it| it.to_str().ok()).unwrap_or_default();
+    let body = chunks.iter().map(Bytes::as_ref);
+    Fingerprint::new(
+        &outgoing.method,
+        host,
+        &outgoing.uri,
+        routed.info.key,
+        body,
+    )
+}
+
 /// Reads the request's body up to [`MAX_BUFFERED_REQUEST_BYTES`], and prepares the request for sending.
 pub(super) async fn read(
     context: &Context,
@@ -69,11 +88,12 @@
     let uri = path
         .parse()
         .map_err(|_| LocalResponse::new(Failure::Malformed, "the path can't be read"))?;
-    let outgoing = OutgoingRequest {
+    let mut outgoing = OutgoingRequest {
         id: routed.info.id.clone(),
         method: head.method,
         uri,
         headers: head.headers,
+        fingerprint: Fingerprint::default(),
     };
     let remaining = routed.deadline.saturating_sub(context.clock.now());
     let buffered = MAX_BUFFERED_REQUEST_BYTES.min(usize::try_from(limit).unwrap_or(usize::MAX));
@@ -82,8 +102,12 @@
         .timeout(remaining, body::read_up_to(incoming, buffered))
         .await;
     let payload = match result {
-        Ok(Ok(ReadBody::Whole(bytes))) => Payload::Whole(bytes),
+        Ok(Ok(ReadBody::Whole(bytes))) => {
+            outgoing.fingerprint = fingerprint(routed, &outgoing, slice::from_ref(&bytes));
+            Payload::Whole(bytes)
+        }
         Ok(Ok(ReadBody::Partial(chunks, rest))) => {
+            outgoing.fingerprint = fingerprint(routed, &outgoing, &chunks);
             let read: usize = chunks.iter().map(Bytes::len).sum();
             if read as u64 > limit {
                 return Err(LocalResponse::new(
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod peer;
 pub mod placement;
 pub mod process;
+pub mod quarantine;
 pub mod registration;
 pub mod report;
 pub mod settings;
