--- a/engine/src/caller/payload.rs
+++ b/engine/src/caller/payload.rs
@@ -59,13 +59,7 @@
     let host = outgoing.headers.get(header::HOST);
     let host = host.and_then(|it| it.to_str().ok()).unwrap_or_default();
     let body = chunks.iter().map(Bytes::as_ref);
-    Fingerprint::new(
-        &outgoing.method,
-        host,
-        &outgoing.uri,
-        routed.info.key,
-        body,
-    )
+    Fingerprint::new(&outgoing.method, host, &outgoing.uri, routed.info.key, body)
 }
 
 /// Reads the request's body up to [`MAX_BUFFERED_REQUEST_BYTES`], and prepares the request for sending.
--- a/engine/src/quarantine/fingerprint.rs
+++ b/engine/src/quarantine/fingerprint.rs
@@ -24,7 +24,9 @@
 /// assert_ne!(print(b"1"), print(b"2"));
 /// assert_eq!(print(b"1").to_string().len(), 16);
 /// ```
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 #[serde(transparent)]
 pub struct Fingerprint(u64);
 
--- a/util/src/server.rs
+++ b/util/src/server.rs
@@ -63,15 +63,22 @@
     running: Rc<RefCell<Option<oneshot::Sender<()>>>>,
     /// Completes once the server must stop.
     stopped: Shared<oneshot::Receiver<()>>,
+    /// Dropped to close all connections, which completes `aborted`.
+    connected: Rc<RefCell<Option<oneshot::Sender<()>>>>,
+    /// Completes once connections must close without a response.
+    aborted: Shared<oneshot::Receiver<()>>,
     open: Rc<Cell<usize>>,
 }
 
 impl Default for Control {
     fn default() -> Self {
         let (running, stopped) = oneshot::channel();
+        let (connected, aborted) = oneshot::channel();
         Self {
             running: Rc::new(RefCell::new(Some(running))),
             stopped: stopped.shared(),
+            connected: Rc::new(RefCell::new(Some(connected))),
+            aborted: aborted.shared(),
             open: Rc::default(),
         }
     }
@@ -83,6 +90,12 @@
         self.running.borrow_mut().take();
     }
 
+    /// Makes the server accept no more connections and close each one at once, as the end of its process does.
+    pub fn abort(&self) {
+        self.stop();
+        self.connected.borrow_mut().take();
+    }
+
     /// Returns how many connections are open.
     pub fn open(&self) -> usize {
         self.open.get()
@@ -146,7 +159,13 @@
         };
         let open = OpenConnection::new(control.clone());
         let timer = SharedTimer::new(clock.clone(), limits());
-        compio::runtime::spawn(serve_connection(stream, open, timer, handler.clone())).detach();
+        let aborted = control.aborted.clone();
+        let handler = handler.clone();
+        compio::runtime::spawn(async move {
+            let serving = Box::pin(serve_connection(stream, open, timer, handler));
+            future::select(serving, aborted).await;
+        })
+        .detach();
     }
 }
 
