--- a/engine/src/store/counting.rs
+++ b/engine/src/store/counting.rs
@@ -1,9 +1,10 @@
-//! A wrapper of a store that counts its calls by kind.
+//! A wrapper of a store that counts its calls by kind and logs its eras.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use super::{
-    Commit, Item, Lease, LeaseId, Listing, Read, Reply, Revision, Store, Transaction, WatchBatch,
+    Commit, Era, Item, Lease, LeaseId, Listing, Read, Reply, Revision, Store, Transaction,
+    WatchBatch,
 };
 use crate::report::Report;
 
@@ -15,6 +16,8 @@
 pub struct CountingStore {
     store: Rc<dyn Store>,
     report: Report,
+    /// The latest era in the log.
+    logged_era: Rc<Cell<Era>>,
 }
 
 impl std::fmt::Debug for CountingStore {
@@ -26,23 +29,43 @@
 impl CountingStore {
     /// Wraps a store; the calls are counted in `report`.
     pub fn new(store: Rc<dyn Store>, report: Report) -> Self {
-        Self { store, report }
+        Self {
+            store,
+            report,
+            logged_era: Rc::default(),
+        }
     }
 
-    fn count(&self, kind: &str) {
+    /// Counts a call, and logs a new era once the call has ended.
+    fn observe<'a, T>(&'a self, kind: &'static str, call: Reply<'a, T>) -> Reply<'a, T>
+    where
+        T: 'a,
+    {
         self.report.count(CALLS_METRIC, &[("kind", kind)]);
+        Box::pin(async move {
+            let result = call.await;
+            let era = self.store.era();
+            let before = self.logged_era.replace(era);
+            if era != before {
+                let line = format!("event=store-era era={era} before={before} step={kind}");
+                self.report.line(&line);
+            }
+            result
+        })
     }
 }
 
 impl Store for CountingStore {
+    fn era(&self) -> Era {
+        self.store.era()
+    }
+
     fn get<'a>(&'a self, key: &'a str) -> Reply<'a, Option<Item>> {
-        self.count("get");
-        self.store.get(key)
+        self.observe("get", self.store.get(key))
     }
 
     fn list<'a>(&'a self, prefix: &'a str, read: Read) -> Reply<'a, Listing> {
-        self.count("list");
-        self.store.list(prefix, read)
+        self.observe("list", self.store.list(prefix, read))
     }
 
     fn watch<'a>(
@@ -51,27 +74,22 @@
         after: Revision,
         wait: Duration,
     ) -> Reply<'a, WatchBatch> {
-        self.count("watch");
-        self.store.watch(prefix, after, wait)
+        self.observe("watch", self.store.watch(prefix, after, wait))
     }
 
     fn commit(&self, transaction: Transaction) -> Reply<'_, Commit> {
-        self.count("commit");
-        self.store.commit(transaction)
+        self.observe("commit", self.store.commit(transaction))
     }
 
     fn lease(&self, duration: Duration) -> Reply<'_, Lease> {
-        self.count("lease");
-        self.store.lease(duration)
+        self.observe("lease", self.store.lease(duration))
     }
 
     fn renew(&self, id: LeaseId) -> Reply<'_, Duration> {
-        self.count("renew");
-        self.store.renew(id)
+        self.observe("renew", self.store.renew(id))
     }
 
     fn end(&self, id: LeaseId) -> Reply<'_, ()> {
-        self.count("end");
-        self.store.end(id)
+        self.observe("end", self.store.end(id))
     }
 }
--- a/engine/src/store/mod.rs
+++ b/engine/src/store/mod.rs
@@ -13,8 +13,13 @@
 
 pub use self::counting::CountingStore;
 
-/// The number of changes of the store so far, which never decreases.
+/// The number of changes of the store so far, which never decreases within an [`Era`].
 pub type Revision = u64;
+/// How often the store has come back older than it was: each time it has lost its latest changes and leases, and gives
+/// out their revisions again.
+///
+/// Revisions can be compared within an era only. 0 if the platform doesn't tell.
+pub type Era = u64;
 /// The id of a lease.
 pub type LeaseId = u64;
 
@@ -95,6 +100,8 @@
     pub items: Vec<Item>,
     /// The revision after which a watch returns all changes that the listing lacks.
     pub revision: Revision,
+    /// The era of its revisions.
+    pub era: Era,
 }
 
 /// The changes that one watch returned.
@@ -104,6 +111,8 @@
     pub changes: Vec<Change>,
     /// The revision after which the next watch continues.
     pub revision: Revision,
+    /// The era of its revisions.
+    pub era: Era,
 }
 
 /// How recent the result of a read must be.
@@ -184,6 +193,9 @@
 
 /// The platform's store; implemented once for each platform.
 pub trait Store {
+    /// Returns the latest era that a response has told.
+    fn era(&self) -> Era;
+
     /// Reads one item; `None` if the key doesn't exist.
     fn get<'a>(&'a self, key: &'a str) -> Reply<'a, Option<Item>>;
 
--- a/engine/tests/evacuation.rs
+++ b/engine/tests/evacuation.rs
@@ -122,7 +122,11 @@
         value: b"{}".to_vec(),
         revision: 4,
     }];
-    let listing = Listing { items, revision: 5 };
+    let listing = Listing {
+        items,
+        revision: 5,
+        ..Listing::default()
+    };
     let mut fleet = Fleet::default();
     fleet.on_listing(ms(0), "", &listing, &store_keys(), &TextCatalogue);
     assert!(fleet.is_evacuated("d2"));
--- a/engine/tests/evacuation_updates.rs
+++ b/engine/tests/evacuation_updates.rs
@@ -133,6 +133,7 @@
                 let listing = Listing {
                     items: self.items(revision),
                     revision,
+                    ..Listing::default()
                 };
                 let mut fleet = Fleet::default();
                 fleet.on_listing(NOW, "", &listing, &store_keys(), &TextCatalogue);
--- a/engine/tests/fleet.rs
+++ b/engine/tests/fleet.rs
@@ -97,6 +97,7 @@
     let listing = Listing {
         items: Vec::new(),
         revision: 20,
+        ..Listing::default()
     };
     fleet.on_listing(NOW, "targets/", &listing, &store_keys(), &TextCatalogue);
     assert_eq!(fleet.targets.keys().collect::<Vec<_>>(), ["new"]);
@@ -197,6 +198,7 @@
     let listing = Listing {
         items: Vec::new(),
         revision: 9,
+        ..Listing::default()
     };
     sender.on_listing(NOW, "targets/", &listing, &store_keys(), &TextCatalogue);
     sender.on_followed("targets/", 9);
@@ -288,6 +290,7 @@
             revision: 10,
         }],
         revision,
+        ..Listing::default()
     };
     fleet.on_listing(NOW, "targets/", &listing(15), &store_keys(), &TextCatalogue);
     assert!(fleet.targets.is_empty(), "an older listing proves nothing");
