CONFIG: a new era of the store replaces all that is known by revisions

Cause: each VM keeps the newest revision of each key and of its watch, and nothing ever lowered them; what the store wrote in its new era had lower ones. The manager's watch after the old revision failed, it listed, ignored the listing, and watched again, 40 times a second.

Change: a view is of one era. A listing of a later era, or a whole relay by a VM in a later era, replaces it: revisions count from there, what it lacks is removed, targets' entries and evacuations after a moment in which they are written again. Configurations and records of owners still never go back by their own versions. VMs tell their era with each message; a view of an earlier era is ignored, and a manager that knows an older era than this VM isn't relied on.

Why it holds: within an era revisions only grow, as before, and no revision is compared across eras any more.

--- a/engine/src/fleet/change_log.rs
+++ b/engine/src/fleet/change_log.rs
@@ -122,6 +122,13 @@
         self.count += 1;
     }
 
+    /// Forgets all changes: whoever hasn't read them gets the whole state.
+    pub(super) fn clear(&mut self) {
+        self.changes.clear();
+        // Who has read everything needs the whole state too.
+        self.count += 1;
+    }
+
     /// Returns the log position after the last change.
     ///
     /// # Example
--- a/engine/src/fleet/entries.rs
+++ b/engine/src/fleet/entries.rs
@@ -41,6 +41,7 @@
             return self.apply_target(now, item, catalogue);
         }
         if let Some(domain) = catalogue.evacuated_domain(key) {
+            self.pending_removals.swap_remove(key);
             return self.start_evacuation(now, domain, *revision);
         }
         if *key == keys.manager() {
@@ -138,6 +139,13 @@
                 return vec![format!("event=record-unreadable service={service} {error}")];
             }
         };
+        let known = self.records.get(service);
+        if known.is_some_and(|it| record.is_older_than(&it.record)) {
+            return vec![format!(
+                "event=record-older service={service} term={} counter={} revision={revision}",
+                record.term, record.counter
+            )];
+        }
         let log_line = format!(
             "event=owners-in-force service={service} term={} revision={revision} ranges={}",
             record.term,
--- a/engine/src/fleet/mod.rs
+++ b/engine/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod cold;
 mod entries;
 mod entry;
+mod eras;
 mod evacuation;
 mod leaving;
 mod relaying;
@@ -26,7 +27,7 @@
     owner::record::Record,
     placement::dispatch,
     quarantine::Fingerprint,
-    store::{Change, Item, Listing, Revision},
+    store::{Change, Era, Item, Listing, Revision},
 };
 
 /// The name of a VM.
@@ -57,6 +58,26 @@
     value: Option<Rc<Vec<u8>>>,
 }
 
+/// The removal of a key that takes effect later, unless the key is written again.
+#[derive(Clone, Debug)]
+struct PendingRemoval {
+    /// When it takes effect.
+    due: Duration,
+    /// The revision at which the key is known to be missing.
+    revision: Revision,
+    /// A revision before that of the removal itself.
+    after: Revision,
+    /// The failure domain whose evacuation ends with it; `None` if a target is removed.
+    evacuated: Option<DomainId>,
+}
+
+impl PendingRemoval {
+    /// Returns whether a listing lacked the key, so that the revision of the removal itself isn't known.
+    fn is_inferred(&self) -> bool {
+        self.after + 1 < self.revision
+    }
+}
+
 /// The state of the fleet as one VM knows it.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
@@ -82,6 +103,10 @@
     pub vms: IndexMap<VmId, Vm>,
     /// Whether the targets have been listed.
     pub targets_listed: bool,
+    /// The store's era, of which all revisions here are.
+    era: Era,
+    /// When this VM learned that the store had come back older, if it has.
+    era_entered: Option<Duration>,
     /// The newest known state of each key, removed keys included.
     known: IndexMap<String, Known>,
     /// All removals after this revision are in `known`. Earlier ones may be missing: they were dropped to limit
@@ -91,9 +116,8 @@
     followed: IndexMap<String, Revision>,
     /// The changes that were applied here, kept for other VMs.
     change_log: ChangeLog,
-    /// Targets removed from the store shortly after a failed call, with the time from which they count as
-    /// gone and the revision of the removal.
-    pending_removals: IndexMap<String, (Duration, Revision)>,
+    /// Keys removed from the store shortly after a failed call, or in a new era, which may be written again.
+    pending_removals: IndexMap<String, PendingRemoval>,
     /// When a call to the store last failed.
     last_failure: Option<Duration>,
 }
@@ -130,11 +154,25 @@
     where
         C: Catalogue + ?Sized,
     {
+        if listing.era < self.era {
+            return Vec::new();
+        }
+        let mut log_lines = self.enter_era(now, listing.era);
+        if !self.followed.contains_key(prefix) {
+            // The log lacks removals from before the first listing, so its earlier readers need the whole state.
+            self.change_log.clear();
+        }
         let items = &listing.items;
         // A listing doesn't contain earlier removals.
         self.removals_since = self.removals_since.max(listing.revision);
-        let mut log_lines =
-            self.remove_missing(now, prefix, items, listing.revision, keys, catalogue);
+        log_lines.extend(self.remove_missing(
+            now,
+            prefix,
+            items,
+            listing.revision,
+            keys,
+            catalogue,
+        ));
         for item in &listing.items {
             self.cancel_removal(&item.key, listing.revision);
             let change = Change::Put(item.clone());
@@ -150,7 +188,7 @@
         if self.known.get(key).is_some_and(removed) {
             self.known.swap_remove(key);
         }
-        let pending = |(_, removed_at): &(Duration, Revision)| *removed_at <= listed_at;
+        let pending = |it: &PendingRemoval| it.revision <= listed_at;
         if self.pending_removals.get(key).is_some_and(pending) {
             self.pending_removals.swap_remove(key);
         }
@@ -170,18 +208,24 @@
         C: Catalogue + ?Sized,
     {
         let listed: HashSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
-        let missing: Vec<String> = self
+        let missing: Vec<(String, Revision)> = self
             .known
             .iter()
             .filter(|(_, known)| known.value.is_some() && known.revision <= listed_at)
             .filter(|(key, _)| key.starts_with(prefix) && !listed.contains(key.as_str()))
-            .map(|(key, _)| key.clone())
+            .map(|(key, known)| (key.clone(), known.revision))
             .collect();
         let mut log_lines = Vec::new();
-        for key in missing {
-            let revision = listed_at;
-            let change = Change::Removed { key, revision };
+        for (key, last_known) in missing {
+            let change = Change::Removed {
+                key: key.clone(),
+                revision: listed_at,
+            };
             log_lines.extend(self.on_change(now, &change, keys, catalogue));
+            if let Some(pending) = self.pending_removals.get_mut(&key) {
+                // The listing doesn't tell when it was removed.
+                pending.after = last_known;
+            }
         }
         log_lines
     }
@@ -207,7 +251,10 @@
             return Vec::new();
         }
         let known = self.known.get(key);
-        let newest = known.map_or(0, |known| known.revision);
+        let removed_at = self.pending_removals.get(key).map(|it| it.revision);
+        let newest = known
+            .map_or(0, |known| known.revision)
+            .max(removed_at.unwrap_or(0));
         match change {
             Change::Put(_) if revision <= newest => Vec::new(),
             Change::Put(item) => {
@@ -217,11 +264,8 @@
             }
             Change::Removed { .. } if revision < newest => Vec::new(),
             Change::Removed { key, .. } => {
-                let grace_end = self.last_failure.map(|at| at + REMOVAL_GRACE);
-                let active_grace = grace_end.filter(|end| now < *end);
-                let is_target = key.starts_with(catalogue.targets_prefix());
-                if let Some(end) = active_grace.filter(|_| is_target) {
-                    self.pending_removals.insert(key.clone(), (end, revision));
+                if let Some(pending) = self.delay_removal(now, key, revision, catalogue) {
+                    self.pending_removals.insert(key.clone(), pending);
                     return Vec::new();
                 }
                 self.set_known(key, revision, None);
@@ -231,6 +275,36 @@
         }
     }
 
+    /// Returns the later removal of a key that may be written again within moments; `None` if it is removed at once.
+    fn delay_removal<C>(
+        &self,
+        now: Duration,
+        key: &str,
+        revision: Revision,
+        catalogue: &C,
+    ) -> Option<PendingRemoval>
+    where
+        C: Catalogue + ?Sized,
+    {
+        let evacuated = catalogue.evacuated_domain(key);
+        let due = if evacuated.is_some() {
+            self.operator_grace()
+        } else if key.starts_with(catalogue.targets_prefix()) {
+            self.last_failure.map(|at| at + REMOVAL_GRACE)
+        } else {
+            None
+        };
+        let due = due.filter(|due| now < *due)?;
+        let after = revision.saturating_sub(1);
+        let earlier = self.pending_removals.get(key);
+        Some(PendingRemoval {
+            due,
+            revision,
+            after: earlier.map_or(after, |it| it.after.min(after)),
+            evacuated,
+        })
+    }
+
     /// Stores the newest state of a key; drops a removed key if too many are known.
     fn set_known(&mut self, key: &str, revision: Revision, value: Option<Rc<Vec<u8>>>) {
         if self.known.len() >= MAX_KNOWN_KEYS {
@@ -245,29 +319,35 @@
         self.known.insert(key.to_owned(), Known { revision, value });
     }
 
-    /// Removes the targets whose delayed removal is due; returns their ids.
+    /// Makes the delayed removals that are due; returns log lines.
     ///
     /// # Example
     ///
     /// See [`Fleet::on_store_failure`].
-    pub fn expire(&mut self, now: Duration) -> Vec<TargetId> {
-        let due: Vec<(String, Revision)> = self
-            .pending_removals
-            .iter()
-            .filter(|(_, (at, _))| now >= *at)
-            .map(|(key, (_, revision))| (key.clone(), *revision))
-            .collect();
-        let mut ids = Vec::new();
-        for (key, revision) in due {
-            self.pending_removals.swap_remove(&key);
+    pub fn expire(&mut self, now: Duration) -> Vec<String> {
+        let all = std::mem::take(&mut self.pending_removals);
+        let (due, later) = all.into_iter().partition(|(_, it)| now >= it.due);
+        self.pending_removals = later;
+        let due: IndexMap<String, PendingRemoval> = due;
+        let mut log_lines = Vec::new();
+        if due.values().any(PendingRemoval::is_inferred) {
+            // Until now the whole state could be relayed only as of an earlier revision.
+            self.change_log.clear();
+        }
+        for (key, pending) in due {
+            let revision = pending.revision;
             self.set_known(&key, revision, None);
             let id = key.rsplit('/').next().unwrap_or_default().to_owned();
             self.change_log.add(&Change::Removed { key, revision });
-            if self.remove_target(&id) {
-                ids.push(id);
+            if let Some(domain) = pending.evacuated {
+                log_lines.extend(self.end_evacuation(now, &domain));
+            } else if self.remove_target(&id) {
+                log_lines.push(format!(
+                    "event=target-gone target={id} cause=missing-after-trouble"
+                ));
             }
         }
-        ids
+        log_lines
     }
 
     /// Returns when the next delayed removal is due, for [`Fleet::expire`].
@@ -280,7 +360,7 @@
     /// assert!(Fleet::default().next_expiry().is_none());
     /// ```
     pub fn next_expiry(&self) -> Option<Duration> {
-        self.pending_removals.values().map(|(at, _)| *at).min()
+        self.pending_removals.values().map(|it| it.due).min()
     }
 
     /// Returns the part of the state that the dispatcher needs.
--- a/engine/src/fleet/relaying.rs
+++ b/engine/src/fleet/relaying.rs
@@ -54,6 +54,11 @@
                 position: self.change_log.position(start),
             };
         }
+        self.whole(start)
+    }
+
+    /// Returns the whole state.
+    pub(super) fn whole(&self, start: &str) -> Relay {
         let items = self.known.iter().filter_map(|(key, known)| {
             let value = known.value.as_ref()?;
             Some(Item {
@@ -98,10 +103,7 @@
     ///
     /// A delayed removal has not been applied yet, so the returned revisions stay below it.
     fn applied_revisions(&self) -> IndexMap<String, Revision> {
-        let before_pending = self
-            .pending_removals
-            .values()
-            .map(|(_, revision)| revision - 1);
+        let before_pending = self.pending_removals.values().map(|it| it.after);
         let limit = before_pending.min().unwrap_or(Revision::MAX);
         let applied = |(prefix, upto): (&String, &Revision)| (prefix.clone(), limit.min(*upto));
         self.followed.iter().map(applied).collect()
@@ -128,6 +130,10 @@
     /// assert_eq!(fleet.followed()["a/"], 7);
     /// ```
     pub fn on_followed(&mut self, prefix: &str, revision: Revision) {
+        // What a VM relays as of revision 0 may hold keys that the store has lost.
+        if revision == 0 {
+            return;
+        }
         let known = self.followed.entry(prefix.to_owned()).or_default();
         *known = revision.max(*known);
     }
--- a/engine/src/follow.rs
+++ b/engine/src/follow.rs
@@ -6,7 +6,7 @@
 use std::{cell::Cell, rc::Rc, time::Duration};
 
 use bramleypier_util::clock::Clock;
-use futures_util::future::{self, Either};
+use futures_util::future::{self, LocalBoxFuture};
 use rand::Rng;
 
 use crate::{
@@ -14,7 +14,7 @@
     fleet::{SharedFleet, StoreKeys},
     health::Health,
     report::Report,
-    store::{Error, Read, Revision, Store},
+    store::{Error, Read, Revision, Store, WatchBatch},
 };
 
 /// The prefix of all keys: one listing and one watch cover everything that is followed.
@@ -27,6 +27,8 @@
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 /// The maximum of this delay: a configuration must be in force two seconds after it was accepted.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
+/// How often a waiting watch checks whether other calls have told a new era of the store.
+const ERA_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// How long the manager waits after a watch, so that the next response, which is charged, has several changes.
 const BATCH_DELAY: Duration = Duration::from_millis(100);
 /// The same delay for any other VM, which watches the store only until it reaches the manager: hundreds may do so
@@ -75,6 +77,18 @@
     Failed,
 }
 
+/// What ends a watch.
+enum Interruption {
+    /// Its response.
+    None(Result<WatchBatch, Error>),
+    /// The manager relays changes.
+    Relayed,
+    /// Other calls to the store are not answered.
+    Unhealthy,
+    /// The store has entered a new era.
+    Outdated,
+}
+
 /// How a call for changes ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Outcome {
@@ -95,6 +109,9 @@
         if follower.wait_while_relayed().await {
             state = WatchState::Untested;
         }
+        if follower.is_outdated() {
+            listing = Some(Read::Fresh);
+        }
         let result = match listing {
             Some(read) => follower.list(read).await,
             None => follower.watch(state).await,
@@ -137,6 +154,18 @@
 }
 
 impl Follower {
+    /// Returns whether the store has entered an era of which this VM knows no state.
+    fn is_outdated(&self) -> bool {
+        self.context.store.era() > self.context.shared_fleet.get().era()
+    }
+
+    /// Waits until the store has entered an era of which this VM knows no state.
+    async fn wait_outdated(&self) {
+        while !self.is_outdated() {
+            self.context.clock.sleep(ERA_CHECK_INTERVAL).await;
+        }
+    }
+
     fn log(&self, event: &str, details: &str) {
         self.context
             .report
@@ -190,6 +219,9 @@
     async fn list(&self, read: Read) -> Result<Outcome, Error> {
         let context = &self.context;
         let listing = context.store.list(ALL_KEYS, read).await?;
+        if listing.era < context.shared_fleet.get().era() {
+            return Err(Error::Compacted("list"));
+        }
         let now = context.clock.now();
         let log_lines = context.shared_fleet.update(|fleet| {
             fleet.on_listing(now, ALL_KEYS, &listing, &context.keys, &*context.catalogue)
@@ -209,20 +241,42 @@
             PROBE_WAIT
         };
         let known = context.shared_fleet.get().followed().get(ALL_KEYS).copied();
-        let after = known.unwrap_or(0);
+        let Some(after) = known else {
+            return Err(Error::Compacted("watch"));
+        };
         let watch = context.store.watch(ALL_KEYS, after, wait);
-        let interrupted = future::select(
-            Box::pin(context.manager_health.wait_healthy()),
-            Box::pin(context.store_health.wait_unhealthy()),
-        );
-        let batch = match future::select(watch, interrupted).await {
-            Either::Left((batch, _)) => batch?,
-            Either::Right((Either::Left(_), _)) => return Ok(Outcome::Relayed),
-            Either::Right((Either::Right(_), _)) => {
+        let watch = async { Interruption::None(watch.await) };
+        let relayed = async {
+            context.manager_health.wait_healthy().await;
+            Interruption::Relayed
+        };
+        let unhealthy = async {
+            context.store_health.wait_unhealthy().await;
+            Interruption::Unhealthy
+        };
+        let outdated = async {
+            self.wait_outdated().await;
+            Interruption::Outdated
+        };
+        let ends: [LocalBoxFuture<'_, Interruption>; 4] = [
+            Box::pin(watch),
+            Box::pin(relayed),
+            Box::pin(unhealthy),
+            Box::pin(outdated),
+        ];
+        let batch = match future::select_all(ends).await.0 {
+            Interruption::None(batch) => batch?,
+            Interruption::Relayed => return Ok(Outcome::Relayed),
+            Interruption::Unhealthy => {
                 let reason = "other calls are not answered".to_owned();
                 return Err(Error::NotApplied("watch", reason));
             }
+            Interruption::Outdated => return Err(Error::Compacted("watch")),
         };
+        if batch.era != context.shared_fleet.get().era() {
+            // Revisions of another era can't be continued.
+            return Err(Error::Compacted("watch"));
+        }
         let now = context.clock.now();
         let log_lines = context.shared_fleet.update(|fleet| {
             let mut log_lines = Vec::new();
@@ -244,7 +298,7 @@
     }
 }
 
-/// Removes targets whose entries are still missing some time after a failed call to the store.
+/// Removes the keys that are still missing some time after a failed call to the store, or in its new era.
 pub async fn expire_targets(shared_fleet: SharedFleet, clock: Clock, report: Report) {
     const CHECK_INTERVAL: Duration = Duration::from_millis(250);
     loop {
@@ -253,10 +307,7 @@
         if shared_fleet.get().next_expiry().is_none_or(|at| now < at) {
             continue;
         }
-        for id in shared_fleet.update(|fleet| fleet.expire(now)) {
-            report.line(&format!(
-                "event=target-gone target={id} cause=missing-after-trouble"
-            ));
-        }
+        let log_lines = shared_fleet.update(|fleet| fleet.expire(now));
+        report.lines(&log_lines);
     }
 }
--- a/engine/src/owner/record.rs
+++ b/engine/src/owner/record.rs
@@ -147,6 +147,22 @@
         }
     }
 
+    /// Returns whether it was written before another record of the same service.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_engine::owner::record::Record;
+    ///
+    /// let first = Record::unowned(9);
+    /// let mut second = first.clone();
+    /// second.next_fence();
+    /// assert!(first.is_older_than(&second));
+    /// ```
+    pub fn is_older_than(&self, other: &Self) -> bool {
+        (self.term, self.counter) < (other.term, other.counter)
+    }
+
     /// Returns the next fence, which is two above the last: the number between them is for a release.
     ///
     /// # Example
--- a/engine/src/peer/mod.rs
+++ b/engine/src/peer/mod.rs
@@ -34,7 +34,7 @@
         rates::RateReport,
     },
     quarantine::CrashReport,
-    store::Revision,
+    store::{Era, Revision},
 };
 
 /// The path of sync requests.
@@ -130,6 +130,8 @@
     pub hold_offs: Vec<HoldOffReport>,
     /// The targets that have ended under requests.
     pub crashes: Vec<CrashReport>,
+    /// The store's era, of which all revisions in the message are.
+    pub era: Era,
 }
 
 /// A message between VMs, and the news that come with it.
--- a/engine/src/peer/sync.rs
+++ b/engine/src/peer/sync.rs
@@ -21,6 +21,7 @@
     placement::{hold_offs::HoldOffReport, task},
     quarantine::Quarantine,
     report::Report,
+    store::{Era, Store},
 };
 
 /// The maximum sync interval at which a VM continues to rely on the manager: changes that must be in force in two
@@ -42,6 +43,8 @@
     pub catalogue: Rc<dyn Catalogue>,
     /// The engine's own keys in the store.
     pub keys: Rc<StoreKeys>,
+    /// The platform's store.
+    pub store: Rc<dyn Store>,
     /// Whether the store answers this VM.
     pub store_health: Health,
     /// Whether this VM relies on the manager's responses; updated here.
@@ -134,10 +137,12 @@
         }
         // A VM that isn't the manager relays its state too, however old: otherwise a VM that starts while no VM
         // reaches the store could serve no requests. Older state never replaces newer state.
-        let relay =
-            self.shared_fleet
-                .get()
-                .relay(&self.vm.start, &message.position, &message.followed);
+        let relay = self.shared_fleet.get().relay_to(
+            news.era,
+            &self.vm.start,
+            &message.position,
+            &message.followed,
+        );
         let is_first = message.position.start != self.vm.start;
         let message = SyncResponse {
             healthy,
@@ -164,6 +169,7 @@
             leaving,
             hold_offs,
             crashes: self.quarantine.reports(is_first),
+            era: fleet.era(),
         }
     }
 
@@ -194,12 +200,28 @@
         }
     }
 
-    /// Applies a relay from another VM and logs the changes.
-    pub(super) fn apply_relay(&self, vm: &Vm, relay: &Relay, healthy_manager: bool) {
+    /// Applies a relay from another VM, whose view is of the era `era`, and logs the changes; returns whether it did.
+    pub(super) fn apply_relay(
+        &self,
+        vm: &Vm,
+        relay: &Relay,
+        era: Era,
+        healthy_manager: bool,
+    ) -> bool {
         let now = self.clock.now();
         let log_lines = self.shared_fleet.update(|fleet| {
-            fleet.on_relay(now, relay, healthy_manager, &self.keys, &*self.catalogue)
+            fleet.on_relay_of(
+                now,
+                era,
+                relay,
+                healthy_manager,
+                &self.keys,
+                &*self.catalogue,
+            )
         });
+        let Some(log_lines) = log_lines else {
+            return false;
+        };
         if let Relay::Whole {
             items, followed, ..
         } = relay
@@ -212,15 +234,22 @@
             ));
         }
         self.report.lines(&log_lines);
+        true
     }
 
-    /// Decides from the manager's response whether this VM relies on the manager, and returns the decision.
+    /// Decides from the manager's response, which is of the era `era`, whether this VM relies on the manager, and returns
+    /// the decision.
     pub(super) fn accept_response(
         &self,
         response: &SyncResponse,
+        era: Era,
         vm: &Vm,
         interval: Duration,
     ) -> bool {
+        if era < self.shared_fleet.get().era().max(self.store.era()) {
+            self.stop_relying("the manager knows an older era of the store");
+            return false;
+        }
         let relied = self.manager_health.is_healthy();
         let max_interval = if relied {
             MAX_RELIED_INTERVAL
--- a/engine/src/peer/sync_task.rs
+++ b/engine/src/peer/sync_task.rs
@@ -6,6 +6,7 @@
 use crate::{
     fleet::{LogPosition, Vm},
     placement::dispatch,
+    store::Era,
 };
 
 /// The minimum time for which a VM relies on the manager after a valid response.
@@ -40,12 +41,12 @@
             Some(vm) => {
                 let sent = context.clock.now();
                 let response = exchange(&context, &vm, &request, &mut position).await;
-                if let Some(response) = &response
-                    && context.accept_response(response, &vm, interval)
+                if let Some((response, era)) = &response
+                    && context.accept_response(response, *era, &vm, interval)
                 {
                     valid_at = sent;
                 }
-                response
+                response.map(|(response, _)| response)
             }
             None => None,
         };
@@ -121,13 +122,13 @@
     exchange(context, &vm, &Envelope { message, news }, position).await;
 }
 
-/// Sends a sync request and applies the relay in the response; returns `None` after a failure.
+/// Sends a sync request and applies the relay in the response, which is returned with its era; `None` after a failure.
 async fn exchange(
     context: &Context,
     vm: &Vm,
     request: &Envelope<SyncRequest>,
     position: &mut LogPosition,
-) -> Option<SyncResponse> {
+) -> Option<(SyncResponse, Era)> {
     let sent = context.clock.now();
     let envelope = match super::sync(&context.client, vm.address, request).await {
         Ok(envelope) => envelope,
@@ -148,9 +149,12 @@
     } = envelope;
     context.report.merge(response.stamp);
     context.apply_news(&news);
-    if response.relay.position() != position {
-        context.apply_relay(vm, &response.relay, response.healthy);
-        *position = response.relay.position().clone();
+    let relay = &response.relay;
+    if relay.position() != position {
+        let applied = context.apply_relay(vm, relay, news.era, response.healthy);
+        if applied {
+            *position = relay.position().clone();
+        }
     }
-    Some(response)
+    Some((response, news.era))
 }
--- a/engine/src/process/mod.rs
+++ b/engine/src/process/mod.rs
@@ -347,6 +347,7 @@
             shared_fleet: self.shared_fleet.clone(),
             catalogue: self.adapter.catalogue.clone(),
             keys: self.keys.clone(),
+            store: self.adapter.store.clone(),
             store_health: self.store_health.clone(),
             manager_health: self.manager_health.clone(),
             is_manager: self.is_manager.clone(),
--- a/engine/tests/fleet.rs
+++ b/engine/tests/fleet.rs
@@ -15,6 +15,8 @@
 use crate::fleet_fixture::{TextCatalogue, put, removed, store_keys};
 
 const NOW: Duration = Duration::from_secs(50);
+/// The log line of the target `a` when it counts as gone some time after an outage.
+const GONE: &str = "event=target-gone target=a cause=missing-after-trouble";
 
 fn apply_change(fleet: &mut Fleet, now: Duration, change: &Change) -> Vec<String> {
     fleet.on_change(now, change, &store_keys(), &TextCatalogue)
@@ -80,7 +82,7 @@
     assert_eq!(fleet.targets.len(), 2);
     apply_change(&mut fleet, NOW + second, &put("targets/b", b"ready", 9));
     assert!(fleet.expire(NOW + second * 2).is_empty());
-    assert_eq!(fleet.expire(NOW + second * 3), ["a"]);
+    assert_eq!(fleet.expire(NOW + second * 3), [GONE]);
     assert_eq!(fleet.targets.keys().collect::<Vec<_>>(), ["b"]);
     apply_change(&mut fleet, NOW + second * 4, &removed("targets/b", 10));
     assert!(
@@ -355,7 +357,7 @@
     let relay = sender.relay("sender/1", &position, &nothing_followed());
     assert_eq!(relay.followed()[""], 19);
     let later = NOW + Duration::from_secs(9);
-    assert_eq!(sender.expire(later), ["a"]);
+    assert_eq!(sender.expire(later), [GONE]);
     let relay = sender.relay("sender/1", &position, &nothing_followed());
     assert_eq!(relay.followed()[""], 25);
 }
