A VM that is ahead of another's view takes nothing from it that was removed since

Found by the random test of eras, which failed without each of these (one in some thousand histories): a VM that had followed the store itself and then read an older view, or a log of changes that began later, took a removed target for a new one, or never heard of a removal. No caller was seen to suffer: such a target answers that it isn't the one, or not at all.

Cause: a key that a view doesn't know may have been removed before; and a place in another VM's log says nothing of what the reader has learned elsewhere.

--- a/engine/src/fleet/mod.rs
+++ b/engine/src/fleet/mod.rs
@@ -105,6 +105,8 @@
     pub targets_listed: bool,
     /// The store's era, of which all revisions here are.
     era: Era,
+    /// How often this VM has learned something from another source than the manager's relays.
+    other_sources: u64,
     /// When this VM learned that the store had come back older, if it has.
     era_entered: Option<Duration>,
     /// The newest known state of each key, removed keys included.
@@ -422,6 +424,18 @@
         &self.quarantined
     }
 
+    /// Records that this VM has learned something from another source than the manager's relays.
+    ///
+    /// It may know keys then of whose removal the manager's change log doesn't tell, so it has to read the state anew.
+    pub(crate) fn on_other_source(&mut self) {
+        self.other_sources += 1;
+    }
+
+    /// Returns how often this VM has learned something from another source than the manager's relays.
+    pub(crate) fn other_sources(&self) -> u64 {
+        self.other_sources
+    }
+
     /// Returns whether callers can be served: a configuration is known and the targets have been listed.
     ///
     /// # Example
--- a/engine/src/fleet/relaying.rs
+++ b/engine/src/fleet/relaying.rs
@@ -118,6 +118,27 @@
         &self.followed
     }
 
+    /// Returns whether a relay leads to this view or beyond it.
+    ///
+    /// A VM whose view is ahead of the other's log must not continue there: the log may lack removals of keys that only
+    /// this VM knows.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_engine::fleet::{Fleet, LogPosition};
+    ///
+    /// let (behind, mut ahead) = (Fleet::default(), Fleet::default());
+    /// ahead.on_followed("", 7);
+    /// let relay = behind.relay("start", &LogPosition::default(), ahead.followed());
+    /// assert!(behind.is_covered_by(&relay) && !ahead.is_covered_by(&relay));
+    /// ```
+    pub fn is_covered_by(&self, relay: &Relay) -> bool {
+        let theirs = relay.followed();
+        let mut ours = self.followed.iter();
+        ours.all(|(prefix, upto)| theirs.get(prefix).is_some_and(|it| it >= upto))
+    }
+
     /// Records the revision up to which a prefix has been followed; a lower revision changes nothing.
     ///
     /// # Example
@@ -138,6 +159,20 @@
         *known = revision.max(*known);
     }
 
+    /// Returns whether a change of a relay is older than this view, in which its key isn't known: it was removed since.
+    ///
+    /// `theirs` is up to which revision the other VM is up to date; what it knows beyond this view is never outdated.
+    fn is_outdated(&self, change: &Change, theirs: &IndexMap<String, Revision>) -> bool {
+        let Change::Put(item) = change else {
+            return false;
+        };
+        let is_ahead = |(prefix, upto): (&String, &Revision)| {
+            let theirs = theirs.get(prefix).copied().unwrap_or(0);
+            item.key.starts_with(prefix.as_str()) && item.revision <= *upto && theirs < *upto
+        };
+        !self.known.contains_key(&item.key) && self.followed.iter().any(is_ahead)
+    }
+
     /// Applies a relay from another VM; returns log lines about the changes.
     ///
     /// `healthy_manager` says that the other VM is the manager and follows the store without failures. Targets
@@ -171,10 +206,14 @@
                 self.targets_listed |= items.iter().any(|item| item.key.starts_with(prefix));
                 for item in items {
                     let change = Change::Put(item.clone());
-                    log_lines.extend(self.on_change(now, &change, keys, catalogue));
+                    if !self.is_outdated(&change, followed) {
+                        log_lines.extend(self.on_change(now, &change, keys, catalogue));
+                    }
                 }
             }
-            Relay::Changes { changes, .. } => {
+            Relay::Changes {
+                changes, followed, ..
+            } => {
                 // Late calls of this VM may look like an outage of the store, which delays removals.
                 let failure = if healthy_manager {
                     self.last_failure.take()
@@ -182,7 +221,9 @@
                     None
                 };
                 for change in changes {
-                    log_lines.extend(self.on_change(now, change, keys, catalogue));
+                    if !self.is_outdated(change, followed) {
+                        log_lines.extend(self.on_change(now, change, keys, catalogue));
+                    }
                 }
                 self.last_failure = self.last_failure.or(failure);
             }
--- a/engine/src/follow.rs
+++ b/engine/src/follow.rs
@@ -175,6 +175,7 @@
     fn set_followed(&self, revision: Revision) {
         self.context.shared_fleet.update(|fleet| {
             fleet.on_followed(ALL_KEYS, revision);
+            fleet.on_other_source();
             fleet.config_followed = true;
         });
     }
--- a/engine/src/peer/sync_task.rs
+++ b/engine/src/peer/sync_task.rs
@@ -4,7 +4,7 @@
 
 use super::{Envelope, SyncRequest, SyncResponse, sync::Context, sync_interval};
 use crate::{
-    fleet::{LogPosition, Vm},
+    fleet::{Fleet, LogPosition, Vm},
     placement::dispatch,
     store::Era,
 };
@@ -22,8 +22,13 @@
     let mut interval = Duration::ZERO;
     let mut lag = Duration::ZERO;
     let mut manager_start = None;
+    let mut sources = 0;
     context.manager_health.record_outcome(false);
     loop {
+        let other_sources = context.shared_fleet.get().other_sources();
+        if other_sources != sources {
+            (position, sources) = (LogPosition::default(), other_sources);
+        }
         let manager = context.shared_fleet.get().manager.clone();
         let start = manager.as_ref().map(|vm| vm.start.clone());
         if start != manager_start {
@@ -119,7 +124,15 @@
     };
     // Only the relay is used: quotas and counts from a VM that isn't the manager are meaningless.
     let news = context.news(true, Vec::new());
+    let before = position.clone();
     exchange(context, &vm, &Envelope { message, news }, position).await;
+    if *position != before {
+        // The logs of the others don't tell of the removal of what was learned here.
+        let position = position.clone();
+        peers.positions.clear();
+        peers.positions.insert(address, position);
+        context.shared_fleet.update(Fleet::on_other_source);
+    }
 }
 
 /// Sends a sync request and applies the relay in the response, which is returned with its era; `None` after a failure.
@@ -152,7 +165,7 @@
     let relay = &response.relay;
     if relay.position() != position {
         let applied = context.apply_relay(vm, relay, news.era, response.healthy);
-        if applied {
+        if applied && context.shared_fleet.get().is_covered_by(relay) {
             *position = relay.position().clone();
         }
     }
