OWNER: a takeover in a new era of the store fences all targets before it writes a record

Callers saw: two targets held, and worked on, the same keys for 0.9 to 7.2 s after the store had come back older.

Cause: the next manager believed the record as it stood, though it had lost the last moves, and granted to owners from before them, while the true owners still held their grants; and it began a term that the store had forgotten, so that fences were handed out twice. The same manager did so too, since its own write failed and it read the record anew.

Change: terms contain the era. A manager that finds a record of an earlier era takes the newest one that it knows, has each target release all keys that this record doesn't give it, and writes the record of its term only then; targets that don't respond are waited for until every earlier grant has expired. The VM that was the manager bids first. Until then it renews its grants under its old term, and writes nothing, since a revision may have been given out again.

--- a/engine/src/fleet/cold.rs
+++ b/engine/src/fleet/cold.rs
@@ -53,8 +53,13 @@
     }
 
     /// Removes a target; returns whether it was known.
-    pub(super) fn remove_target(&mut self, id: &str) -> bool {
+    pub(super) fn remove_target(&mut self, now: Duration, id: &str) -> bool {
         self.cold.swap_remove(id);
-        self.targets.swap_remove(id).is_some()
+        let target = self.targets.swap_remove(id);
+        let known = target.is_some();
+        if let Some(target) = target {
+            self.set_departed(now, target);
+        }
+        known
     }
 }
--- a/engine/src/fleet/entries.rs
+++ b/engine/src/fleet/entries.rs
@@ -124,7 +124,7 @@
             }
             Err(error) => {
                 let id = key.rsplit('/').next().unwrap_or_default();
-                self.remove_target(id);
+                self.remove_target(now, id);
                 vec![format!(
                     "event=target-unreadable revision={revision} {error}"
                 )]
@@ -169,7 +169,7 @@
     {
         let id = key.rsplit('/').next().unwrap_or_default();
         if key.starts_with(catalogue.targets_prefix()) {
-            let known = self.remove_target(id);
+            let known = self.remove_target(now, id);
             return if known {
                 vec![format!("event=target-gone target={id}")]
             } else {
--- a/engine/src/fleet/eras.rs
+++ b/engine/src/fleet/eras.rs
@@ -10,10 +10,15 @@
 
 use super::{Fleet, LogPosition, REMOVAL_GRACE, Relay, StoreKeys};
 use crate::{
-    catalogue::Catalogue,
+    catalogue::{Catalogue, Target},
     store::{Era, Revision},
 };
 
+/// How long targets are remembered after they were announced last: longer than any grant lasts.
+const GRANT_MEMORY: Duration = Duration::from_secs(15);
+/// The maximum number of such targets.
+const MAX_DEPARTED: usize = 4096;
+
 impl Fleet {
     /// Returns the era of all revisions in this view.
     ///
@@ -52,9 +57,31 @@
         vec![line]
     }
 
+    /// Returns whether this VM has followed the store through a change of its era.
+    pub(crate) fn has_entered_era(&self) -> bool {
+        self.era_entered.is_some()
+    }
+
+    /// Returns the targets that are or were announced within [`GRANT_MEMORY`].
+    pub(crate) fn recent_targets(&self, now: Duration) -> impl Iterator<Item = &Target> {
+        let departed = self.departed.values();
+        let recent = departed.filter(move |(_, at)| now < *at + GRANT_MEMORY);
+        self.targets
+            .values()
+            .chain(recent.map(|(target, _)| target))
+    }
+
+    /// Remembers a target that is announced no more.
+    pub(super) fn set_departed(&mut self, now: Duration, target: Target) {
+        self.departed.retain(|_, (_, at)| now < *at + GRANT_MEMORY);
+        if self.departed.len() < MAX_DEPARTED {
+            self.departed.insert(target.id.clone(), (target, now));
+        }
+    }
+
     /// Returns until when what an operator has written may be missing in the store, because the store lost it and the
     /// operator hasn't written it again.
-    pub(super) fn operator_grace(&self) -> Option<Duration> {
+    pub(crate) fn operator_grace(&self) -> Option<Duration> {
         self.era_entered.map(|at| at + REMOVAL_GRACE)
     }
 
--- a/engine/src/fleet/mod.rs
+++ b/engine/src/fleet/mod.rs
@@ -103,6 +103,8 @@
     pub vms: IndexMap<VmId, Vm>,
     /// Whether the targets have been listed.
     pub targets_listed: bool,
+    /// The targets that were announced lately, and until when.
+    departed: IndexMap<TargetId, (Target, Duration)>,
     /// The store's era, of which all revisions here are.
     era: Era,
     /// How often this VM has learned something from another source than the manager's relays.
@@ -343,7 +345,7 @@
             self.change_log.add(&Change::Removed { key, revision });
             if let Some(domain) = pending.evacuated {
                 log_lines.extend(self.end_evacuation(now, &domain));
-            } else if self.remove_target(&id) {
+            } else if self.remove_target(now, &id) {
                 log_lines.push(format!(
                     "event=target-gone target={id} cause=missing-after-trouble"
                 ));
--- a/engine/src/owner/calls.rs
+++ b/engine/src/owner/calls.rs
@@ -21,6 +21,8 @@
 const BID_STEP: Duration = Duration::from_millis(40);
 /// The longest delay of a bid.
 const MAX_BID_DELAY: Duration = Duration::from_millis(600);
+/// How much later other VMs bid than the one that was the manager when the store came back older.
+const EARLIER_MANAGER_ADVANTAGE: Duration = Duration::from_millis(300);
 /// The timeout of a grant.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(400);
 /// The timeout of a release: the target finishes the requests for those keys first.
@@ -68,7 +70,16 @@
 /// hash of the process start.
 ///
 /// The manager responds to all other VMs and renews all grants; with too little capacity it fails to renew its lease.
-pub(super) fn bid_delay(fleet: &Fleet, own: &Vm) -> Duration {
+/// When the store has just come back older, the VM that was the manager goes first: nobody else knows all grants.
+pub(super) fn bid_delay(fleet: &Fleet, own: &Vm, was_manager: bool, now: Duration) -> Duration {
+    if was_manager {
+        return Duration::ZERO;
+    }
+    let advantage = if fleet.operator_grace().is_some_and(|end| now < end) {
+        EARLIER_MANAGER_ADVANTAGE
+    } else {
+        Duration::ZERO
+    };
     let priority = |vm: &Vm| {
         let hash = xxhash_rust::xxh3::xxh3_64(vm.start.as_bytes());
         (Reverse(vm.capacity_millicores), hash)
@@ -76,7 +87,7 @@
     let mine = priority(own);
     let before = fleet.vms.values().filter(|vm| priority(vm) < mine).count();
     let steps = u32::try_from(before).unwrap_or(u32::MAX);
-    BID_STEP.saturating_mul(steps).min(MAX_BID_DELAY)
+    advantage + BID_STEP.saturating_mul(steps).min(MAX_BID_DELAY)
 }
 
 /// Takes a lease and writes the manager's entry under it; returns `None` if there is an entry already.
@@ -121,15 +132,26 @@
     Ok(matches!(commit, Commit::Done(_)))
 }
 
-/// Sends a grant or release and returns its outcome.
+/// The kinds of calls to targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CallKind {
+    /// Grants a range.
+    Grant,
+    /// Releases a range that the target is known to own.
+    Release,
+    /// Releases a range that the target isn't known to own.
+    Fence,
+}
+
+/// Sends a call to a target and returns its outcome.
 pub(super) async fn send_command(
     context: &Context,
     service: &str,
     command: &OwnershipCommand,
-    grant: bool,
+    kind: CallKind,
 ) -> CallOutcome {
     let age = context.clock.now().saturating_sub(command.decided_at);
-    if grant && age > MAX_DECISION_AGE {
+    if kind == CallKind::Grant && age > MAX_DECISION_AGE {
         context.report.line(&format!(
             "event=grant-dropped service={service} target={} from={} to={} fence={} age_ms={}",
             command.owner.id,
@@ -140,11 +162,11 @@
         ));
         return CallOutcome::Unsent;
     }
-    let (call, timeout, name) = if grant {
-        let call = context.targets.grant(command);
-        (call, GRANT_TIMEOUT, "grant")
-    } else {
-        (context.targets.release(command), RELEASE_TIMEOUT, "release")
+    let (call, timeout, name) = match kind {
+        CallKind::Grant => (context.targets.grant(command), GRANT_TIMEOUT, "grant"),
+        CallKind::Release => (context.targets.release(command), RELEASE_TIMEOUT, "release"),
+        // The target is sent it again while it finishes requests for keys that the record doesn't give it.
+        CallKind::Fence => (context.targets.release(command), GRANT_TIMEOUT, "fence"),
     };
     let mut request = Request::new(Body::from(call.body));
     *request.method_mut() = call.method;
--- a/engine/src/owner/events.rs
+++ b/engine/src/owner/events.rs
@@ -63,6 +63,8 @@
     GrantEnded(RequestKey, CallOutcome),
     /// The call of a release for the range that begins at this key ended.
     ReleaseEnded(RequestKey, CallOutcome),
+    /// The call that fences an incarnation from this key on ended.
+    FenceEnded(Incarnation, RequestKey, CallOutcome),
     /// The last commit took effect.
     Committed,
     /// The last commit failed and did not take effect; it must be retried.
@@ -86,6 +88,8 @@
     Grant(OwnershipCommand),
     /// Send a release.
     Release(OwnershipCommand),
+    /// Send a release of keys that the target isn't known to hold.
+    Fence(OwnershipCommand),
     /// Write the record if the stored one has not changed.
     Commit(Record),
     /// Another manager has taken over; nothing more may be sent for this service.
--- a/engine/src/owner/manager/lease.rs
+++ b/engine/src/owner/manager/lease.rs
@@ -25,9 +25,10 @@
         if !vacant || self.bidding || self.stopping.is_some() {
             return;
         }
-        let due = *self
-            .bid_at
-            .get_or_insert_with(|| now + calls::bid_delay(&fleet, &self.context.vm));
+        let was_manager = !self.services.is_empty();
+        let due = *self.bid_at.get_or_insert_with(|| {
+            now + calls::bid_delay(&fleet, &self.context.vm, was_manager, now)
+        });
         if now < due {
             return;
         }
--- a/engine/src/owner/manager/mod.rs
+++ b/engine/src/owner/manager/mod.rs
@@ -18,9 +18,9 @@
 use indexmap::IndexMap;
 
 use super::{
-    calls,
+    calls::{self, CallKind},
     ownership::{CallOutcome, Effect, Event, OwnershipCommand, ServiceOwnership, Timing},
-    record::{Record, RequestKey, Term},
+    record::{Incarnation, Record, RequestKey, Term},
     service_times::ServiceTimes,
 };
 use crate::{
@@ -38,6 +38,26 @@
 /// The delay after a failed bid or a failed read of a record, and between two ticks while there is no work.
 const RETRY_DELAY: Duration = Duration::from_millis(700);
 
+/// A call to a target that has ended.
+#[derive(Debug)]
+pub struct EndedCall {
+    kind: CallKind,
+    owner: Incarnation,
+    from: RequestKey,
+    outcome: CallOutcome,
+}
+
+impl EndedCall {
+    /// Returns the event by which the service learns of it.
+    fn into_event(self) -> Event {
+        match self.kind {
+            CallKind::Grant => Event::GrantEnded(self.from, self.outcome),
+            CallKind::Release => Event::ReleaseEnded(self.from, self.outcome),
+            CallKind::Fence => Event::FenceEnded(self.owner, self.from, self.outcome),
+        }
+    }
+}
+
 /// A message to the manager's task.
 #[derive(Debug)]
 pub enum Message {
@@ -56,8 +76,8 @@
     Stop(oneshot::Sender<()>),
     /// The process with this start sent a sync request to this VM, so it knows that it isn't the manager.
     SyncReceived(String),
-    /// A grant (`true`) or release (`false`) for the range that begins at this key ended.
-    CallEnded(ServiceId, Term, RequestKey, bool, CallOutcome),
+    /// A call to a target ended.
+    CallEnded(ServiceId, Term, EndedCall),
     /// The commit of a record ended.
     CommitEnded(ServiceId, Term, Result<Commit, Error>),
     /// The read of a service's record ended.
@@ -232,9 +252,7 @@
             }
             Message::SyncReceived(start) => self.sync_received(&start),
             Message::Stop(done) => self.stopping = Some(done),
-            Message::CallEnded(service, term, from, grant, outcome) => {
-                self.call_ended(&service, term, from, grant, outcome);
-            }
+            Message::CallEnded(service, term, call) => self.call_ended(&service, term, call),
             Message::CommitEnded(name, term, result) => self.commit_ended(&name, term, result),
             Message::RecordRead(service, result) => self.record_read(&service, result),
             Message::BidEnded(result, sent) => self.bid_ended(result, sent),
@@ -256,8 +274,9 @@
     fn apply_effects(&mut self, service: &str, effects: Vec<Effect>) {
         for effect in effects {
             match effect {
-                Effect::Grant(command) => self.start_call(service, command, true),
-                Effect::Release(command) => self.start_call(service, command, false),
+                Effect::Grant(command) => self.start_call(service, command, CallKind::Grant),
+                Effect::Release(command) => self.start_call(service, command, CallKind::Release),
+                Effect::Fence(command) => self.start_call(service, command, CallKind::Fence),
                 Effect::Commit(record) => self.commit(service, &record),
                 Effect::Log(text) => self.log(&format!("{text} service={service}")),
                 Effect::Deposed => {
@@ -271,27 +290,11 @@
     }
 
     /// Passes the outcome of a call to its service, unless the service has entered another term since.
-    fn call_ended(
-        &mut self,
-        service: &str,
-        term: Term,
-        from: RequestKey,
-        grant: bool,
-        outcome: CallOutcome,
-    ) {
-        if self
-            .services
-            .get(service)
-            .is_none_or(|managed| managed.ownership.term() != term)
-        {
-            return;
+    fn call_ended(&mut self, service: &str, term: Term, call: EndedCall) {
+        let is_current = |managed: &ManagedService| managed.ownership.term() == term;
+        if self.services.get(service).is_some_and(is_current) {
+            self.handle_event(service, call.into_event());
         }
-        let event = if grant {
-            Event::GrantEnded(from, outcome)
-        } else {
-            Event::ReleaseEnded(from, outcome)
-        };
-        self.handle_event(service, event);
     }
 
     /// Does the work that is due.
@@ -302,6 +305,7 @@
         self.bid_if_vacant(now);
         self.renew_lease(now);
         if self.context.is_manager.get() {
+            self.leave_earlier_eras();
             self.take_over_services();
         }
         self.forward_closed_connections(now);
@@ -311,8 +315,8 @@
         }
     }
 
-    /// Sends a grant or release in a task of its own.
-    fn start_call(&mut self, service: &str, command: OwnershipCommand, grant: bool) {
+    /// Sends a call to a target in a task of its own.
+    fn start_call(&mut self, service: &str, command: OwnershipCommand, kind: CallKind) {
         let Some(managed) = self.services.get(service) else {
             return;
         };
@@ -320,14 +324,14 @@
         let (context, sender) = (self.context.clone(), self.sender.clone());
         let service = service.to_owned();
         compio::runtime::spawn(async move {
-            let outcome = calls::send_command(&context, &service, &command, grant).await;
-            let _ = sender.unbounded_send(Message::CallEnded(
-                service,
-                term,
-                command.from,
-                grant,
+            let outcome = calls::send_command(&context, &service, &command, kind).await;
+            let call = EndedCall {
+                kind,
+                owner: command.owner,
+                from: command.from,
                 outcome,
-            ));
+            };
+            let _ = sender.unbounded_send(Message::CallEnded(service, term, call));
         })
         .detach();
     }
--- a/engine/src/owner/manager/records.rs
+++ b/engine/src/owner/manager/records.rs
@@ -3,10 +3,10 @@
 use super::{ManagedService, Manager, Message, RETRY_DELAY};
 use crate::{
     owner::{
-        ownership::{Event, ServiceOwnership},
-        record::{Record, Term},
+        ownership::{Event, Memory, ServiceOwnership},
+        record::{self, Incarnation, Record, Term},
     },
-    store::{Change, Commit, Error, Item, Revision, Transaction},
+    store::{Change, Commit, Era, Error, Item, Revision, Transaction},
 };
 
 impl Manager {
@@ -59,6 +59,8 @@
             }
         };
         let revision = item.as_ref().map_or(0, |item| item.revision);
+        let era = self.era();
+        self.drop_outdated(service, era);
         if self.resume(service, revision, item.as_ref()) {
             return;
         }
@@ -75,11 +77,21 @@
         };
         let timing = self.timing;
         let now = self.now();
-        let predecessor = Some(record.manager.clone());
-        let (ownership, effects) =
-            ServiceOwnership::take_over(&self.context.vm.start, record, timing, now);
+        let stored_era = record.era();
+        let record = self.newest_record(service, record, era);
+        let is_later = era > record.era();
+        // A record of an earlier era may have lost the managers after the one that it names.
+        let predecessor = Some(record.manager.clone()).filter(|_| !is_later);
+        let (ownership, effects) = ServiceOwnership::take_over_in_era(
+            &self.context.vm.start,
+            record,
+            era,
+            &self.memory(service),
+            timing,
+            now,
+        );
         self.log(&format!(
-            "event=takeover service={service} term={} revision={revision}",
+            "event=takeover service={service} term={} revision={revision} era={era} record_era={stored_era}",
             ownership.term()
         ));
         let managed = ManagedService {
@@ -98,6 +110,50 @@
         self.update_targets(&fleet, service);
     }
 
+    /// Returns the store's era, as far as terms tell eras apart.
+    pub(super) fn era(&self) -> Era {
+        self.context.store.era().min(record::MAX_ERA)
+    }
+
+    /// Has the records of services read again that were taken over in an earlier era of the store.
+    ///
+    /// Their grants are renewed until then, so that their keys are served.
+    pub(super) fn leave_earlier_eras(&mut self) {
+        let era = self.era();
+        for managed in self.services.values_mut() {
+            managed.verified &= managed.ownership.era() >= era;
+        }
+    }
+
+    /// Ends the management of a service that was taken over in an earlier era of the store.
+    fn drop_outdated(&mut self, service: &str, era: Era) {
+        let is_outdated = |managed: &ManagedService| managed.ownership.era() < era;
+        if self.services.get(service).is_some_and(is_outdated) {
+            self.log(&format!("event=term-outdated service={service} era={era}"));
+            self.services.shift_remove(service);
+        }
+    }
+
+    /// Returns the newest record that this VM knows: in a new era the store may have lost the last ones.
+    fn newest_record(&self, service: &str, stored: Record, era: Era) -> Record {
+        let fleet = self.context.shared_fleet.get();
+        let known = fleet.records.get(service).map(|it| &it.record);
+        let known = known.filter(|it| era > stored.era() && stored.is_older_than(it));
+        known.map_or(stored, |it| Record::clone(it))
+    }
+
+    /// Returns what this VM knows of a service beside its record.
+    fn memory(&self, service: &str) -> Memory {
+        let fleet = self.context.shared_fleet.get();
+        let now = self.now();
+        let targets = fleet.recent_targets(now);
+        let targets = targets.filter(|it| it.service == service);
+        Memory {
+            targets: targets.map(Incarnation::of).collect(),
+            lived_through: fleet.has_entered_era(),
+        }
+    }
+
     /// Resumes a service that was managed under an earlier lease if its record is unchanged; returns whether it was.
     ///
     /// Another manager in between would have changed the record, which it writes before it grants.
@@ -130,6 +186,14 @@
             return;
         };
         managed.written = Some(record.clone());
+        if record.era() < self.context.store.era().min(record::MAX_ERA) {
+            // A revision that this VM knows may have been given out again.
+            self.log(&format!(
+                "event=commit-failed service={service} cause=earlier-era"
+            ));
+            self.handle_event(service, Event::CommitFailed);
+            return;
+        }
         let term = managed.ownership.term();
         let key = self.context.keys.record(service);
         let transaction = Transaction::replace(key, managed.revision, record.encode());
--- a/engine/src/owner/ownership/commit.rs
+++ b/engine/src/owner/ownership/commit.rs
@@ -8,8 +8,9 @@
 use crate::owner::{
     balance::{self, Candidate, Move},
     range_state::{Phase, RangeState, worst_case_duration},
-    record::{Fence, Incarnation, KeyRange, Record, RequestKey},
+    record::{self, Fence, Incarnation, KeyRange, Record, RequestKey},
 };
+use crate::store::Era;
 
 /// The longest delay between two attempts of a commit: each call to an unavailable store takes some time.
 const MAX_COMMIT_BACKOFF: Duration = Duration::from_millis(1200);
@@ -184,9 +185,11 @@
 }
 
 /// Returns the record of the term after `earlier`: the same owners, with every fence raised.
-pub(super) fn successor(earlier: Record, manager: &str) -> Record {
+///
+/// The first term of a later era is above all terms that the store may have forgotten.
+pub(super) fn successor(earlier: Record, manager: &str, era: Era) -> Record {
     let mut record = Record {
-        term: earlier.term + 1,
+        term: record::first_term(era).max(earlier.term + 1),
         manager: manager.to_owned(),
         resigned: false,
         counter: 0,
--- a/engine/src/owner/ownership/mod.rs
+++ b/engine/src/owner/ownership/mod.rs
@@ -17,10 +17,14 @@
 //! - The next incarnation of a target has seen no fence, and an earlier manager could grant to it. So the end of an
 //!   incarnation frees its ranges only once all earlier managers have stopped, or once the next incarnation has
 //!   seen a higher fence.
+//! - A record of an earlier era of the store may have lost the last moves, and managers of terms that are gone may have
+//!   granted any key to any target. So a takeover in a new era grants nothing before each target has released what the
+//!   record doesn't give it, or every earlier grant has expired.
 //! - A grant without a response may have arrived until the moment at which its connection was reset.
 
 mod call_outcomes;
 mod commit;
+mod fencing;
 mod moves;
 mod predecessors;
 mod suitability;
@@ -29,15 +33,17 @@
 
 use indexmap::IndexMap;
 
-use self::{commit::PendingCommit, moves::Cooldown, predecessors::Predecessors};
+pub use self::fencing::Memory;
+use self::{commit::PendingCommit, fencing::Fencing, moves::Cooldown, predecessors::Predecessors};
 pub use super::events::{CallOutcome, Effect, Event, OwnershipCommand, Timing};
 use super::{
     load::Load,
     range_state::{Phase, RangeState, longest_grant_within},
-    record::{Incarnation, Record, RequestKey, Term},
+    record::{self, Incarnation, Record, RequestKey, Term},
 };
 use crate::{
     catalogue::{Target, TargetId},
+    store::Era,
     target::Rate,
 };
 
@@ -95,6 +101,8 @@
     lease_until: Duration,
     /// Managers of earlier terms.
     predecessors: Predecessors,
+    /// The fencing of targets, until it is complete; the record of the takeover is written after it.
+    fencing: Option<Fencing>,
     /// The state of each range, by its first key.
     states: IndexMap<RequestKey, RangeState>,
     /// The targets that are announced now.
@@ -135,10 +143,57 @@
         timing: Timing,
         now: Duration,
     ) -> (Self, Vec<Effect>) {
-        let earlier_managers = Predecessors::from_record(&earlier, timing, now);
+        let era = earlier.era();
+        Self::take_over_in_era(manager, earlier, era, &Memory::default(), timing, now)
+    }
+
+    /// Takes a service over in an era of the store, which may be later than that of the record `earlier`.
+    ///
+    /// If it is later, the record may have lost the last moves, and other managers may have written records that are gone.
+    /// So the record of the new term is written only once all targets have released what it doesn't give them: whoever
+    /// reads a record of this era can rely on it.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier_engine::owner::{
+    ///     ownership::{Memory, ServiceOwnership, Timing},
+    ///     record::{self, Record},
+    /// };
+    ///
+    /// let second = Duration::from_secs(1);
+    /// let timing = Timing {
+    ///     lease: second,
+    ///     grant_duration: second,
+    ///     outage_duration: second,
+    ///     renew_interval: second,
+    ///     latest_expiry: second,
+    /// };
+    /// let (record, memory) = (Record::unowned(99), Memory::default());
+    /// let (ownership, effects) =
+    ///     ServiceOwnership::take_over_in_era("vm-1", record, 2, &memory, timing, second);
+    /// assert_eq!((ownership.term(), effects), (record::first_term(2), vec![]));
+    /// ```
+    pub fn take_over_in_era(
+        manager: &str,
+        earlier: Record,
+        era: Era,
+        memory: &Memory,
+        timing: Timing,
+        now: Duration,
+    ) -> (Self, Vec<Effect>) {
+        let is_later = era > earlier.era();
+        let is_first = earlier.term == 0;
+        let earlier_managers = if is_later && !is_first {
+            Predecessors::unknown(timing, now)
+        } else {
+            Predecessors::from_record(&earlier, timing, now)
+        };
         let record = Record {
             settled: earlier_managers.have_stopped(now),
-            ..commit::successor(earlier, manager)
+            ..commit::successor(earlier, manager, era)
         };
         let pending = PendingCommit {
             record: record.clone(),
@@ -154,6 +209,7 @@
             commit_backoff: RETRY_DELAY,
             lease_until: now,
             predecessors: earlier_managers,
+            fencing: is_later.then(|| Fencing::new(now, &record, memory, earlier_managers)),
             states: IndexMap::new(),
             targets: IndexMap::new(),
             avoided: IndexMap::new(),
@@ -168,7 +224,12 @@
             cooldowns: Vec::new(),
             stopped: false,
         };
-        (ownership, vec![Effect::Commit(record)])
+        let effects = if is_later {
+            Vec::new()
+        } else {
+            vec![Effect::Commit(record)]
+        };
+        (ownership, effects)
     }
 
     /// Returns the record as last known to be in the store.
@@ -190,6 +251,15 @@
         pending.unwrap_or(self.record.term)
     }
 
+    /// Returns the era of the store in which the term began.
+    ///
+    /// # Example
+    ///
+    /// See [`ServiceOwnership::take_over_in_era`].
+    pub fn era(&self) -> Era {
+        record::era_of(self.term())
+    }
+
     /// Sets the time that one request takes at each target, in seconds.
     ///
     /// # Example
@@ -257,6 +327,9 @@
             Event::ReleaseEnded(from, outcome) => {
                 self.release_ended(now, from, outcome, &mut effects);
             }
+            Event::FenceEnded(owner, from, outcome) => {
+                self.fence_ended(now, &owner, from, &outcome);
+            }
             Event::Committed => self.committed(now),
             Event::CommitFailed => self.commit_failed(now),
             Event::LeaseExtended(until) => self.lease_until = until,
@@ -265,7 +338,7 @@
             Event::ConnectionClosed(address) => self.connection_closed(now, address),
             Event::Tick => {}
         }
-        if !self.stopped {
+        if !self.stopped && !self.fence_targets(now, &mut effects) {
             self.free_expired(now, &mut effects);
             self.release_unsuitable(now, &mut effects);
             self.balance(now, &mut effects);
--- a/engine/src/owner/ownership/predecessors.rs
+++ b/engine/src/owner/ownership/predecessors.rs
@@ -37,6 +37,19 @@
         }
     }
 
+    /// Computes both times for managers of which no record tells.
+    ///
+    /// The store has lost their leases, which they may still take for valid.
+    pub(super) fn unknown(timing: Timing, now: Duration) -> Self {
+        let latest = now + timing.lease + timing.latest_expiry;
+        Self {
+            sends_until: latest,
+            grants_until: latest,
+            settled: false,
+            outage_duration: timing.outage_duration,
+        }
+    }
+
     /// Records that the previous manager has stopped sending.
     ///
     /// Managers before that one may still send, unless it had recorded that they had stopped.
--- a/engine/src/owner/record.rs
+++ b/engine/src/owner/record.rs
@@ -8,17 +8,26 @@
 use serde::{Deserialize, Serialize};
 
 use super::packed::Packed;
-use crate::catalogue::{StartTime, Target, TargetId};
+use crate::{
+    catalogue::{StartTime, Target, TargetId},
+    store::Era,
+};
 
 /// The number that identifies a key in requests and ranges.
 pub type RequestKey = u64;
 /// A fencing token; a target refuses a grant below one that it has seen.
 pub type Fence = u64;
 /// The number of a manager among all managers of a service; each takeover adds one.
+///
+/// Its high bits are the store's era, so that no term is used twice when the store forgets the last ones.
 pub type Term = u64;
 
 /// How many low bits of a fence count within a term; they allow 16 million changes.
 const COUNTER_BITS: u32 = 24;
+/// How many low bits of a term count within an era of the store; they allow 65,536 takeovers.
+const ERA_TERM_BITS: u32 = 16;
+/// The last era that terms tell apart: a higher one would overflow fences.
+pub const MAX_ERA: Era = (1 << (63 - ERA_TERM_BITS - COUNTER_BITS)) - 1;
 
 quick_error! {
     /// Why a record can't be read.
@@ -36,6 +45,24 @@
     }
 }
 
+/// Returns the first term of an era.
+///
+/// # Example
+///
+/// See [`Record::era`].
+pub fn first_term(era: Era) -> Term {
+    era.min(MAX_ERA) << ERA_TERM_BITS
+}
+
+/// Returns the era of the store in which a term began.
+///
+/// # Example
+///
+/// See [`Record::era`].
+pub fn era_of(term: Term) -> Era {
+    term >> ERA_TERM_BITS
+}
+
 /// One incarnation of a target, that is one run of its process, as an owner.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -147,6 +174,20 @@
         }
     }
 
+    /// Returns the era of the store in which it was written first.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_engine::owner::record::{self, Record};
+    ///
+    /// let record = Record { term: record::first_term(3) + 1, ..Record::unowned(9) };
+    /// assert_eq!(record.era(), 3);
+    /// ```
+    pub fn era(&self) -> Era {
+        era_of(self.term)
+    }
+
     /// Returns whether it was written before another record of the same service.
     ///
     /// # Example
--- a/engine/tests/ownership.rs
+++ b/engine/tests/ownership.rs
@@ -42,6 +42,7 @@
         2 => (0..40_u8).prop_map(Step::Unanswered),
         1 => (0..30_u8).prop_map(Step::WritesLost),
         3 => (0..16_u64, 1..60_u32).prop_map(|(key, count)| Step::Load { key, count }),
+        1 => (1..6_usize).prop_map(Step::ComeBack),
         2 => Just(Step::Heal),
     ]
 }
@@ -171,3 +172,9 @@
         }
     }
 }
+
+/// Guards against a takeover that relies on a record which has lost the last moves.
+#[test]
+fn a_manager_that_trusts_older_records_is_noticed() {
+    assert!(histories_until_noticed(Flaw::TrustsOlderRecords, 300).is_some());
+}
--- a/engine/tests/ownership_simulation/calls.rs
+++ b/engine/tests/ownership_simulation/calls.rs
@@ -71,7 +71,7 @@
     pub(super) fn commit(&mut self, vm: usize, record: Record) {
         let lost = self.random.random_range(0..100) < self.lost_writes_percent;
         self.vms[vm].last_write = Some(record.clone());
-        if !self.vms[vm].store_open {
+        if !self.vms[vm].store_open || self.vms[vm].era != self.era {
             return self.reply_after(vm, TICK, Reply::Committed(false));
         }
         let expected = self.vms[vm].revision;
@@ -86,7 +86,7 @@
             return;
         }
         if !already_written {
-            self.record = (self.record.0 + 1, record);
+            self.store(record);
         }
         if lost {
             return self.reply_after(vm, TIMEOUT, Reply::Committed(false));
@@ -103,7 +103,7 @@
         self.late_writes = later;
         for (_, expected, record) in due {
             if self.record.0 == expected {
-                self.record = (expected + 1, record);
+                self.store(record);
             }
         }
     }
--- a/engine/tests/ownership_simulation/mod.rs
+++ b/engine/tests/ownership_simulation/mod.rs
@@ -3,11 +3,14 @@
 mod calls;
 mod targets;
 
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
 
-use bramleypier_engine::owner::{
-    ownership::{CallOutcome, Effect, Event, ServiceOwnership, Timing},
-    record::{Record, RequestKey},
+use bramleypier_engine::{
+    catalogue::Target,
+    owner::{
+        ownership::{CallOutcome, Effect, Event, Memory, ServiceOwnership, Timing},
+        record::{Incarnation, Record, RequestKey},
+    },
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
@@ -17,6 +20,8 @@
 const TICK: Duration = Duration::from_millis(50);
 /// How long the manager's lease lasts.
 const LEASE: Duration = Duration::from_secs(2);
+/// How long VMs remember targets: longer than any grant lasts.
+const MEMORY: Duration = Duration::from_secs(8);
 /// How long a call waits for an answer.
 const TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -39,6 +44,8 @@
     NoWaitForEarlierGrants,
     /// A manager renews grants for long after it has lost its lease.
     RenewsWithoutLease,
+    /// A manager relies on a record that may have lost the last moves.
+    TrustsOlderRecords,
 }
 
 /// An event of a history; each takes one tick.
@@ -79,6 +86,8 @@
         key: RequestKey,
         count: u32,
     },
+    /// The store comes back without its latest records, leases and the lease of the manager.
+    ComeBack(usize),
     Heal,
 }
 
@@ -90,6 +99,11 @@
         grant: bool,
         outcome: CallOutcome,
     },
+    Fence {
+        owner: Incarnation,
+        from: RequestKey,
+        outcome: CallOutcome,
+    },
     Committed(bool),
 }
 
@@ -106,6 +120,14 @@
     last_write: Option<Record>,
     /// The manager before this VM, until it is known to have stopped.
     predecessor: Option<String>,
+    /// The newest record that it has heard of.
+    known: Option<Record>,
+    /// The incarnations that it has seen announced, and when last.
+    seen: HashMap<Incarnation, Duration>,
+    /// The era of the store when its process first heard of the fleet.
+    followed_in: Option<u64>,
+    /// The era of the store when it took over.
+    era: u64,
 }
 
 /// The VMs, the targets, the store and the faults in force.
@@ -117,6 +139,10 @@
     targets: Targets,
     /// The stored record and its revision.
     record: (u64, Record),
+    /// All records that it has held in this era.
+    history: Vec<Record>,
+    /// How often the store has come back older.
+    era: u64,
     /// The VM that holds the lease in the store, its start, and the expiry of the lease.
     lease: Option<(usize, u64, Duration)>,
     unanswered_percent: u8,
@@ -139,6 +165,10 @@
             replies: Vec::new(),
             last_write: None,
             predecessor: None,
+            known: None,
+            seen: HashMap::new(),
+            followed_in: None,
+            era: 1,
         };
         Self {
             flaw,
@@ -147,6 +177,8 @@
             vms: (0..3).map(vm).collect(),
             targets: Targets::new(),
             record: (1, Record::unowned(LAST_KEY)),
+            history: vec![Record::unowned(LAST_KEY)],
+            era: 1,
             lease: None,
             unanswered_percent: 0,
             lost_writes_percent: 0,
@@ -169,6 +201,7 @@
             Step::Unanswered(percent) => self.unanswered_percent = percent,
             Step::WritesLost(percent) => self.lost_writes_percent = percent,
             Step::Load { key, count } => self.load(key, count),
+            Step::ComeBack(lost) => self.come_back(lost),
             Step::Heal => self.heal_all(),
         }
         self.advance()
@@ -191,6 +224,28 @@
             .collect()
     }
 
+    /// Replaces the record by an older one, whose revision is given out again.
+    fn come_back(&mut self, lost: usize) {
+        // A store without any record counts as new.
+        let kept = self.history.len().saturating_sub(lost).max(2);
+        self.history.truncate(kept);
+        if let Some(record) = self.history.last() {
+            self.record = (self.history.len() as u64, record.clone());
+        }
+        self.era += 1;
+        self.lease = None;
+        // A call that is under way when the store is lost has no effect.
+        self.late_writes.clear();
+        // Targets write their entries again.
+        self.targets.announce_all();
+    }
+
+    /// Stores a record.
+    fn store(&mut self, record: Record) {
+        self.history.push(record.clone());
+        self.record = (self.history.len() as u64, record);
+    }
+
     fn restart(&mut self, vm: usize) {
         let start = self.random.random();
         let state = &mut self.vms[vm];
@@ -201,6 +256,9 @@
         state.start = start;
         state.lease = Duration::ZERO;
         state.last_write = None;
+        state.known = None;
+        state.seen.clear();
+        state.followed_in = None;
     }
 
     /// Stops a process in order: the stored record says so if the store accepts the write.
@@ -210,7 +268,7 @@
         let record = state.ownership.as_mut().and_then(|it| it.resign(now));
         let is_current = self.record.0 == state.revision && state.store_open;
         if let Some(record) = record.filter(|_| is_current) {
-            self.record = (self.record.0 + 1, record);
+            self.store(record);
         }
         if self.lease.is_some_and(|(holder, ..)| holder == vm) && self.vms[vm].store_open {
             self.lease = None;
@@ -250,12 +308,30 @@
             self.renew_or_bid(vm);
             self.notice_stopped_predecessor(vm);
             let announced = self.targets.announced();
+            self.hear(vm, &announced);
             self.feed(vm, Event::Targets(announced));
             self.feed(vm, Event::Tick);
         }
         self.check()
     }
 
+    /// Lets a VM hear of the targets and, most of the time, of the newest record.
+    fn hear(&mut self, vm: usize, announced: &[Target]) {
+        let now = self.now;
+        let hears = self.vms[vm].store_open && self.random.random_bool(0.5);
+        let era = self.era;
+        let state = &mut self.vms[vm];
+        state.followed_in.get_or_insert(era);
+        for target in announced {
+            state.seen.insert(Incarnation::of(target), now);
+        }
+        state.seen.retain(|_, at| now < *at + MEMORY);
+        let is_newer = |known: &Record| known.is_older_than(&self.record.1);
+        if hears && state.known.as_ref().is_none_or(is_newer) {
+            state.known = Some(self.record.1.clone());
+        }
+    }
+
     fn check(&self) -> Result<(), String> {
         for key in 0..=LAST_KEY {
             let holders = self.targets.holders(key, self.now);
@@ -295,6 +371,11 @@
                 } => {
                     self.feed(vm, Event::ReleaseEnded(from, outcome));
                 }
+                Reply::Fence {
+                    owner,
+                    from,
+                    outcome,
+                } => self.feed(vm, Event::FenceEnded(owner, from, outcome)),
                 Reply::Committed(true) => self.feed(vm, Event::Committed),
                 Reply::Committed(false) => self.feed(vm, Event::CommitFailed),
             }
@@ -304,9 +385,11 @@
     fn renew_or_bid(&mut self, vm: usize) {
         let now = self.now;
         let start = self.vms[vm].start;
+        let era = self.era;
         let has_lease = self
             .lease
             .is_some_and(|(holder, of, _)| holder == vm && of == start);
+        let has_lease = has_lease && self.vms[vm].era == era;
         if !self.vms[vm].store_open {
             return;
         }
@@ -329,10 +412,24 @@
         if self.flaw == Flaw::NoWaitForEarlierGrants {
             timing.latest_expiry = Duration::ZERO;
         }
-        let (revision, record) = self.record.clone();
-        self.vms[vm].predecessor = Some(record.manager.clone());
+        let (revision, stored) = self.record.clone();
+        let known = self.vms[vm].known.clone();
+        let known = known.filter(|it| era > stored.era() && stored.is_older_than(it));
+        let record = known.unwrap_or(stored);
+        let is_later = era > record.era();
+        self.vms[vm].predecessor = Some(record.manager.clone()).filter(|_| !is_later);
+        let memory = Memory {
+            targets: self.vms[vm].seen.keys().cloned().collect(),
+            lived_through: self.vms[vm].followed_in.is_some_and(|it| it < era),
+        };
+        let era = if self.flaw == Flaw::TrustsOlderRecords {
+            record.era()
+        } else {
+            era
+        };
+        let start = start.to_string();
         let (mut ownership, effects) =
-            ServiceOwnership::take_over(&start.to_string(), record, timing, now);
+            ServiceOwnership::take_over_in_era(&start, record, era, &memory, timing, now);
         if self.flaw == Flaw::NoWaitForEarlierGrants {
             // The manager itself still renews its grants for as long; only the wait for earlier grants is left out.
             let _ = ownership.handle(
@@ -340,6 +437,7 @@
                 Event::LeaseExtended(now + LEASE + TIMING.latest_expiry),
             );
         }
+        self.vms[vm].era = self.era;
         self.vms[vm].ownership = Some(ownership);
         self.vms[vm].revision = revision;
         self.vms[vm].replies.clear();
@@ -394,6 +492,15 @@
                         },
                     );
                 }
+                Effect::Fence(command) => {
+                    let (delay, outcome) = self.release(vm, &command);
+                    let reply = Reply::Fence {
+                        owner: command.owner,
+                        from: command.from,
+                        outcome,
+                    };
+                    self.reply_after(vm, delay, reply);
+                }
                 Effect::Commit(record) => self.commit(vm, record),
                 Effect::Log(_) => {}
                 Effect::Deposed => self.vms[vm].ownership = None,
--- a/engine/tests/ownership_simulation/targets.rs
+++ b/engine/tests/ownership_simulation/targets.rs
@@ -91,6 +91,12 @@
         self.states[target].announced = on;
     }
 
+    pub fn announce_all(&mut self) {
+        for state in &mut self.states {
+            state.announced = true;
+        }
+    }
+
     pub fn heal(&mut self) {
         self.cut_links.clear();
         for state in &mut self.states {
--- a/engine/tests/service_ownership.rs
+++ b/engine/tests/service_ownership.rs
@@ -272,7 +272,7 @@
                 Event::ReleaseEnded(command.from, CallOutcome::Done(None)),
             ),
             Effect::Commit(_) => ownership.handle(at, Event::Committed),
-            Effect::Deposed | Effect::Log(_) => Vec::new(),
+            Effect::Fence(_) | Effect::Deposed | Effect::Log(_) => Vec::new(),
         });
     }
     effects
@@ -390,7 +390,7 @@
                     Event::ReleaseEnded(command.from, CallOutcome::Done(None))
                 }
                 Effect::Commit(_) => Event::Committed,
-                Effect::Deposed | Effect::Log(_) => continue,
+                Effect::Fence(_) | Effect::Deposed | Effect::Log(_) => continue,
             };
             effects.extend(ownership.handle(at, event));
         }
