--- a/engine/tests/ownership.rs
+++ b/engine/tests/ownership.rs
@@ -178,3 +178,22 @@
 fn a_manager_that_trusts_older_records_is_noticed() {
     assert!(histories_until_noticed(Flaw::TrustsOlderRecords, 300).is_some());
 }
+
+/// Guards against a target that gets its keys back after it has released them, restarted, and forgotten the fence.
+#[test]
+fn an_owner_that_restarts_after_a_release_gets_no_keys_from_an_earlier_manager() {
+    let store = |vm, open| Step::Store { vm, open };
+    let mut steps = vec![store(1, false), store(2, false)];
+    steps.extend([Step::Run; 120]);
+    // Another VM takes over while the manager is frozen, and moves the keys of the first target.
+    steps.extend([Step::Freeze { vm: 0, ticks: 75 }, store(1, true)]);
+    steps.extend([Step::Run; 60]);
+    let (target, on) = (0, false);
+    steps.push(Step::Announce { target, on });
+    steps.extend([Step::Run; 4]);
+    steps.push(Step::Crash { target, ticks: 1 });
+    steps.extend([Step::Run; 60]);
+    for seed in 0..40 {
+        assert_eq!(run_history(Flaw::None, seed, &steps), Ok(()), "seed {seed}");
+    }
+}
