--- a/engine/src/owner/ownership/fencing.rs
+++ b/engine/src/owner/ownership/fencing.rs
@@ -14,6 +14,8 @@
 
 /// How long targets may take to announce themselves again after the store has come back.
 const REANNOUNCE_TIME: Duration = Duration::from_millis(2500);
+/// How long an incarnation must have ended before it counts as fenced: each manager has renewed its grants meanwhile.
+const END_TIME: Duration = Duration::from_millis(1200);
 /// How long targets that don't respond are waited for if the store holds no record at all, as at the very first start.
 const FIRST_START_WAIT: Duration = Duration::from_secs(1);
 
@@ -34,12 +36,30 @@
     to: RequestKey,
     in_flight: bool,
     next_call: Duration,
+    /// Since when each call has found that the incarnation has ended.
+    ended_since: Option<Duration>,
     done: bool,
 }
 
+impl FenceCall {
+    /// Handles the outcome of the call.
+    fn ended(&mut self, now: Duration, outcome: &CallOutcome) {
+        self.in_flight = false;
+        self.next_call = now + RETRY_DELAY;
+        self.done |= matches!(outcome, CallOutcome::Done(_));
+        if *outcome != CallOutcome::Gone {
+            self.ended_since = None;
+            return;
+        }
+        let since = *self.ended_since.get_or_insert(now);
+        self.done |= now >= since + END_TIME;
+    }
+}
+
 /// The fencing of all targets before a takeover.
 ///
-/// The end of an incarnation proves nothing: an earlier manager may still grant to the next one, which has seen no fence.
+/// The end of an incarnation alone proves nothing: an earlier manager may grant to the next one, which has seen no fence.
+/// A manager that runs learns of the end with its next renewal, and grants to that incarnation no more.
 #[derive(Clone, Debug)]
 pub(super) struct Fencing {
     calls: Vec<FenceCall>,
@@ -95,6 +115,7 @@
                 to,
                 in_flight: false,
                 next_call: now,
+                ended_since: None,
                 done: false,
             });
         };
@@ -151,9 +172,7 @@
     ) {
         let calls = self.fencing.iter_mut().flat_map(|it| &mut it.calls);
         for call in calls.filter(|it| it.owner == *owner && it.from == from) {
-            call.in_flight = false;
-            call.next_call = now + RETRY_DELAY;
-            call.done |= matches!(outcome, CallOutcome::Done(_));
+            call.ended(now, outcome);
         }
     }
 
--- a/program/tests/older_store.rs
+++ b/program/tests/older_store.rs
@@ -32,20 +32,10 @@
     Clock::real().sleep(OUTAGE).await;
 }
 
-/// Lets the store come back from an older copy without leases, with what servers and operators wrote last.
-fn come_back_from(harness: &Harness, copy: &Copy, version: u32) {
+/// Lets the store come back from an older copy, without leases.
+fn come_back_from(harness: &Harness, copy: &Copy) {
     harness.store.come_back_from(copy);
     harness.store.expire_leases();
-    for server in &harness.servers {
-        let service = if server.id.starts_with("i-key") {
-            "keyed"
-        } else {
-            "plain"
-        };
-        let entry = server.entry(service, "ready");
-        harness.store.put(&format!("servers/{}", server.id), &entry);
-    }
-    harness.store.put("op/config", &config(version, "/key/"));
     harness.store.set_fault(None);
 }
 
@@ -94,7 +84,7 @@
         write_keys(&harness, 60);
         check_config(&harness, &vms, 2, "/two/").await;
         lose_store(&harness).await;
-        come_back_from(&harness, &copy, 2);
+        come_back_from(&harness, &copy);
         Clock::real().sleep(OUTAGE).await;
         check_config(&harness, &vms, 3, "/three/").await;
         // The revisions have passed those that were known before.
@@ -152,7 +142,7 @@
         let first = std::mem::replace(&mut harness.program, second);
         assert!(first.find_log("event=manager-elected").is_some());
         drop(first);
-        come_back_from(&harness, &copy, 1);
+        come_back_from(&harness, &copy);
         check_owners(&harness).await;
         until_served(&harness, &harness.program, "/key/x").await;
     });
@@ -169,7 +159,7 @@
             &mut harness.program,
             harness::start_vm("vm-2", harness.store_address, None),
         ));
-        come_back_from(&harness, &copy, 1);
+        come_back_from(&harness, &copy);
         harness.until_ready().await;
         check_owners(&harness).await;
         until_served(&harness, &harness.program, "/key/x").await;
@@ -183,7 +173,7 @@
         until_served(&harness, &harness.program, "/key/x").await;
         let copy = move_key(&harness).await;
         lose_store(&harness).await;
-        come_back_from(&harness, &copy, 1);
+        come_back_from(&harness, &copy);
         check_owners(&harness).await;
         until_served(&harness, &harness.program, "/key/x").await;
         // It can still move keys.
--- a/program/tests/soak.rs
+++ b/program/tests/soak.rs
@@ -65,3 +65,17 @@
         assert_eq!(run_plan(&Plan::generate_with_notices(seed, size), seed), []);
     }
 }
+
+#[test]
+fn a_store_that_comes_back_older_violates_no_guarantee() {
+    let size = Size {
+        vms: 3,
+        seconds: 10,
+    };
+    for seed in [1, 2] {
+        assert_eq!(
+            run_plan(&Plan::generate_with_older_stores(seed, size), seed),
+            []
+        );
+    }
+}
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -34,6 +34,20 @@
     }
 }
 
+/// What plans contain besides the faults of every plan.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Bpaf)]
+enum Extra {
+    /// Also evacuate a failure domain and make targets cold from time to time
+    Evacuate,
+    /// Also make targets say that they leave, or that they want no requests for a while
+    Notices,
+    /// Also let the store come back from an older copy, time and again
+    Older,
+    /// Nothing.
+    #[bpaf(skip)]
+    Nothing,
+}
+
 /// Runs real processes under random faults and checks what callers and targets observe.
 ///
 /// Example: bramleypier-soak --from 1 --seeds 50 --keep soak-logs
@@ -52,10 +66,8 @@
     /// For how many seconds faults are started
     #[bpaf(fallback(15))]
     seconds: u64,
-    /// Also evacuate a failure domain and make targets cold from time to time
-    evacuate: bool,
-    /// Also make targets say that they leave, or that they want no requests for a while
-    notices: bool,
+    #[bpaf(external, fallback(Extra::Nothing))]
+    extra: Extra,
     /// Another build of the program, which every other start of a VM runs
     #[bpaf(argument("FILE"), optional)]
     beside: Option<PathBuf>,
@@ -93,12 +105,11 @@
         vms: options.vms,
         seconds: options.seconds,
     };
-    let plan = if options.evacuate {
-        Plan::generate_with_evacuations(seed, size)
-    } else if options.notices {
-        Plan::generate_with_notices(seed, size)
-    } else {
-        Plan::generate(seed, size)
+    let plan = match options.extra {
+        Extra::Evacuate => Plan::generate_with_evacuations(seed, size),
+        Extra::Notices => Plan::generate_with_notices(seed, size),
+        Extra::Older => Plan::generate_with_older_stores(seed, size),
+        Extra::Nothing => Plan::generate(seed, size),
     };
     let violations = run_plan(options, &plan, seed)?;
     println!(
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -17,6 +17,8 @@
 const EVACUATION_TIME: Duration = Duration::from_secs(6);
 /// The minimum time for which a target says something in its responses: longer than VMs may take to comply.
 const NOTICE_TIME: Duration = Duration::from_secs(4);
+/// The age of the copy from which the store comes back, in milliseconds.
+const COPY_AGE_MS: std::ops::Range<u64> = 300..4000;
 /// How long a target stays cold after it has announced that.
 pub const COLD_TIME: Duration = Duration::from_secs(4);
 /// The number of targets of each service.
@@ -52,6 +54,8 @@
     Lapse,
     /// Makes the store drop its history.
     Forget,
+    /// Makes the store come back from a copy that is this old, after it was away.
+    OlderStore(Duration),
     /// Writes this many configurations in quick succession.
     Configs(u32),
     /// Sets a fault of a target.
@@ -226,6 +230,36 @@
         plan
     }
 
+    /// Generates the same plan, with a store that comes back older time and again.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_soak::plan::{Fault, Plan, Size};
+    ///
+    /// let plan = Plan::generate_with_older_stores(1, Size { vms: 3, seconds: 20 });
+    /// assert!(plan.steps.iter().any(|step| matches!(step.fault, Fault::OlderStore(_))));
+    /// ```
+    pub fn generate_with_older_stores(seed: u64, size: Size) -> Self {
+        let mut plan = Self::generate(seed, size);
+        // A generator of its own keeps the other steps of the seed as they are in `Plan::generate`.
+        let mut random = SmallRng::seed_from_u64(seed.wrapping_add(1 << 34));
+        let mut at = Duration::from_secs(1);
+        while at < Duration::from_secs(size.seconds) {
+            let age = Duration::from_millis(random.random_range(COPY_AGE_MS));
+            let duration = Duration::from_millis(random.random_range(FAULT_GAP_MS));
+            plan.steps.push(Step {
+                at,
+                duration,
+                fault: Fault::OlderStore(age),
+            });
+            // One copy at a time: the next is taken from what came back.
+            at += age + duration + Duration::from_millis(random.random_range(FAULT_DURATION_MS));
+        }
+        plan.steps.sort_by_key(|step| step.at);
+        plan
+    }
+
     /// Returns whether all steps are planned work.
     pub fn is_planned(&self) -> bool {
         self.steps.iter().all(|step| step.fault.is_planned())
--- a/tools/soak/src/run/faults.rs
+++ b/tools/soak/src/run/faults.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use bramleypier_platform_standin::store;
 use rustix::process::Signal;
 
 use super::{Disturbance, POLL_INTERVAL, Run};
@@ -69,6 +70,7 @@
                 self.note_disturbance(None, now, now);
                 self.cluster.borrow().store.compact();
             }
+            Fault::OlderStore(age) => self.come_back_older(age, step.duration).await,
             Fault::Configs(count) => {
                 for _ in 0..count {
                     self.write_configuration();
@@ -90,6 +92,20 @@
         }
     }
 
+    /// Lets the store be away for some time, and come back from a copy that was made before.
+    async fn come_back_older(&self, age: Duration, away: Duration) {
+        let store = self.cluster.borrow().store.clone();
+        let copy = store.copy();
+        self.clock.sleep(age).await;
+        let from = self.clock.now();
+        store.set_fault(Some(store::Fault::Status(503)));
+        self.clock.sleep(away).await;
+        store.come_back_from(&copy);
+        store.set_fault(None);
+        // What was accepted since the copy was made counts from now on.
+        self.note_disturbance(None, from.saturating_sub(age), self.clock.now());
+    }
+
     pub(super) fn note_disturbance(&self, vm: Option<usize>, from: Duration, to: Duration) {
         self.disturbances
             .borrow_mut()
