--- a/engine/src/follow.rs
+++ b/engine/src/follow.rs
@@ -228,6 +228,10 @@
             fleet.on_listing(now, ALL_KEYS, &listing, &context.keys, &*context.catalogue)
         });
         context.report.lines(&log_lines);
+        if self.is_outdated() {
+            let reason = format!("other calls tell a later era than {}", listing.era);
+            return Err(Error::NotApplied("list", reason));
+        }
         Ok(Outcome::Followed(listing.revision))
     }
 
--- a/engine/src/owner/manager/lease.rs
+++ b/engine/src/owner/manager/lease.rs
@@ -159,9 +159,12 @@
     /// Resigns: stops all grants, writes that into the records and ends the lease.
     pub(super) async fn resign(&mut self) -> bool {
         let context = self.context.clone();
+        let era = self.era();
         let work = async {
             for (service, managed) in &mut self.services {
-                let Some(record) = managed.ownership.resign(context.clock.now()) else {
+                let record = managed.ownership.resign(context.clock.now());
+                // In a later era the revision that this VM knows may have been given out again.
+                let Some(record) = record.filter(|it| it.era() >= era) else {
                     continue;
                 };
                 let key = context.keys.record(service);
--- a/engine/src/owner/ownership/fencing.rs
+++ b/engine/src/owner/ownership/fencing.rs
@@ -14,8 +14,9 @@
 
 /// How long targets may take to announce themselves again after the store has come back.
 const REANNOUNCE_TIME: Duration = Duration::from_millis(2500);
-/// How long an incarnation must have ended before it counts as fenced: each manager has renewed its grants meanwhile.
-const END_TIME: Duration = Duration::from_millis(1200);
+/// For how many renewal intervals an incarnation must have ended before it counts as fenced: each manager that runs has
+/// tried to renew its grants meanwhile, and one call may fail.
+const END_INTERVALS: u32 = 2;
 /// How long targets that don't respond are waited for if the store holds no record at all, as at the very first start.
 const FIRST_START_WAIT: Duration = Duration::from_secs(1);
 
@@ -43,7 +44,7 @@
 
 impl FenceCall {
     /// Handles the outcome of the call.
-    fn ended(&mut self, now: Duration, outcome: &CallOutcome) {
+    fn ended(&mut self, now: Duration, renew_interval: Duration, outcome: &CallOutcome) {
         self.in_flight = false;
         self.next_call = now + RETRY_DELAY;
         self.done |= matches!(outcome, CallOutcome::Done(_));
@@ -52,7 +53,7 @@
             return;
         }
         let since = *self.ended_since.get_or_insert(now);
-        self.done |= now >= since + END_TIME;
+        self.done |= now >= since + renew_interval * END_INTERVALS;
     }
 }
 
@@ -170,9 +171,10 @@
         from: RequestKey,
         outcome: &CallOutcome,
     ) {
+        let renew_interval = self.timing.renew_interval;
         let calls = self.fencing.iter_mut().flat_map(|it| &mut it.calls);
         for call in calls.filter(|it| it.owner == *owner && it.from == from) {
-            call.ended(now, outcome);
+            call.ended(now, renew_interval, outcome);
         }
     }
 
