--- a/engine/src/owner/ownership/takeover.rs
+++ b/engine/src/owner/ownership/takeover.rs
@@ -16,7 +16,8 @@
 impl ServiceOwnership {
     /// Takes a service over from the manager that wrote the record `earlier`.
     ///
-    /// The first effect writes the record of the new term; nothing is granted until [`Event::Committed`].
+    /// The first effect writes the record of the new term; nothing is granted until
+    /// [`Event::Committed`](super::Event::Committed).
     ///
     /// # Example
     ///
