Failing test: the response to a watch is lost while other calls are answered, and no VM learns of a configuration

The stand-in of the store withholds the responses of the watches that wait. Seen: not in force within 15 s (the watch waits for up to 31.5 s); two seconds are the aim.

--- a/program/tests/store_calls.rs
+++ b/program/tests/store_calls.rs
@@ -149,6 +149,21 @@
     });
 }
 
+/// The manager's other calls are answered all the while, so nothing but its watch shows that it knows no news.
+#[test]
+fn a_configuration_is_in_force_in_time_when_the_response_to_a_watch_is_lost() {
+    run_test(async |harness| {
+        let others = start_others(&harness).await;
+        harness.store.withhold_watches();
+        harness.store.put("op/config", &config(2, "/other/"));
+        let accepted = Instant::now();
+        let took = until_in_force(&others, 2).await;
+        assert!(took <= IN_FORCE, "in force after {took:?}");
+        until_logged(&harness.program, "event=config-in-force version=2").await;
+        assert!(accepted.elapsed() <= IN_FORCE);
+    });
+}
+
 /// Guards against stale listings: a store that had dropped its history served them with a state six seconds old, so
 /// VMs kept an old configuration, lost their watch again, and listed the old state once more.
 #[test]
