--- a/program/tests/store_calls.rs
+++ b/program/tests/store_calls.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use bramleypier_platform_standin::store::Store;
+use bramleypier_platform_standin::store::{Fault, Store};
 use bramleypier_util::clock::Clock;
 use harness::{Harness, Program, TEST_TIMEOUT, config, run_test};
 use hyper::StatusCode;
@@ -164,6 +164,24 @@
     });
 }
 
+/// The VM can't learn of the new route, and other calls to the store are answered.
+#[test]
+fn a_vm_whose_watches_get_no_response_denies_no_route() {
+    run_test(async |harness| {
+        until_logged(&harness.program, "event=manager-elected").await;
+        harness.store.set_fault(Some(Fault::SilentWatches));
+        harness.store.withhold_watches();
+        harness.store.put("op/config", &config(2, "/other/"));
+        sleep_ms(2000).await;
+        for number in 0..20 {
+            let id = format!("id-{number}");
+            let (status, _) = harness.send("GET", "/other/x", &id).await;
+            assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+            sleep_ms(50).await;
+        }
+    });
+}
+
 /// Guards against stale listings: a store that had dropped its history served them with a state six seconds old, so
 /// VMs kept an old configuration, lost their watch again, and listed the old state once more.
 #[test]
