CONFIG: what a VM knows of the store counts while its watches are answered, not while other calls are

Callers got 404 for a route that had been added more than two seconds before. A watch waited for up to 30 s and was taken for quiet as long as renewals were answered; so a response that was lost alone left a VM, or through the manager all VMs, without news that they claimed to have. Now a watch waits for a second, an overdue response is followed by another watch at once, and a manager vouches for nothing, and no VM denies a route, 1.8 s after the last response. That holds whatever withholds the response, since nothing else is taken for proof.

--- a/engine/src/caller/forward.rs
+++ b/engine/src/caller/forward.rs
@@ -231,7 +231,10 @@
 /// lets the caller retry.
 fn no_route(context: &Context, host: &str, config: &Config) -> LocalResponse {
     let cause = format!("no route for host={host} version={}", config.version);
-    if context.shared_fleet.get().config_followed || context.manager_health.is_healthy() {
+    let confirmed = context.shared_fleet.get().is_confirmed(context.clock.now());
+    let relayed = context.manager_health.is_healthy();
+    if confirmed || relayed {
+        let cause = format!("{cause} confirmed={confirmed} relayed={relayed}");
         LocalResponse::new(Failure::NoRoute, cause)
     } else {
         LocalResponse::not_run(format!("{cause}, and no news of newer ones"), RETRY_AFTER)
--- a/engine/src/follow.rs
+++ b/engine/src/follow.rs
@@ -19,8 +19,13 @@
 
 /// The prefix of all keys: one listing and one watch cover everything that is followed.
 const ALL_KEYS: &str = "";
-/// How long a watch waits: each one that ends without changes is charged, and longer ones save little.
-const WATCH_WAIT: Duration = Duration::from_secs(30);
+/// How long a watch waits.
+///
+/// Its response is the only proof that this VM misses no change: other calls may be answered while the response is
+/// lost. Each watch is charged, and a configuration must be in force two seconds after it was accepted.
+const WATCH_WAIT: Duration = Duration::from_secs(1);
+/// How long after its wait the response to a watch may arrive: longer than calls take while the store is slow.
+const WATCH_MARGIN: Duration = Duration::from_millis(500);
 /// How long the first watch after a failed call or a pause waits: it only tests whether watches are answered.
 const PROBE_WAIT: Duration = Duration::from_millis(50);
 /// The initial delay before the next call when a call has failed while the store health check succeeds.
@@ -87,6 +92,8 @@
     Unhealthy,
     /// The store has entered a new era.
     Outdated,
+    /// There is no response in time, though other calls to the store are answered.
+    Overdue,
 }
 
 /// How a call for changes ended.
@@ -96,6 +103,8 @@
     Followed(Revision),
     /// The manager relays changes from now on.
     Relayed,
+    /// The response to a watch is overdue.
+    Overdue,
 }
 
 /// Follows the store until the process ends, whenever the manager doesn't answer.
@@ -118,6 +127,10 @@
         };
         match result {
             Ok(Outcome::Relayed) => {}
+            Ok(Outcome::Overdue) => {
+                follower.log("watch-overdue", "");
+                state = WatchState::Untested;
+            }
             Ok(Outcome::Followed(revision)) => {
                 follower.set_followed(revision);
                 if state == WatchState::Failed {
@@ -176,7 +189,6 @@
         self.context.shared_fleet.update(|fleet| {
             fleet.on_followed(ALL_KEYS, revision);
             fleet.on_other_source();
-            fleet.config_followed = true;
         });
     }
 
@@ -184,7 +196,7 @@
         let now = self.context.clock.now();
         self.context.shared_fleet.update(|fleet| {
             fleet.on_store_failure(now);
-            fleet.config_followed = false;
+            fleet.set_confirmed(None);
         });
         if state != WatchState::Failed {
             self.log("store-lost", &error.to_string());
@@ -199,7 +211,7 @@
         }
         context
             .shared_fleet
-            .update(|fleet| fleet.config_followed = false);
+            .update(|fleet| fleet.set_confirmed(None));
         context.manager_health.wait_unhealthy().await;
         true
     }
@@ -235,9 +247,10 @@
         Ok(Outcome::Followed(listing.revision))
     }
 
-    /// Watches the store, until the manager relays changes or the store health check fails.
+    /// Watches the store, until the manager relays changes, the store health check fails or the response is overdue.
     ///
-    /// In the second case the state of the watch is unknown, so it counts as failed.
+    /// In the second case the state of the watch is unknown, so it counts as failed. In the third only this response
+    /// was lost, and another watch shows what has changed.
     async fn watch(&self, state: WatchState) -> Result<Outcome, Error> {
         let context = &self.context;
         let wait = if state == WatchState::Working {
@@ -263,11 +276,20 @@
             self.wait_outdated().await;
             Interruption::Outdated
         };
-        let ends: [LocalBoxFuture<'_, Interruption>; 4] = [
+        let overdue = async {
+            // The first watch after a failure or a pause has the timeout of any call.
+            if state != WatchState::Working {
+                future::pending::<()>().await;
+            }
+            context.clock.sleep(wait + WATCH_MARGIN).await;
+            Interruption::Overdue
+        };
+        let ends: [LocalBoxFuture<'_, Interruption>; 5] = [
             Box::pin(watch),
             Box::pin(relayed),
             Box::pin(unhealthy),
             Box::pin(outdated),
+            Box::pin(overdue),
         ];
         let batch = match future::select_all(ends).await.0 {
             Interruption::None(batch) => batch?,
@@ -277,6 +299,7 @@
                 return Err(Error::NotApplied("watch", reason));
             }
             Interruption::Outdated => return Err(Error::Compacted("watch")),
+            Interruption::Overdue => return Ok(Outcome::Overdue),
         };
         if batch.era != context.shared_fleet.get().era() {
             // Revisions of another era can't be continued.
@@ -288,6 +311,7 @@
             for change in &batch.changes {
                 log_lines.extend(fleet.on_change(now, change, &context.keys, &*context.catalogue));
             }
+            fleet.set_confirmed(Some(now));
             log_lines
         });
         context.report.lines(&log_lines);
--- a/engine/src/peer/sync.rs
+++ b/engine/src/peer/sync.rs
@@ -108,7 +108,8 @@
             && self.store_health.is_healthy()
             && self
                 .store_health
-                .answered_since(now.saturating_sub(MAX_STORE_ANSWER_AGE));
+                .answered_since(now.saturating_sub(MAX_STORE_ANSWER_AGE))
+            && self.shared_fleet.get().is_confirmed(now);
         let mut fleet_load = self.fleet_load.borrow_mut();
         fleet_load.update(
             now,
