--- a/program/tests/harness/mod.rs
+++ b/program/tests/harness/mod.rs
@@ -93,6 +93,15 @@
         harness
     }
 
+    /// Waits until the first VM has logged a text.
+    pub async fn until_logged(&self, text: &str) {
+        let end = Instant::now() + TEST_TIMEOUT;
+        while self.program.find_log(text).is_none() {
+            assert!(Instant::now() < end, "not logged: {text}");
+            Clock::real().sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     /// Waits until the first VM is ready.
     pub async fn until_ready(&self) {
         self.until_ready_at(&self.program).await;
--- a/tools/soak/src/proxy.rs
+++ b/tools/soak/src/proxy.rs
@@ -1,4 +1,5 @@
-//! A TCP proxy on loopback that can delay bytes, reset connections, or drop the bytes of one or both directions.
+//! A TCP proxy on loopback that can delay bytes, reset connections, or drop the bytes of one or both directions, for all
+//! clients or for those of single processes.
 //!
 //! Each connection has a thread for each direction.
 
@@ -6,13 +7,15 @@
     io::{self, Read as _, Write as _},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
-        Arc,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU8, Ordering},
     },
     thread,
     time::Duration,
 };
 
+use bramleypier_platform_standin::sockets;
+use indexmap::IndexMap;
 use rustix::net::sockopt;
 
 /// The delay of each chunk in [`Mode::Delay`].
@@ -60,6 +63,58 @@
     }
 }
 
+/// How the connections of a process that is partitioned from a server fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cut {
+    /// They hang, and so do new ones.
+    Hang,
+    /// They are reset, and so are new ones.
+    Reset,
+    /// They live on, and new ones are reset.
+    RefuseNew,
+}
+
+/// The processes that are partitioned from servers, by their ids; clones share them.
+#[derive(Clone, Debug, Default)]
+pub struct Partition(Arc<Mutex<IndexMap<u32, Cut>>>);
+
+impl Partition {
+    /// Partitions a process, or ends its partition.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_soak::proxy::{Cut, Partition};
+    ///
+    /// let partition = Partition::default();
+    /// partition.set(17, Some(Cut::Reset));
+    /// partition.set(17, None);
+    /// ```
+    pub fn set(&self, process: u32, cut: Option<Cut>) {
+        match cut {
+            Some(cut) => self.lock().insert(process, cut),
+            None => self.lock().shift_remove(&process),
+        };
+    }
+
+    fn lock(&self) -> MutexGuard<'_, IndexMap<u32, Cut>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns how the connection of a client fails, if its process is partitioned.
+    fn of(&self, client: &TcpStream) -> Option<Cut> {
+        let all = self.lock().clone();
+        if all.is_empty() {
+            return None;
+        }
+        let (local, remote) = (client.peer_addr().ok()?, client.local_addr().ok()?);
+        let cut = all
+            .iter()
+            .find(|it| sockets::belongs_to(*it.0, local, remote));
+        cut.map(|it| *it.1)
+    }
+}
+
 /// The direction in which bytes are forwarded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Direction {
@@ -92,6 +147,15 @@
     /// assert!(proxy.address.ip().is_loopback());
     /// ```
     pub fn start(to: SocketAddr) -> io::Result<Self> {
+        Self::start_with(to, Partition::default())
+    }
+
+    /// Starts a proxy like [`Proxy::start`], which cuts off the processes of a partition.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no port can be bound.
+    pub fn start_with(to: SocketAddr, partition: Partition) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let proxy = Self {
             address: listener.local_addr()?,
@@ -100,11 +164,15 @@
         let mode = proxy.mode.clone();
         thread::spawn(move || {
             for client in listener.incoming().flatten() {
+                if matches!(partition.of(&client), Some(Cut::Reset | Cut::RefuseNew)) {
+                    reset(&client);
+                    continue;
+                }
                 // When the server refuses the connection, the client's connection is closed.
                 let Ok(server) = TcpStream::connect(to) else {
                     continue;
                 };
-                forward_both(&client, &server, &mode);
+                forward_both(&client, &server, &mode, &partition);
             }
         });
         Ok(proxy)
@@ -120,18 +188,29 @@
 }
 
 /// Forwards bytes in both directions, with a thread for each.
-fn forward_both(client: &TcpStream, server: &TcpStream, mode: &Arc<AtomicU8>) {
+fn forward_both(
+    client: &TcpStream,
+    server: &TcpStream,
+    mode: &Arc<AtomicU8>,
+    partition: &Partition,
+) {
     for (from, to, direction) in [
         (client, server, Direction::ToServer),
         (server, client, Direction::ToClient),
     ] {
-        let (Ok(from), Ok(to)) = (from.try_clone(), to.try_clone()) else {
+        let (Ok(from), Ok(to), Ok(client)) = (from.try_clone(), to.try_clone(), client.try_clone())
+        else {
             return;
         };
-        let mode = mode.clone();
+        let (mode, partition) = (mode.clone(), partition.clone());
+        let current_mode = move || match partition.of(&client) {
+            Some(Cut::Hang) => Mode::Silent,
+            Some(Cut::Reset) => Mode::Reset,
+            Some(Cut::RefuseNew) | None => Mode::ALL[usize::from(mode.load(Ordering::Relaxed))],
+        };
         thread::spawn(move || {
             // Either end may close the connection at any time; the run tests exactly that.
-            let _ = forward(from, to, direction, &mode);
+            let _ = forward(from, to, direction, &current_mode);
         });
     }
 }
@@ -140,7 +219,7 @@
     mut from: TcpStream,
     mut to: TcpStream,
     direction: Direction,
-    mode: &AtomicU8,
+    current_mode: &dyn Fn() -> Mode,
 ) -> io::Result<()> {
     from.set_read_timeout(Some(READ_TIMEOUT))?;
     let mut chunk = vec![0; CHUNK_BYTES];
@@ -154,7 +233,7 @@
                 return Err(error);
             }
         };
-        let current = Mode::ALL[usize::from(mode.load(Ordering::Relaxed))];
+        let current = current_mode();
         match current {
             Mode::Reset => {
                 reset(&from);
