--- a/program/tests/soak.rs
+++ b/program/tests/soak.rs
@@ -79,3 +79,17 @@
         );
     }
 }
+
+#[test]
+fn partitions_of_vms_from_all_targets_violate_no_guarantee() {
+    let size = Size {
+        vms: 3,
+        seconds: 10,
+    };
+    for seed in [1, 2] {
+        assert_eq!(
+            run_plan(&Plan::generate_with_partitions(seed, size), seed),
+            []
+        );
+    }
+}
--- a/tools/soak/src/check.rs
+++ b/tools/soak/src/check.rs
@@ -23,6 +23,41 @@
 /// The most requests that a cold target may get in a second, as in the stand-in's configuration.
 pub const COLD_MAX_PER_S: usize = store::WARMUP_PER_S;
 
+/// The time after which callers of VMs that are partitioned from all targets must be served like those of the others.
+pub const STABILITY: Duration = Duration::from_secs(3);
+
+/// How many requests were sent to VMs, and how many of them were served.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// The requests that were sent.
+    pub sent: usize,
+    /// Those that were served.
+    pub served: usize,
+}
+
+/// How callers were served while some VMs were partitioned from all targets, from [`STABILITY`] after its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PartitionOutcome {
+    /// At the partitioned VMs.
+    pub partitioned: Tally,
+    /// At the others.
+    pub others: Tally,
+}
+
+impl PartitionOutcome {
+    /// Returns whether callers of the partitioned VMs were served less than two thirds as often as the others, and more
+    /// than ten and one in fifty were not.
+    fn is_poor(&self) -> bool {
+        let Self {
+            partitioned,
+            others,
+        } = self;
+        let failed = partitioned.sent - partitioned.served;
+        failed > 10 + partitioned.sent / 50
+            && 3 * partitioned.served * others.sent < 2 * others.served * partitioned.sent
+    }
+}
+
 /// The outcome of a request, as its caller saw it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -103,6 +138,8 @@
     pub notices: Vec<Notice>,
     /// The times in which VMs' processes were suspended or started again.
     pub stops: Vec<Stop>,
+    /// How callers were served during partitions of VMs from all targets.
+    pub partitions: Vec<PartitionOutcome>,
 }
 
 /// A violated guarantee.
@@ -136,6 +173,8 @@
     WarmupExceeded(String, usize),
     /// A target got these requests of a VM that knew that it wants none.
     Unwanted(String, Vec<String>),
+    /// Callers of VMs that were partitioned from all targets were served far worse than those of the others.
+    Unserved(PartitionOutcome),
 }
 
 impl fmt::Display for Violation {
@@ -191,6 +230,12 @@
         let ids = notices::unwanted(notice, &observations.stops);
         (!ids.is_empty()).then(|| Violation::Unwanted(notice.target.clone(), ids))
     }));
+    let partitions = observations.partitions.iter();
+    found.extend(
+        partitions
+            .filter(|it| it.is_poor())
+            .map(|it| Violation::Unserved(*it)),
+    );
     found.extend(
         observations
             .crashed_vms
--- a/tools/soak/src/fleet.rs
+++ b/tools/soak/src/fleet.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     plan::{Plan, TARGETS_PER_SERVICE},
-    proxy::Proxy,
+    proxy::{Partition, Proxy},
 };
 
 /// The keys of the callers' requests.
@@ -108,10 +108,11 @@
         service: &'static str,
         zone: &'static str,
         number: usize,
+        partition: Partition,
     ) -> Result<Self, Error> {
         let id = format!("i-{service}-{number}");
         let server = Server::start(&id, service == "keyed", REQUEST_TIME).await;
-        let proxy = Proxy::start(server.address).map_err(Error::Proxy)?;
+        let proxy = Proxy::start_with(server.address, partition).map_err(Error::Proxy)?;
         Ok(Self {
             service,
             server,
@@ -153,6 +154,8 @@
     pub slots: Vec<TargetSlot>,
     /// The targets that have been replaced.
     pub replaced: Vec<Server>,
+    /// The VMs' processes that are partitioned from the targets.
+    pub partition: Partition,
     binaries: Vec<PathBuf>,
     last_target: usize,
 }
@@ -173,6 +176,7 @@
             vms: Vec::new(),
             slots: Vec::new(),
             replaced: Vec::new(),
+            partition: Partition::default(),
             binaries: binaries.to_vec(),
             last_target: 0,
         };
@@ -188,7 +192,8 @@
             } else {
                 DEFAULT_ZONE
             };
-            let slot = TargetSlot::start(service, zone, cluster.next_target()).await?;
+            let (number, partition) = (cluster.next_target(), cluster.partition.clone());
+            let slot = TargetSlot::start(service, zone, number, partition).await?;
             cluster.store.put(&slot.key(), &slot.entry("ready"));
             cluster.slots.push(slot);
         }
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -43,6 +43,8 @@
     Notices,
     /// Also let the store come back from an older copy, time and again
     Older,
+    /// Also partition some VMs from all targets from time to time
+    Partitions,
     /// Nothing.
     #[bpaf(skip)]
     Nothing,
@@ -109,6 +111,7 @@
         Extra::Evacuate => Plan::generate_with_evacuations(seed, size),
         Extra::Notices => Plan::generate_with_notices(seed, size),
         Extra::Older => Plan::generate_with_older_stores(seed, size),
+        Extra::Partitions => Plan::generate_with_partitions(seed, size),
         Extra::Nothing => Plan::generate(seed, size),
     };
     let violations = run_plan(options, &plan, seed)?;
@@ -147,6 +150,9 @@
         "seed={seed} requests={requests} recovered={:?}",
         observations.recovery_time
     );
+    for partition in &observations.partitions {
+        println!("seed={seed} {partition:?}");
+    }
     Ok(check::violations(&observations))
 }
 
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -7,7 +7,7 @@
 use bramleypier_platform_standin::{server, store};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use crate::proxy::Mode;
+use crate::proxy::{Cut, Mode};
 
 /// The time between the starts of two faults, in milliseconds; most faults last longer, so that several overlap.
 const FAULT_GAP_MS: std::ops::Range<u64> = 150..1500;
@@ -19,6 +19,10 @@
 const NOTICE_TIME: Duration = Duration::from_secs(4);
 /// The age of the copy from which the store comes back, in milliseconds.
 const COPY_AGE_MS: std::ops::Range<u64> = 300..4000;
+/// The duration of a partition: longer than VMs have to find another way.
+const PARTITION_TIME: Duration = Duration::from_secs(7);
+/// When the first partition starts: VMs count as disturbed for some time after their start.
+const FIRST_PARTITION: Duration = Duration::from_secs(5);
 /// How long a target stays cold after it has announced that.
 pub const COLD_TIME: Duration = Duration::from_secs(4);
 /// The number of targets of each service.
@@ -33,6 +37,9 @@
     pub seconds: u64,
 }
 
+/// A set of VMs: the VM with the number `n` is in it if the bit `n` is set.
+pub type VmSet = u32;
+
 /// A fault or a piece of planned work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -48,6 +55,8 @@
     StorePath(usize, Mode),
     /// Sets the mode of the proxy in front of a target, for all VMs.
     TargetPath(usize, Mode),
+    /// Partitions the VMs of a set from all targets.
+    Partition(VmSet, Cut),
     /// Sets a fault of the store, for all VMs.
     Store(store::Fault),
     /// Makes all leases in the store expire.
@@ -75,6 +84,18 @@
 }
 
 impl Fault {
+    /// Returns whether it disturbs neither VMs nor the store.
+    fn spares_vms(&self) -> bool {
+        matches!(
+            self,
+            Self::TargetPath(..)
+                | Self::Target(..)
+                | Self::TargetEnds(_)
+                | Self::TargetLeaves(_)
+                | Self::Configs(_)
+        )
+    }
+
     /// Returns whether it is planned work, which must not interrupt any request.
     pub fn is_planned(&self) -> bool {
         matches!(
@@ -260,6 +281,47 @@
         plan
     }
 
+    /// Generates the same plan, with additional partitions of some VMs from all targets.
+    ///
+    /// The other faults of plans with an even seed concern targets and configurations only, so that VMs are disturbed
+    /// by nothing else.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_soak::plan::{Fault, Plan, Size};
+    ///
+    /// let plan = Plan::generate_with_partitions(1, Size { vms: 3, seconds: 20 });
+    /// assert!(plan.steps.iter().any(|step| matches!(step.fault, Fault::Partition(..))));
+    /// ```
+    pub fn generate_with_partitions(seed: u64, size: Size) -> Self {
+        let mut plan = Self::generate(seed, size);
+        if seed.is_multiple_of(2) {
+            plan.steps.retain(|step| step.fault.spares_vms());
+        }
+        // A generator of its own keeps the other steps of the seed as they are in `Plan::generate`.
+        let mut random = SmallRng::seed_from_u64(seed.wrapping_add(1 << 35));
+        let all: VmSet = (1 << size.vms.min(31)) - 1;
+        let mut at = FIRST_PARTITION;
+        while at < Duration::from_secs(size.seconds) {
+            // One VM at least is in the set, and one isn't.
+            let vms = random.random_range(1..all.max(2));
+            let cut = match random.random_range(0..3) {
+                0 => Cut::Hang,
+                1 => Cut::Reset,
+                _ => Cut::RefuseNew,
+            };
+            plan.steps.push(Step {
+                at,
+                duration: PARTITION_TIME,
+                fault: Fault::Partition(vms, cut),
+            });
+            at += PARTITION_TIME + Duration::from_millis(random.random_range(FAULT_DURATION_MS));
+        }
+        plan.steps.sort_by_key(|step| step.at);
+        plan
+    }
+
     /// Returns whether all steps are planned work.
     pub fn is_planned(&self) -> bool {
         self.steps.iter().all(|step| step.fault.is_planned())
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -5,6 +5,7 @@
 
 mod faults;
 mod notices;
+mod partitions;
 mod restrictions;
 mod watch;
 
@@ -24,6 +25,7 @@
 
 use self::{
     notices::{PathDisturbance, Statement},
+    partitions::PartitionTime,
     restrictions::Restriction,
 };
 use crate::{
@@ -57,6 +59,7 @@
     restrictions: Rc<RefCell<Vec<Restriction>>>,
     statements: Rc<RefCell<Vec<Statement>>>,
     path_disturbances: Rc<RefCell<Vec<PathDisturbance>>>,
+    partitions: Rc<RefCell<Vec<PartitionTime>>>,
     /// When each version of the configuration was accepted.
     accepted_at: Rc<RefCell<IndexMap<u32, Duration>>>,
     finished: Rc<Cell<bool>>,
@@ -85,6 +88,7 @@
         restrictions: Rc::default(),
         statements: Rc::default(),
         path_disturbances: Rc::default(),
+        partitions: Rc::default(),
         accepted_at: Rc::default(),
         finished: Rc::default(),
         callers: Callers::default(),
@@ -182,6 +186,7 @@
         observations.requests = self.callers.take();
         self.note_restriction_violations(&mut observations);
         self.note_notices(&mut observations);
+        self.note_partitions(&mut observations);
         for id in self.cluster.borrow().executions() {
             *observations.executions.entry(id).or_default() += 1;
         }
--- a/tools/soak/src/run/faults.rs
+++ b/tools/soak/src/run/faults.rs
@@ -56,6 +56,7 @@
                 self.clock.sleep(step.duration).await;
                 proxy.set(Mode::Pass);
             }
+            Fault::Partition(vms, cut) => self.partition(vms, cut, step.duration).await,
             Fault::Store(fault) => {
                 self.note_disturbance(None, now, to);
                 self.cluster.borrow().store.set_fault(Some(fault));
@@ -145,13 +146,13 @@
     /// Replaces a target. The old one keeps running for `drain` after it has announced that it is draining, or ends at
     /// once if `drain` is zero.
     pub(super) async fn replace(&self, target: usize, drain: Duration) {
-        let (service, zone, number) = {
+        let (service, zone, number, partition) = {
             let mut cluster = self.cluster.borrow_mut();
             let number = cluster.next_target();
             let slot = &cluster.slots[target];
-            (slot.service, slot.zone, number)
+            (slot.service, slot.zone, number, cluster.partition.clone())
         };
-        let Ok(mut slot) = TargetSlot::start(service, zone, number).await else {
+        let Ok(mut slot) = TargetSlot::start(service, zone, number, partition).await else {
             return;
         };
         let index = self.swap_slot(target, &mut slot, drain);
--- a/tools/soak/tests/check.rs
+++ b/tools/soak/tests/check.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use bramleypier_soak::check::{self, InForce, Observations, Outcome, RequestRecord, Violation};
+use bramleypier_soak::check::{
+    self, InForce, Observations, Outcome, PartitionOutcome, RequestRecord, Tally, Violation,
+};
 
 fn request(id: &str, once: bool, outcome: Outcome) -> RequestRecord {
     RequestRecord {
@@ -145,3 +147,23 @@
         .insert(7, Duration::from_millis(20));
     assert_eq!(check::violations(&observations), []);
 }
+
+#[test]
+fn callers_of_partitioned_vms_that_are_served_far_worse_are_a_violation() {
+    let tally = |sent, served| Tally { sent, served };
+    let violations = |partitioned, others| {
+        let outcome = PartitionOutcome {
+            partitioned,
+            others,
+        };
+        let observations = Observations {
+            partitions: vec![outcome],
+            ..no_violation()
+        };
+        check::violations(&observations).len()
+    };
+    assert_eq!(violations(tally(100, 60), tally(100, 95)), 1);
+    assert_eq!(violations(tally(100, 64), tally(100, 95)), 0);
+    assert_eq!(violations(tally(12, 2), tally(100, 95)), 0);
+    assert_eq!(violations(tally(13, 2), tally(100, 95)), 1);
+}
