--- a/engine/src/reach/mod.rs
+++ b/engine/src/reach/mod.rs
@@ -144,6 +144,13 @@
         self.relays.borrow_mut().retain(|it| it.start != vm.start);
     }
 
+    /// Adds VMs that reach targets.
+    fn add_relays(&self, found: Vec<Vm>) {
+        let mut relays = self.relays.borrow_mut();
+        relays.retain(|it| !found.iter().any(|vm| vm.name == it.name));
+        relays.extend(found);
+    }
+
     /// Returns whether a target responds to this VM now; true if no target is known.
     pub async fn reaches_targets(&self) -> bool {
         if self.is_cut_off() {
--- a/engine/src/reach/relay.rs
+++ b/engine/src/reach/relay.rs
@@ -45,9 +45,9 @@
 enum RelayResult {
     /// The target has responded.
     Answered,
-    /// The relay reaches no targets either, doesn't know this one or is about to stop; nothing was sent.
+    /// The relay reaches no targets either, or is about to stop; nothing was sent.
     Declined,
-    /// The target could not be reached; nothing was sent.
+    /// The target could not be reached, or isn't known; nothing was sent.
     Unsent,
     /// The connection to the target ended after a part of the request may have arrived.
     Broken,
@@ -224,14 +224,13 @@
     /// Forwards a request to the target that it names.
     async fn forward(self, request: Request<Incoming>) -> Response<Body> {
         let _in_flight = InFlight::new(&self.in_flight);
-        let result = match self.destination(request.headers()) {
-            Some((address, timeout)) => {
-                let request = outgoing(request);
-                self.client.send(address, request, timeout).await
-            }
-            None => return self.finish(RelayResult::Declined, Response::new(Body::empty())),
+        if self.serving.is_draining() || self.reach.is_cut_off() {
+            return self.finish(RelayResult::Declined, Response::new(Body::empty()));
+        }
+        let Some((address, timeout)) = self.destination(request.headers()) else {
+            return self.finish(RelayResult::Unsent, Response::new(Body::empty()));
         };
-        match result {
+        match self.client.send(address, outgoing(request), timeout).await {
             Ok(response) => {
                 let (mut head, rest) = response.into_parts();
                 headers::strip(&mut head.headers);
@@ -251,11 +250,8 @@
         }
     }
 
-    /// Returns the address of the target that a request names, and the timeout; `None` if it is not to be forwarded.
+    /// Returns the address of the target that a request names, and the timeout; `None` if the target isn't known.
     fn destination(&self, headers: &HeaderMap) -> Option<(SocketAddr, Duration)> {
-        if self.serving.is_draining() || self.reach.is_cut_off() {
-            return None;
-        }
         let id = headers.get(TARGET)?.to_str().ok()?;
         let millis = headers.get(TIMEOUT_MS)?.to_str().ok()?.parse().ok()?;
         let fleet = self.shared_fleet.get();
--- a/engine/src/reach/state.rs
+++ b/engine/src/reach/state.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use indexmap::IndexMap;
+use rand::{Rng, seq::SliceRandom};
 
 /// How long a failed connection counts.
 const FAILURE_MEMORY: Duration = Duration::from_secs(2);
@@ -17,6 +18,35 @@
 /// The time between two searches for VMs that can relay.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(500);
 
+/// How many VMs are asked at the same time whether they reach targets.
+const ASKED_VMS: usize = 8;
+/// How many times other VMs are asked, one after the other, until one reaches targets.
+const MAX_ROUNDS: usize = 3;
+
+/// Returns the VMs to ask whether they reach targets, in rounds: the next is for when nobody of the one before does.
+///
+/// Load pattern: most VMs of a large fleet are cut off at the same time, and all of them ask. So each asks only a few, at
+/// random, and more only if all of these are cut off too.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier_engine::reach::state;
+///
+/// let rounds = state::search_rounds((0..100).collect(), &mut rand::rng());
+/// assert!(rounds.len() == 3 && rounds.iter().all(|round| round.len() == 8));
+/// assert_eq!(state::search_rounds(vec!["a", "b"], &mut rand::rng()).len(), 1);
+/// ```
+pub fn search_rounds<T, R>(mut vms: Vec<T>, random: &mut R) -> Vec<Vec<T>>
+where
+    T: Clone,
+    R: Rng,
+{
+    vms.shuffle(random);
+    let rounds = vms.chunks(ASKED_VMS).take(MAX_ROUNDS);
+    rounds.map(<[T]>::to_vec).collect()
+}
+
 /// What is to be done next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
--- a/engine/src/reach/task.rs
+++ b/engine/src/reach/task.rs
@@ -4,9 +4,11 @@
 
 use bramleypier_util::client::Client;
 use futures_util::future;
-use rand::seq::IteratorRandom;
 
-use super::{Reach, relay, state::Step};
+use super::{
+    Reach, relay,
+    state::{self, Step},
+};
 use crate::{
     catalogue::TargetId,
     fleet::Vm,
@@ -15,9 +17,6 @@
 
 /// The time between two looks at what new connections have shown.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
-/// How many VMs are asked at the same time whether they reach targets: in a partition of a whole failure domain, some
-/// of these are in others.
-const ASKED_VMS: usize = 8;
 
 /// The dependencies of the task.
 #[derive(Clone, Debug)]
@@ -85,21 +84,22 @@
         }
     }
 
-    /// Asks some VMs whether they reach any of some targets.
+    /// Asks other VMs whether they reach any of some targets, until one does.
     async fn find_relays(&self, targets: &[TargetId]) {
-        let asked = {
+        let others: Vec<Vm> = {
             let fleet = self.reach.context.shared_fleet.get();
             let others = fleet.vms.values().filter(|vm| vm.start != self.vm.start);
-            let mut asked = others.cloned().choose_multiple(&mut rand::rng(), ASKED_VMS);
-            let known = self.reach.relays.borrow();
-            asked.extend(known.iter().cloned());
-            asked.sort_by(|a, b| a.start.cmp(&b.start));
-            asked.dedup();
-            asked
+            others.cloned().collect()
         };
-        let answers = asked.iter().map(|vm| relay::ask(&self.peers, vm, targets));
-        let answers = future::join_all(answers).await;
-        let found = asked.iter().zip(answers).filter(|(_, reaches)| *reaches);
-        *self.reach.relays.borrow_mut() = found.map(|(vm, _)| vm.clone()).collect();
+        for asked in state::search_rounds(others, &mut rand::rng()) {
+            let answers = asked.iter().map(|vm| relay::ask(&self.peers, vm, targets));
+            let answers = future::join_all(answers).await;
+            let found = asked.iter().zip(answers).filter(|(_, reaches)| *reaches);
+            let found: Vec<Vm> = found.map(|(vm, _)| vm.clone()).collect();
+            if !found.is_empty() {
+                self.reach.add_relays(found);
+                return;
+            }
+        }
     }
 }
--- a/util/src/socket.rs
+++ b/util/src/socket.rs
@@ -12,10 +12,13 @@
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 /// The time between two keepalive probes; the kernel counts in whole seconds.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// How many keepalive probes may go unanswered.
+/// How many keepalive probes may go unanswered, where [`ACK_TIMEOUT`] can't be set.
 const KEEPALIVE_PROBES: u32 = 1;
 /// How long sent bytes may stay unacknowledged. Packets lost on a link are retransmitted after about
 /// 0.2 s and 0.6 s.
+///
+/// On Linux it also decides when keepalive probes give up, whatever their number: an idle connection ends with the
+/// second probe, which is due after this time.
 const ACK_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// Sets the options of a new connection: no delay of small writes, and detection of dead connections.
