--- a/engine/src/caller/attempt.rs
+++ b/engine/src/caller/attempt.rs
@@ -13,7 +13,7 @@
 use super::body;
 use crate::{
     catalogue::TargetId,
-    fleet::{SharedFleet, Vm},
+    fleet::{SharedFleet, Vm, VmId},
     placement::{dispatch::CompletionKind, task::Permit},
     quarantine::{Fingerprint, Quarantine},
     reach::{Path, Reach, relay},
@@ -68,6 +68,8 @@
     pub result: AttemptResult,
     /// What the target asked for in its response, if there was one.
     pub notice: Notice,
+    /// The VM that relayed the request, if this one reaches no target.
+    pub relay: Option<VmId>,
 }
 
 impl From<AttemptResult> for Attempt {
@@ -75,6 +77,7 @@
         Self {
             result,
             notice: Notice::default(),
+            relay: None,
         }
     }
 }
@@ -141,7 +144,11 @@
                 let result = self
                     .read(outgoing, response, reply, permit, started, remaining)
                     .await;
-                Attempt { result, notice }
+                Attempt {
+                    result,
+                    notice,
+                    relay: None,
+                }
             }
             Err(error) => {
                 let kind = if error.is_refused() {
@@ -183,7 +190,11 @@
                 let result = self
                     .read(outgoing, response, reply, permit, started, remaining)
                     .await;
-                return Attempt { result, notice };
+                return Attempt {
+                    result,
+                    notice,
+                    relay: Some(vm.name.clone()),
+                };
             }
             Err(error) => error,
         };
@@ -208,7 +219,10 @@
             }
             relay::Error::TimedOut => AttemptResult::TimedOut,
         };
-        result.into()
+        Attempt {
+            relay: Some(vm.name.clone()),
+            ..result.into()
+        }
     }
 
     /// Records that a target says that it leaves.
--- a/engine/src/caller/attempts.rs
+++ b/engine/src/caller/attempts.rs
@@ -190,7 +190,14 @@
     trace.targets.push(target.clone());
     trace.notes.push(format!("sent: {}", permit.basis));
     history.completion_interval = permit.basis.completion_interval;
-    let Attempt { result, notice } = context.sender.send(outgoing, body, permit, remaining).await;
+    let Attempt {
+        result,
+        notice,
+        relay,
+    } = context.sender.send(outgoing, body, permit, remaining).await;
+    if let Some(vm) = relay {
+        trace.notes.push(format!("via {vm}"));
+    }
     if !notice.is_empty() {
         trace.notes.push(format!("the target says: {notice}"));
         count_notice(context, routed, notice);
