--- a/engine/src/caller/attempt.rs
+++ b/engine/src/caller/attempt.rs
@@ -139,16 +139,8 @@
         let address = permit.target.address;
         match self.client.send(address, request, remaining).await {
             Ok(response) => {
-                let reply = self.targets.read(response.status(), response.headers());
-                let notice = reply.notice;
-                let result = self
-                    .read(outgoing, response, reply, permit, started, remaining)
-                    .await;
-                Attempt {
-                    result,
-                    notice,
-                    relay: None,
-                }
+                self.read(outgoing, response, permit, started, remaining)
+                    .await
             }
             Err(error) => {
                 let kind = if error.is_refused() {
@@ -185,15 +177,12 @@
         let sent = relay::send(&self.relays, vm, &permit.target.id, request, remaining).await;
         let error = match sent {
             Ok(response) => {
-                let reply = self.targets.read(response.status(), response.headers());
-                let notice = reply.notice;
-                let result = self
-                    .read(outgoing, response, reply, permit, started, remaining)
+                let attempt = self
+                    .read(outgoing, response, permit, started, remaining)
                     .await;
                 return Attempt {
-                    result,
-                    notice,
                     relay: Some(vm.name.clone()),
+                    ..attempt
                 };
             }
             Err(error) => error,
@@ -233,8 +222,29 @@
         self.report.lines(&lines);
     }
 
-    /// Reads a response and decides whether it can be forwarded; `reply` is what its head says.
+    /// Reads a response and decides whether it can be forwarded.
     async fn read(
+        &self,
+        outgoing: &OutgoingRequest,
+        response: Response<Incoming>,
+        permit: Permit,
+        started: Duration,
+        remaining: Duration,
+    ) -> Attempt {
+        let reply = self.targets.read(response.status(), response.headers());
+        let notice = reply.notice;
+        let result = self
+            .read_reply(outgoing, response, reply, permit, started, remaining)
+            .await;
+        Attempt {
+            result,
+            notice,
+            relay: None,
+        }
+    }
+
+    /// Reads a response, of which `reply` is what its head says.
+    async fn read_reply(
         &self,
         outgoing: &OutgoingRequest,
         response: Response<Incoming>,
--- a/engine/src/process/mod.rs
+++ b/engine/src/process/mod.rs
@@ -2,19 +2,14 @@
 
 mod lifecycle;
 mod listeners;
+mod serving;
 mod signals;
 
 use std::{cell::Cell, io, net::SocketAddr, rc::Rc};
 
-use bramleypier_util::{
-    body::Body,
-    client::Client,
-    clock::Clock,
-    server::{self, Control},
-};
+use bramleypier_util::{client::Client, clock::Clock, server::Control};
 use futures_channel::mpsc;
 use futures_util::StreamExt;
-use hyper::Response;
 use quick_error::quick_error;
 
 use self::{
@@ -22,14 +17,7 @@
     listeners::Listeners,
 };
 use crate::{
-    caller::{
-        CallerProtocol,
-        attempt::Sender,
-        forward,
-        serve::{self, ServingState},
-        startup::StartupWait,
-        timeouts::RouteTimeouts,
-    },
+    caller::{CallerProtocol, serve::ServingState},
     catalogue::Catalogue,
     fleet::{SharedFleet, StoreKeys, Vm},
     follow,
@@ -38,7 +26,7 @@
     peer::{sync, sync_task},
     placement::{dispatch::Dispatcher, task},
     quarantine::{Quarantine, records},
-    reach::{self, Reach, relay::Relay},
+    reach::{self, Reach},
     registration,
     report::Report,
     settings::Settings,
@@ -320,75 +308,6 @@
         })
     }
 
-    fn serve(
-        &self,
-        listeners: Listeners,
-        callers: &Control,
-        dispatcher: &task::Handle,
-        sync_context: &sync::Context,
-    ) {
-        let context = forward::Context {
-            shared_fleet: self.shared_fleet.clone(),
-            manager_health: self.manager_health.clone(),
-            callers: self.adapter.callers.clone(),
-            dispatcher: dispatcher.clone(),
-            sender: Sender {
-                client: self.target_client.clone(),
-                relays: self.relay_client.clone(),
-                reach: self.reach.clone(),
-                targets: self.adapter.targets.clone(),
-                shared_fleet: self.shared_fleet.clone(),
-                quarantine: self.quarantine.clone(),
-                clock: self.clock.clone(),
-                report: self.report.clone(),
-            },
-            startup: StartupWait::new(&self.clock),
-            timeouts: RouteTimeouts::default(),
-            tally: self.tally.clone(),
-            clock: self.clock.clone(),
-            report: self.report.clone(),
-        };
-        let serving = self.serving.clone();
-        spawn(serve::callers(
-            listeners.callers,
-            callers.clone(),
-            context,
-            serving.clone(),
-        ));
-        // These listeners stay open until the process ends: a draining VM still answers readiness checks.
-        let unstopped = Control::default();
-        spawn(serve::readiness(
-            listeners.readiness,
-            unstopped.clone(),
-            serving,
-        ));
-        let (report, sync_context) = (self.report.clone(), sync_context.clone());
-        let relay = Relay {
-            reach: self.reach.clone(),
-            client: self.target_client.clone(),
-            shared_fleet: self.shared_fleet.clone(),
-            serving: self.serving.clone(),
-            in_flight: self.relayed.clone(),
-            report: self.report.clone(),
-        };
-        let peers = move |request| {
-            let (relay, sync_context) = (relay.clone(), sync_context.clone());
-            async move {
-                if Relay::handles(&request) {
-                    relay.handle(request).await
-                } else {
-                    sync::handle_request(sync_context, request).await
-                }
-            }
-        };
-        spawn(server::serve(listeners.peers, unstopped.clone(), peers));
-        let metrics = move |_| {
-            let text = report.text();
-            async move { Response::new(Body::from(text)) }
-        };
-        spawn(server::serve(listeners.metrics, unstopped, metrics));
-    }
-
     fn sync_context(
         &self,
         dispatcher: &task::Handle,
--- /dev/null
+++ b/engine/src/process/serving.rs
@@ -0,0 +1,87 @@
+//! Serves everyone who connects to a process: callers, the load balancer, other VMs and operators.
+
+use bramleypier_util::{
+    body::Body,
+    server::{self, Control},
+};
+use hyper::Response;
+
+use super::{Process, listeners::Listeners, spawn};
+use crate::{
+    caller::{attempt::Sender, forward, serve, startup::StartupWait, timeouts::RouteTimeouts},
+    peer::sync,
+    placement::task,
+    reach::relay::Relay,
+};
+
+impl Process {
+    /// Serves callers, readiness checks, other VMs and operators.
+    pub(super) fn serve(
+        &self,
+        listeners: Listeners,
+        callers: &Control,
+        dispatcher: &task::Handle,
+        sync_context: &sync::Context,
+    ) {
+        let context = forward::Context {
+            shared_fleet: self.shared_fleet.clone(),
+            manager_health: self.manager_health.clone(),
+            callers: self.adapter.callers.clone(),
+            dispatcher: dispatcher.clone(),
+            sender: Sender {
+                client: self.target_client.clone(),
+                relays: self.relay_client.clone(),
+                reach: self.reach.clone(),
+                targets: self.adapter.targets.clone(),
+                shared_fleet: self.shared_fleet.clone(),
+                quarantine: self.quarantine.clone(),
+                clock: self.clock.clone(),
+                report: self.report.clone(),
+            },
+            startup: StartupWait::new(&self.clock),
+            timeouts: RouteTimeouts::default(),
+            tally: self.tally.clone(),
+            clock: self.clock.clone(),
+            report: self.report.clone(),
+        };
+        let serving = self.serving.clone();
+        spawn(serve::callers(
+            listeners.callers,
+            callers.clone(),
+            context,
+            serving.clone(),
+        ));
+        // These listeners stay open until the process ends: a draining VM still answers readiness checks.
+        let unstopped = Control::default();
+        spawn(serve::readiness(
+            listeners.readiness,
+            unstopped.clone(),
+            serving,
+        ));
+        let (report, sync_context) = (self.report.clone(), sync_context.clone());
+        let relay = Relay {
+            reach: self.reach.clone(),
+            client: self.target_client.clone(),
+            shared_fleet: self.shared_fleet.clone(),
+            serving: self.serving.clone(),
+            in_flight: self.relayed.clone(),
+            report: self.report.clone(),
+        };
+        let peers = move |request| {
+            let (relay, sync_context) = (relay.clone(), sync_context.clone());
+            async move {
+                if Relay::handles(&request) {
+                    relay.handle(request).await
+                } else {
+                    sync::handle_request(sync_context, request).await
+                }
+            }
+        };
+        spawn(server::serve(listeners.peers, unstopped.clone(), peers));
+        let metrics = move |_| {
+            let text = report.text();
+            async move { Response::new(Body::from(text)) }
+        };
+        spawn(server::serve(listeners.metrics, unstopped, metrics));
+    }
+}
