--- a/engine/src/reach/relay.rs
+++ b/engine/src/reach/relay.rs
@@ -2,7 +2,7 @@
 //! target that the sender has chosen, and returns the response.
 //!
 //! The relayed message is the request as the target gets it, with two headers more; the relay removes them. A response
-//! without [`RESULT`] comes from a build that doesn't relay, which has forwarded nothing.
+//! without a `relay-result` header comes from a build that doesn't relay, which has forwarded nothing.
 
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
