--- a/engine/src/reach/task.rs
+++ b/engine/src/reach/task.rs
@@ -48,7 +48,8 @@
                     .await;
             }
             Step::FindRelays => {
-                context.find_relays(&context.reach.random_targets()).await;
+                // It is looked for again as long as too few are known.
+                let _ = context.find_relays(&context.reach.random_targets()).await;
             }
         }
         let is_cut_off = context.reach.is_cut_off();
@@ -66,8 +67,7 @@
         if self.reach.probe_any(&targets).await {
             return;
         }
-        self.find_relays(&targets).await;
-        if self.reach.relays.borrow().is_empty() {
+        if !self.find_relays(&targets).await {
             return;
         }
         let now = self.reach.context.clock.now();
@@ -84,8 +84,8 @@
         }
     }
 
-    /// Asks other VMs whether they reach any of some targets, until one does.
-    async fn find_relays(&self, targets: &[TargetId]) {
+    /// Asks other VMs whether they reach any of some targets, until one does; returns whether one does.
+    async fn find_relays(&self, targets: &[TargetId]) -> bool {
         let others: Vec<Vm> = {
             let fleet = self.reach.context.shared_fleet.get();
             let others = fleet.vms.values().filter(|vm| vm.start != self.vm.start);
@@ -98,8 +98,9 @@
             let found: Vec<Vm> = found.map(|(vm, _)| vm.clone()).collect();
             if !found.is_empty() {
                 self.reach.add_relays(found);
-                return;
+                return true;
             }
         }
+        false
     }
 }
