--- a/engine/src/placement/budget.rs
+++ b/engine/src/placement/budget.rs
@@ -34,6 +34,8 @@
     pub spent: u32,
     /// How many it may send.
     pub limit: u32,
+    /// The number of requests of callers within the window, from which the limit follows.
+    pub requests: u32,
     /// The number of VMs that share the slack.
     pub vms: usize,
 }
@@ -46,8 +48,9 @@
     /// ```
     /// use bramleypier_engine::placement::budget::Balance;
     ///
-    /// assert!(Balance { spent: 2, limit: 3, vms: 10 }.allows_retry());
-    /// assert!(!Balance { spent: 3, limit: 3, vms: 10 }.allows_retry());
+    /// let balance = Balance { spent: 2, limit: 3, requests: 9, vms: 10 };
+    /// assert!(balance.allows_retry());
+    /// assert!(!Balance { spent: 3, ..balance }.allows_retry());
     /// ```
     pub fn allows_retry(&self) -> bool {
         self.spent < self.limit
@@ -56,8 +59,13 @@
 
 impl fmt::Display for Balance {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { spent, limit, vms } = self;
-        write!(f, "repeats={spent}/{limit} vms={vms}")
+        let Self {
+            spent,
+            limit,
+            requests,
+            vms,
+        } = self;
+        write!(f, "repeats={spent}/{limit} requests={requests} vms={vms}")
     }
 }
 
@@ -164,6 +172,7 @@
         Balance {
             spent: self.slices.iter().map(|it| it.retries).sum(),
             limit: limit as u32,
+            requests,
             vms,
         }
     }
--- a/tools/soak/src/callers.rs
+++ b/tools/soak/src/callers.rs
@@ -20,10 +20,11 @@
 use crate::{
     check::{Outcome, RequestRecord},
     fleet::KEYS,
+    plan::VmSet,
 };
 
-/// The pause between two requests of one caller.
-const REQUEST_PAUSE: Duration = Duration::from_millis(40);
+/// How much time callers say that they have.
+pub const DEADLINE: Duration = Duration::from_millis(2500);
 /// How long a caller waits for a response.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(3);
 /// The most connections of all callers to one VM.
@@ -42,6 +43,16 @@
     Order,
 }
 
+impl RequestKind {
+    /// Returns the service that serves it.
+    fn service(self) -> &'static str {
+        match self {
+            Self::Key(_) => "keyed",
+            Self::Lookup | Self::Order => "plain",
+        }
+    }
+}
+
 /// The callers of one run; clones share them.
 #[derive(Clone, Debug)]
 pub struct Callers {
@@ -50,6 +61,8 @@
     records: Rc<RefCell<Vec<RequestRecord>>>,
     stopped: Rc<Cell<bool>>,
     sent: Rc<Cell<u64>>,
+    /// The VMs whose callers send nothing for now.
+    quiet: Rc<Cell<VmSet>>,
 }
 
 impl Default for Callers {
@@ -61,13 +74,16 @@
             records: Rc::default(),
             stopped: Rc::default(),
             sent: Rc::default(),
+            quiet: Rc::default(),
         }
     }
 }
 
 impl Callers {
     /// Starts the three callers of one VM, one for each kind of request.
-    pub fn start(&self, vm: usize, address: SocketAddr, seed: u64) {
+    ///
+    /// Each waits for `pause` between two requests.
+    pub fn start(&self, vm: usize, address: SocketAddr, seed: u64, pause: Duration) {
         for number in 0..3 {
             let (callers, seed) = (self.clone(), seed ^ ((vm as u64) << 8) ^ number);
             let mut random = SmallRng::seed_from_u64(seed);
@@ -78,8 +94,10 @@
                         1 => RequestKind::Lookup,
                         _ => RequestKind::Key(KEYS[random.random_range(0..KEYS.len())]),
                     };
-                    callers.send(vm, address, kind).await;
-                    callers.clock.sleep(REQUEST_PAUSE).await;
+                    if callers.quiet.get() & (1 << vm) == 0 {
+                        callers.send(vm, address, kind).await;
+                    }
+                    callers.clock.sleep(pause).await;
                 }
             })
             .detach();
@@ -91,6 +109,18 @@
         self.stopped.set(true);
     }
 
+    /// Sets the VMs whose callers send nothing from now on.
+    pub fn set_quiet(&self, vms: VmSet) {
+        self.quiet.set(vms);
+    }
+
+    /// Ends the quiet of a set of VMs, unless that of another set has begun.
+    pub fn end_quiet(&self, vms: VmSet) {
+        if self.quiet.get() == vms {
+            self.quiet.set(0);
+        }
+    }
+
     /// Takes the records of all requests so far.
     pub fn take(&self) -> Vec<RequestRecord> {
         self.records.take()
@@ -125,6 +155,7 @@
         self.records.borrow_mut().push(RequestRecord {
             id,
             once: kind == RequestKind::Order,
+            service: kind.service(),
             vm,
             sent,
             ended: answered.then(|| self.clock.now()),
@@ -147,7 +178,8 @@
     *request.uri_mut() = path.parse().unwrap_or_default();
     let headers = request.headers_mut();
     headers.insert("host", HeaderValue::from_static("a.example"));
-    headers.insert("x-deadline-ms", HeaderValue::from_static("2500"));
+    let deadline = u64::try_from(DEADLINE.as_millis()).unwrap_or(u64::MAX);
+    headers.insert("x-deadline-ms", HeaderValue::from(deadline));
     headers.insert("x-shard-key", HeaderValue::from(key));
     if let Ok(id) = HeaderValue::from_str(id) {
         headers.insert("x-request-id", id);
--- a/tools/soak/src/check.rs
+++ b/tools/soak/src/check.rs
@@ -9,7 +9,10 @@
 use bramleypier_platform_standin::store;
 use indexmap::IndexMap;
 
-use crate::notices::{self, Notice, Stop};
+use crate::{
+    budget::{self, Overtime, Peak},
+    notices::{self, Notice, Stop},
+};
 
 /// The most memory that a VM's process may use, in bytes: the allowance of a node for control software.
 pub const MEMORY_MAX_BYTES: u64 = 256 << 20;
@@ -83,6 +86,8 @@
     pub id: String,
     /// Whether it may run at most once.
     pub once: bool,
+    /// The service that its route goes to.
+    pub service: &'static str,
     /// The number of the VM that it was sent to.
     pub vm: usize,
     /// When it was sent, by the clock of the run.
@@ -140,10 +145,16 @@
     pub stops: Vec<Stop>,
     /// How callers were served during partitions of VMs from all targets.
     pub partitions: Vec<PartitionOutcome>,
+    /// The window of each service that was nearest to the retry budget, by service.
+    pub peaks: IndexMap<&'static str, Peak>,
+    /// The requests that ran on more targets than their route allows.
+    pub spread: Vec<String>,
+    /// The attempts that gave a target more time than its caller had left.
+    pub overtime: Overtime,
 }
 
 /// A violated guarantee.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Violation {
     /// A request that may run at most once ran more often.
     RanTwice(String),
@@ -175,6 +186,12 @@
     Unwanted(String, Vec<String>),
     /// Callers of VMs that were partitioned from all targets were served far worse than those of the others.
     Unserved(PartitionOutcome),
+    /// A service got more retries in some window than all VMs together may send.
+    BudgetExceeded(&'static str, Peak),
+    /// Too many requests ran on more targets than their routes allow.
+    TooManyAttempts(Vec<String>),
+    /// Targets were given more time than callers had left.
+    Overtime(Overtime),
 }
 
 impl fmt::Display for Violation {
@@ -236,6 +253,7 @@
             .filter(|it| it.is_poor())
             .map(|it| Violation::Unserved(*it)),
     );
+    found.extend(check_budget(observations));
     found.extend(
         observations
             .crashed_vms
@@ -251,6 +269,22 @@
     found
 }
 
+/// Returns the violations by what was sent again.
+fn check_budget(observations: &Observations) -> Vec<Violation> {
+    let peaks = observations.peaks.iter();
+    let exceeded = peaks.filter(|(_, peak)| peak.share() > 1.0);
+    let mut found: Vec<Violation> = exceeded
+        .map(|(service, peak)| Violation::BudgetExceeded(service, *peak))
+        .collect();
+    if observations.spread.len() > budget::SPREAD_MAX {
+        found.push(Violation::TooManyAttempts(observations.spread.clone()));
+    }
+    if observations.overtime.is_too_much() {
+        found.push(Violation::Overtime(observations.overtime));
+    }
+    found
+}
+
 /// Returns the violation by one request, if there is one.
 fn check_request(observations: &Observations, request: &RequestRecord) -> Option<Violation> {
     let executions = observations
--- a/tools/soak/src/fleet.rs
+++ b/tools/soak/src/fleet.rs
@@ -96,6 +96,8 @@
     pub proxy: Proxy,
     /// The failure domain of the target.
     pub zone: &'static str,
+    /// Whether VMs reach it without the proxy, so that connections are refused once it has ended.
+    pub direct: bool,
 }
 
 impl TargetSlot {
@@ -109,6 +111,7 @@
         zone: &'static str,
         number: usize,
         partition: Partition,
+        direct: bool,
     ) -> Result<Self, Error> {
         let id = format!("i-{service}-{number}");
         let server = Server::start(&id, service == "keyed", REQUEST_TIME).await;
@@ -118,10 +121,11 @@
             server,
             proxy,
             zone,
+            direct,
         })
     }
 
-    /// Returns the target's entry in the store, with the address of the proxy.
+    /// Returns the target's entry in the store, with the address where VMs reach it.
     pub fn entry(&self, state: &str) -> Vec<u8> {
         self.entry_cold(state, Duration::ZERO)
     }
@@ -131,7 +135,9 @@
         let entry = self.server.entry_in(self.zone, self.service, state, cold);
         // The stand-in's entries are JSON objects.
         let mut entry: Value = serde_json::from_slice(&entry).unwrap_or_default();
-        entry["address"] = json!(self.proxy.address.to_string());
+        if !self.direct {
+            entry["address"] = json!(self.proxy.address.to_string());
+        }
         entry.to_string().into_bytes()
     }
 
@@ -141,6 +147,15 @@
     }
 }
 
+/// A target that has been replaced.
+#[derive(Clone, Debug)]
+pub struct Replaced {
+    /// Its service.
+    pub service: &'static str,
+    /// The target.
+    pub server: Server,
+}
+
 /// All parts of a run.
 #[derive(Debug)]
 pub struct Cluster {
@@ -153,10 +168,12 @@
     /// The targets; those in the first half own keys.
     pub slots: Vec<TargetSlot>,
     /// The targets that have been replaced.
-    pub replaced: Vec<Server>,
+    pub replaced: Vec<Replaced>,
     /// The VMs' processes that are partitioned from the targets.
     pub partition: Partition,
     binaries: Vec<PathBuf>,
+    /// The parameters in the VMs' settings.
+    figures: String,
     last_target: usize,
 }
 
@@ -178,6 +195,7 @@
             replaced: Vec::new(),
             partition: Partition::default(),
             binaries: binaries.to_vec(),
+            figures: plan.figures(),
             last_target: 0,
         };
         for number in 0..2 * TARGETS_PER_SERVICE {
@@ -193,7 +211,8 @@
                 DEFAULT_ZONE
             };
             let (number, partition) = (cluster.next_target(), cluster.partition.clone());
-            let slot = TargetSlot::start(service, zone, number, partition).await?;
+            let direct = plan.direct_targets && number % 2 == 1;
+            let slot = TargetSlot::start(service, zone, number, partition, direct).await?;
             cluster.store.put(&slot.key(), &slot.entry("ready"));
             cluster.slots.push(slot);
         }
@@ -228,12 +247,13 @@
             .collect();
         let vm = &mut self.vms[number];
         let next = (number + vm.starts()) % self.binaries.len();
-        let program = Program::start(
+        let program = Program::start_with_figures(
             &self.binaries[next],
             &format!("vm-{number}"),
             vm.store.address,
             &seeds.join(","),
             vm.listen,
+            &self.figures,
         );
         vm.program = Some(program.map_err(|cause| Error::Start(number, cause))?);
         Ok(())
@@ -247,10 +267,14 @@
 
     /// Returns the ids of all requests that ran; an id appears once for each time.
     pub fn executions(&self) -> Vec<String> {
-        let servers = self.slots.iter().map(|slot| &slot.server);
-        servers
-            .chain(&self.replaced)
-            .flat_map(Server::ran)
-            .collect()
+        let servers = self.servers().into_iter();
+        servers.flat_map(|(_, server)| server.ran()).collect()
+    }
+
+    /// Returns all targets with their services, also those that have been replaced.
+    pub fn servers(&self) -> Vec<(&'static str, &Server)> {
+        let current = self.slots.iter().map(|it| (it.service, &it.server));
+        let replaced = self.replaced.iter().map(|it| (it.service, &it.server));
+        current.chain(replaced).collect()
     }
 }
--- a/tools/soak/src/lib.rs
+++ b/tools/soak/src/lib.rs
@@ -4,7 +4,7 @@
 //! platform's stand-in, targets and VMs on loopback, with a [`proxy`] between each VM and the store and in front of
 //! each target. It executes the plan while [`callers`] send requests, and collects what they and the targets observe.
 //! [`check`] then reports the violated guarantees, without any I/O; [`notices`] those about what targets say in their
-//! responses.
+//! responses, [`budget`] those about what is sent again.
 //!
 //! ```
 //! use bramleypier_soak::plan::Plan;
@@ -13,6 +13,7 @@
 //! assert_eq!(Plan::generate(7, size), Plan::generate(7, size), "the same seed gives the same plan");
 //! ```
 
+pub mod budget;
 pub mod callers;
 pub mod check;
 pub mod fleet;
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -34,7 +34,7 @@
     }
 }
 
-/// What plans contain besides the faults of every plan.
+/// What plans contain besides or in place of the faults of every plan.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Bpaf)]
 enum Extra {
     /// Also evacuate a failure domain and make targets cold from time to time
@@ -45,6 +45,8 @@
     Older,
     /// Also partition some VMs from all targets from time to time
     Partitions,
+    /// Let most targets fail, so that VMs use up their retry budget
+    Budget,
     /// Nothing.
     #[bpaf(skip)]
     Nothing,
@@ -112,6 +114,7 @@
         Extra::Notices => Plan::generate_with_notices(seed, size),
         Extra::Older => Plan::generate_with_older_stores(seed, size),
         Extra::Partitions => Plan::generate_with_partitions(seed, size),
+        Extra::Budget => Plan::generate_with_exhausted_budgets(seed, size),
         Extra::Nothing => Plan::generate(seed, size),
     };
     let violations = run_plan(options, &plan, seed)?;
@@ -150,6 +153,12 @@
         "seed={seed} requests={requests} recovered={:?}",
         observations.recovery_time
     );
+    for (service, peak) in &observations.peaks {
+        println!(
+            "seed={seed} service={service} share={:.2} {peak:?}",
+            peak.share()
+        );
+    }
     for partition in &observations.partitions {
         println!("seed={seed} {partition:?}");
     }
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -2,12 +2,17 @@
 //!
 //! A seed always gives the same plan. One in four plans has planned work only.
 
+mod exhaustion;
+
 use std::{fmt, time::Duration};
 
 use bramleypier_platform_standin::{server, store};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use crate::proxy::{Cut, Mode};
+use crate::{
+    budget::Allowance,
+    proxy::{Cut, Mode},
+};
 
 /// The time between the starts of two faults, in milliseconds; most faults last longer, so that several overlap.
 const FAULT_GAP_MS: std::ops::Range<u64> = 150..1500;
@@ -25,6 +30,14 @@
 const FIRST_PARTITION: Duration = Duration::from_secs(5);
 /// How long a target stays cold after it has announced that.
 pub const COLD_TIME: Duration = Duration::from_secs(4);
+/// The pause between two requests of one caller, unless a plan sets another.
+const REQUEST_PAUSE: Duration = Duration::from_millis(40);
+/// The retry budget of the smaller deployments.
+const ALLOWANCE: Allowance = Allowance {
+    ratio: 0.2,
+    slack: 60,
+    window: Duration::from_secs(10),
+};
 /// The number of targets of each service.
 pub const TARGETS_PER_SERVICE: usize = 3;
 
@@ -67,6 +80,12 @@
     OlderStore(Duration),
     /// Writes this many configurations in quick succession.
     Configs(u32),
+    /// Makes the target of a slot refuse all requests, and its replacements too.
+    TargetRefuses(usize),
+    /// Ends a target whose entry stays in the store, and starts a replacement at the end of the step.
+    TargetDown(usize),
+    /// Makes the callers of the VMs of a set send nothing.
+    Quiet(VmSet),
     /// Sets a fault of a target.
     Target(usize, server::Fault),
     /// Ends a target without an announcement and starts a replacement.
@@ -135,7 +154,7 @@
 }
 
 /// The steps of a run, ordered by time.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Plan {
     /// The size of the run.
     pub size: Size,
@@ -143,6 +162,12 @@
     pub steps: Vec<Step>,
     /// Whether the targets are in two failure domains, one of which is evacuated from time to time.
     pub evacuates: bool,
+    /// Whether VMs reach every other target without a proxy.
+    pub direct_targets: bool,
+    /// The pause between two requests of one caller.
+    pub pause: Duration,
+    /// The retry budget that VMs are told, and that is checked.
+    pub allowance: Allowance,
 }
 
 impl Plan {
@@ -179,6 +204,9 @@
             size,
             steps,
             evacuates: false,
+            direct_targets: false,
+            pause: REQUEST_PAUSE,
+            allowance: ALLOWANCE,
         }
     }
 
@@ -322,6 +350,19 @@
         plan
     }
 
+    /// Returns the parameters in the VMs' settings.
+    pub(crate) fn figures(&self) -> String {
+        let Allowance {
+            ratio,
+            slack,
+            window,
+        } = self.allowance;
+        let window = window.as_millis();
+        format!(
+            "grace=6s,hold-max=10000ms,budget-ratio={ratio},budget-window={window}ms,retry-slack={slack}"
+        )
+    }
+
     /// Returns whether all steps are planned work.
     pub fn is_planned(&self) -> bool {
         self.steps.iter().all(|step| step.fault.is_planned())
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -3,6 +3,7 @@
 //! A run starts the cluster and waits until everything is served. It then executes the steps of the plan while callers
 //! send requests, and measures how long recovery takes after the last step.
 
+mod budget;
 mod faults;
 mod notices;
 mod partitions;
@@ -107,7 +108,7 @@
     compio::runtime::spawn(async move { watcher.watch().await }).detach();
     for vm in 0..plan.size.vms {
         let address = run.cluster.borrow().vms[vm].listen.callers;
-        run.callers.start(vm, address, seed);
+        run.callers.start(vm, address, seed, plan.pause);
     }
     let steps = plan.steps.iter().map(|step| run.clone().run_step(*step));
     let steps: Vec<_> = steps.map(compio::runtime::spawn).collect();
@@ -187,6 +188,7 @@
         self.note_restriction_violations(&mut observations);
         self.note_notices(&mut observations);
         self.note_partitions(&mut observations);
+        self.note_budget(plan, &mut observations);
         for id in self.cluster.borrow().executions() {
             *observations.executions.entry(id).or_default() += 1;
         }
--- a/tools/soak/src/run/faults.rs
+++ b/tools/soak/src/run/faults.rs
@@ -5,12 +5,12 @@
 
 use std::time::Duration;
 
-use bramleypier_platform_standin::store;
+use bramleypier_platform_standin::{server, store};
 use rustix::process::Signal;
 
 use super::{Disturbance, POLL_INTERVAL, Run};
 use crate::{
-    fleet::TargetSlot,
+    fleet::{Replaced, TargetSlot},
     plan::{Fault, Step},
     proxy::Mode,
 };
@@ -84,6 +84,17 @@
                 self.clock.sleep(step.duration).await;
                 server.set_fault(None);
             }
+            Fault::TargetRefuses(target) => self.refuse_all(target, to).await,
+            Fault::TargetDown(target) => {
+                self.cluster.borrow().slots[target].server.crash();
+                self.clock.sleep(step.duration).await;
+                self.replace(target, Duration::ZERO).await;
+            }
+            Fault::Quiet(vms) => {
+                self.callers.set_quiet(vms);
+                self.clock.sleep(step.duration).await;
+                self.callers.end_quiet(vms);
+            }
             Fault::TargetEnds(target) => self.replace(target, Duration::ZERO).await,
             Fault::TargetLeaves(target) => self.replace(target, DRAIN_TIME).await,
             Fault::TargetSaysLeaving(target) => self.leave_unannounced(target, step.duration).await,
@@ -93,6 +104,17 @@
         }
     }
 
+    /// Makes the target of a slot refuse all requests for some time, and its replacements too.
+    async fn refuse_all(&self, target: usize, to: Duration) {
+        while self.clock.now() < to {
+            let server = self.cluster.borrow().slots[target].server.clone();
+            server.set_fault(Some(server::Fault::Refuse));
+            self.clock.sleep(POLL_INTERVAL).await;
+        }
+        let server = self.cluster.borrow().slots[target].server.clone();
+        server.set_fault(None);
+    }
+
     /// Lets the store be away for some time, and come back from a copy that was made before.
     async fn come_back_older(&self, age: Duration, away: Duration) {
         let store = self.cluster.borrow().store.clone();
@@ -146,19 +168,21 @@
     /// Replaces a target. The old one keeps running for `drain` after it has announced that it is draining, or ends at
     /// once if `drain` is zero.
     pub(super) async fn replace(&self, target: usize, drain: Duration) {
-        let (service, zone, number, partition) = {
+        let (service, zone, number, partition, direct) = {
             let mut cluster = self.cluster.borrow_mut();
             let number = cluster.next_target();
             let slot = &cluster.slots[target];
-            (slot.service, slot.zone, number, cluster.partition.clone())
+            let partition = cluster.partition.clone();
+            (slot.service, slot.zone, number, partition, slot.direct)
         };
-        let Ok(mut slot) = TargetSlot::start(service, zone, number, partition).await else {
+        let started = TargetSlot::start(service, zone, number, partition, direct).await;
+        let Ok(mut slot) = started else {
             return;
         };
         let index = self.swap_slot(target, &mut slot, drain);
         self.clock.sleep(drain.max(RESTART_DELAY)).await;
         let cluster = self.cluster.borrow();
-        cluster.replaced[index].stop();
+        cluster.replaced[index].server.stop();
         cluster.store.remove(&slot.key());
     }
 
@@ -173,7 +197,10 @@
         } else {
             cluster.store.put(&slot.key(), &slot.entry("draining"));
         }
-        cluster.replaced.push(slot.server.clone());
+        cluster.replaced.push(Replaced {
+            service: slot.service,
+            server: slot.server.clone(),
+        });
         cluster.replaced.len() - 1
     }
 }
--- a/tools/soak/src/run/watch.rs
+++ b/tools/soak/src/run/watch.rs
@@ -47,7 +47,7 @@
         let old_owners = cluster
             .replaced
             .iter()
-            .filter(|server| server.holds(key))
+            .filter(|it| it.server.holds(key))
             .count();
         if cluster.owners(key) + old_owners < 2 {
             since.shift_remove(&key);
--- a/tools/soak/tests/check.rs
+++ b/tools/soak/tests/check.rs
@@ -10,6 +10,7 @@
     RequestRecord {
         id: id.to_owned(),
         once,
+        service: "plain",
         vm: 0,
         sent: Duration::ZERO,
         ended: None,
