--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -195,9 +195,10 @@
         observations
     }
 
-    /// Writes the log of each VM to a file of its own.
+    /// Writes the log of each VM to a file of its own, and what reached the targets to another.
     fn write_logs(&self, folder: &Path) -> io::Result<()> {
         fs::create_dir_all(folder)?;
+        fs::write(folder.join("targets.log"), self.target_log())?;
         for vm in &self.cluster.borrow().vms {
             let mut logs = vm.logs.clone();
             if let Some(program) = &vm.program {
--- a/tools/soak/src/run/budget.rs
+++ b/tools/soak/src/run/budget.rs
@@ -32,6 +32,26 @@
         }
     }
 
+    /// Returns a line for each request that reached a target.
+    pub(super) fn target_log(&self) -> String {
+        let cluster = self.cluster.borrow();
+        let receipts = cluster.servers().into_iter().flat_map(|(_, server)| {
+            let receipts = server.receipts().into_iter();
+            receipts.map(|it| (it.at, server.id.clone(), it))
+        });
+        let mut receipts: Vec<_> = receipts.collect();
+        receipts.sort_by_key(|(at, ..)| *at);
+        let lines = receipts.into_iter().map(|(at, target, it)| {
+            format!(
+                "at_ms={} target={target} id={} ran={}\n",
+                at.as_millis(),
+                it.id,
+                it.ran
+            )
+        });
+        lines.collect()
+    }
+
     /// Returns the traffic of each service.
     fn traffic(&self, observations: &Observations) -> IndexMap<&'static str, Traffic> {
         let mut found: IndexMap<&'static str, Traffic> = IndexMap::new();
