--- a/engine/tests/retry_budget.rs
+++ b/engine/tests/retry_budget.rs
@@ -218,6 +218,19 @@
 
 /// Simulates a run in which processes restart at `starts`, and VMs receive at `lists` which VMs are listed.
 fn simulate(starts: &[(u64, Range<usize>)], lists: &[(u64, Range<usize>)]) -> Outcome {
+    simulate_callers(starts, lists, REQUEST_INTERVAL_MS, |_, _| true)
+}
+
+/// Simulates such a run; `sends` tells at a time whether the callers of a VM send requests, at this interval.
+fn simulate_callers<F>(
+    starts: &[(u64, Range<usize>)],
+    lists: &[(u64, Range<usize>)],
+    interval: u64,
+    sends: F,
+) -> Outcome
+where
+    F: Fn(u64, usize) -> bool,
+{
     let mut vms: Vec<Process> = (0..VMS).map(|it| Process::start(0, it)).collect();
     let mut outcome = Outcome::default();
     let mut ticket = 0;
@@ -232,9 +245,9 @@
                 vm.dispatcher.handle(ms(now), view(listed.clone()));
             }
         }
-        for vm in &mut vms {
+        for (number, vm) in vms.iter_mut().enumerate() {
             vm.step(now, &mut outcome);
-            if now % REQUEST_INTERVAL_MS == 0 {
+            if now % interval == 0 && sends(now, number) {
                 ticket += 1;
                 vm.submit(now, ticket, &mut outcome);
             }
@@ -286,3 +299,21 @@
     }
     outcome.assert_within_budget();
 }
+
+/// Guards against allowing retries for the same callers first at the VMs that they leave, then at those they go to.
+#[test]
+fn callers_that_move_to_other_vms_allow_no_more_retries() {
+    for moved_at in (FAILURE_START_MS..FAILURE_START_MS + 8000).step_by(1000) {
+        let sends = |now, number| (now < moved_at) == (number % 2 == 0);
+        simulate_callers(&[], &[], 25, sends).assert_within_budget();
+    }
+}
+
+/// Guards against saving what requests have earned until a window in which hardly any come.
+#[test]
+fn requests_in_pulses_allow_no_more_retries() {
+    for period in (2000..20_000).step_by(1500) {
+        let sends = |now, _| now % period < period / 4;
+        simulate_callers(&[], &[], 25, sends).assert_within_budget();
+    }
+}
