BUDGET: a request counts once, however often nothing of it could be sent

An attempt of which nothing was sent was followed by another one that counted the caller's request again, up to five times. An attempt now says what it means for the budget: the request, nothing, or a retry.

--- a/engine/src/caller/attempts.rs
+++ b/engine/src/caller/attempts.rs
@@ -16,7 +16,7 @@
 use crate::{
     catalogue::{Kind, TargetId},
     owner::record::Fence,
-    placement::dispatch::{DispatchRequest, MIN_RETRY_AFTER},
+    placement::dispatch::{Charge, DispatchRequest, MIN_RETRY_AFTER},
     quarantine::Fingerprint,
     target::{Notice, Refusal},
 };
@@ -107,6 +107,17 @@
 }
 
 impl History {
+    /// Returns what the next attempt means for the retry budget.
+    fn charge(&self) -> Charge {
+        if self.arrivals > 0 {
+            Charge::Retry
+        } else if self.unsent > 0 {
+            Charge::Nothing
+        } else {
+            Charge::Request
+        }
+    }
+
     /// Ends a request that gets no further attempt.
     fn give_up(&mut self, local: LocalResponse) -> Step {
         if let Some(response) = self.failed.take() {
@@ -130,7 +141,7 @@
     if let Some(step) = refuse_quarantined(context, routed, history, outgoing.fingerprint) {
         return step;
     }
-    let retrying = history.arrivals > 0;
+    let charge = history.charge();
     let request = DispatchRequest {
         ticket: 0,
         service: routed.service.clone(),
@@ -147,7 +158,7 @@
         },
         misdirected: history.misdirected.clone(),
         large: routed.route.kind == Kind::Download,
-        is_retry: retrying,
+        charge,
     };
     let permit = match context.dispatcher.acquire(request).await {
         Ok(permit) => permit,
@@ -204,7 +215,7 @@
     }
     if !matches!(result, AttemptResult::Unsent(_)) {
         history.arrivals += 1;
-        if retrying {
+        if charge == Charge::Retry {
             context
                 .report
                 .count("repeats", &[("service", &routed.service)]);
--- a/engine/src/placement/dispatch/mod.rs
+++ b/engine/src/placement/dispatch/mod.rs
@@ -27,8 +27,8 @@
 use self::admission::{Decision, QueueKey, QueueState, QuotaKind};
 pub use self::choose::MIN_RETRY_AFTER;
 pub use super::message::{
-    Basis, Completion, CompletionKind, DispatchRequest, Effect, Event, FleetView, LeavingOwner,
-    RefusalReason, Snapshot, SyncUpdate, Ticket,
+    Basis, Charge, Completion, CompletionKind, DispatchRequest, Effect, Event, FleetView,
+    LeavingOwner, RefusalReason, Snapshot, SyncUpdate, Ticket,
 };
 use super::{
     budget::{Balance, RetryAllowance, RetryBudget},
@@ -268,7 +268,7 @@
 
     /// Decides for a new request, and queues it if need be.
     fn submit(&mut self, now: Duration, request: DispatchRequest, effects: &mut Vec<Effect>) {
-        if !request.is_retry {
+        if request.charge == Charge::Request {
             let retry_allowance = self.retry_allowance;
             self.budget(now, &request.service)
                 .count(now, retry_allowance);
@@ -341,7 +341,7 @@
                 true
             }
             Decision::Send(mut basis, quota) => {
-                if it.request.is_retry && !it.charged {
+                if it.request.charge == Charge::Retry && !it.charged {
                     let budget = self.charge_retry(now, &it.request.service);
                     basis.budget = Some(budget);
                     if !budget.allows_retry() {
--- a/engine/src/placement/message.rs
+++ b/engine/src/placement/message.rs
@@ -49,8 +49,19 @@
     pub misdirected: Vec<(TargetId, Fence)>,
     /// Whether a large response is expected.
     pub large: bool,
-    /// Whether this is a retry, which is charged to the retry budget.
-    pub is_retry: bool,
+    /// What it means for the retry budget.
+    pub charge: Charge,
+}
+
+/// What an attempt of a caller's request means for the retry budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Charge {
+    /// It is the first one, so the request is counted.
+    Request,
+    /// It follows attempts that sent nothing to any target; the request has been counted.
+    Nothing,
+    /// An earlier attempt may have reached a target, so this one is a retry.
+    Retry,
 }
 
 impl DispatchRequest {
--- a/engine/tests/dispatch.rs
+++ b/engine/tests/dispatch.rs
@@ -6,7 +6,7 @@
 
 use bramleypier_engine::{
     catalogue,
-    placement::dispatch::{CompletionKind, Effect, Event, RefusalReason},
+    placement::dispatch::{Charge, CompletionKind, Effect, Event, RefusalReason},
 };
 use proptest::prelude::*;
 
@@ -268,7 +268,7 @@
     for ticket in 0..40 {
         let now = ALLOWANCE.window + ms(ticket);
         let mut request = ask(ticket, now);
-        request.is_retry = true;
+        request.charge = Charge::Retry;
         let effects = dispatcher.handle(now, Event::Request(request));
         for (_, id) in sent(&effects) {
             retried += 1;
@@ -303,7 +303,7 @@
     let mut delays = Vec::new();
     for ticket in 0..40 {
         let mut request = keyed(ticket, now);
-        request.is_retry = true;
+        request.charge = Charge::Retry;
         for effect in dispatcher.handle(now, Event::Request(request)) {
             match effect {
                 Effect::Send { .. } => {
--- a/engine/tests/dispatch_fixture/mod.rs
+++ b/engine/tests/dispatch_fixture/mod.rs
@@ -12,8 +12,8 @@
     placement::{
         budget::RetryAllowance,
         dispatch::{
-            Completion, CompletionKind, DispatchRequest, Dispatcher, Effect, Event, FleetView,
-            RefusalReason, SyncUpdate,
+            Charge, Completion, CompletionKind, DispatchRequest, Dispatcher, Effect, Event,
+            FleetView, RefusalReason, SyncUpdate,
         },
         quota::Quota,
     },
@@ -119,7 +119,7 @@
         tried: Vec::new(),
         misdirected: Vec::new(),
         large: false,
-        is_retry: false,
+        charge: Charge::Request,
     }
 }
 
--- a/engine/tests/dispatch_owners.rs
+++ b/engine/tests/dispatch_owners.rs
@@ -4,7 +4,9 @@
 
 use bramleypier_engine::{
     owner::record::Record,
-    placement::dispatch::{CompletionKind, DispatchRequest, Dispatcher, Event, RefusalReason},
+    placement::dispatch::{
+        Charge, CompletionKind, DispatchRequest, Dispatcher, Event, RefusalReason,
+    },
 };
 
 use crate::dispatch_fixture::{
@@ -132,7 +134,7 @@
     dispatcher.handle(ms(4), completion_with_key(CompletionKind::Misdirected));
     let retry = DispatchRequest {
         misdirected: vec![("t0".to_owned(), 5)],
-        is_retry: true,
+        charge: Charge::Retry,
         ..keyed(1, ms(0))
     };
     assert!(
--- a/engine/tests/hot_key.rs
+++ b/engine/tests/hot_key.rs
@@ -12,8 +12,8 @@
     placement::{
         budget::RetryAllowance,
         dispatch::{
-            Completion, CompletionKind, DispatchRequest, Dispatcher, Effect, Event, FleetView,
-            SyncUpdate, Ticket,
+            Charge, Completion, CompletionKind, DispatchRequest, Dispatcher, Effect, Event,
+            FleetView, SyncUpdate, Ticket,
         },
     },
 };
@@ -214,7 +214,7 @@
             tried: Vec::new(),
             misdirected: Vec::new(),
             large: false,
-            is_retry: false,
+            charge: Charge::Request,
         };
         let vm = catalogue::hash(&ticket.to_string()) as usize % self.scenario.vms;
         self.handle(now, vm, Event::Request(request));
--- a/engine/tests/misdirected.rs
+++ b/engine/tests/misdirected.rs
@@ -13,8 +13,8 @@
     placement::{
         budget::RetryAllowance,
         dispatch::{
-            Completion, CompletionKind, DispatchRequest, Dispatcher, Effect, Event, FleetView,
-            Ticket,
+            Charge, Completion, CompletionKind, DispatchRequest, Dispatcher, Effect, Event,
+            FleetView, Ticket,
         },
     },
 };
@@ -141,7 +141,7 @@
             tried: Vec::new(),
             misdirected: Vec::new(),
             large: false,
-            is_retry: false,
+            charge: Charge::Request,
         };
         let request = Request {
             dispatch_request: dispatch_request.clone(),
@@ -249,7 +249,7 @@
             .dispatch_request
             .misdirected
             .clone_from(&request.attempts);
-        request.dispatch_request.is_retry = true;
+        request.dispatch_request.charge = Charge::Retry;
         let dispatch_request = request.dispatch_request.clone();
         self.handle(now, Event::Request(dispatch_request), outcome);
     }
--- a/engine/tests/queue_simulation/mod.rs
+++ b/engine/tests/queue_simulation/mod.rs
@@ -13,8 +13,8 @@
     placement::{
         budget::RetryAllowance,
         dispatch::{
-            Completion, CompletionKind, DispatchRequest, Dispatcher, Effect, Event, FleetView,
-            SyncUpdate,
+            Charge, Completion, CompletionKind, DispatchRequest, Dispatcher, Effect, Event,
+            FleetView, SyncUpdate,
         },
         warmup::BurstAllowance,
     },
@@ -281,7 +281,7 @@
             tried: Vec::new(),
             misdirected: Vec::new(),
             large: false,
-            is_retry: false,
+            charge: Charge::Request,
         };
         self.handle(at, vm, Event::Request(request));
     }
--- a/engine/tests/rate_simulation/mod.rs
+++ b/engine/tests/rate_simulation/mod.rs
@@ -12,8 +12,8 @@
     placement::{
         budget::RetryAllowance,
         dispatch::{
-            Completion, CompletionKind, DispatchRequest, Dispatcher, Effect, Event, FleetView,
-            SyncUpdate, Ticket,
+            Charge, Completion, CompletionKind, DispatchRequest, Dispatcher, Effect, Event,
+            FleetView, SyncUpdate, Ticket,
         },
         warmup::BurstAllowance,
     },
@@ -114,7 +114,7 @@
         tried: Vec::new(),
         misdirected: Vec::new(),
         large: false,
-        is_retry: false,
+        charge: Charge::Request,
     }
 }
 
--- a/engine/tests/retry_budget.rs
+++ b/engine/tests/retry_budget.rs
@@ -7,7 +7,8 @@
     placement::{
         budget::{RetryAllowance, RetryBudget},
         dispatch::{
-            Completion, CompletionKind, DispatchRequest, Dispatcher, Effect, Event, FleetView,
+            Charge, Completion, CompletionKind, DispatchRequest, Dispatcher, Effect, Event,
+            FleetView,
         },
     },
 };
@@ -47,6 +48,17 @@
     }
 }
 
+/// The end of a request that was sent at a time.
+fn completion(kind: CompletionKind, sent: u64) -> Completion {
+    Completion {
+        kind,
+        sent_at: ms(sent),
+        depth: 0.0,
+        load: None,
+        ownership: None,
+    }
+}
+
 /// A fleet view that lists these VMs.
 fn view(listed: Range<usize>) -> Event {
     Event::View(Rc::new(FleetView {
@@ -101,13 +113,7 @@
         } else {
             CompletionKind::Answered(ms(SERVICE_TIME_MS))
         };
-        let result = Completion {
-            kind: completion_kind,
-            sent_at: ms(it.sent),
-            depth: 0.0,
-            load: None,
-            ownership: None,
-        };
+        let result = completion(completion_kind, it.sent);
         let target = it.target.clone();
         self.handle(
             now,
@@ -118,10 +124,10 @@
             None,
             outcome,
         );
-        if is_refused && !it.request.is_retry {
+        if is_refused && it.request.charge == Charge::Request {
             let retry = DispatchRequest {
                 tried: vec![it.target],
-                is_retry: true,
+                charge: Charge::Retry,
                 ..it.request
             };
             self.handle(now, Event::Request(retry.clone()), Some(&retry), outcome);
@@ -140,7 +146,7 @@
             tried: Vec::new(),
             misdirected: Vec::new(),
             large: false,
-            is_retry: false,
+            charge: Charge::Request,
         };
         outcome.requested_at.push(now);
         self.handle(
@@ -163,7 +169,7 @@
                 continue;
             };
             let request = request.expect("targets have free slots, so no request is queued");
-            if request.is_retry {
+            if request.charge == Charge::Retry {
                 outcome.retried_at.push(now);
             }
             let duration = if now >= FAILURE_START_MS {
@@ -317,3 +323,31 @@
         simulate_callers(&[], &[], 25, sends).assert_within_budget();
     }
 }
+
+/// Guards against counting a request again whenever nothing of it could be sent.
+#[test]
+fn requests_that_could_not_be_sent_allow_no_more_retries() {
+    let mut process = Process::start(0, 0);
+    let mut outcome = Outcome::default();
+    let now = FAILURE_START_MS;
+    for ticket in 0..400 {
+        process.submit(now, ticket, &mut outcome);
+        for _ in 0..4 {
+            let unsent = process.in_flight.pop_back().unwrap();
+            let target = unsent.target.clone();
+            let completion = completion(CompletionKind::Abandoned(Duration::ZERO), now);
+            let event = Event::Completed { target, completion };
+            process.handle(now, event, None, &mut outcome);
+            let again = DispatchRequest {
+                charge: Charge::Nothing,
+                ..unsent.request
+            };
+            let event = Event::Request(again.clone());
+            process.handle(now, event, Some(&again), &mut outcome);
+        }
+        let refused = process.in_flight.pop_back().unwrap();
+        process.complete(now, refused, &mut outcome);
+        process.in_flight.clear();
+    }
+    outcome.assert_within_budget();
+}
