BUDGET: VMs that the store doesn't hear share the slack

What targets saw: with seven of ten real VMs cut off from the store for longer than a lease and a window, 113 retries in 10 s of 99 allowed, and 143 of 138. Cause: the slack was divided among the VMs listed within the last window. The entries of VMs that the store doesn't hear end with their leases after 11 s; 10 s later the three others divided by three, while the seven went on with a tenth or, told by the manager, with a third as well. Why it holds: a VM counts for five minutes after the store listed it or the manager heard it, and a VM that has exchanged messages with no manager for almost as long uses no slack, so a part isn't given to others while its owner may use it. A process that starts meanwhile is told the manager's count, in a field of the news that earlier builds ignore; from them it gets 0 and counts itself.

--- a/engine/src/fleet/entry.rs
+++ b/engine/src/fleet/entry.rs
@@ -92,6 +92,32 @@
 }
 
 impl Vm {
+    /// Returns the value that identifies a start of a VM's process.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_engine::fleet::Vm;
+    ///
+    /// assert_eq!(Vm::start_id("vm-1", 255), "vm-1/00000000000000ff");
+    /// ```
+    pub fn start_id(name: &str, random: u64) -> String {
+        format!("{name}/{random:016x}")
+    }
+
+    /// Returns the name of the VM whose process a value identifies.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_engine::fleet::Vm;
+    ///
+    /// assert_eq!(Vm::name_of_start(&Vm::start_id("vm-1", 7)), "vm-1");
+    /// ```
+    pub fn name_of_start(start: &str) -> &str {
+        start.rsplit_once('/').map_or(start, |(name, _)| name)
+    }
+
     /// Encodes the entry for the store.
     ///
     /// # Example
--- a/engine/src/peer/fleet_load.rs
+++ b/engine/src/peer/fleet_load.rs
@@ -128,6 +128,23 @@
         self.reports.insert(start.to_owned(), report);
     }
 
+    /// Returns the processes of VMs whose reports count now.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier_engine::peer::FleetLoad;
+    ///
+    /// let mut fleet_load = FleetLoad::default();
+    /// fleet_load.update(Duration::ZERO, "vm-1/7", Vec::new(), Vec::new(), Duration::ZERO);
+    /// assert_eq!(fleet_load.starts(Duration::ZERO), ["vm-1/7"]);
+    /// ```
+    pub fn starts(&self, now: Duration) -> Vec<&str> {
+        self.valid_reports(now).map(|(start, _)| start).collect()
+    }
+
     /// Merges the rate limits that targets have reported to a VM.
     ///
     /// # Example
--- a/engine/src/peer/mod.rs
+++ b/engine/src/peer/mod.rs
@@ -130,6 +130,8 @@
     pub hold_offs: Vec<HoldOffReport>,
     /// The targets that have ended under requests.
     pub crashes: Vec<CrashReport>,
+    /// Among how many VMs the slack of the retry budget is divided; 0 unless the sender is the manager.
+    pub vms_sharing: usize,
     /// The store's era, of which all revisions in the message are.
     pub era: Era,
 }
--- a/engine/src/peer/sync.rs
+++ b/engine/src/peer/sync.rs
@@ -15,7 +15,7 @@
 use super::{Envelope, FleetLoad, News, SyncRequest, SyncResponse, admin, sync_interval::Lag};
 use crate::{
     catalogue::Catalogue,
-    fleet::{LogPosition, Relay, SharedFleet, StoreKeys, Vm},
+    fleet::{LogPosition, Relay, SharedFleet, StoreKeys, Vm, VmId},
     health::Health,
     owner::{manager, tally::Tally},
     placement::{hold_offs::HoldOffReport, task},
@@ -53,6 +53,8 @@
     pub is_manager: Rc<Cell<bool>>,
     /// The in-flight and queued requests of all VMs, if this VM is the manager.
     pub fleet_load: Rc<RefCell<FleetLoad>>,
+    /// How many VMs this one knows to run or to have run recently.
+    pub vms_known: Rc<Cell<usize>>,
     /// How much later than requested this process wakes up.
     pub lag: Rc<RefCell<Lag>>,
     /// The requests under which targets have ended.
@@ -170,10 +172,28 @@
             leaving,
             hold_offs,
             crashes: self.quarantine.reports(is_first),
+            vms_sharing: if self.is_manager.get() {
+                self.vms_known.get()
+            } else {
+                0
+            },
             era: fleet.era(),
         }
     }
 
+    /// Returns the VMs that exchange messages with this one as the manager though the store doesn't list them.
+    pub(super) fn exchanging_vms(&self) -> Vec<VmId> {
+        if !self.is_manager.get() {
+            return Vec::new();
+        }
+        let fleet = self.shared_fleet.get();
+        let fleet_load = self.fleet_load.borrow();
+        let starts = fleet_load.starts(self.clock.now());
+        let names = starts.into_iter().map(Vm::name_of_start);
+        let unlisted = names.filter(|name| !fleet.vms.contains_key(*name));
+        unlisted.map(str::to_owned).collect()
+    }
+
     /// Applies what another VM knows, and logs what is new.
     pub(super) fn apply_news(&self, news: &News) {
         let now = self.clock.now();
@@ -289,6 +309,7 @@
         interval: Duration,
     ) -> Envelope<SyncRequest> {
         let state = self.dispatcher.take_snapshot().await;
+        self.vms_known.set(state.vms_known);
         let fleet = self.shared_fleet.get();
         let reads_log = fleet
             .manager
--- a/engine/src/peer/sync_task.rs
+++ b/engine/src/peer/sync_task.rs
@@ -6,7 +6,6 @@
 use crate::{
     fleet::{Fleet, LogPosition, Vm},
     placement::dispatch,
-    store::Era,
 };
 
 /// The minimum time for which a VM relies on the manager after a valid response.
@@ -41,17 +40,17 @@
             Some(vm) if vm.start == context.vm.start => {
                 // The manager follows the store itself.
                 context.manager_health.record_outcome(false);
-                Some(context.handle_sync(request).message)
+                Some(context.handle_sync(request))
             }
             Some(vm) => {
                 let sent = context.clock.now();
                 let response = exchange(&context, &vm, &request, &mut position).await;
-                if let Some((response, era)) = &response
-                    && context.accept_response(response, *era, &vm, interval)
+                if let Some(Envelope { message, news }) = &response
+                    && context.accept_response(message, news.era, &vm, interval)
                 {
                     valid_at = sent;
                 }
-                response.map(|(response, _)| response)
+                response
             }
             None => None,
         };
@@ -66,20 +65,22 @@
             lag = if context.is_manager.get() {
                 Duration::ZERO
             } else {
-                response.lag
+                response.message.lag
             };
         }
         let vms = context.shared_fleet.get().vms.len();
         interval = sync_interval::next_interval(busy, vms, lag);
-        if let Some(response) = response {
-            let quotas = response.quotas.into_iter();
+        if let Some(Envelope { message, news }) = response {
+            let quotas = message.quotas.into_iter();
             context
                 .dispatcher
                 .send(dispatch::Event::Sync(dispatch::SyncUpdate {
-                    others: response.in_flight_elsewhere.into_iter().collect(),
+                    others: message.in_flight_elsewhere.into_iter().collect(),
                     quotas: quotas.map(|quota| (quota.target, quota)).collect(),
-                    rates: response.rates,
+                    rates: message.rates,
                     sync_interval: interval,
+                    exchanging: context.exchanging_vms(),
+                    vms_sharing: news.vms_sharing,
                 }));
         }
         if context.clock.now() > valid_at + MIN_RELIANCE.max(interval * RELIANCE_INTERVALS) {
@@ -135,13 +136,13 @@
     }
 }
 
-/// Sends a sync request and applies the relay in the response, which is returned with its era; `None` after a failure.
+/// Sends a sync request and applies the relay in the response, which is returned; `None` after a failure.
 async fn exchange(
     context: &Context,
     vm: &Vm,
     request: &Envelope<SyncRequest>,
     position: &mut LogPosition,
-) -> Option<(SyncResponse, Era)> {
+) -> Option<Envelope<SyncResponse>> {
     let sent = context.clock.now();
     let envelope = match super::sync(&context.client, vm.address, request).await {
         Ok(envelope) => envelope,
@@ -169,5 +170,8 @@
             *position = relay.position().clone();
         }
     }
-    Some((response, news.era))
+    Some(Envelope {
+        message: response,
+        news,
+    })
 }
--- a/engine/src/placement/dispatch/mod.rs
+++ b/engine/src/placement/dispatch/mod.rs
@@ -36,7 +36,7 @@
     rates::Rates,
     refused_keys::RefusedKeys,
     target_state::TargetState,
-    vm_count::PeakVmCount,
+    vm_count::VmCount,
     warmup::BurstAllowance,
 };
 use crate::{
@@ -74,7 +74,7 @@
     target_states: IndexMap<TargetId, TargetState>,
     budgets: IndexMap<ServiceId, RetryBudget>,
     /// The number of VMs that share the retry budgets.
-    vm_count: PeakVmCount,
+    vm_count: VmCount,
     queue: Vec<Queued>,
     /// The median service time of each service's targets, in seconds, where any was measured.
     median_times: IndexMap<ServiceId, f64>,
@@ -120,7 +120,7 @@
             view: Rc::default(),
             target_states: IndexMap::new(),
             budgets: IndexMap::new(),
-            vm_count: PeakVmCount::new(retry_allowance.window),
+            vm_count: VmCount::default(),
             queue: Vec::new(),
             median_times: IndexMap::new(),
             medians_due: Duration::ZERO,
@@ -188,6 +188,8 @@
                     let quota = sync.quotas.get(&hash).cloned();
                     state.apply_sync(now, others, quota, sync.sync_interval);
                 }
+                self.vm_count
+                    .record_exchange(now, &sync.exchanging, sync.vms_sharing);
                 self.merge_rates(now, &sync.rates);
                 self.mark_demoted(&sync);
                 self.process_queue(now, &mut effects);
@@ -224,6 +226,7 @@
             queues: self.queues(now),
             rates: self.rates.reports(now),
             hold_offs: self.hold_offs.reports(now),
+            vms_known: self.vm_count.known(now),
             ..Snapshot::default()
         };
         for state in self.target_states.values_mut() {
@@ -383,8 +386,8 @@
 
     /// Charges a retry to the budget of a service, if this VM's part of it allows that.
     fn charge_retry(&mut self, now: Duration, service: &str) -> Balance {
-        let vms = self.vm_count.peak(now);
         let retry_allowance = self.retry_allowance;
+        let vms = self.vm_count.sharing(now, retry_allowance.window);
         self.budget(now, service).spend(now, retry_allowance, vms)
     }
 
--- a/engine/src/placement/dispatch/view.rs
+++ b/engine/src/placement/dispatch/view.rs
@@ -41,7 +41,9 @@
             target_states.insert(owner.target.id.clone(), state);
         }
         self.target_states = target_states;
-        self.vm_count.record(now, view.vms.len());
+        if self.view.vms != view.vms {
+            self.vm_count.record_listed(now, &view.vms);
+        }
         self.view = view;
         let records = &self.view.records;
         let find = |service: &str, key| records.get(service)?.find(key);
--- a/engine/src/placement/message.rs
+++ b/engine/src/placement/message.rs
@@ -114,6 +114,10 @@
     pub sync_interval: Duration,
     /// The rate limits that targets have reported to any VM.
     pub rates: Vec<RateReport>,
+    /// VMs that run though the store may not list them; only the manager knows them.
+    pub exchanging: Vec<VmId>,
+    /// Among how many VMs the manager divides the slack of the retry budget; 0 if it doesn't say.
+    pub vms_sharing: usize,
 }
 
 /// The load and rate limits that this VM reports to the manager for the other VMs.
@@ -129,6 +133,8 @@
     pub rates: Vec<RateReport>,
     /// The targets that want no requests from this VM.
     pub hold_offs: Vec<HoldOffReport>,
+    /// How many VMs this one knows to run or to have run recently.
+    pub vms_known: usize,
 }
 
 /// A target that says that it leaves, and may still own keys.
--- a/engine/src/process/mod.rs
+++ b/engine/src/process/mod.rs
@@ -136,7 +136,7 @@
     fn new(settings: Settings, clock: Clock, adapter: Adapter, report: Report) -> Self {
         let vm = Vm {
             name: settings.name.clone(),
-            start: format!("{}/{:016x}", settings.name, rand::random::<u64>()),
+            start: Vm::start_id(&settings.name, rand::random()),
             address: settings.peers,
             domain: settings.domain.clone(),
             capacity_millicores: settings.capacity_millicores,
@@ -323,6 +323,7 @@
             manager_health: self.manager_health.clone(),
             is_manager: self.is_manager.clone(),
             fleet_load: Rc::default(),
+            vms_known: Rc::default(),
             lag: Rc::default(),
             quarantine: self.quarantine.clone(),
             tally: self.tally.clone(),
--- a/engine/tests/leaving.rs
+++ b/engine/tests/leaving.rs
@@ -151,6 +151,7 @@
     };
     let news = News {
         leaving: vec!["t0".to_owned()],
+        vms_sharing: 10,
         ..News::default()
     };
     let envelope = Envelope {
--- a/engine/tests/rate_simulation/mod.rs
+++ b/engine/tests/rate_simulation/mod.rs
@@ -280,6 +280,7 @@
             quotas: quotas.map(|it| (it.target, it)).collect(),
             rates: fleet_load.rates(at),
             sync_interval: interval,
+            ..SyncUpdate::default()
         };
         self.handle(now, vm, Event::Sync(update));
     }
--- a/engine/tests/retry_budget.rs
+++ b/engine/tests/retry_budget.rs
@@ -8,7 +8,7 @@
         budget::{RetryAllowance, RetryBudget},
         dispatch::{
             Charge, Completion, CompletionKind, DispatchRequest, Dispatcher, Effect, Event,
-            FleetView,
+            FleetView, SyncUpdate,
         },
     },
 };
@@ -351,3 +351,64 @@
     }
     outcome.assert_within_budget();
 }
+
+/// Guards against dividing the slack among the VMs that the store hears, while the others go on serving.
+#[test]
+fn vms_that_the_store_does_not_hear_share_the_slack() {
+    for listed in [0, 1, 3, 5] {
+        let lists = [(5000, 0..listed)];
+        simulate_callers(&[], &lists, 1000, |_, _| true).assert_within_budget();
+    }
+}
+
+/// Sends retries with one VM's dispatcher after an exchange with the manager; returns how many were allowed.
+fn count_retries(now: Duration, exchanged_at: Duration, sync: SyncUpdate) -> usize {
+    let mut dispatcher = Dispatcher::new("d1", ALLOWANCE, 1);
+    dispatcher.handle(Duration::ZERO, view(0..2));
+    dispatcher.handle(exchanged_at, Event::Sync(sync));
+    let retry = |ticket| DispatchRequest {
+        ticket,
+        service: "s".to_owned(),
+        key: None,
+        priority: 1,
+        received_at: now,
+        goal: now + ms(600),
+        deadline: now + ms(1500),
+        tried: Vec::new(),
+        misdirected: Vec::new(),
+        large: false,
+        charge: Charge::Retry,
+    };
+    let effects = (0..60).flat_map(|ticket| dispatcher.handle(now, Event::Request(retry(ticket))));
+    let sent = effects.filter(|it| matches!(it, Effect::Send { .. }));
+    sent.count()
+}
+
+/// A process that starts while the store doesn't hear some VMs learns of them from the manager.
+#[test]
+fn vms_that_only_the_manager_knows_share_the_slack() {
+    let now = Duration::from_secs(20);
+    let told = |vms_sharing| SyncUpdate {
+        vms_sharing,
+        ..SyncUpdate::default()
+    };
+    let exchanging = SyncUpdate {
+        exchanging: vec!["vm-8".to_owned(), "vm-9".to_owned()],
+        ..SyncUpdate::default()
+    };
+    assert_eq!(count_retries(now, now, told(0)), 24);
+    assert_eq!(count_retries(now, now, told(10)), 4);
+    assert_eq!(count_retries(now, now, exchanging), 12);
+}
+
+/// A VM that no manager has heard for minutes may not be counted by the others any more.
+#[test]
+fn a_vm_that_is_cut_off_for_minutes_uses_no_slack() {
+    let exchanged_at = Duration::from_secs(20);
+    let retries = |minutes| {
+        let now = exchanged_at + Duration::from_mins(minutes);
+        count_retries(now, exchanged_at, SyncUpdate::default())
+    };
+    assert_eq!(retries(4), 24);
+    assert_eq!(retries(5), 0);
+}
