--- a/program/tests/soak.rs
+++ b/program/tests/soak.rs
@@ -93,3 +93,13 @@
         );
     }
 }
+
+#[test]
+fn vms_that_use_up_the_retry_budget_violate_no_guarantee() {
+    let size = Size {
+        vms: 10,
+        seconds: 12,
+    };
+    let plan = Plan::generate_with_exhausted_budgets(1, size);
+    assert_eq!(run_plan(&plan, 1), []);
+}
