--- a/engine/src/caller/attempt.rs
+++ b/engine/src/caller/attempt.rs
@@ -10,8 +10,8 @@
 };
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming};
 
-use super::body;
 use crate::{
+    body,
     catalogue::TargetId,
     fleet::{SharedFleet, Vm, VmId},
     placement::{dispatch::CompletionKind, task::Permit},
--- a/engine/src/caller/mod.rs
+++ b/engine/src/caller/mod.rs
@@ -7,7 +7,6 @@
 
 pub mod attempt;
 mod attempts;
-pub(crate) mod body;
 pub mod failure;
 pub mod forward;
 mod local_response;
--- a/engine/src/caller/payload.rs
+++ b/engine/src/caller/payload.rs
@@ -11,12 +11,14 @@
 
 use super::{
     attempt::OutgoingRequest,
-    body::{self, ReadBody, Streamed},
     failure::Failure,
     forward::{Context, RoutedRequest},
     local_response::LocalResponse,
 };
-use crate::quarantine::Fingerprint;
+use crate::{
+    body::{self, ReadBody, Streamed},
+    quarantine::Fingerprint,
+};
 
 /// The largest request body that is read whole; only such a request can be sent more than once.
 const MAX_BUFFERED_REQUEST_BYTES: usize = 256 * 1024;
--- a/engine/src/caller/serve.rs
+++ b/engine/src/caller/serve.rs
@@ -1,6 +1,6 @@
 //! Serves callers' connections and the load balancer's readiness checks.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::time::Duration;
 
 use bramleypier_util::{
     body::Body,
@@ -10,37 +10,7 @@
 use hyper::{Response, StatusCode, header};
 
 use super::forward::{self, Context};
-use crate::catalogue::CallerLimits;
-
-/// Whether the process accepts callers or is draining; clones share it.
-#[derive(Clone, Debug, Default)]
-pub struct ServingState {
-    ready: Rc<Cell<bool>>,
-    draining: Rc<Cell<bool>>,
-}
-
-impl ServingState {
-    /// Sets whether the readiness check succeeds.
-    pub fn set_ready(&self, ready: bool) {
-        self.ready.set(ready);
-    }
-
-    /// Returns whether the readiness check succeeds.
-    pub fn is_ready(&self) -> bool {
-        self.ready.get()
-    }
-
-    /// Returns whether the process is draining.
-    pub fn is_draining(&self) -> bool {
-        self.draining.get()
-    }
-
-    /// Starts draining: the readiness check fails, and each response closes its connection.
-    pub fn drain(&self) {
-        self.ready.set(false);
-        self.draining.set(true);
-    }
-}
+use crate::{catalogue::CallerLimits, serving::ServingState};
 
 /// Serves callers until the control stops it.
 pub async fn callers(
@@ -63,7 +33,7 @@
         let (context, state) = (context.clone(), state.clone());
         async move {
             let mut response = forward::handle(context, request).await;
-            if state.draining.get() {
+            if state.is_draining() {
                 let close = header::HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
--- a/engine/src/catalogue/mod.rs
+++ b/engine/src/catalogue/mod.rs
@@ -19,6 +19,8 @@
 pub type TargetId = String;
 /// The name of a failure domain.
 pub type DomainId = String;
+/// The name of a VM.
+pub type VmId = String;
 /// The version of a configuration; a newer configuration has a higher one.
 pub type Version = u64;
 /// When an incarnation of a target started, in Unix milliseconds by the target's own clock.
--- a/engine/src/fleet/mod.rs
+++ b/engine/src/fleet/mod.rs
@@ -33,8 +33,7 @@
     store::{Change, Era, Listing, Revision},
 };
 
-/// The name of a VM.
-pub type VmId = String;
+pub use crate::catalogue::VmId;
 
 /// The maximum number of keys whose state is kept, removed keys included: so many targets start and end within hours.
 const MAX_KNOWN_KEYS: usize = 20_000;
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`store::Store`], [`catalogue::Catalogue`], [`target::TargetProtocol`] and [`caller::CallerProtocol`].
 //! This package must not depend on an adapter.
 
+pub(crate) mod body;
 pub mod caller;
 pub mod catalogue;
 pub mod fleet;
@@ -18,6 +19,7 @@
 pub mod reach;
 pub mod registration;
 pub mod report;
+pub mod serving;
 pub mod settings;
 pub mod store;
 pub mod target;
--- a/engine/src/placement/dispatch/mod.rs
+++ b/engine/src/placement/dispatch/mod.rs
@@ -39,10 +39,7 @@
     vm_count::VmCount,
     warmup::BurstAllowance,
 };
-use crate::{
-    catalogue::{self, DomainId, ServiceId, TargetId},
-    fleet::VmId,
-};
+use crate::catalogue::{self, DomainId, ServiceId, TargetId, VmId};
 
 /// How long a caller is asked to wait when no owner or target is reachable, or the queue is full.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(400);
--- a/engine/src/placement/message.rs
+++ b/engine/src/placement/message.rs
@@ -17,8 +17,7 @@
     rates::RateReport,
 };
 use crate::{
-    catalogue::{ServiceId, Target, TargetHash, TargetId, Warmup},
-    fleet::VmId,
+    catalogue::{ServiceId, Target, TargetHash, TargetId, VmId, Warmup},
     owner::record::{Fence, KeyRange, Record, RequestKey},
     target::Rate,
 };
--- a/engine/src/placement/vm_count.rs
+++ b/engine/src/placement/vm_count.rs
@@ -4,7 +4,7 @@
 
 use indexmap::IndexMap;
 
-use crate::fleet::VmId;
+use crate::catalogue::VmId;
 
 /// For how long a VM counts after it was last known to run.
 ///
--- a/engine/src/placement/warmup.rs
+++ b/engine/src/placement/warmup.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
-use crate::{catalogue::Warmup, fleet::VmId};
+use crate::catalogue::{VmId, Warmup};
 
 /// The maximum number of VMs that send to one cold target; if one of them fails, the others continue.
 const MAX_SENDERS: u32 = 3;
--- a/engine/src/process/lifecycle.rs
+++ b/engine/src/process/lifecycle.rs
@@ -18,11 +18,8 @@
 
 use super::signals;
 use crate::{
-    caller::serve::{self, ServingState},
-    fleet::SharedFleet,
-    owner::manager,
-    registration,
-    report::Report,
+    caller::serve, fleet::SharedFleet, owner::manager, registration, report::Report,
+    serving::ServingState,
 };
 
 /// How long before the end of the grace period the process stops waiting for in-flight requests.
--- a/engine/src/process/mod.rs
+++ b/engine/src/process/mod.rs
@@ -17,7 +17,7 @@
     listeners::Listeners,
 };
 use crate::{
-    caller::{CallerProtocol, serve::ServingState},
+    caller::CallerProtocol,
     catalogue::Catalogue,
     fleet::{SharedFleet, StoreKeys, Vm},
     follow,
@@ -29,6 +29,7 @@
     reach::{self, Reach},
     registration,
     report::Report,
+    serving::ServingState,
     settings::Settings,
     store::{CountingStore, Store},
     target::TargetProtocol,
--- a/engine/src/reach/relay.rs
+++ b/engine/src/reach/relay.rs
@@ -19,10 +19,11 @@
 
 use super::Reach;
 use crate::{
-    caller::{body, serve::ServingState},
+    body,
     catalogue::TargetId,
     fleet::{SharedFleet, Vm},
     report::Report,
+    serving::ServingState,
 };
 
 /// The path of the question whether a VM reaches targets.
