--- a/program/tests/soak.rs
+++ b/program/tests/soak.rs
@@ -1,13 +1,14 @@
 //! Short runs of the soak with fixed seeds, and every seed that has ever shown a defect.
 
-use std::{env, fs, process};
+#[path = "harness/soak.rs"]
+mod soak_run;
 
 use bramleypier_soak::{
     check,
     plan::{Plan, Size},
-    run,
 };
-use compio::runtime::Runtime;
+
+use crate::soak_run::SoakRun;
 
 /// Runs a seed with three VMs and returns the violated guarantees.
 fn run_seed(seed: u64, seconds: u64) -> Vec<check::Violation> {
@@ -16,20 +17,13 @@
 
 /// Runs a plan and returns the violated guarantees; keeps the logs if there are any.
 fn run_plan(plan: &Plan, seed: u64) -> Vec<check::Violation> {
-    let binaries = [env!("CARGO_BIN_EXE_bramleypier").into()];
-    let folder = env::temp_dir().join(format!("bramleypier-soak-{}-{seed}", process::id()));
-    let execution = run::execute(&binaries, plan, seed, Some(&folder));
-    let observations = Runtime::new().unwrap().block_on(execution).unwrap();
+    let run = SoakRun::execute(plan, seed, &seed.to_string());
     assert!(
-        observations.requests.len() > 100,
+        run.observations.requests.len() > 100,
         "too few requests were sent"
     );
-    let violations = check::violations(&observations);
-    if violations.is_empty() {
-        fs::remove_dir_all(&folder).unwrap();
-    } else {
-        println!("logs are kept in {}", folder.display());
-    }
+    let violations = check::violations(&run.observations);
+    run.finish(violations.is_empty());
     violations
 }
 
