--- a/tools/soak/src/plan/exhaustion.rs
+++ b/tools/soak/src/plan/exhaustion.rs
@@ -22,6 +22,8 @@
 const START_GAP_MS: std::ops::Range<u64> = 200..1500;
 /// For how long VMs are suspended, in milliseconds.
 const SUSPENSION_MS: std::ops::Range<u64> = 500..4000;
+/// How long before targets fail callers begin to move.
+const MOVES_LEAD: Duration = Duration::from_secs(5);
 /// For how long callers of some VMs are quiet, in milliseconds.
 const QUIET_MS: std::ops::Range<u64> = 2000..9000;
 
@@ -77,7 +79,7 @@
             allowance: Allowance { slack, ..ALLOWANCE },
         };
         plan.add_failures(&mut random);
-        // One in six plans has no other trouble; some have two kinds of it.
+        // About one in four plans has no other trouble, and one in three several kinds of it.
         for trouble in Trouble::ALL {
             if random.random_range(0..4) == 0 {
                 plan.add_trouble(trouble, &mut random);
@@ -102,6 +104,7 @@
     /// Lets most targets refuse all requests; some of them end time and again, and paths to some are disturbed.
     fn add_failures(&mut self, random: &mut SmallRng) {
         let duration = Duration::from_secs(self.size.seconds);
+        // In half of the plans one target stays well.
         let healthy = random.random_range(0..4 * TARGETS_PER_SERVICE);
         for target in 0..2 * TARGETS_PER_SERVICE {
             if target != healthy {
@@ -133,21 +136,7 @@
     fn add_trouble(&mut self, trouble: Trouble, random: &mut SmallRng) {
         let vms = self.size.vms;
         match trouble {
-            Trouble::Starts => {
-                let mut at = FAILURE_START;
-                for vm in (0..vms).cycle() {
-                    if at >= self.end() {
-                        break;
-                    }
-                    let fault = if random.random() {
-                        Fault::Kill(vm)
-                    } else {
-                        Fault::Stop(vm)
-                    };
-                    self.add(at, Duration::ZERO, fault);
-                    at += Duration::from_millis(random.random_range(START_GAP_MS));
-                }
-            }
+            Trouble::Starts => self.add_starts(random),
             Trouble::StoreCut => {
                 let share = random.random_range(2..4);
                 for vm in (0..vms).filter(|vm| vm % share == 0) {
@@ -161,22 +150,42 @@
                     Fault::Pause(it.random_range(0..vms))
                 });
             }
-            Trouble::MovingCallers => {
-                let even: VmSet = (0..vms).step_by(2).map(|vm| 1 << vm).sum();
-                let all: VmSet = (1 << vms) - 1;
-                let mut set = even;
-                let mut at = FAILURE_START.saturating_sub(Duration::from_secs(5));
-                while at < self.end() {
-                    let duration = Duration::from_millis(random.random_range(QUIET_MS));
-                    self.add(at, duration, Fault::Quiet(set));
-                    set = all & !set;
-                    at += duration;
-                }
-            }
+            Trouble::MovingCallers => self.add_moves(random),
             Trouble::Pulses => {
                 let all: VmSet = (1 << vms) - 1;
                 self.repeat(random, QUIET_MS, |_| Fault::Quiet(all));
             }
         }
     }
+
+    /// Kills or stops one VM after the other, which start again at once, while targets fail.
+    fn add_starts(&mut self, random: &mut SmallRng) {
+        let mut at = FAILURE_START;
+        for vm in (0..self.size.vms).cycle() {
+            if at >= self.end() {
+                break;
+            }
+            let fault = if random.random() {
+                Fault::Kill(vm)
+            } else {
+                Fault::Stop(vm)
+            };
+            self.add(at, Duration::ZERO, fault);
+            at += Duration::from_millis(random.random_range(START_GAP_MS));
+        }
+    }
+
+    /// Lets the callers of every other VM be quiet, then those of the others, by turns.
+    fn add_moves(&mut self, random: &mut SmallRng) {
+        let all: VmSet = (1 << self.size.vms) - 1;
+        let even: VmSet = (0..self.size.vms).step_by(2).map(|vm| 1 << vm).sum();
+        let mut quiet = even;
+        let mut at = FAILURE_START.saturating_sub(MOVES_LEAD);
+        while at < self.end() {
+            let duration = Duration::from_millis(random.random_range(QUIET_MS));
+            self.add(at, duration, Fault::Quiet(quiet));
+            quiet = all & !quiet;
+            at += duration;
+        }
+    }
 }
