--- a/engine/src/placement/vm_count.rs
+++ b/engine/src/placement/vm_count.rs
@@ -14,9 +14,9 @@
 
 /// The VMs that share the slack of the retry budget, as one VM knows them.
 ///
-/// A VM counts while the store lists it, or while it exchanges messages with the manager, and for five minutes
-/// after that. A VM that has not exchanged messages with any manager for almost as long uses no slack: the others may no longer
-/// count it.
+/// A VM counts while the store lists it, or while it exchanges messages with the manager, and for five minutes after
+/// that. A VM that has not exchanged messages with any manager for almost as long uses no slack: the others may no
+/// longer count it.
 ///
 /// # Example
 ///
@@ -60,8 +60,8 @@
         self.discard_expired(now);
     }
 
-    /// Records an exchange with the manager, which counts `told` VMs; `exchanging` are VMs that are known to run, listed or
-    /// not.
+    /// Records an exchange with the manager, which counts `told` VMs; `exchanging` are VMs that are known to run, listed
+    /// or not.
     ///
     /// # Example
     ///
