--- a/engine/src/placement/message.rs
+++ b/engine/src/placement/message.rs
@@ -175,6 +175,12 @@
     pub depth: f64,
     /// The expected response time.
     pub expected: Duration,
+    /// The time that one request is taken to need at the target, without waiting.
+    pub service_time: Duration,
+    /// The age of that measurement; `None` if this VM has none.
+    pub measured_age: Option<Duration>,
+    /// For how long requests have been queued for the target; `None` if none are.
+    pub queue_age: Option<Duration>,
     /// The time between two completions at a busy target; zero without a target.
     pub completion_interval: Duration,
     /// The age of the last sync response; `None` before the first one.
@@ -200,6 +206,15 @@
             self.expected.as_millis(),
             self.fence
         )?;
+        if !self.service_time.is_zero() {
+            write!(f, " service_ms={}", self.service_time.as_millis())?;
+        }
+        if let Some(age) = self.measured_age {
+            write!(f, " measured_ms={}", age.as_millis())?;
+        }
+        if let Some(age) = self.queue_age {
+            write!(f, " queue_ms={}", age.as_millis())?;
+        }
         if let Some(rate) = self.rate {
             write!(f, " rate={rate}")?;
         }
--- a/engine/src/placement/target_state.rs
+++ b/engine/src/placement/target_state.rs
@@ -310,6 +310,12 @@
         self.service_time
     }
 
+    /// Returns how long ago the service time was last measured, if it ever was.
+    pub fn measured_age(&self, now: Duration) -> Option<Duration> {
+        self.service_time?;
+        Some(now.saturating_sub(self.measured_at))
+    }
+
     /// Returns whether the target is, or may be, cold.
     pub fn is_cold(&self, now: Duration) -> bool {
         self.warmup_limiter.is_active(now)
--- a/engine/tests/hot_key.rs
+++ b/engine/tests/hot_key.rs
@@ -3,7 +3,7 @@
 //! The tests simulate the VMs' dispatchers, the manager's quotas and the owner, and check how many requests are
 //! answered within their goal and how many the full owner resets.
 
-use std::{collections::HashMap, rc::Rc, time::Duration};
+use std::{collections::HashMap, ops::Range, rc::Rc, time::Duration};
 
 use bramleypier_engine::{
     catalogue::{self, Target},
@@ -93,6 +93,8 @@
     running: Vec<(SentRequest, u64)>,
     /// The requests in the target's queue, oldest first.
     queued: Vec<SentRequest>,
+    /// The number of requests that follow from the rate, which is the last one's ticket.
+    submitted: u64,
     outcome: Outcome,
 }
 
@@ -115,6 +117,7 @@
             received_at: HashMap::new(),
             running: Vec::new(),
             queued: Vec::new(),
+            submitted: 0,
             outcome: Outcome::default(),
         }
     }
@@ -201,6 +204,32 @@
         self.handle(now, vm, Event::Sync(update));
     }
 
+    /// Simulates some time.
+    fn run(&mut self, times: Range<u64>) {
+        let scenario = self.scenario;
+        for now in times {
+            self.complete_finished(now);
+            for vm in 0..scenario.vms {
+                let offset = vm as u64 * scenario.sync_interval / scenario.vms as u64;
+                if now % scenario.sync_interval == offset {
+                    self.sync_with_manager(now, vm);
+                }
+                if now % 10 == 0 && self.dispatchers[vm].queue_len() > 0 {
+                    self.handle(now, vm, Event::Tick);
+                }
+            }
+            while self.submitted < now * scenario.rate / 1000 {
+                self.submitted += 1;
+                self.submit(now, self.submitted);
+            }
+        }
+    }
+
+    /// Lets a VM measure once that the owner takes `took` for a request.
+    fn measure(&mut self, now: u64, vm: usize, took: u64) {
+        self.complete(now, (vm, 0, now), CompletionKind::Answered(ms(took)));
+    }
+
     fn submit(&mut self, now: u64, ticket: Ticket) {
         self.received_at.insert(ticket, now);
         let request = DispatchRequest {
@@ -221,27 +250,13 @@
     }
 }
 
-/// Simulates ten seconds.
+/// How long a simulation lasts, in milliseconds.
+const DURATION_MS: u64 = 10_000;
+
+/// Simulates the whole time.
 fn simulate(scenario: Scenario) -> Outcome {
     let mut simulation = Simulation::new(scenario);
-    let mut ticket = 0;
-    for now in 1..10_000 {
-        simulation.complete_finished(now);
-        for vm in 0..scenario.vms {
-            if now % scenario.sync_interval
-                == vm as u64 * scenario.sync_interval / scenario.vms as u64
-            {
-                simulation.sync_with_manager(now, vm);
-            }
-            if now % 10 == 0 && simulation.dispatchers[vm].queue_len() > 0 {
-                simulation.handle(now, vm, Event::Tick);
-            }
-        }
-        while ticket < now * scenario.rate / 1000 {
-            ticket += 1;
-            simulation.submit(now, ticket);
-        }
-    }
+    simulation.run(1..DURATION_MS);
     simulation.outcome
 }
 
@@ -282,3 +297,40 @@
     assert!(outcome.late <= 8, "{outcome:?}");
     assert_eq!(outcome.reset, 0, "{outcome:?}");
 }
+
+/// The tickets of a burst, which lie above all others.
+const BURST_TICKETS: Range<Ticket> = 1_000_000..1_000_040;
+
+/// Has half of the VMs measure that the owner is slow, while a burst fills its queue, and returns how many of the requests
+/// after `settled` milliseconds are refused though the owner is fast and nearly idle.
+fn refused_after_slow_spell(took: u64, settled: u64) -> u32 {
+    let scenario = Scenario {
+        vms: 10,
+        service_time: 15,
+        goal: 500,
+        deadline: 2000,
+        sync_interval: 40,
+        rate: 28,
+        onset: 0,
+    };
+    let mut simulation = Simulation::new(scenario);
+    for vm in 0..scenario.vms / 2 {
+        simulation.measure(1, vm, took);
+    }
+    for ticket in BURST_TICKETS {
+        simulation.submit(1, ticket);
+    }
+    simulation.run(2..settled);
+    let before = simulation.outcome.refused;
+    simulation.run(settled..DURATION_MS);
+    simulation.outcome.refused - before
+}
+
+/// Guards against VMs that refuse a key's requests for good once a path was slow: what they expect of the owner comes
+/// from then, and the queue of the other VMs kept them from measuring again.
+#[test]
+fn vms_that_found_an_owner_slow_serve_its_keys_soon_after_it_is_fast() {
+    for took in [300, 900, 3000] {
+        assert_eq!(refused_after_slow_spell(took, 3000), 0, "{took} ms");
+    }
+}
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -47,6 +47,8 @@
     Partitions,
     /// Let most targets fail, so that VMs use up their retry budget
     Budget,
+    /// Let the paths to targets fail one by one, and nothing else
+    BrokenPaths,
     /// Nothing.
     #[bpaf(skip)]
     Nothing,
@@ -115,6 +117,7 @@
         Extra::Older => Plan::generate_with_older_stores(seed, size),
         Extra::Partitions => Plan::generate_with_partitions(seed, size),
         Extra::Budget => Plan::generate_with_exhausted_budgets(seed, size),
+        Extra::BrokenPaths => Plan::generate_with_broken_paths(seed, size),
         Extra::Nothing => Plan::generate(seed, size),
     };
     let violations = run_plan(options, &plan, seed)?;
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -2,6 +2,7 @@
 //!
 //! A seed always gives the same plan. One in four plans has planned work only.
 
+mod broken_paths;
 mod exhaustion;
 mod fault;
 
