A queue at an owner ends once there is room for all that wait, and quotas don't keep its capacity idle

Callers saw: two look-ups in five of some keys refused for as long as anybody looked, cause="goal" and "late", at an owner that was idle. Cause: requests for an owner that has a queue are sent by quota only, and by quotas it got less than it can do, so that requests went on waiting, which kept the quotas on. Ruled out by these lines: counts that leak (depth varies), the load header (depth is exact, from the exchange), overload (service_ms * rate is a quarter of the slots). Now the manager knows from the VMs' own measurements how long a target takes. What was granted counts until the target has surely completed it; capacity that is free again by another VM's next quota isn't kept for it; a queue is what exceeds the room. Where requests take longer than a sync interval nothing changes. No message has grown.

--- a/engine/src/peer/fleet_load.rs
+++ b/engine/src/peer/fleet_load.rs
@@ -10,10 +10,11 @@
 
 use super::TargetHash;
 use crate::{
+    owner::service_times::ServiceTimes,
     placement::{
         bucket::TokenBucket,
         hold_offs::HoldOffReport,
-        quota::{self, Quota, RateCapacity, TargetQueue},
+        quota::{self, Occupancy, OtherQueue, Quota, RateCapacity, TargetQueue},
         rates::{RateReport, Rates},
     },
     target::Rate,
@@ -26,19 +27,34 @@
 /// For how many of the VM's sync intervals a report counts: one report may be lost on the network.
 const VALIDITY_INTERVALS: u32 = 3;
 
+/// How much longer than expected a granted request counts as in flight: service times scatter, and the VM gets its quota
+/// some milliseconds later.
+const OCCUPANCY_FACTOR: f64 = 1.5;
+
 /// How many VMs a target has to refuse until its keys move away.
 const MIN_REFUSED_VMS: usize = 2;
 /// The minimum remaining time for which it has to refuse them: a move takes a part of a second itself.
 const MIN_REFUSAL_TIME: Duration = Duration::from_secs(1);
 
+/// Requests that a VM may have sent by a quota.
+#[derive(Clone, Copy, Debug)]
+struct Granted {
+    target: TargetHash,
+    count: u32,
+    /// When they count as completed, though the VM may report later.
+    until: Duration,
+}
+
 /// The load that one VM has reported.
 #[derive(Clone, Debug)]
 struct VmReport {
     in_flight: Vec<(TargetHash, u32)>,
     queues: Vec<TargetQueue>,
     /// Requests that it may have sent since its report, by the quotas that it got.
-    granted: Vec<(TargetHash, u32)>,
+    granted: Vec<Granted>,
     received_at: Duration,
+    /// When the next report is expected.
+    next_at: Duration,
     /// When the report stops counting.
     valid_until: Duration,
     /// The targets that want no requests from the VM, and until when.
@@ -46,11 +62,22 @@
 }
 
 impl VmReport {
-    /// Records a quota that the VM gets: these requests leave its queue.
-    fn record_quota(&mut self, quota: &Quota) {
+    /// Returns the in-flight requests by target: those that were reported, and those granted since.
+    fn in_flight(&self, now: Duration) -> impl Iterator<Item = (TargetHash, u32)> {
+        let granted = self.granted.iter().filter(move |it| now < it.until);
+        let granted = granted.map(|it| (it.target, it.count));
+        self.in_flight.iter().copied().chain(granted)
+    }
+
+    /// Records a quota that the VM gets: these requests leave its queue, and count as in flight until `until`.
+    fn record_quota(&mut self, quota: &Quota, until: Duration) {
         let count = quota.within_goal + quota.past_goal;
         if count > 0 {
-            self.granted.push((quota.target, count));
+            self.granted.push(Granted {
+                target: quota.target,
+                count,
+                until,
+            });
         }
         let queues = self.queues.iter_mut();
         for queue in queues.filter(|queue| queue.target == quota.target) {
@@ -70,8 +97,7 @@
 #[derive(Debug, Default)]
 struct TargetLoad<'a> {
     own: Option<&'a TargetQueue>,
-    /// Other VMs' queues, with the milliseconds since they were reported.
-    others: Vec<(&'a TargetQueue, u32)>,
+    others: Vec<OtherQueue<'a>>,
     /// In-flight requests, including granted ones that are not reported yet.
     in_flight: u32,
 }
@@ -96,6 +122,8 @@
     reports: HashMap<String, VmReport>,
     /// The rate limits that targets have reported to any VM.
     rates: Rates,
+    /// How long targets take for a request, as all VMs measured it.
+    service_times: ServiceTimes,
     /// The token buckets of the targets with a rate limit.
     buckets: IndexMap<TargetHash, TokenBucket>,
 }
@@ -122,6 +150,7 @@
             queues,
             granted: Vec::new(),
             received_at: now,
+            next_at: now + interval,
             valid_until: now + MIN_VALIDITY.max(interval * VALIDITY_INTERVALS),
             hold_offs: Vec::new(),
         };
@@ -145,6 +174,41 @@
         self.valid_reports(now).map(|(start, _)| start).collect()
     }
 
+    /// Records the service times that a VM has measured: sums in seconds and counts by target.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier_engine::{
+    ///     peer::FleetLoad,
+    ///     placement::quota::{TargetQueue, QueuedRequest},
+    /// };
+    ///
+    /// let queue = TargetQueue {
+    ///     target: 7,
+    ///     slots: 2,
+    ///     limit: 2,
+    ///     within_goal: 1,
+    ///     first: vec![QueuedRequest { ticket: 1, priority: 1, age_ms: 20, max_ahead: 5 }],
+    ///     past_goal: 0,
+    /// };
+    /// let second = Duration::from_secs(1);
+    /// let mut fleet_load = FleetLoad::default();
+    /// fleet_load.record_service_times(Duration::ZERO, &[(7, 0.4, 20)]);
+    /// fleet_load.update(Duration::ZERO, "vm-1", Vec::new(), vec![queue], second);
+    /// assert_eq!(fleet_load.assign_quotas(Duration::ZERO, "vm-1")[0].within_goal, 1);
+    /// assert_eq!(fleet_load.in_flight_elsewhere(Duration::ZERO, "vm-2"), [(7, 1)]);
+    /// // A request takes 20 ms there, so it has ended long before the VM's next report.
+    /// assert!(fleet_load.in_flight_elsewhere(second / 2, "vm-2").is_empty());
+    /// ```
+    pub fn record_service_times(&mut self, now: Duration, times: &[(TargetHash, f64, u32)]) {
+        for (target, sum, count) in times {
+            self.service_times.add(now, *target, *sum, *count);
+        }
+    }
+
     /// Merges the rate limits that targets have reported to a VM.
     ///
     /// # Example
@@ -250,8 +314,8 @@
     pub fn in_flight_elsewhere(&self, now: Duration, start: &str) -> Vec<(TargetHash, u32)> {
         let mut sums: HashMap<TargetHash, u32> = HashMap::new();
         for (_, report) in self.valid_reports(now).filter(|(other, _)| *other != start) {
-            for (target, count) in report.in_flight.iter().chain(&report.granted) {
-                *sums.entry(*target).or_default() += count;
+            for (target, count) in report.in_flight(now) {
+                *sums.entry(target).or_default() += count;
             }
         }
         sums.into_iter().collect()
@@ -292,27 +356,51 @@
                 target,
                 ..TargetQueue::default()
             });
-            match rate_capacities.get(&target) {
+            let quota = match rate_capacities.get(&target) {
                 Some(capacity) => {
                     quota::allot_at_rate(*capacity, &own, &load.others, load.in_flight)
                 }
-                None => quota::allot(&own, &load.others, load.in_flight),
-            }
+                None => {
+                    let occupancy = Occupancy {
+                        in_flight: load.in_flight,
+                        completion_rate: self.completion_rate(&own),
+                    };
+                    quota::allot(&own, &load.others, occupancy)
+                }
+            };
+            (quota, self.occupied_until(now, &own))
         });
-        let quotas: Vec<Quota> = quotas
-            .filter(|quota| quota.busy || quota.past_goal > 0 || quota.others_past > 0)
-            .collect();
-        for quota in &quotas {
+        let quotas: Vec<(Quota, Duration)> =
+            quotas.filter(|(quota, _)| quota.is_of_use()).collect();
+        for (quota, _) in &quotas {
             if let Some(bucket) = self.buckets.get_mut(&quota.target) {
                 bucket.take(quota.within_goal + quota.past_goal);
             }
         }
         if let Some(report) = self.reports.get_mut(start) {
-            for quota in &quotas {
-                report.record_quota(quota);
+            for (quota, until) in &quotas {
+                report.record_quota(quota, *until);
             }
         }
-        quotas
+        quotas.into_iter().map(|(quota, _)| quota).collect()
+    }
+
+    /// Returns when requests that are granted now have certainly left the target: it completes all that it may have at
+    /// once by then.
+    ///
+    /// Without a measurement that is unknown, and they count until their VM's next report.
+    fn occupied_until(&self, now: Duration, queue: &TargetQueue) -> Duration {
+        let rate = self.completion_rate(queue);
+        let time = Duration::try_from_secs_f64(f64::from(queue.limit) / rate);
+        time.map_or(Duration::MAX, |time| now.saturating_add(time))
+    }
+
+    /// Returns how many requests per second a target surely completes while it is full; 0 without a measurement.
+    fn completion_rate(&self, queue: &TargetQueue) -> f64 {
+        let time = self.service_times.mean(queue.target);
+        time.map_or(0.0, |time| {
+            f64::from(queue.slots.max(1)) / (time * OCCUPANCY_FACTOR)
+        })
     }
 
     /// Returns how many requests each target with a rate limit may get now.
@@ -348,13 +436,17 @@
                 if name == start {
                     load.own = Some(queue);
                 } else {
-                    load.others.push((queue, age_ms));
+                    load.others.push(OtherQueue {
+                        queue,
+                        age_ms,
+                        next_in: report.next_at.saturating_sub(now),
+                    });
                 }
             }
         }
         for (_, report) in self.valid_reports(now) {
-            for (target, count) in report.in_flight.iter().chain(&report.granted) {
-                if let Some(load) = loads.get_mut(target) {
+            for (target, count) in report.in_flight(now) {
+                if let Some(load) = loads.get_mut(&target) {
                     load.in_flight += count;
                 }
             }
--- a/engine/src/peer/sync.rs
+++ b/engine/src/peer/sync.rs
@@ -120,6 +120,7 @@
             message.queues,
             message.interval,
         );
+        fleet_load.record_service_times(now, &message.service_times);
         fleet_load.merge_rates(now, &message.rates);
         fleet_load.set_hold_offs(now, &message.start, &news.hold_offs);
         let in_flight_elsewhere = fleet_load.in_flight_elsewhere(now, &message.start);
--- a/engine/src/placement/dispatch/admission.rs
+++ b/engine/src/placement/dispatch/admission.rs
@@ -166,7 +166,11 @@
         request: &DispatchRequest,
         basis: Basis,
     ) -> Decision {
-        let Some(quota) = self.state.quota().filter(|quota| quota.busy) else {
+        let quota = self.state.quota();
+        let Some(quota) = quota.filter(|quota| quota.busy) else {
+            if quota.is_some_and(|quota| quota.within_goal > 0) {
+                return Decision::Send(basis, Some(QuotaKind::WithinGoal));
+            }
             let limit = f64::from(self.state.max_in_flight(now, self.typical_time));
             // Just after a queue has drained, as many requests may arrive again, and each VM sees the same free
             // capacity.
--- a/engine/src/placement/quota.rs
+++ b/engine/src/placement/quota.rs
@@ -81,21 +81,90 @@
     /// The VM's requests that can no longer meet their goals, since too many others are sent first.
     #[serde(rename = "beyond")]
     pub demoted: Vec<Ticket>,
-    /// Whether any VM has a request queued that can still meet its goal.
+    /// Whether the VMs have more requests queued that can still meet their goals than the target has room for.
     pub busy: bool,
     /// The minimum time until one more request may be sent, if the target is rate-limited.
     pub wait: Duration,
 }
 
+/// Another VM's queue at the same target.
+#[derive(Clone, Copy, Debug)]
+pub struct OtherQueue<'a> {
+    /// The queue, as the VM reported it.
+    pub queue: &'a TargetQueue,
+    /// How long ago that was, in milliseconds.
+    pub age_ms: u32,
+    /// The time until that VM gets its next quota.
+    pub next_in: Duration,
+}
+
+/// The requests that a target may have at once, less those that it has, and how fast it completes them.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Occupancy {
+    /// How many requests are at the target, with the quotas that other VMs have been assigned since their reports.
+    pub in_flight: u32,
+    /// How many requests it surely completes per second while it is full; 0 if that is unknown.
+    pub completion_rate: f64,
+}
+
+/// The free capacity of a target, of which older requests of other VMs take a part at their next quotas.
+///
+/// What would be idle until then, and is free again by then, goes to the VM that gets its quota now. Without this, the
+/// oldest requests of many VMs keep each other waiting while the target is idle.
+#[derive(Debug)]
+struct FreeCapacity {
+    now: u32,
+    completion_rate: f64,
+    /// When older requests take their part, in order.
+    older: Vec<Duration>,
+}
+
+impl FreeCapacity {
+    /// Reserves capacity for an older request of a VM that gets its next quota after this time.
+    fn reserve(&mut self, next_in: Duration) {
+        let position = self.older.partition_point(|it| *it <= next_in);
+        self.older.insert(position, next_in);
+    }
+
+    /// Returns whether `count` requests may be sent now, so that all older ones still get their part in time.
+    fn allows(&self, count: u32) -> bool {
+        if count > self.now {
+            return false;
+        }
+        let spare = f64::from(self.now - count);
+        let mut taken = 0.0;
+        self.older.iter().all(|next_in| {
+            taken += 1.0;
+            taken <= spare + (next_in.as_secs_f64() * self.completion_rate).floor()
+        })
+    }
+}
+
+/// A request in one of the queues at a target.
+#[derive(Clone, Copy, Debug)]
+struct Ranked {
+    request: QueuedRequest,
+    /// The time until its VM gets the next quota; `None` for the VM that gets one now.
+    next_in: Option<Duration>,
+}
+
+impl Quota {
+    /// Returns whether it tells the VM anything.
+    pub(crate) fn is_of_use(&self) -> bool {
+        self.busy || self.within_goal > 0 || self.past_goal > 0 || self.others_past > 0
+    }
+}
+
 /// Assigns one VM its quota at a target.
 ///
-/// `own` is the VM's queue. `others` are the queues of the other VMs, each with the milliseconds since it was reported.
-/// `in_flight` counts the requests at the target, and the quotas that other VMs have been assigned since their reports.
+/// `own` is the VM's queue, and `others` are those of the other VMs. `in_flight` counts the requests at the target, and the quotas that other VMs have been assigned since their reports.
 ///
 /// # Example
 ///
 /// ```
-/// use bramleypier_engine::placement::quota::{self, TargetQueue, QueuedRequest};
+/// use std::time::Duration;
+///
+/// use bramleypier_engine::placement::quota::{self, Occupancy, OtherQueue, TargetQueue, QueuedRequest};
 ///
 /// let queued = |ticket, age| QueuedRequest { ticket, priority: 1, age_ms: age, max_ahead: 1 };
 /// let queue = |first: Vec<QueuedRequest>| TargetQueue {
@@ -109,33 +178,46 @@
 /// let own = queue(vec![queued(1, 30), queued(2, 5)]);
 /// let other = queue(vec![queued(1, 10)]);
 /// // Two requests are in flight, so two more may be sent: this VM's oldest and the other VM's.
-/// let quota = quota::allot(&own, &[(&other, 10)], 2);
+/// let other = OtherQueue { queue: &other, age_ms: 10, next_in: Duration::from_millis(30) };
+/// let occupancy = Occupancy { in_flight: 2, completion_rate: 0.0 };
+/// let quota = quota::allot(&own, &[other], occupancy);
 /// assert_eq!((quota.within_goal, quota.past_goal, quota.others_within), (1, 0, 1));
 /// // This VM's second request has two others ahead of it, and meets its goal behind at most one.
 /// assert_eq!(quota.demoted, [2]);
 /// ```
-pub fn allot(own: &TargetQueue, others: &[(&TargetQueue, u32)], in_flight: u32) -> Quota {
-    let others_within: u32 = others.iter().map(|(queue, _)| queue.within_goal).sum();
+pub fn allot(own: &TargetQueue, others: &[OtherQueue<'_>], occupancy: Occupancy) -> Quota {
+    let Occupancy {
+        in_flight,
+        completion_rate,
+    } = occupancy;
+    let others_within: u32 = others.iter().map(|it| it.queue.within_goal).sum();
     let ranked = by_rank(own, others);
+    let limits = others.iter().map(|it| it.queue.limit);
+    let limit = limits.chain([own.limit]).max().unwrap_or(0);
     let mut quota = Quota {
         target: own.target,
-        busy: others_within + own.within_goal > 0,
-        others_past: others.iter().map(|(queue, _)| queue.past_goal).sum(),
+        busy: others_within + own.within_goal > limit.saturating_sub(in_flight),
+        others_past: others.iter().map(|it| it.queue.past_goal).sum(),
         ..Quota::default()
     };
-    let free = own.limit.saturating_sub(in_flight);
+    let mut free = FreeCapacity {
+        now: own.limit.saturating_sub(in_flight),
+        completion_rate,
+        older: Vec::new(),
+    };
     let mut queued_ahead = 0;
-    for (it, is_own) in ranked {
-        if queued_ahead > it.max_ahead {
-            if is_own {
-                quota.demoted.push(it.ticket);
+    for it in ranked {
+        if queued_ahead > it.request.max_ahead {
+            if it.next_in.is_none() {
+                quota.demoted.push(it.request.ticket);
             }
             continue;
         }
-        if is_own {
-            quota.within_goal += u32::from(queued_ahead < free);
-        } else {
+        if let Some(next_in) = it.next_in {
             quota.others_within += 1;
+            free.reserve(next_in);
+        } else {
+            quota.within_goal += u32::from(free.allows(quota.within_goal + 1));
         }
         queued_ahead += 1;
     }
@@ -178,7 +260,7 @@
 pub fn allot_at_rate(
     capacity: RateCapacity,
     own: &TargetQueue,
-    others: &[(&TargetQueue, u32)],
+    others: &[OtherQueue<'_>],
     in_flight: u32,
 ) -> Quota {
     let limit = own.limit.min(in_flight + capacity.available);
@@ -186,7 +268,11 @@
         limit,
         ..own.clone()
     };
-    let quota = allot(&limited, others, in_flight);
+    let occupancy = Occupancy {
+        in_flight,
+        completion_rate: 0.0,
+    };
+    let quota = allot(&limited, others, occupancy);
     let past_goal = quota
         .past_goal
         .min(capacity.available.saturating_sub(quota.within_goal));
@@ -197,16 +283,25 @@
     }
 }
 
-/// Returns the requests that all VMs have queued for a target, by priority and age; `true` marks the VM's own.
-fn by_rank(own: &TargetQueue, others: &[(&TargetQueue, u32)]) -> Vec<(QueuedRequest, bool)> {
-    let own = own.first.iter().map(|it| (*it, true));
-    let others = others.iter().flat_map(|(queue, since)| {
-        queue.first.iter().map(|it| {
-            let age = it.age_ms.saturating_add(*since);
-            (QueuedRequest { age_ms: age, ..*it }, false)
+/// Returns the requests that all VMs have queued for a target, by priority and age.
+fn by_rank(own: &TargetQueue, others: &[OtherQueue<'_>]) -> Vec<Ranked> {
+    let own = own.first.iter().map(|request| Ranked {
+        request: *request,
+        next_in: None,
+    });
+    let others = others.iter().flat_map(|other| {
+        other.queue.first.iter().map(|request| Ranked {
+            request: QueuedRequest {
+                age_ms: request.age_ms.saturating_add(other.age_ms),
+                ..*request
+            },
+            next_in: Some(other.next_in),
         })
     });
-    let mut ranked: Vec<(QueuedRequest, bool)> = own.chain(others).collect();
-    ranked.sort_by_key(|(it, is_own)| (it.priority, Reverse(it.age_ms), *is_own));
+    let mut ranked: Vec<Ranked> = own.chain(others).collect();
+    ranked.sort_by_key(|it| {
+        let own = it.next_in.is_none();
+        (it.request.priority, Reverse(it.request.age_ms), own)
+    });
     ranked
 }
--- a/engine/tests/hot_key.rs
+++ b/engine/tests/hot_key.rs
@@ -193,6 +193,8 @@
             state.queues,
             ms(self.scenario.sync_interval),
         );
+        self.fleet_load
+            .record_service_times(ms(now), &state.service_times);
         let others = self.fleet_load.in_flight_elsewhere(ms(now), &start);
         let quotas = self.fleet_load.assign_quotas(ms(now), &start);
         let update = SyncUpdate {
