The response to a probe lowers an owner's service time to a quarter at once

Callers saw: requests refused for seconds after a path was well again, by VMs that had measured it while it was slow. Cause: a VM that expects no answer in time sends one request each 500 ms, and each response counted 15 % like any other, so that it took seven of them from 3 s down to what callers wait for. A response to any other request counts as before, since services serve requests of several lengths.

--- a/engine/src/placement/dispatch/mod.rs
+++ b/engine/src/placement/dispatch/mod.rs
@@ -361,6 +361,9 @@
                     return false;
                 };
                 state.record_sent(now);
+                if basis.expected > it.request.deadline.saturating_sub(now) {
+                    state.record_probe(now);
+                }
                 let record = self.view.records.get(&it.request.service);
                 if let Some((record, key)) = record.zip(basis.key)
                     && let Some(range) = record.find(key)
--- a/engine/src/placement/target_state.rs
+++ b/engine/src/placement/target_state.rs
@@ -97,6 +97,8 @@
     backoff: Duration,
     /// When this VM last sent a request.
     last_sent_at: Duration,
+    /// When a request was sent to find out whether the target is as slow as it seems, if one is under way.
+    probe_sent_at: Option<Duration>,
     /// Whether another target uses the address.
     address_reused: bool,
     /// The time from which the target gets no more requests, if it says that it leaves.
@@ -132,6 +134,7 @@
             backoff_until: Duration::ZERO,
             backoff: MIN_BACKOFF,
             last_sent_at: Duration::ZERO,
+            probe_sent_at: None,
             address_reused: false,
             leaves_at: None,
             warmup_limiter: SendLimiter::default(),
@@ -374,6 +377,11 @@
             && now >= self.last_sent_at.max(self.measured_at) + PROBE_INTERVAL
     }
 
+    /// Records that the request that was just sent is a probe: no response is expected in time.
+    pub fn record_probe(&mut self, now: Duration) {
+        self.probe_sent_at = Some(now);
+    }
+
     /// Records a request that is sent.
     pub fn record_sent(&mut self, now: Duration) {
         self.own_in_flight += 1;
--- a/engine/src/placement/target_state/outcomes.rs
+++ b/engine/src/placement/target_state/outcomes.rs
@@ -12,6 +12,8 @@
 const AVERAGE_WEIGHT: f64 = 0.15;
 /// The longest backoff; a target that recovers earlier still gets no requests until it ends.
 const MAX_BACKOFF: Duration = Duration::from_millis(1600);
+/// The largest factor by which the response to a probe lowers the service time: a single response may be quick by chance.
+const MAX_PROBE_FACTOR: f64 = 4.0;
 /// The weight of a new result in the failure rate.
 const FAILURE_WEIGHT: f64 = 0.2;
 
@@ -32,9 +34,13 @@
         if let Some(load) = load {
             self.record_load(now, load);
         }
+        let probed = self.probe_sent_at.take_if(|at| *at == sent_at).is_some();
         match kind {
             CompletionKind::Answered(took) => {
                 self.record_service_time(now, took, depth);
+                if probed {
+                    self.record_probe_time(took);
+                }
                 self.record_outcome(now, 0.0);
                 self.backoff = MIN_BACKOFF;
             }
@@ -77,6 +83,13 @@
         *mean += (sample - *mean) * AVERAGE_WEIGHT;
     }
 
+    /// Lowers the service time to what a probe took: until it is near that, callers are refused for nothing.
+    fn record_probe_time(&mut self, took: Duration) {
+        if let Some(time) = &mut self.service_time {
+            *time = time.min(took.as_secs_f64().max(*time / MAX_PROBE_FACTOR));
+        }
+    }
+
     /// Records an abandoned request, whose response would have taken longer than `waited`.
     fn record_abandoned(&mut self, now: Duration, waited: Duration, depth: f64) {
         let slots = self.target.slots.max(1) as f64;
