A manager that was suspended past its lease grants nothing until the store confirms it

What callers could see: two owners of one key. A manager is suspended; its successor takes over and has an owner release its keys; that owner starts again under its id and has forgotten the fence; the first manager wakes within 12 s of its lease and renews its grants, which the owner takes. Cause: until the end of the store's outage nobody can depose a manager, so it renews without its lease; the fence, which stops it elsewhere, ends with the process that has seen it. Ruled out: the successor's part. It can't know when the owner starts again before the owner takes calls; freeing nothing by release while an earlier manager may send would leave the keys of leaving targets without an owner for 12 s after each unclean takeover. Now, without a fresh lease, a manager grants only to owners that its own view still shows as that incarnation, and one that has handled nothing for 0.8 s past its lease sends nothing at all (event=grants-suspended) until the store extends the lease: a target takes longer to end and start, and one that is awake learns of the end by its own calls. In an outage of the store nothing changes for a manager that runs: its view keeps its targets.

--- a/engine/src/owner/ownership/mod.rs
+++ b/engine/src/owner/ownership/mod.rs
@@ -21,6 +21,9 @@
 //!   granted any key to any target. So a takeover in a new era grants nothing before each target has released what the
 //!   record doesn't give it, or every earlier grant has expired.
 //! - A grant without a response may have arrived until the moment at which its connection was reset.
+//! - While its lease isn't renewed in time a manager may have a successor, which may have had an owner release its keys, and
+//!   the next incarnation of that owner has forgotten the fence. So it grants only what its own view of the targets still
+//!   shows, and once it was suspended it sends nothing before the store has confirmed its lease.
 
 mod call_outcomes;
 mod commit;
@@ -30,7 +33,7 @@
 mod suitability;
 mod takeover;
 
-use std::time::Duration;
+use std::{collections::HashSet, time::Duration};
 
 use indexmap::IndexMap;
 
@@ -56,6 +59,8 @@
 const FIRST_GRANT_DURATION: Duration = Duration::from_millis(600);
 /// The shortest grant that is sent to an unresponsive owner to learn whether it responds again.
 const MIN_PROBE_DURATION: Duration = Duration::from_millis(200);
+/// The time without any event after which the process counts as suspended; no target ends and starts again faster.
+const MAX_EVENT_GAP: Duration = Duration::from_millis(800);
 /// The remaining ratio of the lease below which the store counts as unavailable: two renewals are late then.
 const OUTAGE_LEASE_RATIO: f64 = 0.4;
 /// The delay before a call without a response is retried.
@@ -126,6 +131,10 @@
     redistributed_at: Duration,
     /// Keys that moved recently.
     cooldowns: Vec<Cooldown>,
+    /// When the last event was handled.
+    handled_at: Duration,
+    /// Whether the process was suspended while its lease ran out, and the store hasn't confirmed the lease since.
+    suspended: bool,
     /// Whether nothing more may be sent.
     stopped: bool,
 }
@@ -202,6 +211,7 @@
     /// See [`ServiceOwnership`].
     pub fn handle(&mut self, now: Duration, event: Event) -> Vec<Effect> {
         let mut effects = Vec::new();
+        self.note_gap(now, &mut effects);
         match event {
             Event::Targets(targets) => self.set_targets(targets),
             Event::GrantEnded(from, outcome) => self.grant_ended(now, from, &outcome, &mut effects),
@@ -213,7 +223,10 @@
             }
             Event::Committed => self.committed(now),
             Event::CommitFailed => self.commit_failed(now),
-            Event::LeaseExtended(until) => self.lease_until = until,
+            Event::LeaseExtended(until) => {
+                self.lease_until = until;
+                self.suspended &= now >= until;
+            }
             Event::PredecessorStopped => self.predecessors.on_stopped(now),
             Event::Load(counts) => self.load.add(now, counts),
             Event::ConnectionClosed(address) => self.connection_closed(now, address),
@@ -229,6 +242,36 @@
         effects
     }
 
+    /// Notices that the process was suspended, and that its lease ran out meanwhile.
+    fn note_gap(&mut self, now: Duration, effects: &mut Vec<Effect>) {
+        let gap = now.saturating_sub(self.handled_at);
+        self.handled_at = now;
+        if gap <= MAX_EVENT_GAP || now < self.lease_until || self.suspended {
+            return;
+        }
+        self.suspended = true;
+        effects.push(Effect::Log(format!(
+            "event=grants-suspended gap_ms={} lease_age_ms={}",
+            gap.as_millis(),
+            now.saturating_sub(self.lease_until).as_millis()
+        )));
+    }
+
+    /// Returns the owners that get no grants for now: they aren't announced, and the lease isn't fresh.
+    ///
+    /// A successor may have had them release their keys, and their next incarnations would take these back.
+    fn withheld_owners(&self, now: Duration) -> HashSet<Incarnation> {
+        if self.is_lease_fresh(now) {
+            return HashSet::new();
+        }
+        let owners = self.record.ranges.iter().filter_map(|it| it.owner.as_ref());
+        let is_announced = |owner: &&Incarnation| {
+            let target = self.targets.get(&owner.id);
+            target.is_some_and(|it| owner.is_announced_by(it))
+        };
+        owners.filter(|it| !is_announced(it)).cloned().collect()
+    }
+
     /// Replaces the announced targets.
     fn set_targets(&mut self, targets: Vec<Target>) {
         let by_id = targets.into_iter().map(|it| (it.id.clone(), it));
@@ -290,13 +333,18 @@
 
     /// Sends the calls that are due: grants for owned ranges, releases for ranges in [`Phase::Releasing`].
     fn send_due_calls(&mut self, now: Duration, effects: &mut Vec<Effect>) {
+        if self.suspended {
+            return;
+        }
         let grant_duration = self.next_grant_duration(now);
+        let withheld = self.withheld_owners(now);
         for range in &self.record.ranges {
             let (Some(state), Some(owner)) = (self.states.get_mut(&range.from), &range.owner)
             else {
                 continue;
             };
-            if state.in_flight || now < state.next_call {
+            let withheld = state.phase == Phase::Owned && withheld.contains(owner);
+            if state.in_flight || now < state.next_call || withheld {
                 continue;
             }
             let command = |fence, grant_duration, handover| OwnershipCommand {
--- a/engine/src/owner/ownership/takeover.rs
+++ b/engine/src/owner/ownership/takeover.rs
@@ -107,6 +107,8 @@
             balanced_at: now,
             redistributed_at: Duration::ZERO,
             cooldowns: Vec::new(),
+            handled_at: now,
+            suspended: false,
             stopped: false,
         };
         let effects = if is_later {
