A round of moves passes over owners that can't be relieved, at the pace that the fleet bears

Callers saw: owners at twice their share, late and refused look-ups, while the busiest owner held one key that no target can serve, or keys that had just moved: the round ended there. Another design: only some rounds pass over owners, at most one each 4 ms for each range of the record (0.4 s at 100 ranges, 12 s at 3,000), and the rounds between end at the first that can't be relieved, as before. The keys of an owner are gathered once for all targets that it is compared with.

--- a/engine/src/owner/balance.rs
+++ b/engine/src/owner/balance.rs
@@ -7,13 +7,15 @@
 //! - *One key has more requests than a slow target can serve*: it moves to the target on which it causes
 //!   the lowest utilisation, usually the fastest; then other keys of that target move away.
 //! - *A target joins*: it gets some load at once and the rest as other targets become busy.
+//! - *The busiest target can't be relieved*, since one of its keys is too busy for any target, or its keys have just moved:
+//!   the next busiest one is.
 
 #![allow(
     clippy::cast_precision_loss,
     reason = "counts of requests, slots and keys are far below 2^52"
 )]
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use indexmap::IndexMap;
 
@@ -34,8 +36,13 @@
 const REQUIRED_RATIO: f64 = 0.8;
 /// Utilisations that differ by less count as equal; then the run found first is taken.
 const UTILISATION_TOLERANCE: f64 = 0.01;
+/// How many targets that can't be relieved a plan passes over: each is compared with all others, and of thousands hundreds
+/// may be too busy at once.
+const MAX_PASSED_OVER: usize = 12;
 /// The maximum number of moves begun at once: requests for the keys of each move wait for a moment.
 const MAX_MOVES: usize = 5;
+/// The rate below which a target counts as without load, in requests per second.
+const MAX_IDLE_RATE: f64 = 0.2;
 /// The utilisation up to which a target without load is filled, as a ratio to the mean.
 const IDLE_FILL_RATIO: f64 = 0.5;
 /// The minimum ratio of the wanted load that a run of keys must carry, so that a narrower one is found.
@@ -240,8 +247,29 @@
 ) -> Vec<Move> {
     let mut plan = Plan::new(record, candidates, load);
     plan.cooling_down = cooling_down;
-    while plan.moves.len() < MAX_MOVES && plan.add_move() {}
-    plan.moves
+    plan.build(MAX_PASSED_OVER)
+}
+
+/// Plans moves like [`plan`], but ends at the first candidate that can't be relieved.
+///
+/// It takes less time, and begins few moves while the busiest candidate stays as it is.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier_engine::owner::{balance, load::Load, record::Record};
+///
+/// assert_eq!(balance::plan_busiest(&Record::unowned(9), &[], &Load::default(), &[]), []);
+/// ```
+pub fn plan_busiest(
+    record: &Record,
+    candidates: &[Candidate],
+    load: &Load,
+    cooling_down: &[Move],
+) -> Vec<Move> {
+    let mut plan = Plan::new(record, candidates, load);
+    plan.cooling_down = cooling_down;
+    plan.build(0)
 }
 
 /// A plan that is being built.
@@ -256,6 +284,19 @@
     moves: Vec<Move>,
     /// Keys that moved recently and stay where they are.
     cooling_down: &'a [Move],
+    /// Candidates that no move of this plan relieves.
+    passed_over: HashSet<usize>,
+}
+
+/// The busy keys of one owner with their rates in requests per second, by range.
+type BusyKeys = Vec<Vec<(RequestKey, f64)>>;
+
+/// A move to be planned: the run, its present owner and the next one, as indexes of candidates.
+#[derive(Clone, Copy)]
+struct Step {
+    run: Run,
+    from: usize,
+    to: usize,
 }
 
 /// A run of keys with its rate in requests per second.
@@ -292,9 +333,21 @@
             rates,
             moves: Vec::new(),
             cooling_down: &[],
+            passed_over: HashSet::new(),
         }
     }
 
+    /// Adds moves until enough are planned, none is worth making, or too many candidates can't be relieved.
+    fn build(mut self, max_passed_over: usize) -> Vec<Move> {
+        while self.moves.len() < MAX_MOVES {
+            let Some(step) = self.next_step(max_passed_over) else {
+                break;
+            };
+            self.add(step);
+        }
+        self.moves
+    }
+
     /// Returns whether any key of a range already moves in this plan or is in its cooldown.
     fn is_excluded(&self, from: RequestKey, to: RequestKey) -> bool {
         let mut excluded = self.moves.iter().chain(self.cooling_down);
@@ -306,43 +359,52 @@
         self.rates[at] / self.candidates[at].capacity.max(0.01)
     }
 
-    /// Adds one move; returns whether there was one worth making.
-    fn add_move(&mut self) -> bool {
-        let by_utilisation =
-            |a: &usize, b: &usize| self.utilisation(*a).total_cmp(&self.utilisation(*b));
-        let Some(busiest) = (0..self.candidates.len()).max_by(by_utilisation) else {
-            return false;
-        };
-        let Some(idlest) = (0..self.candidates.len()).min_by(by_utilisation) else {
-            return false;
-        };
-        let utilisation = self.utilisation(busiest);
-        let overloaded = utilisation > LOW_UTILISATION && utilisation > self.mean * MAX_IMBALANCE;
-        let idle = self.rates[idlest] < 0.2 && self.mean > 0.0;
-        let chosen = if overloaded {
-            self.relieve(busiest)
-        } else if idle {
-            self.fill_idle(busiest, idlest)
-        } else {
-            None
-        };
-        let Some((run, to)) = chosen else {
-            return false;
-        };
-        self.rates[busiest] -= run.rate;
+    /// Adds a move.
+    fn add(&mut self, step: Step) {
+        let Step { run, from, to } = step;
+        self.rates[from] -= run.rate;
         self.rates[to] += run.rate;
         self.moves.push(Move {
             from: run.from,
             to: run.to,
             owner: self.candidates[to].incarnation.clone(),
         });
-        true
+    }
+
+    /// Returns the busiest candidate that wasn't passed over.
+    fn busiest(&self) -> Option<usize> {
+        let open = (0..self.candidates.len()).filter(|at| !self.passed_over.contains(at));
+        open.max_by(|a, b| self.utilisation(*a).total_cmp(&self.utilisation(*b)))
+    }
+
+    /// Returns whether a candidate is so busy that keys move away.
+    fn is_overloaded(&self, at: usize) -> bool {
+        let utilisation = self.utilisation(at);
+        utilisation > LOW_UTILISATION && utilisation > self.mean * MAX_IMBALANCE
+    }
+
+    /// Returns the next move: away from the busiest candidate that can be relieved, or else to one without load.
+    fn next_step(&mut self, max_passed_over: usize) -> Option<Step> {
+        loop {
+            let busiest = self.busiest()?;
+            if !self.is_overloaded(busiest) {
+                return self.fill_idle(busiest);
+            }
+            if let Some(step) = self.relieve(busiest) {
+                return Some(step);
+            }
+            self.passed_over.insert(busiest);
+            if self.passed_over.len() > max_passed_over {
+                return None;
+            }
+        }
     }
 
     /// Returns the run of the busiest candidate's keys and the new owner that lower the utilisation most.
-    fn relieve(&self, busiest: usize) -> Option<(Run, usize)> {
+    fn relieve(&self, busiest: usize) -> Option<Step> {
         let before = self.utilisation(busiest);
-        let hottest_key = self.hottest_key(busiest);
+        let keys = self.busy_keys(busiest);
+        let hottest_key = self.hottest_key(&keys);
         let mut best: Option<(Run, usize, f64)> = None;
         for to in (0..self.candidates.len()).filter(|to| *to != busiest) {
             // After a move of this rate both have the same utilisation.
@@ -352,7 +414,7 @@
             if wanted <= 0.0 {
                 continue;
             }
-            let runs = [self.narrowest_run(busiest, wanted), hottest_key];
+            let runs = [self.narrowest_run(&keys, wanted), hottest_key];
             for run in runs.into_iter().flatten() {
                 let kept = (self.rates[busiest] - run.rate) / from.capacity;
                 let added = (self.rates[to] + run.rate) / into.capacity;
@@ -363,49 +425,57 @@
             }
         }
         let (run, to, after) = best?;
-        (after < before * REQUIRED_RATIO).then_some((run, to))
+        let from = busiest;
+        (after < before * REQUIRED_RATIO).then_some(Step { run, from, to })
     }
 
-    /// Returns the single key of a candidate that has the highest rate and may move.
-    fn hottest_key(&self, owner: usize) -> Option<Run> {
+    /// Returns the keys of a candidate that have load.
+    fn busy_keys(&self, owner: usize) -> BusyKeys {
         let incarnation = &self.candidates[owner].incarnation;
-        let own = self
-            .record
-            .ranges
-            .iter()
-            .filter(|range| range.owner.as_ref() == Some(incarnation));
-        let keys = own.flat_map(|range| self.load.key_rates(range.from, range.to));
+        let ranges = self.record.ranges.iter();
+        let own = ranges.filter(|range| range.owner.as_ref() == Some(incarnation));
+        own.map(|range| self.load.key_rates(range.from, range.to))
+            .collect()
+    }
+
+    /// Returns the single key that has the highest rate of those that may move.
+    fn hottest_key(&self, keys: &BusyKeys) -> Option<Run> {
+        let keys = keys.iter().flatten();
         let free = keys.filter(|(key, _)| !self.is_excluded(*key, *key));
         let (key, rate) = free.max_by(|a, b| a.1.total_cmp(&b.1))?;
         Some(Run {
-            from: key,
-            to: key,
-            rate,
+            from: *key,
+            to: *key,
+            rate: *rate,
         })
     }
 
-    /// Returns a run of the busiest candidate's keys for one without load.
-    fn fill_idle(&self, busiest: usize, idlest: usize) -> Option<(Run, usize)> {
+    /// Returns the move of a run of the busiest candidate's keys to one without load, if there is one.
+    fn fill_idle(&self, busiest: usize) -> Option<Step> {
+        let all = 0..self.candidates.len();
+        let idlest = all.min_by(|a, b| self.utilisation(*a).total_cmp(&self.utilisation(*b)))?;
+        if self.rates[idlest] >= MAX_IDLE_RATE || self.mean <= 0.0 {
+            return None;
+        }
         let wanted = self.mean * self.candidates[idlest].capacity * IDLE_FILL_RATIO;
-        let run = self.narrowest_run(busiest, wanted)?;
-        Some((run, idlest))
+        let run = self.narrowest_run(&self.busy_keys(busiest), wanted)?;
+        Some(Step {
+            run,
+            from: busiest,
+            to: idlest,
+        })
     }
 
-    /// Returns the narrowest run of a candidate's keys that carries about `wanted` requests per second.
-    fn narrowest_run(&self, owner: usize, wanted: f64) -> Option<Run> {
-        let incarnation = &self.candidates[owner].incarnation;
-        let own = self
-            .record
-            .ranges
+    /// Returns the narrowest run within one range that carries about `wanted` requests per second.
+    fn narrowest_run(&self, keys: &BusyKeys, wanted: f64) -> Option<Run> {
+        let runs = keys
             .iter()
-            .filter(|range| range.owner.as_ref() == Some(incarnation));
-        let runs = own.filter_map(|range| self.narrowest_run_in(range, wanted));
+            .filter_map(|range| self.narrowest_run_in(range, wanted));
         runs.min_by_key(|run| run.to - run.from)
     }
 
-    /// Returns the narrowest such run within one range, by a sliding window over its keys.
-    fn narrowest_run_in(&self, range: &KeyRange, wanted: f64) -> Option<Run> {
-        let keys = self.load.key_rates(range.from, range.to);
+    /// Returns the narrowest such run of some keys, by a sliding window.
+    fn narrowest_run_in(&self, keys: &[(RequestKey, f64)], wanted: f64) -> Option<Run> {
         let (mut start, mut rate) = (0, 0.0);
         let mut best: Option<Run> = None;
         for (end, (last, key_rate)) in keys.iter().enumerate() {
@@ -420,9 +490,8 @@
                 rate,
             };
             let fits = rate >= wanted * MIN_RUN_RATIO && rate <= wanted * MAX_RUN_RATIO;
-            let excluded = self.is_excluded(run.from, run.to);
             let narrower = best.is_none_or(|least| run.to - run.from < least.to - least.from);
-            if fits && !excluded && narrower {
+            if fits && narrower && !self.is_excluded(run.from, run.to) {
                 best = Some(run);
             }
         }
--- a/engine/src/owner/ownership/mod.rs
+++ b/engine/src/owner/ownership/mod.rs
@@ -127,6 +127,8 @@
     started_at: Duration,
     /// When moves were last planned.
     balanced_at: Duration,
+    /// When moves were last planned that pass over owners which can't be relieved.
+    full_round_at: Duration,
     /// When all keys were last redistributed.
     redistributed_at: Duration,
     /// Keys that moved recently.
--- a/engine/src/owner/ownership/moves.rs
+++ b/engine/src/owner/ownership/moves.rs
@@ -39,6 +39,12 @@
 /// The minimum time between two redistributions: requests for all keys wait for a moment each time.
 const REDISTRIBUTION_INTERVAL: Duration = Duration::from_secs(5);
 
+/// The minimum time between two rounds that pass over owners which can't be relieved, for each range of the record.
+///
+/// Such rounds go on for as long as one owner is too busy, and each of their moves sends the record with all ranges to the
+/// store and to all VMs.
+const FULL_ROUND_INTERVAL_PER_RANGE: Duration = Duration::from_millis(4);
+
 /// The fraction of its capacity with which a cold target is counted.
 const COLD_CAPACITY_RATIO: f64 = 0.5;
 
@@ -156,11 +162,23 @@
             }
         }
         let cooling_down: Vec<Move> = self.cooldowns.iter().map(|it| it.keys.clone()).collect();
-        for it in balance::plan(&self.record, &candidates, &load, &cooling_down) {
+        let plan = if self.is_full_round_due(now) {
+            self.full_round_at = now;
+            balance::plan
+        } else {
+            balance::plan_busiest
+        };
+        for it in plan(&self.record, &candidates, &load, &cooling_down) {
             self.begin_move(now, it, COOLDOWN, effects);
         }
     }
 
+    /// Returns whether a round of moves may pass over owners that can't be relieved.
+    fn is_full_round_due(&self, now: Duration) -> bool {
+        let ranges = u32::try_from(self.record.ranges.len()).unwrap_or(u32::MAX);
+        now >= self.full_round_at + FULL_ROUND_INTERVAL_PER_RANGE.saturating_mul(ranges)
+    }
+
     /// Begins a move: splits off the range and asks its owner to release it.
     fn begin_move(
         &mut self,
--- a/engine/src/owner/ownership/takeover.rs
+++ b/engine/src/owner/ownership/takeover.rs
@@ -105,6 +105,7 @@
             refusing: IndexMap::new(),
             started_at: now,
             balanced_at: now,
+            full_round_at: Duration::ZERO,
             redistributed_at: Duration::ZERO,
             cooldowns: Vec::new(),
             handled_at: now,
