A stop answers requests that have arrived unread

Callers saw: a whole request, and the end of its connection without an answer, while VMs were stopped as planned. Cause, provoked: when a stop closes the connections without a request, the runtime may not have read what came while the process did other work: it had been waiting for 200 ms, and closing the socket reset it. So did connections that waited to be accepted. With less than half of a failure domain's VMs ready the balancer sends new connections to stopping VMs too, so both are common just when many VMs stop. Now the server looks at the socket before it closes it, and reads what is there first; likewise it accepts what waits. The line event=drained tells how many connections that were (unread=). Read as well, and no way found: a request that was read when the stop comes (the connection is polled before the stop), a process that ends while a response is under way (it waits for its connections), a head that arrives in two parts (not a whole request), the idle timeout (it is no shorter than what callers use of it).

--- a/engine/src/process/lifecycle.rs
+++ b/engine/src/process/lifecycle.rs
@@ -121,9 +121,10 @@
             resources.clock.sleep(POLL_INTERVAL).await;
         }
         let closed = resources.callers.open();
+        let unread = resources.callers.unread();
         resources
             .report
-            .line(&format!("event=drained cut={closed}"));
+            .line(&format!("event=drained cut={closed} unread={unread}"));
     }
 }
 
--- a/util/src/server.rs
+++ b/util/src/server.rs
@@ -32,6 +32,9 @@
 const MAX_HEADERS: usize = 100;
 /// The default maximum size of a request's head; hyper responds with 431 to a larger one.
 const DEFAULT_HEAD_BYTES: usize = 32 * 1024;
+/// How long a stopping connection waits for the runtime to read what has arrived, and how often.
+const UNREAD_WAIT: Duration = Duration::from_millis(10);
+const MAX_UNREAD_WAITS: usize = 20;
 /// The delay before the next attempt after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -68,6 +71,7 @@
     /// Completes once connections must close without a response.
     aborted: Shared<oneshot::Receiver<()>>,
     open: Rc<Cell<usize>>,
+    unread: Rc<Cell<usize>>,
 }
 
 impl Default for Control {
@@ -80,6 +84,7 @@
             connected: Rc::new(RefCell::new(Some(connected))),
             aborted: aborted.shared(),
             open: Rc::default(),
+            unread: Rc::default(),
         }
     }
 }
@@ -96,6 +101,15 @@
         self.connected.borrow_mut().take();
     }
 
+    /// Returns how many connections had something unread, or weren't accepted yet, when the server stopped.
+    pub fn unread(&self) -> usize {
+        self.unread.get()
+    }
+
+    fn count_unread(&self) {
+        self.unread.set(self.unread.get() + 1);
+    }
+
     /// Returns how many connections are open.
     pub fn open(&self) -> usize {
         self.open.get()
@@ -148,14 +162,19 @@
 {
     loop {
         let accept = Box::pin(listener.accept());
-        let stream = match future::select(control.stopped.clone(), accept).await {
-            Either::Left(_) => return,
-            Either::Right((Ok((stream, _)), _)) => stream,
-            // The process has no free file descriptors, or the peer closed before the accept: continue.
-            Either::Right((Err(_), _)) => {
-                compio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
+        let accepted = match future::select(control.stopped.clone(), accept).await {
+            // Connections that wait to be accepted may have carried whole requests for a while.
+            Either::Left((_, accept)) if socket::is_readable(&listener) => {
+                control.count_unread();
+                accept.await
             }
+            Either::Left(_) => return,
+            Either::Right((accepted, _)) => accepted,
+        };
+        // If not, the process has no free file descriptors, or the peer closed before the accept: continue.
+        let Ok((stream, _)) = accepted else {
+            compio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            continue;
         };
         let open = OpenConnection::new(control.clone());
         let timer = SharedTimer::new(clock.clone(), limits());
@@ -190,6 +209,7 @@
             Ok::<_, Infallible>(response)
         }
     });
+    let socket = stream.clone();
     let stream = Stream::new(stream, timer.clone());
     let connection = http1::Builder::new()
         .max_headers(MAX_HEADERS)
@@ -205,11 +225,34 @@
             Either::Left((Either::Right(_), _)) => false,
         }
     };
-    if !closed {
-        connection.as_mut().graceful_shutdown();
-        // A failure closes the connection as well.
-        let _ = connection.await;
+    if closed || read_arrived(&socket, connection.as_mut(), &open.0).await {
+        return;
+    }
+    connection.as_mut().graceful_shutdown();
+    // A failure closes the connection as well.
+    let _ = connection.await;
+}
+
+/// Lets a stopping connection read what has arrived: the runtime may have been busy since; returns whether it has ended.
+///
+/// A request that is read is answered before the connection closes, and one that isn't would end without an answer.
+async fn read_arrived<C>(socket: &TcpStream, mut connection: C, control: &Control) -> bool
+where
+    C: Future + Unpin,
+{
+    for wait in 0..MAX_UNREAD_WAITS {
+        if !socket::is_readable(socket) {
+            return false;
+        }
+        if wait == 0 {
+            control.count_unread();
+        }
+        let pause = Box::pin(compio::time::sleep(UNREAD_WAIT));
+        if let Either::Left(_) = future::select(&mut connection, pause).await {
+            return true;
+        }
     }
+    false
 }
 
 /// A connection's timer, shared by its task, its stream and its service.
--- a/util/src/socket.rs
+++ b/util/src/socket.rs
@@ -1,9 +1,12 @@
 //! TCP socket options.
 
-use std::time::Duration;
+use std::{os::fd::AsFd, time::Duration};
 
 use compio::net::TcpStream;
-use rustix::net::sockopt;
+use rustix::{
+    event::{self, PollFd, PollFlags, Timespec},
+    net::sockopt,
+};
 
 /// How long a connection may be idle before the first TCP keepalive probe.
 ///
@@ -38,3 +41,18 @@
 pub fn reset_on_close(stream: &TcpStream) {
     let _ = sockopt::set_socket_linger(stream, Some(Duration::ZERO));
 }
+
+/// Returns whether a socket has something that the runtime has not read yet: bytes, the end of the stream, or a connection
+/// to be accepted.
+pub fn is_readable<S>(socket: &S) -> bool
+where
+    S: AsFd,
+{
+    let mut sockets = [PollFd::new(socket, PollFlags::IN)];
+    let no_wait = Timespec {
+        tv_sec: 0,
+        tv_nsec: 0,
+    };
+    // A failed look counts as nothing to read: the stop goes on.
+    event::poll(&mut sockets, Some(&no_wait)).is_ok_and(|ready| ready > 0)
+}
