--- a/engine/src/caller/attempts.rs
+++ b/engine/src/caller/attempts.rs
@@ -8,8 +8,8 @@
 
 use super::{
     attempt::{Attempt, AttemptResult, MIN_ATTEMPT_TIME, OutgoingRequest},
+    context::{Context, RoutedRequest},
     failure::Failure,
-    forward::{Context, RoutedRequest},
     local_response::{LocalResponse, RETRY_AFTER, Trace},
     payload::Payload,
 };
--- a/engine/src/caller/forward.rs
+++ b/engine/src/caller/forward.rs
@@ -2,81 +2,23 @@
 
 use std::{rc::Rc, time::Duration};
 
-use bramleypier_util::{body::Body, clock::Clock};
+use bramleypier_util::body::Body;
 use futures_channel::oneshot;
 use hyper::{Request, Response, body::Incoming, header};
 
 use super::{
-    CallerProtocol, RequestInfo,
-    attempt::Sender,
+    RequestInfo,
     attempts::{self, CallerPresence},
+    context::{Context, RoutedRequest},
     failure::Failure,
     local_response::{LocalResponse, RETRY_AFTER, Trace},
     payload,
-    startup::StartupWait,
-    timeouts::RouteTimeouts,
-};
-use crate::{
-    catalogue::{Config, Found, Route},
-    fleet::SharedFleet,
-    health::Health,
-    owner::tally::Tally,
-    placement::task,
-    report::Report,
 };
+use crate::catalogue::{Config, Found};
 
 /// The remaining time assumed for a caller that states none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// The state and clients that request handling uses.
-#[derive(Clone)]
-pub struct Context {
-    /// This VM's view of the fleet.
-    pub shared_fleet: SharedFleet,
-    /// Whether the sync exchange with the manager works; the manager relays changes of the store.
-    pub manager_health: Health,
-    /// The protocol that callers use.
-    pub callers: Rc<dyn CallerProtocol>,
-    /// Decides which targets requests go to.
-    pub dispatcher: task::Handle,
-    /// Sends requests to targets.
-    pub sender: Sender,
-    /// Holds requests that arrive before the first configuration.
-    pub startup: StartupWait,
-    /// The longest remaining time that callers have stated, by route.
-    pub timeouts: RouteTimeouts,
-    /// Counts requests by key.
-    pub tally: Tally,
-    /// The clock.
-    pub clock: Clock,
-    /// Logs and counters.
-    pub report: Report,
-}
-
-impl std::fmt::Debug for Context {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Context").finish_non_exhaustive()
-    }
-}
-
-/// A request whose route and service are known.
-#[derive(Clone, Debug)]
-pub(super) struct RoutedRequest {
-    pub(super) info: RequestInfo,
-    pub(super) route: Route,
-    pub(super) service: String,
-    /// Whether only the owner of the key can serve it.
-    pub(super) keyed: bool,
-    /// The configuration's version.
-    pub(super) version: u64,
-    /// When the request was received.
-    pub(super) received_at: Duration,
-    /// When its route's goal ends.
-    pub(super) goal_deadline: Duration,
-    /// When its caller stops waiting, or the route's timeout ends.
-    pub(super) deadline: Duration,
-}
-
 /// Handles one request, from its arrival to its response.
 pub async fn handle(context: Context, request: Request<Incoming>) -> Response<Body> {
     let received_at = context.clock.now();
--- a/engine/src/caller/mod.rs
+++ b/engine/src/caller/mod.rs
@@ -1,12 +1,13 @@
 //! Serves callers, the clients of the router.
 //!
 //! [`serve`] owns callers' connections; [`forward`] takes one request from its route to its
-//! response. `attempts` decides which targets it is sent to, one after the other, and [`attempt`]
+//! response, and [`context`] is what all steps on that way share. `attempts` decides which targets it is sent to, one after the other, and [`attempt`]
 //! sends it to one of them. [`startup`] holds requests until the first configuration is known, and
 //! [`failure`] lists the failures that this router reports in responses of its own.
 
 pub mod attempt;
 mod attempts;
+pub mod context;
 pub mod failure;
 pub mod forward;
 mod local_response;
--- a/engine/src/caller/payload.rs
+++ b/engine/src/caller/payload.rs
@@ -11,8 +11,8 @@
 
 use super::{
     attempt::OutgoingRequest,
+    context::{Context, RoutedRequest},
     failure::Failure,
-    forward::{Context, RoutedRequest},
     local_response::LocalResponse,
 };
 use crate::{
--- a/engine/src/caller/serve.rs
+++ b/engine/src/caller/serve.rs
@@ -9,7 +9,7 @@
 use compio::net::TcpListener;
 use hyper::{Response, StatusCode, header};
 
-use super::forward::{self, Context};
+use super::{context::Context, forward};
 use crate::{catalogue::CallerLimits, serving::ServingState};
 
 /// Serves callers until the control stops it.
--- a/engine/src/catalogue/mod.rs
+++ b/engine/src/catalogue/mod.rs
@@ -29,6 +29,9 @@
 /// The hash of a target's id, which keeps messages between VMs small: they name targets many times a second.
 pub type TargetHash = u32;
 
+/// The requests per second that an overloaded target accepts from all VMs together.
+pub type Rate = f64;
+
 /// Hashes a target's id.
 ///
 /// # Example
--- a/engine/src/owner/manager/mod.rs
+++ b/engine/src/owner/manager/mod.rs
@@ -24,14 +24,14 @@
     service_times::ServiceTimes,
 };
 use crate::{
-    catalogue::{Catalogue, ServiceId, TargetHash},
+    catalogue::{Catalogue, Rate, ServiceId, TargetHash},
     fleet::{SharedFleet, StoreKeys, Vm},
     health::Health,
     reach::Reach,
     report::Report,
     settings::LeaseLimits,
     store::{Commit, Error, Item, Lease, LeaseId, Revision, Store},
-    target::{Rate, TargetProtocol},
+    target::TargetProtocol,
 };
 
 /// The time between two checks for due work.
--- a/engine/src/owner/ownership/mod.rs
+++ b/engine/src/owner/ownership/mod.rs
@@ -46,9 +46,8 @@
     record::{self, Incarnation, Record, RequestKey, Term},
 };
 use crate::{
-    catalogue::{Target, TargetId},
+    catalogue::{Rate, Target, TargetId},
     store::Era,
-    target::Rate,
 };
 
 /// The shortest grant that is sent near the end of the lease: a renewal takes up to its timeout of 0.4 s.
--- a/engine/src/peer/fleet_load.rs
+++ b/engine/src/peer/fleet_load.rs
@@ -10,6 +10,7 @@
 
 use super::TargetHash;
 use crate::{
+    catalogue::Rate,
     owner::service_times::ServiceTimes,
     placement::{
         bucket::TokenBucket,
@@ -17,7 +18,6 @@
         quota::{self, Occupancy, OtherQueue, Quota, RateCapacity, TargetQueue},
         rates::{RateReport, Rates},
     },
-    target::Rate,
 };
 
 /// The minimum time for which a VM's report counts.
@@ -356,17 +356,14 @@
                 target,
                 ..TargetQueue::default()
             });
-            let quota = match rate_capacities.get(&target) {
-                Some(capacity) => {
-                    quota::allot_at_rate(*capacity, &own, &load.others, load.in_flight)
-                }
-                None => {
-                    let occupancy = Occupancy {
-                        in_flight: load.in_flight,
-                        completion_rate: self.completion_rate(&own),
-                    };
-                    quota::allot(&own, &load.others, occupancy)
-                }
+            let occupancy = Occupancy {
+                in_flight: load.in_flight,
+                completion_rate: self.completion_rate(&own),
+            };
+            let quota = if let Some(capacity) = rate_capacities.get(&target) {
+                quota::allot_at_rate(*capacity, &own, &load.others, load.in_flight)
+            } else {
+                quota::allot(&own, &load.others, occupancy)
             };
             (quota, self.occupied_until(now, &own))
         });
--- a/engine/src/placement/bucket.rs
+++ b/engine/src/placement/bucket.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use super::rates;
-use crate::target::Rate;
+use crate::catalogue::Rate;
 
 /// How many requests may be sent at once after an idle period, in addition to those of [`MAX_ACCRUAL`].
 const BURST: f64 = 2.0;
--- a/engine/src/placement/dispatch/rate_limits.rs
+++ b/engine/src/placement/dispatch/rate_limits.rs
@@ -4,12 +4,11 @@
 
 use super::{Dispatcher, FleetView};
 use crate::{
-    catalogue::{self, TargetHash},
+    catalogue::{self, Rate, TargetHash},
     placement::{
         rates::{self, RateReport},
         warmup::SendLimit,
     },
-    target::Rate,
 };
 
 impl Dispatcher {
--- a/engine/src/placement/message.rs
+++ b/engine/src/placement/message.rs
@@ -17,9 +17,8 @@
     rates::RateReport,
 };
 use crate::{
-    catalogue::{ServiceId, Target, TargetHash, TargetId, VmId, Warmup},
+    catalogue::{Rate, ServiceId, Target, TargetHash, TargetId, VmId, Warmup},
     owner::record::{Fence, KeyRange, Record, RequestKey},
-    target::Rate,
 };
 
 /// The number of a request; never reused.
--- a/engine/src/placement/rates.rs
+++ b/engine/src/placement/rates.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::warmup::SenderPlan;
-use crate::{catalogue::TargetHash, target::Rate};
+use crate::catalogue::{Rate, TargetHash};
 
 /// How much newer than the known report another one must be: a report that returns from another VM looks slightly
 /// newer.
--- a/engine/src/placement/target_state.rs
+++ b/engine/src/placement/target_state.rs
@@ -16,7 +16,7 @@
     rates,
     warmup::{SendLimit, SendLimiter},
 };
-use crate::{catalogue::Target, target::Rate};
+use crate::catalogue::{Rate, Target};
 
 /// The time in which a load report loses most of its weight to the mean of reports.
 ///
--- a/engine/src/placement/task.rs
+++ b/engine/src/placement/task.rs
@@ -14,9 +14,9 @@
     RefusalReason, Snapshot, Ticket,
 };
 use crate::{
-    catalogue::Target,
+    catalogue::{Rate, Target},
     report::Report,
-    target::{LoadReport, Rate},
+    target::LoadReport,
 };
 
 /// How often queued requests are checked while no event arrives: deadlines pass, and load reports lose weight with age.
--- a/engine/src/process/serving.rs
+++ b/engine/src/process/serving.rs
@@ -8,7 +8,7 @@
 
 use super::{Process, listeners::Listeners, spawn};
 use crate::{
-    caller::{attempt::Sender, forward, serve, startup::StartupWait, timeouts::RouteTimeouts},
+    caller::{attempt::Sender, context, serve, startup::StartupWait, timeouts::RouteTimeouts},
     peer::sync,
     placement::task,
     reach::relay::Relay,
@@ -23,7 +23,7 @@
         dispatcher: &task::Handle,
         sync_context: &sync::Context,
     ) {
-        let context = forward::Context {
+        let context = context::Context {
             shared_fleet: self.shared_fleet.clone(),
             manager_health: self.manager_health.clone(),
             callers: self.adapter.callers.clone(),
--- a/engine/src/target.rs
+++ b/engine/src/target.rs
@@ -5,7 +5,7 @@
 use hyper::{HeaderMap, Method, StatusCode};
 
 use crate::{
-    catalogue::TargetId,
+    catalogue::{Rate, TargetId},
     owner::{
         ownership::{CallOutcome, OwnershipCommand},
         record::RequestKey,
@@ -21,9 +21,6 @@
     pub waiting: u32,
 }
 
-/// The requests per second that an overloaded target accepts from all VMs together.
-pub type Rate = f64;
-
 /// Why a target states that it did not run a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
--- a/util/tests/server_stop.rs
+++ b/util/tests/server_stop.rs
@@ -39,9 +39,9 @@
         let (ended, result) = oneshot::channel();
         thread::spawn(move || {
             let stream = prepare(address);
-            prepared.send(()).ok();
+            prepared.send(()).unwrap();
             thread::sleep(SEND_DELAY);
-            ended.send(client(address, stream)).ok();
+            ended.send(client(address, stream)).unwrap();
         });
         is_prepared.await.unwrap();
         thread::sleep(OTHER_WORK);
