--- a/program/tests/soak.rs
+++ b/program/tests/soak.rs
@@ -97,3 +97,14 @@
     let plan = Plan::generate_with_exhausted_budgets(1, size);
     assert_eq!(run_plan(&plan, 1), []);
 }
+
+/// Guards against VMs that refuse requests for good once the paths to targets are well again.
+#[test]
+fn paths_that_fail_one_by_one_violate_no_guarantee() {
+    let size = Size {
+        vms: 10,
+        seconds: 6,
+    };
+    let plan = Plan::generate_with_broken_paths(5, size);
+    assert_eq!(run_plan(&plan, 5), []);
+}
