--- a/engine/src/caller/forward.rs
+++ b/engine/src/caller/forward.rs
@@ -173,7 +173,8 @@
 /// lets the caller retry.
 fn no_route(context: &Context, host: &str, config: &Config) -> LocalResponse {
     let cause = format!("no route for host={host} version={}", config.version);
-    let confirmed = context.shared_fleet.get().is_confirmed(context.clock.now());
+    let confirmations = context.shared_fleet.confirmations();
+    let confirmed = confirmations.is_by_store(context.clock.now());
     let relayed = context.manager_health.is_healthy();
     if confirmed || relayed {
         let cause = format!("{cause} confirmed={confirmed} relayed={relayed}");
@@ -229,8 +230,10 @@
         let key = info.key.map(|it| it.to_string()).unwrap_or_default();
         let print = trace.fingerprint.map(|it| it.to_string());
         let print = print.unwrap_or_default();
+        let now = context.clock.now();
+        let confirmed = context.shared_fleet.confirmations().describe(now);
         format!(
-            "event=request id={} route={route} version={version} service={service} key={key} print={print} \
+            "event=request id={} route={route} version={version} {confirmed} service={service} key={key} print={print} \
              outcome={outcome} status={} took_ms={} wait_ms={} targets={} cause=\"{cause}\" tries=\"{}\"",
             info.id,
             status.as_u16(),
--- /dev/null
+++ b/engine/src/fleet/confirmations.rs
@@ -0,0 +1,185 @@
+//! How old a VM's knowledge of the store is, and who says so.
+//!
+//! Whoever says that a route doesn't exist, or relays changes to other VMs, must know until when it knows all of them.
+
+use std::{
+    cell::{Cell, RefCell},
+    fmt,
+    rc::Rc,
+    time::Duration,
+};
+
+use super::VmId;
+
+/// How long a confirmation that a VM knows the whole state of the store counts.
+///
+/// A VM that says that a route doesn't exist must know all routes that were added two seconds before.
+pub const CONFIRMATION_TIME: Duration = Duration::from_millis(1800);
+
+/// Who confirms that a VM knows the whole state of the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The store, by the response to a watch.
+    Store,
+    /// The manager, which relays the changes.
+    Manager(VmId),
+}
+
+impl fmt::Display for Source {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Store => f.write_str("store"),
+            Self::Manager(vm) => f.write_str(vm),
+        }
+    }
+}
+
+/// A confirmation that a VM knew the whole state of the store at some time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Confirmation {
+    /// The latest time at which it certainly knew all.
+    pub at: Duration,
+    /// Who confirms it.
+    pub source: Source,
+}
+
+/// The confirmations of one VM; clones share them.
+///
+/// # Example
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use bramleypier_engine::fleet::{CONFIRMATION_TIME, Confirmations};
+///
+/// let now = Duration::from_secs(60);
+/// let confirmations = Confirmations::default();
+/// assert!(!confirmations.is_by_store(now));
+/// confirmations.add_by_store(now);
+/// assert!(confirmations.is_by_store(now + CONFIRMATION_TIME));
+/// assert!(!confirmations.is_by_store(now + 2 * CONFIRMATION_TIME));
+/// confirmations.add_by_manager(now + Duration::from_secs(1), "vm-1");
+/// assert_eq!(confirmations.latest().unwrap().source.to_string(), "vm-1");
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Confirmations {
+    /// When the store last confirmed that this VM knows all of it, unless its watch has failed since.
+    by_store: Rc<Cell<Option<Duration>>>,
+    latest: Rc<RefCell<Option<Confirmation>>>,
+}
+
+impl Confirmations {
+    /// Records that the store confirms at `now` that this VM, which follows it itself, knows all of it.
+    ///
+    /// # Example
+    ///
+    /// See [`Confirmations`].
+    pub fn add_by_store(&self, now: Duration) {
+        self.by_store.set(Some(now));
+        self.add(Confirmation {
+            at: now,
+            source: Source::Store,
+        });
+    }
+
+    /// Records that this VM doesn't follow the store itself any more.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier_engine::fleet::Confirmations;
+    ///
+    /// let confirmations = Confirmations::default();
+    /// confirmations.add_by_store(Duration::ZERO);
+    /// confirmations.end_by_store();
+    /// assert!(!confirmations.is_by_store(Duration::ZERO));
+    /// assert!(confirmations.latest().is_some());
+    /// ```
+    pub fn end_by_store(&self) {
+        self.by_store.set(None);
+    }
+
+    /// Records that the manager has relayed everything that it knew at `at`.
+    ///
+    /// # Example
+    ///
+    /// See [`Confirmations`].
+    pub fn add_by_manager(&self, at: Duration, manager: &str) {
+        self.add(Confirmation {
+            at,
+            source: Source::Manager(manager.to_owned()),
+        });
+    }
+
+    fn add(&self, confirmation: Confirmation) {
+        let mut latest = self.latest.borrow_mut();
+        if latest.as_ref().is_none_or(|it| it.at <= confirmation.at) {
+            *latest = Some(confirmation);
+        }
+    }
+
+    /// Returns whether the store has confirmed lately that this VM, which follows it itself, knows all of it.
+    ///
+    /// # Example
+    ///
+    /// See [`Confirmations`].
+    pub fn is_by_store(&self, now: Duration) -> bool {
+        let at = self.by_store.get();
+        at.is_some_and(|at| now <= at + CONFIRMATION_TIME)
+    }
+
+    /// Returns how old the last confirmation by the store is, if this VM follows it itself.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier_engine::fleet::Confirmations;
+    ///
+    /// let second = Duration::from_secs(1);
+    /// let confirmations = Confirmations::default();
+    /// confirmations.add_by_store(second);
+    /// assert_eq!(confirmations.age_by_store(3 * second), Some(2 * second));
+    /// ```
+    pub fn age_by_store(&self, now: Duration) -> Option<Duration> {
+        let at = self.by_store.get()?;
+        Some(now.saturating_sub(at))
+    }
+
+    /// Returns the latest confirmation, however old.
+    ///
+    /// # Example
+    ///
+    /// See [`Confirmations`].
+    pub fn latest(&self) -> Option<Confirmation> {
+        self.latest.borrow().clone()
+    }
+
+    /// Describes the latest confirmation for a log line: its age and its source.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier_engine::fleet::Confirmations;
+    ///
+    /// let confirmations = Confirmations::default();
+    /// assert_eq!(confirmations.describe(Duration::ZERO), "confirmed_ms= confirmed_by=nobody");
+    /// confirmations.add_by_store(Duration::ZERO);
+    /// let text = confirmations.describe(Duration::from_millis(7));
+    /// assert_eq!(text, "confirmed_ms=7 confirmed_by=store");
+    /// ```
+    pub fn describe(&self, now: Duration) -> String {
+        match &*self.latest.borrow() {
+            Some(Confirmation { at, source }) => {
+                let age = now.saturating_sub(*at).as_millis();
+                format!("confirmed_ms={age} confirmed_by={source}")
+            }
+            None => "confirmed_ms= confirmed_by=nobody".to_owned(),
+        }
+    }
+}
--- a/engine/src/fleet/mod.rs
+++ b/engine/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 
 mod change_log;
 mod cold;
+mod confirmations;
 mod entries;
 mod entry;
 mod eras;
@@ -21,6 +22,7 @@
 use self::removals::PendingRemoval;
 pub use self::{
     change_log::{ChangeLog, LogPosition, Relay},
+    confirmations::{CONFIRMATION_TIME, Confirmation, Confirmations, Source},
     entry::{StoreKeys, Vm},
     removals::REMOVAL_GRACE,
     shared::SharedFleet,
@@ -38,11 +40,6 @@
 /// The maximum number of keys whose state is kept, removed keys included: so many targets start and end within hours.
 const MAX_KNOWN_KEYS: usize = 20_000;
 
-/// How long a confirmation that this VM knows the whole state of the store counts.
-///
-/// A VM that says that a route doesn't exist must know all routes that were added two seconds before.
-pub const CONFIRMATION_TIME: Duration = Duration::from_millis(1800);
-
 /// An owners record with its revision in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoredRecord {
@@ -65,8 +62,6 @@
 pub struct Fleet {
     /// The configuration in force; `None` until the first is known.
     pub config: Option<Rc<Config>>,
-    /// When the store last confirmed that this VM, which follows it itself, knows all of it.
-    confirmed_at: Option<Duration>,
     /// The announced targets.
     pub targets: IndexMap<TargetId, Target>,
     /// The evacuated failure domains, whose targets get no requests, and when this VM learned of the evacuation.
@@ -126,36 +121,6 @@
         self.last_failure = Some(now);
     }
 
-    /// Records that the store has confirmed at `now` that this VM knows all of it; `None` ends an earlier confirmation.
-    ///
-    /// # Example
-    ///
-    /// ```
-    /// use std::time::Duration;
-    ///
-    /// use bramleypier_engine::fleet::{CONFIRMATION_TIME, Fleet};
-    ///
-    /// let now = Duration::from_secs(60);
-    /// let mut fleet = Fleet::default();
-    /// assert!(!fleet.is_confirmed(now));
-    /// fleet.set_confirmed(Some(now));
-    /// assert!(fleet.is_confirmed(now + CONFIRMATION_TIME));
-    /// assert!(!fleet.is_confirmed(now + 2 * CONFIRMATION_TIME));
-    /// ```
-    pub fn set_confirmed(&mut self, now: Option<Duration>) {
-        self.confirmed_at = now;
-    }
-
-    /// Returns whether the store has confirmed lately that this VM knows all of it.
-    ///
-    /// # Example
-    ///
-    /// See [`Fleet::set_confirmed`].
-    pub fn is_confirmed(&self, now: Duration) -> bool {
-        self.confirmed_at
-            .is_some_and(|at| now <= at + CONFIRMATION_TIME)
-    }
-
     /// Applies a listing of a prefix: keys that it lacks were removed.
     ///
     /// Returns log lines about the changes.
--- a/engine/src/fleet/shared.rs
+++ b/engine/src/fleet/shared.rs
@@ -4,13 +4,14 @@
 
 use futures_channel::mpsc;
 
-use super::Fleet;
+use super::{Confirmations, Fleet};
 
 /// A handle on this VM's view of the fleet; clones share it.
 #[derive(Clone, Debug, Default)]
 pub struct SharedFleet {
     fleet: Rc<RefCell<Rc<Fleet>>>,
     subscribers: Rc<RefCell<Vec<mpsc::UnboundedSender<()>>>>,
+    confirmations: Confirmations,
 }
 
 impl SharedFleet {
@@ -27,6 +28,19 @@
         self.fleet.borrow().clone()
     }
 
+    /// Returns how old the state is, and who says so; subscribers aren't notified of changes.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_engine::fleet::SharedFleet;
+    ///
+    /// assert!(SharedFleet::default().confirmations().latest().is_none());
+    /// ```
+    pub fn confirmations(&self) -> &Confirmations {
+        &self.confirmations
+    }
+
     /// Changes the state and notifies all subscribers.
     ///
     /// # Example
--- a/engine/src/follow.rs
+++ b/engine/src/follow.rs
@@ -194,10 +194,9 @@
 
     fn on_failure(&self, state: WatchState, error: &Error) {
         let now = self.context.clock.now();
-        self.context.shared_fleet.update(|fleet| {
-            fleet.on_store_failure(now);
-            fleet.set_confirmed(None);
-        });
+        let shared_fleet = &self.context.shared_fleet;
+        shared_fleet.update(|fleet| fleet.on_store_failure(now));
+        shared_fleet.confirmations().end_by_store();
         if state != WatchState::Failed {
             self.log("store-lost", &error.to_string());
         }
@@ -209,9 +208,7 @@
         if !context.manager_health.is_healthy() {
             return false;
         }
-        context
-            .shared_fleet
-            .update(|fleet| fleet.set_confirmed(None));
+        context.shared_fleet.confirmations().end_by_store();
         context.manager_health.wait_unhealthy().await;
         true
     }
@@ -311,9 +308,9 @@
             for change in &batch.changes {
                 log_lines.extend(fleet.on_change(now, change, &context.keys, &*context.catalogue));
             }
-            fleet.set_confirmed(Some(now));
             log_lines
         });
+        context.shared_fleet.confirmations().add_by_store(now);
         context.report.lines(&log_lines);
         if !batch.changes.is_empty() {
             let delay = if context.is_manager.get() {
--- a/engine/src/peer/mod.rs
+++ b/engine/src/peer/mod.rs
@@ -134,6 +134,8 @@
     pub vms_sharing: usize,
     /// The store's era, of which all revisions in the message are.
     pub era: Era,
+    /// How long ago the store confirmed that the sender, a manager that follows it, knows all of it.
+    pub confirmed_age: Option<Duration>,
 }
 
 /// A message between VMs, and the news that come with it.
--- a/engine/src/peer/sync.rs
+++ b/engine/src/peer/sync.rs
@@ -106,12 +106,13 @@
         self.report.merge(message.stamp);
         self.apply_news(&news);
         let now = self.clock.now();
+        let confirmations = self.shared_fleet.confirmations();
         let healthy = self.is_manager.get()
             && self.store_health.is_healthy()
             && self
                 .store_health
                 .answered_since(now.saturating_sub(MAX_STORE_ANSWER_AGE))
-            && self.shared_fleet.get().is_confirmed(now);
+            && confirmations.is_by_store(now);
         let mut fleet_load = self.fleet_load.borrow_mut();
         fleet_load.update(
             now,
@@ -157,7 +158,10 @@
             lag: self.lag.borrow().mean(),
             stamp: self.report.stamp(),
         };
-        let news = self.news(is_first, Vec::new());
+        let news = News {
+            confirmed_age: confirmations.age_by_store(now).filter(|_| healthy),
+            ..self.news(is_first, Vec::new())
+        };
         Envelope { message, news }
     }
 
@@ -179,6 +183,7 @@
                 0
             },
             era: fleet.era(),
+            confirmed_age: None,
         }
     }
 
@@ -294,6 +299,15 @@
         true
     }
 
+    /// Records up to when this VM knows everything by a response of the manager to an exchange that was sent at `sent`.
+    pub(super) fn record_confirmation(&self, sent: Duration, news: &News, vm: &Vm) {
+        if let Some(age) = news.confirmed_age {
+            let at = sent.saturating_sub(age);
+            let confirmations = self.shared_fleet.confirmations();
+            confirmations.add_by_manager(at, &vm.name);
+        }
+    }
+
     /// Stops relying on the manager, so that this VM follows the store itself.
     pub(super) fn stop_relying(&self, cause: &str) {
         if self.manager_health.is_healthy() {
--- a/engine/src/peer/sync_task.rs
+++ b/engine/src/peer/sync_task.rs
@@ -4,7 +4,7 @@
 
 use super::{Envelope, SyncRequest, SyncResponse, sync::Context, sync_interval};
 use crate::{
-    fleet::{Fleet, LogPosition, Vm},
+    fleet::{self, Fleet, LogPosition, Vm},
     placement::dispatch,
 };
 
@@ -22,6 +22,7 @@
     let mut lag = Duration::ZERO;
     let mut manager_start = None;
     let mut sources = 0;
+    let mut contact = Contact::default();
     context.manager_health.record_outcome(false);
     loop {
         let other_sources = context.shared_fleet.get().other_sources();
@@ -49,6 +50,7 @@
                     && context.accept_response(message, news.era, &vm, interval)
                 {
                     valid_at = sent;
+                    context.record_confirmation(sent, news, &vm);
                 }
                 response
             }
@@ -86,12 +88,41 @@
         if context.clock.now() > valid_at + MIN_RELIANCE.max(interval * RELIANCE_INTERVALS) {
             context.stop_relying("no valid response in time");
         }
+        contact.update(&context);
         let sleep_start = context.clock.now();
         context.clock.sleep(interval).await;
         context.record_lag(interval, context.clock.now().saturating_sub(sleep_start));
     }
 }
 
+/// Logs when this VM loses and regains contact with whoever tells it what changes in the store.
+#[derive(Debug, Default)]
+struct Contact {
+    lost: bool,
+}
+
+impl Contact {
+    fn update(&mut self, context: &Context) {
+        let now = context.clock.now();
+        let confirmations = context.shared_fleet.confirmations();
+        let in_contact = context.manager_health.is_healthy() || confirmations.is_by_store(now);
+        let latest = confirmations.latest();
+        let recent = latest.is_some_and(|it| now <= it.at + fleet::CONFIRMATION_TIME);
+        let lost = !in_contact && !recent;
+        if lost == self.lost {
+            return;
+        }
+        self.lost = lost;
+        let event = if lost { "contact-lost" } else { "contact-back" };
+        let details = confirmations.describe(now);
+        let manager = context.shared_fleet.get().manager.clone();
+        let manager = manager.map_or_else(String::new, |vm| vm.name);
+        context
+            .report
+            .line(&format!("event={event} {details} manager={manager}"));
+    }
+}
+
 /// The next VM to contact, and how far the change log of each has been read.
 #[derive(Debug, Default)]
 struct PeerRotation {
@@ -157,6 +188,11 @@
     };
     let took = context.clock.now().saturating_sub(sent);
     context.report.time("sync", took, &[]);
+    if took > MIN_RELIANCE {
+        let (vm, took) = (&vm.name, took.as_millis());
+        let line = format!("event=sync-slow vm={vm} took_ms={took}");
+        context.report.line(&line);
+    }
     let Envelope {
         message: response,
         news,
