Failing tests: VMs that go on with an old configuration while other VMs know the newer one

A VM whose calls the store resets or ignores asks other VMs only when its manager gives no response at all; a manager that is turned away as well responds that it knows no news, so nobody else is asked, and the next manager isn't found. And an exchange with the manager of which only the first part arrives never ends: the VM relies on that manager and neither it nor the store tells it anything. All three tests fail on this code: configuration 2 isn't in force two seconds after the store has accepted it. The proxy of the soak can stop a response midway.

--- /dev/null
+++ b/program/tests/old_configurations.rs
@@ -0,0 +1,176 @@
+//! Configurations that must be in force on VMs which neither the store nor their manager tells of them.
+
+mod harness;
+
+use std::{
+    sync::{Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+
+use bramleypier_engine::fleet::Vm;
+use bramleypier_platform_standin::store::Store;
+use bramleypier_soak::proxy::{Mode, Proxy};
+use bramleypier_util::{client::Client, clock::Clock};
+use compio::runtime::Runtime;
+use harness::{Harness, Program, TEST_TIMEOUT, config, start_vm};
+use hyper::StatusCode;
+
+/// The time within which a configuration must be in force on all VMs after the store has accepted it.
+const IN_FORCE: Duration = Duration::from_secs(2);
+/// The number of VMs; the first is the manager.
+const VMS: usize = 5;
+/// How many VMs the store turns away, the manager first.
+const TURNED_AWAY: usize = 2;
+/// The key of the manager's entry in the store.
+const MANAGER_KEY: &str = "bramleypier/manager";
+
+/// VMs that reach the store through a proxy each.
+struct Fleet {
+    harness: Harness,
+    others: Vec<Program>,
+    store_paths: Vec<Proxy>,
+}
+
+impl Fleet {
+    async fn start() -> Self {
+        let (store, store_address) = Store::start().await;
+        store.put("op/config", &config(1, "/key/"));
+        store.put("servers/foreign", b"not an entry");
+        let store_paths = Vec::from_iter((0..VMS).map(|_| Proxy::start(store_address).unwrap()));
+        let harness = Harness {
+            store,
+            servers: Vec::new(),
+            store_address,
+            program: start_vm("vm-1", store_paths[0].address, None),
+            client: Client::new(Clock::real(), 64),
+        };
+        harness.until_ready().await;
+        harness.until_logged("event=manager-elected").await;
+        let mut others = Vec::new();
+        for (number, path) in store_paths.iter().enumerate().skip(1) {
+            let name = format!("vm-{}", number + 1);
+            let other = start_vm(&name, path.address, Some(&harness.program));
+            harness.until_ready_at(&other).await;
+            until_logged(&other, "event=manager-heard").await;
+            others.push(other);
+        }
+        Self {
+            harness,
+            others,
+            store_paths,
+        }
+    }
+
+    /// Returns all VMs, the first manager first.
+    fn vms(&self) -> impl Iterator<Item = &Program> {
+        [&self.harness.program].into_iter().chain(&self.others)
+    }
+
+    /// Has the store accept a configuration; all VMs must have it in force in time.
+    async fn change(&self, version: u32, prefix: &str) {
+        let accepted = Instant::now();
+        self.harness
+            .store
+            .put("op/config", &config(version, prefix));
+        let event = format!("event=config-in-force version={version}");
+        for (number, vm) in self.vms().enumerate() {
+            while vm.find_log(&event).is_none() {
+                let took = accepted.elapsed();
+                let lines = vm.lines.lock().unwrap();
+                assert!(
+                    took <= IN_FORCE,
+                    "{version} is not in force on vm-{}: {lines:#?}",
+                    number + 1
+                );
+                drop(lines);
+                sleep_ms(20).await;
+            }
+        }
+    }
+
+    /// Checks that a VM answers no request on a route that was dropped two seconds before.
+    async fn expect_dropped(&self, vm: &Program, path: &str) {
+        let (status, _) = self.harness.send_to(vm, "GET", path, "dropped").await;
+        assert_eq!(status, StatusCode::NOT_FOUND);
+    }
+}
+
+async fn sleep_ms(millis: u64) {
+    Clock::real().sleep(Duration::from_millis(millis)).await;
+}
+
+async fn until_logged(program: &Program, text: &str) {
+    let end = Instant::now() + TEST_TIMEOUT;
+    while program.find_log(text).is_none() {
+        let lines = program.lines.lock().unwrap();
+        assert!(Instant::now() < end, "not logged: {text}; {lines:#?}");
+        drop(lines);
+        sleep_ms(20).await;
+    }
+}
+
+/// Runs a test while no other of this file runs: late responses would end the manager's lease.
+fn run_alone<F>(test: F)
+where
+    F: AsyncFnOnce(Fleet),
+{
+    static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+    let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    Runtime::new()
+        .unwrap()
+        .block_on(async { test(Fleet::start().await).await });
+}
+
+/// The store turns away the manager and one more VM, which must learn of changes, and of the next manager, from others.
+async fn turn_away(fleet: Fleet, mode: Mode) {
+    for path in &fleet.store_paths[..TURNED_AWAY] {
+        path.set(mode);
+    }
+    sleep_ms(200).await;
+    fleet.change(2, "/second/").await;
+    let elected = |vm: &Program| vm.find_log("event=manager-elected").is_some();
+    let end = Instant::now() + TEST_TIMEOUT;
+    while !fleet.others.iter().any(elected) {
+        assert!(Instant::now() < end, "no other VM becomes the manager");
+        sleep_ms(50).await;
+    }
+    sleep_ms(1000).await;
+    fleet.change(3, "/third/").await;
+    for vm in fleet.vms() {
+        fleet.expect_dropped(vm, "/second/x").await;
+    }
+}
+
+/// The manager that the VMs know responds to them, but is turned away as well.
+#[test]
+fn vms_whose_calls_the_store_resets_go_on_with_an_old_configuration() {
+    run_alone(async |fleet| turn_away(fleet, Mode::Reset).await);
+}
+
+/// The same with calls that get no response.
+#[test]
+fn vms_whose_calls_the_store_ignores_go_on_with_an_old_configuration() {
+    run_alone(async |fleet| turn_away(fleet, Mode::Silent).await);
+}
+
+/// The head of the manager's response arrives and its end does not, so the exchange never ends.
+#[test]
+fn a_vm_relies_on_a_manager_whose_response_stops_midway() {
+    run_alone(async |fleet| {
+        let manager_path = Proxy::start(fleet.harness.program.peers).unwrap();
+        let entry = fleet.harness.store.value(MANAGER_KEY).unwrap();
+        let entry = Vm {
+            address: manager_path.address,
+            ..Vm::decode(&entry).unwrap()
+        };
+        fleet.harness.store.put(MANAGER_KEY, &entry.encode());
+        // By then all VMs reach the manager through the proxy.
+        sleep_ms(1000).await;
+        manager_path.set(Mode::Stall);
+        sleep_ms(300).await;
+        fleet.change(2, "/second/").await;
+        for vm in fleet.vms() {
+            fleet.expect_dropped(vm, "/key/x").await;
+        }
+    });
+}
--- a/tools/soak/src/proxy.rs
+++ b/tools/soak/src/proxy.rs
@@ -41,21 +41,24 @@
     CutBack,
     /// Drops all bytes.
     Silent,
+    /// Drops the last byte of what arrives next for the client of a connection, and all bytes for it after that.
+    Stall,
 }
 
 impl Mode {
-    const ALL: [Self; 6] = [
+    const ALL: [Self; 7] = [
         Self::Pass,
         Self::Delay,
         Self::Reset,
         Self::CutThere,
         Self::CutBack,
         Self::Silent,
+        Self::Stall,
     ];
 
     fn drops(self, direction: Direction) -> bool {
         match self {
-            Self::Pass | Self::Delay | Self::Reset => false,
+            Self::Pass | Self::Delay | Self::Reset | Self::Stall => false,
             Self::CutThere => direction == Direction::ToServer,
             Self::CutBack => direction == Direction::ToClient,
             Self::Silent => true,
@@ -234,7 +237,7 @@
 
     /// Sets the mode of the proxy, also for open connections.
     pub fn set(&self, mode: Mode) {
-        // `ALL` has all six modes, so the index exists and fits.
+        // `ALL` has all modes, so the index exists and fits.
         let index = Mode::ALL.iter().position(|it| *it == mode).unwrap_or(0);
         self.mode
             .store(u8::try_from(index).unwrap_or(0), Ordering::Relaxed);
@@ -270,6 +273,7 @@
 {
     from.set_read_timeout(Some(READ_TIMEOUT))?;
     let mut chunk = vec![0; CHUNK_BYTES];
+    let mut stalled = false;
     loop {
         let count = match from.read(&mut chunk) {
             Ok(0) => break,
@@ -288,9 +292,13 @@
                 return Ok(());
             }
             Mode::Delay => thread::sleep(DELAY),
+            Mode::Stall if direction == Direction::ToClient && !stalled => {
+                to.write_all(&chunk[..count - 1])?;
+                stalled = true;
+            }
             _ => {}
         }
-        if !current.drops(direction) {
+        if !stalled && !current.drops(direction) {
             to.write_all(&chunk[..count])?;
         }
     }
