A VM that hears no news from its manager asks other VMs, though the manager responds

Cause: other VMs were asked only if the manager gave no response. A manager that is turned away too responds that it doesn't follow the store. So its VMs, and itself, never learned of the next manager. Why it holds: what counts is whether anybody tells this VM what changes, not whether somebody responds. Any VM that knows the next manager relays its entry, so one question to such a VM ends the search; questions are at most one in 150 ms for each VM, and start anywhere.

--- a/engine/src/peer/sync_task.rs
+++ b/engine/src/peer/sync_task.rs
@@ -1,4 +1,4 @@
-//! The task that exchanges state with the manager, or with other VMs while neither it nor the store is reachable.
+//! The task that exchanges state with the manager, or with other VMs while neither it nor the store tells what changes.
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
@@ -12,17 +12,19 @@
 const MIN_RELIANCE: Duration = Duration::from_millis(450);
 /// The number of sync intervals for which it relies on the manager: one exchange may fail.
 const RELIANCE_INTERVALS: u32 = 2;
+/// The minimum time between two questions to other VMs: they may all have no news, for as long as the store is away.
+const PEER_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Runs the sync exchanges with the manager until the process ends.
 pub async fn run(context: Context) {
     let mut position = LogPosition::default();
     let mut valid_at = Duration::ZERO;
-    let mut peers = PeerRotation::default();
+    let mut peers = PeerRotation::from_random();
     let mut interval = Duration::ZERO;
     let mut lag = Duration::ZERO;
     let mut manager_start = None;
     let mut sources = 0;
-    let mut contact = Contact::default();
+    let mut contact = Contact::new(context.clock.now());
     context.manager_health.record_outcome(false);
     loop {
         let other_sources = context.shared_fleet.get().other_sources();
@@ -56,10 +58,8 @@
             }
             None => None,
         };
-        if response.is_none()
-            && !context.manager_health.is_healthy()
-            && !context.store_health.is_healthy()
-        {
+        contact.update(&context);
+        if contact.needs_peers(&context) && peers.is_due(context.clock.now()) {
             sync_with_next_peer(&context, &mut peers).await;
         }
         if let Some(response) = &response {
@@ -88,27 +88,43 @@
         if context.clock.now() > valid_at + MIN_RELIANCE.max(interval * RELIANCE_INTERVALS) {
             context.stop_relying("no valid response in time");
         }
-        contact.update(&context);
         let sleep_start = context.clock.now();
         context.clock.sleep(interval).await;
         context.record_lag(interval, context.clock.now().saturating_sub(sleep_start));
     }
 }
 
-/// Logs when this VM loses and regains contact with whoever tells it what changes in the store.
-#[derive(Debug, Default)]
+/// Whether anybody tells this VM what changes in the store.
+#[derive(Debug)]
 struct Contact {
+    started: Duration,
     lost: bool,
 }
 
 impl Contact {
+    fn new(now: Duration) -> Self {
+        Self {
+            started: now,
+            lost: false,
+        }
+    }
+
+    /// Returns whether this VM has to ask other VMs for news.
+    ///
+    /// A manager that responds may have no news either: the store may have turned it away together with this VM, and
+    /// other VMs may know the next one.
+    fn needs_peers(&self, context: &Context) -> bool {
+        !context.manager_health.is_healthy() && (self.lost || !context.store_health.is_healthy())
+    }
+
+    /// Finds out, and logs a change.
     fn update(&mut self, context: &Context) {
         let now = context.clock.now();
         let confirmations = context.shared_fleet.confirmations();
         let in_contact = context.manager_health.is_healthy() || confirmations.is_by_store(now);
         let latest = confirmations.latest();
-        let recent = latest.is_some_and(|it| now <= it.at + fleet::CONFIRMATION_TIME);
-        let lost = !in_contact && !recent;
+        let at = latest.map_or(self.started, |it| it.at);
+        let lost = !in_contact && now > at + fleet::CONFIRMATION_TIME;
         if lost == self.lost {
             return;
         }
@@ -124,13 +140,35 @@
 }
 
 /// The next VM to contact, and how far the change log of each has been read.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct PeerRotation {
     next: usize,
+    /// When the next one may be asked.
+    due: Duration,
     positions: HashMap<SocketAddr, LogPosition>,
 }
 
-/// Gets the state of one other VM, while neither the store nor the manager answers this VM.
+impl PeerRotation {
+    /// Starts anywhere: the store may turn away many VMs at once, and they would all ask the same VMs in turn.
+    fn from_random() -> Self {
+        Self {
+            next: usize::from(rand::random::<u16>()),
+            due: Duration::ZERO,
+            positions: HashMap::new(),
+        }
+    }
+
+    /// Returns whether it is time to ask the next VM; if so, the one after it has to wait.
+    fn is_due(&mut self, now: Duration) -> bool {
+        let is_due = now >= self.due;
+        if is_due {
+            self.due = now + PEER_INTERVAL;
+        }
+        is_due
+    }
+}
+
+/// Gets the state of one other VM, while neither the store nor the manager tells this VM what changes.
 async fn sync_with_next_peer(context: &Context, peers: &mut PeerRotation) {
     let fleet = context.shared_fleet.get();
     let known = fleet.vms.values().map(|vm| vm.address);
--- a/program/tests/old_configurations.rs
+++ b/program/tests/old_configurations.rs
@@ -36,7 +36,8 @@
         let (store, store_address) = Store::start().await;
         store.put("op/config", &config(1, "/key/"));
         store.put("servers/foreign", b"not an entry");
-        let store_paths = Vec::from_iter((0..VMS).map(|_| Proxy::start(store_address).unwrap()));
+        let start_path = |_| Proxy::start(store_address).unwrap();
+        let store_paths = (0..VMS).map(start_path).collect::<Vec<_>>();
         let harness = Harness {
             store,
             servers: Vec::new(),
