A VM relies on the manager until a set time, also while an exchange with it goes on, and an exchange ends

What callers saw: by reading and by test only, a VM that for good handles requests by the configuration of its last exchange, and denies routes that were added since, while it logs nothing. Cause: the timeout of an exchange covered the head of the response; its body was read without one. Whether the VM still relies on the manager was looked at after the exchange. So a response that stopped midway (a link that is cut, a connection that goes silent, a manager that is suspended) kept the VM relying, and it didn't follow the store. Why it holds: the end of reliance is a time that the task waits for beside the exchange, and a response that comes later than that doesn't begin a new one.

--- a/engine/src/peer/mod.rs
+++ b/engine/src/peer/mod.rs
@@ -14,7 +14,7 @@
 
 use bramleypier_util::{
     body::{self, Body},
-    client::{self, Client},
+    client::{self, Client, ResponseLimits},
     stamp::Stamp,
 };
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
@@ -41,8 +41,16 @@
 pub const SYNC_PATH: &str = "/peer";
 /// The timeout of a sync exchange: the network latency between VMs is a few milliseconds.
 const SYNC_TIMEOUT: Duration = Duration::from_millis(300);
+/// The timeout of a whole response: that of the whole state takes longer on a slow link.
+const WHOLE_TIMEOUT: Duration = Duration::from_secs(1);
 /// The maximum size of an encoded sync request or response.
 const MAX_MESSAGE_BYTES: usize = 1 << 20;
+/// The limits of a sync response.
+const SYNC_LIMITS: ResponseLimits = ResponseLimits {
+    head: SYNC_TIMEOUT,
+    whole: WHOLE_TIMEOUT,
+    bytes: MAX_MESSAGE_BYTES,
+};
 
 quick_error! {
     /// Why a sync exchange failed.
@@ -206,15 +214,13 @@
     let mut request = Request::new(Body::from(message.encode()));
     *request.method_mut() = Method::POST;
     *request.uri_mut() = http::Uri::from_static(SYNC_PATH);
-    let sent = client.send(peer, request, SYNC_TIMEOUT).await;
-    let response = sent.map_err(|cause| Error::Send(peer, cause))?;
+    let fetched = client.fetch(peer, request, SYNC_LIMITS).await;
+    let response = fetched.map_err(|cause| Error::Send(peer, cause))?;
     let status = response.status();
-    let bytes = body::read(response.into_body(), MAX_MESSAGE_BYTES).await;
-    let bytes = bytes.map_err(|cause| Error::Answer(peer, cause.to_string()))?;
     if !status.is_success() {
         return Err(Error::Answer(peer, format!("status {}", status.as_u16())));
     }
-    Envelope::decode(&bytes).map_err(|cause| Error::Answer(peer, cause.to_string()))
+    Envelope::decode(response.body()).map_err(|cause| Error::Answer(peer, cause.to_string()))
 }
 
 /// Reads and decodes a sync request.
--- a/engine/src/peer/sync_task.rs
+++ b/engine/src/peer/sync_task.rs
@@ -1,6 +1,8 @@
 //! The task that exchanges state with the manager, or with other VMs while neither it nor the store tells what changes.
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, pin::pin, time::Duration};
+
+use futures_util::future::{self, Either};
 
 use super::{Envelope, SyncRequest, SyncResponse, sync::Context, sync_interval};
 use crate::{
@@ -47,8 +49,11 @@
             }
             Some(vm) => {
                 let sent = context.clock.now();
-                let response = exchange(&context, &vm, &request, &mut position).await;
+                let exchange = exchange(&context, &vm, &request, &mut position);
+                let until = valid_at + reliance_time(interval);
+                let response = run_while_relying(&context, until, exchange).await;
                 if let Some(Envelope { message, news }) = &response
+                    && context.clock.now() <= sent + reliance_time(interval)
                     && context.accept_response(message, news.era, &vm, interval)
                 {
                     valid_at = sent;
@@ -85,7 +90,7 @@
                     vms_sharing: news.vms_sharing,
                 }));
         }
-        if context.clock.now() > valid_at + MIN_RELIANCE.max(interval * RELIANCE_INTERVALS) {
+        if context.clock.now() > valid_at + reliance_time(interval) {
             context.stop_relying("no valid response in time");
         }
         let sleep_start = context.clock.now();
@@ -94,6 +99,29 @@
     }
 }
 
+/// Returns how long after a valid response a VM relies on the manager, if its sync interval is `interval`.
+fn reliance_time(interval: Duration) -> Duration {
+    MIN_RELIANCE.max(interval * RELIANCE_INTERVALS)
+}
+
+/// Waits for an exchange with the manager, but no longer relies on the manager once the time `until` has come.
+///
+/// A part of the response may have arrived, and the rest may never come.
+async fn run_while_relying<F>(context: &Context, until: Duration, exchange: F) -> F::Output
+where
+    F: Future,
+{
+    let left = until.saturating_sub(context.clock.now());
+    let wait = pin!(context.clock.sleep(left));
+    match future::select(pin!(exchange), wait).await {
+        Either::Left((response, _)) => response,
+        Either::Right(((), exchange)) => {
+            context.stop_relying("no valid response in time");
+            exchange.await
+        }
+    }
+}
+
 /// Whether anybody tells this VM what changes in the store.
 #[derive(Debug)]
 struct Contact {
--- a/util/src/client.rs
+++ b/util/src/client.rs
@@ -15,14 +15,14 @@
 use compio::net::TcpStream;
 use hyper::{
     Request, Response,
-    body::Incoming,
+    body::{Bytes, Incoming},
     client::conn::http1::{self, SendRequest},
 };
 use indexmap::IndexMap;
 use quick_error::quick_error;
 
 use crate::{
-    body::Body,
+    body::{self, Body},
     clock::Clock,
     headers, socket,
     stream::{Stream, StreamObserver},
@@ -62,6 +62,10 @@
             display("answer from {peer}: {cause}")
             source(cause)
         }
+        /// The head of the response has arrived, but not the whole body, or it is too long.
+        Truncated(peer: SocketAddr, cause: body::Cause) {
+            display("answer from {peer}: {cause}")
+        }
         /// The timeout expired; `sent` is false if certainly no byte of the request was sent.
         Timeout(peer: SocketAddr, sent: bool) {
             display("answer from {peer}: timed out, sent={sent}")
@@ -79,7 +83,7 @@
     pub fn unsent(&self) -> bool {
         match self {
             Self::Connect(..) | Self::Busy(_) | Self::Unsent(..) => true,
-            Self::Broken(..) => false,
+            Self::Broken(..) | Self::Truncated(..) => false,
             Self::Timeout(_, sent) => !sent,
         }
     }
@@ -88,6 +92,17 @@
 /// The shortest timeout after which a connection without a response counts as failed.
 const MIN_FAILURE_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// The limits of a response that is read as a whole.
+#[derive(Clone, Copy, Debug)]
+pub struct ResponseLimits {
+    /// The timeout of its head.
+    pub head: Duration,
+    /// The timeout of the whole response, from the sending of the request.
+    pub whole: Duration,
+    /// The maximum size of its body.
+    pub bytes: usize,
+}
+
 /// Observes whether connections work.
 pub trait ConnectionObserver {
     /// The first response has arrived on a new connection.
@@ -209,6 +224,30 @@
         result
     }
 
+    /// Sends a request and reads the whole response.
+    ///
+    /// A response of which only a part arrives in time is an error like one that doesn't arrive.
+    ///
+    /// # Errors
+    ///
+    /// See [`Client::send`]; [`Error::Truncated`] or [`Error::Timeout`] if the body didn't arrive completely.
+    pub async fn fetch(
+        &self,
+        peer: SocketAddr,
+        request: Request<Body>,
+        limits: ResponseLimits,
+    ) -> Result<Response<Bytes>, Error> {
+        let started = self.clock.now();
+        let response = self.send(peer, request, limits.head).await?;
+        let (head, incoming) = response.into_parts();
+        let elapsed = self.clock.now().saturating_sub(started);
+        let left = limits.whole.saturating_sub(elapsed);
+        let read = self.clock.timeout(left, body::read(incoming, limits.bytes));
+        let bytes = read.await.map_err(|_| Error::Timeout(peer, true))?;
+        let bytes = bytes.map_err(|cause| Error::Truncated(peer, cause))?;
+        Ok(Response::from_parts(head, bytes))
+    }
+
     /// Tells the observer whether a connection works.
     fn observe<T>(
         &self,
--- a/util/tests/client.rs
+++ b/util/tests/client.rs
@@ -1,4 +1,4 @@
-//! Which closed connections the client attributes to the end of the peer's process.
+//! Which closed connections the client attributes to the end of the peer's process, and responses that stop midway.
 
 use std::{
     io::{Read as _, Write as _},
@@ -10,7 +10,7 @@
 
 use bramleypier_util::{
     body::{self, Body},
-    client::Client,
+    client::{Client, Error, ResponseLimits},
     clock::Clock,
 };
 use compio::runtime::Runtime;
@@ -18,6 +18,8 @@
 
 const RESPONSE: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 const CLOSING_RESPONSE: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+/// The head of a response, and half of its body.
+const HALF_RESPONSE: &str = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab";
 /// An idle time after which a close no longer counts.
 const LONG_IDLE: Duration = Duration::from_millis(1700);
 /// Longer than it takes to detect a close over loopback, also on a loaded machine.
@@ -132,3 +134,26 @@
         }
     });
 }
+
+/// The head arrives in time, so a timeout of the head alone would let the caller wait for good.
+#[test]
+fn a_response_that_stops_midway_ends_with_a_timeout() {
+    Runtime::new().unwrap().block_on(async {
+        let (address, end_signal, peer) = start_peer(HALF_RESPONSE, End::Stays);
+        let clock = Clock::real();
+        let client = Client::new(clock.clone(), 1);
+        let limits = ResponseLimits {
+            head: Duration::from_secs(5),
+            whole: Duration::from_millis(300),
+            bytes: 1024,
+        };
+        let started = clock.now();
+        let fetched = client
+            .fetch(address, Request::new(Body::empty()), limits)
+            .await;
+        assert!(matches!(fetched, Err(Error::Timeout(_, true))));
+        assert!(clock.now() < started + limits.head);
+        end_signal.send(()).unwrap();
+        peer.join().unwrap();
+    });
+}
