A grant or release ends though the end of its response never arrives

While one is read, the range counts as in flight and isn't renewed, so a response that stops midway let the grant run out: callers of its keys got 503 from 1 s after the path's return until the connection ended. Why it holds: the outcome is in the head. The body has what is left of the call's timeout; then the connection is dropped and the range goes on.

--- a/engine/src/owner/calls.rs
+++ b/engine/src/owner/calls.rs
@@ -189,8 +189,11 @@
             let (head, response_body) = response.into_parts();
             let outcome = context.targets.call_result(head.status, &head.headers);
             record_leaving(context, &command.owner.id, &head);
-            // The body is read to its end so that the connection can be reused.
-            let _ = body::read(response_body, MAX_RESPONSE_BYTES).await;
+            // The body is read to its end so that the connection can be reused; the outcome is in the head.
+            let elapsed = context.clock.now().saturating_sub(started);
+            let reading = body::read(response_body, MAX_RESPONSE_BYTES);
+            let left = timeout.saturating_sub(elapsed);
+            let _ = context.clock.timeout(left, reading).await;
             outcome
         }
         Err(error) => {
--- a/program/tests/manager.rs
+++ b/program/tests/manager.rs
@@ -4,14 +4,21 @@
 
 use std::time::{Duration, Instant};
 
-use bramleypier_platform_standin::{server::Fault, store};
-use bramleypier_util::clock::Clock;
-use harness::{Harness, TEST_TIMEOUT, run_test};
+use bramleypier_platform_standin::{
+    server::{Fault, Server},
+    store,
+};
+use bramleypier_soak::proxy::{Mode, Proxy};
+use bramleypier_util::{client::Client, clock::Clock};
+use compio::runtime::Runtime;
+use harness::{Harness, REQUEST_TIME, TEST_TIMEOUT, config, run_test};
 use hyper::StatusCode;
 use rustix::process::Signal;
 
 /// The time within which keys must be served again after the process of their owner has ended.
 const FAILOVER_MAX: Duration = Duration::from_secs(1);
+/// The longest time for which a grant lasts.
+const LONGEST_GRANT: Duration = Duration::from_secs(10);
 /// The key of the harness's requests.
 const KEY: u64 = 777;
 /// The log line of the second takeover: the high bits of a term are the store's era, which is 1.
@@ -147,3 +154,56 @@
         assert_eq!(holders(&harness), 1);
     });
 }
+
+/// Starts a VM that reaches its two keyed targets through proxies.
+async fn start_with_paths() -> (Harness, Vec<Proxy>) {
+    let (store, store_address) = store::Store::start().await;
+    let mut servers = Vec::new();
+    let mut paths = Vec::new();
+    for id in ["i-key-1", "i-key-2"] {
+        let server = Server::start(id, true, REQUEST_TIME).await;
+        let path = Proxy::start(server.address).unwrap();
+        let entry = server.entry_at(path.address, "keyed", "ready");
+        store.put(&format!("servers/{id}"), &entry);
+        servers.push(server);
+        paths.push(path);
+    }
+    store.put("op/config", &config(1, "/key/"));
+    let harness = Harness {
+        store,
+        servers,
+        store_address,
+        program: harness::start_vm("vm-1", store_address, None),
+        client: Client::new(Clock::real(), 8),
+    };
+    harness.until_ready().await;
+    (harness, paths)
+}
+
+/// The end of the response to a renewal never arrives, so the manager waits for it and renews the grant no more.
+#[test]
+fn keys_are_renewed_after_the_response_to_a_grant_stopped_midway() {
+    Runtime::new().unwrap().block_on(async {
+        let (harness, paths) = start_with_paths().await;
+        until_served(&harness, "before").await;
+        // Long enough for renewals before and meanwhile.
+        Clock::real().sleep(Duration::from_millis(1500)).await;
+        for path in &paths {
+            path.set(Mode::Stall);
+        }
+        Clock::real().sleep(Duration::from_millis(1200)).await;
+        for path in &paths {
+            path.set(Mode::Pass);
+        }
+        until_served(&harness, "after").await;
+        let end = Instant::now() + LONGEST_GRANT;
+        let mut number = 0;
+        while Instant::now() < end {
+            let id = format!("renewed-{number}");
+            let (status, _) = harness.send("GET", "/key/x", &id).await;
+            assert_eq!(status, StatusCode::OK, "{id}");
+            number += 1;
+            Clock::real().sleep(Duration::from_millis(50)).await;
+        }
+    });
+}
