A VM denies a route only by what it knew less than 1.8 s ago, whoever told it

A VM that relied on the manager denied routes as long as it did so. The manager may have heard its last watch 1.8 s before, and reliance lasts up to 0.45 s longer, or 1.2 s while the manager lags: a route that was added 2.2 s before could be denied.

--- a/engine/src/caller/context.rs
+++ b/engine/src/caller/context.rs
@@ -8,8 +8,7 @@
     CallerProtocol, RequestInfo, attempt::Sender, startup::StartupWait, timeouts::RouteTimeouts,
 };
 use crate::{
-    catalogue::Route, fleet::SharedFleet, health::Health, owner::tally::Tally, placement::task,
-    report::Report,
+    catalogue::Route, fleet::SharedFleet, owner::tally::Tally, placement::task, report::Report,
 };
 
 /// The state and clients that request handling uses.
@@ -17,8 +16,6 @@
 pub struct Context {
     /// This VM's view of the fleet.
     pub shared_fleet: SharedFleet,
-    /// Whether the sync exchange with the manager works; the manager relays changes of the store.
-    pub manager_health: Health,
     /// The protocol that callers use.
     pub callers: Rc<dyn CallerProtocol>,
     /// Decides which targets requests go to.
--- a/engine/src/caller/forward.rs
+++ b/engine/src/caller/forward.rs
@@ -169,15 +169,11 @@
 
 /// Returns the local response for a request without a known route.
 ///
-/// A VM that receives no configuration changes can't rule out that the route has been added since, so it
-/// lets the caller retry.
+/// A VM whose knowledge is too old can't rule out that the route has been added since, so it lets the caller retry.
 fn no_route(context: &Context, host: &str, config: &Config) -> LocalResponse {
     let cause = format!("no route for host={host} version={}", config.version);
     let confirmations = context.shared_fleet.confirmations();
-    let confirmed = confirmations.is_by_store(context.clock.now());
-    let relayed = context.manager_health.is_healthy();
-    if confirmed || relayed {
-        let cause = format!("{cause} confirmed={confirmed} relayed={relayed}");
+    if confirmations.is_recent(context.clock.now()) {
         LocalResponse::new(Failure::NoRoute, cause)
     } else {
         LocalResponse::not_run(format!("{cause}, and no news of newer ones"), RETRY_AFTER)
--- a/engine/src/fleet/confirmations.rs
+++ b/engine/src/fleet/confirmations.rs
@@ -130,6 +130,27 @@
         at.is_some_and(|at| now <= at + CONFIRMATION_TIME)
     }
 
+    /// Returns whether anybody has confirmed lately that this VM knows the whole state of the store.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier_engine::fleet::{CONFIRMATION_TIME, Confirmations};
+    ///
+    /// let confirmations = Confirmations::default();
+    /// confirmations.add_by_manager(Duration::ZERO, "vm-1");
+    /// assert!(confirmations.is_recent(CONFIRMATION_TIME));
+    /// assert!(!confirmations.is_recent(2 * CONFIRMATION_TIME));
+    /// ```
+    pub fn is_recent(&self, now: Duration) -> bool {
+        let latest = self.latest.borrow();
+        latest
+            .as_ref()
+            .is_some_and(|it| now <= it.at + CONFIRMATION_TIME)
+    }
+
     /// Returns how old the last confirmation by the store is, if this VM follows it itself.
     ///
     /// # Example
--- a/engine/src/peer/sync_task.rs
+++ b/engine/src/peer/sync_task.rs
@@ -150,9 +150,8 @@
         let now = context.clock.now();
         let confirmations = context.shared_fleet.confirmations();
         let in_contact = context.manager_health.is_healthy() || confirmations.is_by_store(now);
-        let latest = confirmations.latest();
-        let at = latest.map_or(self.started, |it| it.at);
-        let lost = !in_contact && now > at + fleet::CONFIRMATION_TIME;
+        let is_starting = now <= self.started + fleet::CONFIRMATION_TIME;
+        let lost = !in_contact && !is_starting && !confirmations.is_recent(now);
         if lost == self.lost {
             return;
         }
--- a/engine/src/process/serving.rs
+++ b/engine/src/process/serving.rs
@@ -25,7 +25,6 @@
     ) {
         let context = context::Context {
             shared_fleet: self.shared_fleet.clone(),
-            manager_health: self.manager_health.clone(),
             callers: self.adapter.callers.clone(),
             dispatcher: dispatcher.clone(),
             sender: Sender {
