--- a/engine/src/owner/mod.rs
+++ b/engine/src/owner/mod.rs
@@ -2,9 +2,10 @@
 //!
 //! One VM, the manager, decides for all. A *record* for each service names the owner and the fencing
 //! token of every range of keys. [`ownership`] decides what is recorded, granted and released;
-//! [`balance`] and [`redistribution`] decide which keys move; [`manager`] runs them on the VM that
-//! holds the manager's lease.
+//! [`assignment`] decides on ranges without an owner, [`balance`] and [`redistribution`] decide which keys move;
+//! [`manager`] runs them on the VM that holds the manager's lease.
 
+pub mod assignment;
 pub mod balance;
 mod calls;
 mod events;
--- a/engine/src/owner/ownership/commit.rs
+++ b/engine/src/owner/ownership/commit.rs
@@ -6,7 +6,8 @@
 
 use super::{Effect, RETRY_DELAY, ServiceOwnership};
 use crate::owner::{
-    balance::{self, Candidate, Move},
+    assignment,
+    balance::{Candidate, Move},
     range_state::{Phase, RangeState, worst_case_duration},
     record::{self, Fence, Incarnation, KeyRange, Record, RequestKey},
 };
@@ -137,7 +138,7 @@
                 None => unassigned.push(range),
             }
         }
-        moves.extend(balance::assign(
+        moves.extend(assignment::assign(
             &self.record,
             &unassigned,
             &candidates,
