--- a/program/tests/soak.rs
+++ b/program/tests/soak.rs
@@ -98,6 +98,17 @@
     assert_eq!(run_plan(&plan, 1), []);
 }
 
+/// Guards against VMs that go on with an old configuration though others know the newer one.
+#[test]
+fn vms_that_the_store_turns_away_violate_no_guarantee() {
+    let size = Size {
+        vms: 5,
+        seconds: 10,
+    };
+    let plan = Plan::generate_with_vms_turned_away(1, size);
+    assert_eq!(run_plan(&plan, 1), []);
+}
+
 /// Guards against VMs that refuse requests for good once the paths to targets are well again.
 #[test]
 fn paths_that_fail_one_by_one_violate_no_guarantee() {
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -49,6 +49,8 @@
     Budget,
     /// Let the paths to targets fail one by one, and nothing else
     BrokenPaths,
+    /// Let the store turn several VMs away at once while configurations change, and nothing else
+    TurnedAway,
     /// Nothing.
     #[bpaf(skip)]
     Nothing,
@@ -117,6 +119,7 @@
         Extra::Older => Plan::generate_with_older_stores(seed, size),
         Extra::Partitions => Plan::generate_with_partitions(seed, size),
         Extra::Budget => Plan::generate_with_exhausted_budgets(seed, size),
+        Extra::TurnedAway => Plan::generate_with_vms_turned_away(seed, size),
         Extra::BrokenPaths => Plan::generate_with_broken_paths(seed, size),
         Extra::Nothing => Plan::generate(seed, size),
     };
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -5,6 +5,7 @@
 mod broken_paths;
 mod exhaustion;
 mod fault;
+mod turned_away;
 
 use std::{fmt, time::Duration};
 
--- a/tools/soak/src/plan/fault.rs
+++ b/tools/soak/src/plan/fault.rs
@@ -22,6 +22,8 @@
     Pause(usize),
     /// Sets the mode of the proxy between a VM and the store.
     StorePath(usize, Mode),
+    /// Sets the mode of the proxies between the VMs of a set and the store, which still reach the other VMs.
+    TurnedAway(VmSet, Mode),
     /// Sets the mode of the proxy in front of a target, for all VMs.
     TargetPath(usize, Mode),
     /// Partitions the VMs of a set from all targets.
--- a/tools/soak/src/run/faults.rs
+++ b/tools/soak/src/run/faults.rs
@@ -11,7 +11,7 @@
 use super::{Disturbance, POLL_INTERVAL, Run};
 use crate::{
     fleet::{Replaced, TargetSlot},
-    plan::{Fault, Step},
+    plan::{Fault, Step, VmSet},
     proxy::Mode,
 };
 
@@ -50,6 +50,12 @@
                 self.clock.sleep(step.duration).await;
                 proxy.set(Mode::Pass);
             }
+            Fault::TurnedAway(vms, mode) => {
+                // These VMs don't count as disturbed: the others tell them what changes.
+                self.set_store_paths(vms, mode);
+                self.clock.sleep(step.duration).await;
+                self.set_store_paths(vms, Mode::Pass);
+            }
             Fault::TargetPath(target, mode) => {
                 let proxy = self.disturb_path(target, now, to);
                 proxy.set(mode);
@@ -104,6 +110,15 @@
         }
     }
 
+    /// Sets the mode of the proxies between the VMs of a set and the store.
+    fn set_store_paths(&self, set: VmSet, mode: Mode) {
+        for vm in &self.cluster.borrow().vms {
+            if set & (1 << vm.number) != 0 {
+                vm.store.set(mode);
+            }
+        }
+    }
+
     /// Makes the target of a slot refuse all requests for some time, and its replacements too.
     async fn refuse_all(&self, target: usize, to: Duration) {
         while self.clock.now() < to {
