status and timeline end though the response of a VM stops midway

The same cause as in exchanges between VMs: the body was read without a timeout, so an operator waited until the VM ended the connection after 10 s.

--- a/program/src/commands.rs
+++ b/program/src/commands.rs
@@ -16,8 +16,8 @@
 };
 use bramleypier_platform::settings;
 use bramleypier_util::{
-    body::{self, Body},
-    client::Client,
+    body::Body,
+    client::{Client, ResponseLimits},
     clock::Clock,
     stamp::Stamp,
 };
@@ -28,8 +28,12 @@
 
 /// How long a VM may take to respond.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(3);
-/// The largest response: 1,500 events of up to about 2 KB.
-const RESPONSE_MAX_BYTES: usize = 8 << 20;
+/// The limits of a response; the largest has 1,500 events of up to about 2 KB.
+const RESPONSE_LIMITS: ResponseLimits = ResponseLimits {
+    head: RESPONSE_TIMEOUT,
+    whole: RESPONSE_TIMEOUT,
+    bytes: 8 << 20,
+};
 /// The number of connections to one VM: a command sends its requests one after the other.
 const CONNECTIONS_PER_VM: usize = 1;
 
@@ -164,15 +168,8 @@
     {
         let mut request = Request::new(Body::empty());
         *request.uri_mut() = uri.parse().ok()?;
-        let response = self
-            .client
-            .send(address, request, RESPONSE_TIMEOUT)
-            .await
-            .ok()?;
-        let bytes = body::read(response.into_body(), RESPONSE_MAX_BYTES)
-            .await
-            .ok()?;
-        rmp_serde::from_slice(&bytes).ok()
+        let fetched = self.client.fetch(address, request, RESPONSE_LIMITS).await;
+        rmp_serde::from_slice(fetched.ok()?.body()).ok()
     }
 }
 
--- a/program/tests/operator_commands.rs
+++ b/program/tests/operator_commands.rs
@@ -10,10 +10,14 @@
 };
 
 use bramleypier_platform_standin::store;
+use bramleypier_soak::proxy::{Mode, Proxy};
 use bramleypier_util::clock::Clock;
 use harness::run_test;
 use tempfile::TempDir;
 
+/// Longer than the three seconds for which a command waits for one VM.
+const COMMAND_TIME: Duration = Duration::from_secs(6);
+
 /// Runs a command of the program in a thread, so that the runtime can serve the stand-ins meanwhile.
 async fn run_command(arguments: &[&str]) -> (i32, String) {
     let arguments: Vec<String> = arguments.iter().map(|&it| it.to_owned()).collect();
@@ -73,6 +77,30 @@
     });
 }
 
+/// The head of the VM's response arrives and its end does not.
+#[test]
+fn status_ends_though_the_response_of_a_vm_stops_midway() {
+    run_test(async |harness| {
+        let path = Proxy::start(harness.program.peers).unwrap();
+        path.set(Mode::Stall);
+        let settings = harness.program.settings.to_str().unwrap();
+        let text = fs::read_to_string(settings).unwrap();
+        let text = text.replace("seeds = ", &format!("seeds = {}", path.address));
+        let text = text.replace(
+            &harness.program.peers.to_string(),
+            &path.address.to_string(),
+        );
+        let folder = TempDir::new().unwrap();
+        let other = folder.path().join("vm.ini");
+        fs::write(&other, text).unwrap();
+        let command = ["status", "--settings", other.to_str().unwrap()];
+        let clock = Clock::real();
+        let ended = clock.timeout(COMMAND_TIME, run_command(&command)).await;
+        let (code, text) = ended.expect("the command ends");
+        assert_eq!(code, 4, "{text}");
+    });
+}
+
 #[test]
 fn status_and_timeline_show_evacuated_domains_and_cold_targets() {
     run_test(async |harness| {
