--- a/program/tests/old_configurations.rs
+++ b/program/tests/old_configurations.rs
@@ -3,17 +3,27 @@
 mod harness;
 
 use std::{
-    sync::{Mutex, PoisonError},
+    net::SocketAddr,
+    sync::{Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
 
-use bramleypier_engine::fleet::Vm;
+use bramleypier_engine::{
+    fleet::{LogPosition, Relay, Vm},
+    peer::{Envelope, News, SyncResponse},
+};
 use bramleypier_platform_standin::store::Store;
 use bramleypier_soak::proxy::{Mode, Proxy};
-use bramleypier_util::{client::Client, clock::Clock};
-use compio::runtime::Runtime;
+use bramleypier_util::{
+    body::{self, Body},
+    client::Client,
+    clock::Clock,
+    server::{self, Control},
+    stamp::Stamp,
+};
+use compio::{net::TcpListener, runtime::Runtime};
 use harness::{Harness, Program, TEST_TIMEOUT, config, start_vm};
-use hyper::StatusCode;
+use hyper::{Request, Response, StatusCode, body::Incoming};
 
 /// The time within which a configuration must be in force on all VMs after the store has accepted it.
 const IN_FORCE: Duration = Duration::from_secs(2);
@@ -23,6 +33,10 @@
 const TURNED_AWAY: usize = 2;
 /// The key of the manager's entry in the store.
 const MANAGER_KEY: &str = "bramleypier/manager";
+/// The start of the process of a manager that the test plays.
+const MANAGER_START: &str = "vm-0/1";
+/// How late that manager wakes up.
+const MANAGER_LAG: Duration = Duration::from_millis(60);
 
 /// VMs that reach the store through a proxy each.
 struct Fleet {
@@ -110,13 +124,18 @@
     }
 }
 
+/// Waits until no other test of this file runs.
+fn take_turn() -> MutexGuard<'static, ()> {
+    static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+    ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Runs a test while no other of this file runs: late responses would end the manager's lease.
 fn run_alone<F>(test: F)
 where
     F: AsyncFnOnce(Fleet),
 {
-    static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
-    let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let _turn = take_turn();
     Runtime::new()
         .unwrap()
         .block_on(async { test(Fleet::start().await).await });
@@ -175,3 +194,72 @@
         }
     });
 }
+
+/// Returns the response of a manager that follows the store, has no news and wakes up late.
+fn response_of_lagging_manager() -> Vec<u8> {
+    let position = LogPosition {
+        start: MANAGER_START.to_owned(),
+        count: 0,
+    };
+    let message = SyncResponse {
+        healthy: true,
+        in_flight_elsewhere: Vec::new(),
+        quotas: Vec::new(),
+        rates: Vec::new(),
+        relay: Relay::Changes {
+            changes: Vec::new(),
+            followed: [].into(),
+            position,
+        },
+        lag: MANAGER_LAG,
+        stamp: Stamp::default(),
+    };
+    let news = News {
+        era: 1,
+        confirmed_age: Some(Duration::ZERO),
+        ..News::default()
+    };
+    Envelope { message, news }.encode()
+}
+
+/// Serves sync requests as a manager that lags.
+async fn start_lagging_manager() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let handler = async |request: Request<Incoming>| {
+        // The content of the request doesn't matter.
+        let _ = body::read(request.into_body(), 1 << 20).await;
+        Response::new(Body::from(response_of_lagging_manager()))
+    };
+    let serving = server::serve(listener, Control::default(), handler);
+    compio::runtime::spawn(serving).detach();
+    address
+}
+
+/// The time between two exchanges grows with the manager's lag, and so did the time after which a VM noticed its silence.
+#[test]
+fn a_vm_relies_for_too_long_on_a_manager_that_lagged_and_is_silent() {
+    let _turn = take_turn();
+    Runtime::new().unwrap().block_on(async {
+        let (store, store_address) = Store::start().await;
+        let path = Proxy::start(start_lagging_manager().await).unwrap();
+        let manager = Vm {
+            name: "vm-0".to_owned(),
+            start: MANAGER_START.to_owned(),
+            address: path.address,
+            domain: "z1".to_owned(),
+            capacity_millicores: 1000,
+        };
+        store.put(MANAGER_KEY, &manager.encode());
+        store.put("servers/foreign", b"not an entry");
+        store.put("op/config", &config(1, "/key/"));
+        let vm = start_vm("vm-1", store_address, None);
+        until_logged(&vm, "event=manager-heard").await;
+        path.set(Mode::Silent);
+        let accepted = Instant::now();
+        store.put("op/config", &config(2, "/second/"));
+        until_logged(&vm, "event=config-in-force version=2").await;
+        let took = accepted.elapsed();
+        assert!(took <= IN_FORCE, "in force after {took:?}");
+    });
+}
