Whether a VM still relies on the manager is decided by the clock, also between exchanges, and by the lag that the last response tells

Cause: a VM's sync interval grows with the manager's lag, up to a second. Reliance was looked at after the sleep and the exchange that follows, both of which a failure makes as long as they get, and its length was twice the new interval, though a manager that lags so much isn't to be relied on. The test was changed with the mend: a manager that lags from the beginning isn't relied on at all now, so the lag begins once the VM relies. The bound is the same. Why it holds: reliance is at most twice the longest interval at which a VM relies, 1.2 s from the sending of the last valid exchange, and its end is waited for beside whatever goes on.

--- a/engine/src/peer/sync_task.rs
+++ b/engine/src/peer/sync_task.rs
@@ -20,7 +20,7 @@
 /// Runs the sync exchanges with the manager until the process ends.
 pub async fn run(context: Context) {
     let mut position = LogPosition::default();
-    let mut valid_at = Duration::ZERO;
+    let mut relied_until = Duration::ZERO;
     let mut peers = PeerRotation::from_random();
     let mut interval = Duration::ZERO;
     let mut lag = Duration::ZERO;
@@ -50,14 +50,18 @@
             Some(vm) => {
                 let sent = context.clock.now();
                 let exchange = exchange(&context, &vm, &request, &mut position);
-                let until = valid_at + reliance_time(interval);
-                let response = run_while_relying(&context, until, exchange).await;
-                if let Some(Envelope { message, news }) = &response
-                    && context.clock.now() <= sent + reliance_time(interval)
-                    && context.accept_response(message, news.era, &vm, interval)
-                {
-                    valid_at = sent;
-                    context.record_confirmation(sent, news, &vm);
+                let response = run_while_relying(&context, relied_until, exchange).await;
+                if let Some(Envelope { message, news }) = &response {
+                    let vms = context.shared_fleet.get().vms.len();
+                    // The lag that the response tells of lengthens the time until the next exchange.
+                    let next = sync_interval::next_interval(busy, vms, message.lag);
+                    let until = sent + reliance_time(next);
+                    if context.clock.now() <= until
+                        && context.accept_response(message, news.era, &vm, next)
+                    {
+                        relied_until = until;
+                        context.record_confirmation(sent, news, &vm);
+                    }
                 }
                 response
             }
@@ -90,11 +94,9 @@
                     vms_sharing: news.vms_sharing,
                 }));
         }
-        if context.clock.now() > valid_at + reliance_time(interval) {
-            context.stop_relying("no valid response in time");
-        }
         let sleep_start = context.clock.now();
-        context.clock.sleep(interval).await;
+        let sleep = context.clock.sleep(interval);
+        run_while_relying(&context, relied_until, sleep).await;
         context.record_lag(interval, context.clock.now().saturating_sub(sleep_start));
     }
 }
@@ -104,20 +106,21 @@
     MIN_RELIANCE.max(interval * RELIANCE_INTERVALS)
 }
 
-/// Waits for an exchange with the manager, but no longer relies on the manager once the time `until` has come.
+/// Waits for an exchange with the manager or for the next one, but no longer relies on the manager once the time `until`
+/// has come.
 ///
-/// A part of the response may have arrived, and the rest may never come.
-async fn run_while_relying<F>(context: &Context, until: Duration, exchange: F) -> F::Output
+/// Either may take long: a part of a response may have arrived whose rest never comes, and a manager that lags is asked rarely.
+async fn run_while_relying<F>(context: &Context, until: Duration, work: F) -> F::Output
 where
     F: Future,
 {
     let left = until.saturating_sub(context.clock.now());
     let wait = pin!(context.clock.sleep(left));
-    match future::select(pin!(exchange), wait).await {
-        Either::Left((response, _)) => response,
-        Either::Right(((), exchange)) => {
+    match future::select(pin!(work), wait).await {
+        Either::Left((output, _)) => output,
+        Either::Right(((), work)) => {
             context.stop_relying("no valid response in time");
-            exchange.await
+            work.await
         }
     }
 }
--- a/program/tests/old_configurations.rs
+++ b/program/tests/old_configurations.rs
@@ -3,7 +3,9 @@
 mod harness;
 
 use std::{
+    cell::Cell,
     net::SocketAddr,
+    rc::Rc,
     sync::{Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
@@ -195,8 +197,8 @@
     });
 }
 
-/// Returns the response of a manager that follows the store, has no news and wakes up late.
-fn response_of_lagging_manager() -> Vec<u8> {
+/// Returns the response of a manager that follows the store, has no news and wakes up late by `lag`.
+fn manager_response(lag: Duration) -> Vec<u8> {
     let position = LogPosition {
         start: MANAGER_START.to_owned(),
         count: 0,
@@ -211,7 +213,7 @@
             followed: [].into(),
             position,
         },
-        lag: MANAGER_LAG,
+        lag,
         stamp: Stamp::default(),
     };
     let news = News {
@@ -222,14 +224,17 @@
     Envelope { message, news }.encode()
 }
 
-/// Serves sync requests as a manager that lags.
-async fn start_lagging_manager() -> SocketAddr {
+/// Serves sync requests as a manager whose lag the test sets.
+async fn start_manager(lag: Rc<Cell<Duration>>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    let handler = async |request: Request<Incoming>| {
-        // The content of the request doesn't matter.
-        let _ = body::read(request.into_body(), 1 << 20).await;
-        Response::new(Body::from(response_of_lagging_manager()))
+    let handler = move |request: Request<Incoming>| {
+        let lag = lag.clone();
+        async move {
+            // The content of the request doesn't matter.
+            let _ = body::read(request.into_body(), 1 << 20).await;
+            Response::new(Body::from(manager_response(lag.get())))
+        }
     };
     let serving = server::serve(listener, Control::default(), handler);
     compio::runtime::spawn(serving).detach();
@@ -242,7 +247,8 @@
     let _turn = take_turn();
     Runtime::new().unwrap().block_on(async {
         let (store, store_address) = Store::start().await;
-        let path = Proxy::start(start_lagging_manager().await).unwrap();
+        let lag = Rc::new(Cell::new(Duration::ZERO));
+        let path = Proxy::start(start_manager(lag.clone()).await).unwrap();
         let manager = Vm {
             name: "vm-0".to_owned(),
             start: MANAGER_START.to_owned(),
@@ -255,6 +261,9 @@
         store.put("op/config", &config(1, "/key/"));
         let vm = start_vm("vm-1", store_address, None);
         until_logged(&vm, "event=manager-heard").await;
+        lag.set(MANAGER_LAG);
+        // Long enough for a response that tells the lag, and shorter than the time until the exchange after it.
+        sleep_ms(300).await;
         path.set(Mode::Silent);
         let accepted = Instant::now();
         store.put("op/config", &config(2, "/second/"));
