--- a/program/tests/harness/mod.rs
+++ b/program/tests/harness/mod.rs
@@ -51,6 +51,22 @@
     .unwrap()
 }
 
+/// Waits for this many milliseconds.
+pub async fn sleep_ms(millis: u64) {
+    Clock::real().sleep(Duration::from_millis(millis)).await;
+}
+
+/// Waits until a VM has logged a text.
+pub async fn until_logged(program: &Program, text: &str) {
+    let end = Instant::now() + TEST_TIMEOUT;
+    while program.find_log(text).is_none() {
+        let lines = program.lines.lock().unwrap();
+        assert!(Instant::now() < end, "not logged: {text}; {lines:#?}");
+        drop(lines);
+        sleep_ms(20).await;
+    }
+}
+
 /// A store, four targets (two of them own keys) and one VM.
 pub struct Harness {
     pub store: Store,
@@ -95,11 +111,7 @@
 
     /// Waits until the first VM has logged a text.
     pub async fn until_logged(&self, text: &str) {
-        let end = Instant::now() + TEST_TIMEOUT;
-        while self.program.find_log(text).is_none() {
-            assert!(Instant::now() < end, "not logged: {text}");
-            Clock::real().sleep(Duration::from_millis(20)).await;
-        }
+        until_logged(&self.program, text).await;
     }
 
     /// Waits until the first VM is ready.
--- a/program/tests/old_configurations.rs
+++ b/program/tests/old_configurations.rs
@@ -24,7 +24,7 @@
     stamp::Stamp,
 };
 use compio::{net::TcpListener, runtime::Runtime};
-use harness::{Harness, Program, TEST_TIMEOUT, config, start_vm};
+use harness::{Harness, Program, TEST_TIMEOUT, config, sleep_ms, start_vm, until_logged};
 use hyper::{Request, Response, StatusCode, body::Incoming};
 
 /// The time within which a configuration must be in force on all VMs after the store has accepted it.
@@ -112,20 +112,6 @@
     }
 }
 
-async fn sleep_ms(millis: u64) {
-    Clock::real().sleep(Duration::from_millis(millis)).await;
-}
-
-async fn until_logged(program: &Program, text: &str) {
-    let end = Instant::now() + TEST_TIMEOUT;
-    while program.find_log(text).is_none() {
-        let lines = program.lines.lock().unwrap();
-        assert!(Instant::now() < end, "not logged: {text}; {lines:#?}");
-        drop(lines);
-        sleep_ms(20).await;
-    }
-}
-
 /// Waits until no other test of this file runs.
 fn take_turn() -> MutexGuard<'static, ()> {
     static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
--- a/program/tests/store_calls.rs
+++ b/program/tests/store_calls.rs
@@ -8,8 +8,7 @@
 };
 
 use bramleypier_platform_standin::store::{Fault, Store};
-use bramleypier_util::clock::Clock;
-use harness::{Harness, Program, TEST_TIMEOUT, config, run_test};
+use harness::{Harness, Program, config, run_test, sleep_ms, until_logged};
 use hyper::StatusCode;
 
 /// The time within which a configuration must be in force on all VMs after the store has accepted it.
@@ -45,20 +44,6 @@
     store.count_calls(|it| it.starts_with("/-/kv-keep"))
 }
 
-async fn sleep_ms(millis: u64) {
-    Clock::real().sleep(Duration::from_millis(millis)).await;
-}
-
-async fn until_logged(program: &Program, text: &str) {
-    let end = Instant::now() + TEST_TIMEOUT;
-    while program.find_log(text).is_none() {
-        let lines = program.lines.lock().unwrap();
-        assert!(Instant::now() < end, "not logged: {text}; {lines:#?}");
-        drop(lines);
-        sleep_ms(20).await;
-    }
-}
-
 /// Starts the other VMs and waits until they are in contact with the manager.
 async fn start_others(harness: &Harness) -> Vec<Program> {
     until_logged(&harness.program, "event=manager-elected").await;
