Tests: each run of the soak has a folder of its own

Cause: the folder was named after the process and the seed only, and five tests of this file have the seed 1 or 2. They run at the same time in one process; when two ended together, the first removed the folder that the other had just written, and of two failed runs one overwrote the logs of the other. Why it holds: a counter of the process is part of the name, so no two runs share one, whatever their seeds.

--- a/program/tests/harness/soak.rs
+++ b/program/tests/harness/soak.rs
@@ -1,6 +1,11 @@
 //! Runs a plan of the soak with this build of the program, and keeps the logs of a run with violations.
 
-use std::{env, fs, path::PathBuf, process};
+use std::{
+    env, fs,
+    path::PathBuf,
+    process,
+    sync::atomic::{AtomicU32, Ordering},
+};
 
 use bramleypier_soak::{check::Observations, plan::Plan, run};
 use compio::runtime::Runtime;
@@ -13,10 +18,10 @@
 }
 
 impl SoakRun {
-    /// Executes a plan; `name` tells its logs from those of other runs.
+    /// Executes a plan; the folder of its logs is its own, and bears `name`.
     pub fn execute(plan: &Plan, seed: u64, name: &str) -> Self {
         let binaries = [env!("CARGO_BIN_EXE_bramleypier").into()];
-        let folder = env::temp_dir().join(format!("bramleypier-soak-{}-{name}", process::id()));
+        let folder = Self::new_folder(name);
         let execution = run::execute(&binaries, plan, seed, Some(&folder));
         let observations = Runtime::new().unwrap().block_on(execution).unwrap();
         Self {
@@ -25,6 +30,14 @@
         }
     }
 
+    /// Returns a path that no other run of this process has.
+    fn new_folder(name: &str) -> PathBuf {
+        static RUNS: AtomicU32 = AtomicU32::new(0);
+        let number = RUNS.fetch_add(1, Ordering::Relaxed);
+        let process = process::id();
+        env::temp_dir().join(format!("bramleypier-soak-{process}-{number}-{name}"))
+    }
+
     /// Removes the logs, unless the run has violated a guarantee.
     pub fn finish(self, is_clean: bool) {
         if is_clean {
--- a/program/tests/soak.rs
+++ b/program/tests/soak.rs
@@ -3,6 +3,8 @@
 #[path = "harness/soak.rs"]
 mod soak_run;
 
+use std::thread;
+
 use bramleypier_soak::{
     check,
     plan::{Plan, Size},
@@ -27,6 +29,19 @@
     violations
 }
 
+/// Guards against tests with one seed that share a folder: one removed or overwrote the logs of the other.
+#[test]
+fn runs_of_one_seed_keep_their_logs_apart() {
+    let plan = Plan::generate(1, Size { vms: 3, seconds: 1 });
+    let runs = thread::scope(|scope| {
+        let runs = [(); 2].map(|()| scope.spawn(|| SoakRun::execute(&plan, 1, "1")));
+        runs.map(|it| it.join().unwrap())
+    });
+    for it in runs {
+        it.finish(true);
+    }
+}
+
 #[test]
 fn faults_of_all_kinds_violate_no_guarantee() {
     assert_eq!(run_seed(1, 6), []);
