Failing test: a VM gives up its manager between two exchanges that succeed

After the takeover at 21 s each of 195 VMs writes manager-heard and, 0.2 s later, manager-unheard 'no valid response in time', 2.5 times a second until 28 s (2,593 times from 22 to 28 s; the code before: none). Exchanges take a quarter of a second there, the next begins 0.17 s later, so a response comes 0.65 s after the exchange before was sent; reliance ends 0.45 s after it. Failed here: manager-unheard 0.45 s after the first exchange.

--- a/program/tests/old_configurations.rs
+++ b/program/tests/old_configurations.rs
@@ -40,6 +40,9 @@
 /// How late that manager wakes up.
 const MANAGER_LAG: Duration = Duration::from_millis(60);
 
+/// How late a manager with many VMs responds.
+const RESPONSE_DELAY: Duration = Duration::from_millis(250);
+
 /// VMs that reach the store through a proxy each.
 struct Fleet {
     harness: Harness,
@@ -210,8 +213,8 @@
     Envelope { message, news }.encode()
 }
 
-/// Serves sync requests as a manager whose lag the test sets.
-async fn start_manager(lag: Rc<Cell<Duration>>) -> SocketAddr {
+/// Serves sync requests as a manager whose lag the test sets, and which responds after `delay`.
+async fn start_manager(lag: Rc<Cell<Duration>>, delay: Duration) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let handler = move |request: Request<Incoming>| {
@@ -219,6 +222,7 @@
         async move {
             // The content of the request doesn't matter.
             let _ = body::read(request.into_body(), 1 << 20).await;
+            Clock::real().sleep(delay).await;
             Response::new(Body::from(manager_response(lag.get())))
         }
     };
@@ -227,26 +231,33 @@
     address
 }
 
+/// Starts a VM whose manager, at `address`, is played by the test, and waits until it relies on it.
+async fn start_vm_of_manager(address: SocketAddr) -> (Store, Program) {
+    let (store, store_address) = Store::start().await;
+    let manager = Vm {
+        name: "vm-0".to_owned(),
+        start: MANAGER_START.to_owned(),
+        address,
+        domain: "z1".to_owned(),
+        capacity_millicores: 1000,
+    };
+    store.put(MANAGER_KEY, &manager.encode());
+    store.put("servers/foreign", b"not an entry");
+    store.put("op/config", &config(1, "/key/"));
+    let vm = start_vm("vm-1", store_address, None);
+    until_logged(&vm, "event=manager-heard").await;
+    (store, vm)
+}
+
 /// The time between two exchanges grows with the manager's lag, and so did the time after which a VM noticed its silence.
 #[test]
 fn a_vm_relies_for_too_long_on_a_manager_that_lagged_and_is_silent() {
     let _turn = take_turn();
     Runtime::new().unwrap().block_on(async {
-        let (store, store_address) = Store::start().await;
         let lag = Rc::new(Cell::new(Duration::ZERO));
-        let path = Proxy::start(start_manager(lag.clone()).await).unwrap();
-        let manager = Vm {
-            name: "vm-0".to_owned(),
-            start: MANAGER_START.to_owned(),
-            address: path.address,
-            domain: "z1".to_owned(),
-            capacity_millicores: 1000,
-        };
-        store.put(MANAGER_KEY, &manager.encode());
-        store.put("servers/foreign", b"not an entry");
-        store.put("op/config", &config(1, "/key/"));
-        let vm = start_vm("vm-1", store_address, None);
-        until_logged(&vm, "event=manager-heard").await;
+        let manager = start_manager(lag.clone(), Duration::ZERO).await;
+        let path = Proxy::start(manager).unwrap();
+        let (store, vm) = start_vm_of_manager(path.address).await;
         lag.set(MANAGER_LAG);
         // Long enough for a response that tells the lag, and shorter than the time until the exchange after it.
         sleep_ms(300).await;
@@ -258,3 +269,16 @@
         assert!(took <= IN_FORCE, "in force after {took:?}");
     });
 }
+
+/// A manager with many VMs responds late, though it follows the store and each exchange succeeds.
+#[test]
+fn a_vm_gives_up_a_manager_between_two_exchanges_that_succeed() {
+    let _turn = take_turn();
+    Runtime::new().unwrap().block_on(async {
+        let lag = Rc::new(Cell::new(Duration::ZERO));
+        let manager = start_manager(lag, RESPONSE_DELAY).await;
+        let (_store, vm) = start_vm_of_manager(manager).await;
+        sleep_ms(3000).await;
+        assert_eq!(vm.find_log("event=manager-unheard"), None);
+    });
+}
