--- a/engine/src/peer/sync_interval.rs
+++ b/engine/src/peer/sync_interval.rs
@@ -28,12 +28,6 @@
 /// The maximum interval for any lag: the interval delays the notice that a target is draining, and such a target
 /// must get no new requests 2 s after its announcement.
 const MAX_INTERVAL: Duration = Duration::from_secs(1);
-/// The minimum time for which a VM relies on the manager after it has sent an exchange that succeeds.
-const MIN_RELIANCE: Duration = Duration::from_millis(450);
-/// The maximum time: changes must be in force in two seconds, also when the manager falls silent.
-const MAX_RELIANCE: Duration = Duration::from_millis(1200);
-/// The number of rounds for which it relies on the manager: one exchange may fail.
-const RELIANCE_ROUNDS: u32 = 2;
 /// The inverse weight of a new measurement in the mean lag: one late wake-up is no trend.
 const MEAN_DIVISOR: u32 = 4;
 /// A wake-up later than this is left out of the mean: the process was suspended, rather than short of processor
@@ -124,25 +118,3 @@
     let excess = lag.saturating_sub(LAG_ALLOWANCE);
     (interval + excess * LAG_FACTOR).min(MAX_INTERVAL)
 }
-
-/// Returns how long a VM relies on the manager, from the sending of an exchange that has succeeded.
-///
-/// `interval` is the time until the next exchange, and `took` the duration of this one: the response to the next comes a
-/// round later, which is the sum of both.
-///
-/// # Example
-///
-/// ```
-/// use std::time::Duration;
-///
-/// use bramleypier_engine::peer::sync_interval;
-///
-/// let ms = Duration::from_millis;
-/// assert_eq!(sync_interval::reliance(ms(40), ms(10)), ms(450));
-/// assert_eq!(sync_interval::reliance(ms(150), ms(250)), ms(800));
-/// assert_eq!(sync_interval::reliance(ms(600), ms(250)), ms(1200));
-/// ```
-pub fn reliance(interval: Duration, took: Duration) -> Duration {
-    let rounds = (interval + took) * RELIANCE_ROUNDS;
-    rounds.clamp(MIN_RELIANCE, MAX_RELIANCE)
-}
--- a/engine/tests/sync_interval.rs
+++ b/engine/tests/sync_interval.rs
@@ -9,7 +9,6 @@
 use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
 use bramleypier_engine::peer::sync_interval::{self, Lag};
-use proptest::{prop_assert, proptest};
 
 const VMS: usize = 88;
 /// The time that a manager with a tenth of a core spends on one message.
@@ -22,8 +21,6 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 /// The time until the sync intervals of the VMs have settled.
 const SETTLING_TIME: Duration = Duration::from_secs(5);
-/// The longest time for which a VM may rely on a manager that has fallen silent.
-const MAX_RELIANCE: Duration = Duration::from_millis(1200);
 const SIMULATED_TIME: Duration = Duration::from_secs(30);
 
 /// Work for the manager's CPU.
@@ -112,15 +109,3 @@
         Duration::from_millis(40)
     );
 }
-
-proptest! {
-    /// Guards against VMs that give up a manager between two exchanges that succeed, or rely on a silent one for long.
-    #[test]
-    fn reliance_lasts_until_the_next_response_and_no_longer_than_the_maximum(interval in 1..600_u64, took in 0..400_u64) {
-        let (interval, took) = (Duration::from_millis(interval), Duration::from_millis(took));
-        let reliance = sync_interval::reliance(interval, took);
-        let next_response = took + interval + took;
-        prop_assert!(reliance >= next_response.min(MAX_RELIANCE));
-        prop_assert!(reliance <= MAX_RELIANCE);
-    }
-}
