--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -125,6 +125,11 @@
             });
             at += random.random_range(FAULT_GAP_MS) * if planned_only { 4 } else { 1 };
         }
+        Self::of_steps(size, steps)
+    }
+
+    /// Returns the plan with these steps, and with callers and targets as in most plans.
+    fn of_steps(size: Size, steps: Vec<Step>) -> Self {
         Self {
             size,
             steps,
--- a/tools/soak/src/plan/turned_away.rs
+++ b/tools/soak/src/plan/turned_away.rs
@@ -4,7 +4,7 @@
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use super::{ALLOWANCE, Fault, Plan, REQUEST_PAUSE, Size, Step, VmSet};
+use super::{Fault, Plan, Size, Step, VmSet};
 use crate::proxy::Mode;
 
 /// When the first VMs are turned away: they count as disturbed for some time after their start.
@@ -57,14 +57,7 @@
             at += duration + Duration::from_millis(random.random_range(FAULT_GAP_MS));
         }
         steps.sort_by_key(|step| step.at);
-        Self {
-            size,
-            steps,
-            evacuates: false,
-            direct_targets: false,
-            pause: REQUEST_PAUSE,
-            allowance: ALLOWANCE,
-        }
+        Self::of_steps(size, steps)
     }
 }
 
