Server: idempotent requests of a connection start before those ahead are answered

hyper reads one request at a time and, once it holds bytes of a further one, no longer notices that the caller has closed the connection; requests of callers that had left were still sent on. The stream under hyper now hands over the bytes of one request at a time and holds the rest, so a FIN or reset ends the connection's open requests also behind held bytes. A splitter recognizes whole requests without a body there, and the handler may start them early; hyper stays parser, order and writer. Open requests, held bytes and bytes of waiting responses are bounded. Servers of functions don't read ahead.

--- a/util/src/server.rs
+++ b/util/src/server.rs
@@ -2,7 +2,6 @@
 
 use std::{
     cell::{Cell, RefCell},
-    convert::Infallible,
     rc::Rc,
     task::{Poll, ready},
     time::Duration,
@@ -19,6 +18,10 @@
 use crate::{
     body::Body,
     clock::Clock,
+    pipeline::{
+        FunctionHandler, Handler, Pipelining, connection::Connection, space::ServerSpace,
+        stream::HoldingStream,
+    },
     socket,
     stream::{Stream, StreamObserver},
     timer::ConnectionTimer,
@@ -29,12 +32,14 @@
 /// The smallest buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8192;
 /// The maximum number of headers of a request.
-const MAX_HEADERS: usize = 100;
+pub(crate) const MAX_HEADERS: usize = 100;
 /// The default maximum size of a request's head; hyper responds with 431 to a larger one.
 const DEFAULT_HEAD_BYTES: usize = 32 * 1024;
 /// How long a stopping connection waits for the runtime to read what has arrived, and how often.
 const UNREAD_WAIT: Duration = Duration::from_millis(10);
 const MAX_UNREAD_WAITS: usize = 20;
+/// How often a connection on which nothing may be read is checked for whether its peer has left.
+const LEFT_INTERVAL: Duration = Duration::from_millis(10);
 /// The delay before the next attempt after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -160,66 +165,120 @@
     H: Fn(Request<Incoming>) -> F + Clone + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
-    loop {
-        let accept = Box::pin(listener.accept());
-        let accepted = match future::select(control.stopped.clone(), accept).await {
-            // Connections that wait to be accepted may have carried whole requests for a while.
-            Either::Left((_, accept)) if socket::is_readable(&listener) => {
-                control.count_unread();
-                accept.await
-            }
-            Either::Left(_) => return,
-            Either::Right((accepted, _)) => accepted,
-        };
-        // If not, the process has no free file descriptors, or the peer closed before the accept: continue.
-        let Ok((stream, _)) = accepted else {
-            compio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
-        };
-        let open = OpenConnection::new(control.clone());
-        let timer = SharedTimer::new(clock.clone(), limits());
-        let aborted = control.aborted.clone();
-        let handler = handler.clone();
-        compio::runtime::spawn(async move {
-            let serving = Box::pin(serve_connection(stream, open, timer, handler));
-            future::select(serving, aborted).await;
-        })
-        .detach();
+    let server = Server {
+        handler: FunctionHandler(handler),
+        pipelining: Pipelining::OFF,
+        space: ServerSpace::default(),
+        clock,
+    };
+    server.serve(listener, control, limits).await;
+}
+
+/// Accepts connections like [`serve_with`], and starts idempotent requests before those ahead of them are answered.
+pub async fn serve_pipelined<B, H>(
+    listener: TcpListener,
+    control: Control,
+    clock: Clock,
+    limits: B,
+    (pipelining, handler): (Pipelining, H),
+) where
+    B: Fn() -> ConnectionLimits,
+    H: Handler,
+{
+    let server = Server {
+        handler,
+        pipelining,
+        space: ServerSpace::default(),
+        clock,
+    };
+    server.serve(listener, control, limits).await;
+}
+
+/// What the connections of a server share.
+struct Server<H> {
+    handler: H,
+    pipelining: Pipelining,
+    space: ServerSpace,
+    clock: Clock,
+}
+
+impl<H> Server<H>
+where
+    H: Handler,
+{
+    async fn serve<B>(self, listener: TcpListener, control: Control, limits: B)
+    where
+        B: Fn() -> ConnectionLimits,
+    {
+        loop {
+            let accept = Box::pin(listener.accept());
+            let accepted = match future::select(control.stopped.clone(), accept).await {
+                // Connections that wait to be accepted may have carried whole requests for a while.
+                Either::Left((_, accept)) if socket::is_readable(&listener) => {
+                    control.count_unread();
+                    accept.await
+                }
+                Either::Left(_) => return,
+                Either::Right((accepted, _)) => accepted,
+            };
+            // If not, the process has no free file descriptors, or the peer closed before the accept: continue.
+            let Ok((stream, _)) = accepted else {
+                compio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            };
+            let open = OpenConnection::new(control.clone());
+            let timer = SharedTimer::new(self.clock.clone(), limits());
+            let connection = Connection::new(
+                self.handler.clone(),
+                self.pipelining,
+                timer.buffer_bytes(),
+                &self.space,
+                self.clock.clone(),
+            );
+            let aborted = control.aborted.clone();
+            compio::runtime::spawn(async move {
+                let serving = Box::pin(serve_connection(stream, open, timer, connection));
+                future::select(serving, aborted).await;
+            })
+            .detach();
+        }
     }
 }
 
 /// Serves one connection until it is closed.
-async fn serve_connection<H, F>(
+async fn serve_connection<H>(
     stream: TcpStream,
     open: OpenConnection,
     timer: SharedTimer,
-    handler: H,
+    requests: Connection<H>,
 ) where
-    H: Fn(Request<Incoming>) -> F + 'static,
-    F: Future<Output = Response<Body>> + 'static,
+    H: Handler,
 {
     socket::set_options(&stream);
-    let request_timer = timer.clone();
+    let (request_timer, open_requests) = (timer.clone(), requests.clone());
     let service = service::service_fn(move |request| {
         request_timer.on_request();
-        let (response, request_timer) = (handler(request), request_timer.clone());
+        let answer = open_requests.answer(request);
+        let (open_requests, request_timer) = (open_requests.clone(), request_timer.clone());
         async move {
-            let response = response.await;
+            let response = open_requests.finish(answer).await;
             request_timer.on_response();
-            Ok::<_, Infallible>(response)
+            response
         }
     });
     let socket = stream.clone();
-    let stream = Stream::new(stream, timer.clone());
+    let stream = HoldingStream::new(Stream::new(stream, timer.clone()), requests.clone());
     let connection = http1::Builder::new()
         .max_headers(MAX_HEADERS)
-        .max_buf_size(timer.limits.head_bytes.max(MIN_BUFFER_BYTES))
+        .max_buf_size(timer.buffer_bytes())
         .serve_connection(stream, service);
     let mut connection = Box::pin(connection);
+    // The connection is polled before these, so that received bytes count first.
+    let mut left = Box::pin(until_left(&socket, &requests));
     let closed = {
         let timed_out = Box::pin(timer.expired());
-        // The connection is polled before its timer, so that received bytes count first.
-        let served = future::select(connection.as_mut(), open.0.stopped.clone());
+        let ended = future::select(connection.as_mut(), left.as_mut());
+        let served = future::select(ended, open.0.stopped.clone());
         match future::select(served, timed_out).await {
             Either::Left((Either::Left(_), _)) | Either::Right(_) => true,
             Either::Left((Either::Right(_), _)) => false,
@@ -228,9 +287,60 @@
     if closed || read_arrived(&socket, connection.as_mut(), &open.0).await {
         return;
     }
+    requests.drain();
+    let answered = Box::pin(answer_read(connection.as_mut(), &requests));
+    if let Either::Right(_) | Either::Left((true, _)) =
+        future::select(answered, left.as_mut()).await
+    {
+        return;
+    }
     connection.as_mut().graceful_shutdown();
     // A failure closes the connection as well.
-    let _ = connection.await;
+    future::select(connection, left).await;
+}
+
+/// Lets a connection answer the requests that were read behind the open one; returns whether it has ended.
+async fn answer_read<C, H>(mut connection: C, requests: &Connection<H>) -> bool
+where
+    C: Future + Unpin,
+    H: Handler,
+{
+    future::poll_fn(|context| {
+        if connection.poll_unpin(context).is_ready() {
+            Poll::Ready(true)
+        } else if requests.has_request() {
+            Poll::Pending
+        } else {
+            Poll::Ready(false)
+        }
+    })
+    .await
+}
+
+/// Completes when the peer leaves while nothing may be read.
+///
+/// This is polled after each step of the connection, which decides whether something may be read.
+async fn until_left<H>(socket: &TcpStream, requests: &Connection<H>)
+where
+    H: Handler,
+{
+    let mut pause: Option<LocalBoxFuture<'_, ()>> = None;
+    future::poll_fn(|context| {
+        loop {
+            if !requests.is_blind() {
+                pause = None;
+                return Poll::Pending;
+            }
+            let sleep =
+                pause.get_or_insert_with(|| compio::time::sleep(LEFT_INTERVAL).boxed_local());
+            ready!(sleep.as_mut().poll(context));
+            pause = None;
+            if socket::has_left(socket) {
+                return Poll::Ready(());
+            }
+        }
+    })
+    .await;
 }
 
 /// Lets a stopping connection read what has arrived: the runtime may have been busy since; returns whether it has ended.
@@ -273,6 +383,11 @@
         }
     }
 
+    /// Returns the size of hyper's read buffer, which limits a head.
+    fn buffer_bytes(&self) -> usize {
+        self.limits.head_bytes.max(MIN_BUFFER_BYTES)
+    }
+
     fn on_request(&self) {
         self.timer.borrow_mut().on_request();
     }
--- a/util/src/socket.rs
+++ b/util/src/socket.rs
@@ -48,11 +48,27 @@
 where
     S: AsFd,
 {
-    let mut sockets = [PollFd::new(socket, PollFlags::IN)];
+    has_event(socket, PollFlags::IN)
+}
+
+/// Returns whether the peer has closed or reset a connection, also while bytes before that are unread.
+pub fn has_left<S>(socket: &S) -> bool
+where
+    S: AsFd,
+{
+    has_event(socket, PollFlags::RDHUP)
+}
+
+/// Returns whether a socket has one of these events, or has failed.
+fn has_event<S>(socket: &S, events: PollFlags) -> bool
+where
+    S: AsFd,
+{
+    let mut sockets = [PollFd::new(socket, events)];
     let no_wait = Timespec {
         tv_sec: 0,
         tv_nsec: 0,
     };
-    // A failed look counts as nothing to read: the stop goes on.
+    // A failed look counts as no event: what waits for one goes on.
     event::poll(&mut sockets, Some(&no_wait)).is_ok_and(|ready| ready > 0)
 }
--- a/util/src/stream.rs
+++ b/util/src/stream.rs
@@ -42,6 +42,25 @@
         }
     }
 
+    /// Waits for received bytes, which stay until they are consumed; none means that the peer closed the stream.
+    ///
+    /// # Errors
+    ///
+    /// The connection has failed.
+    pub(crate) fn poll_fill(&mut self, context: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        self.inner.as_mut().poll_fill_buf(context)
+    }
+
+    /// Drops received bytes.
+    pub(crate) fn consume(&mut self, count: usize) {
+        self.inner.as_mut().consume(count);
+    }
+
+    /// Returns the observer.
+    pub(crate) fn observer(&mut self) -> &mut W {
+        &mut self.observer
+    }
+
     fn report_write(&mut self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(bytes)) = &result {
             self.observer.on_write(*bytes);
