Callers: idempotent requests that are pipelined start early; [callers] open_requests

The handler of callers lets requests start early whose route is idempotent. A request's time counts from its early start. A route that has changed to one that is not idempotent in between refuses such a request as not run. A draining VM announces the close on the last request that it has read instead of on the first response. New: the setting, and the metrics pipeline.started, wait, wait_bytes and stopped.

--- a/engine/src/caller/attempt.rs
+++ b/engine/src/caller/attempt.rs
@@ -25,7 +25,7 @@
 ///
 /// If a response up to this size is truncated, the request can be retried. The largest file of the
 /// known deployments is 0.54 MB.
-const MAX_BUFFERED_RESPONSE_BYTES: usize = 1 << 20;
+pub(super) const MAX_BUFFERED_RESPONSE_BYTES: usize = 1 << 20;
 /// The minimum remaining time with which a request is sent.
 pub const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(5);
 
--- a/engine/src/caller/forward.rs
+++ b/engine/src/caller/forward.rs
@@ -4,7 +4,11 @@
 
 use bramleypier_util::body::Body;
 use futures_channel::oneshot;
-use hyper::{Request, Response, body::Incoming, header};
+use hyper::{
+    Request, Response, Uri,
+    body::Incoming,
+    header::{self, HeaderValue},
+};
 
 use super::{
     RequestInfo,
@@ -19,9 +23,33 @@
 /// The remaining time assumed for a caller that states none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Handles one request, from its arrival to its response.
-pub async fn handle(context: Context, request: Request<Incoming>) -> Response<Body> {
-    let received_at = context.clock.now();
+/// Returns whether the route of a request is idempotent; not if the route isn't known.
+pub(super) fn is_idempotent(context: &Context, host: &str, path: &str) -> bool {
+    let fleet = context.shared_fleet.get();
+    let Some(config) = &fleet.config else {
+        return false;
+    };
+    match config.routes.find(host, path) {
+        Found::Route(route) => route.kind.is_idempotent(),
+        Found::Nothing => false,
+    }
+}
+
+/// Returns the host that a request names.
+pub(super) fn host<'a>(header: Option<&'a HeaderValue>, uri: &'a Uri) -> &'a str {
+    let named = header.and_then(|it| it.to_str().ok());
+    named.or_else(|| uri.host()).unwrap_or_default()
+}
+
+/// Handles one request, from its arrival at `received_at` to its response.
+///
+/// A request without a body may start while others of its connection are open, and is refused if its route is no
+/// longer idempotent.
+pub async fn handle(
+    context: Context,
+    request: Request<Option<Incoming>>,
+    received_at: Duration,
+) -> Response<Body> {
     let info = context
         .callers
         .read(request.method(), request.uri(), request.headers());
@@ -132,17 +160,17 @@
     context: &Context,
     info: &RequestInfo,
     config: &Rc<Config>,
-    request: &Request<Incoming>,
+    request: &Request<Option<Incoming>>,
     received_at: Duration,
 ) -> Result<RoutedRequest, LocalResponse> {
-    let host = request
-        .headers()
-        .get(header::HOST)
-        .and_then(|it| it.to_str().ok());
-    let host = host.or_else(|| request.uri().host()).unwrap_or_default();
+    let host = host(request.headers().get(header::HOST), request.uri());
     let Found::Route(route) = config.routes.find(host, request.uri().path()) else {
         return Err(no_route(context, host, config));
     };
+    if request.body().is_none() && !route.kind.is_idempotent() {
+        let cause = "the route was idempotent before";
+        return Err(LocalResponse::not_run(cause, RETRY_AFTER));
+    }
     let service = route.pick_service(rand::random()).to_owned();
     let keyed = config.services.get(&service).is_some_and(|it| it.keyed);
     if keyed && info.key.is_none() {
@@ -183,7 +211,7 @@
 async fn run(
     context: &Context,
     routed: &RoutedRequest,
-    request: Request<Incoming>,
+    request: Request<Option<Incoming>>,
     limit: u64,
 ) -> (Result<Response<Body>, LocalResponse>, Trace) {
     match payload::read(context, routed, request.into_parts(), limit).await {
--- a/engine/src/caller/payload.rs
+++ b/engine/src/caller/payload.rs
@@ -5,7 +5,7 @@
 
 use bramleypier_util::{body::Body, headers};
 use hyper::{
-    body::{Body as _, Bytes, Incoming},
+    body::{Body as _, Bytes, Incoming, SizeHint},
     header,
 };
 
@@ -64,14 +64,16 @@
     Fingerprint::new(&outgoing.method, host, &outgoing.uri, routed.info.key, body)
 }
 
-/// Reads the request's body up to [`MAX_BUFFERED_REQUEST_BYTES`], and prepares the request for sending.
+/// Reads the request's body, if it has one, up to [`MAX_BUFFERED_REQUEST_BYTES`], and prepares the request for sending.
 pub(super) async fn read(
     context: &Context,
     routed: &RoutedRequest,
-    (mut head, incoming): (http::request::Parts, Incoming),
+    (mut head, incoming): (http::request::Parts, Option<Incoming>),
     limit: u64,
 ) -> Result<(OutgoingRequest, Payload), LocalResponse> {
-    let size = incoming.size_hint();
+    let size = incoming
+        .as_ref()
+        .map_or_else(SizeHint::default, Incoming::size_hint);
     if size.lower() > limit {
         return Err(LocalResponse::new(
             Failure::TooLarge,
@@ -93,10 +95,13 @@
     };
     let remaining = routed.deadline.saturating_sub(context.clock.now());
     let buffered = MAX_BUFFERED_REQUEST_BYTES.min(usize::try_from(limit).unwrap_or(usize::MAX));
-    let result = context
-        .clock
-        .timeout(remaining, body::read_up_to(incoming, buffered))
-        .await;
+    let reading = async {
+        match incoming {
+            Some(incoming) => body::read_up_to(incoming, buffered).await,
+            None => Ok(ReadBody::Whole(Bytes::new())),
+        }
+    };
+    let result = context.clock.timeout(remaining, reading).await;
     let payload = match result {
         Ok(Ok(ReadBody::Whole(bytes))) => {
             outgoing.fingerprint = fingerprint(routed, &outgoing, slice::from_ref(&bytes));
--- a/engine/src/caller/serve.rs
+++ b/engine/src/caller/serve.rs
@@ -4,20 +4,77 @@
 
 use bramleypier_util::{
     body::Body,
+    pipeline::{Event, Handler, Pipelining, RequestTarget},
     server::{self, ConnectionLimits, Control},
 };
 use compio::net::TcpListener;
-use hyper::{Response, StatusCode, header};
+use futures_util::{FutureExt as _, future::LocalBoxFuture};
+use hyper::{Request, Response, StatusCode, body::Incoming, header};
 
-use super::{context::Context, forward};
+use super::{attempt::MAX_BUFFERED_RESPONSE_BYTES, context::Context, forward};
 use crate::{catalogue::CallerLimits, serving::ServingState};
 
-/// Serves callers until the control stops it.
+/// The most bytes of a response in memory before its turn: a streamed one has the buffered bytes and a further chunk.
+const RESPONSE_BYTES: usize = MAX_BUFFERED_RESPONSE_BYTES + 64 * 1024;
+
+/// Handles callers' requests.
+#[derive(Clone, Debug)]
+struct CallerHandler {
+    context: Context,
+    state: ServingState,
+}
+
+impl CallerHandler {
+    fn run(&self, request: Request<Option<Incoming>>) -> LocalBoxFuture<'static, Response<Body>> {
+        let received_at = self.context.clock.now();
+        forward::handle(self.context.clone(), request, received_at).boxed_local()
+    }
+}
+
+impl Handler for CallerHandler {
+    type Answer = LocalBoxFuture<'static, Response<Body>>;
+
+    fn handle(&self, request: Request<Incoming>) -> Self::Answer {
+        self.run(request.map(Some))
+    }
+
+    fn is_idempotent(&self, target: &RequestTarget) -> bool {
+        let host = forward::host(target.host.as_ref(), &target.uri);
+        forward::is_idempotent(&self.context, host, target.uri.path())
+    }
+
+    fn start_early(&self, request: Request<()>) -> Option<Self::Answer> {
+        let host = forward::host(request.headers().get(header::HOST), request.uri());
+        forward::is_idempotent(&self.context, host, request.uri().path())
+            .then(|| self.run(request.map(|()| None)))
+    }
+
+    fn is_draining(&self) -> bool {
+        self.state.is_draining()
+    }
+
+    fn on_event(&self, event: Event) {
+        let report = &self.context.report;
+        match event {
+            Event::Started(ahead) => {
+                report.count("pipeline.started", &[("ahead", &ahead.to_string())]);
+            }
+            Event::Waited { time, bytes } => {
+                report.time("pipeline.wait", time, &[]);
+                report.add("pipeline.wait_bytes", bytes as u64, &[]);
+            }
+            Event::Stopped(cause) => report.count("pipeline.stopped", &[("cause", cause.name())]),
+        }
+    }
+}
+
+/// Serves callers until the control stops it; `open_requests` is the most of a connection that are open at once.
 pub async fn callers(
     listener: TcpListener,
     control: Control,
     context: Context,
     state: ServingState,
+    open_requests: usize,
 ) {
     let (shared_fleet, clock) = (context.shared_fleet.clone(), context.clock.clone());
     let limits = move || {
@@ -29,18 +86,12 @@
                 .map_or_else(CallerLimits::default, |it| it.limits),
         )
     };
-    let handler = move |request| {
-        let (context, state) = (context.clone(), state.clone());
-        async move {
-            let mut response = forward::handle(context, request).await;
-            if state.is_draining() {
-                let close = header::HeaderValue::from_static("close");
-                response.headers_mut().insert(header::CONNECTION, close);
-            }
-            response
-        }
+    let pipelining = Pipelining {
+        requests: open_requests,
+        response_bytes: RESPONSE_BYTES,
     };
-    server::serve_with(listener, control, clock, limits, handler).await;
+    let handler = CallerHandler { context, state };
+    server::serve_pipelined(listener, control, clock, limits, (pipelining, handler)).await;
 }
 
 fn connection_limits(limits: CallerLimits) -> ConnectionLimits {
--- a/engine/src/process/serving.rs
+++ b/engine/src/process/serving.rs
@@ -49,6 +49,7 @@
             callers.clone(),
             context,
             serving.clone(),
+            self.settings.open_requests,
         ));
         // These listeners stay open until the process ends: a draining VM still answers readiness checks.
         let unstopped = Control::default();
--- a/engine/src/report/mod.rs
+++ b/engine/src/report/mod.rs
@@ -15,7 +15,7 @@
 };
 
 use bramleypier_util::{clock::Clock, stamp::Stamp};
-use cadence::{CountedExt, StatsdClient, Timed};
+use cadence::{Counted as _, CountedExt, StatsdClient, Timed};
 use log::{LevelFilter, SetLoggerError};
 use simplelog::{Config, ConfigBuilder, WriteLogger};
 
@@ -176,6 +176,26 @@
         metric.send();
     }
 
+    /// Adds an amount to a counter.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_engine::report::Report;
+    /// use bramleypier_util::clock::Clock;
+    ///
+    /// let report = Report::new(Clock::paused());
+    /// report.add("bytes", 7, &[]);
+    /// assert!(report.text().contains("bramleypier.bytes 7"));
+    /// ```
+    pub fn add(&self, name: &str, amount: u64, tags: &[(&str, &str)]) {
+        let mut metric = self.client.count_with_tags(name, amount);
+        for (key, value) in tags {
+            metric = metric.with_tag(key, value);
+        }
+        metric.send();
+    }
+
     /// Adds a latency to a histogram with millisecond resolution.
     ///
     /// # Example
--- a/engine/src/settings.rs
+++ b/engine/src/settings.rs
@@ -32,6 +32,8 @@
     pub store: SocketAddr,
     /// The prefix of the engine's own keys in the store.
     pub prefix: String,
+    /// The most requests of a caller's connection that are open at once.
+    pub open_requests: usize,
     /// How long a shutdown may take.
     pub grace: Duration,
     /// The budget for the retries of all VMs together.
