--- a/program/tests/pipelining.rs
+++ b/program/tests/pipelining.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use bramleypier_platform_standin::server::Server;
 use futures_channel::oneshot;
 use harness::{TEST_TIMEOUT, run_test, sleep_ms};
 use rustix::process::Signal;
@@ -28,15 +29,15 @@
         let mut stream = TcpStream::connect(address).unwrap();
         stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
         stream.write_all(text.as_bytes()).unwrap();
-        let mut received = String::new();
-        while end.is_empty() || !received.contains(end) {
+        let mut text = String::new();
+        while end.is_empty() || !text.contains(end) {
             let mut piece = [0; 4096];
             match stream.read(&mut piece) {
-                Ok(size) if size > 0 => received += &String::from_utf8_lossy(&piece[..size]),
+                Ok(size) if size > 0 => text += &String::from_utf8_lossy(&piece[..size]),
                 _ => break,
             }
         }
-        sender.send(received).ok();
+        let _ = sender.send(text);
     });
     receiver.await.unwrap()
 }
@@ -67,7 +68,7 @@
         for id in expected {
             assert_eq!(harness.executions(id), 1, "{id}");
         }
-        let all = harness.servers.iter().flat_map(|it| it.request_starts());
+        let all = harness.servers.iter().flat_map(Server::request_starts);
         let mut starts: Vec<(String, Duration)> = all.collect();
         starts.sort_by_key(|(_, at)| *at);
         let order = starts.iter().position(|(id, _)| id == "o-1");
--- a/program/tests/soak.rs
+++ b/program/tests/soak.rs
@@ -119,6 +119,17 @@
     assert_eq!(run_plan(&plan, 1), []);
 }
 
+/// Guards against responses to pipelined requests that are mixed up, and orders that ran though their caller may repeat them.
+#[test]
+fn pipelined_requests_under_faults_and_planned_work_violate_no_guarantee() {
+    let size = Size { vms: 3, seconds: 8 };
+    let planned = (1..1000).find(|seed| Plan::generate(*seed, size).is_planned());
+    for seed in [3, planned.unwrap()] {
+        let plan = Plan::generate(seed, size).with_pipelining();
+        assert_eq!(run_plan(&plan, seed), []);
+    }
+}
+
 /// Guards against VMs that refuse requests for good once the paths to targets are well again.
 #[test]
 fn paths_that_fail_one_by_one_violate_no_guarantee() {
--- a/tools/soak/src/callers.rs
+++ b/tools/soak/src/callers.rs
@@ -20,6 +20,7 @@
 use crate::{
     check::{Outcome, RequestRecord},
     fleet::KEYS,
+    pipelined::{self, Connection},
     plan::VmSet,
 };
 
@@ -51,6 +52,15 @@
             Self::Lookup | Self::Order => "plain",
         }
     }
+
+    /// Returns the method, the path and the key.
+    pub(crate) fn line(self) -> (&'static str, &'static str, u64) {
+        match self {
+            Self::Key(key) => ("GET", "/key/x", key),
+            Self::Lookup => ("GET", "/look/x", 0),
+            Self::Order => ("POST", "/order/x", 0),
+        }
+    }
 }
 
 /// The callers of one run; clones share them.
@@ -104,6 +114,57 @@
         }
     }
 
+    /// Starts a caller of one VM that sends several requests on a connection before the first response.
+    ///
+    /// It waits for `pause` for each request that it has sent.
+    pub fn start_pipelining(&self, vm: usize, address: SocketAddr, seed: u64, pause: Duration) {
+        let callers = self.clone();
+        let mut random = SmallRng::seed_from_u64(seed ^ ((vm as u64) << 8) ^ 3);
+        compio::runtime::spawn(async move {
+            let mut connection = Connection::new(callers.clock.clone(), address);
+            while !callers.stopped.get() {
+                let kinds = pipelined::choose(&mut random);
+                let pauses = u32::try_from(kinds.len()).unwrap_or(1);
+                if callers.quiet.get() & (1 << vm) == 0 {
+                    callers.send_batch(vm, &mut connection, kinds).await;
+                }
+                callers.clock.sleep(pause * pauses).await;
+            }
+        })
+        .detach();
+    }
+
+    /// Sends several requests at once, and records their outcomes.
+    async fn send_batch(&self, vm: usize, connection: &mut Connection, kinds: Vec<RequestKind>) {
+        let requests = kinds.into_iter().map(|kind| pipelined::Request {
+            id: self.next_id(vm),
+            kind,
+        });
+        let batch: Vec<pipelined::Request> = requests.collect();
+        let sent = self.clock.now();
+        let seen = connection.send(&batch).await;
+        let records = batch
+            .into_iter()
+            .zip(seen)
+            .map(|(request, seen)| RequestRecord {
+                id: request.id,
+                once: request.kind == RequestKind::Order,
+                service: request.kind.service(),
+                vm,
+                sent,
+                ended: seen.ended,
+                leaving: seen.leaving,
+                outcome: seen.outcome,
+            });
+        self.records.borrow_mut().extend(records);
+    }
+
+    fn next_id(&self, vm: usize) -> String {
+        let number = self.sent.get() + 1;
+        self.sent.set(number);
+        format!("{vm}-{number}")
+    }
+
     /// Stops the callers once their requests in flight have ended.
     pub fn stop(&self) {
         self.stopped.set(true);
@@ -128,9 +189,8 @@
 
     /// Sends one request and waits for its end; returns whether it was served.
     pub async fn send(&self, vm: usize, address: SocketAddr, kind: RequestKind) -> bool {
-        let number = self.sent.get() + 1;
-        self.sent.set(number);
-        let id = format!("{vm}-{number}");
+        let id = self.next_id(vm);
+        let number = self.sent.get();
         // Bodies differ in length, and a target's response states the length that it received.
         let length = usize::try_from(number).unwrap_or(0) % BODY_MAX_BYTES + 1;
         let request = build_request(&id, kind, length);
@@ -167,11 +227,7 @@
 }
 
 fn build_request(id: &str, kind: RequestKind, length: usize) -> Request<Body> {
-    let (method, path, key) = match kind {
-        RequestKind::Key(key) => ("GET", "/key/x", key),
-        RequestKind::Lookup => ("GET", "/look/x", 0),
-        RequestKind::Order => ("POST", "/order/x", 0),
-    };
+    let (method, path, key) = kind.line();
     let mut request = Request::new(Body::from(vec![b'x'; length]));
     // All of these values parse.
     *request.method_mut() = method.parse().unwrap_or_default();
--- a/tools/soak/src/check.rs
+++ b/tools/soak/src/check.rs
@@ -97,6 +97,10 @@
     Closed,
     /// The caller timed out.
     GivenUp,
+    /// A response ahead of it on the connection announced the close, so it counts as not read.
+    Unread,
+    /// The response in its place names another request.
+    Foreign,
 }
 
 /// A request, as its caller saw it.
@@ -320,6 +324,10 @@
             status: 200..300,
             valid,
         } => (!valid).then(|| Violation::WrongResponse(request.id.clone())),
+        Outcome::Foreign => Some(Violation::WrongResponse(request.id.clone())),
+        Outcome::Unread if request.once && executions > 0 => {
+            Some(Violation::FalseRefusal(request.id.clone()))
+        }
         Outcome::Answered {
             status: 408 | 421 | 429 | 503,
             ..
--- a/tools/soak/src/lib.rs
+++ b/tools/soak/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A seed determines a [`plan`]: faults and their times; faults overlap and follow each other. [`run`] starts the
 //! platform's stand-in, targets and VMs on loopback, with a [`proxy`] between each VM and the store and in front of
-//! each target. It executes the plan while [`callers`] send requests, and collects what they and the targets observe.
+//! each target. It executes the plan while [`callers`] send requests, some of them pipelined, and collects what they and the targets observe.
 //! [`check`] then reports the violated guarantees, without any I/O; [`notices`] those about what targets say in their
 //! responses, [`budget`] those about what is sent again.
 //!
@@ -18,6 +18,7 @@
 pub mod check;
 pub mod fleet;
 pub mod notices;
+mod pipelined;
 pub mod plan;
 pub mod proxy;
 pub mod run;
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -79,6 +79,8 @@
     /// Another build of the program, which every other start of a VM runs
     #[bpaf(argument("FILE"), optional)]
     beside: Option<PathBuf>,
+    /// Also let a further caller of each VM pipeline its requests
+    pipeline: bool,
     /// After a violation, look for a shorter plan that still has one
     shrink: bool,
     /// The folder for the logs of the VMs, with a folder for each seed
@@ -123,6 +125,11 @@
         Extra::BrokenPaths => Plan::generate_with_broken_paths(seed, size),
         Extra::Nothing => Plan::generate(seed, size),
     };
+    let plan = if options.pipeline {
+        plan.with_pipelining()
+    } else {
+        plan
+    };
     let violations = run_plan(options, &plan, seed)?;
     println!(
         "seed={seed} steps={} planned={} broken={}",
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -93,6 +93,8 @@
     pub pause: Duration,
     /// The retry budget that VMs are told, and that is checked.
     pub allowance: Allowance,
+    /// Whether a further caller of each VM pipelines its requests.
+    pub pipelines: bool,
 }
 
 impl Plan {
@@ -137,6 +139,25 @@
             direct_targets: false,
             pause: REQUEST_PAUSE,
             allowance: ALLOWANCE,
+            pipelines: false,
+        }
+    }
+
+    /// Adds a caller to each VM that pipelines its requests.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_soak::plan::{Plan, Size};
+    ///
+    /// let size = Size { vms: 3, seconds: 20 };
+    /// assert!(Plan::generate(1, size).with_pipelining().pipelines);
+    /// ```
+    #[must_use]
+    pub fn with_pipelining(self) -> Self {
+        Self {
+            pipelines: true,
+            ..self
         }
     }
 
--- a/tools/soak/src/plan/broken_paths.rs
+++ b/tools/soak/src/plan/broken_paths.rs
@@ -54,6 +54,7 @@
             direct_targets: false,
             pause: PAUSE,
             allowance: ALLOWANCE,
+            pipelines: false,
         }
     }
 }
--- a/tools/soak/src/plan/exhaustion.rs
+++ b/tools/soak/src/plan/exhaustion.rs
@@ -77,6 +77,7 @@
             direct_targets: true,
             pause: Duration::from_millis(PAUSES_MS[random.random_range(0..PAUSES_MS.len())]),
             allowance: Allowance { slack, ..ALLOWANCE },
+            pipelines: false,
         };
         plan.add_failures(&mut random);
         // About one in four plans has no other trouble, and one in three several kinds of it.
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -109,6 +109,9 @@
     for vm in 0..plan.size.vms {
         let address = run.cluster.borrow().vms[vm].listen.callers;
         run.callers.start(vm, address, seed, plan.pause);
+        if plan.pipelines {
+            run.callers.start_pipelining(vm, address, seed, plan.pause);
+        }
     }
     let steps = plan.steps.iter().map(|step| run.clone().run_step(*step));
     let steps: Vec<_> = steps.map(compio::runtime::spawn).collect();
