A VM relies on its manager for two rounds, bounded by the age of the manager's knowledge

Cause: reliance ended 0.45 s, or two intervals, after an exchange was sent. It left out how long exchanges take, so a VM whose exchanges take 0.25 s gave its manager up between any two, though each succeeded. Change: sync_interval::reliance. It ends two rounds (exchange and interval) after the exchange was sent, or once the manager's knowledge (sent - confirmed_age) is 1.6 s old, whichever is earlier; never after less than 0.45 s or more than 1.2 s, as before. The 1.6 s leave 0.4 s to ask the store or two other VMs before a change must be in force (2.0 s). A manager of an older build, which doesn't tell the age, is relied on as before.

--- a/engine/src/peer/sync_task.rs
+++ b/engine/src/peer/sync_task.rs
@@ -10,10 +10,8 @@
     placement::dispatch,
 };
 
-/// The minimum time for which a VM relies on the manager after a valid response.
-const MIN_RELIANCE: Duration = Duration::from_millis(450);
-/// The number of sync intervals for which it relies on the manager: one exchange may fail.
-const RELIANCE_INTERVALS: u32 = 2;
+/// The duration from which on an exchange is logged as slow.
+const SLOW_EXCHANGE: Duration = Duration::from_millis(450);
 /// The minimum time between two questions to other VMs: they may all have no news, for as long as the store is away.
 const PEER_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -55,10 +53,10 @@
                     let vms = context.shared_fleet.get().vms.len();
                     // The lag that the response tells of lengthens the time until the next exchange.
                     let next = sync_interval::next_interval(busy, vms, message.lag);
-                    let until = sent + reliance_time(next);
-                    if context.clock.now() <= until
-                        && context.accept_response(message, news.era, &vm, next)
-                    {
+                    let now = context.clock.now();
+                    let took = now.saturating_sub(sent);
+                    let until = sent + sync_interval::reliance(next, took, news.confirmed_age);
+                    if now <= until && context.accept_response(message, news.era, &vm, next) {
                         relied_until = until;
                         context.record_confirmation(sent, news, &vm);
                     }
@@ -101,11 +99,6 @@
     }
 }
 
-/// Returns how long after a valid response a VM relies on the manager, if its sync interval is `interval`.
-fn reliance_time(interval: Duration) -> Duration {
-    MIN_RELIANCE.max(interval * RELIANCE_INTERVALS)
-}
-
 /// Waits for an exchange with the manager or for the next one, but no longer relies on the manager once the time `until`
 /// has come.
 ///
@@ -256,7 +249,7 @@
     };
     let took = context.clock.now().saturating_sub(sent);
     context.report.time("sync", took, &[]);
-    if took > MIN_RELIANCE {
+    if took > SLOW_EXCHANGE {
         let (vm, took) = (&vm.name, took.as_millis());
         let line = format!("event=sync-slow vm={vm} took_ms={took}");
         context.report.line(&line);
--- a/engine/tests/sync_interval.rs
+++ b/engine/tests/sync_interval.rs
@@ -8,7 +8,11 @@
 
 use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
-use bramleypier_engine::peer::sync_interval::{self, Lag};
+use bramleypier_engine::{
+    fleet,
+    peer::sync_interval::{self, Lag},
+};
+use proptest::{prop_assert, prop_assert_eq, proptest};
 
 const VMS: usize = 88;
 /// The time that a manager with a tenth of a core spends on one message.
@@ -21,6 +25,9 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 /// The time until the sync intervals of the VMs have settled.
 const SETTLING_TIME: Duration = Duration::from_secs(5);
+/// The shortest and the longest time for which a VM relies on a manager that has fallen silent.
+const MIN_RELIANCE: Duration = Duration::from_millis(450);
+const MAX_RELIANCE: Duration = Duration::from_millis(1200);
 const SIMULATED_TIME: Duration = Duration::from_secs(30);
 
 /// Work for the manager's CPU.
@@ -109,3 +116,25 @@
         Duration::from_millis(40)
     );
 }
+
+proptest! {
+    /// Guards against VMs that give up a manager between two exchanges that succeed, and against VMs that rely on a
+    /// silent manager until its knowledge of the store is too old.
+    #[test]
+    fn reliance_covers_the_next_response_unless_the_knowledge_gets_too_old(
+        interval in 1..1000_u64,
+        took in 0..1000_u64,
+        age in 0..2000_u64,
+    ) {
+        let [interval, took, age] = [interval, took, age].map(Duration::from_millis);
+        let reliance = sync_interval::reliance(interval, took, Some(age));
+        prop_assert!((MIN_RELIANCE..=MAX_RELIANCE).contains(&reliance));
+        let is_young = age + reliance < fleet::CONFIRMATION_TIME;
+        prop_assert!(is_young || reliance == MIN_RELIANCE);
+        let next_response = took + interval + took;
+        let ends_early = age + reliance >= fleet::CONFIRMATION_TIME - Duration::from_millis(200);
+        prop_assert!(reliance >= next_response.min(MAX_RELIANCE) || ends_early);
+        let without_age = sync_interval::reliance(interval, took, None);
+        prop_assert_eq!(without_age, (2 * interval).clamp(MIN_RELIANCE, MAX_RELIANCE));
+    }
+}
