--- a/engine/tests/sync_interval.rs
+++ b/engine/tests/sync_interval.rs
@@ -132,7 +132,7 @@
         let is_young = age + reliance < fleet::CONFIRMATION_TIME;
         prop_assert!(is_young || reliance == MIN_RELIANCE);
         let next_response = took + interval + took;
-        let ends_early = age + reliance >= fleet::CONFIRMATION_TIME - Duration::from_millis(200);
+        let ends_early = age + reliance + Duration::from_millis(200) >= fleet::CONFIRMATION_TIME;
         prop_assert!(reliance >= next_response.min(MAX_RELIANCE) || ends_early);
         let without_age = sync_interval::reliance(interval, took, None);
         prop_assert_eq!(without_age, (2 * interval).clamp(MIN_RELIANCE, MAX_RELIANCE));
