A stopping VM answers every request that it has read before its process ends

Cause: a draining process waited for its open connections until 0.5 s before the end of the grace and then ended. A request in the dispatcher's queue, and one still at its target, had its connection closed without a response. Change: 2.6 s before the end of the grace (2.1 s before attempts are given up: seven times the mean, which one request in thirty takes) the dispatcher's task refuses all queued and all later requests (503 with Retry-After, reason `stopping`, log line queue-refused). Attempts are told no deadline beyond 0.5 s before the end, and are then given up as if their time had ended (504); today they ended at that moment too, but without a response. The process ends 0.3 s before the end of the grace even if the store doesn't answer the handover, which could take longer than the grace before.

--- a/engine/src/caller/attempt.rs
+++ b/engine/src/caller/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt of a request at one target.
 
-use std::{rc::Rc, slice, time::Duration};
+use std::{pin::pin, rc::Rc, slice, time::Duration};
 
 use bramleypier_util::{
     body::Body,
@@ -8,6 +8,7 @@
     clock::Clock,
     headers,
 };
+use futures_util::future::{self, Either};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming};
 
 use crate::{
@@ -18,6 +19,7 @@
     quarantine::{Fingerprint, Quarantine},
     reach::{Path, Reach, relay},
     report::Report,
+    serving::ServingState,
     target::{Notice, Refusal, Reply, TargetProtocol},
 };
 
@@ -95,6 +97,8 @@
     pub targets: Rc<dyn TargetProtocol>,
     /// This VM's view of the fleet, where it is recorded that targets leave.
     pub shared_fleet: SharedFleet,
+    /// Tells when attempts are given up because the process ends.
+    pub serving: ServingState,
     /// The requests under which targets have ended.
     pub quarantine: Quarantine,
     /// The clock.
@@ -111,12 +115,33 @@
 
 impl Sender {
     /// Makes one attempt; `remaining` is how much longer the caller waits.
+    ///
+    /// An attempt that is still under way when the process ends is given up as if its time had ended.
     pub async fn send(
         &self,
         outgoing: &OutgoingRequest,
         body: Body,
         permit: Permit,
         remaining: Duration,
+    ) -> Attempt {
+        let end = self.serving.attempts_end();
+        let left = end.map(|end| end.saturating_sub(self.clock.now()));
+        let remaining = left.map_or(remaining, |left| left.min(remaining));
+        let attempt = pin!(self.send_in_time(outgoing, body, permit, remaining));
+        let ended = pin!(self.serving.until_attempts_end(&self.clock));
+        match future::select(attempt, ended).await {
+            Either::Left((attempt, _)) => attempt,
+            Either::Right(_) => AttemptResult::TimedOut.into(),
+        }
+    }
+
+    /// Makes one attempt, whose end the process lives to see.
+    async fn send_in_time(
+        &self,
+        outgoing: &OutgoingRequest,
+        body: Body,
+        permit: Permit,
+        remaining: Duration,
     ) -> Attempt {
         let mut request = Request::new(body);
         *request.method_mut() = outgoing.method.clone();
--- a/engine/src/placement/message.rs
+++ b/engine/src/placement/message.rs
@@ -272,6 +272,8 @@
     Budget,
     /// This VM's queue is full.
     Full,
+    /// This VM's process is about to end.
+    Stopping,
 }
 
 impl RefusalReason {
@@ -296,6 +298,7 @@
             Self::HoldOff => "hold-off",
             Self::Budget => "budget",
             Self::Full => "full",
+            Self::Stopping => "stopping",
         }
     }
 }
--- a/engine/src/placement/task.rs
+++ b/engine/src/placement/task.rs
@@ -11,7 +11,7 @@
 
 use super::dispatch::{
     Basis, Completion, CompletionKind, DispatchRequest, Dispatcher, Effect, Event, FleetView,
-    RefusalReason, Snapshot, Ticket,
+    MIN_RETRY_AFTER, RefusalReason, Snapshot, Ticket,
 };
 use crate::{
     catalogue::{Rate, Target},
@@ -27,8 +27,12 @@
     Request(DispatchRequest, oneshot::Sender<Result<Permit, Refused>>),
     Event(Event),
     Snapshot(oneshot::Sender<Snapshot>),
+    RefuseAll,
 }
 
+/// The requests that wait for the dispatcher's decision.
+type Pending = HashMap<Ticket, oneshot::Sender<Result<Permit, Refused>>>;
+
 /// The refusal of a request for a target.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Refused {
@@ -40,6 +44,17 @@
     pub basis: Basis,
 }
 
+impl Refused {
+    /// Refuses a request without a decision of the dispatcher.
+    fn without_decision(reason: RefusalReason) -> Self {
+        Self {
+            reason,
+            retry_after: MIN_RETRY_AFTER,
+            basis: Basis::default(),
+        }
+    }
+}
+
 /// Permission to send one request to a target; dropping it reports the request as abandoned.
 #[derive(Debug)]
 pub struct Permit {
@@ -168,6 +183,12 @@
         let _ = self.sender.unbounded_send(Message::Event(event));
     }
 
+    /// Refuses all queued requests and all later ones, because the process is about to end.
+    pub fn refuse_all(&self) {
+        // The task only ends with the process, so a failed send needs no handling.
+        let _ = self.sender.unbounded_send(Message::RefuseAll);
+    }
+
     /// Gives the dispatcher a new view of the fleet.
     pub fn update_view(&self, view: Rc<FleetView>) {
         self.send(Event::View(view));
@@ -201,7 +222,8 @@
     mut messages: mpsc::UnboundedReceiver<Message>,
     handle: Handle,
 ) {
-    let mut pending: HashMap<Ticket, oneshot::Sender<Result<Permit, Refused>>> = HashMap::new();
+    let mut pending = Pending::new();
+    let mut stopping = false;
     loop {
         let message = if dispatcher.queue_len() == 0 {
             messages.next().await
@@ -218,7 +240,16 @@
                 let _ = sender.send(dispatcher.take_snapshot(clock.now()));
                 continue;
             }
+            Some(Message::RefuseAll) => {
+                stopping = true;
+                refuse_pending(&mut pending, &handle, &report);
+                continue;
+            }
             Some(Message::Event(event)) => event,
+            Some(Message::Request(_, sender)) if stopping => {
+                refuse_as_stopping(sender);
+                continue;
+            }
             Some(Message::Request(request, sender)) => {
                 pending.insert(request.ticket, sender);
                 Event::Request(request)
@@ -235,14 +266,23 @@
     }
 }
 
+/// Refuses all requests that wait for a decision, and takes them out of the dispatcher's queue.
+fn refuse_pending(pending: &mut Pending, handle: &Handle, report: &Report) {
+    report.line(&format!("event=queue-refused requests={}", pending.len()));
+    for (ticket, sender) in pending.drain() {
+        refuse_as_stopping(sender);
+        handle.send(Event::Cancelled(ticket));
+    }
+}
+
+fn refuse_as_stopping(sender: oneshot::Sender<Result<Permit, Refused>>) {
+    let refused = Refused::without_decision(RefusalReason::Stopping);
+    // The receiver may be gone with its caller.
+    let _ = sender.send(Err(refused));
+}
+
 /// Sends a decision to the caller that waits for it.
-fn apply(
-    effect: Effect,
-    pending: &mut HashMap<Ticket, oneshot::Sender<Result<Permit, Refused>>>,
-    handle: &Handle,
-    clock: &Clock,
-    now: Duration,
-) {
+fn apply(effect: Effect, pending: &mut Pending, handle: &Handle, clock: &Clock, now: Duration) {
     let (ticket, result) = match effect {
         Effect::Refuse {
             ticket,
--- a/engine/src/process/lifecycle.rs
+++ b/engine/src/process/lifecycle.rs
@@ -7,7 +7,7 @@
 //!
 //! Each stage has only the operations that are valid in it, and a transition consumes the stage before.
 
-use std::{cell::Cell, marker::PhantomData, rc::Rc, time::Duration};
+use std::{cell::Cell, marker::PhantomData, pin::pin, rc::Rc, time::Duration};
 
 use bramleypier_util::{clock::Clock, server::Control};
 use futures_channel::{mpsc, oneshot};
@@ -18,12 +18,19 @@
 
 use super::signals;
 use crate::{
-    caller::serve, fleet::SharedFleet, owner::manager, registration, report::Report,
-    serving::ServingState,
+    caller::serve, fleet::SharedFleet, owner::manager, placement::task, registration,
+    report::Report, serving::ServingState,
 };
 
-/// How long before the end of the grace period the process stops waiting for in-flight requests.
-const EXIT_RESERVE: Duration = Duration::from_millis(500);
+/// How long before the end of the grace period attempts at targets are given up.
+const ATTEMPTS_RESERVE: Duration = Duration::from_millis(500);
+/// How long before the end of the grace period the process ends: between the two, the callers whose attempts were given
+/// up get their responses.
+const EXIT_RESERVE: Duration = Duration::from_millis(300);
+/// How long before attempts are given up the last one starts.
+///
+/// Long requests take seven times as long as the mean, which is 0.3 s.
+const LAST_ATTEMPT_TIME: Duration = Duration::from_millis(2100);
 /// How often a draining process checks whether its last connection has closed.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -46,6 +53,7 @@
     pub(super) callers: Control,
     /// The number of requests that this VM relays for others.
     pub(super) relayed: Rc<Cell<usize>>,
+    pub(super) dispatcher: task::Handle,
     pub(super) manager: mpsc::UnboundedSender<manager::Message>,
     /// This VM's entry in the store.
     pub(super) entry: registration::Handle,
@@ -105,21 +113,19 @@
     /// and callers' connections close once their requests have ended.
     pub(super) async fn drain(self) {
         let resources = self.resources;
-        let deadline = resources.clock.now() + resources.grace.saturating_sub(EXIT_RESERVE);
-        resources.serving.drain();
+        let schedule = Schedule::new(resources.clock.now(), resources.grace);
+        resources.serving.drain(schedule.attempts_end);
         let open = resources.callers.open();
         resources
             .report
             .line(&format!("event=stopping open={open}"));
-        let balancer_delay = resources.clock.sleep(serve::BALANCER_DELAY);
-        future::join(resign(&resources.manager), balancer_delay).await;
-        resources.entry.end().await;
-        resources.callers.stop();
-        while (resources.callers.open() > 0 || resources.relayed.get() > 0)
-            && resources.clock.now() < deadline
-        {
-            resources.clock.sleep(POLL_INTERVAL).await;
-        }
+        let refuse = pin!(async {
+            resources.sleep_until(schedule.last_attempt).await;
+            resources.dispatcher.refuse_all();
+            future::pending::<()>().await;
+        });
+        let shut_down = pin!(resources.shut_down(&schedule));
+        future::select(shut_down, refuse).await;
         let closed = resources.callers.open();
         let unread = resources.callers.unread();
         resources
@@ -128,6 +134,66 @@
     }
 }
 
+impl Resources {
+    async fn sleep_until(&self, end: Duration) {
+        let left = end.saturating_sub(self.clock.now());
+        self.clock.sleep(left).await;
+    }
+
+    /// Hands over and closes callers' connections once their requests have ended.
+    async fn shut_down(&self, schedule: &Schedule) {
+        let hand_over = pin!(async {
+            let balancer_delay = self.clock.sleep(serve::BALANCER_DELAY);
+            future::join(resign(&self.manager), balancer_delay).await;
+            self.entry.end().await;
+        });
+        // Connections are closed in time even if the store, which is told of the handover, doesn't answer.
+        let last_attempt = pin!(self.sleep_until(schedule.last_attempt));
+        let rest = match future::select(hand_over, last_attempt).await {
+            Either::Left(_) => Either::Left(future::ready(())),
+            Either::Right(((), rest)) => Either::Right(rest),
+        };
+        self.callers.stop();
+        let ended = pin!(future::join(rest, self.until_closed()));
+        let exit = pin!(self.sleep_until(schedule.exit));
+        future::select(ended, exit).await;
+    }
+
+    /// Waits until no request is left: neither of a caller nor of another VM.
+    async fn until_closed(&self) {
+        while self.callers.open() > 0 || self.relayed.get() > 0 {
+            self.clock.sleep(POLL_INTERVAL).await;
+        }
+    }
+}
+
+/// When a draining process takes its last steps.
+#[derive(Clone, Copy, Debug)]
+struct Schedule {
+    /// When requests that aren't at a target are refused; no attempt starts afterwards.
+    last_attempt: Duration,
+    /// When attempts at targets are given up.
+    attempts_end: Duration,
+    /// When the process ends at the latest.
+    exit: Duration,
+}
+
+impl Schedule {
+    /// Creates the schedule of a process that was asked to stop at `start`.
+    fn new(start: Duration, grace: Duration) -> Self {
+        let before_end = |reserve| start + grace.saturating_sub(reserve);
+        let attempts_end = before_end(ATTEMPTS_RESERVE);
+        let last_attempt = attempts_end.saturating_sub(LAST_ATTEMPT_TIME);
+        // Until then the load balancer sends requests.
+        let balanced = start + serve::BALANCER_DELAY;
+        Self {
+            last_attempt: last_attempt.max(balanced).min(attempts_end),
+            attempts_end,
+            exit: before_end(EXIT_RESERVE),
+        }
+    }
+}
+
 /// Asks the manager's task to hand over, and waits until it has.
 async fn resign(manager: &mpsc::UnboundedSender<manager::Message>) {
     let (sender, done) = oneshot::channel();
--- a/engine/src/process/mod.rs
+++ b/engine/src/process/mod.rs
@@ -228,6 +228,7 @@
             grace: self.settings.grace,
             callers,
             relayed: self.relayed.clone(),
+            dispatcher,
             manager,
             entry,
         });
--- a/engine/src/process/serving.rs
+++ b/engine/src/process/serving.rs
@@ -33,6 +33,7 @@
                 reach: self.reach.clone(),
                 targets: self.adapter.targets.clone(),
                 shared_fleet: self.shared_fleet.clone(),
+                serving: self.serving.clone(),
                 quarantine: self.quarantine.clone(),
                 clock: self.clock.clone(),
                 report: self.report.clone(),
