Late requests are queued by their deadlines where a late response is worth a slot

A request that could not meet its goal was refused once a queue had lasted as long as the goal, though the deployments' deadlines are six goals away. Where the route's timeout and its callers' allow 2.5 goals, such requests now queue behind those within their goals, up to as many as the target can answer before their deadlines by the capacity that it has had left lately; the rest are refused at once, and the decision is made again while they wait. Retry-After is the time until a slot is free, at most a third of the caller's remaining time, and spread. Other deployments are served as before. Times that requests were queued for targets with free slots are measured (idle_wait).

--- a/engine/src/caller/attempts.rs
+++ b/engine/src/caller/attempts.rs
@@ -12,6 +12,7 @@
     failure::Failure,
     local_response::{LocalResponse, RETRY_AFTER, Trace},
     payload::Payload,
+    timeouts,
 };
 use crate::{
     catalogue::{Kind, TargetId},
@@ -158,11 +159,16 @@
         },
         misdirected: history.misdirected.clone(),
         large: routed.route.kind == Kind::Download,
+        late_until: late_until(routed),
         charge,
     };
     let permit = match context.dispatcher.acquire(request).await {
-        Ok(permit) => permit,
+        Ok(permit) => {
+            time_idle_wait(context, routed, permit.basis.idle_wait);
+            permit
+        }
         Err(refused) => {
+            time_idle_wait(context, routed, refused.basis.idle_wait);
             count_refusal(context, routed, refused.reason.name());
             trace
                 .notes
@@ -232,6 +238,21 @@
     evaluate(routed, payload, history, trace, target, result)
 }
 
+/// Returns until when the caller waits, if a late response of the route is worth a slot.
+fn late_until(routed: &RoutedRequest) -> Option<Duration> {
+    let RoutedRequest {
+        info,
+        route,
+        received_at,
+        goal_deadline,
+        ..
+    } = routed;
+    let remaining = info.remaining.unwrap_or(route.timeout);
+    let elapsed = (*received_at + route.goal).saturating_sub(*goal_deadline);
+    timeouts::serves_late(route.goal, route.timeout.min(remaining + elapsed))
+        .then(|| *received_at + remaining)
+}
+
 /// Ends a request that is quarantined: each target that runs it ends.
 fn refuse_quarantined(
     context: &Context,
@@ -259,6 +280,14 @@
     context.report.count("refused", &tags);
 }
 
+/// Records for how long a request was queued for targets with free slots, if it was.
+fn time_idle_wait(context: &Context, routed: &RoutedRequest, wait: Duration) {
+    if !wait.is_zero() {
+        let tags = [("service", routed.service.as_str())];
+        context.report.time("idle_wait", wait, &tags);
+    }
+}
+
 /// Counts a response that says that its target leaves, or when requests may be sent to it again.
 fn count_notice(context: &Context, routed: &RoutedRequest, notice: Notice) {
     let kind = if notice.leaving {
--- a/engine/src/caller/timeouts.rs
+++ b/engine/src/caller/timeouts.rs
@@ -1,4 +1,5 @@
-//! Estimates how long ago a caller first attempted a request, from the remaining time that it states.
+//! Decides from the times of a route and its callers how long ago a request was first attempted, and whether it is
+//! served past its goal.
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
@@ -7,6 +8,30 @@
 /// The number of routes for which a timeout is kept.
 const MAX_ROUTES: usize = 4096;
 
+/// From how many goals of time on a late response is worth a slot.
+///
+/// A queue of requests within their goals takes up to a goal, and late ones are served behind it. With two goals no
+/// time is left for that, and with three a whole goal is.
+const LATE_FACTOR: f64 = 2.5;
+
+/// Returns whether requests of a route are served past their goal, by how long its callers and the router wait for a
+/// response.
+///
+/// # Example
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use bramleypier_engine::caller::timeouts;
+///
+/// let ms = Duration::from_millis;
+/// assert!(!timeouts::serves_late(ms(800), ms(1600)));
+/// assert!(timeouts::serves_late(ms(800), ms(2400)));
+/// ```
+pub fn serves_late(goal: Duration, timeout: Duration) -> bool {
+    timeout >= goal.mul_f64(LATE_FACTOR)
+}
+
 /// The longest remaining time that callers have stated, by route; clones share it.
 ///
 /// A caller that retries states what is left of its first timeout. So the difference from the
--- a/engine/src/placement/dispatch/admission.rs
+++ b/engine/src/placement/dispatch/admission.rs
@@ -12,6 +12,7 @@
 //! - *The queue for a target takes longer than a goal*: a request that arrives then can't meet its goal, and requests
 //!   past their goal are sent after all others. A queue that lasts for as long as a goal is not a short burst. From
 //!   then on requests past their goal are refused at once, since the others take all slots.
+//! - *The same where a late response is worth a slot*: see [`super::late`].
 
 use std::time::Duration;
 
@@ -63,6 +64,8 @@
     pub(super) queue_state: QueueState,
     /// This VM's requests that are queued for the target and can still meet their goals.
     pub(super) queued_here: u32,
+    /// This VM's other requests that are queued for the target, and sent before this one.
+    pub(super) late_here: u32,
 }
 
 /// The state of a request in a target's queue.
@@ -98,7 +101,7 @@
             return self.decide_at_interval(now, basis);
         }
         if !uses_quota {
-            return self.decide_without_quota(now, within_goal, keyed, basis);
+            return self.decide_without_quota(now, request, within_goal, basis);
         }
         if within_goal {
             self.decide_within_goal(now, request, basis)
@@ -117,6 +120,8 @@
             service_time: Duration::from_secs_f64(self.state.service_time(self.typical_time)),
             measured_age: self.state.measured_age(now),
             queue_age: self.state.queued_since().map(|at| now.saturating_sub(at)),
+            late_ahead: self.late_ahead(),
+            idle_wait: Duration::ZERO,
             completion_interval: self.state.completion_interval(now, self.typical_time),
             sync_age: self.state.sync_age(now),
             fence: self.fence,
@@ -140,8 +145,8 @@
     fn decide_without_quota(
         &self,
         now: Duration,
+        request: &DispatchRequest,
         within_goal: bool,
-        keyed: bool,
         basis: Basis,
     ) -> Decision {
         let limit = self.state.max_in_flight(now, self.typical_time);
@@ -151,11 +156,14 @@
             self.past_goal_limit()
         };
         if basis.depth + 1.0 <= f64::from(allowed) {
-            Decision::Send(basis, None)
-        } else if keyed {
-            self.enqueue(within_goal)
-        } else {
-            Decision::Queue(None)
+            return Decision::Send(basis, None);
+        }
+        if request.key.is_none() {
+            return Decision::Queue(None);
+        }
+        match request.late_until.filter(|_| !within_goal) {
+            Some(late_until) => self.decide_late(now, request, late_until, basis),
+            None => self.enqueue(within_goal),
         }
     }
 
@@ -203,6 +211,19 @@
         if quota.is_some_and(|quota| quota.past_goal > 0) {
             return Decision::Send(basis, Some(QuotaKind::PastGoal));
         }
+        let rate_limited = self.state.rate().is_some();
+        let may_send = !rate_limited
+            && quota.is_none()
+            && self.queue_state == QueueState::New
+            && self.queued_here == 0
+            && basis.depth + 1.0 <= f64::from(self.past_goal_limit());
+        if let Some(late_until) = request.late_until {
+            return if may_send && self.late_here == 0 {
+                Decision::Send(basis, None)
+            } else {
+                self.decide_late(now, request, late_until, basis)
+            };
+        }
         let drain_time = self.drain_time(&basis);
         let remaining = request.deadline.saturating_sub(now);
         let past_goal_time = basis.completion_interval * quota.map_or(0, |quota| quota.others_past);
@@ -215,19 +236,14 @@
         if queued_since.is_some_and(|since| now >= since + goal) {
             return Decision::Refuse(RefusalReason::Goal, drain_time.max(MIN_RETRY_AFTER), basis);
         }
-        let rate_limited = self.state.rate().is_some();
-        let may_send = !rate_limited
-            && quota.is_none()
-            && self.queue_state == QueueState::New
-            && self.queued_here == 0;
-        if may_send && basis.depth + 1.0 <= f64::from(self.past_goal_limit()) {
+        if may_send {
             return Decision::Send(basis, None);
         }
         self.enqueue(false)
     }
 
     /// Returns the expected response time if all requests that are queued now are sent first.
-    fn drain_time(&self, basis: &Basis) -> Duration {
+    pub(super) fn drain_time(&self, basis: &Basis) -> Duration {
         let others_queued = self.state.quota().map_or(0, |quota| quota.others_within);
         basis.expected + basis.completion_interval * (others_queued + self.queued_here)
     }
@@ -238,7 +254,7 @@
     }
 
     /// Queues the request for this target.
-    fn enqueue(&self, within_goal: bool) -> Decision {
+    pub(super) fn enqueue(&self, within_goal: bool) -> Decision {
         Decision::Queue(Some(QueueKey {
             target: self.state.target.id.clone(),
             within_goal,
--- a/engine/src/placement/dispatch/choose.rs
+++ b/engine/src/placement/dispatch/choose.rs
@@ -129,7 +129,8 @@
             typical_time: self.typical_time(request),
             fence: range.fence,
             queue_state,
-            queued_here: self.queued_within_goal(&state.target.id),
+            queued_here: self.queued_for(&state.target.id, true),
+            late_here: self.queued_for(&state.target.id, false),
         };
         candidate.decide(now, request)
     }
@@ -191,7 +192,8 @@
             typical_time: self.typical_time(request),
             fence: 0,
             queue_state,
-            queued_here: self.queued_within_goal(&id),
+            queued_here: self.queued_for(&id, true),
+            late_here: self.queued_for(&id, false),
         };
         candidate.decide(now, request)
     }
--- a/engine/src/placement/dispatch/mod.rs
+++ b/engine/src/placement/dispatch/mod.rs
@@ -15,6 +15,7 @@
 mod admission;
 mod choose;
 mod held;
+mod late;
 mod queues;
 mod rate_limits;
 mod view;
@@ -56,6 +57,15 @@
     queue: Option<QueueKey>,
     /// Whether too many others are sent first for it to meet its goal.
     demoted: bool,
+    /// For how long it has been queued for targets with free slots.
+    idle_wait: Duration,
+}
+
+impl Queued {
+    /// Returns the rank in the queue: priority, then age.
+    fn rank(&self) -> (u32, Duration) {
+        (self.request.priority, self.request.received_at)
+    }
 }
 
 /// Decides where the requests of one VM go.
@@ -73,6 +83,8 @@
     /// The number of VMs that share the retry budgets.
     vm_count: VmCount,
     queue: Vec<Queued>,
+    /// Up to when the times that requests were queued for targets with free slots are counted.
+    idle_counted_at: Duration,
     /// The median service time of each service's targets, in seconds, where any was measured.
     median_times: IndexMap<ServiceId, f64>,
     /// When the medians are recomputed.
@@ -119,6 +131,7 @@
             budgets: IndexMap::new(),
             vm_count: VmCount::default(),
             queue: Vec::new(),
+            idle_counted_at: Duration::ZERO,
             median_times: IndexMap::new(),
             medians_due: Duration::ZERO,
             refused_keys: RefusedKeys::default(),
@@ -161,6 +174,7 @@
     pub fn handle(&mut self, now: Duration, event: Event) -> Vec<Effect> {
         let mut effects = Vec::new();
         self.started_at.get_or_insert(now);
+        self.record_idle_waits(now);
         self.refresh_medians(now);
         match event {
             Event::Request(request) => self.submit(now, request, &mut effects),
@@ -278,6 +292,7 @@
             charged: false,
             queue: None,
             demoted: false,
+            idle_wait: Duration::ZERO,
         };
         if !self.decide(now, &mut queued, true, effects) {
             self.enqueue(queued, effects);
@@ -295,19 +310,31 @@
             });
             return;
         }
-        let rank = |it: &Queued| (it.request.priority, it.request.received_at);
-        let position = self.queue.partition_point(|it| rank(it) <= rank(&queued));
+        let rank = queued.rank();
+        let position = self.queue.partition_point(|it| it.rank() <= rank);
         self.queue.insert(position, queued);
     }
 
-    /// Decides again for all queued requests, by priority and age.
+    /// Decides again for all queued requests, by priority and age; late ones come after all others.
     fn process_queue(&mut self, now: Duration, effects: &mut Vec<Effect>) {
         let queue = std::mem::take(&mut self.queue);
-        for mut it in queue {
+        let (late, first): (Vec<_>, Vec<_>) =
+            queue.into_iter().partition(|it| self.is_late(now, it));
+        let has_late = !late.is_empty();
+        for mut it in first.into_iter().chain(late) {
             if !self.decide(now, &mut it, false, effects) {
                 self.queue.push(it);
             }
         }
+        if has_late {
+            self.queue.sort_by_key(Queued::rank);
+        }
+    }
+
+    /// Returns whether a queued request is served late: it can't meet its goal any more.
+    fn is_late(&self, now: Duration, it: &Queued) -> bool {
+        let time = self.typical_time(&it.request).unwrap_or_default();
+        it.request.late_until.is_some() && now + Duration::from_secs_f64(time) > it.request.goal
     }
 
     /// Decides for one request; returns whether it has been sent or refused.
@@ -328,10 +355,16 @@
         };
         match self.choose(now, &it.request, queue_state) {
             Decision::Queue(queue) => {
+                // A late request stays behind the others: at the edge of its goal it would take the place of one that
+                // surely meets its own.
+                it.demoted |= it.request.late_until.is_some()
+                    && queue.as_ref().is_some_and(|key| !key.within_goal);
                 it.queue = queue;
                 false
             }
-            Decision::Refuse(reason, retry_after, basis) => {
+            Decision::Refuse(reason, time, mut basis) => {
+                basis.idle_wait = it.idle_wait;
+                let retry_after = self.retry_after(now, &it.request, time);
                 effects.push(Effect::Refuse {
                     ticket,
                     reason,
@@ -341,16 +374,19 @@
                 true
             }
             Decision::Send(mut basis, quota) => {
+                basis.idle_wait = it.idle_wait;
                 if it.request.charge == Charge::Retry && !it.charged {
                     let budget = self.charge_retry(now, &it.request.service);
                     basis.budget = Some(budget);
                     if !budget.allows_retry() {
                         // The caller's own retry is a new request and isn't charged to the budget, so it only has to
                         // wait for a free slot.
+                        let time = basis.completion_interval.max(MIN_RETRY_AFTER);
+                        let retry_after = self.retry_after(now, &it.request, time);
                         effects.push(Effect::Refuse {
                             ticket,
                             reason: RefusalReason::Budget,
-                            retry_after: basis.completion_interval.max(MIN_RETRY_AFTER),
+                            retry_after,
                             basis,
                         });
                         return true;
--- a/engine/src/placement/dispatch/queues.rs
+++ b/engine/src/placement/dispatch/queues.rs
@@ -26,15 +26,28 @@
         }
     }
 
-    /// Returns how many requests that can still meet their goals are queued for a target.
-    pub(super) fn queued_within_goal(&self, target: &str) -> u32 {
+    /// Returns how many requests are queued for a target that can still meet their goals, or that can't.
+    pub(super) fn queued_for(&self, target: &str, within_goal: bool) -> u32 {
         let queues = self.queue.iter().filter_map(|it| it.queue.as_ref());
         let count = queues
-            .filter(|key| key.within_goal && key.target == target)
+            .filter(|key| key.within_goal == within_goal && key.target == target)
             .count();
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
+    /// Adds the time since the last event to the waits of requests that are queued for targets with free slots.
+    pub(super) fn record_idle_waits(&mut self, now: Duration) {
+        let counted_at = std::mem::replace(&mut self.idle_counted_at, now);
+        let elapsed = now.saturating_sub(counted_at);
+        for it in &mut self.queue {
+            let target = it.queue.as_ref().map(|key| &key.target);
+            let state = target.and_then(|target| self.target_states.get(target));
+            if state.is_some_and(|it| it.depth(counted_at) < f64::from(it.slots())) {
+                it.idle_wait += elapsed;
+            }
+        }
+    }
+
     /// Returns the queue of each target, by priority and age.
     pub(super) fn queues(&self, now: Duration) -> Vec<TargetQueue> {
         let mut queues: IndexMap<&TargetId, TargetQueue> = IndexMap::new();
--- a/engine/src/placement/message.rs
+++ b/engine/src/placement/message.rs
@@ -47,6 +47,8 @@
     pub misdirected: Vec<(TargetId, Fence)>,
     /// Whether a large response is expected.
     pub large: bool,
+    /// When the caller stops waiting, if a late response is worth a slot; `None` if hardly.
+    pub late_until: Option<Duration>,
     /// What it means for the retry budget.
     pub charge: Charge,
 }
@@ -180,12 +182,16 @@
     pub measured_age: Option<Duration>,
     /// For how long requests have been queued for the target; `None` if none are.
     pub queue_age: Option<Duration>,
+    /// How many requests past their goal are queued for the target before this one.
+    pub late_ahead: u32,
     /// The time between two completions at a busy target; zero without a target.
     pub completion_interval: Duration,
     /// The age of the last sync response; `None` before the first one.
     pub sync_age: Option<Duration>,
     /// The fence of the target's ownership of the key; 0 if keys have no owners.
     pub fence: Fence,
+    /// For how long it was queued for targets with free slots, as far as this VM knew.
+    pub idle_wait: Duration,
     /// The rate limit that the target asks for, in requests per second.
     pub rate: Option<Rate>,
     /// The state of the retry budget, if the request was charged to it.
@@ -214,6 +220,12 @@
         if let Some(age) = self.queue_age {
             write!(f, " queue_ms={}", age.as_millis())?;
         }
+        if !self.idle_wait.is_zero() {
+            write!(f, " idle_ms={}", self.idle_wait.as_millis())?;
+        }
+        if self.late_ahead > 0 {
+            write!(f, " late_ahead={}", self.late_ahead)?;
+        }
         if let Some(rate) = self.rate {
             write!(f, " rate={rate}")?;
         }
--- a/engine/src/placement/mod.rs
+++ b/engine/src/placement/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`dispatch`] decides, without any I/O; [`task`] runs it and responds through channels.
 //! - [`quota`] divides the free capacity of busy targets among VMs.
+//! - [`busy_share`] measures how much capacity is left for requests past their goal.
 //! - [`budget`] limits retries; [`vm_count`] counts the VMs that share this budget.
 //! - [`refused_keys`] decides when requests for a key that its owner has refused may be sent again.
 //! - [`hold_offs`] holds the times for which targets that refuse requests want no more of them.
@@ -10,6 +11,7 @@
 
 pub mod bucket;
 pub mod budget;
+pub mod busy_share;
 mod completion;
 pub mod dispatch;
 pub mod hold_offs;
--- a/engine/src/placement/target_state.rs
+++ b/engine/src/placement/target_state.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use super::{
+    busy_share::BusyShare,
     quota::Quota,
     rates,
     warmup::{SendLimit, SendLimiter},
@@ -82,6 +83,8 @@
     queued_since: Option<Duration>,
     /// When requests were last queued for it.
     queued_at: Duration,
+    /// How often requests that can still meet their goals use all capacity.
+    busy_share: BusyShare,
     /// Sum in seconds and count of the service times that haven't been reported yet.
     samples: (f64, u32),
     /// The moving average of service times, in seconds, if any was measured.
@@ -126,6 +129,7 @@
             quota: None,
             queued_since: None,
             queued_at: Duration::ZERO,
+            busy_share: BusyShare::default(),
             samples: (0.0, 0),
             service_time: None,
             measured_at: Duration::ZERO,
@@ -215,6 +219,7 @@
         self.sync_interval = sync_interval;
         let busy = quota.as_ref().is_some_and(|it| it.busy);
         self.quota = quota;
+        self.busy_share.record(now, busy);
         if busy {
             self.queued_since.get_or_insert(now);
             self.queued_at = now;
@@ -269,6 +274,11 @@
         self.queued_since
     }
 
+    /// Returns the share of time in which requests that can still meet their goals use all capacity, from 0 to 1.
+    pub fn busy_share(&self) -> f64 {
+        self.busy_share.value()
+    }
+
     /// Returns how many requests the target processes at a time.
     pub fn slots(&self) -> u32 {
         u32::try_from(self.target.slots.max(1)).unwrap_or(u32::MAX)
--- a/engine/tests/dispatch_fixture/mod.rs
+++ b/engine/tests/dispatch_fixture/mod.rs
@@ -119,6 +119,7 @@
         tried: Vec::new(),
         misdirected: Vec::new(),
         large: false,
+        late_until: None,
         charge: Charge::Request,
     }
 }
--- a/engine/tests/goodput.rs
+++ b/engine/tests/goodput.rs
@@ -2,7 +2,7 @@
 
 mod queue_simulation;
 
-use crate::queue_simulation::{DURATION_MS, Scenario, simulate};
+use crate::queue_simulation::{DEFAULTS, DURATION_MS, Scenario, simulate};
 
 /// The least fraction of the possible answers that must be given within the goal.
 const MIN_GOODPUT: f64 = 0.95;
@@ -17,6 +17,7 @@
     service_time: 70,
     goal: 500,
     sync_interval: 113,
+    ..DEFAULTS
 };
 
 /// Few VMs with frequent sync exchanges.
--- a/engine/tests/hot_key.rs
+++ b/engine/tests/hot_key.rs
@@ -245,6 +245,7 @@
             tried: Vec::new(),
             misdirected: Vec::new(),
             large: false,
+            late_until: None,
             charge: Charge::Request,
         };
         self.handle(now, self.vm_of(ticket), Event::Request(request));
--- /dev/null
+++ b/engine/tests/late_requests.rs
@@ -0,0 +1,171 @@
+//! Demand above the capacity of the owners of keys, where a late response is worth a slot.
+
+mod dispatch_fixture;
+mod queue_simulation;
+
+use bramleypier_engine::{
+    catalogue,
+    placement::dispatch::{CompletionKind, Effect, Event, RefusalReason},
+};
+
+use crate::{
+    dispatch_fixture::{
+        ask, busy_quota, completed, dispatcher, in_flight_update, keyed, quota_update,
+        record_owned_by, refused, sent, target,
+    },
+    queue_simulation::{DEFAULTS, DURATION_MS, Outcome, Scenario, Timeouts, ms, simulate},
+};
+
+/// Owners of two slots; each VM has a request for one of them every few seconds.
+const OWNERS: Scenario = Scenario {
+    vms: 27,
+    targets: 181,
+    service_time: 190,
+    goal: 800,
+    sync_interval: 50,
+    slots: 2,
+    keyed: true,
+    skewed: true,
+    late: Some(Timeouts {
+        route: 2800,
+        caller: 6000,
+    }),
+    ..DEFAULTS
+};
+
+/// One owner, with times that give it some two hundred requests in the simulated time.
+const ONE_OWNER: Scenario = Scenario {
+    targets: 1,
+    service_time: 40,
+    goal: 170,
+    sync_interval: 10,
+    skewed: false,
+    late: Some(Timeouts {
+        route: 590,
+        caller: 1260,
+    }),
+    ..OWNERS
+};
+
+/// Simulates a load, given as a fraction of the capacity.
+fn simulate_load(scenario: Scenario, load: f64) -> Outcome {
+    let outcome = simulate(
+        Scenario {
+            request_rate: scenario.capacity() * load,
+            ..scenario
+        },
+        1,
+    );
+    println!(
+        "load={load} submitted={} in_time={} late={} refused={} unserved={} reset={} idle_ms={} known_idle_ms={}",
+        outcome.submitted,
+        outcome.in_time,
+        outcome.late,
+        outcome.refused,
+        outcome.unserved.len(),
+        outcome.reset,
+        outcome.idle,
+        outcome.idle_wait
+    );
+    outcome
+}
+
+/// Guards against goodput that falls when an owner is full, and against late work that takes slots from requests that
+/// can meet their goals.
+#[test]
+#[allow(clippy::cast_precision_loss, reason = "small figures")]
+fn a_full_owner_answers_at_its_capacity() {
+    for load in [0.9, 1.2, 1.5] {
+        let outcome = simulate_load(ONE_OWNER, load);
+        let possible = ONE_OWNER.capacity() * load.min(1.0) * DURATION_MS as f64 / 1000.0;
+        let answered = (outcome.in_time + outcome.late) as f64;
+        assert!(answered >= 0.95 * possible, "at {load} times the capacity");
+        assert_eq!(outcome.reset, 0, "at {load} times the capacity");
+        let without = simulate_load(
+            Scenario {
+                late: None,
+                ..ONE_OWNER
+            },
+            load,
+        );
+        assert!(outcome.in_time as f64 >= 0.9 * without.in_time as f64);
+    }
+}
+
+/// Guards against refusals of requests that could be served once an overload of two seconds has ended.
+#[test]
+fn a_short_overload_leaves_nobody_unserved() {
+    let overload = Scenario {
+        calm_from: 2000,
+        ..OWNERS
+    };
+    let outcome = simulate_load(overload, 1.5);
+    assert!(outcome.unserved.len() * 100 <= outcome.submitted);
+    assert!(outcome.refused * 8 <= outcome.submitted);
+    // Half as many again arrive as owners can take, so some must be refused and come back.
+    let long_held = outcome.refused_after.iter().filter(|it| **it > 2000);
+    assert!(long_held.count() * 100 <= outcome.submitted);
+}
+
+/// Guards against owners that idle while requests for them wait at VMs for quotas.
+#[test]
+fn requests_hardly_wait_for_owners_with_free_slots() {
+    let outcome = simulate_load(OWNERS, 0.7);
+    assert!(outcome.unserved.is_empty());
+    assert!(outcome.idle <= 2 * outcome.submitted as u64);
+}
+
+/// Guards against a queue of late requests that grows without bound, and callers that are refused when they come back.
+#[test]
+fn a_late_request_is_queued_while_it_can_be_answered_and_told_when_there_is_room() {
+    let owner = target(0, "d1");
+    let mut dispatcher = dispatcher(vec![owner.clone()], Some(record_owned_by(&owner)));
+    for _ in 0..20 {
+        let answered = CompletionKind::Answered(ms(60));
+        dispatcher.handle(ms(1), completed("t0", answered, ms(0)));
+    }
+    dispatcher.handle(ms(2), quota_update(4, busy_quota(0, 10)));
+    let mut queued: usize = 0;
+    let mut times = Vec::new();
+    for ticket in 0..40 {
+        let mut request = keyed(ticket, ms(3));
+        (request.deadline, request.late_until) = (ms(903), Some(ms(2403)));
+        let effects = dispatcher.handle(ms(3), Event::Request(request));
+        queued += usize::from(effects.is_empty());
+        times.extend(effects.iter().filter_map(|it| match it {
+            Effect::Refuse {
+                reason: RefusalReason::Late,
+                retry_after,
+                ..
+            } => Some(*retry_after),
+            _ => None,
+        }));
+    }
+    // One request completes every 30 ms, and ten at other VMs go first.
+    assert!((10..=20).contains(&queued), "{queued}");
+    assert_eq!(times.len() + queued, 40);
+    assert!(
+        times.iter().all(|it| (ms(500)..=ms(800)).contains(it)),
+        "{times:?}"
+    );
+    assert!(times.iter().any(|it| *it != times[0]), "all return at once");
+}
+
+/// Guards against late requests that take free slots before requests that can still meet their goals.
+#[test]
+fn requests_within_their_goals_go_before_older_late_ones() {
+    let mut dispatcher = dispatcher(vec![target(0, "d1")], None);
+    let full = [(catalogue::hash("t0"), 4)];
+    dispatcher.handle(ms(1), in_flight_update(full.into()));
+    let mut late = ask(1, ms(2));
+    (late.goal, late.deadline, late.late_until) = (ms(3), ms(902), Some(ms(2000)));
+    let mut newer = ask(2, ms(3));
+    (newer.goal, newer.deadline, newer.late_until) = (ms(600), ms(902), Some(ms(2000)));
+    dispatcher.handle(ms(2), Event::Request(late));
+    dispatcher.handle(ms(3), Event::Request(newer));
+    assert_eq!(dispatcher.queue_len(), 2);
+    let free = [(catalogue::hash("t0"), 2)];
+    let effects = dispatcher.handle(ms(42), in_flight_update(free.into()));
+    assert_eq!(sent(&effects)[0].0, 2, "the newer one is sent first");
+    assert!(refused(&effects).is_empty());
+}
--- a/engine/tests/misdirected.rs
+++ b/engine/tests/misdirected.rs
@@ -141,6 +141,7 @@
             tried: Vec::new(),
             misdirected: Vec::new(),
             large: false,
+            late_until: None,
             charge: Charge::Request,
         };
         let request = Request {
--- a/engine/tests/rate_simulation/mod.rs
+++ b/engine/tests/rate_simulation/mod.rs
@@ -114,6 +114,7 @@
         tried: Vec::new(),
         misdirected: Vec::new(),
         large: false,
+        late_until: None,
         charge: Charge::Request,
     }
 }
--- a/engine/tests/retry_budget.rs
+++ b/engine/tests/retry_budget.rs
@@ -129,6 +129,7 @@
         tried: Vec::new(),
         misdirected: Vec::new(),
         large: false,
+        late_until: None,
         charge: Charge::Retry,
     };
     let effects = (0..60).flat_map(|ticket| dispatcher.handle(now, Event::Request(retry(ticket))));
--- a/engine/tests/retry_simulation/mod.rs
+++ b/engine/tests/retry_simulation/mod.rs
@@ -146,6 +146,7 @@
             tried: Vec::new(),
             misdirected: Vec::new(),
             large: false,
+            late_until: None,
             charge: Charge::Request,
         };
         outcome.requested_at.push(now);
--- a/engine/tests/warmup.rs
+++ b/engine/tests/warmup.rs
@@ -8,7 +8,7 @@
 };
 use proptest::prelude::*;
 
-use crate::queue_simulation::{BURST_ALLOWANCE, Scenario, WARMUP, simulate, vm_names};
+use crate::queue_simulation::{BURST_ALLOWANCE, DEFAULTS, Scenario, WARMUP, simulate, vm_names};
 
 /// The most requests that may reach a cold target in a second: the rate of `WARMUP` with `BURST_ALLOWANCE`.
 const MAX_PER_SECOND: usize = 20;
@@ -23,6 +23,7 @@
     service_time: 80,
     goal: 500,
     sync_interval: 110,
+    ..DEFAULTS
 };
 
 /// A third of all targets start cold at once while the others are overloaded.
