Pipelining: a connection that no longer waits for space leaves its queue

A connection whose next request got its turn while it waited for space of all connections kept its place, and kept out all others until it closed. The test of the bounds shows it without the change.

Ran: cargo test -p bramleypier-util, all pass.

--- a/util/src/pipeline/connection.rs
+++ b/util/src/pipeline/connection.rs
@@ -258,7 +258,7 @@
             || request.version() != Version::HTTP_11
             || headers::closes_connection(headers);
         let Some(next) = self.started.pop_front() else {
-            self.stopped = None;
+            self.set_stopped(None);
             self.current = if self.pipelining.requests > 1 && !self.closing {
                 Current::Unknown(RequestTarget::new(request.method(), request.uri(), headers))
             } else {
@@ -280,6 +280,21 @@
     fn cancel_started(&mut self) {
         self.started.clear();
         self.started_bytes = 0;
+        self.set_stopped(None);
+    }
+
+    fn set_stopped(&mut self, cause: Option<StopCause>) {
+        if cause == self.stopped {
+            return;
+        }
+        if self.stopped == Some(StopCause::TotalBytes) {
+            // Otherwise its place in the queue would keep out the other connections.
+            self.space.leave();
+        }
+        if let Some(cause) = cause {
+            self.handler.on_event(Event::Stopped(cause));
+        }
+        self.stopped = cause;
     }
 
     /// Decides whether the connection closes after a response with these headers.
@@ -321,13 +336,7 @@
                 break cause;
             }
         };
-        if self.stopped == Some(StopCause::TotalBytes) && cause != self.stopped {
-            self.space.leave();
-        }
-        if let Some(cause) = cause.filter(|it| self.stopped != Some(*it)) {
-            self.handler.on_event(Event::Stopped(cause));
-        }
-        self.stopped = cause;
+        self.set_stopped(cause);
     }
 
     /// Starts the next held request; breaks with the cause if it may not start, and without one if it isn't complete.
--- a/util/tests/pipeline.rs
+++ b/util/tests/pipeline.rs
@@ -11,7 +11,7 @@
 
 use bramleypier_util::pipeline::{Event, Pipelining, StopCause, space};
 use pipeline_fixture::{
-    PIPELINING, bodies, connect, get, read_responses, read_to_close, run, run_stoppable,
+    Log, PIPELINING, bodies, connect, get, read_responses, read_to_close, run, run_stoppable,
 };
 use proptest::prelude::*;
 
@@ -153,11 +153,23 @@
         requests: 8,
         response_bytes: space::CONNECTION_BYTES,
     };
-    let (answered, log) = run(third, |address, _| {
+    let (answered, log) = run(third, |address, log| {
         let mut streams: Vec<TcpStream> =
             (0..8).map(|_| connect(address, &lookups(3, 50))).collect();
         let texts = streams.iter_mut().map(|it| read_responses(it, 3));
-        texts.map(|it| bodies(&it).len()).sum::<usize>()
+        let answered: usize = texts.map(|it| bodies(&it).len()).sum();
+        // Connections that have waited for space and are idle now leave it to others.
+        let early = |log: &Log| {
+            let events = log.events();
+            events
+                .iter()
+                .filter(|it| matches!(it, Event::Started(_)))
+                .count()
+        };
+        let before = early(&log);
+        read_responses(&mut connect(address, &lookups(2, 20)), 2);
+        assert_eq!(early(&log), before + 1);
+        answered
     });
     let places = space::TOTAL_BYTES / space::CONNECTION_BYTES;
     assert_eq!(answered, 24);
