--- a/util/tests/pipeline_fixture/mod.rs
+++ b/util/tests/pipeline_fixture/mod.rs
@@ -3,6 +3,7 @@
 use std::{
     io::{Read as _, Write as _},
     net::{SocketAddr, TcpStream},
+    panic::{self, AssertUnwindSafe},
     sync::{Arc, Mutex},
     thread,
     time::{Duration, Instant},
@@ -213,8 +214,16 @@
         .detach();
         let (sender, receiver) = oneshot::channel();
         let client_log = log.clone();
-        thread::spawn(move || sender.send(client(address, client_log, stop)).ok());
-        (receiver.await.expect("the client has failed"), log)
+        thread::spawn(move || {
+            // A thread that ends with a panic would abort the process as it drops the channel.
+            let client = AssertUnwindSafe(|| client(address, client_log, stop));
+            sender.send(panic::catch_unwind(client)).ok()
+        });
+        let result = receiver.await.unwrap();
+        (
+            result.unwrap_or_else(|cause| panic::resume_unwind(cause)),
+            log,
+        )
     })
 }
 
