--- a/util/src/pipeline/feed.rs
+++ b/util/src/pipeline/feed.rs
@@ -138,6 +138,10 @@
     pub fn allow_held(&mut self, limit: usize) -> Vec<u8> {
         let mut held = std::mem::take(&mut self.held);
         let count = self.allow(&held[..held.len().min(limit)]);
+        if count == held.len() {
+            // The memory goes with the bytes, so that an idle connection holds none.
+            return held;
+        }
         let taken = held.drain(..count).collect();
         self.held = held;
         taken
--- a/util/tests/pipeline.rs
+++ b/util/tests/pipeline.rs
@@ -138,6 +138,16 @@
     }
 }
 
+/// Guards against a request that fails early and leaves those ahead, or its connection, without an end.
+#[test]
+fn a_handler_that_panics_early_ends_the_connection_in_its_turn() {
+    let (text, _) = run(PIPELINING, |address, _| {
+        let text = get("/look/1?50") + &get("/look/panic") + &get("/look/2");
+        read_to_close(&mut connect(address, &text))
+    });
+    assert_eq!(bodies(&text), ["/look/1 0"]);
+}
+
 /// Guards against unbounded memory of responses that wait, and against requests that are lost at the bound.
 #[test]
 fn responses_that_wait_are_bounded_per_connection_and_in_all() {
--- a/util/tests/pipeline_fixture/mod.rs
+++ b/util/tests/pipeline_fixture/mod.rs
@@ -128,7 +128,7 @@
 
 /// Answers with the path and the size of the body, after the milliseconds that the query states.
 ///
-/// Only paths that start with `/look` are idempotent; the responses to `/close` close the connection.
+/// Only paths that start with `/look` are idempotent; the responses to `/close` close the connection. Some panic.
 #[derive(Clone, Debug)]
 struct LogHandler(Log);
 
@@ -142,6 +142,7 @@
             };
             let time = uri.query().and_then(|it| it.parse().ok()).unwrap_or(0);
             compio::time::sleep(Duration::from_millis(time)).await;
+            assert!(!uri.path().ends_with("panic"), "asked for");
             running.finish();
             let size = size.map_or(0, |it| it.len());
             let mut response = Response::new(Body::from(format!("<{} {size}>", uri.path())));
