--- a/util/tests/pipeline_fixture/mod.rs
+++ b/util/tests/pipeline_fixture/mod.rs
@@ -3,6 +3,7 @@
 use std::{
     io::{Read as _, Write as _},
     net::{SocketAddr, TcpStream},
+    panic::{self, AssertUnwindSafe},
     sync::{Arc, Mutex},
     thread,
     time::{Duration, Instant},
@@ -127,7 +128,7 @@
 
 /// Answers with the path and the size of the body, after the milliseconds that the query states.
 ///
-/// Only paths that start with `/look` are idempotent; the responses to `/close` close the connection.
+/// Only paths that start with `/look` are idempotent; the responses to `/close` close the connection. Some panic.
 #[derive(Clone, Debug)]
 struct LogHandler(Log);
 
@@ -141,6 +142,7 @@
             };
             let time = uri.query().and_then(|it| it.parse().ok()).unwrap_or(0);
             compio::time::sleep(Duration::from_millis(time)).await;
+            assert!(!uri.path().ends_with("panic"), "asked for");
             running.finish();
             let size = size.map_or(0, |it| it.len());
             let mut response = Response::new(Body::from(format!("<{} {size}>", uri.path())));
@@ -213,8 +215,16 @@
         .detach();
         let (sender, receiver) = oneshot::channel();
         let client_log = log.clone();
-        thread::spawn(move || sender.send(client(address, client_log, stop)).ok());
-        (receiver.await.expect("the client has failed"), log)
+        thread::spawn(move || {
+            // A thread that ends with a panic would abort the process as it drops the channel.
+            let client = AssertUnwindSafe(|| client(address, client_log, stop));
+            sender.send(panic::catch_unwind(client)).ok()
+        });
+        let result = receiver.await.unwrap();
+        (
+            result.unwrap_or_else(|cause| panic::resume_unwind(cause)),
+            log,
+        )
     })
 }
 
