Requests for keys without an owner are held until the next owner, or told when it is expected

Such a request waited for 0.6 goals and was refused with 400 ms, so its caller came back too soon, was refused twice more and gave up while the owner was replaced. Where late responses are worth a slot, VMs now know since when a key has had no usable owner. After the time of a move a request is held if the replacement, 4 s after the loss, is expected before its deadline, and is refused with the time until then otherwise.

Replayed (engine/tests/late_requests.rs): requests each 50 ms for an owner that is replaced after 3.8 s: all 76 are served, 28 after one refusal for the owner.

--- a/engine/src/placement/dispatch/choose.rs
+++ b/engine/src/placement/dispatch/choose.rs
@@ -12,11 +12,13 @@
 use super::{
     Basis, DEFAULT_RETRY_AFTER, DispatchRequest, Dispatcher, RefusalReason,
     admission::{Candidate, Decision, QueueState},
+    late,
 };
 use crate::{
     catalogue::{Target, TargetId},
-    owner::record::{Record, RequestKey},
+    owner::record::{KeyRange, Record, RequestKey},
     placement::{
+        owner_gaps,
         quota::Quota,
         refused_keys,
         target_state::{DEFAULT_SERVICE_TIME, TargetState},
@@ -67,14 +69,14 @@
                 let record = record.clone();
                 self.choose_owner(now, request, queue_state, key, &record)
             }
-            (Some(_), None) => self.wait_for_owner(now, request),
+            (Some(_), None) => self.wait_briefly(now, request),
             (None, _) => self.choose_any(now, request, queue_state),
         }
     }
 
     /// Decides for a request that only the owner of its key can serve.
     fn choose_owner(
-        &self,
+        &mut self,
         now: Duration,
         request: &DispatchRequest,
         queue_state: QueueState,
@@ -82,7 +84,7 @@
         record: &Record,
     ) -> Decision {
         let Some(range) = record.find(key) else {
-            return self.wait_for_owner(now, request);
+            return self.wait_briefly(now, request);
         };
         match self.refused_keys.state(now, &request.service, range, key) {
             // A move ends within a few hundred milliseconds; the replacement of a lost owner doesn't.
@@ -90,7 +92,7 @@
                 return Decision::Queue(None);
             }
             refused_keys::KeyState::Moving | refused_keys::KeyState::Lost => {
-                return self.wait_for_owner(now, request);
+                return self.wait_for_owner(now, request, range);
             }
             refused_keys::KeyState::Open => {}
         }
@@ -108,7 +110,7 @@
             state.filter(|it| incarnation.is_announced_by(&it.target))
         });
         let Some(state) = state else {
-            return self.wait_for_owner(now, request);
+            return self.wait_for_owner(now, request, range);
         };
         if state.has_left(now) {
             // Its keys have had the time of several moves, so there is no next owner to wait for.
@@ -122,7 +124,7 @@
             return self.wait_for_hold_off(now, request, remaining);
         }
         if !state.is_available(now) || request.tried.contains(&state.target.id) {
-            return self.wait_for_owner(now, request);
+            return self.wait_for_owner(now, request, range);
         }
         let candidate = Candidate {
             state,
@@ -143,7 +145,32 @@
     }
 
     /// Queues or refuses a request whose key has no reachable owner.
-    fn wait_for_owner(&self, now: Duration, request: &DispatchRequest) -> Decision {
+    ///
+    /// Where late responses are worth a slot, it is queued if the next owner is expected before its deadline. It is
+    /// refused otherwise, with the time until then, so that its caller comes back when there is an owner.
+    fn wait_for_owner(
+        &mut self,
+        now: Duration,
+        request: &DispatchRequest,
+        range: &KeyRange,
+    ) -> Decision {
+        let gone_for = self.owner_gaps.gone_for(now, &request.service, range);
+        let Some((late_until, left)) = request.late_until.zip(owner_gaps::expected_wait(gone_for))
+        else {
+            return self.wait_briefly(now, request);
+        };
+        let time = self.typical_time(request).unwrap_or_default();
+        let time = Duration::from_secs_f64(time);
+        let may_come_back = late::time_after_retry(now, late_until) >= time;
+        let wait = if may_come_back { left } else { Duration::ZERO };
+        if now + wait + time <= request.deadline {
+            return Decision::Queue(None);
+        }
+        Decision::Refuse(RefusalReason::NoOwner, left, self.owner_basis(request))
+    }
+
+    /// Queues a request for a part of its goal, and refuses it then.
+    fn wait_briefly(&self, now: Duration, request: &DispatchRequest) -> Decision {
         if now < Self::wait_limit(request) {
             return Decision::Queue(None);
         }
@@ -260,7 +287,7 @@
 
     /// Queues or refuses a request whose service has no reachable target.
     fn wait_for_target(&self, now: Duration, request: &DispatchRequest) -> Decision {
-        match self.wait_for_owner(now, request) {
+        match self.wait_briefly(now, request) {
             Decision::Refuse(_, retry_after, basis) => {
                 Decision::Refuse(RefusalReason::NoTarget, retry_after, basis)
             }
--- a/engine/src/placement/dispatch/late.rs
+++ b/engine/src/placement/dispatch/late.rs
@@ -37,9 +37,7 @@
             return self.enqueue(false);
         }
         // Too little time is left for another attempt, so the request is only refused if this one has no chance.
-        let left_after = late_until
-            .saturating_sub(now)
-            .mul_f64(1.0 - MAX_RETRY_FRACTION);
+        let left_after = time_after_retry(now, late_until);
         if left_after < basis.expected && self.late_time(&basis, 1.0) <= remaining {
             return self.enqueue(false);
         }
@@ -70,6 +68,12 @@
     }
 }
 
+/// Returns how much time a caller has left after the longest retry-after that it honours.
+pub(super) fn time_after_retry(now: Duration, late_until: Duration) -> Duration {
+    let remaining = late_until.saturating_sub(now);
+    remaining.mul_f64(1.0 - MAX_RETRY_FRACTION)
+}
+
 impl Dispatcher {
     /// Returns the retry-after of a refusal: at least `time`, unless its caller would not wait that long.
     ///
--- a/engine/src/placement/dispatch/mod.rs
+++ b/engine/src/placement/dispatch/mod.rs
@@ -34,6 +34,7 @@
 use super::{
     budget::{Balance, RetryAllowance, RetryBudget},
     hold_offs::HoldOffs,
+    owner_gaps::OwnerGaps,
     rates::Rates,
     refused_keys::RefusedKeys,
     target_state::TargetState,
@@ -91,6 +92,8 @@
     medians_due: Duration,
     /// Keys that their owners have refused.
     refused_keys: RefusedKeys,
+    /// Keys that have no usable owner.
+    owner_gaps: OwnerGaps,
     /// The rate limits that targets ask for.
     rates: Rates,
     /// The targets that want no requests from this VM for a while.
@@ -135,6 +138,7 @@
             median_times: IndexMap::new(),
             medians_due: Duration::ZERO,
             refused_keys: RefusedKeys::default(),
+            owner_gaps: OwnerGaps::default(),
             rates: Rates::default(),
             hold_offs: HoldOffs::default(),
             log_lines: Vec::new(),
@@ -271,6 +275,7 @@
             }
             CompletionKind::Answered(_) | CompletionKind::Failed | CompletionKind::Refused => {
                 self.refused_keys.record_accepted(service, range, key);
+                self.owner_gaps.record_accepted(service, range);
             }
             // These say nothing about the key.
             CompletionKind::Lost
--- a/engine/src/placement/dispatch/view.rs
+++ b/engine/src/placement/dispatch/view.rs
@@ -40,7 +40,9 @@
             state.set_leaving(owner.until);
             target_states.insert(owner.target.id.clone(), state);
         }
-        self.target_states = target_states;
+        let gone = std::mem::replace(&mut self.target_states, target_states)
+            .into_keys()
+            .collect();
         if self.view.vms != view.vms {
             self.vm_count.record_listed(now, &view.vms);
         }
@@ -48,6 +50,8 @@
         let records = &self.view.records;
         let find = |service: &str, key| records.get(service)?.find(key);
         self.refused_keys.retain(find);
+        let announced = |id: &str| self.target_states.contains_key(id);
+        self.owner_gaps.apply_view(now, gone, announced, find);
     }
 
     /// Takes the known state of a target, or creates one for an incarnation that is new.
--- a/engine/tests/late_requests.rs
+++ b/engine/tests/late_requests.rs
@@ -11,7 +11,7 @@
 use crate::{
     dispatch_fixture::{
         ask, busy_quota, completed, dispatcher, in_flight_update, keyed, quota_update,
-        record_owned_by, refused, sent, target,
+        record_owned_by, refused, sent, target, view_event,
     },
     queue_simulation::{DEFAULTS, DURATION_MS, Outcome, Scenario, Timeouts, ms, simulate},
 };
@@ -169,3 +169,72 @@
     assert_eq!(sent(&effects)[0].0, 2, "the newer one is sent first");
     assert!(refused(&effects).is_empty());
 }
+
+/// Guards against callers that are refused again and again for seconds and give up while a lost owner is replaced.
+#[test]
+fn requests_for_the_keys_of_a_lost_owner_are_served_by_the_next_one() {
+    let (old, next) = (target(0, "d1"), target(1, "d1"));
+    let record = record_owned_by(&old);
+    let mut dispatcher = dispatcher(vec![old, next.clone()], Some(record.clone()));
+    let mut next_record = record_owned_by(&next);
+    next_record.ranges[0].fence = 7;
+    let lost_at = 100;
+    let replaced_at = lost_at + 3800;
+    // When each request is sent next, and its number and attempt.
+    let mut due: Vec<(u64, u64, u32)> = (0..76).map(|it| (lost_at + 1 + it * 50, it, 1)).collect();
+    let (mut served, mut without_owner) = (0, 0);
+    for now in lost_at..8000 {
+        let mut effects = Vec::new();
+        if now == lost_at {
+            effects = dispatcher.handle(
+                ms(now),
+                view_event(vec![next.clone()], Some(record.clone())),
+            );
+        } else if now == replaced_at {
+            let view = view_event(vec![next.clone()], Some(next_record.clone()));
+            effects = dispatcher.handle(ms(now), view);
+        } else if now % 10 == 0 {
+            effects = dispatcher.handle(ms(now), Event::Tick);
+        }
+        let first_at = |number: u64| lost_at + 1 + number * 50;
+        for (_, number, attempt) in due.extract_if(.., |it| it.0 == now) {
+            let mut request = keyed(number * 10 + u64::from(attempt), ms(now));
+            let until = first_at(number) + 6000;
+            request.goal = ms(first_at(number) + 800);
+            request.deadline = ms(until.min(now + 2800));
+            request.late_until = Some(ms(until));
+            effects.extend(dispatcher.handle(ms(now), Event::Request(request)));
+        }
+        while let Some(effect) = effects.pop() {
+            match effect {
+                Effect::Send { target, .. } => {
+                    served += 1;
+                    let answered = completed(&target.id, CompletionKind::Answered(ms(1)), ms(now));
+                    effects.extend(dispatcher.handle(ms(now), answered));
+                }
+                Effect::Refuse {
+                    ticket,
+                    retry_after,
+                    reason,
+                    ..
+                } => {
+                    without_owner += u32::from(reason == RefusalReason::NoOwner);
+                    let (number, attempt) = (ticket / 10, u32::try_from(ticket % 10).unwrap());
+                    let wait = u64::try_from(retry_after.as_millis()).unwrap();
+                    assert!(
+                        wait <= (first_at(number) + 6000 - now) / 3,
+                        "ignored: {wait} ms"
+                    );
+                    assert!(
+                        attempt < 3,
+                        "{now}: request {number} is refused for good: {reason:?}"
+                    );
+                    due.push((now + wait.max(1), number, attempt + 1));
+                }
+            }
+        }
+    }
+    assert_eq!(served, 76);
+    // The first 28 arrive too early to be held until the next owner is expected.
+    assert!(without_owner <= 30, "{without_owner}");
+}
