Large responses of any route prefer targets in the own failure domain

Only downloads preferred them, though bytes between failure domains are the largest price.

Tests run: all of bramleypier-engine, passed; engine/tests/dispatch.rs shows that requests leave the own domain before the goal is at risk. The price was not measured.

--- a/engine/src/caller/attempts.rs
+++ b/engine/src/caller/attempts.rs
@@ -4,7 +4,7 @@
 use std::{cell::Cell, rc::Rc, time::Duration};
 
 use bramleypier_util::body::Body;
-use hyper::Response;
+use hyper::{Response, body::Body as _};
 
 use super::{
     attempt::{Attempt, AttemptResult, MIN_ATTEMPT_TIME, OutgoingRequest},
@@ -27,6 +27,11 @@
 /// How many targets may respond that they don't own a request's key; after one more it is refused.
 const MAX_NOT_OWNER: u32 = 3;
 
+/// In which fraction of the goal a target in the own failure domain must be expected to respond to be preferred.
+///
+/// Work varies, so a response that is expected at the end of the goal misses it half of the time.
+const LOCAL_GOAL_FRACTION: f64 = 0.5;
+
 /// Whether a request's caller is still connected; clones share it.
 #[derive(Clone, Debug)]
 pub(super) struct CallerPresence(Rc<Cell<bool>>);
@@ -143,25 +148,7 @@
         return step;
     }
     let charge = history.charge();
-    let request = DispatchRequest {
-        ticket: 0,
-        service: routed.service.clone(),
-        key: routed.info.key.filter(|_| routed.keyed),
-        priority: routed.route.priority,
-        received_at: routed.received_at,
-        goal: routed.goal_deadline,
-        deadline: routed.deadline,
-        // Only the owner can serve a key, so a retry may go to the same target.
-        tried: if routed.keyed {
-            Vec::new()
-        } else {
-            history.reached.clone()
-        },
-        misdirected: history.misdirected.clone(),
-        large: routed.route.kind == Kind::Download,
-        late_until: late_until(routed),
-        charge,
-    };
+    let request = dispatch_request(context, routed, history, charge);
     let permit = match context.dispatcher.acquire(request).await {
         Ok(permit) => {
             time_idle_wait(context, routed, permit.basis.idle_wait);
@@ -235,9 +222,55 @@
         );
         history.misdirected.push((target.clone(), fence));
     }
+    if let AttemptResult::Answered(response) = &result
+        && response.status().is_success()
+        && let Some(bytes) = response.body().size_hint().exact()
+    {
+        context.response_sizes.record(&routed.route.name, bytes);
+    }
     evaluate(routed, payload, history, trace, target, result)
 }
 
+/// Returns the dispatcher's request for the next attempt.
+fn dispatch_request(
+    context: &Context,
+    routed: &RoutedRequest,
+    history: &History,
+    charge: Charge,
+) -> DispatchRequest {
+    DispatchRequest {
+        ticket: 0,
+        service: routed.service.clone(),
+        key: routed.info.key.filter(|_| routed.keyed),
+        priority: routed.route.priority,
+        received_at: routed.received_at,
+        goal: routed.goal_deadline,
+        deadline: routed.deadline,
+        // Only the owner can serve a key, so a retry may go to the same target.
+        tried: if routed.keyed {
+            Vec::new()
+        } else {
+            history.reached.clone()
+        },
+        misdirected: history.misdirected.clone(),
+        local_until: local_until(context, routed),
+        late_until: late_until(routed),
+        charge,
+    }
+}
+
+/// Returns when a target in the own failure domain must be expected to respond to be preferred; `None` for a response
+/// that isn't large.
+fn local_until(context: &Context, routed: &RoutedRequest) -> Option<Duration> {
+    if routed.route.kind == Kind::Download {
+        return Some(routed.goal_deadline);
+    }
+    let time = routed.goal_deadline.saturating_sub(routed.received_at);
+    let large = context.response_sizes.are_large(&routed.route.name);
+    (large && late_until(routed).is_some())
+        .then(|| routed.received_at + time.mul_f64(LOCAL_GOAL_FRACTION))
+}
+
 /// Returns until when the caller waits, if a late response of the route is worth a slot.
 fn late_until(routed: &RoutedRequest) -> Option<Duration> {
     let RoutedRequest {
--- a/engine/src/caller/context.rs
+++ b/engine/src/caller/context.rs
@@ -5,7 +5,8 @@
 use bramleypier_util::clock::Clock;
 
 use super::{
-    CallerProtocol, RequestInfo, attempt::Sender, startup::StartupWait, timeouts::RouteTimeouts,
+    CallerProtocol, RequestInfo, attempt::Sender, response_sizes::ResponseSizes,
+    startup::StartupWait, timeouts::RouteTimeouts,
 };
 use crate::{
     catalogue::Route, fleet::SharedFleet, owner::tally::Tally, placement::task, report::Report,
@@ -26,6 +27,8 @@
     pub startup: StartupWait,
     /// The longest remaining time that callers have stated, by route.
     pub timeouts: RouteTimeouts,
+    /// The mean sizes of responses, by route.
+    pub response_sizes: ResponseSizes,
     /// Counts requests by key.
     pub tally: Tally,
     /// The clock.
--- a/engine/src/caller/mod.rs
+++ b/engine/src/caller/mod.rs
@@ -12,6 +12,7 @@
 pub mod forward;
 mod local_response;
 mod payload;
+pub mod response_sizes;
 pub mod serve;
 pub mod startup;
 pub mod timeouts;
--- a/engine/src/placement/dispatch/choose.rs
+++ b/engine/src/placement/dispatch/choose.rs
@@ -231,7 +231,7 @@
     /// Cold targets to which this VM may send are always among them: at most two other VMs may send to such a target,
     /// so without this VM it would get few requests.
     fn sample<'a>(&mut self, request: &DispatchRequest, targets: &'a [Target]) -> Vec<&'a Target> {
-        if request.large {
+        if request.local_until.is_some() {
             return targets.iter().collect();
         }
         let count = SAMPLE_SIZE.min(targets.len());
@@ -338,7 +338,7 @@
 /// Targets of a later tier are only used when none of an earlier tier is available.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 enum Tier {
-    /// In this failure domain and able to respond within the goal; for large responses only.
+    /// In this failure domain and expected to respond in time; for large responses only.
     Local,
     /// Has free capacity.
     Available,
@@ -357,13 +357,17 @@
     local: bool,
 ) -> Rank {
     let expected = state.expected_time(now, typical_time);
-    let in_time = now + Duration::from_secs_f64(expected) <= request.goal;
+    let responds_at = now + Duration::from_secs_f64(expected);
+    let preferred = local
+        && request
+            .local_until
+            .is_some_and(|until| responds_at <= until);
     let saturated = |quota: &Quota| quota.busy && quota.within_goal == 0;
     let tier = if state.is_failing(now) {
         Tier::Failing
     } else if state.uses_quota(now, typical_time, false) && state.quota().is_some_and(saturated) {
         Tier::Saturated
-    } else if request.large && local && in_time {
+    } else if preferred {
         // Traffic between failure domains costs money, so a faster target elsewhere is no reason to leave this one.
         Tier::Local
     } else {
--- a/engine/src/placement/message.rs
+++ b/engine/src/placement/message.rs
@@ -45,8 +45,8 @@
     pub tried: Vec<TargetId>,
     /// Owners that refused the request because they don't hold the key, each with its fence when the request was sent.
     pub misdirected: Vec<(TargetId, Fence)>,
-    /// Whether a large response is expected.
-    pub large: bool,
+    /// When a target in the own failure domain must be expected to respond to be preferred, if the response is large.
+    pub local_until: Option<Duration>,
     /// When the caller stops waiting, if a late response is worth a slot; `None` if hardly.
     pub late_until: Option<Duration>,
     /// What it means for the retry budget.
--- a/engine/src/process/serving.rs
+++ b/engine/src/process/serving.rs
@@ -8,7 +8,10 @@
 
 use super::{Process, listeners::Listeners, spawn};
 use crate::{
-    caller::{attempt::Sender, context, serve, startup::StartupWait, timeouts::RouteTimeouts},
+    caller::{
+        attempt::Sender, context, response_sizes::ResponseSizes, serve, startup::StartupWait,
+        timeouts::RouteTimeouts,
+    },
     peer::sync,
     placement::task,
     reach::relay::Relay,
@@ -39,6 +42,7 @@
             },
             startup: StartupWait::new(&self.clock),
             timeouts: RouteTimeouts::default(),
+            response_sizes: ResponseSizes::default(),
             tally: self.tally.clone(),
             clock: self.clock.clone(),
             report: self.report.clone(),
--- a/engine/tests/dispatch.rs
+++ b/engine/tests/dispatch.rs
@@ -250,7 +250,7 @@
     let chosen: Vec<String> = (0..5)
         .map(|ticket| {
             let mut request = ask(ticket, ms(1));
-            request.large = true;
+            request.local_until = Some(request.goal);
             sent(&dispatcher.handle(ms(1), Event::Request(request)))[0]
                 .1
                 .clone()
@@ -260,6 +260,26 @@
     assert_eq!(chosen, ["t1", "t1", "t1", "t1", "t0"]);
 }
 
+/// Guards against a failure domain whose targets fill up with all large responses of its callers while others idle.
+#[test]
+fn large_responses_come_from_other_domains_before_the_goal_is_at_risk() {
+    let mut dispatcher = dispatcher(vec![target(0, "d2"), target(1, "d1")], None);
+    for _ in 0..20 {
+        for id in ["t0", "t1"] {
+            let answered = CompletionKind::Answered(ms(40));
+            dispatcher.handle(ms(1), completed(id, answered, ms(0)));
+        }
+    }
+    let chosen = (0..5).map(|ticket| {
+        let mut request = ask(ticket, ms(1));
+        request.local_until = Some(ms(101));
+        let effects = dispatcher.handle(ms(1), Event::Request(request));
+        sent(&effects)[0].1.clone()
+    });
+    // At 40 ms a request and two slots, a fourth one is expected to take 90 ms and a fifth 110 ms.
+    assert_eq!(chosen.collect::<Vec<_>>(), ["t1", "t1", "t1", "t1", "t0"]);
+}
+
 #[test]
 fn retries_spend_the_budget() {
     let targets = (0..3).map(|it| target(it, "d1")).collect();
--- a/engine/tests/dispatch_fixture/mod.rs
+++ b/engine/tests/dispatch_fixture/mod.rs
@@ -118,7 +118,7 @@
         deadline: now + ms(500),
         tried: Vec::new(),
         misdirected: Vec::new(),
-        large: false,
+        local_until: None,
         late_until: None,
         charge: Charge::Request,
     }
--- a/engine/tests/hot_key.rs
+++ b/engine/tests/hot_key.rs
@@ -244,7 +244,7 @@
             deadline: ms(now + self.scenario.deadline),
             tried: Vec::new(),
             misdirected: Vec::new(),
-            large: false,
+            local_until: None,
             late_until: None,
             charge: Charge::Request,
         };
--- a/engine/tests/misdirected.rs
+++ b/engine/tests/misdirected.rs
@@ -140,7 +140,7 @@
             deadline: ms(now + 2500),
             tried: Vec::new(),
             misdirected: Vec::new(),
-            large: false,
+            local_until: None,
             late_until: None,
             charge: Charge::Request,
         };
--- a/engine/tests/queue_simulation/mod.rs
+++ b/engine/tests/queue_simulation/mod.rs
@@ -449,7 +449,7 @@
             deadline: ms(deadline),
             tried: Vec::new(),
             misdirected: Vec::new(),
-            large: false,
+            local_until: None,
             late_until: late_until.map(ms),
             charge: Charge::Request,
         };
--- a/engine/tests/rate_simulation/mod.rs
+++ b/engine/tests/rate_simulation/mod.rs
@@ -113,7 +113,7 @@
         deadline: now + ms(DEADLINE_MS),
         tried: Vec::new(),
         misdirected: Vec::new(),
-        large: false,
+        local_until: None,
         late_until: None,
         charge: Charge::Request,
     }
--- a/engine/tests/retry_budget.rs
+++ b/engine/tests/retry_budget.rs
@@ -128,7 +128,7 @@
         deadline: now + ms(1500),
         tried: Vec::new(),
         misdirected: Vec::new(),
-        large: false,
+        local_until: None,
         late_until: None,
         charge: Charge::Retry,
     };
--- a/engine/tests/retry_simulation/mod.rs
+++ b/engine/tests/retry_simulation/mod.rs
@@ -145,7 +145,7 @@
             deadline: ms(now + 1500),
             tried: Vec::new(),
             misdirected: Vec::new(),
-            large: false,
+            local_until: None,
             late_until: None,
             charge: Charge::Request,
         };
