Targets count while the configuration has their service, and by their latest life

Change: fleet::announcements. A target whose service isn't in the configuration is kept aside until a configuration adds it, and put aside when one drops it; before the first configuration any service may be in it. An entry with an earlier `born` than the known one is ignored (target-older); without `born` entries count as before. The word that a target leaves carries the start time of its life, also in News (a field that older builds skip), and ends with that life.

--- a/engine/src/fleet/cold.rs
+++ b/engine/src/fleet/cold.rs
@@ -55,8 +55,9 @@
     /// Removes a target; returns whether it was known.
     pub(super) fn remove_target(&mut self, now: Duration, id: &str) -> bool {
         self.cold.swap_remove(id);
+        let unlisted = self.unlisted.swap_remove(id);
         let target = self.targets.swap_remove(id);
-        let known = target.is_some();
+        let known = target.is_some() || unlisted.is_some();
         if let Some(target) = target {
             self.set_departed(now, target);
         }
--- a/engine/src/fleet/entries.rs
+++ b/engine/src/fleet/entries.rs
@@ -34,7 +34,7 @@
             revision,
         } = item;
         if key == catalogue.config_key() {
-            return self.apply_config(key, value, *revision, catalogue);
+            return self.apply_config(now, item, catalogue);
         }
         if key.starts_with(catalogue.targets_prefix()) {
             self.pending_removals.swap_remove(key);
@@ -66,16 +66,15 @@
         Vec::new()
     }
 
-    fn apply_config<C>(
-        &mut self,
-        key: &str,
-        value: &[u8],
-        revision: Revision,
-        catalogue: &C,
-    ) -> Vec<String>
+    fn apply_config<C>(&mut self, now: Duration, item: &Item, catalogue: &C) -> Vec<String>
     where
         C: Catalogue + ?Sized,
     {
+        let Item {
+            key,
+            value,
+            revision,
+        } = item;
         let config = match catalogue.config(value) {
             Ok(config) => config,
             Err(error) => {
@@ -94,42 +93,9 @@
             config.routes.len()
         );
         self.config = Some(Rc::new(config));
-        vec![log_line]
-    }
-
-    fn apply_target<C>(&mut self, now: Duration, item: &Item, catalogue: &C) -> Vec<String>
-    where
-        C: Catalogue + ?Sized,
-    {
-        let Item {
-            key,
-            value,
-            revision,
-        } = item;
-        match catalogue.target(key, value) {
-            Ok(target) => {
-                let log_line = format!(
-                    "event=target-announced target={} born={} service={} address={} leaving={} \
-                     cold_ms={} revision={revision}",
-                    target.id,
-                    target.start_time,
-                    target.service,
-                    target.address,
-                    target.leaving,
-                    target.cold.as_millis()
-                );
-                self.set_cold(now, &target);
-                self.targets.insert(target.id.clone(), target);
-                vec![log_line]
-            }
-            Err(error) => {
-                let id = key.rsplit('/').next().unwrap_or_default();
-                self.remove_target(now, id);
-                vec![format!(
-                    "event=target-unreadable revision={revision} {error}"
-                )]
-            }
-        }
+        let mut log_lines = vec![log_line];
+        log_lines.extend(self.sort_targets(now));
+        log_lines
     }
 
     fn apply_record(&mut self, service: &str, value: &[u8], revision: Revision) -> Vec<String> {
--- a/engine/src/fleet/mod.rs
+++ b/engine/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 //! [`Fleet`] applies changes of the store, read by this VM or relayed by another one, and never goes back to an
 //! older state. [`SharedFleet`] gives the tasks of the process its newest state and notifies them of changes.
 
+mod announcements;
 mod change_log;
 mod cold;
 mod confirmations;
@@ -19,7 +20,7 @@
 
 use indexmap::IndexMap;
 
-use self::removals::PendingRemoval;
+use self::{announcements::UnlistedTarget, leaving::LeavingWord, removals::PendingRemoval};
 pub use self::{
     change_log::{ChangeLog, LogPosition, Relay},
     confirmations::{CONFIRMATION_TIME, Confirmation, Confirmations, Source},
@@ -62,14 +63,16 @@
 pub struct Fleet {
     /// The configuration in force; `None` until the first is known.
     pub config: Option<Rc<Config>>,
-    /// The announced targets.
+    /// The announced targets of the configuration's services.
     pub targets: IndexMap<TargetId, Target>,
+    /// The announced targets whose services aren't in the configuration.
+    unlisted: IndexMap<TargetId, UnlistedTarget>,
     /// The evacuated failure domains, whose targets get no requests, and when this VM learned of the evacuation.
     pub evacuated: IndexMap<DomainId, Duration>,
     /// The targets that are or may be cold, and until when.
     pub cold: IndexMap<TargetId, Duration>,
-    /// The targets that say that they leave, and when this VM learned of it, oldest first.
-    leaving: IndexMap<TargetId, Duration>,
+    /// The targets that say that they leave, oldest first.
+    leaving: IndexMap<TargetId, LeavingWord>,
     /// The requests that are quarantined by the store's word, and when this VM learned of it.
     quarantined: IndexMap<Fingerprint, Duration>,
     /// The owners records by service.
@@ -243,10 +246,10 @@
                 evacuated.insert(target.service.clone());
                 continue;
             }
-            if let Some(since) = self.leaving.get(&target.id) {
+            if let Some(word) = self.leaving.get(&target.id) {
                 leaving_owners.push(dispatch::LeavingOwner {
                     target: target.clone(),
-                    until: *since + leaving::OWNER_GRACE,
+                    until: word.since + leaving::OWNER_GRACE,
                 });
                 continue;
             }
--- a/engine/src/peer/mod.rs
+++ b/engine/src/peer/mod.rs
@@ -25,7 +25,7 @@
 
 pub use self::fleet_load::FleetLoad;
 use crate::{
-    catalogue::{ServiceId, TargetHash, TargetId},
+    catalogue::{ServiceId, StartTime, TargetHash, TargetId},
     fleet::{LogPosition, Relay},
     owner::record::RequestKey,
     placement::{
@@ -134,6 +134,9 @@
 pub struct News {
     /// The targets of which the sender has recently learned that they leave.
     pub leaving: Vec<TargetId>,
+    /// The start time of each of them, 0 where it isn't known; builds that don't tell it send none.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub leaving_starts: Vec<StartTime>,
     /// The targets that want no requests from the sender, for the manager.
     pub hold_offs: Vec<HoldOffReport>,
     /// The targets that have ended under requests.
--- a/engine/src/peer/sync.rs
+++ b/engine/src/peer/sync.rs
@@ -174,6 +174,7 @@
             fleet.leaving_news(self.clock.now())
         };
         News {
+            leaving_starts: fleet.leaving_starts(&leaving),
             leaving,
             hold_offs,
             crashes: self.quarantine.reports(is_first),
@@ -203,7 +204,8 @@
     /// Applies what another VM knows, and logs what is new.
     pub(super) fn apply_news(&self, news: &News) {
         let now = self.clock.now();
-        let lines = self.shared_fleet.record_leaving(now, &news.leaving, "vm");
+        let (leaving, starts) = (&news.leaving, &news.leaving_starts);
+        let lines = self.shared_fleet.merge_leaving(now, leaving, starts);
         self.report.lines(&lines);
         self.quarantine.merge(&news.crashes);
     }
--- a/engine/tests/fleet_fixture/mod.rs
+++ b/engine/tests/fleet_fixture/mod.rs
@@ -13,8 +13,9 @@
 /// How long targets stay cold.
 pub const WARMUP_DURATION: Duration = Duration::from_secs(3);
 
-/// Reads values that are plain text. The value of a configuration is its version; that of a target is `ready`,
-/// `leaving`, or its failure domain and the milliseconds for which it stays cold.
+/// Reads values that are plain text. The value of a configuration is its version, followed by the services that it has
+/// besides `s`; that of a target is `ready`, `leaving`, or its failure domain and the milliseconds for which it stays
+/// cold. Before it may stand the service and the start time of the target, as in `s2@7:ready`; these are else `s` and 1.
 pub struct TextCatalogue;
 
 impl Catalogue for TextCatalogue {
@@ -32,10 +33,11 @@
 
     fn config(&self, value: &[u8]) -> Result<Config, Error> {
         let text = String::from_utf8_lossy(value);
-        let version = text.parse();
-        let version = version.map_err(|_| Error::Unreadable("config".into(), text.into_owned()))?;
-        let service = Service {
-            name: "s".into(),
+        let mut words = text.split(' ').map(str::to_owned);
+        let version = words.next().unwrap_or_default().parse();
+        let version = version.map_err(|_| Error::Unreadable("config".into(), text.to_string()))?;
+        let service = |name: String| Service {
+            name,
             max_connections: 100,
             keyed: true,
             key_warmup: Duration::ZERO,
@@ -46,22 +48,28 @@
         };
         Ok(Config {
             version,
-            services: [("s".to_owned(), service)].into(),
+            services: ["s".to_owned()]
+                .into_iter()
+                .chain(words)
+                .map(|name| (name.clone(), service(name)))
+                .collect(),
             ..Config::default()
         })
     }
 
     fn target(&self, key: &str, value: &[u8]) -> Result<Target, Error> {
         let text = String::from_utf8_lossy(value).into_owned();
+        let (incarnation, text) = text.split_once(':').unwrap_or(("s@1", &text));
+        let (service, start) = incarnation.split_once('@').unwrap();
         let (domain, cold) = match text.split_once(' ') {
             Some((domain, cold)) => (domain, cold.parse().unwrap()),
-            None if matches!(text.as_str(), "ready" | "leaving") => ("d", 0),
+            None if matches!(text, "ready" | "leaving") => ("d", 0),
             None => return Err(Error::Unreadable(key.into(), "not a target".into())),
         };
         Ok(Target {
             id: key.trim_start_matches("targets/").into(),
-            start_time: 1,
-            service: "s".into(),
+            start_time: start.parse().unwrap(),
+            service: service.into(),
             address: "127.0.0.1:9".parse().unwrap(),
             domain: domain.into(),
             slots: 2,
