Stand-ins: block_and_delay identifies its requests and waits until the third one is started

Cause: the test counted all runs. A trace with an id for each round (48 runs at load 27) showed two races of the test's own: once runs=["r2", "r3"] in the third round, since the forwarder delivers held bytes once the block ends, as its documentation says, and the target may start such a request before it sees that its caller has gone; twice runs=[], since 150 ms didn't suffice for the target to start the third. Change: while requests are blocked no run of any id may occur, as before; afterwards exactly one run of the round's own request, whose caller stays until it is started (10 s at most) and gets no response for 150 ms from then on.

--- a/standins/tests/process.rs
+++ b/standins/tests/process.rs
@@ -1,6 +1,6 @@
 //! The stand-ins as processes: faults over HTTP, freezes, kills and blocked connections.
 
-use std::time::Duration;
+use std::{pin::pin, time::Duration};
 
 use bramleypier_standins::{
     child,
@@ -8,9 +8,10 @@
     clock, fault,
     fleet::Fleet,
     holder::EpochRange,
-    journal::End,
+    journal::{End, Run},
     platform::Faults,
 };
+use futures_util::future::{self, Either};
 use http::Method;
 use serde_json::json;
 
@@ -311,6 +312,20 @@
     assert!(status.held.is_empty(), "a new incarnation holds no grants");
 }
 
+/// Waits until a target has started a request.
+async fn until_run(fleet: &Fleet, id: &str) {
+    let end = clock::now() + Duration::from_secs(10);
+    let is_run = |run: &Run| run.request == id;
+    // The last line of a log may be incomplete.
+    while !fleet
+        .runs_of_targets()
+        .is_ok_and(|it| it.iter().any(is_run))
+    {
+        assert!(clock::now() < end, "{id} is not started");
+        compio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 #[compio::test]
 async fn block_and_delay() {
     let mut fleet = fleet().await;
@@ -319,21 +334,30 @@
         .await
         .unwrap();
     grant(&fleet, "t", 60_000).await;
-    let started = |fleet: &Fleet| fleet.runs_of_targets().unwrap().len();
-    // Whether requests are blocked, whether responses are blocked, and how many requests start.
-    for (block_in, block_out, starts) in [(true, true, 0), (true, false, 0), (false, true, 1)] {
+    // Whether requests are blocked, whether responses are blocked, and the request.
+    for (block_in, block_out, id) in [(true, true, "a"), (true, false, "b"), (false, true, "c")] {
         fleet.forwarder("t").unwrap().update_rules(|rules| {
             rules.block_in = block_in;
             rules.block_out = block_out;
         });
-        let before = started(&fleet);
-        let reply = compio::time::timeout(Duration::from_millis(150), work(&fleet, "t", &[])).await;
+        let headers = [("Bramleypier-Request", id)];
+        let mut reply = pin!(work(&fleet, "t", &headers));
+        if !block_in {
+            // The target may be slow to start it; its caller stays until then.
+            let started = pin!(until_run(&fleet, id));
+            let first = future::select(reply.as_mut(), started).await;
+            assert!(matches!(first, Either::Right(_)), "{id} was answered");
+        }
+        let reply = compio::time::timeout(Duration::from_millis(150), reply).await;
         assert!(reply.is_err(), "in={block_in} out={block_out}");
-        assert_eq!(
-            started(&fleet) - before,
-            starts,
-            "in={block_in} out={block_out}"
-        );
+        let runs = fleet.runs_of_targets().unwrap();
+        if block_in {
+            assert!(runs.is_empty(), "in={block_in} out={block_out}: {runs:?}");
+        } else {
+            // Requests that were held may run too once they aren't blocked any more.
+            let own = runs.iter().filter(|run| run.request == id);
+            assert_eq!(own.count(), 1, "in={block_in} out={block_out}: {runs:?}");
+        }
     }
     fleet.forwarder("t").unwrap().update_rules(|rules| {
         rules.block_out = false;
