--- a/engine/src/fleet/mod.rs
+++ b/engine/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 //! [`Fleet`] applies changes of the store, read by this VM or relayed by another one, and never goes back to an
 //! older state. [`SharedFleet`] gives the tasks of the process its newest state and notifies them of changes.
 
+mod announcements;
 mod change_log;
 mod cold;
 mod confirmations;
@@ -11,6 +12,7 @@
 mod eras;
 mod evacuation;
 mod leaving;
+mod record_log;
 mod relaying;
 mod removals;
 mod shared;
@@ -19,11 +21,15 @@
 
 use indexmap::IndexMap;
 
-use self::removals::PendingRemoval;
+use self::{
+    announcements::UnlistedTarget, leaving::LeavingWord, record_log::RecordLog,
+    removals::PendingRemoval,
+};
 pub use self::{
     change_log::{ChangeLog, LogPosition, Relay},
     confirmations::{CONFIRMATION_TIME, Confirmation, Confirmations, Source},
     entry::{StoreKeys, Vm},
+    record_log::RecordUpdate,
     removals::REMOVAL_GRACE,
     shared::SharedFleet,
 };
@@ -62,14 +68,16 @@
 pub struct Fleet {
     /// The configuration in force; `None` until the first is known.
     pub config: Option<Rc<Config>>,
-    /// The announced targets.
+    /// The announced targets of the configuration's services.
     pub targets: IndexMap<TargetId, Target>,
+    /// The announced targets whose services aren't in the configuration.
+    unlisted: IndexMap<TargetId, UnlistedTarget>,
     /// The evacuated failure domains, whose targets get no requests, and when this VM learned of the evacuation.
     pub evacuated: IndexMap<DomainId, Duration>,
     /// The targets that are or may be cold, and until when.
     pub cold: IndexMap<TargetId, Duration>,
-    /// The targets that say that they leave, and when this VM learned of it, oldest first.
-    leaving: IndexMap<TargetId, Duration>,
+    /// The targets that say that they leave, oldest first.
+    leaving: IndexMap<TargetId, LeavingWord>,
     /// The requests that are quarantined by the store's word, and when this VM learned of it.
     quarantined: IndexMap<Fingerprint, Duration>,
     /// The owners records by service.
@@ -97,6 +105,8 @@
     followed: IndexMap<String, Revision>,
     /// The changes that were applied here, kept for other VMs.
     change_log: ChangeLog,
+    /// How the records have changed lately, kept for other VMs.
+    record_log: RecordLog,
     /// Keys removed from the store shortly after a failed call, or in a new era, which may be written again.
     pending_removals: IndexMap<String, PendingRemoval>,
     /// When a call to the store last failed.
@@ -243,10 +253,10 @@
                 evacuated.insert(target.service.clone());
                 continue;
             }
-            if let Some(since) = self.leaving.get(&target.id) {
+            if let Some(word) = self.leaving.get(&target.id) {
                 leaving_owners.push(dispatch::LeavingOwner {
                     target: target.clone(),
-                    until: *since + leaving::OWNER_GRACE,
+                    until: word.since + leaving::OWNER_GRACE,
                 });
                 continue;
             }
