Keys move for few imbalances only above three ranges per target

Cause: with twelve ranges allowed per target, hot keys split the record of 181 targets into 1,500 ranges. The manager renews the grant of each range with a call of its own, and its process woke up 80 to 100 ms late on half a core.

--- a/engine/src/owner/ownership/moves.rs
+++ b/engine/src/owner/ownership/moves.rs
@@ -60,8 +60,9 @@
 const MAX_TRANSITION_RATIO: f64 = 0.25;
 const MIN_TRANSITIONS: usize = 10;
 
-/// The number of ranges for each target above which keys move for few imbalances only: every VM gets the whole record.
-const MAX_RANGES_PER_TARGET: usize = 12;
+/// The number of ranges for each target above which keys move for few imbalances only: the manager renews the grant of each
+/// range with a call of its own.
+const MAX_RANGES_PER_TARGET: usize = 3;
 
 /// The fraction of its capacity with which a cold target is counted.
 const COLD_CAPACITY_RATIO: f64 = 0.5;
