Ownership: answers of another target at an owner's address free its keys while earlier managers may send

Cause: after the loss of a third of the targets together with the manager, the next manager kept each range of a dead owner until the latest expiry of its predecessor (12 s), though another target answered 421 at the owner's address. A grant names its target by id, so that target refuses an earlier manager's grant; only the id's return at the address would let one be accepted.

Change: 421 is an outcome of its own (CallOutcome::Replaced). The ranges of the owner are free once such answers span 0.7 s (the renewal interval less 0.2 s if it is above 0.9 s), with less than 1.6 s between any two, and no later incarnation of the id is announced. Two bounds prove that no earlier grant can be accepted then. A manager without a fresh lease sends nothing to an owner that has answered no call of the last 1.5 s (new rule). No process serves at an address within 0.8 s of the end of the one before (the bound that MAX_EVENT_GAP rests on already). Calls to such an address end when the ranges are free, and pause for the 0.7 s.

--- a/engine/src/owner/ownership/fencing.rs
+++ b/engine/src/owner/ownership/fencing.rs
@@ -48,7 +48,7 @@
         self.in_flight = false;
         self.next_call = now + RETRY_DELAY;
         self.done |= matches!(outcome, CallOutcome::Done(_));
-        if *outcome != CallOutcome::Gone {
+        if !matches!(outcome, CallOutcome::Gone | CallOutcome::Replaced) {
             self.ended_since = None;
             return;
         }
--- a/engine/src/owner/ownership/mod.rs
+++ b/engine/src/owner/ownership/mod.rs
@@ -20,16 +20,19 @@
 //! - A record of an earlier era of the store may have lost the last moves, and managers of terms that are gone may have
 //!   granted any key to any target. So a takeover in a new era grants nothing before each target has released what the
 //!   record doesn't give it, or every earlier grant has expired.
+//! - Once another target has used the owner's address for long enough, no earlier manager's grant can be accepted there any
+//!   more, so the ranges are free also while earlier managers may still send (see `reused`).
 //! - A grant without a response may have arrived until the moment at which its connection was reset.
 //! - While its lease isn't renewed in time a manager may have a successor, which may have had an owner release its keys, and
 //!   the next incarnation of that owner has forgotten the fence. So it grants only what its own view of the targets still
-//!   shows, and once it was suspended it sends nothing before the store has confirmed its lease.
+//!   shows, to owners that have answered lately, and once it was suspended it sends nothing before the store has confirmed its lease.
 
 mod call_outcomes;
 mod commit;
 mod fencing;
 mod moves;
 mod predecessors;
+mod reused;
 mod suitability;
 mod takeover;
 
@@ -38,7 +41,10 @@
 use indexmap::IndexMap;
 
 pub use self::fencing::Memory;
-use self::{commit::PendingCommit, fencing::Fencing, moves::Cooldown, predecessors::Predecessors};
+use self::{
+    commit::PendingCommit, fencing::Fencing, moves::Cooldown, predecessors::Predecessors,
+    reused::Reuse,
+};
 pub use super::events::{CallOutcome, Effect, Event, OwnershipCommand, Timing};
 use super::{
     load::Load,
@@ -130,6 +136,8 @@
     full_round_at: Duration,
     /// When all keys were last redistributed.
     redistributed_at: Duration,
+    /// The owners whose addresses other targets use, and what those answered.
+    reused: IndexMap<Incarnation, Reuse>,
     /// Keys that moved recently.
     cooldowns: Vec<Cooldown>,
     /// When the last event was handled.
@@ -339,12 +347,15 @@
         }
         let grant_duration = self.next_grant_duration(now);
         let withheld = self.withheld_owners(now);
+        let is_lease_fresh = self.is_lease_fresh(now);
+        let max_silence = self.timing.max_silence();
         for range in &self.record.ranges {
             let (Some(state), Some(owner)) = (self.states.get_mut(&range.from), &range.owner)
             else {
                 continue;
             };
-            let withheld = state.phase == Phase::Owned && withheld.contains(owner);
+            let is_silent = !is_lease_fresh && !state.has_answered_since(now, max_silence);
+            let withheld = state.phase == Phase::Owned && (is_silent || withheld.contains(owner));
             if state.in_flight || now < state.next_call || withheld {
                 continue;
             }
@@ -368,13 +379,13 @@
             }
             match (&state.phase, grant_duration) {
                 (Phase::Owned, Some(grant_duration)) => {
-                    state.in_flight = true;
+                    state.begin_call(now);
                     state.grant_duration = grant_duration;
                     let command = command(range.fence, grant_duration, state.handover.clone());
                     effects.push(Effect::Grant(command));
                 }
                 (Phase::Releasing(_), _) => {
-                    state.in_flight = true;
+                    state.begin_call(now);
                     effects.push(Effect::Release(command(
                         range.fence + 1,
                         Duration::ZERO,
--- a/engine/src/owner/ownership/takeover.rs
+++ b/engine/src/owner/ownership/takeover.rs
@@ -107,6 +107,7 @@
             balanced_at: now,
             full_round_at: Duration::ZERO,
             redistributed_at: Duration::ZERO,
+            reused: IndexMap::new(),
             cooldowns: Vec::new(),
             handled_at: now,
             suspended: false,
