--- a/engine/src/owner/ownership/takeover.rs
+++ b/engine/src/owner/ownership/takeover.rs
@@ -105,6 +105,7 @@
             refusing: IndexMap::new(),
             started_at: now,
             schedule: Schedule::new(now),
+            reused: IndexMap::new(),
             handled_at: now,
             suspended: false,
             stopped: false,
