Ownership: a manager that resigns records how long its grants may still last

Cause: after an orderly change of the manager, the next one waited for grants of the outage duration (10 s) of every owner that doesn't respond, though the manager before it had sent none.

Change: resign writes the time until the latest expiry of its grants (Record::grants_left), and the successor waits for it with the clock factor and MAX_GRANT_DELAY, and never longer than before. rmp-serde refuses an array with one more element, so the duration follows the record as a named map: older builds ignore it, and its absence means what it meant.

--- a/engine/src/owner/ownership/commit.rs
+++ b/engine/src/owner/ownership/commit.rs
@@ -197,6 +197,7 @@
         counter: 0,
         ranges: earlier.ranges,
         settled: false,
+        grants_left: None,
     };
     let fence = record.next_fence();
     let mut ranges: Vec<KeyRange> = Vec::new();
--- a/engine/src/owner/ownership/predecessors.rs
+++ b/engine/src/owner/ownership/predecessors.rs
@@ -27,7 +27,9 @@
         let grants_until = if first {
             now
         } else if stopped {
-            now + worst_case_duration(timing.outage_duration)
+            let longest = record.grants_left.unwrap_or(timing.outage_duration);
+            let longest = worst_case_duration(longest) + MAX_GRANT_DELAY;
+            now + longest.min(worst_case_duration(timing.outage_duration))
         } else {
             latest
         };
--- a/engine/src/owner/ownership/takeover.rs
+++ b/engine/src/owner/ownership/takeover.rs
@@ -123,7 +123,7 @@
 
     /// Stops for good, and returns the record that states this if it can be written now.
     ///
-    /// After this no grant is sent, and the next manager need not wait for this one.
+    /// After this no grant is sent, and the next manager waits for this one no longer than its last grants may last.
     ///
     /// # Example
     ///
@@ -136,6 +136,9 @@
         let mut record = self.record.clone();
         record.resigned = true;
         record.settled = self.predecessors.have_stopped(now);
+        let expiries = self.states.values().filter_map(|state| self.expiry(state));
+        let latest = expiries.max().unwrap_or(now);
+        record.grants_left = Some(latest.saturating_sub(now));
         Some(record)
     }
 }
--- a/engine/src/owner/packed.rs
+++ b/engine/src/owner/packed.rs
@@ -3,6 +3,8 @@
 //! A record is sent to each VM at each change, so its size matters: an owner has many ranges, and its id and
 //! address would be most of the bytes.
 
+use std::time::Duration;
+
 use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
 
@@ -30,6 +32,22 @@
     ranges: Vec<PackedRange>,
 }
 
+/// What follows the stored form as a value of its own, with named fields: builds that don't know it ignore it, and builds
+/// that know more fields treat missing ones as empty.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", default)]
+pub(super) struct Details {
+    grants_left: Option<Duration>,
+}
+
+impl From<&Record> for Details {
+    fn from(record: &Record) -> Self {
+        Self {
+            grants_left: record.grants_left,
+        }
+    }
+}
+
 impl From<&Record> for Packed {
     fn from(record: &Record) -> Self {
         let mut owners: IndexSet<&Incarnation> = IndexSet::new();
@@ -61,7 +79,7 @@
     ///
     /// [`Error::InvalidRange`] when a range has no width, exceeds the largest key, or names an owner that isn't in
     /// the table.
-    pub(super) fn unpack(self) -> Result<Record, Error> {
+    pub(super) fn unpack(self, details: &Details) -> Result<Record, Error> {
         let mut from: RequestKey = 0;
         let mut ranges = Vec::with_capacity(self.ranges.len());
         for (position, range) in self.ranges.iter().enumerate() {
@@ -91,6 +109,7 @@
             counter: self.counter,
             ranges,
             settled: self.settled,
+            grants_left: details.grants_left,
         })
     }
 }
--- a/engine/src/owner/record.rs
+++ b/engine/src/owner/record.rs
@@ -2,12 +2,12 @@
 //!
 //! It is written by the manager only, by compare-and-swap, and sent to every VM.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 
-use super::packed::Packed;
+use super::packed::{Details, Packed};
 use crate::{
     catalogue::{StartTime, Target, TargetId},
     store::Era,
@@ -149,6 +149,8 @@
     pub ranges: Vec<KeyRange>,
     /// Whether all managers of earlier terms are known to have stopped for good.
     pub settled: bool,
+    /// How long the grants of the manager that wrote it may still last, if it has resigned; `None` if it didn't say.
+    pub grants_left: Option<Duration>,
 }
 
 impl Record {
@@ -282,7 +284,12 @@
     /// ```
     pub fn encode(&self) -> Vec<u8> {
         // Encoding can't fail: a record holds numbers and text only.
-        rmp_serde::to_vec(&Packed::from(self)).unwrap_or_default()
+        let mut bytes = rmp_serde::to_vec(&Packed::from(self)).unwrap_or_default();
+        let details = Details::from(self);
+        if details != Details::default() {
+            bytes.extend(rmp_serde::to_vec_named(&details).unwrap_or_default());
+        }
+        bytes
     }
 
     /// Decodes a stored record.
@@ -295,7 +302,11 @@
     ///
     /// See [`Record::encode`].
     pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
-        let packed: Packed = rmp_serde::from_slice(bytes).map_err(Error::Unreadable)?;
-        packed.unpack()
+        let mut reader = bytes;
+        let mut decoder = rmp_serde::Deserializer::new(&mut reader);
+        let packed = Packed::deserialize(&mut decoder).map_err(Error::Unreadable)?;
+        // Without readable details the successor waits for the longest grants.
+        let details: Details = rmp_serde::from_slice(reader).unwrap_or_default();
+        packed.unpack(&details)
     }
 }
--- a/engine/tests/record.rs
+++ b/engine/tests/record.rs
@@ -1,7 +1,10 @@
 //! Tests that stored records decode to what was encoded, and that invalid bytes are refused.
 
+use std::time::Duration;
+
 use bramleypier_engine::owner::record::{Incarnation, KeyRange, Record};
 use proptest::prelude::*;
+use serde::de::IgnoredAny;
 
 fn incarnation(number: u16) -> Incarnation {
     Incarnation {
@@ -30,6 +33,7 @@
         counter: 40,
         ranges: ranges.collect(),
         settled: true,
+        grants_left: Some(Duration::from_millis(2300)),
     }
 }
 
@@ -61,3 +65,30 @@
     let size = record(&widths).encode().len();
     assert!(size < 2000, "{size} bytes");
 }
+
+/// Guards against a record that builds refuse which don't know the duration of the last grants, and the reverse.
+#[test]
+fn builds_without_the_duration_of_the_last_grants_read_records_and_write_them() {
+    type Earlier = (
+        u64,
+        String,
+        bool,
+        bool,
+        u64,
+        Vec<IgnoredAny>,
+        Vec<IgnoredAny>,
+    );
+    let record = record(&[(10, 1, Some(1)), (10, 3, None)]);
+    let bytes = record.encode();
+    let read: Earlier = rmp_serde::from_slice(&bytes).unwrap();
+    assert_eq!(
+        (read.0, read.1, read.6.len()),
+        (3, record.manager.clone(), 2)
+    );
+    let earlier = Record {
+        grants_left: None,
+        ..record
+    };
+    assert!(bytes.starts_with(&earlier.encode()));
+    assert_eq!(Record::decode(&earlier.encode()).unwrap(), earlier);
+}
--- a/engine/tests/service_ownership.rs
+++ b/engine/tests/service_ownership.rs
@@ -409,3 +409,30 @@
     let waited = at.saturating_sub(first.unwrap());
     assert!(waited < Duration::from_secs(1), "{waited:?}");
 }
+
+/// Guards against a successor that waits for grants of the outage duration, though its predecessor has sent none.
+#[test]
+fn a_successor_waits_only_for_the_last_grants_of_a_manager_that_resigned() {
+    let (mut earlier, at) = renewed_ownership();
+    let record = earlier.resign(at).unwrap();
+    assert_eq!(
+        record.grants_left,
+        Some(TIMING.grant_duration.mul_f64(1.03) + Duration::from_millis(100))
+    );
+    let (mut ownership, _) = ServiceOwnership::take_over("vm-2", record, TIMING, at);
+    ownership.handle(at, Event::Targets((1..=3).map(target).collect()));
+    ownership.handle(at, Event::LeaseExtended(at + TIMING.lease));
+    let effects = ownership.handle(at, Event::Committed);
+    for command in grant_commands(&effects) {
+        let outcome = if command.owner.id == "t1" {
+            CallOutcome::Unsent
+        } else {
+            CallOutcome::Done(None)
+        };
+        ownership.handle(at, Event::GrantEnded(command.from, outcome));
+    }
+    let waited = run_until_freed(&mut ownership, at, &CallOutcome::Unsent).saturating_sub(at);
+    let least = TIMING.grant_duration.mul_f64(1.03);
+    assert!(waited >= least, "{waited:?}");
+    assert!(waited <= least + Duration::from_millis(1300), "{waited:?}");
+}
