--- a/engine/src/owner/events.rs
+++ b/engine/src/owner/events.rs
@@ -48,8 +48,6 @@
     Fenced,
     /// That incarnation of the target has ended.
     Gone,
-    /// That incarnation has ended, and a target with another id has answered at its address.
-    Replaced,
     /// Nothing was sent.
     Unsent,
     /// No response arrived in time; the call may have arrived before, but can't arrive any more.
--- a/engine/src/owner/ownership/call_outcomes.rs
+++ b/engine/src/owner/ownership/call_outcomes.rs
@@ -38,7 +38,6 @@
         match outcome {
             CallOutcome::Done(_) => {
                 state.confirmed = true;
-                state.answered_at = Some(state.called_at);
                 state.extend_expiry(now);
                 state.unanswered = 0;
                 state.handover = None;
@@ -51,7 +50,6 @@
                 effects.push(Effect::Deposed);
             }
             CallOutcome::Gone => self.process_ended(now, from, effects),
-            CallOutcome::Replaced => self.address_reused(now, from, effects),
             CallOutcome::Unsent => state.unsent += 1,
             CallOutcome::Silent => {
                 state.extend_expiry(now);
@@ -91,7 +89,6 @@
                 state.unsent = 0;
             }
             CallOutcome::Gone => self.process_ended(now, from, effects),
-            CallOutcome::Replaced => self.address_reused(now, from, effects),
             // A release doesn't extend a grant; the grant expires meanwhile.
             CallOutcome::Fenced => {}
             CallOutcome::Unsent => state.unsent += 1,
@@ -113,16 +110,20 @@
     }
 
     /// Ends the ownership of all ranges of an owner whose process has ended; `from` is in one of them.
-    pub(super) fn process_ended(
-        &mut self,
-        now: Duration,
-        from: RequestKey,
-        effects: &mut Vec<Effect>,
-    ) {
-        let Some(owner) = self.record.find(from).and_then(|range| range.owner.clone()) else {
-            return;
-        };
-        for from in self.idle_ranges(&owner) {
+    fn process_ended(&mut self, now: Duration, from: RequestKey, effects: &mut Vec<Effect>) {
+        let owner = self.record.find(from).and_then(|range| range.owner.clone());
+        let ranges = self
+            .record
+            .ranges
+            .iter()
+            .filter(|range| range.owner == owner);
+        // A range with a call in flight is handled when that call ends.
+        let idle = ranges.filter(|range| {
+            let state = self.states.get(&range.from);
+            state.is_some_and(|state| !state.in_flight && !matches!(state.phase, Phase::Free(_)))
+        });
+        let lost: Vec<RequestKey> = idle.map(|range| range.from).collect();
+        for from in lost {
             self.end_owner(now, from, effects);
         }
     }
--- a/engine/src/owner/ownership/commit.rs
+++ b/engine/src/owner/ownership/commit.rs
@@ -69,7 +69,6 @@
             self.apply_move(now, it, pending.fence);
         }
         merge_adjacent(&mut self.record, &mut self.states);
-        self.forget_reused();
     }
 
     /// Applies one move of a commit that has succeeded: its range gets the new owner and its grant is due.
@@ -235,7 +234,6 @@
             if let (Some(kept), Some(removed)) = (states.get_mut(&last.from), removed) {
                 kept.expires_at = kept.expires_at.max(removed.expires_at);
                 kept.confirmed &= removed.confirmed;
-                kept.answered_at = kept.answered_at.min(removed.answered_at);
                 kept.next_call = kept.next_call.min(removed.next_call);
             }
         } else {
--- a/engine/src/owner/ownership/fencing.rs
+++ b/engine/src/owner/ownership/fencing.rs
@@ -48,7 +48,7 @@
         self.in_flight = false;
         self.next_call = now + RETRY_DELAY;
         self.done |= matches!(outcome, CallOutcome::Done(_));
-        if !matches!(outcome, CallOutcome::Gone | CallOutcome::Replaced) {
+        if *outcome != CallOutcome::Gone {
             self.ended_since = None;
             return;
         }
--- a/engine/src/owner/ownership/mod.rs
+++ b/engine/src/owner/ownership/mod.rs
@@ -20,19 +20,16 @@
 //! - A record of an earlier era of the store may have lost the last moves, and managers of terms that are gone may have
 //!   granted any key to any target. So a takeover in a new era grants nothing before each target has released what the
 //!   record doesn't give it, or every earlier grant has expired.
-//! - Once another target has used the owner's address for long enough, no earlier manager's grant can be accepted there any
-//!   more, so the ranges are free also while earlier managers may still send (see `reused`).
 //! - A grant without a response may have arrived until the moment at which its connection was reset.
 //! - While its lease isn't renewed in time a manager may have a successor, which may have had an owner release its keys, and
 //!   the next incarnation of that owner has forgotten the fence. So it grants only what its own view of the targets still
-//!   shows, to owners that have answered lately, and once it was suspended it sends nothing before the store has confirmed its lease.
+//!   shows, and once it was suspended it sends nothing before the store has confirmed its lease.
 
 mod call_outcomes;
 mod commit;
 mod fencing;
 mod moves;
 mod predecessors;
-mod reused;
 mod suitability;
 mod takeover;
 
@@ -41,10 +38,7 @@
 use indexmap::IndexMap;
 
 pub use self::fencing::Memory;
-use self::{
-    commit::PendingCommit, fencing::Fencing, moves::Schedule, predecessors::Predecessors,
-    reused::Reuse,
-};
+use self::{commit::PendingCommit, fencing::Fencing, moves::Schedule, predecessors::Predecessors};
 pub use super::events::{CallOutcome, Effect, Event, OwnershipCommand, Timing};
 use super::{
     load::Load,
@@ -132,8 +126,6 @@
     started_at: Duration,
     /// When keys moved last.
     schedule: Schedule,
-    /// The owners whose addresses other targets use, and what those answered.
-    reused: IndexMap<Incarnation, Reuse>,
     /// When the last event was handled.
     handled_at: Duration,
     /// Whether the process was suspended while its lease ran out, and the store hasn't confirmed the lease since.
@@ -341,15 +333,12 @@
         }
         let grant_duration = self.next_grant_duration(now);
         let withheld = self.withheld_owners(now);
-        let is_lease_fresh = self.is_lease_fresh(now);
-        let max_silence = self.timing.max_silence();
         for range in &self.record.ranges {
             let (Some(state), Some(owner)) = (self.states.get_mut(&range.from), &range.owner)
             else {
                 continue;
             };
-            let is_silent = !is_lease_fresh && !state.has_answered_since(now, max_silence);
-            let withheld = state.phase == Phase::Owned && (is_silent || withheld.contains(owner));
+            let withheld = state.phase == Phase::Owned && withheld.contains(owner);
             if state.in_flight || now < state.next_call || withheld {
                 continue;
             }
@@ -373,13 +362,13 @@
             }
             match (&state.phase, grant_duration) {
                 (Phase::Owned, Some(grant_duration)) => {
-                    state.begin_call(now);
+                    state.in_flight = true;
                     state.grant_duration = grant_duration;
                     let command = command(range.fence, grant_duration, state.handover.clone());
                     effects.push(Effect::Grant(command));
                 }
                 (Phase::Releasing(_), _) => {
-                    state.begin_call(now);
+                    state.in_flight = true;
                     effects.push(Effect::Release(command(
                         range.fence + 1,
                         Duration::ZERO,
--- a/engine/src/owner/ownership/predecessors.rs
+++ b/engine/src/owner/ownership/predecessors.rs
@@ -10,8 +10,6 @@
 pub(super) struct Predecessors {
     sends_until: Duration,
     grants_until: Duration,
-    /// Until when one of them may take its lease for valid.
-    leased_until: Duration,
     /// Whether the previous manager knew that all managers before it had stopped.
     settled: bool,
     outage_duration: Duration,
@@ -34,7 +32,6 @@
         Self {
             sends_until: if stopped { now } else { latest },
             grants_until,
-            leased_until: now,
             settled,
             outage_duration: timing.outage_duration,
         }
@@ -48,7 +45,6 @@
         Self {
             sends_until: latest,
             grants_until: latest,
-            leased_until: now + timing.lease,
             settled: false,
             outage_duration: timing.outage_duration,
         }
@@ -73,11 +69,6 @@
         now >= self.sends_until
     }
 
-    /// Returns until when one of these managers may take its lease for valid.
-    pub(super) fn leased_until(&self) -> Duration {
-        self.leased_until
-    }
-
     /// Returns when the last grant of these managers has expired.
     pub(super) fn latest_expiry(&self) -> Duration {
         self.grants_until
--- a/engine/src/owner/ownership/takeover.rs
+++ b/engine/src/owner/ownership/takeover.rs
@@ -105,7 +105,6 @@
             refusing: IndexMap::new(),
             started_at: now,
             schedule: Schedule::new(now),
-            reused: IndexMap::new(),
             handled_at: now,
             suspended: false,
             stopped: false,
--- a/engine/src/owner/range_state.rs
+++ b/engine/src/owner/range_state.rs
@@ -45,10 +45,6 @@
     pub(super) expires_at: Option<Duration>,
     /// The duration of the grant that was sent last.
     pub(super) grant_duration: Duration,
-    /// When the last call to the owner was decided.
-    pub(super) called_at: Duration,
-    /// When the last grant that the owner has answered was decided.
-    pub(super) answered_at: Option<Duration>,
     /// When the next call to the owner is due.
     pub(super) next_call: Duration,
     /// The number of consecutive calls that got no response.
@@ -69,8 +65,6 @@
             inherited: false,
             expires_at: None,
             grant_duration: Duration::ZERO,
-            called_at: Duration::ZERO,
-            answered_at: None,
             next_call: Duration::ZERO,
             unanswered: 0,
             unsent: 0,
@@ -93,17 +87,6 @@
         }
     }
 
-    /// Records that a call to the owner begins.
-    pub(super) fn begin_call(&mut self, now: Duration) {
-        self.in_flight = true;
-        self.called_at = now;
-    }
-
-    /// Returns whether the owner has answered a grant that was decided within the last `time`.
-    pub(super) fn has_answered_since(&self, now: Duration, time: Duration) -> bool {
-        self.answered_at.is_some_and(|at| now <= at + time)
-    }
-
     /// Extends the expiry: the grant that was sent last may have arrived as late as now.
     pub(super) fn extend_expiry(&mut self, now: Duration) {
         self.expires_at = self
--- a/engine/tests/ownership.rs
+++ b/engine/tests/ownership.rs
@@ -37,8 +37,6 @@
         3 => (vm.clone(), target.clone(), any::<bool>())
             .prop_map(|(vm, target, open)| Step::Link { vm, target, open }),
         2 => (target.clone(), 1..80_u32).prop_map(|(target, ticks)| Step::Crash { target, ticks }),
-        2 => (target.clone(), 1..60_u32, prop::option::of(1..30_u32))
-            .prop_map(|(target, first, second)| Step::Reuse { target, first, second }),
         1 => (target.clone(), any::<bool>()).prop_map(|(target, on)| Step::Leave { target, on }),
         2 => (target.clone(), any::<bool>()).prop_map(|(target, on)| Step::Announce { target, on }),
         2 => (0..40_u8).prop_map(Step::Unanswered),
@@ -199,59 +197,3 @@
         assert_eq!(run_history(Flaw::None, seed, &steps), Ok(()), "seed {seed}");
     }
 }
-
-/// The manager loses the store and all targets but the first one, which its successor can't reach. Then the manager
-/// learns nothing more and loses the first target too, whose address others use before its id returns there.
-///
-/// Most successors take over within `wait` steps.
-fn reused_address(wait: usize, first: u32, second: Option<u32>) -> Vec<Step> {
-    let store = |vm, open| Step::Store { vm, open };
-    let link = |vm, target, open| Step::Link { vm, target, open };
-    let mut steps = vec![store(1, false), store(2, false)];
-    steps.extend([Step::Run; 120]);
-    steps.extend([store(0, false), store(1, true), link(1, 0, false)]);
-    steps.extend((1..4).map(|target| link(0, target, false)));
-    steps.extend(vec![Step::Run; wait]);
-    steps.extend([Step::Isolate(0), link(0, 0, false), link(1, 0, true)]);
-    steps.push(Step::Reuse {
-        target: 0,
-        first,
-        second,
-    });
-    steps
-}
-
-/// Guards against an earlier manager that still sends, and grants the keys to the next process under the owner's id.
-#[test]
-fn an_id_that_returns_at_an_address_that_others_used_gets_no_earlier_grant() {
-    for seed in 0..39 {
-        for (first, second) in [(1, None), (4, None), (8, None), (1, Some(1))] {
-            for ticks in [34, 38] {
-                // The manager's last renewal lies up to a renewal interval before the end of the target.
-                let wait = 50 + usize::try_from(seed % 13).unwrap();
-                let mut steps = reused_address(wait, first, second);
-                steps.extend(vec![Step::Run; ticks]);
-                let (vm, target, open) = (0, 0, true);
-                steps.push(Step::Link { vm, target, open });
-                steps.extend([Step::Run; 60]);
-                let result = run_history(Flaw::None, seed, &steps);
-                assert_eq!(result, Ok(()), "{first} {second:?} {ticks}, seed {seed}");
-            }
-        }
-    }
-}
-
-/// Guards against keys that wait for an earlier manager's grants though another target uses their owner's address.
-#[test]
-fn keys_have_owners_soon_after_another_target_uses_the_address() {
-    for seed in 0..40 {
-        let mut simulation = Simulation::new(Flaw::None, seed);
-        // The other target starts after 0.8 s, and answers for the last time 0.7 s later.
-        let mut steps = reused_address(75, 200, None);
-        steps.extend([Step::Run; 38]);
-        for step in steps {
-            simulation.step(step).unwrap();
-        }
-        assert_eq!(simulation.keys_without_holder(), [0; 0], "seed {seed}");
-    }
-}
--- a/engine/tests/ownership_simulation/calls.rs
+++ b/engine/tests/ownership_simulation/calls.rs
@@ -24,7 +24,7 @@
         self.random.random_range(0..100) < self.unanswered_percent
     }
 
-    /// The delay and outcome of a call that doesn't arrive: the link is cut, or the owner's process doesn't listen at the address.
+    /// The delay and outcome of a call that doesn't arrive: the link is cut, or no process listens at the address.
     fn undelivered(
         &self,
         vm: usize,
@@ -33,9 +33,6 @@
         if !self.targets.is_linked(vm, &command.owner) {
             return Some((TIMEOUT, CallOutcome::Unsent));
         }
-        if self.targets.is_replaced(&command.owner) {
-            return Some((TICK, CallOutcome::Replaced));
-        }
         let is_listening = self.targets.is_listening(&command.owner);
         (!is_listening).then_some((TICK, CallOutcome::Gone))
     }
--- a/engine/tests/ownership_simulation/mod.rs
+++ b/engine/tests/ownership_simulation/mod.rs
@@ -6,12 +6,9 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use bramleypier_engine::{
-    catalogue::Target,
-    owner::{
-        ownership::{CallOutcome, Effect, Event, Memory, ServiceOwnership, Timing},
-        record::{Incarnation, Record, RequestKey},
-    },
+use bramleypier_engine::owner::{
+    ownership::{CallOutcome, Effect, Event, Memory, ServiceOwnership, Timing},
+    record::{Incarnation, Record, RequestKey},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
@@ -73,14 +70,6 @@
         target: usize,
         ticks: u32,
     },
-    /// Another target uses the address of one that has ended, and after a pause perhaps another one, before the id returns.
-    Reuse {
-        target: usize,
-        first: u32,
-        second: Option<u32>,
-    },
-    /// A VM learns nothing more of targets.
-    Isolate(usize),
     Leave {
         target: usize,
         on: bool,
@@ -129,8 +118,6 @@
     last_write: Option<Record>,
     /// The manager before this VM, until it is known to have stopped.
     predecessor: Option<String>,
-    /// The targets that it last heard of, if it hears nothing more of them.
-    known_targets: Option<Vec<Target>>,
     /// The newest record that it has heard of.
     known: Option<Record>,
     /// The incarnations that it has seen announced, and when last.
@@ -176,7 +163,6 @@
             replies: Vec::new(),
             last_write: None,
             predecessor: None,
-            known_targets: None,
             known: None,
             seen: HashMap::new(),
             followed_in: None,
@@ -208,15 +194,6 @@
             Step::Store { vm, open } => self.vms[vm].store_open = open,
             Step::Link { vm, target, open } => self.targets.set_link(vm, target, open),
             Step::Crash { target, ticks } => self.targets.crash(target, ticks),
-            Step::Reuse {
-                target,
-                first,
-                second,
-            } => {
-                let uses: Vec<u32> = second.into_iter().chain([first]).collect();
-                self.targets.reuse(target, &uses);
-            }
-            Step::Isolate(vm) => self.vms[vm].known_targets = Some(self.targets.announced()),
             Step::Leave { target, on } => self.targets.set_leaving(target, on),
             Step::Announce { target, on } => self.targets.set_announced(target, on),
             Step::Unanswered(percent) => self.unanswered_percent = percent,
@@ -232,7 +209,6 @@
         for vm in &mut self.vms {
             vm.frozen = 0;
             vm.store_open = true;
-            vm.known_targets = None;
         }
         self.targets.heal();
         self.unanswered_percent = 0;
@@ -307,8 +283,7 @@
             self.receive_replies(vm);
             self.renew_or_bid(vm);
             self.notice_stopped_predecessor(vm);
-            let known = self.vms[vm].known_targets.clone();
-            let announced = known.unwrap_or_else(|| self.targets.announced());
+            let announced = self.targets.announced();
             self.hear(vm, &announced);
             self.feed(vm, Event::Targets(announced));
             self.feed(vm, Event::Tick);
--- a/engine/tests/ownership_simulation/targets.rs
+++ b/engine/tests/ownership_simulation/targets.rs
@@ -14,8 +14,6 @@
 pub const LAST_KEY: RequestKey = 15;
 /// The factor by which a target's clock runs too slowly.
 const CLOCK_SLOWDOWN: f64 = 1.02;
-/// The steps from the end of one process until another one serves at its address: 0.8 s.
-const START_TICKS: u32 = 16;
 /// The simulated time of one step.
 const TICK: Duration = Duration::from_millis(50);
 
@@ -23,8 +21,6 @@
     target: Target,
     up: bool,
     down_for: u32,
-    /// While another target uses the address: the remaining ticks at the beginning and at the end of the use.
-    used: Vec<(u32, u32)>,
     announced: bool,
     /// The highest fence seen and the expiry of the grant, by key.
     grants: HashMap<RequestKey, (Fence, Duration)>,
@@ -59,7 +55,6 @@
             },
             up: true,
             down_for: 0,
-            used: Vec::new(),
             announced: true,
             grants: HashMap::new(),
         };
@@ -77,27 +72,9 @@
         }
     }
 
-    /// Ends an incarnation; other targets use its address, each for some steps, before its id returns there.
-    pub fn reuse(&mut self, target: usize, durations: &[u32]) {
-        if !self.states[target].used.is_empty() {
-            return;
-        }
-        let mut down_for = START_TICKS;
-        let mut used = Vec::new();
-        for ticks in durations {
-            used.push((down_for + ticks, down_for));
-            down_for += ticks + START_TICKS;
-        }
-        self.crash(target, down_for);
-        self.states[target].used = used;
-    }
-
     /// Ends an incarnation; another one starts under the same id after some steps.
     pub fn crash(&mut self, target: usize, ticks: u32) {
         let state = &mut self.states[target];
-        if !state.used.is_empty() {
-            return;
-        }
         state.up = false;
         state.down_for = ticks;
         state.grants.clear();
@@ -125,9 +102,7 @@
         for state in &mut self.states {
             state.announced = true;
             state.target.leaving = false;
-            if state.used.is_empty() {
-                state.down_for = state.down_for.min(1);
-            }
+            state.down_for = state.down_for.min(1);
         }
     }
 
@@ -140,7 +115,6 @@
         for state in &mut self.states {
             if !state.up && state.down_for <= 1 {
                 state.up = true;
-                state.used.clear();
                 state.target.start_time += 1;
             }
             state.down_for = state.down_for.saturating_sub(1);
@@ -170,19 +144,6 @@
             .is_some_and(|target| self.states[target].up)
     }
 
-    pub fn is_replaced(&self, incarnation: &Incarnation) -> bool {
-        let is_used = |state: &TargetState| {
-            let left = state.down_for;
-            !state.up
-                && state
-                    .used
-                    .iter()
-                    .any(|(begin, end)| *end < left && left <= *begin)
-        };
-        self.index_of(incarnation)
-            .is_some_and(|target| is_used(&self.states[target]))
-    }
-
     fn apply(&mut self, arrived: Duration, command: &OwnershipCommand) -> CallOutcome {
         let Some(target) = self.index_of(&command.owner) else {
             return CallOutcome::Gone;
