--- a/engine/src/placement/busy_share.rs
+++ b/engine/src/placement/busy_share.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-/// The time over which the share is averaged, in seconds: overloads by a hot key last 4 to 5 s.
+/// The time over which the share is averaged, in seconds: longer than a few sync exchanges, shorter than most overloads.
 const WINDOW_SECS: f64 = 1.0;
 
 /// The moving average of how often more requests within their goals are queued for a target than it has room for.
