--- a/engine/src/placement/dispatch/mod.rs
+++ b/engine/src/placement/dispatch/mod.rs
@@ -369,7 +369,12 @@
             }
             Decision::Refuse(reason, time, mut basis) => {
                 basis.idle_wait = it.idle_wait;
-                let retry_after = self.retry_after(now, &it.request, time);
+                // The time that a target itself asks for stays as it is.
+                let retry_after = if reason == RefusalReason::HoldOff {
+                    time
+                } else {
+                    self.retry_after(now, &it.request, time)
+                };
                 effects.push(Effect::Refuse {
                     ticket,
                     reason,
