Request lines tell how long a request was held after the choice of its target, and how old the knowledge was

They tell the hypotheses on requests that reach a target after it has left apart: an old decision has a long held_ms and young knowledge, old knowledge a short held_ms and a high known_ms, and bytes that wait outside of the process neither.

--- a/engine/src/caller/attempt.rs
+++ b/engine/src/caller/attempt.rs
@@ -4,7 +4,7 @@
 
 use bramleypier_util::{
     body::Body,
-    client::{self, Client},
+    client::{self, Client, SendObserver},
     clock::Clock,
     headers,
 };
@@ -23,6 +23,8 @@
     target::{Notice, Refusal, Reply, TargetProtocol},
 };
 
+use super::send_watch::{SendWatch, Written};
+
 /// The largest response body that is read whole before the response is forwarded.
 ///
 /// If a response up to this size is truncated, the request can be retried. The largest file of the
@@ -72,6 +74,8 @@
     pub notice: Notice,
     /// The VM that relayed the request, if this one reaches no target.
     pub relay: Option<VmId>,
+    /// What this VM knew of the target when the first byte was written, if one was.
+    pub written: Option<Written>,
 }
 
 impl From<AttemptResult> for Attempt {
@@ -80,6 +84,7 @@
             result,
             notice: Notice::default(),
             relay: None,
+            written: None,
         }
     }
 }
@@ -127,11 +132,16 @@
         let end = self.serving.attempts_end();
         let left = end.map(|end| end.saturating_sub(self.clock.now()));
         let remaining = left.map_or(remaining, |left| left.min(remaining));
-        let attempt = pin!(self.send_in_time(outgoing, body, permit, remaining));
+        let watch = Rc::new(SendWatch::new(self, &permit.target, permit.sent_at));
+        let attempt = pin!(self.send_in_time(outgoing, body, permit, remaining, &watch));
         let ended = pin!(self.serving.until_attempts_end(&self.clock));
-        match future::select(attempt, ended).await {
+        let attempt = match future::select(attempt, ended).await {
             Either::Left((attempt, _)) => attempt,
             Either::Right(_) => AttemptResult::TimedOut.into(),
+        };
+        Attempt {
+            written: watch.written(),
+            ..attempt
         }
     }
 
@@ -142,6 +152,7 @@
         body: Body,
         permit: Permit,
         remaining: Duration,
+        watch: &Rc<SendWatch>,
     ) -> Attempt {
         let mut request = Request::new(body);
         *request.method_mut() = outgoing.method.clone();
@@ -162,7 +173,11 @@
         }
         let started = self.clock.now();
         let address = permit.target.address;
-        match self.client.send(address, request, remaining).await {
+        let observer = Some(watch.clone() as Rc<dyn SendObserver>);
+        let sent = self
+            .client
+            .send_observed(address, request, remaining, observer);
+        match sent.await {
             Ok(response) => {
                 self.read(outgoing, response, permit, started, remaining)
                     .await
@@ -265,6 +280,7 @@
             result,
             notice,
             relay: None,
+            written: None,
         }
     }
 
--- a/engine/src/caller/attempts.rs
+++ b/engine/src/caller/attempts.rs
@@ -12,6 +12,7 @@
     failure::Failure,
     local_response::{LocalResponse, RETRY_AFTER, Trace},
     payload::Payload,
+    send_watch::Written,
     timeouts,
 };
 use crate::{
@@ -192,13 +193,22 @@
     let target = permit.target.id.clone();
     let fence = permit.basis.fence;
     trace.targets.push(target.clone());
-    trace.notes.push(format!("sent: {}", permit.basis));
+    let known = context.shared_fleet.confirmations();
+    let known = known.age(permit.sent_at).map_or(0, |it| it.as_millis());
+    trace
+        .notes
+        .push(format!("sent: {} known_ms={known}", permit.basis));
     history.completion_interval = permit.basis.completion_interval;
     let Attempt {
         result,
         notice,
         relay,
+        written,
     } = context.sender.send(outgoing, body, permit, remaining).await;
+    if let Some(written) = written {
+        time_held(context, routed, &written);
+        trace.notes.push(written.to_string());
+    }
     if let Some(vm) = relay {
         trace.notes.push(format!("via {vm}"));
     }
@@ -321,6 +331,15 @@
     }
 }
 
+/// Records how long a request was held after its target had been chosen, and counts it if the target leaves.
+fn time_held(context: &Context, routed: &RoutedRequest, written: &Written) {
+    let tags = [("service", routed.service.as_str())];
+    context.report.time("held", written.held, &tags);
+    if written.leaving {
+        context.report.count("sent_to_leaving", &tags);
+    }
+}
+
 /// Counts a response that says that its target leaves, or when requests may be sent to it again.
 fn count_notice(context: &Context, routed: &RoutedRequest, notice: Notice) {
     let kind = if notice.leaving {
--- a/engine/src/fleet/confirmations.rs
+++ b/engine/src/fleet/confirmations.rs
@@ -130,6 +130,24 @@
         at.is_some_and(|at| now <= at + CONFIRMATION_TIME)
     }
 
+    /// Returns how long ago this VM certainly knew the whole state of the store; `None` if nobody has confirmed that.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier_engine::fleet::Confirmations;
+    ///
+    /// let confirmations = Confirmations::default();
+    /// confirmations.add_by_store(Duration::from_secs(1));
+    /// assert_eq!(confirmations.age(Duration::from_secs(3)), Some(Duration::from_secs(2)));
+    /// ```
+    pub fn age(&self, now: Duration) -> Option<Duration> {
+        let latest = self.latest.borrow();
+        latest.as_ref().map(|it| now.saturating_sub(it.at))
+    }
+
     /// Returns whether anybody has confirmed lately that this VM knows the whole state of the store.
     ///
     /// # Example
--- a/util/src/client.rs
+++ b/util/src/client.rs
@@ -112,6 +112,15 @@
     fn on_failure(&self, peer: SocketAddr);
 }
 
+/// Observes when the first byte of a request is written.
+///
+/// A request waits for its connection to open, and for the tasks that are ready before the one that writes it. In a process
+/// that is short of processor time this takes seconds.
+pub trait SendObserver {
+    /// The first byte is written.
+    fn on_first_write(&self);
+}
+
 /// How far an exchange has got.
 #[derive(Clone, Debug, Default)]
 struct Progress {
@@ -128,6 +137,8 @@
     responded: bool,
     /// How many bytes were written to the socket.
     written: Rc<Cell<u64>>,
+    /// The observer of the request that is to be written next.
+    observer: NextWrite,
     /// When it was last used; none before the first response, and after one that announced the close.
     last_used: Rc<Cell<Option<Duration>>>,
 }
@@ -213,9 +224,24 @@
         peer: SocketAddr,
         request: Request<Body>,
         timeout: Duration,
+    ) -> Result<Response<Incoming>, Error> {
+        self.send_observed(peer, request, timeout, None).await
+    }
+
+    /// Sends a request like [`Client::send`], and tells `observer` when its first byte is written.
+    ///
+    /// # Errors
+    ///
+    /// See [`Client::send`].
+    pub async fn send_observed(
+        &self,
+        peer: SocketAddr,
+        request: Request<Body>,
+        timeout: Duration,
+        observer: Option<Rc<dyn SendObserver>>,
     ) -> Result<Response<Incoming>, Error> {
         let progress = Progress::default();
-        let exchange = self.exchange(peer, request, &progress);
+        let exchange = self.exchange(peer, request, &progress, observer);
         let result = match self.clock.timeout(timeout, exchange).await {
             Ok(result) => result,
             Err(_) => Err(Error::Timeout(peer, progress.sent.get())),
@@ -273,6 +299,7 @@
         peer: SocketAddr,
         request: Request<Body>,
         progress: &Progress,
+        observer: Option<Rc<dyn SendObserver>>,
     ) -> Result<Response<Incoming>, Error> {
         let mut connection = match self.take_pooled(peer) {
             Some(connection) => connection,
@@ -283,6 +310,7 @@
         let written_before = connection.written.get();
         progress.sent.set(true);
         progress.first.set(!connection.responded);
+        connection.observer.set(observer);
         if connection.last_used.get().is_some() {
             connection.last_used.set(Some(self.clock.now()));
         }
@@ -356,6 +384,7 @@
             sender,
             responded: false,
             written: state.written,
+            observer: state.observer,
             last_used,
         })
     }
@@ -398,11 +427,37 @@
     }
 }
 
+/// The observer of the request that is to be written next on a connection; clones share it.
+#[derive(Clone, Default)]
+struct NextWrite(Rc<RefCell<Option<Rc<dyn SendObserver>>>>);
+
+impl NextWrite {
+    fn set(&self, observer: Option<Rc<dyn SendObserver>>) {
+        *self.0.borrow_mut() = observer;
+    }
+
+    /// Tells the observer, once.
+    fn report(&self) {
+        let observer = self.0.take();
+        if let Some(observer) = observer {
+            observer.on_first_write();
+        }
+    }
+}
+
+impl std::fmt::Debug for NextWrite {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("NextWrite")
+    }
+}
+
 /// What is known of a connection's stream; it observes the stream.
 #[derive(Clone, Debug, Default)]
 struct StreamState {
     /// How many bytes were written.
     written: Rc<Cell<u64>>,
+    /// The observer of the request that is to be written next.
+    observer: NextWrite,
     /// Whether the peer has closed the stream with a FIN.
     ended: Rc<Cell<bool>>,
 }
@@ -415,6 +470,7 @@
     }
 
     fn on_write(&mut self, bytes: usize) {
+        self.observer.report();
         self.written.set(self.written.get() + bytes as u64);
     }
 }
