--- a/program/tests/leaving.rs
+++ b/program/tests/leaving.rs
@@ -9,11 +9,16 @@
 use futures_util::future;
 use harness::{Harness, TEST_TIMEOUT, run_test, start_vm};
 use hyper::StatusCode;
+use rustix::process::Signal;
 
 /// The key of all requests with a key.
 const KEY: u64 = 777;
 /// The time after which no VM may send to a target that has told it that it leaves.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
+/// How much longer a VM is suspended: news reach all VMs within it.
+const STOREWIDE_DELAY: Duration = Duration::from_millis(500);
+/// The number of requests that lie unread at a VM that is suspended.
+const UNREAD_REQUESTS: usize = 8;
 /// The interval between two requests to one VM.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -117,6 +122,34 @@
     });
 }
 
+/// Guards against a VM that chooses targets by what it knew before it had no processor time for seconds.
+#[test]
+fn a_vm_that_was_suspended_sends_nothing_to_a_target_that_left_meanwhile() {
+    run_test(async |harness| {
+        let other = start_second_vm(&harness).await;
+        let leaving = &harness.servers[0];
+        send_load(&harness, &other, "/look/x", "first", REQUEST_INTERVAL * 8).await;
+        other.signal(Signal::STOP).unwrap();
+        let key = format!("servers/{}", leaving.id);
+        harness.store.put(&key, &leaving.entry("plain", "draining"));
+        let before = leaving.arrivals().len();
+        let requests = (0..UNREAD_REQUESTS).map(|number| {
+            let (harness, other) = (&harness, &other);
+            async move {
+                let id = format!("unread-{number}");
+                harness.send_to(other, "POST", "/order/x", &id).await.0
+            }
+        });
+        let wake = async {
+            Clock::real().sleep(DRAIN_TIME + STOREWIDE_DELAY).await;
+            other.signal(Signal::CONT).unwrap();
+        };
+        let (statuses, ()) = future::join(future::join_all(requests), wake).await;
+        assert_eq!(leaving.arrivals().len(), before, "{statuses:?}");
+        assert_eq!(statuses, [StatusCode::OK; UNREAD_REQUESTS]);
+    });
+}
+
 /// Guards against each VM finding out by itself: one response to one VM takes the target out of use at both.
 #[test]
 fn a_target_that_tells_one_vm_that_it_leaves_gets_no_request_from_any() {
--- a/util/tests/client.rs
+++ b/util/tests/client.rs
@@ -157,3 +157,53 @@
         peer.join().unwrap();
     });
 }
+
+/// How long the process is busy with something else.
+const BUSY_TIME: Duration = Duration::from_millis(400);
+/// The timeout of a request meanwhile.
+const SHORT_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Starts a peer that responds to each request on one connection, and returns the bytes that it has read at the end.
+fn start_reader() -> (SocketAddr, thread::JoinHandle<Vec<u8>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let work = move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let (mut all, mut part) = (Vec::new(), [0; 1024]);
+        loop {
+            match stream.read(&mut part) {
+                Ok(0) | Err(_) => return all,
+                Ok(count) => all.extend_from_slice(&part[..count]),
+            }
+            let _ = stream.write_all(RESPONSE.as_bytes());
+        }
+    };
+    (address, thread::spawn(work))
+}
+
+/// Guards against requests that reach a peer after their deadline, since the process had other work in between.
+#[test]
+fn a_request_whose_timeout_has_passed_is_not_written() {
+    Runtime::new().unwrap().block_on(async {
+        let (address, peer) = start_reader();
+        let client = Client::new(Clock::real(), 1);
+        let first = Request::new(Body::empty());
+        let sent = client.send(address, first, Duration::from_secs(5)).await;
+        body::read(sent.unwrap().into_body(), 10).await.unwrap();
+        let late = client.clone();
+        let sending = compio::runtime::spawn(async move {
+            let mut request = Request::new(Body::empty());
+            *request.uri_mut() = "/late".parse().unwrap();
+            late.send(address, request, SHORT_TIMEOUT).await
+        });
+        let work = compio::runtime::spawn(async { thread::sleep(BUSY_TIME) });
+        let error = sending.await.unwrap().unwrap_err();
+        work.await.unwrap();
+        Clock::real().sleep(DETECTION_TIMEOUT).await;
+        client.close_idle();
+        drop(client);
+        let read = String::from_utf8(peer.join().unwrap()).unwrap();
+        assert!(!read.contains("/late"), "{read}");
+        assert!(error.unsent(), "{error}");
+    });
+}
