A request whose timeout has passed is not written any more

Callers' requests reached targets after their deadlines, and calls to the store and to targets left after their timeouts. Cause: the timeout ends the wait for a response; the request meanwhile waits in the task of its connection, which writes whenever it gets the processor. Now the time is looked at again right before the first byte, and a request that was withdrawn certainly was not sent: it is answered as not run, and says nothing about its target. Applies to all clients: store, VMs, grants and releases, relays.

--- a/engine/src/caller/attempt.rs
+++ b/engine/src/caller/attempt.rs
@@ -4,7 +4,7 @@
 
 use bramleypier_util::{
     body::Body,
-    client::{self, Client, SendObserver},
+    client::{self, Client, SendGuard},
     clock::Clock,
     headers,
 };
@@ -173,20 +173,18 @@
         }
         let started = self.clock.now();
         let address = permit.target.address;
-        let observer = Some(watch.clone() as Rc<dyn SendObserver>);
-        let sent = self
-            .client
-            .send_observed(address, request, remaining, observer);
+        let guard = Some(watch.clone() as Rc<dyn SendGuard>);
+        let sent = self.client.send_guarded(address, request, remaining, guard);
         match sent.await {
             Ok(response) => {
                 self.read(outgoing, response, permit, started, remaining)
                     .await
             }
             Err(error) => {
-                let kind = if error.is_refused() {
-                    CompletionKind::ConnectRefused
-                } else {
-                    CompletionKind::ConnectFailed
+                let kind = match &error {
+                    client::Error::Withdrawn(_) => CompletionKind::Withdrawn,
+                    error if error.is_refused() => CompletionKind::ConnectRefused,
+                    _ => CompletionKind::ConnectFailed,
                 };
                 if error.unsent() {
                     permit.finish(kind, None);
@@ -236,6 +234,10 @@
                 permit.finish(CompletionKind::ConnectFailed, None);
                 AttemptResult::Unsent(cause)
             }
+            relay::Error::Withdrawn(cause) => {
+                permit.finish(CompletionKind::Withdrawn, None);
+                AttemptResult::Unsent(cause)
+            }
             relay::Error::Broken(cause) => {
                 self.quarantine
                     .record_crash(outgoing.fingerprint, &permit.target);
--- a/engine/src/caller/send_watch.rs
+++ b/engine/src/caller/send_watch.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::Cell, fmt, time::Duration};
 
-use bramleypier_util::{client::SendObserver, clock::Clock};
+use bramleypier_util::{client::SendGuard, clock::Clock};
 
 use super::attempt::Sender;
 use crate::{catalogue::Target, fleet::SharedFleet};
@@ -59,8 +59,8 @@
     }
 }
 
-impl SendObserver for SendWatch {
-    fn on_first_write(&self) {
+impl SendGuard for SendWatch {
+    fn may_write(&self) -> bool {
         let now = self.clock.now();
         let fleet = self.shared_fleet.get();
         let announced = fleet.targets.get(&self.target.id);
@@ -70,5 +70,6 @@
             knowledge_age: self.shared_fleet.confirmations().age(now),
             leaving: !stays,
         }));
+        true
     }
 }
--- a/engine/src/placement/completion.rs
+++ b/engine/src/placement/completion.rs
@@ -22,6 +22,8 @@
     Lost,
     /// No connection could be established.
     ConnectFailed,
+    /// Nothing was sent, for reasons that say nothing about the target.
+    Withdrawn,
     /// The connection was refused: nothing listens at the address.
     ConnectRefused,
     /// The caller left, or the deadline passed, after the request had been at the target for this time.
--- a/engine/src/placement/dispatch/mod.rs
+++ b/engine/src/placement/dispatch/mod.rs
@@ -281,6 +281,7 @@
             CompletionKind::Lost
             | CompletionKind::ConnectFailed
             | CompletionKind::ConnectRefused
+            | CompletionKind::Withdrawn
             | CompletionKind::Abandoned(_) => {}
         }
     }
--- a/engine/src/placement/target_state/outcomes.rs
+++ b/engine/src/placement/target_state/outcomes.rs
@@ -53,6 +53,7 @@
             // Without a key, only another target that reuses the address refuses like this, and it keeps refusing. With
             // a key, this says nothing about the target's health.
             CompletionKind::Misdirected => self.address_reused |= ownership.is_none(),
+            CompletionKind::Withdrawn => {}
             CompletionKind::Abandoned(waited) => self.record_abandoned(now, waited, depth),
         }
     }
--- a/engine/src/reach/relay.rs
+++ b/engine/src/reach/relay.rs
@@ -88,6 +88,8 @@
     Declined(String),
     /// The VM could not reach the target; nothing was sent.
     Unsent(String),
+    /// The request's time had ended before it was sent to the VM; nothing was sent.
+    Withdrawn(String),
     /// The target's connection ended after a part of the request may have arrived.
     Broken(String),
     /// The relay's connection ended after a part of the request may have arrived.
@@ -131,6 +133,7 @@
     let mut response = sent.map_err(|error| {
         let cause = format!("via {}: {error}", vm.name);
         match error {
+            client::Error::Withdrawn(_) => Error::Withdrawn(cause),
             _ if error.unsent() => Error::Declined(cause),
             client::Error::Timeout(..) => Error::TimedOut,
             _ => Error::Lost(cause),
--- a/util/src/client.rs
+++ b/util/src/client.rs
@@ -66,6 +66,10 @@
         Truncated(peer: SocketAddr, cause: body::Cause) {
             display("answer from {peer}: {cause}")
         }
+        /// The request's time had ended, or its sender did not want it any more, before its first byte was sent; nothing was.
+        Withdrawn(peer: SocketAddr) {
+            display("send to {peer}: withdrawn; nothing was sent")
+        }
         /// The timeout expired; `sent` is false if certainly no byte of the request was sent.
         Timeout(peer: SocketAddr, sent: bool) {
             display("answer from {peer}: timed out, sent={sent}")
@@ -82,7 +86,7 @@
     /// Returns whether it is certain that no byte of the request was sent.
     pub fn unsent(&self) -> bool {
         match self {
-            Self::Connect(..) | Self::Busy(_) | Self::Unsent(..) => true,
+            Self::Connect(..) | Self::Busy(_) | Self::Unsent(..) | Self::Withdrawn(_) => true,
             Self::Broken(..) | Self::Truncated(..) => false,
             Self::Timeout(_, sent) => !sent,
         }
@@ -112,20 +116,24 @@
     fn on_failure(&self, peer: SocketAddr);
 }
 
-/// Observes when the first byte of a request is written.
+/// Decides about a request at the moment at which its first byte is written.
 ///
-/// A request waits for its connection to open, and for the tasks that are ready before the one that writes it. In a process
-/// that is short of processor time this takes seconds.
-pub trait SendObserver {
-    /// The first byte is written.
-    fn on_first_write(&self);
+/// Until then a request waits for its connection to open, and for the tasks that are ready before the one that writes it.
+/// In a process that is short of processor time this takes seconds.
+pub trait SendGuard {
+    /// Returns whether the request may be written; called at most once, right before its first byte is.
+    fn may_write(&self) -> bool;
 }
 
 /// How far an exchange has got.
 #[derive(Clone, Debug, Default)]
 struct Progress {
+    /// Whether a connection has been chosen for it.
+    connected: Rc<Cell<bool>>,
     /// Whether a byte of the request may have been sent.
     sent: Rc<Cell<bool>>,
+    /// Whether no byte may be sent any more if none was.
+    withdrawn: Rc<Cell<bool>>,
     /// Whether it is the first exchange on its connection.
     first: Rc<Cell<bool>>,
 }
@@ -137,8 +145,8 @@
     responded: bool,
     /// How many bytes were written to the socket.
     written: Rc<Cell<u64>>,
-    /// The observer of the request that is to be written next.
-    observer: NextWrite,
+    /// The request that is to be written next.
+    next_write: Rc<RefCell<Option<NextWrite>>>,
     /// When it was last used; none before the first response, and after one that announced the close.
     last_used: Rc<Cell<Option<Duration>>>,
 }
@@ -225,26 +233,32 @@
         request: Request<Body>,
         timeout: Duration,
     ) -> Result<Response<Incoming>, Error> {
-        self.send_observed(peer, request, timeout, None).await
+        self.send_guarded(peer, request, timeout, None).await
     }
 
-    /// Sends a request like [`Client::send`], and tells `observer` when its first byte is written.
+    /// Sends a request like [`Client::send`], unless `guard` withdraws it before its first byte is written.
     ///
     /// # Errors
     ///
     /// See [`Client::send`].
-    pub async fn send_observed(
+    pub async fn send_guarded(
         &self,
         peer: SocketAddr,
         request: Request<Body>,
         timeout: Duration,
-        observer: Option<Rc<dyn SendObserver>>,
+        guard: Option<Rc<dyn SendGuard>>,
     ) -> Result<Response<Incoming>, Error> {
         let progress = Progress::default();
-        let exchange = self.exchange(peer, request, &progress, observer);
+        let write = NextWrite {
+            deadline: self.clock.now() + timeout,
+            clock: self.clock.clone(),
+            progress: progress.clone(),
+            guard,
+        };
+        let exchange = self.exchange(peer, request, write);
         let result = match self.clock.timeout(timeout, exchange).await {
             Ok(result) => result,
-            Err(_) => Err(Error::Timeout(peer, progress.sent.get())),
+            Err(_) => Err(progress.on_timeout(peer)),
         };
         self.observe(peer, &result, &progress, timeout);
         result
@@ -287,7 +301,7 @@
         };
         match result {
             Ok(_) if progress.first.get() => observer.on_response(peer),
-            Ok(_) | Err(Error::Busy(_)) => {}
+            Ok(_) | Err(Error::Busy(_) | Error::Withdrawn(_)) => {}
             Err(Error::Timeout(..)) if timeout < MIN_FAILURE_TIMEOUT => {}
             Err(_) => observer.on_failure(peer),
         }
@@ -298,19 +312,17 @@
         &self,
         peer: SocketAddr,
         request: Request<Body>,
-        progress: &Progress,
-        observer: Option<Rc<dyn SendObserver>>,
+        write: NextWrite,
     ) -> Result<Response<Incoming>, Error> {
         let mut connection = match self.take_pooled(peer) {
             Some(connection) => connection,
             None => self.open(peer).await?,
         };
-        // From here on a byte may be sent at any time. If the timeout drops this future, the number of
-        // written bytes is not checked any more, so `sent` is set in advance.
         let written_before = connection.written.get();
-        progress.sent.set(true);
+        let progress = write.progress.clone();
+        progress.connected.set(true);
         progress.first.set(!connection.responded);
-        connection.observer.set(observer);
+        *connection.next_write.borrow_mut() = Some(write);
         if connection.last_used.get().is_some() {
             connection.last_used.set(Some(self.clock.now()));
         }
@@ -327,7 +339,9 @@
             }
             Err(error) => {
                 let cause = error.into_error();
-                if unsent {
+                if progress.withdrawn.get() {
+                    Err(Error::Withdrawn(peer))
+                } else if unsent {
                     Err(Error::Unsent(peer, cause))
                 } else {
                     Err(Error::Broken(peer, cause))
@@ -384,7 +398,7 @@
             sender,
             responded: false,
             written: state.written,
-            observer: state.observer,
+            next_write: state.next_write,
             last_used,
         })
     }
@@ -427,27 +441,46 @@
     }
 }
 
-/// The observer of the request that is to be written next on a connection; clones share it.
-#[derive(Clone, Default)]
-struct NextWrite(Rc<RefCell<Option<Rc<dyn SendObserver>>>>);
+/// A request that was given to a connection and has not been written yet.
+struct NextWrite {
+    /// When its timeout ends.
+    deadline: Duration,
+    clock: Clock,
+    progress: Progress,
+    guard: Option<Rc<dyn SendGuard>>,
+}
 
 impl NextWrite {
-    fn set(&self, observer: Option<Rc<dyn SendObserver>>) {
-        *self.0.borrow_mut() = observer;
-    }
-
-    /// Tells the observer, once.
-    fn report(&self) {
-        let observer = self.0.take();
-        if let Some(observer) = observer {
-            observer.on_first_write();
+    /// Begins to write the request, unless its time has ended or it has been withdrawn.
+    fn begin(&self) -> io::Result<()> {
+        let progress = &self.progress;
+        let in_time = !progress.withdrawn.get() && self.clock.now() < self.deadline;
+        if in_time && self.guard.as_ref().is_none_or(|it| it.may_write()) {
+            progress.sent.set(true);
+            return Ok(());
         }
+        progress.withdrawn.set(true);
+        Err(io::ErrorKind::TimedOut.into())
     }
 }
 
 impl std::fmt::Debug for NextWrite {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("NextWrite")
+        f.debug_struct("NextWrite")
+            .field("deadline", &self.deadline)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Progress {
+    /// Withdraws a request that has not been written, and returns the error of a timeout.
+    fn on_timeout(&self, peer: SocketAddr) -> Error {
+        self.withdrawn.set(!self.sent.get());
+        if self.connected.get() && !self.sent.get() {
+            Error::Withdrawn(peer)
+        } else {
+            Error::Timeout(peer, self.sent.get())
+        }
     }
 }
 
@@ -456,8 +489,8 @@
 struct StreamState {
     /// How many bytes were written.
     written: Rc<Cell<u64>>,
-    /// The observer of the request that is to be written next.
-    observer: NextWrite,
+    /// The request that is to be written next.
+    next_write: Rc<RefCell<Option<NextWrite>>>,
     /// Whether the peer has closed the stream with a FIN.
     ended: Rc<Cell<bool>>,
 }
@@ -469,8 +502,12 @@
         }
     }
 
+    fn before_write(&mut self) -> io::Result<()> {
+        let next = self.next_write.take();
+        next.map_or(Ok(()), |it| it.begin())
+    }
+
     fn on_write(&mut self, bytes: usize) {
-        self.observer.report();
         self.written.set(self.written.get() + bytes as u64);
     }
 }
--- a/util/src/stream.rs
+++ b/util/src/stream.rs
@@ -16,6 +16,15 @@
     /// with a reset.
     fn on_read(&mut self, bytes: usize);
 
+    /// Called before bytes are written.
+    ///
+    /// # Errors
+    ///
+    /// Nothing may be written any more; the connection fails with this error.
+    fn before_write(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+
     /// Called after `bytes` bytes were written.
     fn on_write(&mut self, bytes: usize);
 }
@@ -97,6 +106,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.observer.before_write()?;
         let result = self.inner.as_mut().poll_write(context, bytes);
         self.report_write(result)
     }
@@ -118,6 +128,7 @@
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.observer.before_write()?;
         let result = self.inner.as_mut().poll_write_vectored(context, buffers);
         self.report_write(result)
     }
