The choice of a target is checked right before the first byte of a request

Callers' requests reached targets that had left, keys' former owners, and targets that were told more time than callers had left: after the dispatcher's decision a request waits for a connection and for the processor, and nothing looked again. Now a request is withdrawn, and decided anew, if at the first byte its target leaves, has left, started again or is evacuated, its key has moved, its caller has left or the choice is 0.4 s old; also on the way through another VM. Grants had such a bound since they can delay a lease; requests had none.

--- a/engine/src/caller/attempt.rs
+++ b/engine/src/caller/attempt.rs
@@ -11,6 +11,10 @@
 use futures_util::future::{self, Either};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming};
 
+use super::{
+    attempts::CallerPresence,
+    send_watch::{SendWatch, Written},
+};
 use crate::{
     body,
     catalogue::TargetId,
@@ -23,8 +27,6 @@
     target::{Notice, Refusal, Reply, TargetProtocol},
 };
 
-use super::send_watch::{SendWatch, Written};
-
 /// The largest response body that is read whole before the response is forwarded.
 ///
 /// If a response up to this size is truncated, the request can be retried. The largest file of the
@@ -74,7 +76,7 @@
     pub notice: Notice,
     /// The VM that relayed the request, if this one reaches no target.
     pub relay: Option<VmId>,
-    /// What this VM knew of the target when the first byte was written, if one was.
+    /// What this VM knew when the first byte was due, if one was.
     pub written: Option<Written>,
 }
 
@@ -121,6 +123,8 @@
 impl Sender {
     /// Makes one attempt; `remaining` is how much longer the caller waits.
     ///
+    /// Nothing is sent if the choice of the target no longer stands when the first byte is due.
+    ///
     /// An attempt that is still under way when the process ends is given up as if its time had ended.
     pub async fn send(
         &self,
@@ -128,11 +132,12 @@
         body: Body,
         permit: Permit,
         remaining: Duration,
+        presence: &CallerPresence,
     ) -> Attempt {
         let end = self.serving.attempts_end();
         let left = end.map(|end| end.saturating_sub(self.clock.now()));
         let remaining = left.map_or(remaining, |left| left.min(remaining));
-        let watch = Rc::new(SendWatch::new(self, &permit.target, permit.sent_at));
+        let watch = Rc::new(SendWatch::new(self, &permit, presence));
         let attempt = pin!(self.send_in_time(outgoing, body, permit, remaining, &watch));
         let ended = pin!(self.serving.until_attempts_end(&self.clock));
         let attempt = match future::select(attempt, ended).await {
@@ -164,7 +169,7 @@
             Path::Direct => {}
             Path::Through(vm) => {
                 return self
-                    .send_through(&vm, outgoing, request, permit, remaining)
+                    .send_through(&vm, outgoing, request, permit, remaining, watch)
                     .await;
             }
             Path::None => {
@@ -210,10 +215,13 @@
         request: Request<Body>,
         permit: Permit,
         remaining: Duration,
+        watch: &Rc<SendWatch>,
     ) -> Attempt {
         let started = self.clock.now();
-        let sent = relay::send(&self.relays, vm, &permit.target.id, request, remaining).await;
-        let error = match sent {
+        let guard = watch.clone();
+        let target = &permit.target.id;
+        let sent = relay::send(&self.relays, vm, target, request, remaining, guard);
+        let error = match sent.await {
             Ok(response) => {
                 let attempt = self
                     .read(outgoing, response, permit, started, remaining)
--- a/engine/src/caller/attempts.rs
+++ b/engine/src/caller/attempts.rs
@@ -35,7 +35,7 @@
 
 /// Whether a request's caller is still connected; clones share it.
 #[derive(Clone, Debug)]
-pub(super) struct CallerPresence(Rc<Cell<bool>>);
+pub struct CallerPresence(Rc<Cell<bool>>);
 
 impl Default for CallerPresence {
     fn default() -> Self {
@@ -48,6 +48,11 @@
     pub(super) fn set_left(&self) {
         self.0.set(false);
     }
+
+    /// Returns whether the caller is still connected.
+    pub(super) fn is_there(&self) -> bool {
+        self.0.get()
+    }
 }
 
 /// Sends a request to targets until one response can be forwarded or no further attempt is allowed.
@@ -178,7 +183,7 @@
             RETRY_AFTER,
         ));
     }
-    if !presence.0.get() {
+    if !presence.is_there() {
         return history.give_up(LocalResponse::not_run(
             "its caller left while it waited",
             RETRY_AFTER,
@@ -204,9 +209,12 @@
         notice,
         relay,
         written,
-    } = context.sender.send(outgoing, body, permit, remaining).await;
+    } = context
+        .sender
+        .send(outgoing, body, permit, remaining, presence)
+        .await;
     if let Some(written) = written {
-        time_held(context, routed, &written);
+        record_write(context, routed, &written);
         trace.notes.push(written.to_string());
     }
     if let Some(vm) = relay {
@@ -331,12 +339,13 @@
     }
 }
 
-/// Records how long a request was held after its target had been chosen, and counts it if the target leaves.
-fn time_held(context: &Context, routed: &RoutedRequest, written: &Written) {
-    let tags = [("service", routed.service.as_str())];
-    context.report.time("held", written.held, &tags);
-    if written.leaving {
-        context.report.count("sent_to_leaving", &tags);
+/// Records how long a request was held after its target had been chosen, and counts it if it was withdrawn then.
+fn record_write(context: &Context, routed: &RoutedRequest, written: &Written) {
+    let service = ("service", routed.service.as_str());
+    context.report.time("held", written.held, &[service]);
+    if let Err(reason) = written.result {
+        let tags = [service, ("reason", reason.name())];
+        context.report.count("withdrawn", &tags);
     }
 }
 
--- a/engine/src/caller/mod.rs
+++ b/engine/src/caller/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! [`serve`] owns callers' connections; [`forward`] takes one request from its route to its
 //! response, and [`context`] is what all steps on that way share. `attempts` decides which targets it is sent to, one after the other, and [`attempt`]
-//! sends it to one of them; [`send_watch`] observes what is known of the target at that moment. [`startup`] holds requests until the first configuration is known, and
+//! sends it to one of them; [`send_watch`] checks the choice of the target at that moment. [`startup`] holds requests until the first configuration is known, and
 //! [`failure`] lists the failures that this router reports in responses of its own.
 
 pub mod attempt;
--- a/engine/src/caller/send_watch.rs
+++ b/engine/src/caller/send_watch.rs
@@ -1,75 +1,90 @@
-//! Observes what a VM knows of a target at the moment at which a request is written to it.
+//! Checks and records what a VM knows of a target at the moment at which a request to it is written.
 
 use std::{cell::Cell, fmt, time::Duration};
 
 use bramleypier_util::{client::SendGuard, clock::Clock};
 
-use super::attempt::Sender;
-use crate::{catalogue::Target, fleet::SharedFleet};
+use super::{attempt::Sender, attempts::CallerPresence};
+use crate::{
+    fleet::SharedFleet,
+    placement::{
+        commitment::{Commitment, Withdrawal},
+        task::Permit,
+    },
+};
 
-/// What a VM knew of a target when the first byte of a request to it was written.
+/// What happened to a request at the moment at which its first byte was due, and what this VM knew then.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Written {
     /// The time since the dispatcher chose the target.
     pub held: Duration,
     /// The age of this VM's knowledge of the store; `None` if nobody has told it anything.
     pub knowledge_age: Option<Duration>,
-    /// Whether the target was known to leave, or not announced any more.
-    pub leaving: bool,
+    /// Whether it was written, or why not.
+    pub result: Result<(), Withdrawal>,
 }
 
 impl fmt::Display for Written {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "written: held_ms={}", self.held.as_millis())?;
-        match self.knowledge_age {
-            Some(age) => write!(f, " known_ms={}", age.as_millis())?,
-            None => f.write_str(" known_ms=")?,
+        match self.result {
+            Ok(()) => f.write_str("written:")?,
+            Err(reason) => write!(f, "withdrawn: {reason}")?,
         }
-        if self.leaving {
-            f.write_str(" leaving=true")?;
+        write!(f, " held_ms={}", self.held.as_millis())?;
+        match self.knowledge_age {
+            Some(age) => write!(f, " known_ms={}", age.as_millis()),
+            None => f.write_str(" known_ms="),
         }
-        Ok(())
     }
 }
 
-/// Records once when a request is written, and what is known of its target at that moment.
+/// Withdraws a request whose target isn't to get it any more, and records what was known at that moment.
 pub(super) struct SendWatch {
-    target: Target,
-    decided_at: Duration,
+    commitment: Commitment,
+    presence: CallerPresence,
     shared_fleet: SharedFleet,
     clock: Clock,
     written: Cell<Option<Written>>,
 }
 
 impl SendWatch {
-    /// Creates the watch of a request for which the dispatcher chose `target` at `decided_at`.
-    pub(super) fn new(sender: &Sender, target: &Target, decided_at: Duration) -> Self {
+    /// Creates the watch of a request for which the dispatcher has issued `permit`.
+    pub(super) fn new(sender: &Sender, permit: &Permit, presence: &CallerPresence) -> Self {
         Self {
-            target: target.clone(),
-            decided_at,
+            commitment: Commitment {
+                target: permit.target.clone(),
+                key: permit.basis.key,
+                decided_at: permit.sent_at,
+            },
+            presence: presence.clone(),
             shared_fleet: sender.shared_fleet.clone(),
             clock: sender.clock.clone(),
             written: Cell::new(None),
         }
     }
 
-    /// Returns what was recorded; `None` if no byte was written.
+    /// Returns what was recorded; `None` if no byte was due.
     pub(super) fn written(&self) -> Option<Written> {
         self.written.get()
     }
+
+    fn check(&self, now: Duration) -> Result<(), Withdrawal> {
+        if !self.presence.is_there() {
+            return Err(Withdrawal::CallerLeft);
+        }
+        self.commitment.check(now, &self.shared_fleet.get())
+    }
 }
 
 impl SendGuard for SendWatch {
     fn may_write(&self) -> bool {
         let now = self.clock.now();
-        let fleet = self.shared_fleet.get();
-        let announced = fleet.targets.get(&self.target.id);
-        let stays = announced.is_some_and(|it| !fleet.is_leaving(it));
+        let result = self.check(now);
         self.written.set(Some(Written {
-            held: now.saturating_sub(self.decided_at),
+            held: now.saturating_sub(self.commitment.decided_at),
             knowledge_age: self.shared_fleet.confirmations().age(now),
-            leaving: !stays,
+            result,
         }));
-        true
+        result.is_ok()
     }
 }
--- a/engine/src/fleet/leaving.rs
+++ b/engine/src/fleet/leaving.rs
@@ -41,6 +41,27 @@
         target.leaving || self.leaving.contains_key(&target.id)
     }
 
+    /// Returns whether an incarnation of a target may get requests now.
+    ///
+    /// One that is announced and says that it leaves may get those for its keys (`owned`) for a while.
+    ///
+    /// # Example
+    ///
+    /// See [`Commitment::check`](crate::placement::commitment::Commitment::check).
+    pub fn accepts_requests(&self, now: Duration, target: &Target, owned: bool) -> bool {
+        let Some(announced) = self.targets.get(&target.id) else {
+            return false;
+        };
+        if announced.leaving
+            || !announced.same_incarnation(target)
+            || self.is_evacuated(&announced.domain)
+        {
+            return false;
+        }
+        let word = self.leaving.get(&target.id);
+        word.is_none_or(|it| owned && now < it.since + OWNER_GRACE)
+    }
+
     /// Returns the targets of which this VM has recently learned that they leave, for other VMs.
     ///
     /// # Example
--- a/engine/src/placement/mod.rs
+++ b/engine/src/placement/mod.rs
@@ -1,6 +1,7 @@
 //! Decides which target each request goes to, when it is sent, and which requests are refused.
 //!
 //! - [`dispatch`] decides, without any I/O; [`task`] runs it and responds through channels.
+//! - [`commitment`] checks right before a request is written whether the choice of its target still stands.
 //! - [`quota`] divides the free capacity of busy targets among VMs.
 //! - [`busy_share`] measures how much capacity is left for requests past their goal.
 //! - [`budget`] limits retries; [`vm_count`] counts the VMs that share this budget.
@@ -13,6 +14,7 @@
 pub mod bucket;
 pub mod budget;
 pub mod busy_share;
+pub mod commitment;
 mod completion;
 pub mod dispatch;
 pub mod hold_offs;
--- a/engine/src/reach/relay.rs
+++ b/engine/src/reach/relay.rs
@@ -8,7 +8,7 @@
 
 use bramleypier_util::{
     body::{self as util_body, Body},
-    client::{self, Client},
+    client::{self, Client, SendGuard},
     headers,
 };
 use hyper::{
@@ -88,7 +88,7 @@
     Declined(String),
     /// The VM could not reach the target; nothing was sent.
     Unsent(String),
-    /// The request's time had ended before it was sent to the VM; nothing was sent.
+    /// The request was withdrawn before it was sent to the VM; nothing was sent.
     Withdrawn(String),
     /// The target's connection ended after a part of the request may have arrived.
     Broken(String),
@@ -109,7 +109,7 @@
     sent.is_ok_and(|response| response.status() == StatusCode::NO_CONTENT)
 }
 
-/// Sends a request to a target through a VM.
+/// Sends a request to a target through a VM, unless `guard` withdraws it before its first byte is written.
 ///
 /// # Errors
 ///
@@ -120,6 +120,7 @@
     target: &TargetId,
     mut request: Request<Body>,
     timeout: Duration,
+    guard: Rc<dyn SendGuard>,
 ) -> Result<Response<Incoming>, Error> {
     let Ok(id) = HeaderValue::from_str(target) else {
         return Err(Error::Declined("the target's id is no header".to_owned()));
@@ -129,8 +130,8 @@
     let headers = request.headers_mut();
     headers.insert(TARGET, id);
     headers.insert(TIMEOUT_MS, HeaderValue::from(millis));
-    let sent = client.send(vm.address, request, timeout).await;
-    let mut response = sent.map_err(|error| {
+    let sent = client.send_guarded(vm.address, request, timeout, Some(guard));
+    let mut response = sent.await.map_err(|error| {
         let cause = format!("via {}: {error}", vm.name);
         match error {
             client::Error::Withdrawn(_) => Error::Withdrawn(cause),
