Requests wait until a VM that had no processor time knows again which targets leave

Callers' requests reached targets that had left: a VM that comes back after seconds reads the requests that arrived meanwhile before the news, and chose targets by what it knew then. It knew how old its knowledge was and denied no routes by it, but sent. Evidence: a_vm_that_was_suspended_sends_nothing_to_a_target_that_left_meanwhile, red before (3 of 8 requests, held_ms=0, known_ms above 2,400). Now the dispatcher sends nothing by knowledge that is older than 1.95 s while a question that may bring news is open, for 0.5 s at most, and a request is withdrawn if knowledge gets that old before its first byte. Where nobody knows more, as in an outage of the store, it goes on as before: the manager, other VMs or the store have said so within the last second.

The second test is red, listed: a response that has lain unread counts as news.

--- a/engine/src/fleet/confirmations.rs
+++ b/engine/src/fleet/confirmations.rs
@@ -16,6 +16,12 @@
 /// A VM that says that a route doesn't exist must know all routes that were added two seconds before.
 pub const CONFIRMATION_TIME: Duration = Duration::from_millis(1800);
 
+/// How long a VM may send requests to targets by what it knows: one that leaves gets none from two seconds after the store
+/// has accepted that.
+pub const SEND_TIME: Duration = Duration::from_millis(1950);
+/// How long a question counts whose answer was that nobody knows more.
+const NO_NEWS_TIME: Duration = Duration::from_secs(1);
+
 /// Who confirms that a VM knows the whole state of the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Source {
@@ -66,6 +72,8 @@
     /// When the store last confirmed that this VM knows all of it, unless its watch has failed since.
     by_store: Rc<Cell<Option<Duration>>>,
     latest: Rc<RefCell<Option<Confirmation>>>,
+    /// When the latest question was asked that was answered by somebody who doesn't follow the store either.
+    no_news: Rc<Cell<Option<Duration>>>,
 }
 
 impl Confirmations {
@@ -120,6 +128,42 @@
         }
     }
 
+    /// Records that a question that was asked at `asked` was answered by a VM that doesn't follow the store either, or that
+    /// the store refused it.
+    ///
+    /// # Example
+    ///
+    /// See [`Confirmations::allow_sending`].
+    pub fn add_no_news(&self, asked: Duration) {
+        self.no_news.set(self.no_news.get().max(Some(asked)));
+    }
+
+    /// Returns whether requests may be sent to targets by what this VM knows.
+    ///
+    /// If it is too old, this VM asks; it has to go on with what it knows if nobody knows more, as in an outage of the
+    /// store, and before it has first heard of anybody.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier_engine::fleet::{Confirmations, SEND_TIME};
+    ///
+    /// let confirmations = Confirmations::default();
+    /// confirmations.add_by_manager(Duration::ZERO, "vm-1");
+    /// assert!(confirmations.allow_sending(SEND_TIME));
+    /// let later = 2 * SEND_TIME;
+    /// assert!(!confirmations.allow_sending(later));
+    /// confirmations.add_no_news(later);
+    /// assert!(confirmations.allow_sending(later));
+    /// ```
+    pub fn allow_sending(&self, now: Duration) -> bool {
+        let is_young = self.age(now).is_none_or(|age| age <= SEND_TIME);
+        let no_news = self.no_news.get();
+        is_young || no_news.is_some_and(|asked| now <= asked + NO_NEWS_TIME)
+    }
+
     /// Returns whether the store has confirmed lately that this VM, which follows it itself, knows all of it.
     ///
     /// # Example
--- a/engine/src/fleet/mod.rs
+++ b/engine/src/fleet/mod.rs
@@ -27,7 +27,7 @@
 };
 pub use self::{
     change_log::{ChangeLog, LogPosition, Relay},
-    confirmations::{CONFIRMATION_TIME, Confirmation, Confirmations, Source},
+    confirmations::{CONFIRMATION_TIME, Confirmation, Confirmations, SEND_TIME, Source},
     entry::{StoreKeys, Vm},
     record_log::RecordUpdate,
     removals::REMOVAL_GRACE,
--- a/engine/src/follow.rs
+++ b/engine/src/follow.rs
@@ -121,6 +121,7 @@
         if follower.is_outdated() {
             listing = Some(Read::Fresh);
         }
+        let asked = follower.context.clock.now();
         let result = match listing {
             Some(read) => follower.list(read).await,
             None => follower.watch(state).await,
@@ -146,7 +147,7 @@
                 listing = Some(Read::Fresh);
             }
             Err(error) => {
-                follower.on_failure(state, &error);
+                follower.on_failure(state, asked, &error);
                 state = WatchState::Failed;
                 let jitter = rand::rng().random_range(0.7..1.3);
                 follower
@@ -192,9 +193,10 @@
         });
     }
 
-    fn on_failure(&self, state: WatchState, error: &Error) {
+    fn on_failure(&self, state: WatchState, asked: Duration, error: &Error) {
         let now = self.context.clock.now();
         let shared_fleet = &self.context.shared_fleet;
+        shared_fleet.confirmations().add_no_news(asked);
         shared_fleet.update(|fleet| fleet.on_store_failure(now));
         shared_fleet.confirmations().end_by_store();
         if state != WatchState::Failed {
--- a/engine/src/peer/sync_task.rs
+++ b/engine/src/peer/sync_task.rs
@@ -56,6 +56,9 @@
                     let now = context.clock.now();
                     let took = now.saturating_sub(sent);
                     let until = sent + sync_interval::reliance(next, took, news.confirmed_age);
+                    if !message.healthy {
+                        context.shared_fleet.confirmations().add_no_news(sent);
+                    }
                     if now <= until && context.accept_response(message, news.era, &vm, next) {
                         relied_until = until;
                         context.record_confirmation(sent, news, &vm);
@@ -218,7 +221,12 @@
     // Only the relay is used: quotas and counts from a VM that isn't the manager are meaningless.
     let news = context.news(true, Vec::new());
     let before = position.clone();
-    exchange(context, &vm, &Envelope { message, news }, position).await;
+    let sent = context.clock.now();
+    let response = exchange(context, &vm, &Envelope { message, news }, position).await;
+    if response.is_some() {
+        // This VM knows now what that one does.
+        context.shared_fleet.confirmations().add_no_news(sent);
+    }
     if *position != before {
         // The logs of the others don't tell of the removal of what was learned here.
         let position = position.clone();
--- a/engine/src/placement/commitment.rs
+++ b/engine/src/placement/commitment.rs
@@ -28,6 +28,8 @@
 pub enum Withdrawal {
     /// The choice is too old.
     Old,
+    /// This VM's knowledge of targets has become too old.
+    Unknown,
     /// The target leaves, or has left.
     Leaving,
     /// Another target owns the key.
@@ -49,6 +51,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Old => "old",
+            Self::Unknown => "unknown",
             Self::Leaving => "leaving",
             Self::Moved => "moved",
             Self::CallerLeft => "caller-left",
--- a/engine/src/placement/dispatch/choose.rs
+++ b/engine/src/placement/dispatch/choose.rs
@@ -64,6 +64,9 @@
                 self.owner_basis(request),
             );
         }
+        if let Some(decision) = self.wait_for_news(now, request) {
+            return decision;
+        }
         match (request.key, self.view.records.get(&request.service)) {
             (Some(key), Some(record)) => {
                 let record = record.clone();
--- a/engine/src/placement/dispatch/mod.rs
+++ b/engine/src/placement/dispatch/mod.rs
@@ -9,12 +9,15 @@
 //! - *Keys are moving to another owner*: requests for them wait briefly for the new owner.
 //! - *A target refuses requests and says when it takes some again*: it gets none from this VM before, whether others can
 //!   serve its requests or not.
+//! - *A process had no processor time for seconds, and the requests that arrived meanwhile are read before the news*: they
+//!   wait until this VM knows again which targets leave.
 //! - *A target that fails fast looks idle*: successful responses count, not speed. A target that fails often only gets
 //!   single requests until it recovers.
 
 mod admission;
 mod choose;
 mod held;
+mod knowledge;
 mod late;
 mod queues;
 mod rate_limits;
@@ -25,8 +28,11 @@
 use indexmap::IndexMap;
 use rand::{SeedableRng, rngs::SmallRng};
 
-use self::admission::{Decision, QueueKey, QueueState, QuotaKind};
 pub use self::choose::MIN_RETRY_AFTER;
+use self::{
+    admission::{Decision, QueueKey, QueueState, QuotaKind},
+    knowledge::Knowledge,
+};
 pub use super::message::{
     Basis, Charge, Completion, CompletionKind, DispatchRequest, Effect, Event, FleetView,
     LeavingOwner, RefusalReason, Snapshot, SyncUpdate, Ticket,
@@ -41,7 +47,10 @@
     vm_count::VmCount,
     warmup::BurstAllowance,
 };
-use crate::catalogue::{self, DomainId, ServiceId, TargetId, VmId};
+use crate::{
+    catalogue::{self, DomainId, ServiceId, TargetId, VmId},
+    fleet::Confirmations,
+};
 
 /// How long a caller is asked to wait when no owner or target is reachable, or the queue is full.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(400);
@@ -79,6 +88,8 @@
     /// When the process started, which is the time of its first event.
     started_at: Option<Duration>,
     view: Rc<FleetView>,
+    /// Whether this VM's knowledge of targets is recent enough.
+    knowledge: Knowledge,
     target_states: IndexMap<TargetId, TargetState>,
     budgets: IndexMap<ServiceId, RetryBudget>,
     /// The number of VMs that share the retry budgets.
@@ -130,6 +141,7 @@
             retry_allowance,
             started_at: None,
             view: Rc::default(),
+            knowledge: Knowledge::default(),
             target_states: IndexMap::new(),
             budgets: IndexMap::new(),
             vm_count: VmCount::default(),
@@ -170,6 +182,26 @@
         self
     }
 
+    /// Sets who tells how old this VM's knowledge of targets is; it counts as recent otherwise.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier_engine::{fleet::Confirmations, placement::{budget::RetryAllowance, dispatch::Dispatcher}};
+    ///
+    /// let allowance = RetryAllowance { ratio: 0.2, slack: 60.0, window: Duration::from_secs(10) };
+    /// let confirmations = Confirmations::default();
+    /// let dispatcher = Dispatcher::new("domain-1", allowance, 1).with_confirmations(confirmations);
+    /// assert_eq!(dispatcher.queue_len(), 0);
+    /// ```
+    #[must_use]
+    pub fn with_confirmations(mut self, confirmations: Confirmations) -> Self {
+        self.knowledge = Knowledge::new(confirmations);
+        self
+    }
+
     /// Handles an event and returns the decisions that it leads to.
     ///
     /// # Example
@@ -180,6 +212,7 @@
         self.started_at.get_or_insert(now);
         self.record_idle_waits(now);
         self.refresh_medians(now);
+        self.log_lines.extend(self.knowledge.update(now));
         match event {
             Event::Request(request) => self.submit(now, request, &mut effects),
             Event::Completed { target, completion } => {
--- a/engine/src/process/mod.rs
+++ b/engine/src/process/mod.rs
@@ -278,7 +278,8 @@
             self.settings.retry_budget,
             rand::random(),
         )
-        .with_vm(&self.settings.name, self.settings.burst_allowance);
+        .with_vm(&self.settings.name, self.settings.burst_allowance)
+        .with_confirmations(self.shared_fleet.confirmations().clone());
         let handle = task::start(dispatcher, self.clock.clone(), self.report.clone());
         let (shared_fleet, task_handle) = (self.shared_fleet.clone(), handle.clone());
         let mut changes = shared_fleet.subscribe();
--- a/program/tests/leaving.rs
+++ b/program/tests/leaving.rs
@@ -16,7 +16,9 @@
 /// The time after which no VM may send to a target that has told it that it leaves.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
 /// How much longer a VM is suspended: news reach all VMs within it.
-const STOREWIDE_DELAY: Duration = Duration::from_millis(500);
+const NEWS_TIME: Duration = Duration::from_millis(500);
+/// The time within which the store answers a watch that waits.
+const WATCH_TIME: Duration = Duration::from_millis(1200);
 /// The number of requests that lie unread at a VM that is suspended.
 const UNREAD_REQUESTS: usize = 8;
 /// The interval between two requests to one VM.
@@ -122,6 +124,27 @@
     });
 }
 
+/// Suspends a VM, lets a target leave after `delay`, and checks that it gets none of the requests that arrived meanwhile
+/// and that all of them are served.
+async fn leave_while_suspended(harness: &Harness, vm: &Program, leaving: &Server, delay: Duration) {
+    vm.signal(Signal::STOP).unwrap();
+    let key = format!("servers/{}", leaving.id);
+    let before = leaving.arrivals().len();
+    let requests = (0..UNREAD_REQUESTS).map(|number| async move {
+        let id = format!("unread-{number}");
+        harness.send_to(vm, "POST", "/order/x", &id).await.0
+    });
+    let wake = async {
+        Clock::real().sleep(delay).await;
+        harness.store.put(&key, &leaving.entry("plain", "draining"));
+        Clock::real().sleep(DRAIN_TIME + NEWS_TIME).await;
+        vm.signal(Signal::CONT).unwrap();
+    };
+    let (statuses, ()) = future::join(future::join_all(requests), wake).await;
+    assert_eq!(leaving.arrivals().len(), before, "{statuses:?}");
+    assert_eq!(statuses, [StatusCode::OK; UNREAD_REQUESTS]);
+}
+
 /// Guards against a VM that chooses targets by what it knew before it had no processor time for seconds.
 #[test]
 fn a_vm_that_was_suspended_sends_nothing_to_a_target_that_left_meanwhile() {
@@ -129,24 +152,26 @@
         let other = start_second_vm(&harness).await;
         let leaving = &harness.servers[0];
         send_load(&harness, &other, "/look/x", "first", REQUEST_INTERVAL * 8).await;
-        other.signal(Signal::STOP).unwrap();
-        let key = format!("servers/{}", leaving.id);
-        harness.store.put(&key, &leaving.entry("plain", "draining"));
-        let before = leaving.arrivals().len();
-        let requests = (0..UNREAD_REQUESTS).map(|number| {
-            let (harness, other) = (&harness, &other);
-            async move {
-                let id = format!("unread-{number}");
-                harness.send_to(other, "POST", "/order/x", &id).await.0
-            }
-        });
-        let wake = async {
-            Clock::real().sleep(DRAIN_TIME + STOREWIDE_DELAY).await;
-            other.signal(Signal::CONT).unwrap();
-        };
-        let (statuses, ()) = future::join(future::join_all(requests), wake).await;
-        assert_eq!(leaving.arrivals().len(), before, "{statuses:?}");
-        assert_eq!(statuses, [StatusCode::OK; UNREAD_REQUESTS]);
+        leave_while_suspended(&harness, &other, leaving, Duration::ZERO).await;
+    });
+}
+
+/// Guards against a manager that takes a response of the store for news though it has lain unread for seconds.
+#[test]
+fn a_manager_that_was_suspended_sends_nothing_to_a_target_that_left_meanwhile() {
+    run_test(async |harness| {
+        harness.until_logged("event=manager-elected").await;
+        let leaving = &harness.servers[0];
+        let path = "/look/x";
+        send_load(
+            &harness,
+            &harness.program,
+            path,
+            "first",
+            REQUEST_INTERVAL * 8,
+        )
+        .await;
+        leave_while_suspended(&harness, &harness.program, leaving, WATCH_TIME).await;
     });
 }
 
