The response to a watch counts from when it can have arrived, not from when it is read

Callers' requests reached targets that had left: a process without processor time for seconds read a response that the store had sent at its beginning, and took it for news; as the manager it would also have told all other VMs so. Such pauses are logged (paused).

--- a/engine/src/fleet/confirmations.rs
+++ b/engine/src/fleet/confirmations.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use super::VmId;
+use super::{VmId, pauses::Pauses};
 
 /// How long a confirmation that a VM knows the whole state of the store counts.
 ///
@@ -72,6 +72,8 @@
     /// When the store last confirmed that this VM knows all of it, unless its watch has failed since.
     by_store: Rc<Cell<Option<Duration>>>,
     latest: Rc<RefCell<Option<Confirmation>>>,
+    /// When this process had no processor time.
+    pauses: Rc<RefCell<Pauses>>,
     /// When the latest question was asked that was answered by somebody who doesn't follow the store either.
     no_news: Rc<Cell<Option<Duration>>>,
 }
@@ -90,6 +92,41 @@
         });
     }
 
+    /// Records that a watch that began at `asked` was answered, and its response read at `now`.
+    ///
+    /// If this process had no processor time in between, the response may have arrived when that began.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier_engine::fleet::Confirmations;
+    ///
+    /// let ms = Duration::from_millis;
+    /// let confirmations = Confirmations::default();
+    /// confirmations.record_turn(ms(1000));
+    /// confirmations.record_turn(ms(3000));
+    /// confirmations.add_by_watch(ms(500), ms(3010));
+    /// assert_eq!(confirmations.age(ms(3010)), Some(ms(2010)));
+    /// confirmations.add_by_watch(ms(3010), ms(3020));
+    /// assert_eq!(confirmations.age(ms(3020)), Some(ms(0)));
+    /// ```
+    pub fn add_by_watch(&self, asked: Duration, now: Duration) {
+        self.add_by_store(self.pauses.borrow().first_since(asked, now).unwrap_or(now));
+    }
+
+    /// Records that this process has processor time; to be called every [`TURN_INTERVAL`](super::TURN_INTERVAL).
+    ///
+    /// Returns how long it had none, if that was so long that news may have lain unread.
+    ///
+    /// # Example
+    ///
+    /// See [`Confirmations::add_by_watch`].
+    pub fn record_turn(&self, now: Duration) -> Option<Duration> {
+        self.pauses.borrow_mut().record_turn(now)
+    }
+
     /// Records that this VM doesn't follow the store itself any more.
     ///
     /// # Example
--- a/engine/src/fleet/mod.rs
+++ b/engine/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 mod eras;
 mod evacuation;
 mod leaving;
+mod pauses;
 mod record_log;
 mod relaying;
 mod removals;
@@ -29,6 +30,7 @@
     change_log::{ChangeLog, LogPosition, Relay},
     confirmations::{CONFIRMATION_TIME, Confirmation, Confirmations, SEND_TIME, Source},
     entry::{StoreKeys, Vm},
+    pauses::TURN_INTERVAL,
     record_log::RecordUpdate,
     removals::REMOVAL_GRACE,
     shared::SharedFleet,
--- a/engine/src/follow.rs
+++ b/engine/src/follow.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     catalogue::Catalogue,
-    fleet::{SharedFleet, StoreKeys},
+    fleet::{self, SharedFleet, StoreKeys},
     health::Health,
     report::Report,
     store::{Error, Read, Revision, Store, WatchBatch},
@@ -261,6 +261,7 @@
         let Some(after) = known else {
             return Err(Error::Compacted("watch"));
         };
+        let asked = context.clock.now();
         let watch = context.store.watch(ALL_KEYS, after, wait);
         let watch = async { Interruption::None(watch.await) };
         let relayed = async {
@@ -312,7 +313,8 @@
             }
             log_lines
         });
-        context.shared_fleet.confirmations().add_by_store(now);
+        let confirmations = context.shared_fleet.confirmations();
+        confirmations.add_by_watch(asked, now);
         context.report.lines(&log_lines);
         if !batch.changes.is_empty() {
             let delay = if context.is_manager.get() {
@@ -326,6 +328,16 @@
     }
 }
 
+/// Records again and again that this process has processor time, and logs when it had none.
+pub async fn record_turns(shared_fleet: SharedFleet, clock: Clock, report: Report) {
+    loop {
+        if let Some(pause) = shared_fleet.confirmations().record_turn(clock.now()) {
+            report.line(&format!("event=paused for_ms={}", pause.as_millis()));
+        }
+        clock.sleep(fleet::TURN_INTERVAL).await;
+    }
+}
+
 /// Removes the keys that are still missing some time after a failed call to the store, or in its new era.
 pub async fn expire_targets(shared_fleet: SharedFleet, clock: Clock, report: Report) {
     const CHECK_INTERVAL: Duration = Duration::from_millis(250);
--- a/engine/src/process/mod.rs
+++ b/engine/src/process/mod.rs
@@ -257,6 +257,11 @@
             self.clock.clone(),
             self.report.clone(),
         ));
+        spawn(follow::record_turns(
+            self.shared_fleet.clone(),
+            self.clock.clone(),
+            self.report.clone(),
+        ));
     }
 
     fn start_quarantine(&self) {
