Grants are withdrawn at the first byte if their decision is old; a relay sends nothing to a target that leaves

The same cause elsewhere: a grant's age was checked before its connection was opened, and a request that comes through another VM was sent to any target that is announced.

--- a/engine/src/owner/calls.rs
+++ b/engine/src/owner/calls.rs
@@ -1,8 +1,12 @@
 //! The manager's calls to the store and to targets, and what it derives from its view of the fleet.
 
-use std::{cmp::Reverse, slice, time::Duration};
+use std::{cmp::Reverse, rc::Rc, slice, time::Duration};
 
-use bramleypier_util::{body, body::Body, client};
+use bramleypier_util::{
+    body::{self, Body},
+    client::{self, SendGuard},
+    clock::Clock,
+};
 use hyper::{Request, http::response};
 use indexmap::IndexMap;
 
@@ -32,7 +36,7 @@
 ///
 /// The manager calls the target within 50 ms of the close; the rest allows for retransmitted packets.
 const MAX_CLOSE_AGE: Duration = Duration::from_secs(1);
-/// How long after its decision a grant may be sent: if the process was frozen in between, its lease may
+/// How long after its decision a grant may be written: if the process was frozen in between, its lease may
 /// have expired. A VM that is slowed down eight times takes some 0.3 s to begin sixty calls.
 const MAX_DECISION_AGE: Duration = Duration::from_millis(400);
 /// The maximum size of a response to a grant or release.
@@ -149,6 +153,31 @@
     Fence,
 }
 
+/// Withdraws a grant that is not written soon after its decision.
+struct GrantGuard {
+    decided_at: Duration,
+    clock: Clock,
+}
+
+impl SendGuard for GrantGuard {
+    fn may_write(&self) -> bool {
+        self.clock.now().saturating_sub(self.decided_at) <= MAX_DECISION_AGE
+    }
+}
+
+/// Returns what withdraws a call that is held until it must not have an effect any more; only grants are.
+fn guard(
+    context: &Context,
+    command: &OwnershipCommand,
+    kind: CallKind,
+) -> Option<Rc<dyn SendGuard>> {
+    let guard = GrantGuard {
+        decided_at: command.decided_at,
+        clock: context.clock.clone(),
+    };
+    (kind == CallKind::Grant).then(|| Rc::new(guard) as Rc<dyn SendGuard>)
+}
+
 /// Sends a call to a target and returns its outcome.
 pub(super) async fn send_command(
     context: &Context,
@@ -179,11 +208,11 @@
     *request.uri_mut() = http::Uri::from_static(call.path);
     *request.headers_mut() = call.headers;
     let started = context.clock.now();
-    let result = context
+    let guard = guard(context, command, kind);
+    let sent = context
         .client
-        .send(command.owner.address, request, timeout)
-        .await;
-    let outcome = match result {
+        .send_guarded(command.owner.address, request, timeout, guard);
+    let outcome = match sent.await {
         Ok(response) => {
             let (head, response_body) = response.into_parts();
             let outcome = context.targets.call_result(head.status, &head.headers);
--- a/engine/src/reach/mod.rs
+++ b/engine/src/reach/mod.rs
@@ -139,6 +139,11 @@
             .map_or(Path::None, |vm| Path::Through(vm.clone()))
     }
 
+    /// Returns the reading of the clock.
+    fn now(&self) -> Duration {
+        self.context.clock.now()
+    }
+
     /// Stops sending requests through a VM, until it says again that it reaches targets.
     pub fn drop_relay(&self, vm: &Vm) {
         self.relays.borrow_mut().retain(|it| it.start != vm.start);
@@ -194,7 +199,6 @@
 
     fn next_step(&self) -> Step {
         let relays = self.relays.borrow().len();
-        let now = self.context.clock.now();
-        self.state.borrow_mut().next_step(now, relays)
+        self.state.borrow_mut().next_step(self.now(), relays)
     }
 }
--- a/engine/src/reach/relay.rs
+++ b/engine/src/reach/relay.rs
@@ -255,13 +255,15 @@
         }
     }
 
-    /// Returns the address of the target that a request names, and the timeout; `None` if the target isn't known.
+    /// Returns the address of the target that a request names, and the timeout; `None` if the target isn't known, or leaves.
     fn destination(&self, headers: &HeaderMap) -> Option<(SocketAddr, Duration)> {
         let id = headers.get(TARGET)?.to_str().ok()?;
         let millis = headers.get(TIMEOUT_MS)?.to_str().ok()?.parse().ok()?;
         let fleet = self.shared_fleet.get();
-        let address = fleet.targets.get(id)?.address;
-        Some((address, Duration::from_millis(millis)))
+        let target = fleet.targets.get(id)?;
+        // The sender may not know yet that the target leaves, or the request may have been held on its way.
+        let accepts = fleet.accepts_requests(self.reach.now(), target, true);
+        accepts.then(|| (target.address, Duration::from_millis(millis)))
     }
 
     fn finish(&self, result: RelayResult, mut response: Response<Body>) -> Response<Body> {
