--- /dev/null
+++ b/engine/tests/ownership_histories.rs
@@ -0,0 +1,97 @@
+//! Random histories of managers, targets and a store that showed a fault, kept as they were printed.
+
+mod ownership_simulation;
+
+use ownership_simulation::{
+    Flaw, Simulation,
+    Step::{
+        self, Announce, ComeBack, Crash, Freeze, Heal, Leave, Link, Load, Resign, Restart, Run,
+        Store, Unanswered, WritesLost,
+    },
+};
+
+/// The number of steps after the end of all faults.
+const RECOVERY_STEPS: usize = 600;
+
+fn run(seed: u64, steps: &[Step]) -> Result<Simulation, String> {
+    let mut simulation = Simulation::new(Flaw::None, seed);
+    for step in steps {
+        simulation.step(*step)?;
+    }
+    Ok(simulation)
+}
+
+/// Guards against a key with two holders after the store has come back older while keys moved.
+#[test]
+fn many_moves_in_one_round_leave_a_key_with_two_holders() {
+    let result = run(14_043_846_750_650_019_259, TWO_HOLDERS);
+    assert_eq!(result.err(), None);
+}
+
+/// Guards against a key that nobody holds again after all faults have ended.
+#[test]
+fn many_moves_in_one_round_leave_a_key_without_a_holder() {
+    let mut simulation = run(12_358_017_675_992_452_209, NO_HOLDER).unwrap();
+    simulation.heal_all();
+    for _ in 0..RECOVERY_STEPS {
+        simulation.step(Run).unwrap();
+    }
+    assert!(simulation.keys_without_holder().is_empty());
+}
+
+#[rustfmt::skip]
+const TWO_HOLDERS: &[Step] = &[
+    Run, Leave { target: 0, on: false }, Run, Run, Run, Link { vm: 0, target: 0, open: false }, Heal, Announce {
+    target: 0, on: false }, Run, Link { vm: 0, target: 0, open: false }, Run, Run, Run, Run, Run, Run, Run, Run,
+    Announce { target: 1, on: false }, Run, Run, Load { key: 0, count: 19 }, Unanswered(0), Run, Link { vm: 0, target:
+    0, open: false }, Run, Leave { target: 0, on: false }, Run, Load { key: 1, count: 3 }, Freeze { vm: 0, ticks: 7 },
+    Leave { target: 0, on: false }, Leave { target: 0, on: false }, Run, Run, Run, Load { key: 3, count: 13 }, Heal,
+    Run, Leave { target: 0, on: false }, Run, Run, ComeBack(1), Freeze { vm: 0, ticks: 18 }, Run, Run, Run, Run, Run,
+    Leave { target: 0, on: false }, Leave { target: 0, on: false }, Run, Run, Run, Store { vm: 0, open: false }, Leave
+    { target: 0, on: false }, Run, Run, Run, Run, Crash { target: 1, ticks: 1 }, Run, Run, Run, Run, Run, Run, Run,
+    Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run,
+    Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run,
+    Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run,
+    Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run,
+    Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run,
+    Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run,
+    Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run,
+    Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run,
+    Run, Run, Run, Run, Run, Run, Run, Run, Run,
+];
+
+#[rustfmt::skip]
+const NO_HOLDER: &[Step] = &[
+    Crash { target: 0, ticks: 2 }, Leave { target: 0, on: false }, Leave { target: 0, on: false }, WritesLost(0), Run,
+    Store { vm: 0, open: true }, Run, Run, Run, Store { vm: 0, open: true }, Run, Run, Run, Store { vm: 0, open: true
+    }, Run, Freeze { vm: 0, ticks: 6 }, Run, Restart(0), Run, Store { vm: 0, open: false }, Freeze { vm: 1, ticks: 1
+    }, Heal, Link { vm: 0, target: 0, open: false }, Run, Run, Run, Run, Run, Run, Run, Run, Link { vm: 0, target: 0,
+    open: false }, Run, Restart(0), Store { vm: 0, open: true }, Store { vm: 0, open: true }, Run, Run, Run, Run,
+    ComeBack(1), Freeze { vm: 1, ticks: 9 }, Run, Run, Leave { target: 1, on: false }, Run, Unanswered(0), Run,
+    Resign(2), Run, Run, Link { vm: 0, target: 0, open: false }, Run, Unanswered(0), Run, Freeze { vm: 1, ticks: 24 },
+    Load { key: 5, count: 4 }, Run, Announce { target: 1, on: false }, Unanswered(0), Run, Store { vm: 0, open: false
+    }, Run, Run, Store { vm: 0, open: false }, Run, Store { vm: 0, open: true }, Leave { target: 0, on: false }, Leave
+    { target: 0, on: false }, Store { vm: 0, open: true }, Run, Run, Run, Run, Run, Run, Load { key: 3, count: 20 },
+    Run, Unanswered(13), Run, Run, Announce { target: 2, on: false }, Store { vm: 1, open: false }, Run, Run, Store {
+    vm: 1, open: true }, Unanswered(13), Store { vm: 0, open: true }, Unanswered(13), Store { vm: 0, open: true },
+    Leave { target: 0, on: false }, Link { vm: 0, target: 0, open: false }, Run, Run, Run, Run, Run, Heal, Store { vm:
+    0, open: true }, Unanswered(0), Store { vm: 0, open: false }, Run, Restart(1), Run, Heal, Run, Restart(0), Leave {
+    target: 0, on: false }, Run, Run, Store { vm: 0, open: false }, Link { vm: 0, target: 0, open: false }, Run, Run,
+    Run, Run, Run, Run, Run, Store { vm: 0, open: false }, Heal, Run, Run, Run, Run, Run, Run, Run, Restart(0), Store
+    { vm: 2, open: false }, WritesLost(0), Run, Run, Run, Run, Run, Store { vm: 2, open: true }, Restart(0), Run, Run,
+    Link { vm: 0, target: 0, open: false }, Restart(0), Run, Run, Store { vm: 0, open: true }, Run, Run, Run, Load {
+    key: 11, count: 29 }, Store { vm: 0, open: true }, Run, Run, Store { vm: 0, open: true }, Run, Run, Leave {
+    target: 1, on: false }, Run, Run, Run, Run, Freeze { vm: 1, ticks: 24 }, Run, Store { vm: 0, open: true }, Run,
+    Run, Run, Run, Run, Link { vm: 0, target: 0, open: false }, Run, Restart(2), Store { vm: 0, open: true }, Run,
+    Run, Run, Store { vm: 0, open: true }, Run, Store { vm: 1, open: false }, Run, Run, Run, Store { vm: 0, open:
+    false }, Run, Crash { target: 3, ticks: 1 }, Heal, Store { vm: 0, open: false }, Run, Store { vm: 0, open: false
+    }, Run, Crash { target: 1, ticks: 2 }, Heal, Run, Link { vm: 0, target: 0, open: false }, Run, Crash { target: 0,
+    ticks: 5 }, Leave { target: 2, on: true }, Run, Load { key: 4, count: 17 }, Crash { target: 0, ticks: 13 }, Run,
+    Unanswered(27), Store { vm: 2, open: false }, Run, Link { vm: 0, target: 0, open: false }, Run, Run, Store { vm:
+    0, open: false }, Run, ComeBack(2), Run, Run, Restart(1), Link { vm: 0, target: 0, open: false }, Store { vm: 2,
+    open: false }, Run, Store { vm: 1, open: true }, Run, Run, Run, Run, Restart(0), Run, Store { vm: 1, open: true },
+    Run, Run, Run, Store { vm: 0, open: false }, Run, Store { vm: 0, open: false }, Store { vm: 0, open: false }, Run,
+    Run, Store { vm: 0, open: false }, Store { vm: 0, open: false }, Run, Run, Run, Run, Run, Run, Run, Resign(2),
+    Run, Run, Run, Run, Run, Run, Store { vm: 0, open: false }, Run, Run, Run, Run, Run, Run, Run, Load { key: 1,
+    count: 2 }, Run, Run, Resign(0),
+];
