Keys move only if their next owner is less busy than the present one also by the rate as counted

Seen: in a random history key 1 had no holder 30 s after all faults had ended. Trace: nobody forgot its range; it moved between two idle targets every 3.2 s, without end, and the check fell into a move. Cause: since a run is weighed by what it is expected to keep of its rate, which is less while few requests were counted; so the one key that carries its owner's load looked lighter than it is, and each owner looked better off without it. Callers wait at each move, and each is charged. Now a move also needs the next owner to be less busy than the present one if the counted rate is right; levelling by speed, which counts by width on purpose, is as before.

--- a/engine/src/owner/balance.rs
+++ b/engine/src/owner/balance.rs
@@ -534,7 +534,8 @@
                 let added = (self.rates[to] + run.rate) / into;
                 let is_part = (is_far || self.levels) && run.rate >= MIN_PART_RATIO * into;
                 let after = if is_part { added } else { kept.max(added) };
-                if best.is_none_or(|(_, _, least)| after < least - UTILISATION_TOLERANCE) {
+                let better = best.is_none_or(|(_, _, least)| after < least - UTILISATION_TOLERANCE);
+                if better && !self.moves_the_load_on(run, to, before) {
                     best = Some((run, to, after));
                 }
             }
@@ -549,6 +550,16 @@
         (after < before * ratio).then_some(Step { run, from, to })
     }
 
+    /// Returns whether the next owner of a run would be as busy as the present one is, if the rate as counted is right.
+    ///
+    /// The run is chosen by what it is expected to keep of its rate, which is less while few requests were counted. A single
+    /// key that carries its owner's whole load would then move on and on.
+    fn moves_the_load_on(&self, run: Run, to: usize, before: f64) -> bool {
+        let rate = self.load.rate(run.from, run.to);
+        let counted = (self.rates[to] + rate) / self.candidates[to].capacity.max(0.01);
+        !self.levels && counted > before - UTILISATION_TOLERANCE
+    }
+
     /// Returns the move of other keys away from a candidate that one key alone fills.
     ///
     /// Keys that moved recently move again: behind the one key their requests would hardly be served.
