A manager that was suspended sends nothing before the store has confirmed its lease, however long the lease lasts

Seen: in a random history key 0 had two holders. Trace: the store came back 0.05 s older while the manager gave key 0 to t1, and the manager was suspended for 0.9 s. A successor in the new era had every target release its keys, t1 among them, and granted key 0 to t2 by the older record; t1 ended and started again, and forgot the fence. The first manager woke, took its lease for valid, which the store no longer had, and renewed t1's grant by its view from before. Cause: a lease that has not run out counted as held after a suspension. The rounds with many moves only let the state be met sooner: what is on record before a grant was as it should be. Real processes can do it if the store comes back older; without that the lease protects, since nobody else takes over before it ends. Not shown with real VMs.

Two checks change, as strict as before. The simulation gave load to VMs that it had suspended, which then acted in the middle of their suspension: no process does, and it hid the pause. Two tests let a second pass without any event and expected grants; now the process runs in between.

--- a/engine/src/owner/ownership/mod.rs
+++ b/engine/src/owner/ownership/mod.rs
@@ -23,7 +23,8 @@
 //! - A grant without a response may have arrived until the moment at which its connection was reset.
 //! - While its lease isn't renewed in time a manager may have a successor, which may have had an owner release its keys, and
 //!   the next incarnation of that owner has forgotten the fence. So it grants only what its own view of the targets still
-//!   shows, and once it was suspended it sends nothing before the store has confirmed its lease.
+//!   shows. Once it was suspended it sends nothing before the store has confirmed its lease, whether or not that has run
+//!   out: the store may have come back older without it.
 
 mod call_outcomes;
 mod commit;
@@ -128,8 +129,10 @@
     schedule: Schedule,
     /// When the last event was handled.
     handled_at: Duration,
-    /// Whether the process was suspended while its lease ran out, and the store hasn't confirmed the lease since.
-    suspended: bool,
+    /// When the process was found to have been suspended, if the store hasn't confirmed the lease since.
+    suspended_at: Option<Duration>,
+    /// For how long the lease lasts from its renewal, less the time of the quickest call.
+    lease_span: Duration,
     /// Whether nothing more may be sent.
     stopped: bool,
 }
@@ -218,10 +221,7 @@
             }
             Event::Committed => self.committed(now),
             Event::CommitFailed => self.commit_failed(now),
-            Event::LeaseExtended(until) => {
-                self.lease_until = until;
-                self.suspended &= now >= until;
-            }
+            Event::LeaseExtended(until) => self.lease_extended(now, until),
             Event::PredecessorStopped => self.predecessors.on_stopped(now),
             Event::Load(counts) => self.load.add(now, counts),
             Event::ConnectionClosed(address) => self.connection_closed(now, address),
@@ -237,21 +237,34 @@
         effects
     }
 
-    /// Notices that the process was suspended, and that its lease ran out meanwhile.
+    /// Notices that the process was suspended.
+    ///
+    /// The store may have come back older meanwhile, without the lease, so the lease counts for nothing whether or not it
+    /// has run out.
     fn note_gap(&mut self, now: Duration, effects: &mut Vec<Effect>) {
         let gap = now.saturating_sub(self.handled_at);
         self.handled_at = now;
-        if gap <= MAX_EVENT_GAP || now < self.lease_until || self.suspended {
+        if gap <= MAX_EVENT_GAP {
             return;
         }
-        self.suspended = true;
+        self.suspended_at = Some(now);
         effects.push(Effect::Log(format!(
-            "event=grants-suspended gap_ms={} lease_age_ms={}",
+            "event=grants-suspended gap_ms={} lease_left_ms={}",
             gap.as_millis(),
-            now.saturating_sub(self.lease_until).as_millis()
+            self.lease_until.saturating_sub(now).as_millis()
         )));
     }
 
+    /// Extends the lease; a renewal that was sent after the process was suspended shows that the lease still exists.
+    fn lease_extended(&mut self, now: Duration, until: Duration) {
+        self.lease_until = until;
+        self.lease_span = self.lease_span.max(until.saturating_sub(now));
+        let renewed_at = until.saturating_sub(self.lease_span);
+        // A renewal from before a gap was sent earlier by all of the gap.
+        let is_later = |at: &mut Duration| now < until && renewed_at + MAX_EVENT_GAP / 2 >= *at;
+        self.suspended_at.take_if(is_later);
+    }
+
     /// Returns the owners that get no grants for now: they aren't announced, and the lease isn't fresh.
     ///
     /// A successor may have had them release their keys, and their next incarnations would take these back.
@@ -328,7 +341,7 @@
 
     /// Sends the calls that are due: grants for owned ranges, releases for ranges in [`Phase::Releasing`].
     fn send_due_calls(&mut self, now: Duration, effects: &mut Vec<Effect>) {
-        if self.suspended {
+        if self.suspended_at.is_some() {
             return;
         }
         let grant_duration = self.next_grant_duration(now);
--- a/engine/src/owner/ownership/takeover.rs
+++ b/engine/src/owner/ownership/takeover.rs
@@ -106,7 +106,8 @@
             started_at: now,
             schedule: Schedule::new(now),
             handled_at: now,
-            suspended: false,
+            suspended_at: None,
+            lease_span: Duration::ZERO,
             stopped: false,
         };
         let effects = if is_later {
--- a/engine/tests/ownership_simulation/mod.rs
+++ b/engine/tests/ownership_simulation/mod.rs
@@ -263,7 +263,10 @@
 
     fn load(&mut self, key: RequestKey, count: u32) {
         for vm in 0..self.vms.len() {
-            self.feed(vm, Event::Load(vec![(key, count)]));
+            // A process without processor time counts no requests.
+            if self.vms[vm].frozen == 0 {
+                self.feed(vm, Event::Load(vec![(key, count)]));
+            }
         }
     }
 
--- a/engine/tests/service_ownership.rs
+++ b/engine/tests/service_ownership.rs
@@ -14,10 +14,21 @@
     target,
 };
 
+/// Lets a process run from one time to another, in which no call is due.
+fn keep_running(ownership: &mut ServiceOwnership, from: Duration, to: Duration) {
+    const TICK: Duration = Duration::from_millis(100);
+    let mut now = from + TICK;
+    while now < to {
+        assert!(grant_commands(&ownership.handle(now, Event::Tick)).is_empty());
+        now += TICK;
+    }
+}
+
 #[test]
 fn the_end_of_an_incarnation_frees_all_its_ranges_at_once() {
     let (mut ownership, _, now) = granted_ownership();
     let due = now + TIMING.renew_interval;
+    keep_running(&mut ownership, now, due);
     let renewals = grant_commands(&ownership.handle(due, Event::Tick));
     let first = renewals
         .iter()
@@ -81,6 +92,7 @@
     );
     // The lease of two seconds was last renewed at `now`.
     let without_lease = now + TIMING.renew_interval;
+    keep_running(&mut ownership, now, without_lease);
     let sent = grant_commands(&ownership.handle(without_lease, Event::Tick));
     assert_eq!(sent.len(), granted.len());
     assert!(
