Failing test: interim responses without end stop the process

A target that sends '100 Continue' without end keeps hyper reading in one loop that never yields: no timeout fires and no other request of the VM goes on. Other bytes without end, in heads and bodies, end the exchange early.

--- a/util/tests/client.rs
+++ b/util/tests/client.rs
@@ -207,3 +207,92 @@
         assert!(error.unsent(), "{error}");
     });
 }
+
+/// What a peer sends without end, after the beginning of a response.
+struct Endless {
+    name: &'static str,
+    beginning: &'static str,
+    part: &'static str,
+}
+
+const ENDLESS: [Endless; 6] = [
+    Endless {
+        name: "bytes that are no response",
+        beginning: "",
+        part: "0123456789abcdef",
+    },
+    Endless {
+        name: "empty lines",
+        beginning: "",
+        part: "\r\n",
+    },
+    Endless {
+        name: "headers",
+        beginning: "HTTP/1.1 200 OK\r\n",
+        part: "A: b\r\n",
+    },
+    Endless {
+        name: "interim responses",
+        beginning: "",
+        part: "HTTP/1.1 100 Continue\r\n\r\n",
+    },
+    Endless {
+        name: "a body in chunks",
+        beginning: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        part: "4\r\nabcd\r\n",
+    },
+    Endless {
+        name: "a body up to the close",
+        beginning: "HTTP/1.1 200 OK\r\n\r\n",
+        part: "0123456789abcdef",
+    },
+];
+
+/// The most that a client reads of what is no response; the rest is what both sockets buffer.
+const MAX_TAKEN_BYTES: usize = 16 << 20;
+
+/// Starts a peer that sends bytes without end to one request, and returns how many it could send.
+fn start_endless(endless: &'static Endless) -> (SocketAddr, thread::JoinHandle<usize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let work = move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let _ = stream.read(&mut [0; 1024]).unwrap();
+        let _ = stream.write_all(endless.beginning.as_bytes());
+        let part = endless.part.repeat(1000);
+        let mut taken = 0;
+        while stream.write_all(part.as_bytes()).is_ok() {
+            taken += part.len();
+        }
+        taken
+    };
+    (address, thread::spawn(work))
+}
+
+/// Guards against a peer that keeps a client reading until its timeout, with all the processor time and memory it has.
+#[test]
+fn bytes_without_end_end_the_exchange_early() {
+    Runtime::new().unwrap().block_on(async {
+        for endless in &ENDLESS {
+            let (address, peer) = start_endless(endless);
+            let clock = Clock::real();
+            let client = Client::new(clock.clone(), 1);
+            let limits = ResponseLimits {
+                head: Duration::from_secs(5),
+                whole: Duration::from_secs(5),
+                bytes: 64 << 10,
+            };
+            let started = clock.now();
+            let fetched = client.fetch(address, Request::new(Body::empty()), limits);
+            assert!(fetched.await.is_err(), "{}", endless.name);
+            let took = clock.now().saturating_sub(started);
+            assert!(took < limits.whole / 2, "{}: {took:?}", endless.name);
+            // The task of the connection closes it once the response has been dropped.
+            clock.sleep(POLL_INTERVAL).await;
+            drop(client);
+            clock.sleep(POLL_INTERVAL).await;
+            let taken = peer.join().unwrap();
+            assert!(taken <= MAX_TAKEN_BYTES, "{}: {taken} bytes", endless.name);
+        }
+    });
+}
