The head of a response ends after 128 KiB, interim responses included

Callers of a VM got nothing any more, and its timers stopped, while one target sent interim responses without end: hyper skips them in a loop that never yields. Now the stream counts what is read before a response begins, and the connection fails beyond the limit, so the request counts as lost, like any other answer that is none.

--- a/util/src/client.rs
+++ b/util/src/client.rs
@@ -33,6 +33,10 @@
 /// Peers are a few milliseconds apart. A lost SYN is retransmitted only after one second, so waiting
 /// longer gains nothing, and a peer behind a network partition never responds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// The maximum size of a response's head, with the interim responses before it.
+///
+/// hyper reads any number of interim responses without a pause, so nothing else would end them.
+const MAX_HEAD_BYTES: usize = 128 * 1024;
 /// How recently a connection must have been used for its close to indicate that the peer's process ended.
 ///
 /// A connection that was idle for longer may have reached the peer's idle timeout. The shortest timeout that
@@ -147,6 +151,8 @@
     written: Rc<Cell<u64>>,
     /// The request that is to be written next.
     next_write: Rc<RefCell<Option<NextWrite>>>,
+    /// How many bytes were read since the request, while its response has not begun.
+    head_bytes: Rc<Cell<Option<usize>>>,
     /// When it was last used; none before the first response, and after one that announced the close.
     last_used: Rc<Cell<Option<Duration>>>,
 }
@@ -326,7 +332,9 @@
         if connection.last_used.get().is_some() {
             connection.last_used.set(Some(self.clock.now()));
         }
+        connection.head_bytes.set(Some(0));
         let result = connection.sender.try_send_request(request).await;
+        connection.head_bytes.set(None);
         let unsent = connection.written.get() == written_before;
         match result {
             Ok(response) => {
@@ -399,6 +407,7 @@
             responded: false,
             written: state.written,
             next_write: state.next_write,
+            head_bytes: state.head_bytes,
             last_used,
         })
     }
@@ -491,15 +500,23 @@
     written: Rc<Cell<u64>>,
     /// The request that is to be written next.
     next_write: Rc<RefCell<Option<NextWrite>>>,
+    /// How many bytes were read since the request, while its response has not begun.
+    head_bytes: Rc<Cell<Option<usize>>>,
     /// Whether the peer has closed the stream with a FIN.
     ended: Rc<Cell<bool>>,
 }
 
 impl StreamObserver for StreamState {
-    fn on_read(&mut self, bytes: usize) {
+    fn on_read(&mut self, bytes: usize) -> io::Result<()> {
         if bytes == 0 {
             self.ended.set(true);
         }
+        let read = self.head_bytes.get().map(|it| it + bytes);
+        self.head_bytes.set(read);
+        if read.is_some_and(|it| it > MAX_HEAD_BYTES) {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+        Ok(())
     }
 
     fn before_write(&mut self) -> io::Result<()> {
--- a/util/src/pipeline/stream.rs
+++ b/util/src/pipeline/stream.rs
@@ -76,7 +76,7 @@
             buffer.put_slice(&held);
             held.len()
         };
-        this.stream.observer().on_read(count);
+        this.stream.observer().on_read(count)?;
         Poll::Ready(Ok(()))
     }
 }
--- a/util/src/server.rs
+++ b/util/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    io,
     rc::Rc,
     task::{Poll, ready},
     time::Duration,
@@ -433,10 +434,11 @@
 }
 
 impl StreamObserver for SharedTimer {
-    fn on_read(&mut self, bytes: usize) {
+    fn on_read(&mut self, bytes: usize) -> io::Result<()> {
         if bytes > 0 {
             self.on_bytes(ConnectionTimer::on_read);
         }
+        Ok(())
     }
 
     fn on_write(&mut self, _bytes: usize) {
--- a/util/src/stream.rs
+++ b/util/src/stream.rs
@@ -14,7 +14,11 @@
 pub trait StreamObserver: Unpin {
     /// Called after `bytes` bytes were read; 0 means that the peer closed the stream with a FIN, not
     /// with a reset.
-    fn on_read(&mut self, bytes: usize);
+    ///
+    /// # Errors
+    ///
+    /// Nothing may be read any more; the connection fails with this error.
+    fn on_read(&mut self, bytes: usize) -> io::Result<()>;
 
     /// Called before bytes are written.
     ///
@@ -92,8 +96,7 @@
         let count = bytes.len().min(buffer.remaining());
         buffer.put_slice(&bytes[..count]);
         inner.as_mut().consume(count);
-        observer.on_read(count);
-        Poll::Ready(Ok(()))
+        Poll::Ready(observer.on_read(count))
     }
 }
 
