--- a/engine/tests/ownership.rs
+++ b/engine/tests/ownership.rs
@@ -51,6 +51,26 @@
     (any::<u64>(), prop::collection::vec(step(), STEPS))
 }
 
+/// A step of histories in which many keys move while the store comes back older, VMs pause and targets start again at once.
+fn busy_step() -> impl Strategy<Value = Step> {
+    let vm = 0..3_usize;
+    let target = 0..4_usize;
+    prop_oneof![
+        40 => Just(Step::Run),
+        4 => (vm.clone(), 10..30_u32).prop_map(|(vm, ticks)| Step::Freeze { vm, ticks }),
+        1 => vm.clone().prop_map(Step::Resign),
+        2 => (vm, any::<bool>()).prop_map(|(vm, open)| Step::Store { vm, open }),
+        4 => (target, 1..3_u32).prop_map(|(target, ticks)| Step::Crash { target, ticks }),
+        12 => (0..16_u64, 10..60_u32).prop_map(|(key, count)| Step::Load { key, count }),
+        2 => (1..3_usize).prop_map(Step::ComeBack),
+        2 => Just(Step::Heal),
+    ]
+}
+
+fn busy_history() -> impl Strategy<Value = (u64, Vec<Step>)> {
+    (any::<u64>(), prop::collection::vec(busy_step(), STEPS))
+}
+
 fn run_history(flaw: Flaw, seed: u64, steps: &[Step]) -> Result<(), String> {
     let mut simulation = Simulation::new(flaw, seed);
     for step in steps {
@@ -72,10 +92,19 @@
 fn check_histories<T>(cases: u32, test: T)
 where
     T: Fn(u64, &[Step]) -> Result<(), String>,
+{
+    check_histories_of(&history(), cases, test);
+}
+
+/// Does the same with histories of one kind.
+fn check_histories_of<S, T>(histories: &S, cases: u32, test: T)
+where
+    S: Strategy<Value = (u64, Vec<Step>)>,
+    T: Fn(u64, &[Step]) -> Result<(), String>,
 {
     let random = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
     let mut runner = TestRunner::new_with_rng(config(cases), random);
-    let result = runner.run(&history(), |(seed, steps)| {
+    let result = runner.run(histories, |(seed, steps)| {
         test(seed, &steps).map_err(TestCaseError::fail)
     });
     match result {
@@ -92,6 +121,14 @@
     });
 }
 
+/// Guards against second holders that come of moves, an older store, pauses and new incarnations within a second.
+#[test]
+fn no_key_has_two_holders_while_many_move() {
+    check_histories_of(&busy_history(), cases(CASES), |seed, steps| {
+        run_history(Flaw::None, seed, steps)
+    });
+}
+
 #[test]
 fn keys_have_owners_again_once_all_faults_are_over() {
     check_histories(cases(CASES) / 4, |seed, steps| {
--- a/engine/tests/ownership_histories.rs
+++ b/engine/tests/ownership_histories.rs
@@ -39,6 +39,13 @@
     assert!(simulation.keys_without_holder().is_empty());
 }
 
+/// Guards against a key with two holders after an owner has ended and started again in an era that its manager doesn't know.
+#[test]
+fn an_owner_that_restarts_in_a_new_era_gets_keys_from_an_earlier_manager() {
+    let result = run(8_258_345_436_429_902_379, RESTART_IN_NEW_ERA);
+    assert_eq!(result.err(), None);
+}
+
 /// Guards against a key that moves to and fro without end between two rules, so that it often has no holder.
 #[test]
 fn a_redistribution_that_gains_nothing_is_undone_and_repeated() {
@@ -50,6 +57,39 @@
     assert!(simulation.keys_without_holder().is_empty());
 }
 
+#[rustfmt::skip]
+const RESTART_IN_NEW_ERA: &[Step] = &[
+    Store { vm: 0, open: true }, Run, Run, Run, Run, Run, Run, Run, Run, Run, Crash { target: 0, ticks: 1 }, Load {
+    key: 0, count: 10 }, Store { vm: 0, open: false }, Heal, Run, Run, Run, Load { key: 0, count: 10 }, Run, Load {
+    key: 0, count: 10 }, Load { key: 0, count: 10 }, Load { key: 0, count: 10 }, Load { key: 0, count: 10 }, Run, Run,
+    Load { key: 0, count: 10 }, Run, ComeBack(1), Load { key: 0, count: 10 }, Run, Run, Load { key: 0, count: 10 },
+    Run, Load { key: 0, count: 10 }, Run, Run, Run, Run, Run, Load { key: 10, count: 44 }, Run, Run, Crash { target:
+    0, ticks: 1 }, Load { key: 8, count: 51 }, Run, Run, Freeze { vm: 1, ticks: 18 }, Freeze { vm: 2, ticks: 13 },
+    Store { vm: 0, open: true }, Run, Run, Load { key: 0, count: 10 }, Load { key: 0, count: 10 }, Load { key: 0,
+    count: 10 }, Run, Run, Crash { target: 0, ticks: 1 }, Run, Run, Run, Run, Run, Run, Load { key: 15, count: 14 },
+    Freeze { vm: 1, ticks: 18 }, Run, Crash { target: 1, ticks: 2 }, Crash { target: 0, ticks: 2 }, Run, Load { key:
+    6, count: 53 }, Run, Run, Load { key: 0, count: 49 }, Run, Run, Store { vm: 2, open: false }, Run, Run, Freeze {
+    vm: 0, ticks: 10 }, Run, Run, Run, Heal, Load { key: 11, count: 42 }, Crash { target: 3, ticks: 2 }, Run, Run,
+    Freeze { vm: 2, ticks: 10 }, Load { key: 0, count: 10 }, Run, Run, Run, Run, Run, Run, Heal, Load { key: 1, count:
+    10 }, Crash { target: 3, ticks: 1 }, Load { key: 11, count: 25 }, Run, Run, Run, Load { key: 1, count: 10 }, Run,
+    Run, Run, Run, Freeze { vm: 2, ticks: 11 }, Run, Crash { target: 0, ticks: 1 }, Run, Crash { target: 3, ticks: 1
+    }, Run, Run, Run, Run, Run, ComeBack(1), Load { key: 12, count: 10 }, Load { key: 12, count: 54 }, Run, Load {
+    key: 1, count: 15 }, Run, Run, Run, Load { key: 1, count: 10 }, Resign(0), Run, Run, Run, Run, Freeze { vm: 1,
+    ticks: 10 }, Run, Run, Freeze { vm: 2, ticks: 10 }, Heal, Run, Run, Load { key: 2, count: 10 }, Store { vm: 2,
+    open: false }, Run, Run, Crash { target: 3, ticks: 2 }, Run, Run, ComeBack(2), Load { key: 0, count: 10 }, Store {
+    vm: 2, open: true }, Run, Freeze { vm: 0, ticks: 28 }, Run, Load { key: 7, count: 10 }, Resign(0), Run, Run, Load
+    { key: 7, count: 10 }, Run, Load { key: 1, count: 11 }, Run, Run, Crash { target: 3, ticks: 1 }, Load { key: 2,
+    count: 11 }, Load { key: 0, count: 10 }, Load { key: 10, count: 10 }, Run, Freeze { vm: 1, ticks: 24 }, Run,
+    ComeBack(1), Load { key: 2, count: 10 }, Run, Run, Run, Freeze { vm: 2, ticks: 16 }, Run, Run, Run, Crash {
+    target: 3, ticks: 1 }, Run, Load { key: 0, count: 10 }, Run, Load { key: 0, count: 10 }, Load { key: 0, count: 10
+    }, Load { key: 0, count: 10 }, Run, Run, Load { key: 0, count: 10 }, ComeBack(1), Crash { target: 3, ticks: 2 },
+    Run, Run, Run, Run, Run, Run, Load { key: 1, count: 10 }, Run, Run, Load { key: 9, count: 10 }, Run, Run,
+    ComeBack(1), Load { key: 2, count: 20 }, Run, Run, Run, Run, Run, Freeze { vm: 0, ticks: 10 }, Run, Run, Run, Run,
+    Run, Crash { target: 1, ticks: 1 }, Run, Heal, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run,
+    Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run,
+    Run, Run, Run, Run, Run, Run, Run, Run,
+];
+
 #[rustfmt::skip]
 const REPEATED_REDISTRIBUTION: &[Step] = &[
     Restart(0), Run, Leave { target: 0, on: false }, Run, Run, Run, Resign(1), Run, Run, Run, Run, Unanswered(15),
