--- a/engine/tests/ownership_histories.rs
+++ b/engine/tests/ownership_histories.rs
@@ -55,6 +55,22 @@
     assert_eq!(result.err(), None);
 }
 
+/// Guards against a key with two holders; one of 100,000 histories.
+#[test]
+fn one_of_many_histories_leaves_a_key_with_two_holders() {
+    let result = run(2_079_636_175_896_387_381, RARE_TWO_HOLDERS);
+    assert_eq!(result.err(), None);
+}
+
+/// Guards against a key without a holder after all faults have ended; one of 25,000 histories.
+#[test]
+fn one_of_many_histories_leaves_a_key_without_a_holder() {
+    assert_eq!(
+        keys_without_holder(445_595_517_112_243_045, RARE_NO_HOLDER),
+        []
+    );
+}
+
 /// Guards against a key that moves to and fro without end between two rules, so that it often has no holder.
 #[test]
 fn a_redistribution_that_gains_nothing_is_undone_and_repeated() {
@@ -97,6 +113,63 @@
     Run, Run, Run, Run, Run, Run, Run, Run,
 ];
 
+#[rustfmt::skip]
+const RARE_TWO_HOLDERS: &[Step] = &[
+    Run, Leave { target: 0, on: false }, Run, Store { vm: 0, open: true }, Run, Run, Run, Resign(0), Run, Run, Crash {
+    target: 1, ticks: 46 }, Restart(1), Run, Run, Link { vm: 2, target: 0, open: false }, Run, Run, Run, Run, Run,
+    Run, Run, Load { key: 3, count: 2 }, Run, Store { vm: 0, open: true }, Run, Restart(1), Announce { target: 0, on:
+    false }, Run, Run, Run, Run, Run, Load { key: 3, count: 10 }, Run, Run, Run, Load { key: 1, count: 19 }, Store {
+    vm: 0, open: false }, Run, Leave { target: 0, on: false }, Freeze { vm: 1, ticks: 11 }, Run, Announce { target: 0,
+    on: false }, Run, Link { vm: 0, target: 0, open: false }, ComeBack(1), Run, Run, Link { vm: 0, target: 0, open:
+    false }, Run, Run, Run, Run, Load { key: 4, count: 9 }, Run, Leave { target: 0, on: false }, Run, Run, Heal, Leave
+    { target: 0, on: false }, Store { vm: 0, open: false }, Run, Link { vm: 0, target: 3, open: false }, Store { vm:
+    0, open: false }, Run, Run, Load { key: 0, count: 5 }, Load { key: 2, count: 1 }, Run, Store { vm: 0, open: false
+    }, Store { vm: 0, open: false }, Run, Store { vm: 0, open: false }, Run, Leave { target: 0, on: false }, Run,
+    Freeze { vm: 0, ticks: 12 }, Run, Run, Run, Run, Run, Resign(1), Crash { target: 2, ticks: 5 }, Run, Run, Run,
+    Restart(2), Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run,
+    Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run,
+    Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run,
+    Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run,
+    Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run,
+    Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run,
+    Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run,
+    Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run,
+];
+
+#[rustfmt::skip]
+const RARE_NO_HOLDER: &[Step] = &[
+    Store { vm: 0, open: false }, Crash { target: 0, ticks: 1 }, Leave { target: 0, on: false }, ComeBack(1), Run,
+    Link { vm: 0, target: 0, open: false }, Leave { target: 0, on: false }, WritesLost(0), Run, Leave { target: 0, on:
+    false }, Run, Crash { target: 0, ticks: 1 }, Run, WritesLost(0), Run, Store { vm: 0, open: false }, Run, Run,
+    Leave { target: 0, on: false }, Load { key: 4, count: 33 }, Run, Run, Run, Restart(2), Run, Freeze { vm: 1, ticks:
+    3 }, Run, Run, Heal, Run, Announce { target: 0, on: true }, Run, Run, Run, Run, Run, Run, Run, Crash { target: 0,
+    ticks: 10 }, Run, Run, Load { key: 9, count: 8 }, Load { key: 2, count: 19 }, Freeze { vm: 0, ticks: 1 }, Run,
+    Run, Run, Freeze { vm: 1, ticks: 7 }, Run, Run, Run, Leave { target: 0, on: false }, Resign(1), Link { vm: 0,
+    target: 0, open: false }, Heal, Run, Run, WritesLost(0), Store { vm: 0, open: true }, Run, WritesLost(0), Store {
+    vm: 0, open: false }, Run, Run, Run, Run, ComeBack(1), Run, Run, Run, Leave { target: 0, on: false }, Link { vm:
+    0, target: 0, open: true }, Run, Unanswered(29), Run, Run, Heal, Unanswered(4), Run, Run, Load { key: 10, count:
+    31 }, Run, Load { key: 0, count: 1 }, Run, Run, Run, Run, Leave { target: 0, on: false }, Leave { target: 2, on:
+    true }, Run, Run, Restart(2), Freeze { vm: 2, ticks: 5 }, Run, Restart(0), Unanswered(35), Unanswered(0), Store {
+    vm: 2, open: false }, Link { vm: 0, target: 0, open: false }, Run, Run, Run, Crash { target: 2, ticks: 1 }, Run,
+    Run, ComeBack(1), Freeze { vm: 1, ticks: 3 }, Run, Restart(2), Heal, Link { vm: 1, target: 1, open: false }, Crash
+    { target: 0, ticks: 3 }, Run, Heal, Heal, Leave { target: 0, on: false }, Resign(0), Run, Run, Run, Leave {
+    target: 0, on: true }, Resign(1), Run, Unanswered(20), Run, Restart(0), Run, Run, Run, Store { vm: 0, open: true
+    }, Leave { target: 2, on: true }, Restart(0), Run, Run, Unanswered(0), Unanswered(23), Run, ComeBack(1), Store {
+    vm: 0, open: true }, Run, Run, Run, Resign(2), Run, Run, Run, Heal, Run, Run, Freeze { vm: 0, ticks: 5 }, Leave {
+    target: 0, on: false }, Unanswered(19), Run, Run, Run, Announce { target: 0, on: false }, Freeze { vm: 1, ticks: 2
+    }, Run, Leave { target: 0, on: false }, Run, Leave { target: 2, on: false }, Run, Heal, Run, Run, Run, Store { vm:
+    0, open: true }, Run, Run, Store { vm: 0, open: true }, Run, Store { vm: 0, open: true }, Store { vm: 0, open:
+    true }, Run, Run, Run, Run, Resign(1), Leave { target: 0, on: false }, Unanswered(30), Run, Announce { target: 3,
+    on: false }, Run, Run, Run, Load { key: 0, count: 15 }, Run, Run, Run, Run, Run, Run, Run, Run, Run, Run, Link {
+    vm: 0, target: 0, open: false }, Run, Run, Freeze { vm: 0, ticks: 12 }, Run, Store { vm: 0, open: false }, Run,
+    Store { vm: 0, open: false }, Run, Run, Store { vm: 0, open: false }, Run, Run, Run, Store { vm: 0, open: false },
+    Heal, Run, Run, Run, Run, Run, Leave { target: 2, on: false }, Restart(1), Run, Run, Run, Run, Run, Store { vm: 0,
+    open: false }, Run, Run, Restart(1), Load { key: 5, count: 37 }, Run, Run, Crash { target: 2, ticks: 2 }, Leave {
+    target: 0, on: false }, Run, Heal, Run, Unanswered(0), Restart(1), Run, Leave { target: 0, on: false }, Run, Run,
+    Run, Resign(1), Run, Run, Run, Resign(1), Run, Run, Run, Run, Run, Run, Run, Heal, Run, Announce { target: 0, on:
+    false }, Resign(1), Load { key: 1, count: 9 },
+];
+
 #[rustfmt::skip]
 const REPEATED_REDISTRIBUTION: &[Step] = &[
     Restart(0), Run, Leave { target: 0, on: false }, Run, Run, Run, Resign(1), Run, Run, Run, Run, Unanswered(15),
