--- a/engine/tests/retry_budget.rs
+++ b/engine/tests/retry_budget.rs
@@ -106,7 +106,7 @@
 
 /// Guards against dividing the slack among the VMs that the store hears, while the others go on serving.
 #[test]
-fn vms_that_the_store_does_not_hear_share_the_slack() {
+fn vms_unheard_by_the_store_share_the_slack() {
     for listed in [0, 1, 3, 5] {
         let lists = [(5000, 0..listed)];
         simulate_callers(&[], &lists, 1000, |_, _| true).assert_within_budget();
