--- a/program/tests/harness/mod.rs
+++ b/program/tests/harness/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses only part of it")]
 
+pub mod played_vm;
+
 use std::{
     net::SocketAddr,
     path::Path,
@@ -51,6 +53,13 @@
     .unwrap()
 }
 
+/// Starts a VM without seeds, with other parameters of the platform.
+pub fn start_vm_with_figures(name: &str, store: SocketAddr, figures: &str) -> Program {
+    let binary = Path::new(env!("CARGO_BIN_EXE_bramleypier"));
+    let listens = ListenAddresses::on_free_ports();
+    Program::start_with_figures(binary, name, store, "", listens, figures).unwrap()
+}
+
 /// Waits for this many milliseconds.
 pub async fn sleep_ms(millis: u64) {
     Clock::real().sleep(Duration::from_millis(millis)).await;
--- a/program/tests/old_configurations.rs
+++ b/program/tests/old_configurations.rs
@@ -3,29 +3,22 @@
 mod harness;
 
 use std::{
-    cell::Cell,
     net::SocketAddr,
-    rc::Rc,
     sync::{Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
 
-use bramleypier_engine::{
-    fleet::{LogPosition, Relay, Vm},
-    peer::{Envelope, News, SyncResponse},
-};
+use bramleypier_engine::fleet::Vm;
 use bramleypier_platform_standin::store::Store;
 use bramleypier_soak::proxy::{Mode, Proxy};
-use bramleypier_util::{
-    body::{self, Body},
-    client::Client,
-    clock::Clock,
-    server::{self, Control},
-    stamp::Stamp,
+use bramleypier_util::{client::Client, clock::Clock};
+use compio::runtime::Runtime;
+use harness::{
+    Harness, Program, TEST_TIMEOUT, config,
+    played_vm::{self, MANAGER_KEY, PlayedVm},
+    sleep_ms, start_vm, until_logged,
 };
-use compio::{net::TcpListener, runtime::Runtime};
-use harness::{Harness, Program, TEST_TIMEOUT, config, sleep_ms, start_vm, until_logged};
-use hyper::{Request, Response, StatusCode, body::Incoming};
+use hyper::StatusCode;
 
 /// The time within which a configuration must be in force on all VMs after the store has accepted it.
 const IN_FORCE: Duration = Duration::from_secs(2);
@@ -33,10 +26,6 @@
 const VMS: usize = 5;
 /// How many VMs the store turns away, the manager first.
 const TURNED_AWAY: usize = 2;
-/// The key of the manager's entry in the store.
-const MANAGER_KEY: &str = "bramleypier/manager";
-/// The start of the process of a manager that the test plays.
-const MANAGER_START: &str = "vm-0/1";
 /// How late that manager wakes up.
 const MANAGER_LAG: Duration = Duration::from_millis(60);
 
@@ -186,62 +175,10 @@
     });
 }
 
-/// Returns the response of a manager that follows the store, has no news and wakes up late by `lag`.
-fn manager_response(lag: Duration) -> Vec<u8> {
-    let position = LogPosition {
-        start: MANAGER_START.to_owned(),
-        count: 0,
-    };
-    let message = SyncResponse {
-        healthy: true,
-        in_flight_elsewhere: Vec::new(),
-        quotas: Vec::new(),
-        rates: Vec::new(),
-        relay: Relay::Changes {
-            changes: Vec::new(),
-            followed: [].into(),
-            position,
-        },
-        lag,
-        stamp: Stamp::default(),
-    };
-    let news = News {
-        era: 1,
-        confirmed_age: Some(Duration::ZERO),
-        ..News::default()
-    };
-    Envelope { message, news }.encode()
-}
-
-/// Serves sync requests as a manager whose lag the test sets, and which responds after `delay`.
-async fn start_manager(lag: Rc<Cell<Duration>>, delay: Duration) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let handler = move |request: Request<Incoming>| {
-        let lag = lag.clone();
-        async move {
-            // The content of the request doesn't matter.
-            let _ = body::read(request.into_body(), 1 << 20).await;
-            Clock::real().sleep(delay).await;
-            Response::new(Body::from(manager_response(lag.get())))
-        }
-    };
-    let serving = server::serve(listener, Control::default(), handler);
-    compio::runtime::spawn(serving).detach();
-    address
-}
-
 /// Starts a VM whose manager, at `address`, is played by the test, and waits until it relies on it.
 async fn start_vm_of_manager(address: SocketAddr) -> (Store, Program) {
     let (store, store_address) = Store::start().await;
-    let manager = Vm {
-        name: "vm-0".to_owned(),
-        start: MANAGER_START.to_owned(),
-        address,
-        domain: "z1".to_owned(),
-        capacity_millicores: 1000,
-    };
-    store.put(MANAGER_KEY, &manager.encode());
+    played_vm::announce_manager(&store, address);
     store.put("servers/foreign", b"not an entry");
     store.put("op/config", &config(1, "/key/"));
     let vm = start_vm("vm-1", store_address, None);
@@ -254,11 +191,10 @@
 fn a_vm_relies_for_too_long_on_a_manager_that_lagged_and_is_silent() {
     let _turn = take_turn();
     Runtime::new().unwrap().block_on(async {
-        let lag = Rc::new(Cell::new(Duration::ZERO));
-        let manager = start_manager(lag.clone(), Duration::ZERO).await;
-        let path = Proxy::start(manager).unwrap();
+        let manager = PlayedVm::manager(Duration::ZERO);
+        let path = Proxy::start(manager.start().await).unwrap();
         let (store, vm) = start_vm_of_manager(path.address).await;
-        lag.set(MANAGER_LAG);
+        manager.lag.set(MANAGER_LAG);
         // Long enough for a response that tells the lag, and shorter than the time until the exchange after it.
         sleep_ms(300).await;
         path.set(Mode::Silent);
@@ -275,8 +211,7 @@
 fn a_vm_gives_up_a_manager_between_two_exchanges_that_succeed() {
     let _turn = take_turn();
     Runtime::new().unwrap().block_on(async {
-        let lag = Rc::new(Cell::new(Duration::ZERO));
-        let manager = start_manager(lag, RESPONSE_DELAY).await;
+        let manager = PlayedVm::manager(RESPONSE_DELAY).start().await;
         let (_store, vm) = start_vm_of_manager(manager).await;
         sleep_ms(3000).await;
         assert_eq!(vm.find_log("event=manager-unheard"), None);
