The age of what a VM knows is counted exactly, bounded by the platform's bound, and old knowledge is used only if nobody knows more

What callers saw: requests sent to targets that had left, by VMs whose knowledge was 2.5 s old or older; requests handled by configurations that had been replaced; hundreds of VMs calling the store once a second each.

Causes, one value in four places. (1) Requests that had waited 0.5 s were sent whatever the age of what was known. (2) One answer without news, from a manager or any VM cut off alike, or one failed call, let a VM send by knowledge of any age for a second; other VMs were asked one at a time, between two exchanges with the manager, up to a second apart. (3) A route that was known was matched at any age. (4) The response to a watch counted from when it was read, though it may have been under way for 0.5 s, after a failed call 1.5 s; and reliance on the manager ended when its knowledge was 1.6 s old, whatever the bound of the deployment: with 195 VMs (bound 3 s) an exchange takes 0.25 s and the manager's knowledge is up to 1.1 s old, so each VM gave it up once a second.

Now: all limits follow from the lesser of the platform's parameters for departures and configurations (fleet::KnowledgeLimits). A watch without changes counts from the end of its wait, one with changes from its beginning, and is followed by a short one. From 0.7 s below the bound a VM asks the store and three others at a time (peer::inquiry). What is too old is used only if the store was asked in vain for 0.4 s, an inquiry of the last 1.5 s found nothing younger and this process ran meanwhile; else requests wait for 0.5 s and are refused then. Requests are matched to a route after that wait.

The test of reliance was replaced: its lower bound of 0.45 s held also where the sum was beyond the limit; now no reliance ends later than the age at which the VM has to ask, at any bound.

--- a/engine/src/caller/forward.rs
+++ b/engine/src/caller/forward.rs
@@ -16,7 +16,7 @@
     context::{Context, RoutedRequest},
     failure::Failure,
     local_response::{LocalResponse, RETRY_AFTER, Trace},
-    payload,
+    news, payload,
 };
 use crate::catalogue::{Config, Found};
 
@@ -54,11 +54,8 @@
         .callers
         .read(request.method(), request.uri(), request.headers());
     let (shared_fleet, clock) = (&context.shared_fleet, &context.clock);
-    let Some(config) = context
-        .startup
-        .config(shared_fleet, clock, info.remaining)
-        .await
-    else {
+    let first = context.startup.config(shared_fleet, clock, info.remaining);
+    if first.await.is_none() {
         let local = LocalResponse::not_run("no configuration is known yet", RETRY_AFTER);
         return finish(
             &context,
@@ -68,6 +65,23 @@
             &Trace::default(),
             Err(local),
         );
+    }
+    let known = news::wait(shared_fleet, clock, info.remaining).await;
+    let config = if known {
+        shared_fleet.get().config.clone()
+    } else {
+        None
+    };
+    let Some(config) = config else {
+        let local = LocalResponse::not_run("no news of changes", RETRY_AFTER);
+        return finish(
+            &context,
+            &info,
+            None,
+            received_at,
+            &Trace::default(),
+            Err(local),
+        );
     };
     let routed = match find_route(&context, &info, &config, &request, received_at) {
         Ok(routed) => routed,
--- a/engine/src/caller/mod.rs
+++ b/engine/src/caller/mod.rs
@@ -11,6 +11,7 @@
 pub mod failure;
 pub mod forward;
 mod local_response;
+mod news;
 mod payload;
 pub mod response_sizes;
 pub mod send_watch;
--- a/engine/src/caller/send_watch.rs
+++ b/engine/src/caller/send_watch.rs
@@ -41,8 +41,6 @@
 /// Withdraws a request whose target isn't to get it any more, and records what was known at that moment.
 pub(super) struct SendWatch {
     commitment: Commitment,
-    /// Whether this VM knew enough of the target at the decision; if nobody did, it sends all the same.
-    was_known: bool,
     presence: CallerPresence,
     shared_fleet: SharedFleet,
     clock: Clock,
@@ -58,10 +56,6 @@
                 key: permit.basis.key,
                 decided_at: permit.sent_at,
             },
-            was_known: sender
-                .shared_fleet
-                .confirmations()
-                .allow_sending(permit.sent_at),
             presence: presence.clone(),
             shared_fleet: sender.shared_fleet.clone(),
             clock: sender.clock.clone(),
@@ -78,7 +72,8 @@
         if !self.presence.is_there() {
             return Err(Withdrawal::CallerLeft);
         }
-        if self.was_known && !self.shared_fleet.confirmations().allow_sending(now) {
+        let standing = self.shared_fleet.confirmations().standing(now);
+        if !standing.is_usable() {
             return Err(Withdrawal::Unknown);
         }
         self.commitment.check(now, &self.shared_fleet.get())
--- a/engine/src/fleet/confirmations.rs
+++ b/engine/src/fleet/confirmations.rs
@@ -9,18 +9,42 @@
     time::Duration,
 };
 
-use super::{VmId, pauses::Pauses};
+use super::{KnowledgeLimits, VmId, pauses::Pauses};
 
-/// How long a confirmation that a VM knows the whole state of the store counts.
-///
-/// A VM that says that a route doesn't exist must know all routes that were added two seconds before.
-pub const CONFIRMATION_TIME: Duration = Duration::from_millis(1800);
+/// How long requests wait for news at most before they are refused.
+const MAX_WAIT: Duration = Duration::from_millis(500);
+/// How long the store must not have answered for that to count as silence: the processes of hundreds of VMs wake late.
+const SILENCE: Duration = Duration::from_millis(400);
+/// How long an inquiry counts in which no other VM knew more.
+const INQUIRY_VALIDITY: Duration = Duration::from_millis(1500);
+
+/// Whether a VM may act by what it knows of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It knows what the store had a moment ago.
+    Recent,
+    /// It may be old, but neither the store nor any VM that was asked tells more, as in an outage of the store.
+    Unrivalled,
+    /// It is too old, and news are expected within a moment.
+    Awaited,
+    /// It is too old, and no news have come.
+    Old,
+}
 
-/// How long a VM may send requests to targets by what it knows: one that leaves gets none from two seconds after the store
-/// has accepted that.
-pub const SEND_TIME: Duration = Duration::from_millis(1950);
-/// How long a question counts whose answer was that nobody knows more.
-const NO_NEWS_TIME: Duration = Duration::from_secs(1);
+impl Standing {
+    /// Returns whether a VM may act by what it knows.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_engine::fleet::Standing;
+    ///
+    /// assert!(Standing::Unrivalled.is_usable() && !Standing::Old.is_usable());
+    /// ```
+    pub fn is_usable(self) -> bool {
+        matches!(self, Self::Recent | Self::Unrivalled)
+    }
+}
 
 /// Who confirms that a VM knows the whole state of the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -29,13 +53,15 @@
     Store,
     /// The manager, which relays the changes.
     Manager(VmId),
+    /// Another VM, which this one has asked.
+    Vm(VmId),
 }
 
 impl fmt::Display for Source {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Store => f.write_str("store"),
-            Self::Manager(vm) => f.write_str(vm),
+            Self::Manager(vm) | Self::Vm(vm) => f.write_str(vm),
         }
     }
 }
@@ -56,45 +82,74 @@
 /// ```
 /// use std::time::Duration;
 ///
-/// use bramleypier_engine::fleet::{CONFIRMATION_TIME, Confirmations};
+/// use bramleypier_engine::fleet::{Confirmations, KnowledgeLimits, Standing};
 ///
-/// let now = Duration::from_secs(60);
-/// let confirmations = Confirmations::default();
-/// assert!(!confirmations.is_by_store(now));
-/// confirmations.add_by_store(now);
-/// assert!(confirmations.is_by_store(now + CONFIRMATION_TIME));
-/// assert!(!confirmations.is_by_store(now + 2 * CONFIRMATION_TIME));
-/// confirmations.add_by_manager(now + Duration::from_secs(1), "vm-1");
+/// let limits = KnowledgeLimits::default();
+/// let confirmations = Confirmations::new(limits);
+/// assert!(!confirmations.is_by_store(Duration::ZERO));
+/// confirmations.add_by_store(Duration::ZERO);
+/// assert!(confirmations.is_by_store(limits.ask_age()));
+/// assert!(!confirmations.is_by_store(limits.max_age()));
+/// assert_eq!(confirmations.standing(limits.max_age()), Standing::Recent);
+/// confirmations.add_by_manager(Duration::from_secs(1), "vm-1");
 /// assert_eq!(confirmations.latest().unwrap().source.to_string(), "vm-1");
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Confirmations {
+    limits: KnowledgeLimits,
     /// When the store last confirmed that this VM knows all of it, unless its watch has failed since.
     by_store: Rc<Cell<Option<Duration>>>,
     latest: Rc<RefCell<Option<Confirmation>>>,
     /// When this process had no processor time.
     pauses: Rc<RefCell<Pauses>>,
-    /// When the latest question was asked that was answered by somebody who doesn't follow the store either.
-    no_news: Rc<Cell<Option<Duration>>>,
+    /// Since when this VM asks the store what is new and gets no answer.
+    unanswered: Rc<Cell<Option<Duration>>>,
+    /// When the latest inquiry began in which no other VM knew more.
+    fruitless: Rc<Cell<Option<Duration>>>,
+    /// Since when what this VM knows is too old to act by it.
+    old_since: Rc<Cell<Option<Duration>>>,
 }
 
 impl Confirmations {
+    /// Creates the confirmations of a VM that has none yet.
+    ///
+    /// # Example
+    ///
+    /// See [`Confirmations`].
+    pub fn new(limits: KnowledgeLimits) -> Self {
+        Self {
+            limits,
+            ..Self::default()
+        }
+    }
+
+    /// Returns how old this VM's knowledge may be.
+    ///
+    /// # Example
+    ///
+    /// See [`Confirmations`].
+    pub fn limits(&self) -> KnowledgeLimits {
+        self.limits
+    }
+
     /// Records that the store confirms at `now` that this VM, which follows it itself, knows all of it.
     ///
     /// # Example
     ///
     /// See [`Confirmations`].
     pub fn add_by_store(&self, now: Duration) {
-        self.by_store.set(Some(now));
+        self.unanswered.set(None);
+        self.by_store.set(self.by_store.get().max(Some(now)));
         self.add(Confirmation {
             at: now,
             source: Source::Store,
         });
     }
 
-    /// Records that a watch that began at `asked` was answered, and its response read at `now`.
+    /// Records that the store answered a watch that began at `asked` and would have waited for changes for `wait`.
     ///
-    /// If this process had no processor time in between, the response may have arrived when that began.
+    /// A response without changes was made when the wait had ended; one with changes at any time since the watch began, and
+    /// may have been under way since.
     ///
     /// # Example
     ///
@@ -105,15 +160,14 @@
     ///
     /// let ms = Duration::from_millis;
     /// let confirmations = Confirmations::default();
-    /// confirmations.record_turn(ms(1000));
-    /// confirmations.record_turn(ms(3000));
-    /// confirmations.add_by_watch(ms(500), ms(3010));
-    /// assert_eq!(confirmations.age(ms(3010)), Some(ms(2010)));
-    /// confirmations.add_by_watch(ms(3010), ms(3020));
-    /// assert_eq!(confirmations.age(ms(3020)), Some(ms(0)));
+    /// confirmations.add_by_watch(ms(1000), ms(400), false);
+    /// assert_eq!(confirmations.age(ms(1900)), Some(ms(500)));
+    /// confirmations.add_by_watch(ms(1900), ms(400), true);
+    /// assert_eq!(confirmations.age(ms(2000)), Some(ms(100)));
     /// ```
-    pub fn add_by_watch(&self, asked: Duration, now: Duration) {
-        self.add_by_store(self.pauses.borrow().first_since(asked, now).unwrap_or(now));
+    pub fn add_by_watch(&self, asked: Duration, wait: Duration, has_changes: bool) {
+        let waited = if has_changes { Duration::ZERO } else { wait };
+        self.add_by_store(asked + waited);
     }
 
     /// Records that this process has processor time; to be called every [`TURN_INTERVAL`](super::TURN_INTERVAL).
@@ -122,7 +176,16 @@
     ///
     /// # Example
     ///
-    /// See [`Confirmations::add_by_watch`].
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier_engine::fleet::Confirmations;
+    ///
+    /// let ms = Duration::from_millis;
+    /// let confirmations = Confirmations::default();
+    /// assert_eq!(confirmations.record_turn(ms(1000)), None);
+    /// assert_eq!(confirmations.record_turn(ms(3000)), Some(ms(2000)));
+    /// ```
     pub fn record_turn(&self, now: Duration) -> Option<Duration> {
         self.pauses.borrow_mut().record_turn(now)
     }
@@ -165,40 +228,142 @@
         }
     }
 
-    /// Records that a question that was asked at `asked` was answered by a VM that doesn't follow the store either, or that
-    /// the store refused it.
+    /// Records that another VM has told this one everything that it knew at `at`.
     ///
     /// # Example
     ///
-    /// See [`Confirmations::allow_sending`].
-    pub fn add_no_news(&self, asked: Duration) {
-        self.no_news.set(self.no_news.get().max(Some(asked)));
+    /// See [`Confirmations::standing`].
+    pub fn add_by_vm(&self, at: Duration, vm: &str) {
+        self.add(Confirmation {
+            at,
+            source: Source::Vm(vm.to_owned()),
+        });
     }
 
-    /// Returns whether requests may be sent to targets by what this VM knows.
+    /// Records that this VM asks the store what is new; it counts as asked until the store answers.
+    ///
+    /// # Example
     ///
-    /// If it is too old, this VM asks; it has to go on with what it knows if nobody knows more, as in an outage of the
-    /// store, and before it has first heard of anybody.
+    /// See [`Confirmations::standing`].
+    pub fn ask_store(&self, now: Duration) {
+        let since = self.unanswered.get().unwrap_or(now);
+        self.unanswered.set(Some(since));
+    }
+
+    /// Records that this VM doesn't ask the store any more, since the manager tells it what is new.
     ///
     /// # Example
     ///
     /// ```
     /// use std::time::Duration;
     ///
-    /// use bramleypier_engine::fleet::{Confirmations, SEND_TIME};
+    /// use bramleypier_engine::fleet::Confirmations;
     ///
     /// let confirmations = Confirmations::default();
-    /// confirmations.add_by_manager(Duration::ZERO, "vm-1");
-    /// assert!(confirmations.allow_sending(SEND_TIME));
-    /// let later = 2 * SEND_TIME;
-    /// assert!(!confirmations.allow_sending(later));
-    /// confirmations.add_no_news(later);
-    /// assert!(confirmations.allow_sending(later));
+    /// confirmations.ask_store(Duration::ZERO);
+    /// assert_eq!(confirmations.store_silence(Duration::from_secs(1)), Some(Duration::from_secs(1)));
+    /// confirmations.stop_asking();
+    /// assert_eq!(confirmations.store_silence(Duration::from_secs(1)), None);
     /// ```
-    pub fn allow_sending(&self, now: Duration) -> bool {
-        let is_young = self.age(now).is_none_or(|age| age <= SEND_TIME);
-        let no_news = self.no_news.get();
-        is_young || no_news.is_some_and(|asked| now <= asked + NO_NEWS_TIME)
+    pub fn stop_asking(&self) {
+        self.unanswered.set(None);
+    }
+
+    /// Returns for how long the store has been asked in vain.
+    ///
+    /// # Example
+    ///
+    /// See [`Confirmations::stop_asking`].
+    pub fn store_silence(&self, now: Duration) -> Option<Duration> {
+        self.unanswered.get().map(|at| now.saturating_sub(at))
+    }
+
+    /// Records the end of an inquiry that began at `began`: several VMs were asked, and have answered or had the time for it.
+    ///
+    /// It was fruitless if this VM's knowledge is still so old that it has to ask. If this process had no processor time
+    /// meanwhile, the answers may lie unread.
+    ///
+    /// # Example
+    ///
+    /// See [`Confirmations::standing`].
+    pub fn end_inquiry(&self, began: Duration, now: Duration) {
+        if self.must_ask(now) && !self.was_paused(began, now) {
+            self.fruitless.set(Some(began));
+        }
+    }
+
+    /// Returns whether this VM's knowledge is so old that it has to ask for news itself.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_engine::fleet::{Confirmations, KnowledgeLimits};
+    ///
+    /// let age = KnowledgeLimits::default().ask_age();
+    /// let confirmations = Confirmations::default();
+    /// assert!(!confirmations.must_ask(age), "nobody has told it anything");
+    /// confirmations.add_by_manager(age, "vm-1");
+    /// assert!(!confirmations.must_ask(age));
+    /// assert!(confirmations.must_ask(age * 2));
+    /// ```
+    pub fn must_ask(&self, now: Duration) -> bool {
+        self.age(now).is_some_and(|it| it >= self.limits.ask_age())
+    }
+
+    /// Returns whether this VM may act by what it knows: send requests to targets, and choose routes.
+    ///
+    /// What is too old may be used only if the store has been asked and is silent, and other VMs have been asked and know no
+    /// more. Before this VM has heard of anybody it has to go by what it has listed.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier_engine::fleet::{Confirmations, Standing};
+    ///
+    /// let ms = Duration::from_millis;
+    /// let confirmations = Confirmations::default();
+    /// confirmations.add_by_vm(ms(0), "vm-1");
+    /// assert_eq!(confirmations.standing(ms(1900)), Standing::Recent);
+    /// assert_eq!(confirmations.standing(ms(5000)), Standing::Awaited);
+    /// assert_eq!(confirmations.standing(ms(5500)), Standing::Old);
+    /// confirmations.end_inquiry(ms(5500), ms(5600));
+    /// assert_eq!(confirmations.standing(ms(5600)), Standing::Old, "the store wasn't asked");
+    /// confirmations.ask_store(ms(5200));
+    /// assert_eq!(confirmations.standing(ms(5600)), Standing::Unrivalled);
+    /// ```
+    pub fn standing(&self, now: Duration) -> Standing {
+        let is_recent = self.age(now).is_none_or(|it| it <= self.limits.max_age());
+        let usable = if is_recent {
+            Some(Standing::Recent)
+        } else {
+            self.is_unrivalled(now).then_some(Standing::Unrivalled)
+        };
+        if let Some(standing) = usable {
+            self.old_since.set(None);
+            return standing;
+        }
+        let since = self.old_since.get().unwrap_or(now);
+        self.old_since.set(Some(since));
+        if now < since + MAX_WAIT {
+            Standing::Awaited
+        } else {
+            Standing::Old
+        }
+    }
+
+    /// Returns whether neither the store nor any VM that was asked lately tells more.
+    fn is_unrivalled(&self, now: Duration) -> bool {
+        let is_silent = self.store_silence(now).is_some_and(|it| it >= SILENCE);
+        let began = self.fruitless.get();
+        let is_fruitless = began.is_some_and(|it| now <= it + INQUIRY_VALIDITY);
+        is_silent && is_fruitless && !self.was_paused(now.saturating_sub(SILENCE), now)
+    }
+
+    /// Returns whether this process had no processor time at some time since `since`.
+    fn was_paused(&self, since: Duration, now: Duration) -> bool {
+        self.pauses.borrow().first_since(since, now).is_some()
     }
 
     /// Returns whether the store has confirmed lately that this VM, which follows it itself, knows all of it.
@@ -208,7 +373,7 @@
     /// See [`Confirmations`].
     pub fn is_by_store(&self, now: Duration) -> bool {
         let at = self.by_store.get();
-        at.is_some_and(|at| now <= at + CONFIRMATION_TIME)
+        at.is_some_and(|at| now <= at + self.limits.ask_age())
     }
 
     /// Returns how long ago this VM certainly knew the whole state of the store; `None` if nobody has confirmed that.
@@ -236,18 +401,19 @@
     /// ```
     /// use std::time::Duration;
     ///
-    /// use bramleypier_engine::fleet::{CONFIRMATION_TIME, Confirmations};
+    /// use bramleypier_engine::fleet::{Confirmations, KnowledgeLimits};
     ///
+    /// let max_age = KnowledgeLimits::default().max_age();
     /// let confirmations = Confirmations::default();
     /// confirmations.add_by_manager(Duration::ZERO, "vm-1");
-    /// assert!(confirmations.is_recent(CONFIRMATION_TIME));
-    /// assert!(!confirmations.is_recent(2 * CONFIRMATION_TIME));
+    /// assert!(confirmations.is_recent(max_age));
+    /// assert!(!confirmations.is_recent(2 * max_age));
     /// ```
     pub fn is_recent(&self, now: Duration) -> bool {
         let latest = self.latest.borrow();
         latest
             .as_ref()
-            .is_some_and(|it| now <= it.at + CONFIRMATION_TIME)
+            .is_some_and(|it| now <= it.at + self.limits.max_age())
     }
 
     /// Returns how old the last confirmation by the store is, if this VM follows it itself.
--- a/engine/src/fleet/mod.rs
+++ b/engine/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 mod eras;
 mod evacuation;
 mod leaving;
+mod limits;
 mod pauses;
 mod record_log;
 mod relaying;
@@ -28,8 +29,9 @@
 };
 pub use self::{
     change_log::{ChangeLog, LogPosition, Relay},
-    confirmations::{CONFIRMATION_TIME, Confirmation, Confirmations, SEND_TIME, Source},
+    confirmations::{Confirmation, Confirmations, Source, Standing},
     entry::{StoreKeys, Vm},
+    limits::KnowledgeLimits,
     pauses::TURN_INTERVAL,
     record_log::RecordUpdate,
     removals::REMOVAL_GRACE,
--- a/engine/src/fleet/shared.rs
+++ b/engine/src/fleet/shared.rs
@@ -4,7 +4,7 @@
 
 use futures_channel::mpsc;
 
-use super::{Confirmations, Fleet};
+use super::{Confirmations, Fleet, KnowledgeLimits};
 
 /// A handle on this VM's view of the fleet; clones share it.
 #[derive(Clone, Debug, Default)]
@@ -15,6 +15,23 @@
 }
 
 impl SharedFleet {
+    /// Creates the view of a VM whose knowledge may be as old as `limits` say.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use bramleypier_engine::fleet::{KnowledgeLimits, SharedFleet};
+    ///
+    /// let limits = KnowledgeLimits::default();
+    /// assert_eq!(SharedFleet::new(limits).confirmations().limits(), limits);
+    /// ```
+    pub fn new(limits: KnowledgeLimits) -> Self {
+        Self {
+            confirmations: Confirmations::new(limits),
+            ..Self::default()
+        }
+    }
+
     /// Returns a snapshot of the newest state.
     ///
     /// # Example
--- a/engine/src/follow.rs
+++ b/engine/src/follow.rs
@@ -19,15 +19,19 @@
 
 /// The prefix of all keys: one listing and one watch cover everything that is followed.
 const ALL_KEYS: &str = "";
-/// How long a watch waits.
-///
-/// Its response is the only proof that this VM misses no change: other calls may be answered while the response is
-/// lost. Each watch is charged, and a configuration must be in force two seconds after it was accepted.
+/// How long a watch waits; each is charged.
 const WATCH_WAIT: Duration = Duration::from_secs(1);
 /// How long after its wait the response to a watch may arrive: longer than calls take while the store is slow.
 const WATCH_MARGIN: Duration = Duration::from_millis(500);
-/// How long the first watch after a failed call or a pause waits: it only tests whether watches are answered.
+/// How long the first watch after a failed call, a pause or changes waits.
+///
+/// It tests whether watches are answered, or confirms what is known: changes may have been on their way for as long as their
+/// watch.
 const PROBE_WAIT: Duration = Duration::from_millis(50);
+/// How long the response to the first such watch may take, after its wait; twice as long for each one after it.
+const PROBE_MARGIN: Duration = Duration::from_millis(250);
+/// The maximum of this time: that of any call to the store.
+const MAX_PROBE_MARGIN: Duration = Duration::from_millis(1500);
 /// The initial delay before the next call when a call has failed while the store health check succeeds.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 /// The maximum of this delay: a configuration must be in force two seconds after it was accepted.
@@ -99,8 +103,8 @@
 /// How a call for changes ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Outcome {
-    /// All changes up to this revision are known.
-    Followed(Revision),
+    /// All changes up to this revision are known; whether there were any, so that they may have been under way for long.
+    Followed(Revision, bool),
     /// The manager relays changes from now on.
     Relayed,
     /// The response to a watch is overdue.
@@ -111,28 +115,38 @@
 pub async fn run(context: Context) {
     let follower = Follower { context };
     let mut retry_delay = RETRY_DELAY;
+    let mut probe_margin = PROBE_MARGIN;
+    let mut has_changed = false;
     let mut state = WatchState::Untested;
     // A stale listing suffices: the watch after it returns the changes since, as long as the store has the history.
     let mut listing = Some(Read::Stale);
     loop {
         if follower.wait_while_relayed().await {
-            state = WatchState::Untested;
+            (state, probe_margin) = (WatchState::Untested, PROBE_MARGIN);
         }
         if follower.is_outdated() {
             listing = Some(Read::Fresh);
         }
-        let asked = follower.context.clock.now();
+        follower.record_call();
         let result = match listing {
             Some(read) => follower.list(read).await,
-            None => follower.watch(state).await,
+            None if state == WatchState::Working => {
+                let wait = if has_changed { PROBE_WAIT } else { WATCH_WAIT };
+                follower.watch(wait, WATCH_MARGIN).await
+            }
+            None => follower.watch(PROBE_WAIT, probe_margin).await,
         };
         match result {
             Ok(Outcome::Relayed) => {}
             Ok(Outcome::Overdue) => {
                 follower.log("watch-overdue", "");
-                state = WatchState::Untested;
+                probe_margin = (probe_margin * 2).min(MAX_PROBE_MARGIN);
+                if state == WatchState::Working {
+                    (state, probe_margin) = (WatchState::Untested, PROBE_MARGIN);
+                }
             }
-            Ok(Outcome::Followed(revision)) => {
+            Ok(Outcome::Followed(revision, changed)) => {
+                has_changed = changed;
                 follower.set_followed(revision);
                 if state == WatchState::Failed {
                     follower.log("store-back", "");
@@ -141,13 +155,14 @@
                     follower.wait_for_manager().await;
                 }
                 (state, retry_delay) = (WatchState::Working, RETRY_DELAY);
+                probe_margin = PROBE_MARGIN;
             }
             Err(Error::Compacted(_)) => {
                 follower.log("history-lost", "");
                 listing = Some(Read::Fresh);
             }
             Err(error) => {
-                follower.on_failure(state, asked, &error);
+                follower.on_failure(state, &error);
                 state = WatchState::Failed;
                 let jitter = rand::rng().random_range(0.7..1.3);
                 follower
@@ -193,10 +208,15 @@
         });
     }
 
-    fn on_failure(&self, state: WatchState, asked: Duration, error: &Error) {
+    /// Records that this VM asks the store what is new.
+    fn record_call(&self) {
+        let confirmations = self.context.shared_fleet.confirmations();
+        confirmations.ask_store(self.context.clock.now());
+    }
+
+    fn on_failure(&self, state: WatchState, error: &Error) {
         let now = self.context.clock.now();
         let shared_fleet = &self.context.shared_fleet;
-        shared_fleet.confirmations().add_no_news(asked);
         shared_fleet.update(|fleet| fleet.on_store_failure(now));
         shared_fleet.confirmations().end_by_store();
         if state != WatchState::Failed {
@@ -210,7 +230,9 @@
         if !context.manager_health.is_healthy() {
             return false;
         }
-        context.shared_fleet.confirmations().end_by_store();
+        let confirmations = context.shared_fleet.confirmations();
+        confirmations.end_by_store();
+        confirmations.stop_asking();
         context.manager_health.wait_unhealthy().await;
         true
     }
@@ -243,20 +265,17 @@
             let reason = format!("other calls tell a later era than {}", listing.era);
             return Err(Error::NotApplied("list", reason));
         }
-        Ok(Outcome::Followed(listing.revision))
+        Ok(Outcome::Followed(listing.revision, true))
     }
 
     /// Watches the store, until the manager relays changes, the store health check fails or the response is overdue.
     ///
     /// In the second case the state of the watch is unknown, so it counts as failed. In the third only this response
     /// was lost, and another watch shows what has changed.
-    async fn watch(&self, state: WatchState) -> Result<Outcome, Error> {
+    ///
+    /// The response is the only proof that this VM misses no change: other calls may be answered while it is lost.
+    async fn watch(&self, wait: Duration, margin: Duration) -> Result<Outcome, Error> {
         let context = &self.context;
-        let wait = if state == WatchState::Working {
-            WATCH_WAIT
-        } else {
-            PROBE_WAIT
-        };
         let known = context.shared_fleet.get().followed().get(ALL_KEYS).copied();
         let Some(after) = known else {
             return Err(Error::Compacted("watch"));
@@ -277,11 +296,7 @@
             Interruption::Outdated
         };
         let overdue = async {
-            // The first watch after a failure or a pause has the timeout of any call.
-            if state != WatchState::Working {
-                future::pending::<()>().await;
-            }
-            context.clock.sleep(wait + WATCH_MARGIN).await;
+            context.clock.sleep(wait + margin).await;
             Interruption::Overdue
         };
         let ends: [LocalBoxFuture<'_, Interruption>; 5] = [
@@ -313,10 +328,11 @@
             }
             log_lines
         });
+        let has_changes = !batch.changes.is_empty();
         let confirmations = context.shared_fleet.confirmations();
-        confirmations.add_by_watch(asked, now);
+        confirmations.add_by_watch(asked, wait, has_changes);
         context.report.lines(&log_lines);
-        if !batch.changes.is_empty() {
+        if has_changes {
             let delay = if context.is_manager.get() {
                 BATCH_DELAY
             } else {
@@ -324,7 +340,7 @@
             };
             context.clock.sleep(delay).await;
         }
-        Ok(Outcome::Followed(batch.revision))
+        Ok(Outcome::Followed(batch.revision, has_changes))
     }
 }
 
--- a/engine/src/peer/mod.rs
+++ b/engine/src/peer/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod admin;
 mod fleet_load;
+pub mod inquiry;
 pub mod sync;
 pub mod sync_interval;
 pub mod sync_task;
@@ -153,6 +154,8 @@
     pub record_updates: Vec<RecordUpdate>,
     /// How long ago the store confirmed that the sender, a manager that follows it, knows all of it.
     pub confirmed_age: Option<Duration>,
+    /// How long ago the sender certainly knew all of the store, whoever told it so.
+    pub known_age: Option<Duration>,
 }
 
 /// A message between VMs, and the news that come with it.
--- a/engine/src/peer/sync.rs
+++ b/engine/src/peer/sync.rs
@@ -167,6 +167,7 @@
         };
         let news = News {
             confirmed_age: confirmations.age_by_store(now).filter(|_| healthy),
+            known_age: confirmations.age(now),
             record_updates,
             held_records: IndexMap::new(),
             ..self.news(is_first, Vec::new())
@@ -196,6 +197,7 @@
             held_records: fleet.held_records(),
             record_updates: Vec::new(),
             confirmed_age: None,
+            known_age: None,
         }
     }
 
--- a/engine/src/peer/sync_interval.rs
+++ b/engine/src/peer/sync_interval.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use crate::{fleet, settings::BASELINE_VMS};
+use crate::{fleet::KnowledgeLimits, settings::BASELINE_VMS};
 
 /// The time between two exchanges while requests are in flight.
 ///
@@ -28,18 +28,13 @@
 /// The maximum interval for any lag: the interval delays the notice that a target is draining, and such a target
 /// must get no new requests 2 s after its announcement.
 const MAX_INTERVAL: Duration = Duration::from_secs(1);
-/// The minimum time for which a VM relies on the manager after it has sent an exchange that succeeds.
+/// The minimum time for which a VM relies on the manager after it has sent an exchange that succeeds, unless the manager's
+/// knowledge gets too old before.
 const MIN_RELIANCE: Duration = Duration::from_millis(450);
 /// The maximum time: a change must be in force in two seconds, also when the manager falls silent.
 const MAX_RELIANCE: Duration = Duration::from_millis(1200);
 /// The number of rounds, or intervals, for which a VM relies on the manager: one exchange may fail.
 const RELIANCE_ROUNDS: u32 = 2;
-/// The age of the manager's knowledge of the store up to which a VM relies on it.
-///
-/// Of the two seconds in which a change must be in force, this leaves 0.4 s for a call to the store, or for questions to
-/// two other VMs.
-const MAX_KNOWLEDGE_AGE: Duration =
-    fleet::CONFIRMATION_TIME.saturating_sub(Duration::from_millis(200));
 /// The inverse weight of a new measurement in the mean lag: one late wake-up is no trend.
 const MEAN_DIVISOR: u32 = 4;
 /// A wake-up later than this is left out of the mean: the process was suspended, rather than short of processor
@@ -135,29 +130,37 @@
 ///
 /// `took` is the duration of the exchange and `interval` the time until the next one begins, so the next response comes
 /// after one `interval` and two exchanges. `age` is the age of the manager's knowledge of the store when the exchange was
-/// sent. A manager of an older build doesn't tell it; it is relied on for two intervals, since nothing bounds the sum.
+/// sent; it is relied on until this VM has to ask for news itself. A manager of an older build doesn't tell it; it is relied
+/// on for two intervals, since nothing bounds the sum.
 ///
 /// # Example
 ///
 /// ```
 /// use std::time::Duration;
 ///
-/// use bramleypier_engine::peer::sync_interval;
+/// use bramleypier_engine::{fleet::KnowledgeLimits, peer::sync_interval};
 ///
 /// let ms = Duration::from_millis;
-/// assert_eq!(sync_interval::reliance(ms(40), ms(10), Some(ms(0))), ms(450));
-/// assert_eq!(sync_interval::reliance(ms(150), ms(250), Some(ms(0))), ms(800));
-/// assert_eq!(sync_interval::reliance(ms(150), ms(250), Some(ms(900))), ms(700), "until the knowledge is 1.6 s old");
-/// assert_eq!(sync_interval::reliance(ms(600), ms(250), Some(ms(0))), ms(1200));
-/// assert_eq!(sync_interval::reliance(ms(150), ms(250), None), ms(450));
+/// let limits = KnowledgeLimits::new(ms(2000));
+/// let reliance = |interval, took, age| sync_interval::reliance(interval, took, age, limits);
+/// assert_eq!(reliance(ms(40), ms(10), Some(ms(0))), ms(450));
+/// assert_eq!(reliance(ms(150), ms(250), Some(ms(0))), ms(800));
+/// assert_eq!(reliance(ms(150), ms(250), Some(ms(900))), ms(400), "until the knowledge is 1.3 s old");
+/// assert_eq!(reliance(ms(600), ms(250), Some(ms(0))), ms(1200));
+/// assert_eq!(reliance(ms(150), ms(250), None), ms(450));
 /// ```
-pub fn reliance(interval: Duration, took: Duration, age: Option<Duration>) -> Duration {
-    let wanted = match age {
+pub fn reliance(
+    interval: Duration,
+    took: Duration,
+    age: Option<Duration>,
+    limits: KnowledgeLimits,
+) -> Duration {
+    match age {
         Some(age) => {
             let rounds = (interval + took) * RELIANCE_ROUNDS;
-            rounds.min(MAX_KNOWLEDGE_AGE.saturating_sub(age))
+            let wanted = rounds.clamp(MIN_RELIANCE, MAX_RELIANCE);
+            wanted.min(limits.ask_age().saturating_sub(age))
         }
-        None => interval * RELIANCE_ROUNDS,
-    };
-    wanted.clamp(MIN_RELIANCE, MAX_RELIANCE)
+        None => (interval * RELIANCE_ROUNDS).clamp(MIN_RELIANCE, MAX_RELIANCE),
+    }
 }
--- a/engine/src/peer/sync_task.rs
+++ b/engine/src/peer/sync_task.rs
@@ -1,25 +1,22 @@
-//! The task that exchanges state with the manager, or with other VMs while neither it nor the store tells what changes.
+//! The task that exchanges state with the manager.
 
-use std::{collections::HashMap, net::SocketAddr, pin::pin, time::Duration};
+use std::{pin::pin, time::Duration};
 
 use futures_util::future::{self, Either};
 
 use super::{Envelope, SyncRequest, SyncResponse, sync::Context, sync_interval};
 use crate::{
-    fleet::{self, Fleet, LogPosition, Vm},
+    fleet::{LogPosition, Vm},
     placement::dispatch,
 };
 
 /// The duration from which on an exchange is logged as slow.
 const SLOW_EXCHANGE: Duration = Duration::from_millis(450);
-/// The minimum time between two questions to other VMs: they may all have no news, for as long as the store is away.
-const PEER_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Runs the sync exchanges with the manager until the process ends.
 pub async fn run(context: Context) {
     let mut position = LogPosition::default();
     let mut relied_until = Duration::ZERO;
-    let mut peers = PeerRotation::from_random();
     let mut interval = Duration::ZERO;
     let mut lag = Duration::ZERO;
     let mut manager_start = None;
@@ -55,10 +52,9 @@
                     let next = sync_interval::next_interval(busy, vms, message.lag);
                     let now = context.clock.now();
                     let took = now.saturating_sub(sent);
-                    let until = sent + sync_interval::reliance(next, took, news.confirmed_age);
-                    if !message.healthy {
-                        context.shared_fleet.confirmations().add_no_news(sent);
-                    }
+                    let limits = context.shared_fleet.confirmations().limits();
+                    let age = news.confirmed_age;
+                    let until = sent + sync_interval::reliance(next, took, age, limits);
                     if now <= until && context.accept_response(message, news.era, &vm, next) {
                         relied_until = until;
                         context.record_confirmation(sent, news, &vm);
@@ -69,9 +65,6 @@
             None => None,
         };
         contact.update(&context);
-        if contact.needs_peers(&context) && peers.is_due(context.clock.now()) {
-            sync_with_next_peer(&context, &mut peers).await;
-        }
         if let Some(response) = &response {
             // The manager handles its own sync requests without an exchange, so its lag doesn't lengthen the interval.
             lag = if context.is_manager.get() {
@@ -136,20 +129,12 @@
         }
     }
 
-    /// Returns whether this VM has to ask other VMs for news.
-    ///
-    /// A manager that responds may have no news either: the store may have turned it away together with this VM, and
-    /// other VMs may know the next one.
-    fn needs_peers(&self, context: &Context) -> bool {
-        !context.manager_health.is_healthy() && (self.lost || !context.store_health.is_healthy())
-    }
-
     /// Finds out, and logs a change.
     fn update(&mut self, context: &Context) {
         let now = context.clock.now();
         let confirmations = context.shared_fleet.confirmations();
         let in_contact = context.manager_health.is_healthy() || confirmations.is_by_store(now);
-        let is_starting = now <= self.started + fleet::CONFIRMATION_TIME;
+        let is_starting = now <= self.started + confirmations.limits().max_age();
         let lost = !in_contact && !is_starting && !confirmations.is_recent(now);
         if lost == self.lost {
             return;
@@ -165,79 +150,8 @@
     }
 }
 
-/// The next VM to contact, and how far the change log of each has been read.
-#[derive(Debug)]
-struct PeerRotation {
-    next: usize,
-    /// When the next one may be asked.
-    due: Duration,
-    positions: HashMap<SocketAddr, LogPosition>,
-}
-
-impl PeerRotation {
-    /// Starts anywhere: the store may turn away many VMs at once, and they would all ask the same VMs in turn.
-    fn from_random() -> Self {
-        Self {
-            next: usize::from(rand::random::<u16>()),
-            due: Duration::ZERO,
-            positions: HashMap::new(),
-        }
-    }
-
-    /// Returns whether it is time to ask the next VM; if so, the one after it has to wait.
-    fn is_due(&mut self, now: Duration) -> bool {
-        let is_due = now >= self.due;
-        if is_due {
-            self.due = now + PEER_INTERVAL;
-        }
-        is_due
-    }
-}
-
-/// Gets the state of one other VM, while neither the store nor the manager tells this VM what changes.
-async fn sync_with_next_peer(context: &Context, peers: &mut PeerRotation) {
-    let fleet = context.shared_fleet.get();
-    let known = fleet.vms.values().map(|vm| vm.address);
-    let mut addresses: Vec<SocketAddr> = known.chain(context.seeds.iter().copied()).collect();
-    addresses.retain(|address| *address != context.vm.address);
-    if addresses.is_empty() {
-        return;
-    }
-    peers.next = (peers.next + 1) % addresses.len();
-    let address = addresses[peers.next];
-    let vm = Vm {
-        name: address.to_string(),
-        address,
-        ..context.vm.clone()
-    };
-    let position = peers.positions.entry(address).or_default();
-    let message = SyncRequest {
-        start: context.vm.start.clone(),
-        position: position.clone(),
-        followed: fleet.followed().clone(),
-        stamp: context.report.stamp(),
-        ..SyncRequest::default()
-    };
-    // Only the relay is used: quotas and counts from a VM that isn't the manager are meaningless.
-    let news = context.news(true, Vec::new());
-    let before = position.clone();
-    let sent = context.clock.now();
-    let response = exchange(context, &vm, &Envelope { message, news }, position).await;
-    if response.is_some() {
-        // This VM knows now what that one does.
-        context.shared_fleet.confirmations().add_no_news(sent);
-    }
-    if *position != before {
-        // The logs of the others don't tell of the removal of what was learned here.
-        let position = position.clone();
-        peers.positions.clear();
-        peers.positions.insert(address, position);
-        context.shared_fleet.update(Fleet::on_other_source);
-    }
-}
-
 /// Sends a sync request and applies the relay in the response, which is returned; `None` after a failure.
-async fn exchange(
+pub(super) async fn exchange(
     context: &Context,
     vm: &Vm,
     request: &Envelope<SyncRequest>,
--- a/engine/src/placement/message.rs
+++ b/engine/src/placement/message.rs
@@ -284,6 +284,8 @@
     Budget,
     /// This VM's queue is full.
     Full,
+    /// This VM doesn't know any more which targets there are.
+    NoNews,
     /// This VM's process is about to end.
     Stopping,
 }
@@ -310,6 +312,7 @@
             Self::HoldOff => "hold-off",
             Self::Budget => "budget",
             Self::Full => "full",
+            Self::NoNews => "no-news",
             Self::Stopping => "stopping",
         }
     }
--- a/engine/src/process/mod.rs
+++ b/engine/src/process/mod.rs
@@ -23,7 +23,7 @@
     follow,
     health::Health,
     owner::{manager, tally::Tally},
-    peer::{sync, sync_task},
+    peer::{inquiry, sync, sync_task},
     placement::{dispatch::Dispatcher, task},
     quarantine::{Quarantine, records},
     reach::{self, Reach},
@@ -151,7 +151,7 @@
             store: Rc::new(store),
             ..adapter
         };
-        let shared_fleet = SharedFleet::default();
+        let shared_fleet = SharedFleet::new(settings.knowledge_limits);
         let reach = Reach::new(reach::Context {
             shared_fleet: shared_fleet.clone(),
             targets: adapter.targets.clone(),
@@ -206,6 +206,7 @@
         });
         let sync_context = self.sync_context(&dispatcher, &manager);
         self.serve(listeners, &callers, &dispatcher, &sync_context);
+        spawn(inquiry::run(sync_context.clone()));
         spawn(sync_task::run(sync_context));
         spawn(reach::task::run(reach::task::Context {
             vm: self.vm.clone(),
--- a/engine/src/settings.rs
+++ b/engine/src/settings.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     catalogue::DomainId,
-    fleet::VmId,
+    fleet::{KnowledgeLimits, VmId},
     owner::ownership,
     placement::{budget::RetryAllowance, warmup::BurstAllowance},
 };
@@ -44,6 +44,8 @@
     pub capacity_millicores: u32,
     /// The platform's limits for leases and grants.
     pub lease_limits: LeaseLimits,
+    /// How old a VM's knowledge of the store may be.
+    pub knowledge_limits: KnowledgeLimits,
     /// The lowest severity that is logged.
     pub log_level: LevelFilter,
 }
