--- a/program/tests/retry_after.rs
+++ b/program/tests/retry_after.rs
@@ -79,7 +79,7 @@
     let arrivals = &arrivals[from..];
     let counts = arrivals.iter().map(|refused| {
         let unwanted = *refused + IN_TRANSIT..*refused + RETRY_AFTER;
-        arrivals.iter().filter(|at| unwanted.contains(at)).count()
+        arrivals.iter().filter(|at| unwanted.contains(*at)).count()
     });
     counts.max().unwrap_or(0)
 }
