Watches that are overdue stay open beside the next one

Now the first ones stay open, three at most; a response counts from when its watch began, so that a late one is as good as its age.

--- a/engine/src/follow.rs
+++ b/engine/src/follow.rs
@@ -6,7 +6,11 @@
 use std::{cell::Cell, rc::Rc, time::Duration};
 
 use bramleypier_util::clock::Clock;
-use futures_util::future::{self, LocalBoxFuture};
+use futures_util::{
+    FutureExt, StreamExt,
+    future::{self, LocalBoxFuture},
+    stream::FuturesUnordered,
+};
 use rand::Rng;
 
 use crate::{
@@ -28,10 +32,10 @@
 /// It tests whether watches are answered, or confirms what is known: changes may have been on their way for as long as their
 /// watch.
 const PROBE_WAIT: Duration = Duration::from_millis(50);
-/// How long the response to the first such watch may take, after its wait; twice as long for each one after it.
+/// How long the response to such a watch may take, after its wait, before another one is begun beside it.
 const PROBE_MARGIN: Duration = Duration::from_millis(250);
-/// The maximum of this time: that of any call to the store.
-const MAX_PROBE_MARGIN: Duration = Duration::from_millis(1500);
+/// How many watches may be open at a time.
+const MAX_WATCHES: usize = 3;
 /// The initial delay before the next call when a call has failed while the store health check succeeds.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 /// The maximum of this delay: a configuration must be in force two seconds after it was accepted.
@@ -88,16 +92,23 @@
 
 /// What ends a watch.
 enum Interruption {
-    /// Its response.
-    None(Result<WatchBatch, Error>),
+    /// The response to one of the watches.
+    None(EndedWatch),
     /// The manager relays changes.
     Relayed,
     /// Other calls to the store are not answered.
     Unhealthy,
     /// The store has entered a new era.
     Outdated,
-    /// There is no response in time, though other calls to the store are answered.
-    Overdue,
+}
+
+/// The end of one of the watches that are open.
+struct EndedWatch {
+    /// When it began.
+    asked: Duration,
+    /// How long it waited for changes.
+    wait: Duration,
+    result: Result<WatchBatch, Error>,
 }
 
 /// How a call for changes ended.
@@ -107,22 +118,19 @@
     Followed(Revision, bool),
     /// The manager relays changes from now on.
     Relayed,
-    /// The response to a watch is overdue.
-    Overdue,
 }
 
 /// Follows the store until the process ends, whenever the manager doesn't answer.
 pub async fn run(context: Context) {
     let follower = Follower { context };
     let mut retry_delay = RETRY_DELAY;
-    let mut probe_margin = PROBE_MARGIN;
     let mut has_changed = false;
     let mut state = WatchState::Untested;
     // A stale listing suffices: the watch after it returns the changes since, as long as the store has the history.
     let mut listing = Some(Read::Stale);
     loop {
         if follower.wait_while_relayed().await {
-            (state, probe_margin) = (WatchState::Untested, PROBE_MARGIN);
+            state = WatchState::Untested;
         }
         if follower.is_outdated() {
             listing = Some(Read::Fresh);
@@ -134,17 +142,10 @@
                 let wait = if has_changed { PROBE_WAIT } else { WATCH_WAIT };
                 follower.watch(wait, WATCH_MARGIN).await
             }
-            None => follower.watch(PROBE_WAIT, probe_margin).await,
+            None => follower.watch(PROBE_WAIT, PROBE_MARGIN).await,
         };
         match result {
             Ok(Outcome::Relayed) => {}
-            Ok(Outcome::Overdue) => {
-                follower.log("watch-overdue", "");
-                probe_margin = (probe_margin * 2).min(MAX_PROBE_MARGIN);
-                if state == WatchState::Working {
-                    (state, probe_margin) = (WatchState::Untested, PROBE_MARGIN);
-                }
-            }
             Ok(Outcome::Followed(revision, changed)) => {
                 has_changed = changed;
                 follower.set_followed(revision);
@@ -155,7 +156,6 @@
                     follower.wait_for_manager().await;
                 }
                 (state, retry_delay) = (WatchState::Working, RETRY_DELAY);
-                probe_margin = PROBE_MARGIN;
             }
             Err(Error::Compacted(_)) => {
                 follower.log("history-lost", "");
@@ -268,10 +268,44 @@
         Ok(Outcome::Followed(listing.revision, true))
     }
 
-    /// Watches the store, until the manager relays changes, the store health check fails or the response is overdue.
+    /// Waits for the response to a watch; begins another one beside it each time that none has come in time.
     ///
-    /// In the second case the state of the watch is unknown, so it counts as failed. In the third only this response
-    /// was lost, and another watch shows what has changed.
+    /// The first ones stay open: in a process that lacks processor time their responses are late, and may already be there.
+    async fn first_response(
+        &self,
+        after: Revision,
+        wait: Duration,
+        margin: Duration,
+    ) -> EndedWatch {
+        let clock = &self.context.clock;
+        let begin = |wait| {
+            let asked = clock.now();
+            let watch = self.context.store.watch(ALL_KEYS, after, wait);
+            watch.map(move |result| EndedWatch {
+                asked,
+                wait,
+                result,
+            })
+        };
+        let mut open = FuturesUnordered::from_iter([begin(wait)]);
+        let mut overdue_after = wait + margin;
+        loop {
+            match clock.timeout(overdue_after, open.next()).await {
+                // A watch that fails says nothing of the others.
+                Ok(Some(ended)) if ended.result.is_ok() || open.is_empty() => return ended,
+                Err(_) if open.len() < MAX_WATCHES => {
+                    self.log("watch-overdue", "");
+                    open.push(begin(PROBE_WAIT));
+                }
+                Ok(_) | Err(_) => {}
+            }
+            overdue_after = PROBE_WAIT + PROBE_MARGIN;
+        }
+    }
+
+    /// Watches the store, until the manager relays changes or the store health check fails.
+    ///
+    /// In the second case the state of the watch is unknown, so it counts as failed.
     ///
     /// The response is the only proof that this VM misses no change: other calls may be answered while it is lost.
     async fn watch(&self, wait: Duration, margin: Duration) -> Result<Outcome, Error> {
@@ -280,9 +314,7 @@
         let Some(after) = known else {
             return Err(Error::Compacted("watch"));
         };
-        let asked = context.clock.now();
-        let watch = context.store.watch(ALL_KEYS, after, wait);
-        let watch = async { Interruption::None(watch.await) };
+        let watch = async { Interruption::None(self.first_response(after, wait, margin).await) };
         let relayed = async {
             context.manager_health.wait_healthy().await;
             Interruption::Relayed
@@ -295,27 +327,22 @@
             self.wait_outdated().await;
             Interruption::Outdated
         };
-        let overdue = async {
-            context.clock.sleep(wait + margin).await;
-            Interruption::Overdue
-        };
-        let ends: [LocalBoxFuture<'_, Interruption>; 5] = [
+        let ends: [LocalBoxFuture<'_, Interruption>; 4] = [
             Box::pin(watch),
             Box::pin(relayed),
             Box::pin(unhealthy),
             Box::pin(outdated),
-            Box::pin(overdue),
         ];
-        let batch = match future::select_all(ends).await.0 {
-            Interruption::None(batch) => batch?,
+        let ended = match future::select_all(ends).await.0 {
+            Interruption::None(ended) => ended,
             Interruption::Relayed => return Ok(Outcome::Relayed),
             Interruption::Unhealthy => {
                 let reason = "other calls are not answered".to_owned();
                 return Err(Error::NotApplied("watch", reason));
             }
             Interruption::Outdated => return Err(Error::Compacted("watch")),
-            Interruption::Overdue => return Ok(Outcome::Overdue),
         };
+        let batch = ended.result?;
         if batch.era != context.shared_fleet.get().era() {
             // Revisions of another era can't be continued.
             return Err(Error::Compacted("watch"));
@@ -330,7 +357,7 @@
         });
         let has_changes = !batch.changes.is_empty();
         let confirmations = context.shared_fleet.confirmations();
-        confirmations.add_by_watch(asked, wait, has_changes);
+        confirmations.add_by_watch(ended.asked, ended.wait, has_changes);
         context.report.lines(&log_lines);
         if has_changes {
             let delay = if context.is_manager.get() {
