A process whose turns come late uses its knowledge for less long; names

Now the lateness of the process's latest turns, 0.2 s at most, counts as age (fleet::pauses). Test: a_process_whose_turns_come_late_uses_its_knowledge_for_less_long, which fails without it. Names: Freshness for Standing, best known for unrivalled.

--- a/engine/src/caller/forward.rs
+++ b/engine/src/caller/forward.rs
@@ -54,47 +54,23 @@
         .callers
         .read(request.method(), request.uri(), request.headers());
     let (shared_fleet, clock) = (&context.shared_fleet, &context.clock);
+    let refuse = |local| {
+        let trace = Trace::default();
+        finish(&context, &info, None, received_at, &trace, Err(local))
+    };
     let first = context.startup.config(shared_fleet, clock, info.remaining);
     if first.await.is_none() {
-        let local = LocalResponse::not_run("no configuration is known yet", RETRY_AFTER);
-        return finish(
-            &context,
-            &info,
-            None,
-            received_at,
-            &Trace::default(),
-            Err(local),
-        );
+        let cause = "no configuration is known yet";
+        return refuse(LocalResponse::not_run(cause, RETRY_AFTER));
     }
     let known = news::wait(shared_fleet, clock, info.remaining).await;
-    let config = if known {
-        shared_fleet.get().config.clone()
-    } else {
-        None
-    };
+    let config = shared_fleet.get().config.clone().filter(|_| known);
     let Some(config) = config else {
-        let local = LocalResponse::not_run("no news of changes", RETRY_AFTER);
-        return finish(
-            &context,
-            &info,
-            None,
-            received_at,
-            &Trace::default(),
-            Err(local),
-        );
+        return refuse(LocalResponse::not_run("no news of changes", RETRY_AFTER));
     };
     let routed = match find_route(&context, &info, &config, &request, received_at) {
         Ok(routed) => routed,
-        Err(local) => {
-            return finish(
-                &context,
-                &info,
-                None,
-                received_at,
-                &Trace::default(),
-                Err(local),
-            );
-        }
+        Err(local) => return refuse(local),
     };
     let limit = config.limits.body_bytes;
     drop(config);
--- a/engine/src/caller/news.rs
+++ b/engine/src/caller/news.rs
@@ -4,7 +4,7 @@
 
 use bramleypier_util::clock::Clock;
 
-use crate::fleet::{SharedFleet, Standing};
+use crate::fleet::{Freshness, SharedFleet};
 
 /// How often a request that waits looks whether there are news.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
@@ -21,9 +21,9 @@
     let deadline = remaining.map(|it| clock.now() + it);
     loop {
         let now = clock.now();
-        let standing = shared_fleet.confirmations().standing(now);
-        if standing != Standing::Awaited || deadline.is_some_and(|it| it <= now) {
-            return standing.is_usable();
+        let freshness = shared_fleet.confirmations().freshness(now);
+        if freshness != Freshness::Awaited || deadline.is_some_and(|it| it <= now) {
+            return freshness.is_usable();
         }
         clock.sleep(CHECK_INTERVAL).await;
     }
--- a/engine/src/caller/send_watch.rs
+++ b/engine/src/caller/send_watch.rs
@@ -72,8 +72,8 @@
         if !self.presence.is_there() {
             return Err(Withdrawal::CallerLeft);
         }
-        let standing = self.shared_fleet.confirmations().standing(now);
-        if !standing.is_usable() {
+        let freshness = self.shared_fleet.confirmations().freshness(now);
+        if !freshness.is_usable() {
             return Err(Withdrawal::Unknown);
         }
         self.commitment.check(now, &self.shared_fleet.get())
--- a/engine/src/fleet/confirmations.rs
+++ b/engine/src/fleet/confirmations.rs
@@ -20,29 +20,29 @@
 
 /// Whether a VM may act by what it knows of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Standing {
+pub enum Freshness {
     /// It knows what the store had a moment ago.
-    Recent,
+    Fresh,
     /// It may be old, but neither the store nor any VM that was asked tells more, as in an outage of the store.
-    Unrivalled,
+    BestKnown,
     /// It is too old, and news are expected within a moment.
     Awaited,
     /// It is too old, and no news have come.
-    Old,
+    Stale,
 }
 
-impl Standing {
+impl Freshness {
     /// Returns whether a VM may act by what it knows.
     ///
     /// # Example
     ///
     /// ```
-    /// use bramleypier_engine::fleet::Standing;
+    /// use bramleypier_engine::fleet::Freshness;
     ///
-    /// assert!(Standing::Unrivalled.is_usable() && !Standing::Old.is_usable());
+    /// assert!(Freshness::BestKnown.is_usable() && !Freshness::Stale.is_usable());
     /// ```
     pub fn is_usable(self) -> bool {
-        matches!(self, Self::Recent | Self::Unrivalled)
+        matches!(self, Self::Fresh | Self::BestKnown)
     }
 }
 
@@ -82,7 +82,7 @@
 /// ```
 /// use std::time::Duration;
 ///
-/// use bramleypier_engine::fleet::{Confirmations, KnowledgeLimits, Standing};
+/// use bramleypier_engine::fleet::{Confirmations, KnowledgeLimits, Freshness};
 ///
 /// let limits = KnowledgeLimits::default();
 /// let confirmations = Confirmations::new(limits);
@@ -90,7 +90,7 @@
 /// confirmations.add_by_store(Duration::ZERO);
 /// assert!(confirmations.is_by_store(limits.ask_age()));
 /// assert!(!confirmations.is_by_store(limits.max_age()));
-/// assert_eq!(confirmations.standing(limits.max_age()), Standing::Recent);
+/// assert_eq!(confirmations.freshness(limits.max_age()), Freshness::Fresh);
 /// confirmations.add_by_manager(Duration::from_secs(1), "vm-1");
 /// assert_eq!(confirmations.latest().unwrap().source.to_string(), "vm-1");
 /// ```
@@ -232,7 +232,7 @@
     ///
     /// # Example
     ///
-    /// See [`Confirmations::standing`].
+    /// See [`Confirmations::freshness`].
     pub fn add_by_vm(&self, at: Duration, vm: &str) {
         self.add(Confirmation {
             at,
@@ -244,7 +244,7 @@
     ///
     /// # Example
     ///
-    /// See [`Confirmations::standing`].
+    /// See [`Confirmations::freshness`].
     pub fn ask_store(&self, now: Duration) {
         let since = self.unanswered.get().unwrap_or(now);
         self.unanswered.set(Some(since));
@@ -285,7 +285,7 @@
     ///
     /// # Example
     ///
-    /// See [`Confirmations::standing`].
+    /// See [`Confirmations::freshness`].
     pub fn end_inquiry(&self, began: Duration, now: Duration) {
         if self.must_ask(now) && !self.was_paused(began, now) {
             self.fruitless.set(Some(began));
@@ -307,7 +307,8 @@
     /// assert!(confirmations.must_ask(age * 2));
     /// ```
     pub fn must_ask(&self, now: Duration) -> bool {
-        self.age(now).is_some_and(|it| it >= self.limits.ask_age())
+        self.age_in_use(now)
+            .is_some_and(|it| it >= self.limits.ask_age())
     }
 
     /// Returns whether this VM may act by what it knows: send requests to targets, and choose routes.
@@ -320,47 +321,55 @@
     /// ```
     /// use std::time::Duration;
     ///
-    /// use bramleypier_engine::fleet::{Confirmations, Standing};
+    /// use bramleypier_engine::fleet::{Confirmations, Freshness};
     ///
     /// let ms = Duration::from_millis;
     /// let confirmations = Confirmations::default();
     /// confirmations.add_by_vm(ms(0), "vm-1");
-    /// assert_eq!(confirmations.standing(ms(1900)), Standing::Recent);
-    /// assert_eq!(confirmations.standing(ms(5000)), Standing::Awaited);
-    /// assert_eq!(confirmations.standing(ms(5500)), Standing::Old);
+    /// assert_eq!(confirmations.freshness(ms(1900)), Freshness::Fresh);
+    /// assert_eq!(confirmations.freshness(ms(5000)), Freshness::Awaited);
+    /// assert_eq!(confirmations.freshness(ms(5500)), Freshness::Stale);
     /// confirmations.end_inquiry(ms(5500), ms(5600));
-    /// assert_eq!(confirmations.standing(ms(5600)), Standing::Old, "the store wasn't asked");
+    /// assert_eq!(confirmations.freshness(ms(5600)), Freshness::Stale, "the store wasn't asked");
     /// confirmations.ask_store(ms(5200));
-    /// assert_eq!(confirmations.standing(ms(5600)), Standing::Unrivalled);
+    /// assert_eq!(confirmations.freshness(ms(5600)), Freshness::BestKnown);
     /// ```
-    pub fn standing(&self, now: Duration) -> Standing {
-        let is_recent = self.age(now).is_none_or(|it| it <= self.limits.max_age());
+    pub fn freshness(&self, now: Duration) -> Freshness {
+        let age = self.age_in_use(now);
+        let is_recent = age.is_none_or(|it| it <= self.limits.max_age());
         let usable = if is_recent {
-            Some(Standing::Recent)
+            Some(Freshness::Fresh)
         } else {
-            self.is_unrivalled(now).then_some(Standing::Unrivalled)
+            self.is_best_known(now).then_some(Freshness::BestKnown)
         };
-        if let Some(standing) = usable {
+        if let Some(freshness) = usable {
             self.old_since.set(None);
-            return standing;
+            return freshness;
         }
         let since = self.old_since.get().unwrap_or(now);
         self.old_since.set(Some(since));
         if now < since + MAX_WAIT {
-            Standing::Awaited
+            Freshness::Awaited
         } else {
-            Standing::Old
+            Freshness::Stale
         }
     }
 
     /// Returns whether neither the store nor any VM that was asked lately tells more.
-    fn is_unrivalled(&self, now: Duration) -> bool {
+    fn is_best_known(&self, now: Duration) -> bool {
         let is_silent = self.store_silence(now).is_some_and(|it| it >= SILENCE);
         let began = self.fruitless.get();
         let is_fruitless = began.is_some_and(|it| now <= it + INQUIRY_VALIDITY);
         is_silent && is_fruitless && !self.was_paused(now.saturating_sub(SILENCE), now)
     }
 
+    /// Returns how old this VM's knowledge is when what is decided by it takes effect: a process whose turns come late also
+    /// writes late.
+    fn age_in_use(&self, now: Duration) -> Option<Duration> {
+        let lateness = self.pauses.borrow().lateness(now);
+        self.age(now).map(|it| it + lateness)
+    }
+
     /// Returns whether this process had no processor time at some time since `since`.
     fn was_paused(&self, since: Duration, now: Duration) -> bool {
         self.pauses.borrow().first_since(since, now).is_some()
@@ -410,10 +419,8 @@
     /// assert!(!confirmations.is_recent(2 * max_age));
     /// ```
     pub fn is_recent(&self, now: Duration) -> bool {
-        let latest = self.latest.borrow();
-        latest
-            .as_ref()
-            .is_some_and(|it| now <= it.at + self.limits.max_age())
+        self.age_in_use(now)
+            .is_some_and(|it| it <= self.limits.max_age())
     }
 
     /// Returns how old the last confirmation by the store is, if this VM follows it itself.
--- a/engine/src/fleet/mod.rs
+++ b/engine/src/fleet/mod.rs
@@ -29,7 +29,7 @@
 };
 pub use self::{
     change_log::{ChangeLog, LogPosition, Relay},
-    confirmations::{Confirmation, Confirmations, Source, Standing},
+    confirmations::{Confirmation, Confirmations, Freshness, Source},
     entry::{StoreKeys, Vm},
     limits::KnowledgeLimits,
     pauses::TURN_INTERVAL,
--- a/engine/src/fleet/pauses.rs
+++ b/engine/src/fleet/pauses.rs
@@ -8,6 +8,8 @@
 pub const TURN_INTERVAL: Duration = Duration::from_millis(50);
 /// The minimum time between two turns that counts as a pause.
 const MIN_PAUSE: Duration = Duration::from_millis(200);
+/// By how much of itself the lateness of turns falls with each turn that is not as late.
+const LATENESS_DECAY: f64 = 0.9;
 /// How long pauses are kept: longer than any watch takes.
 const KEPT_TIME: Duration = Duration::from_secs(10);
 
@@ -23,6 +25,8 @@
 pub(super) struct Pauses {
     last_turn: Option<Duration>,
     recent: VecDeque<Pause>,
+    /// How late turns have come lately.
+    lateness: Duration,
 }
 
 impl Pauses {
@@ -30,6 +34,7 @@
     pub(super) fn record_turn(&mut self, now: Duration) -> Option<Duration> {
         let pause = self.since_last_turn(now);
         self.recent.extend(pause);
+        self.lateness = self.lateness(now).mul_f64(LATENESS_DECAY);
         self.last_turn = Some(now);
         let is_old = |it: &Pause| it.end + KEPT_TIME < now;
         while self.recent.front().is_some_and(is_old) {
@@ -38,6 +43,18 @@
         pause.map(|it| it.end.saturating_sub(it.start))
     }
 
+    /// Returns how late this process does what is due: how late the worst of its latest turns were, or the next one is.
+    ///
+    /// A pause says nothing of what comes after it.
+    pub(super) fn lateness(&self, now: Duration) -> Duration {
+        let since = self.last_turn.map(|it| now.saturating_sub(it));
+        let overdue = since.map(|it| it.saturating_sub(TURN_INTERVAL));
+        overdue
+            .unwrap_or_default()
+            .max(self.lateness)
+            .min(MIN_PAUSE)
+    }
+
     /// Returns when the first pause after `asked` began, or `asked` if that was later; `None` if there was none until `now`.
     pub(super) fn first_since(&self, asked: Duration, now: Duration) -> Option<Duration> {
         let current = self.since_last_turn(now);
--- a/engine/src/peer/inquiry.rs
+++ b/engine/src/peer/inquiry.rs
@@ -83,9 +83,11 @@
                 break;
             }
             self.next = (self.next + 1) % known.len();
-            asked.push(known[self.next]);
+            let next = known[self.next];
+            if !asked.contains(&next) {
+                asked.push(next);
+            }
         }
-        asked.dedup();
         asked
     }
 }
--- a/engine/src/placement/dispatch/knowledge.rs
+++ b/engine/src/placement/dispatch/knowledge.rs
@@ -3,37 +3,37 @@
 use std::time::Duration;
 
 use super::{DEFAULT_RETRY_AFTER, DispatchRequest, Dispatcher, RefusalReason, admission::Decision};
-use crate::fleet::{Confirmations, Standing};
+use crate::fleet::{Confirmations, Freshness};
 
 /// Whether this VM's knowledge of targets is recent enough to send requests by it.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Knowledge {
     confirmations: Confirmations,
     /// What it is now, and since when.
-    standing: Option<(Standing, Duration)>,
+    freshness: Option<(Freshness, Duration)>,
 }
 
 impl Knowledge {
     pub(super) fn new(confirmations: Confirmations) -> Self {
         Self {
             confirmations,
-            standing: None,
+            freshness: None,
         }
     }
 
     /// Finds out whether the knowledge is recent enough; returns a log line if that has changed.
     pub(super) fn update(&mut self, now: Duration) -> Option<String> {
-        let standing = self.confirmations.standing(now);
-        let (before, since) = *self.standing.get_or_insert((Standing::Recent, now));
-        if standing == before {
+        let freshness = self.confirmations.freshness(now);
+        let (before, since) = *self.freshness.get_or_insert((Freshness::Fresh, now));
+        if freshness == before {
             return None;
         }
-        self.standing = Some((standing, now));
-        let event = match standing {
-            Standing::Recent => "knowledge-back",
-            Standing::Unrivalled => "knowledge-unrivalled",
-            Standing::Awaited => "knowledge-old",
-            Standing::Old => "knowledge-without-news",
+        self.freshness = Some((freshness, now));
+        let event = match freshness {
+            Freshness::Fresh => "knowledge-back",
+            Freshness::BestKnown => "knowledge-best-known",
+            Freshness::Awaited => "knowledge-old",
+            Freshness::Stale => "knowledge-stale",
         };
         let took = now.saturating_sub(since).as_millis();
         let details = self.confirmations.describe(now);
@@ -53,10 +53,10 @@
         now: Duration,
         request: &DispatchRequest,
     ) -> Option<Decision> {
-        match self.knowledge.confirmations.standing(now) {
-            Standing::Recent | Standing::Unrivalled => None,
-            Standing::Awaited if now < request.deadline => Some(Decision::Queue(None)),
-            Standing::Awaited | Standing::Old => Some(Decision::Refuse(
+        match self.knowledge.confirmations.freshness(now) {
+            Freshness::Fresh | Freshness::BestKnown => None,
+            Freshness::Awaited if now < request.deadline => Some(Decision::Queue(None)),
+            Freshness::Awaited | Freshness::Stale => Some(Decision::Refuse(
                 RefusalReason::NoNews,
                 DEFAULT_RETRY_AFTER,
                 self.owner_basis(request),
--- a/engine/tests/confirmations.rs
+++ b/engine/tests/confirmations.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bramleypier_engine::fleet::{Confirmations, KnowledgeLimits, Source, Standing};
+use bramleypier_engine::fleet::{Confirmations, Freshness, KnowledgeLimits, Source};
 use proptest::{collection, prelude::*};
 
 /// The time within which a configuration must be in force on all VMs after the store has accepted it.
@@ -57,6 +57,18 @@
     assert_eq!(vm.latest().unwrap().at, ms(1500));
 }
 
+/// Guards against requests that are in time when they are chosen, and late once a process that hardly runs has written them.
+#[test]
+fn a_process_whose_turns_come_late_uses_its_knowledge_for_less_long() {
+    let vm = Confirmations::default();
+    vm.add_by_vm(ms(0), "vm-2");
+    for turn in 0..12 {
+        vm.record_turn(ms(turn * 150));
+    }
+    assert!(vm.freshness(ms(1700)).is_usable());
+    assert!(!vm.freshness(ms(1820)).is_usable());
+}
+
 /// Guards against a VM that goes by old knowledge since it was asleep while the answers came.
 #[test]
 fn an_inquiry_during_a_pause_proves_nothing() {
@@ -66,17 +78,17 @@
     vm.record_turn(ms(4000));
     vm.record_turn(ms(4500));
     vm.end_inquiry(ms(4100), ms(4500));
-    assert!(!vm.standing(ms(4510)).is_usable());
+    assert!(!vm.freshness(ms(4510)).is_usable());
     vm.record_turn(ms(4550));
     vm.end_inquiry(ms(4510), ms(4560));
     assert!(
-        !vm.standing(ms(4560)).is_usable(),
+        !vm.freshness(ms(4560)).is_usable(),
         "the store's answer may lie unread"
     );
     for turn in 92..99 {
         vm.record_turn(ms(turn * 50));
     }
-    assert_eq!(vm.standing(ms(4940)), Standing::Unrivalled);
+    assert_eq!(vm.freshness(ms(4940)), Freshness::BestKnown);
 }
 
 /// A VM that the store doesn't answer has asked it, and others that answer know no more.
@@ -87,7 +99,7 @@
     vm.ask_store(ms(1300));
     for at in (13..100).map(|it| ms(it * 100)) {
         vm.end_inquiry(at, at + ms(10));
-        assert!(vm.standing(at + ms(50)).is_usable(), "at {at:?}");
+        assert!(vm.freshness(at + ms(50)).is_usable(), "at {at:?}");
     }
 }
 
@@ -154,7 +166,7 @@
                     }
                 }
             }
-            if vm.standing(now).is_usable() && now.saturating_sub(known) > limits.max_age() {
+            if vm.freshness(now).is_usable() && now.saturating_sub(known) > limits.max_age() {
                 prop_assert!(asked.is_some_and(|it| now >= it + ms(400)));
                 prop_assert!(inquired.is_some_and(|it| now <= it + ms(1500)));
                 prop_assert!(now >= woke + ms(400));
--- a/engine/tests/knowledge_chain.rs
+++ b/engine/tests/knowledge_chain.rs
@@ -80,7 +80,7 @@
         if now <= relied_until {
             prop_assert!(!vm.must_ask(now), "it relies on what it has to ask for");
         }
-        if vm.standing(now).is_usable() || vm.is_recent(now) {
+        if vm.freshness(now).is_usable() || vm.is_recent(now) {
             prop_assert!(now + DELIVERY_TIME <= ms(bound));
         }
     }
