The silence of other VMs isn't their word that there are no news

Cause, from its logs: edge-addis-b-8, on a small link, comes back from an outage of its own while the configuration grows by 1,000 routes; its knowledge is 2.405 s old, the store is silent for it, and its inquiry has ended without news, since the answers, each with the whole change, didn't arrive within 0.4 s. So old knowledge counted as the best known. Now two of three VMs must have answered; answers aren't cut off any more before the exchange's own limits; and only a VM that has had fewer than two answers for 3 s goes on by what it knows.

--- a/engine/src/peer/inquiry.rs
+++ b/engine/src/peer/inquiry.rs
@@ -4,9 +4,9 @@
 //! in a second. Any other VM may know more, and many may not; so several are asked at a time, beside the exchange with
 //! the manager and beside this VM's own calls to the store.
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{cell::Cell, collections::HashMap, net::SocketAddr, time::Duration};
 
-use futures_util::future;
+use futures_util::{FutureExt, future};
 
 use super::{Envelope, SyncRequest, sync::Context, sync_task};
 use crate::{
@@ -18,27 +18,33 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// The minimum time between the beginnings of two inquiries: all VMs may have no news, for as long as the store is away.
 const INQUIRY_INTERVAL: Duration = Duration::from_millis(400);
-/// How long a VM that can serve callers waits for an answer.
-const ANSWER_TIME: Duration = Duration::from_millis(400);
-/// How long a VM waits that has just started, and needs the whole state of another.
-const START_ANSWER_TIME: Duration = Duration::from_secs(1);
 /// How many VMs are asked at a time.
 const ASKED_VMS: usize = 3;
+/// How many of them must have answered before their having no news counts: an answer may also be stuck on this VM's link.
+const NEEDED_ANSWERS: usize = 2;
+/// How long too few must have answered for this VM to take itself to be one of the last.
+const ALONE_TIME: Duration = Duration::from_secs(3);
 
 /// Asks other VMs for news until the process ends, whenever this VM has to.
 pub async fn run(context: Context) {
     let mut rotation = Rotation::from_random();
     let started = context.clock.now();
+    let mut answered_at = started;
     loop {
         context.clock.sleep(CHECK_INTERVAL).await;
         let began = context.clock.now();
         if !is_due(&context, started, began) {
+            answered_at = began;
             continue;
         }
-        inquire(&context, &mut rotation).await;
-        let confirmations = context.shared_fleet.confirmations();
+        let is_answered = inquire(&context, &mut rotation).await;
         let ended = context.clock.now();
-        confirmations.end_inquiry(began, ended);
+        if is_answered {
+            answered_at = ended;
+        } else if ended >= answered_at + ALONE_TIME {
+            let confirmations = context.shared_fleet.confirmations();
+            confirmations.end_inquiry(began, ended);
+        }
         let rest = INQUIRY_INTERVAL.saturating_sub(ended.saturating_sub(began));
         context.clock.sleep(rest).await;
     }
@@ -92,18 +98,30 @@
     }
 }
 
-/// Asks some other VMs, all at the same time.
-async fn inquire(context: &Context, rotation: &mut Rotation) {
+/// Asks some other VMs, all at the same time; returns whether enough of them answered.
+///
+/// The inquiry ends with the answers that it needs, though those that are under way are waited for.
+async fn inquire(context: &Context, rotation: &mut Rotation) -> bool {
+    let began = context.clock.now();
     let asked = rotation.take(&other_vms(context));
-    let limit = if context.shared_fleet.get().is_ready() {
-        ANSWER_TIME
-    } else {
-        START_ANSWER_TIME
+    let needed = asked.len().min(NEEDED_ANSWERS);
+    let answered = Cell::new(0);
+    let end_if_answered = || {
+        if answered.get() == needed {
+            let confirmations = context.shared_fleet.confirmations();
+            confirmations.end_inquiry(began, context.clock.now());
+        }
     };
+    end_if_answered();
     let questions = asked.iter().map(|address| {
         let position = rotation.positions.get(address).cloned();
         let question = ask(context, *address, position.unwrap_or_default());
-        async move { context.clock.timeout(limit, question).await.ok().flatten() }
+        question.inspect(|answer| {
+            if answer.is_some() {
+                answered.set(answered.get() + 1);
+                end_if_answered();
+            }
+        })
     });
     let answers = future::join_all(questions).await;
     for (address, answer) in asked.into_iter().zip(answers) {
@@ -120,6 +138,7 @@
         }
         rotation.positions.insert(address, answer.position);
     }
+    answered.get() >= needed
 }
 
 /// Returns the addresses of the other VMs, as far as this one knows them.
--- a/program/tests/old_knowledge.rs
+++ b/program/tests/old_knowledge.rs
@@ -30,6 +30,8 @@
 const REQUEST_INTERVAL_MS: u64 = 50;
 /// How many requests are sent after a change must be in force.
 const LATE_REQUESTS: usize = 40;
+/// How many of them a VM refuses that nobody answers, before it takes itself to be alone.
+const UNANSWERED_REQUESTS: usize = 20;
 
 /// The age of what a manager with 195 VMs knows just before the next response to its watch.
 const KNOWN_AGE: Duration = Duration::from_millis(1100);
@@ -49,12 +51,17 @@
 /// A VM that the store doesn't hear, behind a manager that has no news, among VMs of which one follows the store.
 struct CutOff {
     harness: Harness,
-    _follower: Program,
+    _follower: Option<Program>,
     _path: Proxy,
 }
 
 impl CutOff {
     async fn start() -> Self {
+        Self::start_among(&PlayedVm::without_news()).await
+    }
+
+    /// Starts the VM among others that are played; if they respond, one more follows the store.
+    async fn start_among(others: &PlayedVm) -> Self {
         let (store, store_address) = Store::start().await;
         let mut servers = Vec::new();
         for id in ["i-plain-1", "i-plain-2"] {
@@ -64,14 +71,19 @@
         }
         let manager = PlayedVm::manager(Duration::ZERO);
         played_vm::announce_manager(&store, manager.start().await);
-        let ignorant = PlayedVm::without_news().start().await;
+        let ignorant = others.start().await;
         for number in 0..IGNORANT_VMS {
             played_vm::announce(&store, &format!("vm-{}", number + 10), ignorant);
         }
         store.put("op/config", &config(1, "/key/"));
         let path = Proxy::start(store_address).unwrap();
-        let follower = start_vm("vm-2", store_address, None);
-        until_logged(&follower, "event=manager-heard").await;
+        let follower = others
+            .delay
+            .is_zero()
+            .then(|| start_vm("vm-2", store_address, None));
+        if let Some(follower) = &follower {
+            until_logged(follower, "event=manager-heard").await;
+        }
         let harness = Harness {
             program: start_vm("vm-1", path.address, None),
             store,
@@ -83,7 +95,9 @@
         path.set(Mode::Silent);
         manager.confirmed_age.set(None);
         manager.lag.set(MANAGER_LAG);
-        sleep_ms(SEARCH_MS).await;
+        if others.delay.is_zero() {
+            sleep_ms(SEARCH_MS).await;
+        }
         Self {
             harness,
             _follower: follower,
@@ -134,6 +148,21 @@
     });
 }
 
+/// Guards against a VM that takes the silence of others for their word that there are no news: its own link may be full.
+#[test]
+fn a_vm_that_nobody_answers_sends_by_old_knowledge() {
+    run_alone(async || {
+        let vm = CutOff::start_among(&PlayedVm {
+            delay: harness::TEST_TIMEOUT,
+            ..PlayedVm::without_news()
+        })
+        .await;
+        let statuses = vm.send_late_requests("/look/x").await;
+        let refused = [StatusCode::SERVICE_UNAVAILABLE; UNANSWERED_REQUESTS];
+        assert_eq!(statuses[..UNANSWERED_REQUESTS], refused);
+    });
+}
+
 /// Guards against hundreds of VMs that each ask the store in every second, though their manager responds in time.
 #[test]
 fn a_vm_gives_up_a_manager_whose_knowledge_is_well_within_the_bound() {
