Only the manager makes a short watch after changes

Cause: each of the VMs that follow the store themselves, since their manager lags, made a short watch after each one with changes. Now these wait for 0.7 s in place of 1 s, so that two with changes one after the other are younger than the age from which they would ask others (from a bound of 2.5 s on).

--- a/engine/src/follow.rs
+++ b/engine/src/follow.rs
@@ -23,11 +23,13 @@
 
 /// The prefix of all keys: one listing and one watch cover everything that is followed.
 const ALL_KEYS: &str = "";
-/// How long a watch waits; each is charged.
+/// How long a watch of the manager waits; each is charged.
 const WATCH_WAIT: Duration = Duration::from_secs(1);
+/// How long a watch of any other VM waits: hundreds may watch at the same time, and can't make a short one after changes.
+const DIRECT_WATCH_WAIT: Duration = Duration::from_millis(700);
 /// How long after its wait the response to a watch may arrive: longer than calls take while the store is slow.
 const WATCH_MARGIN: Duration = Duration::from_millis(500);
-/// How long the first watch after a failed call, a pause or changes waits.
+/// How long the first watch after a failed call or a pause waits, and the manager's after changes.
 ///
 /// It tests whether watches are answered, or confirms what is known: changes may have been on their way for as long as their
 /// watch.
@@ -139,7 +141,7 @@
         let result = match listing {
             Some(read) => follower.list(read).await,
             None if state == WatchState::Working => {
-                let wait = if has_changed { PROBE_WAIT } else { WATCH_WAIT };
+                let wait = follower.watch_wait(has_changed);
                 follower.watch(wait, WATCH_MARGIN).await
             }
             None => follower.watch(PROBE_WAIT, PROBE_MARGIN).await,
@@ -188,6 +190,15 @@
         self.context.store.era() > self.context.shared_fleet.get().era()
     }
 
+    /// Returns how long the next watch waits; `has_changed` says whether the one before told changes.
+    fn watch_wait(&self, has_changed: bool) -> Duration {
+        match (self.context.is_manager.get(), has_changed) {
+            (true, true) => PROBE_WAIT,
+            (true, false) => WATCH_WAIT,
+            (false, _) => DIRECT_WATCH_WAIT,
+        }
+    }
+
     /// Waits until the store has entered an era of which this VM knows no state.
     async fn wait_outdated(&self) {
         while !self.is_outdated() {
--- a/engine/tests/knowledge_chain.rs
+++ b/engine/tests/knowledge_chain.rs
@@ -35,6 +35,20 @@
     WATCH_WAIT + STORE_TIME + BATCH_DELAY + PROBE_WAIT + STORE_TIME
 }
 
+/// Guards against VMs that follow the store themselves and have to ask each other all the while.
+#[test]
+fn a_vm_that_follows_the_store_itself_needs_no_other() {
+    // A watch with changes counts from its beginning, and so does the one after it if it tells some too.
+    let watch = ms(700) + STORE_TIME;
+    let oldest = watch + ms(300) + watch;
+    for (vms, bound) in FLEETS.into_iter().filter(|it| it.1 > 2000) {
+        assert!(
+            oldest < KnowledgeLimits::new(ms(bound)).ask_age(),
+            "{vms} VMs"
+        );
+    }
+}
+
 /// Guards against VMs that give up a manager which responds in time, and call the store: hundreds in each second.
 #[test]
 fn vms_rely_on_a_manager_that_follows_the_store() {
