A random test of what a VM knows begins with the process's first turn

The test paused a process that had never had a turn, which the task that records turns rules out: its first turn is the process's start. With a turn at the start, the same steps and bounds hold in 200,000 cases.

--- a/engine/tests/confirmations.rs
+++ b/engine/tests/confirmations.rs
@@ -132,6 +132,8 @@
         let limits = KnowledgeLimits::new(ms(bound));
         let vm = Confirmations::new(limits);
         vm.add_by_store(Duration::ZERO);
+        // A process records its turns from its start on.
+        vm.record_turn(Duration::ZERO);
         let (mut now, mut known) = (Duration::ZERO, Duration::ZERO);
         let (mut asked, mut inquired, mut woke) = (None, None, Duration::ZERO);
         for (wait, step) in steps {
