--- a/engine/src/fleet/confirmations.rs
+++ b/engine/src/fleet/confirmations.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use super::{KnowledgeLimits, VmId, pauses::Pauses};
+use super::{Freshness, KnowledgeLimits, VmId, pauses::Pauses};
 
 /// How long requests wait for news at most before they are refused.
 const MAX_WAIT: Duration = Duration::from_millis(500);
@@ -18,34 +18,6 @@
 /// How long an inquiry counts in which no other VM knew more.
 const INQUIRY_VALIDITY: Duration = Duration::from_millis(1500);
 
-/// Whether a VM may act by what it knows of the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Freshness {
-    /// It knows what the store had a moment ago.
-    Fresh,
-    /// It may be old, but neither the store nor any VM that was asked tells more, as in an outage of the store.
-    BestKnown,
-    /// It is too old, and news are expected within a moment.
-    Awaited,
-    /// It is too old, and no news have come.
-    Stale,
-}
-
-impl Freshness {
-    /// Returns whether a VM may act by what it knows.
-    ///
-    /// # Example
-    ///
-    /// ```
-    /// use bramleypier_engine::fleet::Freshness;
-    ///
-    /// assert!(Freshness::BestKnown.is_usable() && !Freshness::Stale.is_usable());
-    /// ```
-    pub fn is_usable(self) -> bool {
-        matches!(self, Self::Fresh | Self::BestKnown)
-    }
-}
-
 /// Who confirms that a VM knows the whole state of the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Source {
--- a/engine/src/fleet/mod.rs
+++ b/engine/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 mod entry;
 mod eras;
 mod evacuation;
+mod freshness;
 mod leaving;
 mod limits;
 mod pauses;
@@ -29,8 +30,9 @@
 };
 pub use self::{
     change_log::{ChangeLog, LogPosition, Relay},
-    confirmations::{Confirmation, Confirmations, Freshness, Source},
+    confirmations::{Confirmation, Confirmations, Source},
     entry::{StoreKeys, Vm},
+    freshness::Freshness,
     limits::KnowledgeLimits,
     pauses::TURN_INTERVAL,
     record_log::RecordUpdate,
