A VM that follows the store spaces its watches by the age of what it knows

Cause: what a watch with changes confirms counts from when it began, up to a second before. So that it is young enough, another one of 0.05 s was made after each, then again one of a second. All other VMs, that can't afford that, waited for 0.7 s each time. Now the next watch waits for as long as what is known stays young enough: once for each change. The same sum bounds the delay for a batch, so that a VM of a small site that follows the store itself has to ask no other (before: 1.7 s of 1.3). The watches that are open at a time, and the pace, have modules of their own.

--- a/engine/src/follow.rs
+++ b/engine/src/follow/mod.rs
@@ -3,52 +3,33 @@
 //! Load pattern: hundreds of VMs need the same changes, and each call to the store is charged. So one VM, the
 //! manager, watches the store and relays the changes; a VM that can't reach the manager watches the store itself.
 
+mod pace;
+mod watches;
+
 use std::{cell::Cell, rc::Rc, time::Duration};
 
 use bramleypier_util::clock::Clock;
-use futures_util::{
-    FutureExt, StreamExt,
-    future::{self, LocalBoxFuture},
-    stream::FuturesUnordered,
-};
+use futures_util::future::{self, LocalBoxFuture};
 use rand::Rng;
 
+pub use self::pace::Pace;
+use self::watches::{EndedWatch, Timing};
 use crate::{
     catalogue::Catalogue,
     fleet::{self, SharedFleet, StoreKeys},
     health::Health,
     report::Report,
-    store::{Error, Read, Revision, Store, WatchBatch},
+    store::{Error, Read, Revision, Store},
 };
 
 /// The prefix of all keys: one listing and one watch cover everything that is followed.
 const ALL_KEYS: &str = "";
-/// How long a watch of the manager waits; each is charged.
-const WATCH_WAIT: Duration = Duration::from_secs(1);
-/// How long a watch of any other VM waits: hundreds may watch at the same time, and can't make a short one after changes.
-const DIRECT_WATCH_WAIT: Duration = Duration::from_millis(700);
-/// How long after its wait the response to a watch may arrive: longer than calls take while the store is slow.
-const WATCH_MARGIN: Duration = Duration::from_millis(500);
-/// How long the first watch after a failed call or a pause waits, and the manager's after changes.
-///
-/// It tests whether watches are answered, or confirms what is known: changes may have been on their way for as long as their
-/// watch.
-const PROBE_WAIT: Duration = Duration::from_millis(50);
-/// How long the response to such a watch may take, after its wait, before another one is begun beside it.
-const PROBE_MARGIN: Duration = Duration::from_millis(250);
-/// How many watches may be open at a time.
-const MAX_WATCHES: usize = 3;
 /// The initial delay before the next call when a call has failed while the store health check succeeds.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 /// The maximum of this delay: a configuration must be in force two seconds after it was accepted.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 /// How often a waiting watch checks whether other calls have told a new era of the store.
 const ERA_CHECK_INTERVAL: Duration = Duration::from_millis(200);
-/// How long the manager waits after a watch, so that the next response, which is charged, has several changes.
-const BATCH_DELAY: Duration = Duration::from_millis(100);
-/// The same delay for any other VM, which watches the store only until it reaches the manager: hundreds may do so
-/// at the same time.
-const DIRECT_BATCH_DELAY: Duration = Duration::from_millis(300);
 /// How long a VM that knows the manager waits for its response before it calls the store.
 const MANAGER_WAIT: Duration = Duration::from_millis(400);
 
@@ -104,20 +85,11 @@
     Outdated,
 }
 
-/// The end of one of the watches that are open.
-struct EndedWatch {
-    /// When it began.
-    asked: Duration,
-    /// How long it waited for changes.
-    wait: Duration,
-    result: Result<WatchBatch, Error>,
-}
-
 /// How a call for changes ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Outcome {
-    /// All changes up to this revision are known; whether there were any, so that they may have been under way for long.
-    Followed(Revision, bool),
+    /// All changes up to this revision are known.
+    Followed(Revision),
     /// The manager relays changes from now on.
     Relayed,
 }
@@ -126,7 +98,6 @@
 pub async fn run(context: Context) {
     let follower = Follower { context };
     let mut retry_delay = RETRY_DELAY;
-    let mut has_changed = false;
     let mut state = WatchState::Untested;
     // A stale listing suffices: the watch after it returns the changes since, as long as the store has the history.
     let mut listing = Some(Read::Stale);
@@ -141,15 +112,14 @@
         let result = match listing {
             Some(read) => follower.list(read).await,
             None if state == WatchState::Working => {
-                let wait = follower.watch_wait(has_changed);
-                follower.watch(wait, WATCH_MARGIN).await
+                let wait = follower.pace().wait(follower.known_age());
+                follower.watch(Timing::waiting(wait)).await
             }
-            None => follower.watch(PROBE_WAIT, PROBE_MARGIN).await,
+            None => follower.watch(Timing::TEST).await,
         };
         match result {
             Ok(Outcome::Relayed) => {}
-            Ok(Outcome::Followed(revision, changed)) => {
-                has_changed = changed;
+            Ok(Outcome::Followed(revision)) => {
                 follower.set_followed(revision);
                 if state == WatchState::Failed {
                     follower.log("store-back", "");
@@ -190,15 +160,21 @@
         self.context.store.era() > self.context.shared_fleet.get().era()
     }
 
-    /// Returns how long the next watch waits; `has_changed` says whether the one before told changes.
-    fn watch_wait(&self, has_changed: bool) -> Duration {
-        match (self.context.is_manager.get(), has_changed) {
-            (true, true) => PROBE_WAIT,
-            (true, false) => WATCH_WAIT,
-            (false, _) => DIRECT_WATCH_WAIT,
+    /// Returns how this VM spaces its watches.
+    fn pace(&self) -> Pace {
+        if self.context.is_manager.get() {
+            Pace::of_manager()
+        } else {
+            Pace::of_follower(self.context.shared_fleet.confirmations().limits())
         }
     }
 
+    /// Returns the age of what the store has confirmed.
+    fn known_age(&self) -> Option<Duration> {
+        let now = self.context.clock.now();
+        self.context.shared_fleet.confirmations().age_by_store(now)
+    }
+
     /// Waits until the store has entered an era of which this VM knows no state.
     async fn wait_outdated(&self) {
         while !self.is_outdated() {
@@ -276,42 +252,7 @@
             let reason = format!("other calls tell a later era than {}", listing.era);
             return Err(Error::NotApplied("list", reason));
         }
-        Ok(Outcome::Followed(listing.revision, true))
-    }
-
-    /// Waits for the response to a watch; begins another one beside it each time that none has come in time.
-    ///
-    /// The first ones stay open: in a process that lacks processor time their responses are late, and may already be there.
-    async fn first_response(
-        &self,
-        after: Revision,
-        wait: Duration,
-        margin: Duration,
-    ) -> EndedWatch {
-        let clock = &self.context.clock;
-        let begin = |wait| {
-            let asked = clock.now();
-            let watch = self.context.store.watch(ALL_KEYS, after, wait);
-            watch.map(move |result| EndedWatch {
-                asked,
-                wait,
-                result,
-            })
-        };
-        let mut open = FuturesUnordered::from_iter([begin(wait)]);
-        let mut overdue_after = wait + margin;
-        loop {
-            match clock.timeout(overdue_after, open.next()).await {
-                // A watch that fails says nothing of the others.
-                Ok(Some(ended)) if ended.result.is_ok() || open.is_empty() => return ended,
-                Err(_) if open.len() < MAX_WATCHES => {
-                    self.log("watch-overdue", "");
-                    open.push(begin(PROBE_WAIT));
-                }
-                Ok(_) | Err(_) => {}
-            }
-            overdue_after = PROBE_WAIT + PROBE_MARGIN;
-        }
+        Ok(Outcome::Followed(listing.revision))
     }
 
     /// Watches the store, until the manager relays changes or the store health check fails.
@@ -319,13 +260,13 @@
     /// In the second case the state of the watch is unknown, so it counts as failed.
     ///
     /// The response is the only proof that this VM misses no change: other calls may be answered while it is lost.
-    async fn watch(&self, wait: Duration, margin: Duration) -> Result<Outcome, Error> {
+    async fn watch(&self, timing: Timing) -> Result<Outcome, Error> {
         let context = &self.context;
         let known = context.shared_fleet.get().followed().get(ALL_KEYS).copied();
         let Some(after) = known else {
             return Err(Error::Compacted("watch"));
         };
-        let watch = async { Interruption::None(self.first_response(after, wait, margin).await) };
+        let watch = async { Interruption::None(self.first_response(after, timing).await) };
         let relayed = async {
             context.manager_health.wait_healthy().await;
             Interruption::Relayed
@@ -371,14 +312,10 @@
         confirmations.add_by_watch(ended.asked, ended.wait, has_changes);
         context.report.lines(&log_lines);
         if has_changes {
-            let delay = if context.is_manager.get() {
-                BATCH_DELAY
-            } else {
-                DIRECT_BATCH_DELAY
-            };
+            let delay = self.pace().delay(self.known_age());
             context.clock.sleep(delay).await;
         }
-        Ok(Outcome::Followed(batch.revision, has_changes))
+        Ok(Outcome::Followed(batch.revision))
     }
 }
 
--- a/engine/tests/knowledge_chain.rs
+++ b/engine/tests/knowledge_chain.rs
@@ -7,17 +7,13 @@
 
 use bramleypier_engine::{
     fleet::{Confirmations, KnowledgeLimits},
+    follow::Pace,
     peer::sync_interval,
 };
 use proptest::prelude::*;
 
 /// The number of VMs, and the time within which changes must be in force among so many.
 const FLEETS: [(usize, u64); 5] = [(1, 2000), (24, 2000), (88, 2500), (195, 3000), (300, 3000)];
-/// How long a watch waits, and the one after it if it told changes.
-const WATCH_WAIT: Duration = Duration::from_secs(1);
-const PROBE_WAIT: Duration = Duration::from_millis(50);
-/// How long the manager waits after a watch with changes.
-const BATCH_DELAY: Duration = Duration::from_millis(100);
 /// The response time of a store that is well.
 const STORE_TIME: Duration = Duration::from_millis(10);
 /// How long an exchange takes at a manager with as many VMs as are simulated, per VM.
@@ -29,24 +25,17 @@
     Duration::from_millis(millis)
 }
 
-/// Returns the age of the manager's knowledge when the response to a watch is due that follows one with changes: these count
-/// from when their watch began.
+/// Returns the greatest age of the manager's knowledge when it reads the response to a watch.
 fn oldest_at_manager() -> Duration {
-    WATCH_WAIT + STORE_TIME + BATCH_DELAY + PROBE_WAIT + STORE_TIME
+    Pace::of_manager().max_age() + STORE_TIME
 }
 
-/// Guards against VMs that follow the store themselves and have to ask each other all the while.
-#[test]
-fn a_vm_that_follows_the_store_itself_needs_no_other() {
-    // A watch with changes counts from its beginning, and so does the one after it if it tells some too.
-    let watch = ms(700) + STORE_TIME;
-    let oldest = watch + ms(300) + watch;
-    for (vms, bound) in FLEETS.into_iter().filter(|it| it.1 > 2000) {
-        assert!(
-            oldest < KnowledgeLimits::new(ms(bound)).ask_age(),
-            "{vms} VMs"
-        );
-    }
+/// Returns the age of what is known when the response to a watch is read that follows one which told changes, `elapsed` after
+/// it had begun.
+fn age_after_changes(pace: Pace, elapsed: Duration) -> Duration {
+    let read = elapsed + STORE_TIME;
+    let begun = read + pace.delay(Some(read));
+    begun + pace.wait(Some(begun)) + STORE_TIME
 }
 
 /// Guards against VMs that give up a manager which responds in time, and call the store: hundreds in each second.
@@ -66,6 +55,22 @@
 }
 
 proptest! {
+    /// Guards against VMs that follow the store and wait for longer than their knowledge may grow old: the others give up such
+    /// a manager, and any other VM has to ask them all the while.
+    #[test]
+    fn a_vm_hears_from_the_store_before_its_knowledge_is_too_old(
+        fleet in 0..FLEETS.len(),
+        elapsed in 0_u64..=1000,
+    ) {
+        let limits = KnowledgeLimits::new(ms(FLEETS[fleet].1));
+        let follower = Pace::of_follower(limits);
+        for pace in [Pace::of_manager(), follower] {
+            let age = age_after_changes(pace, ms(elapsed));
+            prop_assert!(age <= pace.max_age() + STORE_TIME, "{age:?}");
+        }
+        prop_assert!(follower.max_age() + STORE_TIME < limits.ask_age());
+    }
+
     /// Whatever each link takes, no request is sent, and no route denied, by what was accepted longer ago than the bound.
     #[test]
     fn the_sum_of_all_links_is_bounded(
--- a/program/tests/store_calls.rs
+++ b/program/tests/store_calls.rs
@@ -17,6 +17,11 @@
 const OTHER_VMS: usize = 3;
 /// The least number of seconds between two renewals of a VM's entry while the VM is in contact with the manager.
 const RENEWAL_INTERVAL_SECONDS: usize = 2;
+/// How late watches are answered: later than a VM waits for one that tests whether they are.
+const LATE_RESPONSE: Duration = Duration::from_millis(600);
+/// A series of changes.
+const CHANGES: u32 = 8;
+const CHANGE_INTERVAL_MS: u64 = 500;
 /// The most renewals per second by the manager, of its lease and its entry together.
 const MANAGER_RENEWALS_PER_S: usize = 5;
 
@@ -87,6 +92,46 @@
     });
 }
 
+/// Guards against a second, short watch after each change.
+#[test]
+fn a_manager_makes_two_watches_for_each_change() {
+    run_alone(async |harness| {
+        until_logged(&harness.program, "event=manager-elected").await;
+        sleep_ms(1000).await;
+        let before = watches(&harness.store);
+        for version in 2..2 + CHANGES {
+            harness.store.put("op/config", &config(version, "/other/"));
+            sleep_ms(CHANGE_INTERVAL_MS).await;
+        }
+        let watched = watches(&harness.store) - before;
+        let limit = usize::try_from(CHANGES * 3 / 2).unwrap();
+        assert!(watched <= limit, "{watched} watches for {CHANGES} changes");
+    });
+}
+
+/// Guards against watches that are abandoned once they are overdue, so that none of their late responses is ever read.
+#[test]
+fn watches_that_are_answered_late_are_abandoned() {
+    run_alone(async |harness| {
+        until_logged(&harness.program, "event=manager-elected").await;
+        let late = Fault::LateWatches(LATE_RESPONSE);
+        harness.store.set_fault(Some(late));
+        sleep_ms(2500).await;
+        for version in [2, 3, 4] {
+            harness.store.put("op/config", &config(version, "/other/"));
+            let accepted = Instant::now();
+            let in_force = format!("event=config-in-force version={version}");
+            until_logged(&harness.program, &in_force).await;
+            let took = accepted.elapsed();
+            assert!(
+                took <= IN_FORCE,
+                "version {version}: in force after {took:?}"
+            );
+            sleep_ms(700).await;
+        }
+    });
+}
+
 /// Guards against frequent renewals of entries: in a run of 20 VMs without faults they were 1,087 of 1,624 calls to
 /// the store.
 #[test]
