How much the manager may lag follows from the platform's bound

Cause: a VM relied on no manager that lags by more than 20 ms, and gave up one that lags by 33 ms, since two sync intervals had to fit into 1.2 s, for the bound of two seconds. The large site's is three, and VMs that stay without a manager that lags a little follow the store themselves and renew their entries more often. Now both follow from the bound, as all other ages do: 1.2 s of 2, as before, and 2.2 s of 3. Nobody relies on anything older for that: reliance still ends when what the VM knows is 0.7 s below the bound.

--- a/engine/src/peer/sync.rs
+++ b/engine/src/peer/sync.rs
@@ -12,7 +12,10 @@
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use indexmap::IndexMap;
 
-use super::{Envelope, FleetLoad, News, SyncRequest, SyncResponse, admin, sync_interval::Lag};
+use super::{
+    Envelope, FleetLoad, News, SyncRequest, SyncResponse, admin,
+    sync_interval::{self, Lag},
+};
 use crate::{
     catalogue::Catalogue,
     fleet::{LogPosition, Relay, SharedFleet, StoreKeys, Vm, VmId},
@@ -24,11 +27,6 @@
     store::{Era, Store},
 };
 
-/// The maximum sync interval at which a VM continues to rely on the manager: changes that must be in force in two
-/// seconds can't wait for more than two such intervals.
-const MAX_RELIED_INTERVAL: Duration = Duration::from_millis(600);
-/// The maximum sync interval at which a VM starts to rely on the manager.
-const MAX_START_INTERVAL: Duration = Duration::from_millis(400);
 /// The maximum age of the manager's most recent call that the store answered, from when it was sent.
 const MAX_STORE_ANSWER_AGE: Duration = Duration::from_millis(900);
 
@@ -320,16 +318,12 @@
             return false;
         }
         let relied = self.manager_health.is_healthy();
-        let max_interval = if relied {
-            MAX_RELIED_INTERVAL
-        } else {
-            MAX_START_INTERVAL
-        };
+        let limits = self.shared_fleet.confirmations().limits();
         if !response.healthy {
             self.stop_relying("the manager does not follow the store");
             return false;
         }
-        if interval > max_interval {
+        if interval > sync_interval::max_interval(limits, relied) {
             self.stop_relying("the manager lags");
             return false;
         }
--- a/engine/src/peer/sync_interval.rs
+++ b/engine/src/peer/sync_interval.rs
@@ -31,8 +31,11 @@
 /// The minimum time for which a VM relies on the manager after it has sent an exchange that succeeds, unless the manager's
 /// knowledge gets too old before.
 const MIN_RELIANCE: Duration = Duration::from_millis(450);
-/// The maximum time: a change must be in force in two seconds, also when the manager falls silent.
+/// The maximum time if the age of the manager's knowledge is unknown: a change must be in force in two seconds, also when the
+/// manager falls silent.
 const MAX_RELIANCE: Duration = Duration::from_millis(1200);
+/// The time that is left of the age up to which a VM relies on the manager when the response is read.
+const READ_TIME: Duration = Duration::from_millis(100);
 /// The number of rounds, or intervals, for which a VM relies on the manager: one exchange may fail.
 const RELIANCE_ROUNDS: u32 = 2;
 /// The inverse weight of a new measurement in the mean lag: one late wake-up is no trend.
@@ -126,6 +129,38 @@
     (interval + excess * LAG_FACTOR).min(MAX_INTERVAL)
 }
 
+/// Returns for how long a VM relies on a manager that has fallen silent, at most.
+fn max_reliance(limits: KnowledgeLimits) -> Duration {
+    limits.ask_age().saturating_sub(READ_TIME).max(MIN_RELIANCE)
+}
+
+/// Returns the maximum sync interval at which a VM relies on the manager; `relied` says whether it does so already.
+///
+/// It leaves time for two rounds. A VM that relies on no manager follows the store itself, and among hundreds of VMs a busy
+/// manager lags for most of the time.
+///
+/// # Example
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use bramleypier_engine::{fleet::KnowledgeLimits, peer::sync_interval};
+///
+/// let ms = Duration::from_millis;
+/// let max_interval = |bound, relied| sync_interval::max_interval(KnowledgeLimits::new(ms(bound)), relied);
+/// assert_eq!(max_interval(2000, true), ms(600));
+/// assert_eq!(max_interval(2000, false), ms(400));
+/// assert_eq!(max_interval(3000, true), ms(1100));
+/// ```
+pub fn max_interval(limits: KnowledgeLimits, relied: bool) -> Duration {
+    let max_interval = max_reliance(limits) / RELIANCE_ROUNDS;
+    if relied {
+        max_interval
+    } else {
+        max_interval * 2 / 3
+    }
+}
+
 /// Returns how long a VM relies on the manager, from the time at which it sent an exchange that has succeeded.
 ///
 /// `took` is the duration of the exchange and `interval` the time until the next one begins, so the next response comes
@@ -158,7 +193,7 @@
     match age {
         Some(age) => {
             let rounds = (interval + took) * RELIANCE_ROUNDS;
-            let wanted = rounds.clamp(MIN_RELIANCE, MAX_RELIANCE);
+            let wanted = rounds.clamp(MIN_RELIANCE, max_reliance(limits));
             wanted.min(limits.ask_age().saturating_sub(age))
         }
         None => (interval * RELIANCE_ROUNDS).clamp(MIN_RELIANCE, MAX_RELIANCE),
