A failed call of one VM doesn't delay the removal of a target beyond the bound

What callers saw: requests reach a target up to 2.7 s after it left, where 2.5 s are allowed (DRAIN). Cause: REMOVAL_GRACE. A VM keeps a target whose entry was removed for 2.5 s after its own last failed call to the store, since after an outage targets write their entries again. It asks nobody whether the store was away: a call that failed, while the manager changes, suffices. The delay is a link of the chain by which departures reach a VM, as long as the whole bound, and the sum left it out. Now a removal takes effect while what the VM knew before it is within the bound: the store confirmed everything up to that moment, so the target left after it. After an outage all knowledge is older, and in a new era of the store nothing is known of what was lost, so both keep the whole delay.

--- a/engine/src/fleet/confirmations.rs
+++ b/engine/src/fleet/confirmations.rs
@@ -395,6 +395,25 @@
             .is_some_and(|it| it <= self.limits.max_age())
     }
 
+    /// Returns until when this VM may act by what it knows.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bramleypier_engine::fleet::Confirmations;
+    ///
+    /// let confirmations = Confirmations::default();
+    /// assert_eq!(confirmations.usable_until(), None);
+    /// confirmations.add_by_store(Duration::ZERO);
+    /// assert_eq!(confirmations.usable_until(), Some(confirmations.limits().max_age()));
+    /// ```
+    pub fn usable_until(&self) -> Option<Duration> {
+        let latest = self.latest.borrow();
+        latest.as_ref().map(|it| it.at + self.limits.max_age())
+    }
+
     /// Returns how old the last confirmation by the store is, if this VM follows it itself.
     ///
     /// # Example
--- a/engine/src/fleet/mod.rs
+++ b/engine/src/fleet/mod.rs
@@ -36,7 +36,7 @@
     limits::KnowledgeLimits,
     pauses::TURN_INTERVAL,
     record_log::RecordUpdate,
-    removals::REMOVAL_GRACE,
+    removals::{EXPIRY_INTERVAL, REMOVAL_GRACE},
     shared::SharedFleet,
 };
 use crate::{
@@ -117,6 +117,8 @@
     pending_removals: IndexMap<String, PendingRemoval>,
     /// When a call to the store last failed.
     last_failure: Option<Duration>,
+    /// Until when this VM may act by what it knew before the latest changes.
+    known_until: Option<Duration>,
 }
 
 impl Fleet {
--- a/engine/src/fleet/removals.rs
+++ b/engine/src/fleet/removals.rs
@@ -18,6 +18,9 @@
 /// Targets announce themselves again within some 2 s of the store's return.
 pub const REMOVAL_GRACE: Duration = Duration::from_millis(2500);
 
+/// How often delayed removals are looked at.
+pub const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
+
 /// The removal of a key that takes effect later, unless the key is written again.
 #[derive(Clone, Debug)]
 pub(super) struct PendingRemoval {
@@ -102,7 +105,8 @@
         let due = if evacuated.is_some() {
             self.operator_grace()
         } else if key.starts_with(catalogue.targets_prefix()) {
-            self.last_failure.map(|at| at + REMOVAL_GRACE)
+            self.last_failure
+                .map(|at| self.bound_removal(now, at + REMOVAL_GRACE))
         } else {
             None
         };
@@ -117,6 +121,25 @@
         })
     }
 
+    /// Returns when a removal that is heard of at `now` takes effect: at `due`, or earlier if only a call of this VM has failed.
+    ///
+    /// If what was known before is recent enough to act by it, somebody has heard from the store in the meantime, so it wasn't
+    /// away. Nothing is known of a store that has come back older.
+    fn bound_removal(&self, now: Duration, due: Duration) -> Duration {
+        let is_era_new = self.era_entered.is_some_and(|at| now < at + REMOVAL_GRACE);
+        match self.known_until {
+            Some(until) if now <= until && !is_era_new => {
+                due.min(until.saturating_sub(EXPIRY_INTERVAL))
+            }
+            Some(_) | None => due,
+        }
+    }
+
+    /// Records until when this VM may act by what it knows before the changes that it applies next.
+    pub(super) fn set_known_until(&mut self, until: Option<Duration>) {
+        self.known_until = until;
+    }
+
     /// Makes the delayed removals that are due; returns log lines.
     ///
     /// # Example
--- a/engine/src/fleet/shared.rs
+++ b/engine/src/fleet/shared.rs
@@ -73,7 +73,13 @@
     where
         F: FnOnce(&mut Fleet) -> R,
     {
-        let result = change(Rc::make_mut(&mut *self.fleet.borrow_mut()));
+        let known_until = self.confirmations.usable_until();
+        let result = {
+            let mut fleet = self.fleet.borrow_mut();
+            let fleet = Rc::make_mut(&mut *fleet);
+            fleet.set_known_until(known_until);
+            change(fleet)
+        };
         let mut subscribers = self.subscribers.borrow_mut();
         subscribers.retain(|subscriber| subscriber.unbounded_send(()).is_ok());
         result
--- a/engine/src/follow/mod.rs
+++ b/engine/src/follow/mod.rs
@@ -331,9 +331,8 @@
 
 /// Removes the keys that are still missing some time after a failed call to the store, or in its new era.
 pub async fn expire_targets(shared_fleet: SharedFleet, clock: Clock, report: Report) {
-    const CHECK_INTERVAL: Duration = Duration::from_millis(250);
     loop {
-        clock.sleep(CHECK_INTERVAL).await;
+        clock.sleep(fleet::EXPIRY_INTERVAL).await;
         let now = clock.now();
         if shared_fleet.get().next_expiry().is_none_or(|at| now < at) {
             continue;
