--- a/engine/tests/removals.rs
+++ b/engine/tests/removals.rs
@@ -57,7 +57,7 @@
         prop_assume!(heard <= limits.max_age());
         let vm = vm_with_target(limits);
         remove_target(&vm, ms(failed), heard);
-        let end = ms(bound) - DELIVERY_TIME;
+        let end = ms(bound).saturating_sub(DELIVERY_TIME);
         let mut now = heard;
         while now + CHECK_INTERVAL <= end {
             now += CHECK_INTERVAL;
