review: show that a refused request that may run once has run

Cause: all attempts of a request have the same id, and an attempt takes any response with that id for its own, also the late copy of an earlier refusal.

Change: case 1 (rule REFUSED).

--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec "$(dirname "$0")/../run-case.sh" 1
