A late copy of a response isn't taken for the response to another attempt

Cause: a connection gives each response to the request that was sent last, and all attempts of a request have one id. The second attempt went to the same target on the same connection, where the late copy of the refusal came first. Beside it: a response without a body that names another request ended its attempt, but not its connection, on which each later request then got the response to the one before. Evidence: target_bytes failed before: the first request was told 503 and ran; 24 of 24 requests after a foreign response got 502. Why it holds: the client compares the id itself, ends the connection at a foreign response, and uses no connection whose latest response names the same request, or none. Ruled out: that the id isn't compared (it was); that requests are sent twice (each attempt is one).

--- a/engine/src/caller/attempt.rs
+++ b/engine/src/caller/attempt.rs
@@ -199,6 +199,10 @@
                     drop(permit);
                     return AttemptResult::TimedOut.into();
                 }
+                if let client::Error::Foreign(_) = error {
+                    permit.finish(CompletionKind::Lost, None);
+                    return AttemptResult::Lost(error.to_string()).into();
+                }
                 self.quarantine
                     .record_crash(outgoing.fingerprint, &permit.target);
                 permit.finish(CompletionKind::Lost, None);
--- a/engine/src/process/mod.rs
+++ b/engine/src/process/mod.rs
@@ -133,6 +133,13 @@
     relayed: Rc<Cell<usize>>,
 }
 
+/// Creates a client with connections to targets.
+fn target_client(clock: &Clock, adapter: &Adapter, reach: &Reach) -> Client {
+    Client::new(clock.clone(), MAX_TARGET_CONNECTIONS)
+        .with_observer(reach.observer())
+        .with_id_header(adapter.targets.id_header())
+}
+
 impl Process {
     fn new(settings: Settings, clock: Clock, adapter: Adapter, report: Report) -> Self {
         let vm = Vm {
@@ -158,8 +165,7 @@
             clock: clock.clone(),
             report: report.clone(),
         });
-        let target_client =
-            Client::new(clock.clone(), MAX_TARGET_CONNECTIONS).with_observer(reach.observer());
+        let target_client = target_client(&clock, &adapter, &reach);
         let relay_client = Client::new(clock.clone(), MAX_RELAY_CONNECTIONS);
         let quarantine = Quarantine::new(shared_fleet.clone(), clock.clone(), report.clone());
         Self {
--- a/engine/src/reach/relay.rs
+++ b/engine/src/reach/relay.rs
@@ -242,6 +242,11 @@
                 let body = body::stream(body::Streamed::new(Vec::new(), rest));
                 self.finish(RelayResult::Answered, Response::from_parts(head, body))
             }
+            // The sender finds neither the request's id nor a signature in it, as in the response that came.
+            Err(client::Error::Foreign(_)) => {
+                let response = Response::new(Body::empty());
+                self.finish(RelayResult::Answered, response)
+            }
             Err(error) => {
                 let result = match error {
                     _ if error.unsent() => RelayResult::Unsent,
--- a/engine/src/target.rs
+++ b/engine/src/target.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, time::Duration};
 
-use hyper::{HeaderMap, Method, StatusCode};
+use hyper::{HeaderMap, Method, StatusCode, header::HeaderName};
 
 use crate::{
     catalogue::{Rate, TargetId},
@@ -107,6 +107,9 @@
     /// Returns the last key of the key space; the first is 0.
     fn last_key(&self) -> RequestKey;
 
+    /// Returns the header that names a request, and that the responses of targets repeat.
+    fn id_header(&self) -> HeaderName;
+
     /// Sets the headers of a request to a target; `remaining` is the time in which it must respond.
     fn set_headers(&self, headers: &mut HeaderMap, target: &TargetId, remaining: Duration);
 
--- a/program/tests/harness/mod.rs
+++ b/program/tests/harness/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses only part of it")]
 
 pub mod played_vm;
+pub mod raw_target;
 
 use std::{
     net::SocketAddr,
--- /dev/null
+++ b/program/tests/target_bytes.rs
@@ -0,0 +1,134 @@
+//! What callers get from targets whose responses come late, twice or without end, and what targets get of callers' requests.
+
+mod harness;
+
+use std::{
+    io::{self, Write as _},
+    net::TcpStream,
+    time::Duration,
+};
+
+use bramleypier_platform_standin::store::Store;
+use bramleypier_util::{client::Client, clock::Clock};
+use compio::runtime::Runtime;
+use harness::{
+    Harness,
+    raw_target::{RawRequest, RawTarget},
+    sleep_ms, start_vm,
+};
+use hyper::StatusCode;
+
+/// One service with keys and one without; requests for keys may run once, the others any number of times.
+const CONFIG: &str = r#"{"version":"r1","limits":{"max-header-bytes":16384,"max-body-bytes":4000000,
+    "header-timeout":"3000ms","idle-timeout":"15000ms"},
+    "listeners":[{"host":"a.example","rules":[
+        {"name":"order","kind":"non_idempotent","goal":"500ms","priority":1,"match":{"prefix":"/key/"},
+            "action":{"service":"keyed","timeout":"2000ms","max-attempts":2}},
+        {"name":"look","kind":"idempotent","goal":"500ms","priority":1,"match":{"prefix":"/look/"},
+            "action":{"service":"plain","timeout":"1000ms","max-attempts":2}}]}],
+    "clusters":[{"name":"keyed","health-path":"/health","max-conns":130,"sharded":true},
+        {"name":"plain","health-path":"/health","max-conns":130,"sharded":false}]}"#;
+/// Requests of each run.
+const REQUESTS: usize = 24;
+/// How long a target works on a request.
+const WORK_MS: u64 = 20;
+
+/// Starts a VM whose only target, of one service, is `target`.
+async fn start(target: &RawTarget, service: &str) -> Harness {
+    let (store, store_address) = Store::start().await;
+    store.put("servers/i-raw", &target.entry(service));
+    store.put("op/config", CONFIG.as_bytes());
+    let harness = Harness {
+        program: start_vm("vm-1", store_address, None),
+        store,
+        store_address,
+        servers: Vec::new(),
+        client: Client::new(Clock::real(), 8),
+    };
+    harness.until_ready().await;
+    harness
+}
+
+/// Sends a request until its target runs it, which it does once it owns the key.
+async fn until_served(harness: &Harness) {
+    for attempt in 0..200 {
+        let id = format!("first-{attempt}");
+        if harness.send("POST", "/key/x", &id).await.0 == StatusCode::OK {
+            return;
+        }
+        sleep_ms(50).await;
+    }
+    panic!("{:#?}", harness.program.lines.lock().unwrap());
+}
+
+/// Responds to grants and releases.
+fn respond_to_call(stream: &mut TcpStream) -> io::Result<()> {
+    stream.write_all(b"HTTP/1.1 200 OK\r\nX-Handover: 1\r\nContent-Length: 2\r\n\r\n{}")
+}
+
+/// A session of a target that refuses each first attempt and runs each second one; the refusal comes once more, late.
+fn refuse_first() -> impl FnMut(&RawRequest, &mut TcpStream) -> io::Result<()> {
+    let mut late: Option<String> = None;
+    move |request: &RawRequest, stream: &mut TcpStream| {
+        if let Some(copy) = late.take() {
+            stream.write_all(copy.as_bytes())?;
+        }
+        if request.is_call() {
+            return respond_to_call(stream);
+        }
+        if request.id().starts_with("late") && is_first(request) {
+            late = Some(request.refusal());
+            return stream.write_all(request.refusal().as_bytes());
+        }
+        std::thread::sleep(Duration::from_millis(WORK_MS));
+        stream.write_all(request.answer("done").as_bytes())
+    }
+}
+
+/// Returns whether a request wasn't seen before, by any target of the process.
+fn is_first(request: &RawRequest) -> bool {
+    static SEEN: std::sync::Mutex<Vec<String>> = std::sync::Mutex::new(Vec::new());
+    let mut seen = SEEN.lock().unwrap();
+    let id = request.id().to_owned();
+    let first = !seen.contains(&id);
+    seen.push(id);
+    first
+}
+
+/// Guards against a late copy of a refusal that ends the second attempt, which runs, as refused.
+#[test]
+fn a_late_copy_of_a_refusal_does_not_refuse_the_attempt_that_runs() {
+    Runtime::new().unwrap().block_on(async {
+        let target = RawTarget::start(refuse_first);
+        let harness = start(&target, "keyed").await;
+        until_served(&harness).await;
+        let mut served = 0;
+        for number in 0..REQUESTS {
+            let id = format!("late-{number}");
+            let (status, _) = harness.send("POST", "/key/x", &id).await;
+            let arrived = target.requests().iter().filter(|it| it.id() == id).count();
+            let told_not_run = status == StatusCode::SERVICE_UNAVAILABLE;
+            assert!(!(told_not_run && arrived > 1), "{id} ran: {status}");
+            served += usize::from(arrived > 1 && status == StatusCode::OK);
+        }
+        assert!(served > 0, "no second attempt was served");
+    });
+}
+
+/// Guards against a connection that stays in use after another request's response, which puts each later one out of step.
+#[test]
+fn a_connection_with_another_requests_response_is_not_used_again() {
+    Runtime::new().unwrap().block_on(async {
+        let target = RawTarget::start(refuse_first);
+        let harness = start(&target, "keyed").await;
+        until_served(&harness).await;
+        let _ = harness.send("POST", "/key/x", "late-step").await;
+        let mut lost = 0;
+        for number in 0..REQUESTS {
+            let id = format!("step-{number}");
+            let (status, _) = harness.send("POST", "/key/x", &id).await;
+            lost += usize::from(status == StatusCode::BAD_GATEWAY);
+        }
+        assert!(lost <= 1, "{lost} requests got another one's response");
+    });
+}
--- a/util/src/client.rs
+++ b/util/src/client.rs
@@ -13,10 +13,12 @@
 };
 
 use compio::net::TcpStream;
+use futures_channel::oneshot;
 use hyper::{
-    Request, Response,
+    HeaderMap, Request, Response,
     body::{Bytes, Incoming},
     client::conn::http1::{self, SendRequest},
+    header::{HeaderName, HeaderValue},
 };
 use indexmap::IndexMap;
 use quick_error::quick_error;
@@ -66,6 +68,10 @@
             display("answer from {peer}: {cause}")
             source(cause)
         }
+        /// The response names another request, so what becomes of this one isn't known; see [`Client::with_id_header`].
+        Foreign(peer: SocketAddr) {
+            display("answer from {peer}: another request's answer")
+        }
         /// The head of the response has arrived, but not the whole body, or it is too long.
         Truncated(peer: SocketAddr, cause: body::Cause) {
             display("answer from {peer}: {cause}")
@@ -91,7 +97,7 @@
     pub fn unsent(&self) -> bool {
         match self {
             Self::Connect(..) | Self::Busy(_) | Self::Unsent(..) | Self::Withdrawn(_) => true,
-            Self::Broken(..) | Self::Truncated(..) => false,
+            Self::Broken(..) | Self::Foreign(_) | Self::Truncated(..) => false,
             Self::Timeout(_, sent) => !sent,
         }
     }
@@ -155,6 +161,42 @@
     head_bytes: Rc<Cell<Option<usize>>>,
     /// When it was last used; none before the first response, and after one that announced the close.
     last_used: Rc<Cell<Option<Duration>>>,
+    /// The response that may come once more.
+    latest: Latest,
+    /// Completes once the connection is closed and isn't counted any more.
+    closed: oneshot::Receiver<()>,
+}
+
+impl Connection {
+    /// Closes the connection.
+    async fn close(self) {
+        let Self { sender, closed, .. } = self;
+        drop(sender);
+        // Its task sends nothing; the channel ends with the task.
+        let _ = closed.await;
+    }
+}
+
+/// The latest response of a connection, by the request that it names.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Latest {
+    /// There was none, or the peer's responses come only once.
+    Nothing,
+    /// It names the request with this id.
+    Named(HeaderValue),
+    /// It names none.
+    Unnamed,
+}
+
+impl Latest {
+    /// Returns whether a copy of the response could be taken for the response to the request with this id.
+    fn resembles(&self, request_id: Option<&HeaderValue>) -> bool {
+        match self {
+            Self::Nothing => false,
+            Self::Named(id) => request_id == Some(id),
+            Self::Unnamed => true,
+        }
+    }
 }
 
 /// A client with a connection pool for each address; clones share the pools.
@@ -171,6 +213,8 @@
     /// When each peer last closed a connection that had been used recently.
     closed: Rc<RefCell<IndexMap<SocketAddr, Duration>>>,
     observer: Option<Rc<dyn ConnectionObserver>>,
+    /// The header that names a request, and that the peers' responses repeat.
+    id_header: Option<HeaderName>,
 }
 
 impl std::fmt::Debug for Client {
@@ -192,6 +236,7 @@
             open_counts: Rc::default(),
             closed: Rc::default(),
             observer: None,
+            id_header: None,
         }
     }
 
@@ -202,6 +247,18 @@
         self
     }
 
+    /// Tells responses apart by a header that names a request and that the peers' responses repeat.
+    ///
+    /// For peers that may send a response once more, at the point where the next one on the connection is expected. A
+    /// response that names another request ends the exchange with [`Error::Foreign`] and its connection, on which each
+    /// later response would be out of step. A connection isn't used where a copy of its latest response could be taken
+    /// for the response to the request: for another attempt of the same request, and after a response that names no request.
+    #[must_use]
+    pub fn with_id_header(mut self, header: HeaderName) -> Self {
+        self.id_header = Some(header);
+        self
+    }
+
     /// Closes the connections that no request uses.
     pub fn close_idle(&self) {
         self.pool.borrow_mut().clear();
@@ -307,7 +364,7 @@
         };
         match result {
             Ok(_) if progress.first.get() => observer.on_response(peer),
-            Ok(_) | Err(Error::Busy(_) | Error::Withdrawn(_)) => {}
+            Ok(_) | Err(Error::Busy(_) | Error::Withdrawn(_) | Error::Foreign(_)) => {}
             Err(Error::Timeout(..)) if timeout < MIN_FAILURE_TIMEOUT => {}
             Err(_) => observer.on_failure(peer),
         }
@@ -320,10 +377,8 @@
         request: Request<Body>,
         write: NextWrite,
     ) -> Result<Response<Incoming>, Error> {
-        let mut connection = match self.take_pooled(peer) {
-            Some(connection) => connection,
-            None => self.open(peer).await?,
-        };
+        let id = self.named_request(request.headers());
+        let mut connection = self.connection(peer, id.as_ref()).await?;
         let written_before = connection.written.get();
         let progress = write.progress.clone();
         progress.connected.set(true);
@@ -342,6 +397,13 @@
                     (!headers::closes_connection(response.headers())).then(|| self.clock.now());
                 connection.last_used.set(last_used);
                 connection.responded = true;
+                let named = self.named_request(response.headers());
+                if named.is_some() && named != id {
+                    return Err(Error::Foreign(peer));
+                }
+                if self.id_header.is_some() {
+                    connection.latest = named.map_or(Latest::Unnamed, Latest::Named);
+                }
                 self.return_to_pool(peer, connection);
                 Ok(response)
             }
@@ -358,17 +420,60 @@
         }
     }
 
-    /// Takes a pooled connection that is ready for another request, and removes closed ones.
-    fn take_pooled(&self, peer: SocketAddr) -> Option<Connection> {
+    /// Returns the id of the request that a message names, if the client tells responses apart.
+    fn named_request(&self, headers: &HeaderMap) -> Option<HeaderValue> {
+        let header = self.id_header.as_ref()?;
+        headers.get(header).cloned()
+    }
+
+    /// Returns a connection for the request with this id: a pooled one on which no earlier response can be taken for its
+    /// response, or a new one.
+    async fn connection(
+        &self,
+        peer: SocketAddr,
+        id: Option<&HeaderValue>,
+    ) -> Result<Connection, Error> {
+        if let Some(connection) = self.take_pooled(peer, |it| !it.latest.resembles(id)) {
+            return Ok(connection);
+        }
+        let spent = self.take_pooled(peer, |it| it.latest == Latest::Unnamed);
+        if self.is_full(peer) {
+            let unusable = spent.or_else(|| self.take_pooled(peer, |_| true));
+            if let Some(unusable) = unusable {
+                unusable.close().await;
+            }
+            return self.open(peer).await;
+        }
+        // The spent one stays open until the new one is: the close of an open connection shows that the peer's process ended.
+        let opened = self.open(peer).await;
+        if opened.is_err()
+            && let Some(spent) = spent
+        {
+            self.return_to_pool(peer, spent);
+        }
+        opened
+    }
+
+    /// Takes a pooled connection that is ready for another request and accepted by `is_usable`, and removes closed ones.
+    fn take_pooled<P>(&self, peer: SocketAddr, is_usable: P) -> Option<Connection>
+    where
+        P: Fn(&Connection) -> bool,
+    {
         let mut pool = self.pool.borrow_mut();
         let list = pool.get_mut(&peer)?;
         list.retain(|connection| !connection.sender.is_closed());
         let index = list
             .iter()
-            .rposition(|connection| connection.sender.is_ready())?;
+            .rposition(|connection| connection.sender.is_ready() && is_usable(connection))?;
         Some(list.swap_remove(index))
     }
 
+    /// Returns whether the maximum number of connections to a peer is open.
+    fn is_full(&self, peer: SocketAddr) -> bool {
+        let counts = self.open_counts.borrow();
+        counts.get(&peer).is_some_and(|it| *it >= self.limit)
+    }
+
     /// Returns a connection to the pool; it becomes ready once its response has been read.
     fn return_to_pool(&self, peer: SocketAddr, connection: Connection) {
         let mut pool = self.pool.borrow_mut();
@@ -392,6 +497,7 @@
             .await
             .map_err(|cause| Error::Unsent(peer, cause))?;
         self.opened.set(self.opened.get() + 1);
+        let (closing, closed) = oneshot::channel::<()>();
         let (client, used, ended) = (self.clone(), last_used.clone(), state.ended);
         compio::runtime::spawn(async move {
             // A failure is also returned to the request's sender.
@@ -400,6 +506,7 @@
                 client.record_close(peer, used.get());
             }
             drop(permit);
+            drop(closing);
         })
         .detach();
         Ok(Connection {
@@ -409,6 +516,8 @@
             next_write: state.next_write,
             head_bytes: state.head_bytes,
             last_used,
+            latest: Latest::Nothing,
+            closed,
         })
     }
 
