A late copy of a grant's response isn't taken for the response to a release

Calls have no id, and the manager reuses the connection of a grant for the release: the second copy of the grant's 200 ended the release at once. Why it holds: a call follows another one on a connection only within the grants to one target, where a copy does no harm: Fenced deposes the manager whatever range it is for, Gone holds for the incarnation, Done and Silent are put right by the next renewal.

--- a/engine/src/caller/attempt.rs
+++ b/engine/src/caller/attempt.rs
@@ -4,7 +4,7 @@
 
 use bramleypier_util::{
     body::Body,
-    client::{self, Client, SendGuard},
+    client::{self, Client, Exchange, SendGuard},
     clock::Clock,
     headers,
 };
@@ -179,7 +179,11 @@
         let started = self.clock.now();
         let address = permit.target.address;
         let guard = Some(watch.clone() as Rc<dyn SendGuard>);
-        let sent = self.client.send_guarded(address, request, remaining, guard);
+        let exchange = Exchange {
+            guard,
+            ..Exchange::default()
+        };
+        let sent = self.client.send_with(address, request, remaining, exchange);
         match sent.await {
             Ok(response) => {
                 self.read(outgoing, response, permit, started, remaining)
--- a/engine/src/owner/calls.rs
+++ b/engine/src/owner/calls.rs
@@ -4,7 +4,7 @@
 
 use bramleypier_util::{
     body::{self, Body},
-    client::{self, SendGuard},
+    client::{self, Exchange, SendGuard},
     clock::Clock,
 };
 use hyper::{Request, http::response};
@@ -179,6 +179,11 @@
 }
 
 /// Sends a call to a target and returns its outcome.
+///
+/// Targets don't name calls in their responses, so a late copy of one may be taken for the response to the next call on its
+/// connection. Grants to one target may follow each other: what a copy says of one holds for the others, or is put right by
+/// the next renewal. A release or a fence must not be taken for done while the target works on its keys, so it gets a connection
+/// on which there was no response.
 pub(super) async fn send_command(
     context: &Context,
     service: &str,
@@ -208,10 +213,13 @@
     *request.uri_mut() = http::Uri::from_static(call.path);
     *request.headers_mut() = call.headers;
     let started = context.clock.now();
-    let guard = guard(context, command, kind);
+    let exchange = Exchange {
+        guard: guard(context, command, kind),
+        series: (kind == CallKind::Grant).then(|| command.owner.id.clone()),
+    };
     let sent = context
         .client
-        .send_guarded(command.owner.address, request, timeout, guard);
+        .send_with(command.owner.address, request, timeout, exchange);
     let outcome = match sent.await {
         Ok(response) => {
             let (head, response_body) = response.into_parts();
--- a/engine/src/process/mod.rs
+++ b/engine/src/process/mod.rs
@@ -309,8 +309,7 @@
             vm: self.vm.clone(),
             store: self.adapter.store.clone(),
             targets: self.adapter.targets.clone(),
-            client: Client::new(self.clock.clone(), MAX_TARGET_CONNECTIONS)
-                .with_observer(self.reach.observer()),
+            client: target_client(&self.clock, &self.adapter, &self.reach),
             shared_fleet: self.shared_fleet.clone(),
             catalogue: self.adapter.catalogue.clone(),
             is_manager: self.is_manager.clone(),
--- a/engine/src/reach/relay.rs
+++ b/engine/src/reach/relay.rs
@@ -8,7 +8,7 @@
 
 use bramleypier_util::{
     body::{self as util_body, Body},
-    client::{self, Client, SendGuard},
+    client::{self, Client, Exchange, SendGuard},
     headers,
 };
 use hyper::{
@@ -130,7 +130,11 @@
     let headers = request.headers_mut();
     headers.insert(TARGET, id);
     headers.insert(TIMEOUT_MS, HeaderValue::from(millis));
-    let sent = client.send_guarded(vm.address, request, timeout, Some(guard));
+    let exchange = Exchange {
+        guard: Some(guard),
+        ..Exchange::default()
+    };
+    let sent = client.send_with(vm.address, request, timeout, exchange);
     let mut response = sent.await.map_err(|error| {
         let cause = format!("via {}: {error}", vm.name);
         match error {
--- a/program/tests/target_bytes.rs
+++ b/program/tests/target_bytes.rs
@@ -5,6 +5,10 @@
 use std::{
     io::{self, Write as _},
     net::TcpStream,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
@@ -85,9 +89,83 @@
     }
 }
 
+/// How long a target still works on requests for keys that it is to release.
+const RELEASE_MS: u64 = 600;
+
+/// What a target that leaves has been told and has done.
+#[derive(Clone, Debug, Default)]
+struct Departure {
+    announced: Arc<AtomicBool>,
+    /// Whether its last request for the keys that it is to release has ended.
+    released: Arc<AtomicBool>,
+}
+
+/// The grant whose response comes once more: the first renewal, the last grant before the target leaves.
+const LATE_GRANT: usize = 2;
+
+/// A session of a target whose response to a grant comes once more, late.
+fn repeat_grants(
+    departure: &Departure,
+) -> impl FnMut(&RawRequest, &mut TcpStream) -> io::Result<()> + use<> {
+    let departure = departure.clone();
+    let (mut is_late, mut grants) = (false, 0);
+    move |request: &RawRequest, stream: &mut TcpStream| {
+        if is_late {
+            respond_to_call(stream)?;
+        }
+        let is_grant = request.line.contains("/-/grant");
+        grants += usize::from(is_grant);
+        is_late = is_grant && grants == LATE_GRANT;
+        if request.line.contains("/-/release") && departure.announced.load(Ordering::SeqCst) {
+            std::thread::sleep(Duration::from_millis(RELEASE_MS));
+            departure.released.store(true, Ordering::SeqCst);
+        }
+        if request.is_call() {
+            return respond_to_call(stream);
+        }
+        stream.write_all(request.answer("done").as_bytes())
+    }
+}
+
+/// Guards against a late copy of a grant's response that ends a release while the target still works on the keys.
+#[test]
+fn a_late_copy_of_a_grants_response_does_not_end_a_release() {
+    Runtime::new().unwrap().block_on(async {
+        let departure = Departure::default();
+        let session_departure = departure.clone();
+        let leaving = RawTarget::start(move || repeat_grants(&session_departure));
+        let harness = start(&leaving, "keyed").await;
+        until_served(&harness).await;
+        let early = Arc::new(AtomicUsize::new(0));
+        let (released, session_early) = (departure.released.clone(), early.clone());
+        let next = RawTarget::start(move || {
+            let (released, early) = (released.clone(), session_early.clone());
+            move |request: &RawRequest, stream: &mut TcpStream| {
+                if request.is_call() {
+                    let is_early = !released.load(Ordering::SeqCst);
+                    early.fetch_add(usize::from(is_early), Ordering::SeqCst);
+                    return respond_to_call(stream);
+                }
+                stream.write_all(request.answer("next").as_bytes())
+            }
+        });
+        let draining = String::from_utf8(leaving.entry("keyed")).unwrap();
+        let draining = draining.replace("\"ready\"", "\"draining\"");
+        departure.announced.store(true, Ordering::SeqCst);
+        harness.store.put("servers/i-next", &next.entry("keyed"));
+        harness.store.put("servers/i-raw", draining.as_bytes());
+        while next.requests().is_empty() {
+            let _ = harness.send("POST", "/key/x", "moved").await;
+            sleep_ms(50).await;
+        }
+        assert!(departure.released.load(Ordering::SeqCst));
+        assert_eq!(early.load(Ordering::SeqCst), 0, "grants before the release");
+    });
+}
+
 /// Returns whether a request wasn't seen before, by any target of the process.
 fn is_first(request: &RawRequest) -> bool {
-    static SEEN: std::sync::Mutex<Vec<String>> = std::sync::Mutex::new(Vec::new());
+    static SEEN: Mutex<Vec<String>> = Mutex::new(Vec::new());
     let mut seen = SEEN.lock().unwrap();
     let id = request.id().to_owned();
     let first = !seen.contains(&id);
--- a/util/src/client.rs
+++ b/util/src/client.rs
@@ -103,6 +103,9 @@
     }
 }
 
+/// The name of requests that are answered alike.
+pub type Series = String;
+
 /// The shortest timeout after which a connection without a response counts as failed.
 const MIN_FAILURE_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -135,6 +138,25 @@
     fn may_write(&self) -> bool;
 }
 
+/// What is special about an exchange.
+#[derive(Clone, Default)]
+pub struct Exchange {
+    /// Withdraws the request before its first byte is written.
+    pub guard: Option<Rc<dyn SendGuard>>,
+    /// The series of the request, if it has no id: a late copy of a response to one request of a series does no harm as the
+    /// response to another one.
+    pub series: Option<Series>,
+}
+
+impl std::fmt::Debug for Exchange {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Exchange")
+            .field("guard", &self.guard.is_some())
+            .field("series", &self.series)
+            .finish()
+    }
+}
+
 /// How far an exchange has got.
 #[derive(Clone, Debug, Default)]
 struct Progress {
@@ -184,17 +206,18 @@
     Nothing,
     /// It names the request with this id.
     Named(HeaderValue),
-    /// It names none.
-    Unnamed,
+    /// It names none, and answers a request of this series.
+    Unnamed(Option<Series>),
 }
 
 impl Latest {
-    /// Returns whether a copy of the response could be taken for the response to the request with this id.
-    fn resembles(&self, request_id: Option<&HeaderValue>) -> bool {
+    /// Returns whether a copy of the response could be taken for the response to the request with this id or of this series,
+    /// and do harm.
+    fn resembles(&self, id: Option<&HeaderValue>, series: Option<&Series>) -> bool {
         match self {
             Self::Nothing => false,
-            Self::Named(id) => request_id == Some(id),
-            Self::Unnamed => true,
+            Self::Named(named) => id == Some(named),
+            Self::Unnamed(answered) => answered.is_none() || answered.as_ref() != series,
         }
     }
 }
@@ -252,7 +275,8 @@
     /// For peers that may send a response once more, at the point where the next one on the connection is expected. A
     /// response that names another request ends the exchange with [`Error::Foreign`] and its connection, on which each
     /// later response would be out of step. A connection isn't used where a copy of its latest response could be taken
-    /// for the response to the request: for another attempt of the same request, and after a response that names no request.
+    /// for the response to the request: for another attempt of the same request, and after a response that names no request,
+    /// unless that belongs to the same [`Exchange::series`].
     #[must_use]
     pub fn with_id_header(mut self, header: HeaderName) -> Self {
         self.id_header = Some(header);
@@ -296,21 +320,23 @@
         request: Request<Body>,
         timeout: Duration,
     ) -> Result<Response<Incoming>, Error> {
-        self.send_guarded(peer, request, timeout, None).await
+        let exchange = Exchange::default();
+        self.send_with(peer, request, timeout, exchange).await
     }
 
-    /// Sends a request like [`Client::send`], unless `guard` withdraws it before its first byte is written.
+    /// Sends a request like [`Client::send`], unless the exchange's guard withdraws it.
     ///
     /// # Errors
     ///
     /// See [`Client::send`].
-    pub async fn send_guarded(
+    pub async fn send_with(
         &self,
         peer: SocketAddr,
         request: Request<Body>,
         timeout: Duration,
-        guard: Option<Rc<dyn SendGuard>>,
+        exchange: Exchange,
     ) -> Result<Response<Incoming>, Error> {
+        let Exchange { guard, series } = exchange;
         let progress = Progress::default();
         let write = NextWrite {
             deadline: self.clock.now() + timeout,
@@ -318,7 +344,7 @@
             progress: progress.clone(),
             guard,
         };
-        let exchange = self.exchange(peer, request, write);
+        let exchange = self.exchange(peer, request, write, series);
         let result = match self.clock.timeout(timeout, exchange).await {
             Ok(result) => result,
             Err(_) => Err(progress.on_timeout(peer)),
@@ -376,9 +402,11 @@
         peer: SocketAddr,
         request: Request<Body>,
         write: NextWrite,
+        series: Option<Series>,
     ) -> Result<Response<Incoming>, Error> {
         let id = self.named_request(request.headers());
-        let mut connection = self.connection(peer, id.as_ref()).await?;
+        let is_usable = |it: &Connection| !it.latest.resembles(id.as_ref(), series.as_ref());
+        let mut connection = self.connection(peer, is_usable).await?;
         let written_before = connection.written.get();
         let progress = write.progress.clone();
         progress.connected.set(true);
@@ -402,7 +430,7 @@
                     return Err(Error::Foreign(peer));
                 }
                 if self.id_header.is_some() {
-                    connection.latest = named.map_or(Latest::Unnamed, Latest::Named);
+                    connection.latest = named.map_or(Latest::Unnamed(series), Latest::Named);
                 }
                 self.return_to_pool(peer, connection);
                 Ok(response)
@@ -426,17 +454,15 @@
         headers.get(header).cloned()
     }
 
-    /// Returns a connection for the request with this id: a pooled one on which no earlier response can be taken for its
-    /// response, or a new one.
-    async fn connection(
-        &self,
-        peer: SocketAddr,
-        id: Option<&HeaderValue>,
-    ) -> Result<Connection, Error> {
-        if let Some(connection) = self.take_pooled(peer, |it| !it.latest.resembles(id)) {
+    /// Returns a pooled connection that `is_usable` accepts, or a new one.
+    async fn connection<P>(&self, peer: SocketAddr, is_usable: P) -> Result<Connection, Error>
+    where
+        P: Fn(&Connection) -> bool,
+    {
+        if let Some(connection) = self.take_pooled(peer, is_usable) {
             return Ok(connection);
         }
-        let spent = self.take_pooled(peer, |it| it.latest == Latest::Unnamed);
+        let spent = self.take_pooled(peer, |it| it.latest == Latest::Unnamed(None));
         if self.is_full(peer) {
             let unusable = spent.or_else(|| self.take_pooled(peer, |_| true));
             if let Some(unusable) = unusable {
