A body of unknown size is sent with each method

Cause: such a body is streamed, its size isn't known, and the headers that announce chunks were removed as those of one connection; the HTTP library then sends no body with GET, HEAD or CONNECT. Why it holds: the client announces the chunks itself, so all paths that send through it do: callers' requests, the relay, the project's own interface.

--- a/program/tests/target_bytes.rs
+++ b/program/tests/target_bytes.rs
@@ -280,6 +280,54 @@
     });
 }
 
+/// Sizes of bodies: kept whole, and more than is kept whole.
+const BODY_SIZES: [usize; 2] = [1000, 300_000];
+
+/// Sends a request whose body comes in chunks, and returns the first bytes of the response.
+fn send_chunked(address: SocketAddr, method: &str, size: usize) -> String {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(LOOK_TIMEOUT)).unwrap();
+    let id = format!("{method}-{size}").to_ascii_lowercase();
+    let head = format!(
+        "{method} /look/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 3000\r\n\
+         Transfer-Encoding: chunked\r\n\r\n{size:x}\r\n"
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    stream.write_all(&vec![b'x'; size]).unwrap();
+    stream.write_all(b"\r\n0\r\n\r\n").unwrap();
+    let mut bytes = [0; 512];
+    let count = stream.read(&mut bytes).unwrap();
+    String::from_utf8_lossy(&bytes[..count]).into_owned()
+}
+
+/// Guards against a request whose long body in chunks is dropped because of its method, and which runs without it.
+#[test]
+fn a_long_body_in_chunks_reaches_the_target_with_each_method() {
+    Runtime::new().unwrap().block_on(async {
+        let target = RawTarget::start(|| {
+            |request: &RawRequest, stream: &mut TcpStream| {
+                let is_head = request.line.starts_with("HEAD");
+                let body = if is_head { "" } else { "done" };
+                stream.write_all(request.answer(body).as_bytes())
+            }
+        });
+        let harness = start(&target, "plain").await;
+        let address = harness.program.callers;
+        for method in ["GET", "HEAD", "POST", "DELETE", "OPTIONS"] {
+            for size in BODY_SIZES {
+                let sending =
+                    compio::runtime::spawn_blocking(move || send_chunked(address, method, size));
+                let response = sending.await.unwrap();
+                assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+                let id = format!("{method}-{size}").to_ascii_lowercase();
+                let requests = target.requests();
+                let arrived = requests.iter().find(|it| it.id() == id).unwrap();
+                assert_eq!(arrived.body.len(), size, "{id}: {arrived:?}");
+            }
+        }
+    });
+}
+
 /// Returns whether a request wasn't seen before, by any target of the process.
 fn is_first(request: &RawRequest) -> bool {
     static SEEN: Mutex<Vec<String>> = Mutex::new(Vec::new());
--- a/util/src/client.rs
+++ b/util/src/client.rs
@@ -16,9 +16,9 @@
 use futures_channel::oneshot;
 use hyper::{
     HeaderMap, Request, Response,
-    body::{Bytes, Incoming},
+    body::{Body as _, Bytes, Incoming},
     client::conn::http1::{self, SendRequest},
-    header::{HeaderName, HeaderValue},
+    header::{self, HeaderName, HeaderValue},
 };
 use indexmap::IndexMap;
 use quick_error::quick_error;
@@ -400,10 +400,11 @@
     async fn exchange(
         &self,
         peer: SocketAddr,
-        request: Request<Body>,
+        mut request: Request<Body>,
         write: NextWrite,
         series: Option<Series>,
     ) -> Result<Response<Incoming>, Error> {
+        announce_chunks(&mut request);
         let id = self.named_request(request.headers());
         let is_usable = |it: &Connection| !it.latest.resembles(id.as_ref(), series.as_ref());
         let mut connection = self.connection(peer, is_usable).await?;
@@ -556,6 +557,18 @@
     }
 }
 
+/// Announces a body of unknown size, which is sent in chunks.
+///
+/// Otherwise hyper sends no body with a method for which bodies are unusual, such as GET.
+fn announce_chunks(request: &mut Request<Body>) {
+    if request.body().size_hint().exact().is_none() {
+        let chunked = HeaderValue::from_static("chunked");
+        request
+            .headers_mut()
+            .insert(header::TRANSFER_ENCODING, chunked);
+    }
+}
+
 /// The permit for one open connection; released when the connection's task ends.
 struct Permit {
     peer: SocketAddr,
--- a/util/src/server.rs
+++ b/util/src/server.rs
@@ -297,9 +297,7 @@
     }
     requests.drain();
     let answered = Box::pin(answer_read(connection.as_mut(), &requests));
-    if let Either::Right(_) | Either::Left((true, _)) =
-        future::select(answered, &mut left).await
-    {
+    if let Either::Right(_) | Either::Left((true, _)) = future::select(answered, &mut left).await {
         return;
     }
     connection.as_mut().graceful_shutdown();
