A response with two lengths is forwarded with that of its chunks

Cause: the body was read by its chunks, and the header of the other length was forwarded. Evidence: target_bytes::a_response_with_two_lengths_is_forwarded_with_that_of_its_chunks failed before (in a debug build the connection's task ended) and passes now. Why it holds: a length beside chunks is removed with the hop-by-hop headers, for requests, responses, relays and the own interface.

--- a/program/tests/target_bytes.rs
+++ b/program/tests/target_bytes.rs
@@ -20,7 +20,7 @@
     raw_target::{RawRequest, RawTarget},
     sleep_ms, start_vm,
 };
-use hyper::StatusCode;
+use hyper::{StatusCode, body::Body as _};
 
 /// One service with keys and one without; requests for keys may run once, the others any number of times.
 const CONFIG: &str = r#"{"version":"r1","limits":{"max-header-bytes":16384,"max-body-bytes":4000000,
@@ -328,6 +328,25 @@
     });
 }
 
+/// Guards against a response with two lengths, of which its caller takes the wrong one and the rest for the next response.
+#[test]
+fn a_response_with_two_lengths_is_forwarded_with_that_of_its_chunks() {
+    Runtime::new().unwrap().block_on(async {
+        let target = RawTarget::start(|| {
+            |request: &RawRequest, stream: &mut TcpStream| {
+                let length = "Content-Length: 3\r\nTransfer-Encoding: chunked";
+                let head = request.answer("").replace("Content-Length: 0", length);
+                stream.write_all(format!("{head}a\r\n0123456789\r\n0\r\n\r\n").as_bytes())
+            }
+        });
+        let harness = start(&target, "plain").await;
+        let (status, response) = harness.send("GET", "/look/x", "two").await;
+        assert_eq!(status, StatusCode::OK);
+        assert_eq!(response.headers()["content-length"], "10");
+        assert_eq!(response.body().size_hint().exact(), Some(10));
+    });
+}
+
 /// How a target ends a connection within a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Close {
--- a/util/src/headers.rs
+++ b/util/src/headers.rs
@@ -19,6 +19,8 @@
 
 /// Removes hop-by-hop headers, including those that the message's `connection` header names.
 ///
+/// The length of a message whose body comes in chunks is removed as well: the chunks tell it, whatever the header says.
+///
 /// # Example
 ///
 /// ```
@@ -40,6 +42,9 @@
         .flat_map(|value| value.split(','))
         .filter_map(|name| name.trim().parse().ok())
         .collect();
+    if map.contains_key(header::TRANSFER_ENCODING) {
+        map.remove(header::CONTENT_LENGTH);
+    }
     for name in named.iter().chain(&HOP_BY_HOP) {
         map.remove(name);
     }
