A refusal counts only if it names the request

That this is what the users saw is suspected, not shown. Why it holds: targets name the request in each response, so one that names none belongs to none; the attempt is lost, which promises nothing.

--- a/engine/src/caller/attempt.rs
+++ b/engine/src/caller/attempt.rs
@@ -315,16 +315,14 @@
     ) -> AttemptResult {
         let (mut head, rest) = response.into_parts();
         permit.report_hold_off(reply.notice.retry_after);
-        let foreign = reply
-            .request_id
-            .as_ref()
-            .is_some_and(|id| *id != outgoing.id);
+        // Bytes that belong to no request may look like a response, which then names none.
+        let foreign = reply.request_id.as_ref() != Some(&outgoing.id);
         if foreign || reply.refusal.is_none() && !reply.signed {
             // Dropping the body closes the connection, so that no later request reads from it.
             drop(rest);
             permit.finish(CompletionKind::Lost, None);
             let cause = if foreign {
-                "another request's answer"
+                "an answer that doesn't name the request"
             } else {
                 "an unsigned answer"
             };
--- a/program/tests/target_bytes.rs
+++ b/program/tests/target_bytes.rs
@@ -28,6 +28,8 @@
     "listeners":[{"host":"a.example","rules":[
         {"name":"order","kind":"non_idempotent","goal":"500ms","priority":1,"match":{"prefix":"/key/"},
             "action":{"service":"keyed","timeout":"2000ms","max-attempts":2}},
+        {"name":"post","kind":"non_idempotent","goal":"500ms","priority":1,"match":{"prefix":"/post/"},
+            "action":{"service":"plain","timeout":"2000ms","max-attempts":3}},
         {"name":"look","kind":"idempotent","goal":"400ms","priority":1,"match":{"prefix":"/look/"},
             "action":{"service":"plain","timeout":"500ms","max-attempts":2}}]}],
     "clusters":[{"name":"keyed","health-path":"/health","max-conns":130,"sharded":true},
@@ -419,6 +421,73 @@
     first
 }
 
+/// What comes late, before the next response on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Extra {
+    /// A copy of the response before.
+    Copy,
+    /// A refusal that names no request.
+    UnnamedRefusal,
+}
+
+/// A session of a target that refuses each third request, and sends an extra response after that; `ran` gets the ids of those that run.
+fn send_extras(
+    extra: Extra,
+    ran: &Arc<Mutex<Vec<String>>>,
+) -> impl FnMut(&RawRequest, &mut TcpStream) -> io::Result<()> + use<> {
+    let (ran, mut late, mut count) = (ran.clone(), None, 0);
+    move |request: &RawRequest, stream: &mut TcpStream| {
+        if let Some(late) = late.take() {
+            let late: String = late;
+            stream.write_all(late.as_bytes())?;
+        }
+        count += 1;
+        let refuses = count % 3 == 0;
+        let response = if refuses {
+            request.refusal()
+        } else {
+            ran.lock().unwrap().push(request.id().to_owned());
+            request.answer("done")
+        };
+        late = refuses.then(|| match extra {
+            Extra::Copy => response.clone(),
+            Extra::UnnamedRefusal => RawRequest::default()
+                .refusal()
+                .replace("X-Request-Id: \r\n", ""),
+        });
+        stream.write_all(response.as_bytes())
+    }
+}
+
+/// Guards against requests that run though they are refused, or run twice, after a response that belongs to no request.
+#[test]
+fn requests_that_may_run_once_survive_extra_responses() {
+    for extra in [Extra::Copy, Extra::UnnamedRefusal] {
+        Runtime::new().unwrap().block_on(async {
+            let ran: Arc<Mutex<Vec<String>>> = Arc::default();
+            let start_target = || {
+                let ran = ran.clone();
+                RawTarget::start(move || send_extras(extra, &ran))
+            };
+            let (first, second) = (start_target(), start_target());
+            let harness = start(&first, "plain").await;
+            harness.store.put("servers/i-two", &second.entry("plain"));
+            harness.until_logged("target=i-two").await;
+            let mut served = 0;
+            for number in 0..20 * REQUESTS {
+                let id = format!("post-{number}");
+                let (status, _) = harness.send("POST", "/post/x", &id).await;
+                let runs = ran.lock().unwrap().iter().filter(|it| **it == id).count();
+                assert!(runs <= 1, "{extra:?}: {id} ran {runs} times");
+                let not_run = status == StatusCode::SERVICE_UNAVAILABLE;
+                assert!(!(not_run && runs > 0), "{extra:?}: {id} ran, {status}");
+                served += usize::from(status == StatusCode::OK);
+            }
+            assert!(served > REQUESTS, "{extra:?}: only {served} were served");
+        });
+    }
+}
+
 /// Guards against a late copy of a refusal that ends the second attempt, which runs, as refused.
 #[test]
 fn a_late_copy_of_a_refusal_does_not_refuse_the_attempt_that_runs() {
