--- /dev/null
+++ b/util/src/client/write.rs
@@ -0,0 +1,109 @@
+//! Writes a request unless its time has ended or its sender has withdrawn it, and counts what is read and written.
+
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use super::{Error, SendGuard};
+use crate::{clock::Clock, stream::StreamObserver};
+
+/// The maximum size of a response's head, with the interim responses before it.
+///
+/// hyper reads any number of interim responses without a pause, so nothing else would end them.
+const MAX_HEAD_BYTES: usize = 128 * 1024;
+
+/// How far an exchange has got.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Progress {
+    /// Whether a connection has been chosen for it.
+    pub(super) connected: Rc<Cell<bool>>,
+    /// Whether a byte of the request may have been sent.
+    pub(super) sent: Rc<Cell<bool>>,
+    /// Whether no byte may be sent any more if none was.
+    pub(super) withdrawn: Rc<Cell<bool>>,
+    /// Whether it is the first exchange on its connection.
+    pub(super) first: Rc<Cell<bool>>,
+}
+
+impl Progress {
+    /// Withdraws a request that has not been written, and returns the error of a timeout.
+    pub(super) fn on_timeout(&self, peer: SocketAddr) -> Error {
+        self.withdrawn.set(!self.sent.get());
+        if self.connected.get() && !self.sent.get() {
+            Error::Withdrawn(peer)
+        } else {
+            Error::Timeout(peer, self.sent.get())
+        }
+    }
+}
+
+/// A request that was given to a connection and has not been written yet.
+pub(super) struct NextWrite {
+    /// When its timeout ends.
+    pub(super) deadline: Duration,
+    pub(super) clock: Clock,
+    pub(super) progress: Progress,
+    pub(super) guard: Option<Rc<dyn SendGuard>>,
+}
+
+impl NextWrite {
+    /// Begins to write the request, unless its time has ended or it has been withdrawn.
+    fn begin(&self) -> io::Result<()> {
+        let progress = &self.progress;
+        let in_time = !progress.withdrawn.get() && self.clock.now() < self.deadline;
+        if in_time && self.guard.as_ref().is_none_or(|it| it.may_write()) {
+            progress.sent.set(true);
+            return Ok(());
+        }
+        progress.withdrawn.set(true);
+        Err(io::ErrorKind::TimedOut.into())
+    }
+}
+
+impl std::fmt::Debug for NextWrite {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("NextWrite")
+            .field("deadline", &self.deadline)
+            .finish_non_exhaustive()
+    }
+}
+
+/// What is known of a connection's stream; it observes the stream.
+#[derive(Clone, Debug, Default)]
+pub(super) struct StreamState {
+    /// How many bytes were written.
+    pub(super) written: Rc<Cell<u64>>,
+    /// The request that is to be written next.
+    pub(super) next_write: Rc<RefCell<Option<NextWrite>>>,
+    /// How many bytes were read since the request, while its response has not begun.
+    pub(super) head_bytes: Rc<Cell<Option<usize>>>,
+    /// Whether the peer has closed the stream with a FIN.
+    pub(super) ended: Rc<Cell<bool>>,
+}
+
+impl StreamObserver for StreamState {
+    fn on_read(&mut self, bytes: usize) -> io::Result<()> {
+        if bytes == 0 {
+            self.ended.set(true);
+        }
+        let read = self.head_bytes.get().map(|it| it + bytes);
+        self.head_bytes.set(read);
+        if read.is_some_and(|it| it > MAX_HEAD_BYTES) {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+        Ok(())
+    }
+
+    fn before_write(&mut self) -> io::Result<()> {
+        let next = self.next_write.take();
+        next.map_or(Ok(()), |it| it.begin())
+    }
+
+    fn on_write(&mut self, bytes: usize) {
+        self.written.set(self.written.get() + bytes as u64);
+    }
+}
