--- a/program/tests/harness/raw_target.rs
+++ b/program/tests/harness/raw_target.rs
@@ -7,6 +7,24 @@
     thread,
 };
 
+use bramleypier_platform_standin::store::Store;
+use bramleypier_util::{client::Client, clock::Clock};
+
+use super::{Harness, start_vm};
+
+/// One service with keys and one without; requests for keys may run once, the others any number of times.
+const CONFIG: &str = r#"{"version":"r1","limits":{"max-header-bytes":16384,"max-body-bytes":4000000,
+    "header-timeout":"3000ms","idle-timeout":"15000ms"},
+    "listeners":[{"host":"a.example","rules":[
+        {"name":"order","kind":"non_idempotent","goal":"500ms","priority":1,"match":{"prefix":"/key/"},
+            "action":{"service":"keyed","timeout":"2000ms","max-attempts":2}},
+        {"name":"post","kind":"non_idempotent","goal":"500ms","priority":1,"match":{"prefix":"/post/"},
+            "action":{"service":"plain","timeout":"2000ms","max-attempts":3}},
+        {"name":"look","kind":"idempotent","goal":"400ms","priority":1,"match":{"prefix":"/look/"},
+            "action":{"service":"plain","timeout":"500ms","max-attempts":2}}]}],
+    "clusters":[{"name":"keyed","health-path":"/health","max-conns":130,"sharded":true},
+        {"name":"plain","health-path":"/health","max-conns":130,"sharded":false}]}"#;
+
 /// One request that a raw target has read.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RawRequest {
@@ -185,3 +203,21 @@
     }
     Ok(())
 }
+
+impl Harness {
+    /// Starts a VM whose only target, of one service, is `target`.
+    pub async fn with_raw_target(target: &RawTarget, service: &str) -> Self {
+        let (store, store_address) = Store::start().await;
+        store.put("servers/i-raw", &target.entry(service));
+        store.put("op/config", CONFIG.as_bytes());
+        let harness = Self {
+            program: start_vm("vm-1", store_address, None),
+            store,
+            store_address,
+            servers: Vec::new(),
+            client: Client::new(Clock::real(), 8),
+        };
+        harness.until_ready().await;
+        harness
+    }
+}
--- a/program/tests/target_bytes.rs
+++ b/program/tests/target_bytes.rs
@@ -1,170 +1,23 @@
-//! What callers get from targets whose responses come late, twice or without end, and what targets get of callers' requests.
+//! What callers get from targets whose responses have no end, two lengths or half a head, and what targets get of callers'
+//! bodies.
 
 mod harness;
 
 use std::{
     io::{self, Read as _, Write as _},
     net::{SocketAddr, TcpStream},
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
-    },
+    sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 
-use bramleypier_platform_standin::store::Store;
-use bramleypier_util::{client::Client, clock::Clock};
 use compio::runtime::Runtime;
 use harness::{
     Harness,
     raw_target::{RawRequest, RawTarget},
-    sleep_ms, start_vm,
+    sleep_ms,
 };
 use hyper::{StatusCode, body::Body as _};
 
-/// One service with keys and one without; requests for keys may run once, the others any number of times.
-const CONFIG: &str = r#"{"version":"r1","limits":{"max-header-bytes":16384,"max-body-bytes":4000000,
-    "header-timeout":"3000ms","idle-timeout":"15000ms"},
-    "listeners":[{"host":"a.example","rules":[
-        {"name":"order","kind":"non_idempotent","goal":"500ms","priority":1,"match":{"prefix":"/key/"},
-            "action":{"service":"keyed","timeout":"2000ms","max-attempts":2}},
-        {"name":"post","kind":"non_idempotent","goal":"500ms","priority":1,"match":{"prefix":"/post/"},
-            "action":{"service":"plain","timeout":"2000ms","max-attempts":3}},
-        {"name":"look","kind":"idempotent","goal":"400ms","priority":1,"match":{"prefix":"/look/"},
-            "action":{"service":"plain","timeout":"500ms","max-attempts":2}}]}],
-    "clusters":[{"name":"keyed","health-path":"/health","max-conns":130,"sharded":true},
-        {"name":"plain","health-path":"/health","max-conns":130,"sharded":false}]}"#;
-/// Requests of each run.
-const REQUESTS: usize = 24;
-/// How long a target works on a request.
-const WORK_MS: u64 = 20;
-
-/// Starts a VM whose only target, of one service, is `target`.
-async fn start(target: &RawTarget, service: &str) -> Harness {
-    let (store, store_address) = Store::start().await;
-    store.put("servers/i-raw", &target.entry(service));
-    store.put("op/config", CONFIG.as_bytes());
-    let harness = Harness {
-        program: start_vm("vm-1", store_address, None),
-        store,
-        store_address,
-        servers: Vec::new(),
-        client: Client::new(Clock::real(), 8),
-    };
-    harness.until_ready().await;
-    harness
-}
-
-/// Sends a request until its target runs it, which it does once it owns the key.
-async fn until_served(harness: &Harness) {
-    for attempt in 0..200 {
-        let id = format!("first-{attempt}");
-        if harness.send("POST", "/key/x", &id).await.0 == StatusCode::OK {
-            return;
-        }
-        sleep_ms(50).await;
-    }
-    panic!("{:#?}", harness.program.lines.lock().unwrap());
-}
-
-/// Responds to grants and releases.
-fn respond_to_call(stream: &mut TcpStream) -> io::Result<()> {
-    stream.write_all(b"HTTP/1.1 200 OK\r\nX-Handover: 1\r\nContent-Length: 2\r\n\r\n{}")
-}
-
-/// A session of a target that refuses each first attempt and runs each second one; the refusal comes once more, late.
-fn refuse_first() -> impl FnMut(&RawRequest, &mut TcpStream) -> io::Result<()> {
-    let mut late: Option<String> = None;
-    move |request: &RawRequest, stream: &mut TcpStream| {
-        if let Some(copy) = late.take() {
-            stream.write_all(copy.as_bytes())?;
-        }
-        if request.is_call() {
-            return respond_to_call(stream);
-        }
-        if request.id().starts_with("late") && is_first(request) {
-            late = Some(request.refusal());
-            return stream.write_all(request.refusal().as_bytes());
-        }
-        std::thread::sleep(Duration::from_millis(WORK_MS));
-        stream.write_all(request.answer("done").as_bytes())
-    }
-}
-
-/// How long a target still works on requests for keys that it is to release.
-const RELEASE_MS: u64 = 600;
-
-/// What a target that leaves has been told and has done.
-#[derive(Clone, Debug, Default)]
-struct Departure {
-    announced: Arc<AtomicBool>,
-    /// Whether its last request for the keys that it is to release has ended.
-    released: Arc<AtomicBool>,
-}
-
-/// The grant whose response comes once more: the first renewal, the last grant before the target leaves.
-const LATE_GRANT: usize = 2;
-
-/// A session of a target whose response to a grant comes once more, late.
-fn repeat_grants(
-    departure: &Departure,
-) -> impl FnMut(&RawRequest, &mut TcpStream) -> io::Result<()> + use<> {
-    let departure = departure.clone();
-    let (mut is_late, mut grants) = (false, 0);
-    move |request: &RawRequest, stream: &mut TcpStream| {
-        if is_late {
-            respond_to_call(stream)?;
-        }
-        let is_grant = request.line.contains("/-/grant");
-        grants += usize::from(is_grant);
-        is_late = is_grant && grants == LATE_GRANT;
-        if request.line.contains("/-/release") && departure.announced.load(Ordering::SeqCst) {
-            std::thread::sleep(Duration::from_millis(RELEASE_MS));
-            departure.released.store(true, Ordering::SeqCst);
-        }
-        if request.is_call() {
-            return respond_to_call(stream);
-        }
-        stream.write_all(request.answer("done").as_bytes())
-    }
-}
-
-/// Guards against a late copy of a grant's response that ends a release while the target still works on the keys.
-#[test]
-fn a_late_copy_of_a_grants_response_does_not_end_a_release() {
-    Runtime::new().unwrap().block_on(async {
-        let departure = Departure::default();
-        let session_departure = departure.clone();
-        let leaving = RawTarget::start(move || repeat_grants(&session_departure));
-        let harness = start(&leaving, "keyed").await;
-        until_served(&harness).await;
-        let early = Arc::new(AtomicUsize::new(0));
-        let (released, session_early) = (departure.released.clone(), early.clone());
-        let next = RawTarget::start(move || {
-            let (released, early) = (released.clone(), session_early.clone());
-            move |request: &RawRequest, stream: &mut TcpStream| {
-                if request.is_call() {
-                    let is_early = !released.load(Ordering::SeqCst);
-                    early.fetch_add(usize::from(is_early), Ordering::SeqCst);
-                    return respond_to_call(stream);
-                }
-                stream.write_all(request.answer("next").as_bytes())
-            }
-        });
-        let draining = String::from_utf8(leaving.entry("keyed")).unwrap();
-        let draining = draining.replace("\"ready\"", "\"draining\"");
-        departure.announced.store(true, Ordering::SeqCst);
-        harness.store.put("servers/i-next", &next.entry("keyed"));
-        harness.store.put("servers/i-raw", draining.as_bytes());
-        while next.requests().is_empty() {
-            let _ = harness.send("POST", "/key/x", "moved").await;
-            sleep_ms(50).await;
-        }
-        assert!(departure.released.load(Ordering::SeqCst));
-        assert_eq!(early.load(Ordering::SeqCst), 0, "grants before the release");
-    });
-}
-
 /// The timeout of the look-up route, and how much later a request must have ended.
 const LOOK_TIMEOUT: Duration = Duration::from_millis(500);
 const LATE_END: Duration = Duration::from_millis(500);
@@ -242,7 +95,7 @@
                     respond_without_end(unended, request.id(), stream)
                 }
             });
-            let harness = start(&target, "plain").await;
+            let harness = Harness::with_raw_target(&target, "plain").await;
             let address = harness.program.callers;
             let looking =
                 compio::runtime::spawn_blocking(move || look_up(address, Reading::AtOnce));
@@ -273,7 +126,7 @@
                 result
             }
         });
-        let harness = start(&target, "plain").await;
+        let harness = Harness::with_raw_target(&target, "plain").await;
         let address = harness.program.callers;
         let looking = compio::runtime::spawn_blocking(move || look_up(address, Reading::Late));
         looking.await.unwrap();
@@ -313,7 +166,7 @@
                 stream.write_all(request.answer(body).as_bytes())
             }
         });
-        let harness = start(&target, "plain").await;
+        let harness = Harness::with_raw_target(&target, "plain").await;
         let address = harness.program.callers;
         for method in ["GET", "HEAD", "POST", "DELETE", "OPTIONS"] {
             for size in BODY_SIZES {
@@ -341,7 +194,7 @@
                 stream.write_all(format!("{head}a\r\n0123456789\r\n0\r\n\r\n").as_bytes())
             }
         });
-        let harness = start(&target, "plain").await;
+        let harness = Harness::with_raw_target(&target, "plain").await;
         let (status, response) = harness.send("GET", "/look/x", "two").await;
         assert_eq!(status, StatusCode::OK);
         assert_eq!(response.headers()["content-length"], "10");
@@ -388,7 +241,7 @@
 fn a_response_that_is_broken_off_within_its_head_is_no_success() {
     Runtime::new().unwrap().block_on(async {
         let target = RawTarget::start(|| respond_in_part);
-        let harness = start(&target, "plain").await;
+        let harness = Harness::with_raw_target(&target, "plain").await;
         let mut arrived = 0;
         for (head, text) in CUT_HEADS.iter().enumerate() {
             for bytes in (1..=text.len()).step_by(CUT_STEP) {
@@ -410,118 +263,3 @@
         assert!(arrived > 10, "only {arrived} requests reached the target");
     });
 }
-
-/// Returns whether a request wasn't seen before, by any target of the process.
-fn is_first(request: &RawRequest) -> bool {
-    static SEEN: Mutex<Vec<String>> = Mutex::new(Vec::new());
-    let mut seen = SEEN.lock().unwrap();
-    let id = request.id().to_owned();
-    let first = !seen.contains(&id);
-    seen.push(id);
-    first
-}
-
-/// What comes late, before the next response on a connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Extra {
-    /// A copy of the response before.
-    Copy,
-    /// A refusal that names no request.
-    UnnamedRefusal,
-}
-
-/// A session of a target that refuses each third request, and sends an extra response after that; `ran` gets the ids of those that run.
-fn send_extras(
-    extra: Extra,
-    ran: &Arc<Mutex<Vec<String>>>,
-) -> impl FnMut(&RawRequest, &mut TcpStream) -> io::Result<()> + use<> {
-    let (ran, mut late, mut count) = (ran.clone(), None, 0);
-    move |request: &RawRequest, stream: &mut TcpStream| {
-        if let Some(late) = late.take() {
-            let late: String = late;
-            stream.write_all(late.as_bytes())?;
-        }
-        count += 1;
-        let refuses = count % 3 == 0;
-        let response = if refuses {
-            request.refusal()
-        } else {
-            ran.lock().unwrap().push(request.id().to_owned());
-            request.answer("done")
-        };
-        late = refuses.then(|| match extra {
-            Extra::Copy => response.clone(),
-            Extra::UnnamedRefusal => RawRequest::default()
-                .refusal()
-                .replace("X-Request-Id: \r\n", ""),
-        });
-        stream.write_all(response.as_bytes())
-    }
-}
-
-/// Guards against requests that run though they are refused, or run twice, after a response that belongs to no request.
-#[test]
-fn requests_that_may_run_once_survive_extra_responses() {
-    for extra in [Extra::Copy, Extra::UnnamedRefusal] {
-        Runtime::new().unwrap().block_on(async {
-            let ran: Arc<Mutex<Vec<String>>> = Arc::default();
-            let start_target = || {
-                let ran = ran.clone();
-                RawTarget::start(move || send_extras(extra, &ran))
-            };
-            let (first, second) = (start_target(), start_target());
-            let harness = start(&first, "plain").await;
-            harness.store.put("servers/i-two", &second.entry("plain"));
-            harness.until_logged("target=i-two").await;
-            let mut served = 0;
-            for number in 0..20 * REQUESTS {
-                let id = format!("post-{number}");
-                let (status, _) = harness.send("POST", "/post/x", &id).await;
-                let runs = ran.lock().unwrap().iter().filter(|it| **it == id).count();
-                assert!(runs <= 1, "{extra:?}: {id} ran {runs} times");
-                let not_run = status == StatusCode::SERVICE_UNAVAILABLE;
-                assert!(!(not_run && runs > 0), "{extra:?}: {id} ran, {status}");
-                served += usize::from(status == StatusCode::OK);
-            }
-            assert!(served > REQUESTS, "{extra:?}: only {served} were served");
-        });
-    }
-}
-
-/// Guards against a late copy of a refusal that ends the second attempt, which runs, as refused.
-#[test]
-fn a_late_copy_of_a_refusal_does_not_refuse_the_attempt_that_runs() {
-    Runtime::new().unwrap().block_on(async {
-        let target = RawTarget::start(refuse_first);
-        let harness = start(&target, "keyed").await;
-        until_served(&harness).await;
-        let mut served = 0;
-        for number in 0..REQUESTS {
-            let id = format!("late-{number}");
-            let (status, _) = harness.send("POST", "/key/x", &id).await;
-            let arrived = target.requests().iter().filter(|it| it.id() == id).count();
-            let told_not_run = status == StatusCode::SERVICE_UNAVAILABLE;
-            assert!(!(told_not_run && arrived > 1), "{id} ran: {status}");
-            served += usize::from(arrived > 1 && status == StatusCode::OK);
-        }
-        assert!(served > 0, "no second attempt was served");
-    });
-}
-
-/// Guards against a connection that stays in use after another request's response, which puts each later one out of step.
-#[test]
-fn a_connection_with_another_requests_response_is_not_used_again() {
-    Runtime::new().unwrap().block_on(async {
-        let target = RawTarget::start(refuse_first);
-        let harness = start(&target, "keyed").await;
-        until_served(&harness).await;
-        let _ = harness.send("POST", "/key/x", "late-step").await;
-        let mut lost = 0;
-        for number in 0..REQUESTS {
-            let id = format!("step-{number}");
-            let (status, _) = harness.send("POST", "/key/x", &id).await;
-            lost += usize::from(status == StatusCode::BAD_GATEWAY);
-        }
-        assert!(lost <= 1, "{lost} requests got another one's response");
-    });
-}
