--- a/tools/soak/src/callers.rs
+++ b/tools/soak/src/callers.rs
@@ -14,7 +14,9 @@
     client::{self, Client},
     clock::Clock,
 };
+use bramleypier_platform_standin::server;
 use hyper::{Request, Response, body::Incoming, header::HeaderValue};
+use indexmap::IndexMap;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 use crate::{
@@ -32,6 +34,28 @@
 const CONNECTIONS_PER_VM: usize = 8;
 /// The longest request body.
 const BODY_MAX_BYTES: usize = 300;
+/// The callers of a VM in a deployment: their kinds of requests, and the pause after each one, in milliseconds.
+const DEPLOYMENT_CALLERS: [(RequestKind, u64); 9] = [
+    (RequestKind::Order, 800),
+    (RequestKind::Order, 800),
+    (RequestKind::Order, 800),
+    (RequestKind::Key(0), 300),
+    (RequestKind::Key(0), 300),
+    (RequestKind::Key(0), 300),
+    (RequestKind::File, 900),
+    (RequestKind::Lookup, 900),
+    (RequestKind::Lookup, 900),
+];
+/// How many callers are added at each VM while callers press, and the pause after each of their requests.
+const PRESSING_CALLERS: u64 = 2;
+const PRESSING_PAUSE: Duration = Duration::from_millis(20);
+/// The last key; the first is 0.
+const LAST_KEY: u64 = 65_535;
+/// How often a caller asks for the hot key while there is one, of ten times.
+const HOT_IN_TEN: u32 = 4;
+/// How often a caller leaves early while callers do so, of ten times, and after how long.
+const LEAVERS_IN_TEN: u32 = 2;
+const LEAVER_PATIENCE: Duration = Duration::from_millis(300);
 
 /// The kind of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,14 +66,19 @@
     Lookup,
     /// An order, which may run at most once.
     Order,
+    /// A download, which may be retried.
+    File,
 }
 
 impl RequestKind {
-    /// Returns the service that serves it.
-    fn service(self) -> &'static str {
+    /// Returns the service that serves it, in a deployment or in other plans.
+    fn service(self, deployment: bool) -> &'static str {
         match self {
             Self::Key(_) => "keyed",
-            Self::Lookup | Self::Order => "plain",
+            Self::Order => "plain",
+            Self::File => "files",
+            Self::Lookup if deployment => "files",
+            Self::Lookup => "plain",
         }
     }
 
@@ -59,10 +88,23 @@
             Self::Key(key) => ("GET", "/key/x", key),
             Self::Lookup => ("GET", "/look/x", 0),
             Self::Order => ("POST", "/order/x", 0),
+            Self::File => ("GET", "/file/x", 0),
         }
     }
 }
 
+/// One caller of a VM.
+#[derive(Clone, Copy, Debug)]
+struct Caller {
+    vm: usize,
+    address: SocketAddr,
+    kind: RequestKind,
+    /// The pause after each request.
+    pause: Duration,
+    /// When it ends, if before the run does.
+    until: Option<Duration>,
+}
+
 /// The callers of one run; clones share them.
 #[derive(Clone, Debug)]
 pub struct Callers {
@@ -73,6 +115,14 @@
     sent: Rc<Cell<u64>>,
     /// The VMs whose callers send nothing for now.
     quiet: Rc<Cell<VmSet>>,
+    /// Whether services are those of a deployment.
+    deployment: bool,
+    /// Whether a part of the callers leaves early.
+    leaving: Rc<Cell<bool>>,
+    /// Whether callers ask for one key most of the time.
+    hot: Rc<Cell<bool>>,
+    /// The addresses of VMs that have moved.
+    moved: Rc<RefCell<IndexMap<usize, SocketAddr>>>,
 }
 
 impl Default for Callers {
@@ -85,11 +135,105 @@
             stopped: Rc::default(),
             sent: Rc::default(),
             quiet: Rc::default(),
+            deployment: false,
+            leaving: Rc::default(),
+            hot: Rc::default(),
+            moved: Rc::default(),
         }
     }
 }
 
 impl Callers {
+    /// Creates the callers of a deployment.
+    pub fn of_deployment() -> Self {
+        Self {
+            deployment: true,
+            ..Self::default()
+        }
+    }
+
+    /// Starts the callers of one VM of a deployment.
+    pub fn start_deployment(&self, vm: usize, address: SocketAddr, seed: u64) {
+        for (number, (kind, pause)) in DEPLOYMENT_CALLERS.into_iter().enumerate() {
+            let random = SmallRng::seed_from_u64(seed ^ ((vm as u64) << 8) ^ number as u64);
+            let caller = Caller {
+                vm,
+                address,
+                kind,
+                pause: Duration::from_millis(pause),
+                until: None,
+            };
+            compio::runtime::spawn(self.clone().run(caller, random)).detach();
+        }
+    }
+
+    /// Adds callers to a VM that send orders until `until`, with hardly a pause.
+    pub fn press(&self, vm: usize, address: SocketAddr, until: Duration) {
+        for number in 0..PRESSING_CALLERS {
+            let caller = Caller {
+                vm,
+                address,
+                kind: RequestKind::Order,
+                pause: PRESSING_PAUSE,
+                until: Some(until),
+            };
+            let random = SmallRng::seed_from_u64(number);
+            compio::runtime::spawn(self.clone().run(caller, random)).detach();
+        }
+    }
+
+    /// Sends requests of one kind, one after the other.
+    async fn run(self, caller: Caller, mut random: SmallRng) {
+        let is_over = |now| caller.until.is_some_and(|end| now >= end);
+        while !self.stopped.get() && !is_over(self.clock.now()) {
+            let kind = match caller.kind {
+                RequestKind::Key(_) => RequestKind::Key(self.draw_key(&mut random)),
+                kind => kind,
+            };
+            if self.quiet.get() & (1 << caller.vm) == 0 {
+                self.send(caller.vm, caller.address, kind).await;
+            }
+            self.clock.sleep(caller.pause).await;
+        }
+    }
+
+    fn draw_key(&self, random: &mut SmallRng) -> u64 {
+        if self.hot.get() && random.random_range(0..10) < HOT_IN_TEN {
+            KEYS[0]
+        } else {
+            random.random_range(0..=LAST_KEY)
+        }
+    }
+
+    /// Sets whether a part of the callers leaves early from now on.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.leaving.set(leaving);
+    }
+
+    /// Sets whether callers ask for one key most of the time from now on.
+    pub fn set_hot(&self, hot: bool) {
+        self.hot.set(hot);
+    }
+
+    /// Records that a VM has other addresses from now on.
+    pub fn set_address(&self, vm: usize, address: SocketAddr) {
+        self.moved.borrow_mut().insert(vm, address);
+    }
+
+    /// Resets all connections that no request uses.
+    pub fn reset_connections(&self) {
+        self.client.close_idle();
+    }
+
+    /// Returns how long the caller of the next request waits for a response.
+    fn patience(&self) -> Duration {
+        if self.leaving.get() && rand::rng().random_range(0..10) < LEAVERS_IN_TEN {
+            LEAVER_PATIENCE
+        } else {
+            RESPONSE_TIMEOUT
+        }
+    }
+
     /// Starts the three callers of one VM, one for each kind of request.
     ///
     /// Each waits for `pause` between two requests.
@@ -149,7 +293,7 @@
             .map(|(request, seen)| RequestRecord {
                 id: request.id,
                 once: request.kind == RequestKind::Order,
-                service: request.kind.service(),
+                service: request.kind.service(self.deployment),
                 vm,
                 sent,
                 ended: seen.ended,
@@ -182,6 +326,12 @@
         }
     }
 
+    /// Returns the records so far of the requests that may run once.
+    pub fn orders(&self) -> Vec<RequestRecord> {
+        let records = self.records.borrow();
+        records.iter().filter(|it| it.once).cloned().collect()
+    }
+
     /// Takes the records of all requests so far.
     pub fn take(&self) -> Vec<RequestRecord> {
         self.records.take()
@@ -194,13 +344,14 @@
         // Bodies differ in length, and a target's response states the length that it received.
         let length = usize::try_from(number).unwrap_or(0) % BODY_MAX_BYTES + 1;
         let request = build_request(&id, kind, length);
+        let address = self.moved.borrow().get(&vm).copied().unwrap_or(address);
         let sent = self.clock.now();
-        let result = self.client.send(address, request, RESPONSE_TIMEOUT).await;
+        let result = self.client.send(address, request, self.patience()).await;
         let mut leaving = false;
         let outcome = match result {
             Ok(response) => {
                 leaving = response.headers().contains_key("server-leaving");
-                read_response(&id, length, response).await
+                read_response(&id, kind, length, response).await
             }
             Err(error) if error.unsent() => Outcome::Unsent,
             Err(client::Error::Timeout(..)) => Outcome::GivenUp,
@@ -215,7 +366,7 @@
         self.records.borrow_mut().push(RequestRecord {
             id,
             once: kind == RequestKind::Order,
-            service: kind.service(),
+            service: kind.service(self.deployment),
             vm,
             sent,
             ended: answered.then(|| self.clock.now()),
@@ -244,7 +395,12 @@
 }
 
 /// Reads a response and checks whether it is a target's complete response to this request.
-async fn read_response(id: &str, length: usize, response: Response<Incoming>) -> Outcome {
+async fn read_response(
+    id: &str,
+    kind: RequestKind,
+    length: usize,
+    response: Response<Incoming>,
+) -> Outcome {
     let (head, body) = response.into_parts();
     let Ok(bytes) = body::read(body, 1 << 20).await else {
         return Outcome::Closed;
@@ -252,7 +408,7 @@
     let echoed = head.headers.get("x-request-id");
     let valid = echoed.is_some_and(|it| it.as_bytes() == id.as_bytes())
         && head.headers.contains_key("x-response-signature")
-        && bytes == format!("done {length}").as_bytes();
+        && bytes == server::response_text(kind == RequestKind::File, length);
     Outcome::Answered {
         status: head.status.as_u16(),
         valid,
--- a/tools/soak/src/check.rs
+++ b/tools/soak/src/check.rs
@@ -144,6 +144,8 @@
     pub requests: Vec<RequestRecord>,
     /// How often each request ran, summed over all targets.
     pub executions: IndexMap<String, usize>,
+    /// How often each request ran and got a failure in response.
+    pub failures: IndexMap<String, usize>,
     /// The longest time for which two targets owned a key, by key.
     pub double_ownership: IndexMap<u64, Duration>,
     /// The configurations that came into force, in the order of the logs.
@@ -319,11 +321,14 @@
     if request.once && executions > 1 {
         return Some(Violation::RanTwice(request.id.clone()));
     }
+    let failures = observations.failures.get(&request.id).copied();
+    // A success that no target has sent; a request with none of either may be one that is left out of the record.
+    let only_failures = failures.is_some_and(|it| it >= executions);
     match request.outcome {
         Outcome::Answered {
             status: 200..300,
             valid,
-        } => (!valid).then(|| Violation::WrongResponse(request.id.clone())),
+        } => (!valid || only_failures).then(|| Violation::WrongResponse(request.id.clone())),
         Outcome::Foreign => Some(Violation::WrongResponse(request.id.clone())),
         Outcome::Unread if request.once && executions > 0 => {
             Some(Violation::FalseRefusal(request.id.clone()))
--- a/tools/soak/src/fleet.rs
+++ b/tools/soak/src/fleet.rs
@@ -5,7 +5,7 @@
 use std::{fs, io, net::SocketAddr, path::PathBuf, time::Duration};
 
 use bramleypier_platform_standin::{
-    server::Server,
+    server::{Capacity, Server},
     store::Store,
     vm::{ListenAddresses, Program},
 };
@@ -13,6 +13,7 @@
 use serde_json::{Value, json};
 
 use crate::{
+    deployment::{self, Service},
     plan::{Plan, TARGETS_PER_SERVICE},
     proxy::{Partition, Proxy},
 };
@@ -23,8 +24,24 @@
 const DEFAULT_ZONE: &str = "z1";
 /// The failure domain that plans evacuate.
 pub const EVACUATED_ZONE: &str = "z2";
-/// How long a target takes for a request.
-const REQUEST_TIME: Duration = Duration::from_millis(15);
+/// The services of most plans, whose targets take any number of requests.
+const SERVICES: [Service; 2] = [
+    Service {
+        name: "keyed",
+        targets: TARGETS_PER_SERVICE,
+        work_time: Duration::from_millis(15),
+    },
+    Service {
+        name: "plain",
+        targets: TARGETS_PER_SERVICE,
+        work_time: Duration::from_millis(15),
+    },
+];
+/// What a target of a deployment takes at once.
+const CAPACITY: Capacity = Capacity {
+    slots: deployment::SLOTS,
+    queue: deployment::QUEUE,
+};
 
 quick_error! {
     /// The reason why a run could not be set up.
@@ -59,6 +76,11 @@
 }
 
 impl Vm {
+    /// Returns whether a process of it has run.
+    pub fn has_started(&self) -> bool {
+        self.program.is_some() || !self.logs.is_empty()
+    }
+
     /// Returns how many of its processes have ended so far.
     pub fn starts(&self) -> usize {
         self.logs.len()
@@ -90,6 +112,8 @@
 pub struct TargetSlot {
     /// The service of the target.
     pub service: &'static str,
+    /// How long it takes for a request.
+    pub work_time: Duration,
     /// The target.
     pub server: Server,
     /// The proxy in front of the target.
@@ -107,17 +131,21 @@
     ///
     /// [`Error::Proxy`] when the proxy can't be started.
     pub async fn start(
-        service: &'static str,
+        service: &Service,
         zone: &'static str,
         number: usize,
         partition: Partition,
         direct: bool,
     ) -> Result<Self, Error> {
-        let id = format!("i-{service}-{number}");
-        let server = Server::start(&id, service == "keyed", REQUEST_TIME).await;
+        let Service {
+            name, work_time, ..
+        } = *service;
+        let id = format!("i-{name}-{number}");
+        let server = Server::start(&id, name == "keyed", work_time).await;
         let proxy = Proxy::start_with(server.address, partition).map_err(Error::Proxy)?;
         Ok(Self {
-            service,
+            service: name,
+            work_time,
             server,
             proxy,
             zone,
@@ -147,6 +175,34 @@
     }
 }
 
+/// A target that has a number and isn't started yet.
+#[derive(Clone, Debug)]
+pub struct StartingTarget {
+    service: Service,
+    number: usize,
+    partition: Partition,
+    capacity: Option<Capacity>,
+}
+
+impl StartingTarget {
+    /// Starts it in a failure domain.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Proxy`] when the proxy in front of it can't be started.
+    pub async fn start(self, zone: &'static str, direct: bool) -> Result<TargetSlot, Error> {
+        let Self {
+            service,
+            number,
+            partition,
+            capacity,
+        } = self;
+        let slot = TargetSlot::start(&service, zone, number, partition, direct).await?;
+        slot.server.set_capacity(capacity);
+        Ok(slot)
+    }
+}
+
 /// A target that has been replaced.
 #[derive(Clone, Debug)]
 pub struct Replaced {
@@ -174,6 +230,9 @@
     binaries: Vec<PathBuf>,
     /// The parameters in the VMs' settings.
     figures: String,
+    services: &'static [Service],
+    /// What a target takes at once; `None` for any number of requests.
+    capacity: Option<Capacity>,
     last_target: usize,
 }
 
@@ -196,27 +255,29 @@
             partition: Partition::default(),
             binaries: binaries.to_vec(),
             figures: plan.figures(),
+            services: if plan.deployment {
+                &deployment::SERVICES
+            } else {
+                &SERVICES
+            },
+            capacity: plan.deployment.then_some(CAPACITY),
             last_target: 0,
         };
-        for number in 0..2 * TARGETS_PER_SERVICE {
-            let service = if number < TARGETS_PER_SERVICE {
-                "keyed"
-            } else {
-                "plain"
-            };
-            let last = number % TARGETS_PER_SERVICE == TARGETS_PER_SERVICE - 1;
-            let zone = if plan.evacuates && last {
-                EVACUATED_ZONE
-            } else {
-                DEFAULT_ZONE
-            };
-            let (number, partition) = (cluster.next_target(), cluster.partition.clone());
-            let direct = plan.direct_targets && number % 2 == 1;
-            let slot = TargetSlot::start(service, zone, number, partition, direct).await?;
-            cluster.store.put(&slot.key(), &slot.entry("ready"));
-            cluster.slots.push(slot);
+        for service in cluster.services {
+            for number in 1..=service.targets {
+                let last = number == service.targets;
+                let zone = if plan.evacuates && last {
+                    EVACUATED_ZONE
+                } else {
+                    DEFAULT_ZONE
+                };
+                let direct = plan.direct_targets && cluster.last_target.is_multiple_of(2);
+                let slot = cluster.start_target(service.name, zone, direct).await?;
+                cluster.store.put(&slot.key(), &slot.entry("ready"));
+                cluster.slots.push(slot);
+            }
         }
-        for number in 0..plan.size.vms {
+        for number in 0..plan.size.vms + plan.spare_vms() {
             cluster.vms.push(Vm {
                 number,
                 store: Proxy::start(address).map_err(Error::Proxy)?,
@@ -228,10 +289,32 @@
         Ok(cluster)
     }
 
-    /// Returns a number that no target has used yet.
-    pub fn next_target(&mut self) -> usize {
+    /// Starts a target of a service, with a number that no other has.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Proxy`] when the proxy in front of it can't be started.
+    pub async fn start_target(
+        &mut self,
+        service: &str,
+        zone: &'static str,
+        direct: bool,
+    ) -> Result<TargetSlot, Error> {
+        self.prepare_target(service).start(zone, direct).await
+    }
+
+    /// Reserves a number for a target of a service, which can be started while the cluster is in use.
+    pub fn prepare_target(&mut self, service: &str) -> StartingTarget {
         self.last_target += 1;
-        self.last_target
+        let mut services = self.services.iter();
+        StartingTarget {
+            service: *services
+                .find(|it| it.name == service)
+                .unwrap_or(&self.services[0]),
+            number: self.last_target,
+            partition: self.partition.clone(),
+            capacity: self.capacity,
+        }
     }
 
     /// Starts a VM's process.
--- a/tools/soak/src/lib.rs
+++ b/tools/soak/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod budget;
 pub mod callers;
 pub mod check;
+pub mod deployment;
 pub mod fleet;
 pub mod notices;
 mod pipelined;
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -51,6 +51,8 @@
     BrokenPaths,
     /// Let the store turn several VMs away at once while configurations change, and nothing else
     TurnedAway,
+    /// The services, callers and troubles of a deployment; 10 VMs and 32 seconds are its shape
+    Deployment,
     /// Nothing.
     #[bpaf(skip)]
     Nothing,
@@ -81,6 +83,9 @@
     beside: Option<PathBuf>,
     /// Also let a further caller of each VM pipeline its requests
     pipeline: bool,
+    /// The build of the program, if not the one beside this
+    #[bpaf(argument("FILE"), optional)]
+    program: Option<PathBuf>,
     /// After a violation, look for a shorter plan that still has one
     shrink: bool,
     /// The folder for the logs of the VMs, with a folder for each seed
@@ -123,6 +128,7 @@
         Extra::Budget => Plan::generate_with_exhausted_budgets(seed, size),
         Extra::TurnedAway => Plan::generate_with_vms_turned_away(seed, size),
         Extra::BrokenPaths => Plan::generate_with_broken_paths(seed, size),
+        Extra::Deployment => Plan::generate_like_deployment(seed, size),
         Extra::Nothing => Plan::generate(seed, size),
     };
     let plan = if options.pipeline {
@@ -156,7 +162,10 @@
 
 /// Executes a plan and returns the violated guarantees.
 fn run_plan(options: &Options, plan: &Plan, seed: u64) -> Result<Vec<Violation>, Error> {
-    let own = env::current_exe()?.with_file_name("bramleypier");
+    let own = match &options.program {
+        Some(program) => program.clone(),
+        None => env::current_exe()?.with_file_name("bramleypier"),
+    };
     let binaries: Vec<PathBuf> = [own].into_iter().chain(options.beside.clone()).collect();
     let folder = options.keep.as_ref().map(|it| it.join(seed.to_string()));
     let execution = run::execute(&binaries, plan, seed, folder.as_deref());
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -3,6 +3,7 @@
 //! A seed always gives the same plan. One in four plans has planned work only.
 
 mod broken_paths;
+mod deployment;
 mod exhaustion;
 mod fault;
 mod turned_away;
@@ -95,6 +96,8 @@
     pub allowance: Allowance,
     /// Whether a further caller of each VM pipelines its requests.
     pub pipelines: bool,
+    /// Whether services, targets and callers are those of [`crate::deployment`].
+    pub deployment: bool,
 }
 
 impl Plan {
@@ -140,6 +143,7 @@
             pause: REQUEST_PAUSE,
             allowance: ALLOWANCE,
             pipelines: false,
+            deployment: false,
         }
     }
 
@@ -301,6 +305,12 @@
         plan
     }
 
+    /// Returns how many VMs are started in the course of the run.
+    pub(crate) fn spare_vms(&self) -> usize {
+        let added = |step: &&Step| matches!(step.fault, Fault::Add(_));
+        self.steps.iter().filter(added).count()
+    }
+
     /// Returns the parameters in the VMs' settings.
     pub(crate) fn figures(&self) -> String {
         let Allowance {
--- a/tools/soak/src/plan/broken_paths.rs
+++ b/tools/soak/src/plan/broken_paths.rs
@@ -55,6 +55,7 @@
             pause: PAUSE,
             allowance: ALLOWANCE,
             pipelines: false,
+            deployment: false,
         }
     }
 }
--- a/tools/soak/src/plan/exhaustion.rs
+++ b/tools/soak/src/plan/exhaustion.rs
@@ -78,6 +78,7 @@
             pause: Duration::from_millis(PAUSES_MS[random.random_range(0..PAUSES_MS.len())]),
             allowance: Allowance { slack, ..ALLOWANCE },
             pipelines: false,
+            deployment: false,
         };
         plan.add_failures(&mut random);
         // About one in four plans has no other trouble, and one in three several kinds of it.
--- a/tools/soak/src/plan/fault.rs
+++ b/tools/soak/src/plan/fault.rs
@@ -4,7 +4,7 @@
 
 use bramleypier_platform_standin::{server, store};
 
-use crate::proxy::{Cut, Mode};
+use crate::proxy::{Cut, Mode, Spoiling};
 
 /// A set of VMs: the VM with the number `n` is in it if the bit `n` is set.
 pub type VmSet = u32;
@@ -58,6 +58,32 @@
     Evacuate,
     /// Makes a target announce that it is cold.
     Cold(usize),
+    /// Spoils this percentage of the responses of the targets of a service.
+    Spoil(&'static str, Spoiling, u8),
+    /// Resets this percentage of the connections to targets and to the store, and all of the callers' to one VM.
+    ResetConnections(usize, u8),
+    /// Makes a target take longer for each request.
+    SlowTarget(usize),
+    /// Removes a target's entry from the store, and puts it back.
+    Unlisted(usize),
+    /// Ends a target; its address goes to a target of another service, and a replacement gets another one.
+    AddressReuse(usize),
+    /// Asks a VM's process to read its settings again.
+    Reload(usize),
+    /// Suspends a VM's process for most of the time, in short pieces.
+    Slow(usize),
+    /// Kills the processes of a set of VMs, and starts them again after some time.
+    KillSet(VmSet),
+    /// Starts a VM that has not run before.
+    Add(usize),
+    /// Kills a VM's process, and starts another one at other addresses.
+    Move(usize),
+    /// Adds callers that come again at once when they are refused.
+    Press,
+    /// Makes a part of the callers leave early.
+    GiveUp,
+    /// Makes callers ask for one key most of the time.
+    HotKey,
 }
 
 impl Fault {
@@ -84,6 +110,9 @@
                 | Self::TargetSaysLeaving(_)
                 | Self::Evacuate
                 | Self::Cold(_)
+                | Self::Reload(_)
+                | Self::Add(_)
+                | Self::HotKey
         )
     }
 }
--- a/tools/soak/src/proxy.rs
+++ b/tools/soak/src/proxy.rs
@@ -1,7 +1,9 @@
 //! A TCP proxy on loopback that can delay bytes, reset connections, or drop the bytes of one or both directions, for all
 //! clients or for those of single processes.
 //!
-//! Each connection has a thread for each direction.
+//! It can also spoil the responses of one target. Each connection has a thread for each direction.
+
+mod spoiling;
 
 use std::{
     io::{self, Read as _, Write as _},
@@ -18,6 +20,9 @@
 use indexmap::IndexMap;
 use rustix::net::sockopt;
 
+pub use self::spoiling::Spoiling;
+use self::spoiling::{Ending, Spoiler};
+
 /// The delay of each chunk in [`Mode::Delay`].
 const DELAY: Duration = Duration::from_millis(120);
 /// The read timeout, after which an idle reader starts its next read.
@@ -144,10 +149,22 @@
     cut.map(|it| *it.1)
 }
 
+/// What goes wrong for a part of the responses and connections of a proxy.
+#[derive(Clone, Copy, Debug, Default)]
+struct Disorder {
+    /// What is done to a percentage of the responses.
+    spoiling: Option<(Spoiling, u8)>,
+    /// How often a part of the connections was reset.
+    resets: u64,
+    /// The percentage of connections that were reset last.
+    reset_percent: u8,
+}
+
 /// What decides on the mode of one connection.
 #[derive(Clone, Debug)]
 struct Modes {
     of_proxy: Arc<AtomicU8>,
+    disorder: Arc<Mutex<Disorder>>,
     partition: Partition,
     known: Arc<Mutex<ConnectionCut>>,
 }
@@ -163,6 +180,10 @@
             }
         }
     }
+
+    fn disorder(&self) -> Disorder {
+        *self.disorder.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// The direction in which bytes are forwarded.
@@ -178,6 +199,9 @@
     /// The address where it accepts connections.
     pub address: SocketAddr,
     mode: Arc<AtomicU8>,
+    disorder: Arc<Mutex<Disorder>>,
+    /// Where new connections go.
+    server: Arc<Mutex<SocketAddr>>,
 }
 
 impl Proxy {
@@ -210,8 +234,11 @@
         let proxy = Self {
             address: listener.local_addr()?,
             mode: Arc::default(),
+            disorder: Arc::default(),
+            server: Arc::new(Mutex::new(to)),
         };
-        let mode = proxy.mode.clone();
+        let server_address = proxy.server.clone();
+        let (mode, disorder) = (proxy.mode.clone(), proxy.disorder.clone());
         thread::spawn(move || {
             for client in listener.incoming().flatten() {
                 let known = Arc::new(Mutex::new(ConnectionCut::default()));
@@ -220,12 +247,14 @@
                     reset(&client);
                     continue;
                 }
+                let to = *server_address.lock().unwrap_or_else(PoisonError::into_inner);
                 // When the server refuses the connection, the client's connection is closed.
                 let Ok(server) = TcpStream::connect(to) else {
                     continue;
                 };
                 let modes = Modes {
                     of_proxy: mode.clone(),
+                    disorder: disorder.clone(),
                     partition: partition.clone(),
                     known,
                 };
@@ -244,6 +273,29 @@
     }
 }
 
+impl Proxy {
+    /// Sends new connections to another address.
+    pub fn redirect(&self, server: SocketAddr) {
+        *self.server.lock().unwrap_or_else(PoisonError::into_inner) = server;
+    }
+
+    /// Spoils this percentage of the responses from now on, also on open connections; `None` ends that.
+    pub fn set_spoiling(&self, spoiling: Option<(Spoiling, u8)>) {
+        self.lock_disorder().spoiling = spoiling;
+    }
+
+    /// Resets this percentage of the open connections.
+    pub fn reset_connections(&self, percent: u8) {
+        let mut disorder = self.lock_disorder();
+        disorder.resets += 1;
+        disorder.reset_percent = percent;
+    }
+
+    fn lock_disorder(&self) -> MutexGuard<'_, Disorder> {
+        self.disorder.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// Forwards bytes in both directions, with a thread for each.
 fn forward_both(client: &TcpStream, server: &TcpStream, modes: &Modes) {
     for (from, to, direction) in [
@@ -257,24 +309,33 @@
         let modes = modes.clone();
         thread::spawn(move || {
             // Either end may close the connection at any time; the run tests exactly that.
-            let _ = forward(from, to, direction, || modes.current(&client));
+            let _ = forward(from, to, direction, &modes, &client);
         });
     }
 }
 
-fn forward<F>(
+fn forward(
     mut from: TcpStream,
     mut to: TcpStream,
     direction: Direction,
-    current_mode: F,
-) -> io::Result<()>
-where
-    F: Fn() -> Mode,
-{
+    modes: &Modes,
+    client: &TcpStream,
+) -> io::Result<()> {
     from.set_read_timeout(Some(READ_TIMEOUT))?;
     let mut chunk = vec![0; CHUNK_BYTES];
     let mut stalled = false;
+    let mut spoiler = Spoiler::new(u64::from(client.peer_addr()?.port()));
+    let mut resets = modes.disorder().resets;
     loop {
+        let disorder = modes.disorder();
+        if direction == Direction::ToClient && resets != disorder.resets {
+            resets = disorder.resets;
+            if spoiler.happens(disorder.reset_percent) {
+                reset(&from);
+                reset(&to);
+                return Ok(());
+            }
+        }
         let count = match from.read(&mut chunk) {
             Ok(0) => break,
             Ok(count) => count,
@@ -284,7 +345,7 @@
                 return Err(error);
             }
         };
-        let current = current_mode();
+        let current = modes.current(client);
         match current {
             Mode::Reset => {
                 reset(&from);
@@ -298,8 +359,23 @@
             }
             _ => {}
         }
-        if !stalled && !current.drops(direction) {
+        if stalled || current.drops(direction) {
+            continue;
+        }
+        if direction == Direction::ToServer {
             to.write_all(&chunk[..count])?;
+            continue;
+        }
+        let (bytes, ending) = spoiler.spoil(modes.disorder().spoiling, &chunk[..count]);
+        to.write_all(&bytes)?;
+        match ending {
+            Ending::Open => {}
+            Ending::Closed => break,
+            Ending::Reset => {
+                reset(&from);
+                reset(&to);
+                return Ok(());
+            }
         }
     }
     to.shutdown(Shutdown::Write)
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -4,6 +4,7 @@
 //! send requests, and measures how long recovery takes after the last step.
 
 mod budget;
+mod troubles;
 mod faults;
 mod notices;
 mod partitions;
@@ -32,6 +33,7 @@
 use crate::{
     callers::{Callers, RequestKind},
     check::Observations,
+    deployment,
     fleet::{Cluster, Error, KEYS},
     plan::Plan,
 };
@@ -64,6 +66,8 @@
     /// When each version of the configuration was accepted.
     accepted_at: Rc<RefCell<IndexMap<u32, Duration>>>,
     finished: Rc<Cell<bool>>,
+    /// Whether services, targets and callers are those of a deployment.
+    deployment: bool,
     callers: Callers,
     clock: Clock,
 }
@@ -92,7 +96,12 @@
         partitions: Rc::default(),
         accepted_at: Rc::default(),
         finished: Rc::default(),
-        callers: Callers::default(),
+        deployment: plan.deployment,
+        callers: if plan.deployment {
+            Callers::of_deployment()
+        } else {
+            Callers::default()
+        },
         clock: Clock::real(),
     };
     run.write_configuration();
@@ -107,11 +116,10 @@
     let watcher = run.clone();
     compio::runtime::spawn(async move { watcher.watch().await }).detach();
     for vm in 0..plan.size.vms {
-        let address = run.cluster.borrow().vms[vm].listen.callers;
-        run.callers.start(vm, address, seed, plan.pause);
-        if plan.pipelines {
-            run.callers.start_pipelining(vm, address, seed, plan.pause);
-        }
+        run.start_callers(plan, vm, seed);
+    }
+    for vm in plan.size.vms..plan.size.vms + plan.spare_vms() {
+        run.start_callers(plan, vm, seed);
     }
     let steps = plan.steps.iter().map(|step| run.clone().run_step(*step));
     let steps: Vec<_> = steps.map(compio::runtime::spawn).collect();
@@ -131,10 +139,28 @@
 }
 
 impl Run {
+    /// Starts the callers of one VM, which need not run yet.
+    fn start_callers(&self, plan: &Plan, vm: usize, seed: u64) {
+        let address = self.cluster.borrow().vms[vm].listen.callers;
+        if plan.deployment {
+            self.callers.start_deployment(vm, address, seed);
+            return;
+        }
+        self.callers.start(vm, address, seed, plan.pause);
+        if plan.pipelines {
+            self.callers
+                .start_pipelining(vm, address, seed, plan.pause);
+        }
+    }
+
     /// Writes the next version of the configuration.
     fn write_configuration(&self) {
         let version = u32::try_from(self.accepted_at.borrow().len() + 1).unwrap_or(u32::MAX);
-        let config = store::config(version, "/key/");
+        let config = if self.deployment {
+            deployment::config(version)
+        } else {
+            store::config(version, "/key/")
+        };
         self.cluster.borrow().store.put("op/config", &config);
         self.accepted_at
             .borrow_mut()
@@ -157,9 +183,12 @@
     async fn is_served(&self) -> bool {
         let addresses: Vec<_> = {
             let cluster = self.cluster.borrow();
-            cluster.vms.iter().map(|vm| vm.listen.callers).collect()
+            let started = cluster.vms.iter().filter(|vm| vm.has_started());
+            started
+                .map(|vm| (vm.number, vm.listen.callers))
+                .collect()
         };
-        let requests = addresses.into_iter().enumerate();
+        let requests = addresses.into_iter();
         let requests = requests.map(|(vm, address)| self.is_served_by(vm, address));
         future::join_all(requests)
             .await
@@ -169,10 +198,12 @@
 
     async fn is_served_by(&self, vm: usize, address: SocketAddr) -> bool {
         let keys = KEYS.map(RequestKind::Key);
-        for kind in keys
+        let kinds = keys
             .into_iter()
-            .chain([RequestKind::Lookup, RequestKind::Order])
-        {
+            // The owner of one key can't serve all VMs of a deployment within its goal.
+            .filter(|_| !self.deployment)
+            .chain([RequestKind::Lookup, RequestKind::Order]);
+        for kind in kinds {
             if !self.callers.send(vm, address, kind).await {
                 return false;
             }
@@ -195,6 +226,11 @@
         for id in self.cluster.borrow().executions() {
             *observations.executions.entry(id).or_default() += 1;
         }
+        for (_, server) in self.cluster.borrow().servers() {
+            for id in server.failed() {
+                *observations.failures.entry(id).or_default() += 1;
+            }
+        }
         observations
     }
 
@@ -202,6 +238,7 @@
     fn write_logs(&self, folder: &Path) -> io::Result<()> {
         fs::create_dir_all(folder)?;
         fs::write(folder.join("targets.log"), self.target_log())?;
+        fs::write(folder.join("orders.log"), self.order_log())?;
         for vm in &self.cluster.borrow().vms {
             let mut logs = vm.logs.clone();
             if let Some(program) = &vm.program {
--- a/tools/soak/src/run/budget.rs
+++ b/tools/soak/src/run/budget.rs
@@ -52,6 +52,36 @@
         lines.collect()
     }
 
+    /// Returns a line for each request that may run once: what its caller was told, and each arrival at a target.
+    pub(super) fn order_log(&self) -> String {
+        let mut arrivals: IndexMap<String, Vec<String>> = IndexMap::new();
+        for (_, server) in self.cluster.borrow().servers() {
+            for receipt in server.receipts() {
+                arrivals.entry(receipt.id).or_default().push(format!(
+                    "{}@{}{}",
+                    server.id,
+                    receipt.at.as_millis(),
+                    if receipt.ran { ":ran" } else { "" }
+                ));
+            }
+        }
+        let mut orders = self.callers.orders();
+        orders.sort_by_key(|it| it.sent);
+        let lines = orders.into_iter().map(|it| {
+            let arrivals = arrivals.get(&it.id).map(|it| it.join(","));
+            format!(
+                "sent_ms={} ended_ms={} id={} vm={} outcome={:?} arrivals={}\n",
+                it.sent.as_millis(),
+                it.ended.map_or(0, |it| it.as_millis()),
+                it.id,
+                it.vm,
+                it.outcome,
+                arrivals.unwrap_or_default()
+            )
+        });
+        lines.collect()
+    }
+
     /// Returns the traffic of each service.
     fn traffic(&self, observations: &Observations) -> IndexMap<&'static str, Traffic> {
         let mut found: IndexMap<&'static str, Traffic> = IndexMap::new();
--- a/tools/soak/src/run/faults.rs
+++ b/tools/soak/src/run/faults.rs
@@ -107,6 +107,29 @@
             Fault::TargetHoldsOff(target) => self.hold_off(target, step.duration).await,
             Fault::Evacuate => self.evacuate(step.duration).await,
             Fault::Cold(target) => self.announce_cold(target).await,
+            Fault::Spoil(service, spoiling, percent) => {
+                self.spoil(service, spoiling, percent, step.duration).await;
+            }
+            Fault::ResetConnections(vm, percent) => self.reset_connections(vm, percent),
+            Fault::SlowTarget(target) => self.slow_target(target, step.duration).await,
+            Fault::Unlisted(target) => self.unlist(target, step.duration).await,
+            Fault::AddressReuse(target) => self.reuse_address(target, step.duration).await,
+            Fault::Reload(vm) => self.signal(vm, Signal::HUP),
+            Fault::Slow(vm) => self.slow_vm(vm, step.duration).await,
+            Fault::KillSet(vms) => self.kill_set(vms, step.duration).await,
+            Fault::Add(vm) => self.add_vm(vm),
+            Fault::Move(vm) => self.move_vm(vm, step.duration).await,
+            Fault::Press => self.press(step.duration).await,
+            Fault::GiveUp => {
+                self.callers.set_leaving(true);
+                self.clock.sleep(step.duration).await;
+                self.callers.set_leaving(false);
+            }
+            Fault::HotKey => {
+                self.callers.set_hot(true);
+                self.clock.sleep(step.duration).await;
+                self.callers.set_hot(false);
+            }
         }
     }
 
@@ -150,7 +173,7 @@
             .push(Disturbance { vm, from, to });
     }
 
-    fn signal(&self, vm: usize, signal: Signal) {
+    pub(super) fn signal(&self, vm: usize, signal: Signal) {
         if let Some(program) = &self.cluster.borrow().vms[vm].program {
             // The process may have ended meanwhile.
             let _ = program.signal(signal);
@@ -183,14 +206,13 @@
     /// Replaces a target. The old one keeps running for `drain` after it has announced that it is draining, or ends at
     /// once if `drain` is zero.
     pub(super) async fn replace(&self, target: usize, drain: Duration) {
-        let (service, zone, number, partition, direct) = {
+        let (starting, zone, direct) = {
             let mut cluster = self.cluster.borrow_mut();
-            let number = cluster.next_target();
             let slot = &cluster.slots[target];
-            let partition = cluster.partition.clone();
-            (slot.service, slot.zone, number, partition, slot.direct)
+            let (service, zone, direct) = (slot.service, slot.zone, slot.direct);
+            (cluster.prepare_target(service), zone, direct)
         };
-        let started = TargetSlot::start(service, zone, number, partition, direct).await;
+        let started = starting.start(zone, direct).await;
         let Ok(mut slot) = started else {
             return;
         };
