--- a/tools/soak/src/callers.rs
+++ b/tools/soak/src/callers.rs
@@ -9,12 +9,12 @@
     time::Duration,
 };
 
+use bramleypier_platform_standin::server;
 use bramleypier_util::{
     body::{self, Body},
     client::{self, Client},
     clock::Clock,
 };
-use bramleypier_platform_standin::server;
 use hyper::{Request, Response, body::Incoming, header::HeaderValue};
 use indexmap::IndexMap;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
--- a/tools/soak/src/proxy.rs
+++ b/tools/soak/src/proxy.rs
@@ -247,7 +247,9 @@
                     reset(&client);
                     continue;
                 }
-                let to = *server_address.lock().unwrap_or_else(PoisonError::into_inner);
+                let to = *server_address
+                    .lock()
+                    .unwrap_or_else(PoisonError::into_inner);
                 // When the server refuses the connection, the client's connection is closed.
                 let Ok(server) = TcpStream::connect(to) else {
                     continue;
--- a/tools/soak/src/proxy/spoiling.rs
+++ b/tools/soak/src/proxy/spoiling.rs
@@ -7,6 +7,9 @@
 const MISDIRECTION: &str = "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: i-other\r\n";
 const ANSWER: &str = "HTTP/1.1 200 OK\r\nX-Response-Signature: sig\r\nX-Server-Load: 1,0,2\r\n";
 
+/// The most headers of a response.
+const MAX_HEADERS: usize = 64;
+
 /// What a target does to its responses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Spoiling {
@@ -51,6 +54,19 @@
     ];
 }
 
+/// Returns whether these bytes are a whole response with a stated length.
+fn is_whole(bytes: &[u8]) -> bool {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut response = httparse::Response::new(&mut headers);
+    let Ok(httparse::Status::Complete(head)) = response.parse(bytes) else {
+        return false;
+    };
+    let mut headers = response.headers.iter();
+    let length = headers.find(|it| it.name.eq_ignore_ascii_case("content-length"));
+    let length = length.and_then(|it| std::str::from_utf8(it.value).ok()?.parse::<usize>().ok());
+    length.is_some_and(|length| bytes.len() == head + length)
+}
+
 /// What becomes of a connection after the bytes of a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Ending {
@@ -107,6 +123,8 @@
                 sent.extend_from_slice(&bytes[..length]);
                 return (sent, Ending::Closed);
             }
+            // Bytes within a body can't be told from the body.
+            Spoiling::Late | Spoiling::Twice if !is_whole(bytes) => {}
             Spoiling::Late => self.late = Some(bytes.to_vec()),
             Spoiling::Twice => sent.extend_from_slice(bytes),
             Spoiling::Unnamed => sent.extend(format!("{REFUSAL}\r\n").bytes()),
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -4,11 +4,11 @@
 //! send requests, and measures how long recovery takes after the last step.
 
 mod budget;
-mod troubles;
 mod faults;
 mod notices;
 mod partitions;
 mod restrictions;
+mod troubles;
 mod watch;
 
 use std::{
@@ -148,8 +148,7 @@
         }
         self.callers.start(vm, address, seed, plan.pause);
         if plan.pipelines {
-            self.callers
-                .start_pipelining(vm, address, seed, plan.pause);
+            self.callers.start_pipelining(vm, address, seed, plan.pause);
         }
     }
 
@@ -184,9 +183,7 @@
         let addresses: Vec<_> = {
             let cluster = self.cluster.borrow();
             let started = cluster.vms.iter().filter(|vm| vm.has_started());
-            started
-                .map(|vm| (vm.number, vm.listen.callers))
-                .collect()
+            started.map(|vm| (vm.number, vm.listen.callers)).collect()
         };
         let requests = addresses.into_iter();
         let requests = requests.map(|(vm, address)| self.is_served_by(vm, address));
