A request's line tells how many responses a connection had had before one that is no answer

A refusal or a failed connection on a first exchange can't be caused by what was left of an earlier one; the line of a request did not tell the two apart.

--- a/engine/src/caller/attempt.rs
+++ b/engine/src/caller/attempt.rs
@@ -4,7 +4,7 @@
 
 use bramleypier_util::{
     body::Body,
-    client::{self, Client, Exchange, SendGuard},
+    client::{self, Client, ConnectionUse, Exchange, SendGuard},
     clock::Clock,
     headers,
     server::ResponseEnd,
@@ -79,6 +79,8 @@
     pub relay: Option<VmId>,
     /// What this VM knew when the first byte was due, if one was.
     pub written: Option<Written>,
+    /// How many responses had arrived on the connection before this attempt's, if there was one.
+    pub earlier: Option<u64>,
 }
 
 impl From<AttemptResult> for Attempt {
@@ -88,6 +90,7 @@
             notice: Notice::default(),
             relay: None,
             written: None,
+            earlier: None,
         }
     }
 }
@@ -292,6 +295,7 @@
     ) -> Attempt {
         let reply = self.targets.read(response.status(), response.headers());
         let notice = reply.notice;
+        let earlier = response.extensions().get().map(|it: &ConnectionUse| it.0);
         let result = self
             .read_reply(outgoing, response, reply, permit, started, remaining)
             .await;
@@ -300,6 +304,7 @@
             notice,
             relay: None,
             written: None,
+            earlier,
         }
     }
 
--- a/engine/src/caller/attempts.rs
+++ b/engine/src/caller/attempts.rs
@@ -209,6 +209,7 @@
         notice,
         relay,
         written,
+        earlier,
     } = context
         .sender
         .send(outgoing, body, permit, remaining, presence)
@@ -220,6 +221,11 @@
     if let Some(vm) = relay {
         trace.notes.push(format!("via {vm}"));
     }
+    // An answer needs no explanation.
+    let unusable = !matches!(result, AttemptResult::Answered(_));
+    if let Some(earlier) = earlier.filter(|_| unusable) {
+        trace.notes.push(format!("responses={earlier}"));
+    }
     if !notice.is_empty() {
         trace.notes.push(format!("the target says: {notice}"));
         count_notice(context, routed, notice);
--- a/util/src/client/error.rs
+++ b/util/src/client/error.rs
@@ -20,13 +20,15 @@
             display("connect to {peer}: all connections are in use")
         }
         /// The connection failed before any byte of the request was sent.
-        Unsent(peer: SocketAddr, cause: hyper::Error) {
-            display("send to {peer}: {cause}; nothing was sent")
+        ///
+        /// `responses` is how many responses the connection had had.
+        Unsent(peer: SocketAddr, cause: hyper::Error, responses: u64) {
+            display("send to {peer}: {cause}; nothing was sent, responses={responses}")
             source(cause)
         }
-        /// The connection failed after a part of the request may have arrived.
-        Broken(peer: SocketAddr, cause: hyper::Error) {
-            display("answer from {peer}: {cause}")
+        /// The connection failed after a part of the request may have arrived, and after this many responses.
+        Broken(peer: SocketAddr, cause: hyper::Error, responses: u64) {
+            display("answer from {peer}: {cause}, responses={responses}")
             source(cause)
         }
         /// The response names another request, so what becomes of this one isn't known; see [`Client::with_id_header`].
--- a/util/src/client/mod.rs
+++ b/util/src/client/mod.rs
@@ -49,6 +49,10 @@
     pub bytes: usize,
 }
 
+/// How many responses had arrived on a response's connection before it: an extension of responses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionUse(pub u64);
+
 /// Observes whether connections work.
 pub trait ConnectionObserver {
     /// The first response has arrived on a new connection.
@@ -275,7 +279,7 @@
         let written_before = connection.written.get();
         let progress = write.progress.clone();
         progress.connected.set(true);
-        progress.first.set(!connection.responded);
+        progress.first.set(connection.responses == 0);
         *connection.next_write.borrow_mut() = Some(write);
         if connection.last_used.get().is_some() {
             connection.last_used.set(Some(self.clock.now()));
@@ -285,11 +289,13 @@
         connection.head_bytes.set(None);
         let unsent = connection.written.get() == written_before;
         match result {
-            Ok(response) => {
+            Ok(mut response) => {
                 let last_used =
                     (!headers::closes_connection(response.headers())).then(|| self.clock.now());
                 connection.last_used.set(last_used);
-                connection.responded = true;
+                let earlier = ConnectionUse(connection.responses);
+                response.extensions_mut().insert(earlier);
+                connection.responses += 1;
                 let named = self.named_request(response.headers());
                 if named.is_some() && named != id {
                     return Err(Error::Foreign(peer));
@@ -305,9 +311,9 @@
                 if progress.withdrawn.get() {
                     Err(Error::Withdrawn(peer))
                 } else if unsent {
-                    Err(Error::Unsent(peer, cause))
+                    Err(Error::Unsent(peer, cause, connection.responses))
                 } else {
-                    Err(Error::Broken(peer, cause))
+                    Err(Error::Broken(peer, cause, connection.responses))
                 }
             }
         }
--- a/util/src/client/pool.rs
+++ b/util/src/client/pool.rs
@@ -34,8 +34,8 @@
 /// The client's end of a pooled connection.
 pub(super) struct Connection {
     pub(super) sender: SendRequest<Body>,
-    /// Whether a response has arrived on it.
-    pub(super) responded: bool,
+    /// How many responses have arrived on it.
+    pub(super) responses: u64,
     /// How many bytes were written to the socket.
     pub(super) written: Rc<Cell<u64>>,
     /// The request that is to be written next.
@@ -132,7 +132,7 @@
         let state = StreamState::default();
         let (sender, task) = http1::handshake(Stream::new(stream, state.clone()))
             .await
-            .map_err(|cause| Error::Unsent(peer, cause))?;
+            .map_err(|cause| Error::Unsent(peer, cause, 0))?;
         self.opened.set(self.opened.get() + 1);
         let (closing, closed) = oneshot::channel::<()>();
         let (client, used, ended) = (self.clone(), last_used.clone(), state.ended);
@@ -148,7 +148,7 @@
         .detach();
         Ok(Connection {
             sender,
-            responded: false,
+            responses: 0,
             written: state.written,
             next_write: state.next_write,
             head_bytes: state.head_bytes,
