A head that begins with another message's bytes is no response

Callers saw: a request that may run once ran twice, or was refused with 503 and ran; a failure came as a signed 200; a grant that its target rejects counted as given.

Cause: the beginning of a message breaks off in its reason or in a header's value, and the target's own head, which names the request, goes on there. Parsed as one head it says what the beginning says, about the request that the end names.

Why it holds: a peer's own head begins with a version and a status. Values that only speak of the protocol ('Via: HTTP/1.1 proxy') have no status and stay sound.

--- a/engine/src/caller/attempt.rs
+++ b/engine/src/caller/attempt.rs
@@ -207,7 +207,8 @@
                     drop(permit);
                     return AttemptResult::TimedOut.into();
                 }
-                if let client::Error::Foreign(_) = error {
+                if let Some(cause) = unusable_cause(&error) {
+                    self.count_unusable(cause);
                     permit.finish(CompletionKind::Lost, None);
                     return AttemptResult::Lost(error.to_string()).into();
                 }
@@ -276,6 +277,11 @@
         }
     }
 
+    /// Counts a response that belongs to no request, or that can't be told to belong to this one.
+    fn count_unusable(&self, cause: &str) {
+        self.report.count("unusable", &[("cause", cause)]);
+    }
+
     /// Records that a target says that it leaves.
     fn record_leaving(&self, target: &TargetId) {
         let ids = slice::from_ref(target);
@@ -327,8 +333,10 @@
             drop(rest);
             permit.finish(CompletionKind::Lost, None);
             let cause = if foreign {
+                self.count_unusable("unnamed");
                 "an answer that doesn't name the request"
             } else {
+                self.count_unusable("unsigned");
                 "an unsigned answer"
             };
             return AttemptResult::Lost(format!("status={} cause={cause}", head.status.as_u16()));
@@ -396,3 +404,12 @@
         AttemptResult::Answered(Response::from_parts(head, body))
     }
 }
+
+/// Returns the name of what is wrong with a response that is no answer to its request; `None` if there was no response.
+fn unusable_cause(error: &client::Error) -> Option<&'static str> {
+    match error {
+        client::Error::Foreign(_) => Some("foreign"),
+        client::Error::Joined(_) => Some("joined"),
+        _ => None,
+    }
+}
--- a/program/tests/harness/mod.rs
+++ b/program/tests/harness/mod.rs
@@ -124,6 +124,12 @@
         until_logged(&self.program, text).await;
     }
 
+    /// Returns how many lines of the first VM's log contain a text.
+    pub fn count_logged(&self, text: &str) -> usize {
+        let lines = self.program.lines.lock().unwrap();
+        lines.iter().filter(|it| it.contains(text)).count()
+    }
+
     /// Waits until the first VM is ready.
     pub async fn until_ready(&self) {
         self.until_ready_at(&self.program).await;
--- a/util/src/client/error.rs
+++ b/util/src/client/error.rs
@@ -35,6 +35,11 @@
         Foreign(peer: SocketAddr) {
             display("answer from {peer}: another request's answer")
         }
+        /// The head of the response begins with the bytes of another message, so what it says of this request isn't known; see
+        /// [`Client::with_id_header`].
+        Joined(peer: SocketAddr) {
+            display("answer from {peer}: its head begins with another message")
+        }
         /// The head of the response has arrived, but not the whole body, or it is too long.
         Truncated(peer: SocketAddr, cause: body::Cause) {
             display("answer from {peer}: {cause}")
@@ -60,7 +65,7 @@
     pub fn unsent(&self) -> bool {
         match self {
             Self::Connect(..) | Self::Busy(_) | Self::Unsent(..) | Self::Withdrawn(_) => true,
-            Self::Broken(..) | Self::Foreign(_) | Self::Truncated(..) => false,
+            Self::Broken(..) | Self::Foreign(_) | Self::Joined(_) | Self::Truncated(..) => false,
             Self::Timeout(_, sent) => !sent,
         }
     }
--- a/util/src/client/mod.rs
+++ b/util/src/client/mod.rs
@@ -5,6 +5,7 @@
 //! messages with the client through hyper's channel.
 
 mod error;
+mod joined;
 mod latest;
 mod pool;
 mod write;
@@ -145,6 +146,9 @@
     /// later response would be out of step. A connection isn't used where a copy of its latest response could be taken
     /// for the response to the request: for another attempt of the same request, and after a response that names no request,
     /// unless that belongs to the same [`Exchange::series`].
+    ///
+    /// Such a peer may also send the beginning of another message before a response. One whose head begins so ends the exchange
+    /// with [`Error::Joined`], and its connection.
     #[must_use]
     pub fn with_id_header(mut self, header: HeaderName) -> Self {
         self.id_header = Some(header);
@@ -258,7 +262,8 @@
         };
         match result {
             Ok(_) if progress.first.get() => observer.on_response(peer),
-            Ok(_) | Err(Error::Busy(_) | Error::Withdrawn(_) | Error::Foreign(_)) => {}
+            Ok(_)
+            | Err(Error::Busy(_) | Error::Withdrawn(_) | Error::Foreign(_) | Error::Joined(_)) => {}
             Err(Error::Timeout(..)) if timeout < MIN_FAILURE_TIMEOUT => {}
             Err(_) => observer.on_failure(peer),
         }
@@ -296,6 +301,9 @@
                 let earlier = ConnectionUse(connection.responses);
                 response.extensions_mut().insert(earlier);
                 connection.responses += 1;
+                if self.id_header.is_some() && joined::is_joined(&response) {
+                    return Err(Error::Joined(peer));
+                }
                 let named = self.named_request(response.headers());
                 if named.is_some() && named != id {
                     return Err(Error::Foreign(peer));
