A response that names no request holds no target off

Callers saw: after bytes that belong to no request and carry Retry-After, each request was refused with 503 for as long as those said (20 s, request 0 of the test).

Cause: the time was taken from the head before it was known whose response it is. What a response that doesn't name the request says of its target counts no more.

--- a/engine/src/caller/attempt.rs
+++ b/engine/src/caller/attempt.rs
@@ -299,7 +299,11 @@
         started: Duration,
         remaining: Duration,
     ) -> Attempt {
-        let reply = self.targets.read(response.status(), response.headers());
+        let mut reply = self.targets.read(response.status(), response.headers());
+        if reply.request_id.as_ref() != Some(&outgoing.id) {
+            // What it says may not be this target's word.
+            reply.notice = Notice::default();
+        }
         let notice = reply.notice;
         let earlier = response.extensions().get().map(|it: &ConnectionUse| it.0);
         let result = self
--- a/program/tests/late_responses.rs
+++ b/program/tests/late_responses.rs
@@ -249,3 +249,24 @@
         assert!(lost <= 1, "{lost} requests got another one's response");
     });
 }
+
+/// Guards against bytes that belong to no request and that keep all requests from a target for as long as they say.
+#[test]
+fn a_response_that_names_no_request_holds_no_target_off() {
+    Runtime::new().unwrap().block_on(async {
+        let stray = "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nRetry-After: 20\r\nContent-Length: 0\r\n\r\n";
+        let target = RawTarget::start(move || {
+            move |request: &RawRequest, stream: &mut TcpStream| {
+                let before = if request.id() == "stray" { stray } else { "" };
+                stream.write_all(format!("{before}{}", request.answer("done")).as_bytes())
+            }
+        });
+        let harness = Harness::with_raw_target(&target, "plain").await;
+        let (status, _) = harness.send("POST", "/post/x", "stray").await;
+        assert_eq!(status, StatusCode::BAD_GATEWAY);
+        for number in 0..REQUESTS {
+            let (status, _) = harness.send("POST", "/post/x", &format!("next-{number}")).await;
+            assert_eq!(status, StatusCode::OK, "request {number}");
+        }
+    });
+}
