A caller that reads nothing for a while gets the rest of its response

Cause: the timeout of unacknowledged bytes, which finds dead connections to targets, store and VMs, was set for callers' connections too. On Linux it also bounds how long a peer may keep its receive window closed, though it answers each window probe. A caller's connection now has the operator's idle timeout there: as long as it may send nothing it may read nothing.

The test failed before: reset after 128,000 of 16 MiB.

--- a/util/src/client/pool.rs
+++ b/util/src/client/pool.rs
@@ -126,7 +126,7 @@
             .await
             .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
             .map_err(|cause| Error::Connect(peer, cause))?;
-        socket::set_options(&stream);
+        socket::set_options(&stream, socket::SERVER_ACK_TIMEOUT);
         socket::reset_on_close(&stream);
         let last_used = Rc::new(Cell::new(None));
         let state = StreamState::default();
--- a/util/src/server.rs
+++ b/util/src/server.rs
@@ -261,7 +261,8 @@
 ) where
     H: Handler,
 {
-    socket::set_options(&stream);
+    // A caller may read nothing for as long as it may be idle.
+    socket::set_options(&stream, timer.limits.idle_time);
     let (request_timer, open_requests) = (timer.clone(), requests.clone());
     let service = service::service_fn(move |request| {
         request_timer.on_request();
--- a/util/src/socket.rs
+++ b/util/src/socket.rs
@@ -15,25 +15,25 @@
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 /// The time between two keepalive probes; the kernel counts in whole seconds.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// How many keepalive probes may go unanswered, where [`ACK_TIMEOUT`] can't be set.
+/// How many keepalive probes may go unanswered, where the timeout of unacknowledged bytes can't be set.
 const KEEPALIVE_PROBES: u32 = 1;
-/// How long sent bytes may stay unacknowledged. Packets lost on a link are retransmitted after about
+/// How long bytes sent to a server may stay unacknowledged. Packets lost on a link are retransmitted after about
 /// 0.2 s and 0.6 s.
-///
-/// On Linux it also decides when keepalive probes give up, whatever their number: an idle connection ends with the
-/// second probe, which is due after this time.
-const ACK_TIMEOUT: Duration = Duration::from_millis(1500);
+pub const SERVER_ACK_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// Sets the options of a new connection: no delay of small writes, and detection of dead connections.
 ///
+/// Sent bytes may stay unacknowledged for `ack_timeout`. On Linux that is also how long the peer may read nothing while bytes
+/// wait for it, and it decides when keepalive probes give up, whatever their number.
+///
 /// An option that the system doesn't support is skipped: the connection works without it.
-pub fn set_options(stream: &TcpStream) {
+pub fn set_options(stream: &TcpStream, ack_timeout: Duration) {
     let _ = sockopt::set_tcp_nodelay(stream, true);
     let _ = sockopt::set_socket_keepalive(stream, true);
     let _ = sockopt::set_tcp_keepidle(stream, KEEPALIVE_IDLE);
     let _ = sockopt::set_tcp_keepintvl(stream, KEEPALIVE_INTERVAL);
     let _ = sockopt::set_tcp_keepcnt(stream, KEEPALIVE_PROBES);
-    let ack_timeout_ms = u32::try_from(ACK_TIMEOUT.as_millis()).unwrap_or(u32::MAX);
+    let ack_timeout_ms = u32::try_from(ack_timeout.as_millis()).unwrap_or(u32::MAX);
     let _ = sockopt::set_tcp_user_timeout(stream, ack_timeout_ms);
 }
 
--- a/util/tests/server.rs
+++ b/util/tests/server.rs
@@ -18,6 +18,10 @@
 const HEAD_TIMEOUT: Duration = Duration::from_millis(500);
 const IDLE_TIMEOUT: Duration = Duration::from_millis(2500);
 const WORK_TIME: Duration = Duration::from_millis(2900);
+/// More than the buffers of a connection hold.
+const LARGE_BYTES: usize = 16 << 20;
+/// For how long a caller reads nothing: less than the idle timeout.
+const READ_PAUSE: Duration = Duration::from_millis(2100);
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n";
 
 /// Runs a client against a server with short timeouts, and returns the client's result.
@@ -39,6 +43,9 @@
             if request.uri().path() == "/slow" {
                 compio::time::sleep(WORK_TIME).await;
             }
+            if request.uri().path() == "/large" {
+                return Response::new(Body::from(vec![b'x'; LARGE_BYTES]));
+            }
             Response::new(Body::from("done"))
         };
         let serving = server::serve_with(listener, Control::default(), clock, limits, handler);
@@ -133,3 +140,21 @@
         assert!(text.contains("431"), "{text}");
     });
 }
+
+/// Guards against a caller that reads nothing for a while and loses the rest of its response.
+#[test]
+fn a_caller_that_pauses_within_a_response_gets_all_of_it() {
+    let (size, tail) = run_client(|address| {
+        let mut stream = TcpStream::connect(address).unwrap();
+        stream
+            .write_all(b"GET /large HTTP/1.1\r\nHost: a\r\n\r\n")
+            .unwrap();
+        thread::sleep(READ_PAUSE);
+        stream.set_read_timeout(Some(HEAD_TIMEOUT)).unwrap();
+        let mut bytes = Vec::new();
+        // The connection stays open, or is reset.
+        let end = stream.read_to_end(&mut bytes);
+        (bytes.len(), end.map_err(|it| it.kind()))
+    });
+    assert!(size > LARGE_BYTES, "{size} bytes, {tail:?}");
+}
