--- a/engine/src/caller/attempts.rs
+++ b/engine/src/caller/attempts.rs
@@ -204,32 +204,12 @@
         .notes
         .push(format!("sent: {} known_ms={known}", permit.basis));
     history.completion_interval = permit.basis.completion_interval;
-    let Attempt {
-        result,
-        notice,
-        relay,
-        written,
-        earlier,
-    } = context
+    let attempt = context
         .sender
         .send(outgoing, body, permit, remaining, presence)
         .await;
-    if let Some(written) = written {
-        record_write(context, routed, &written);
-        trace.notes.push(written.to_string());
-    }
-    if let Some(vm) = relay {
-        trace.notes.push(format!("via {vm}"));
-    }
-    // An answer needs no explanation.
-    let unusable = !matches!(result, AttemptResult::Answered(_));
-    if let Some(earlier) = earlier.filter(|_| unusable) {
-        trace.notes.push(format!("responses={earlier}"));
-    }
-    if !notice.is_empty() {
-        trace.notes.push(format!("the target says: {notice}"));
-        count_notice(context, routed, notice);
-    }
+    record_attempt(context, routed, &attempt, trace);
+    let result = attempt.result;
     if !matches!(result, AttemptResult::Unsent(_)) {
         history.arrivals += 1;
         if charge == Charge::Retry {
@@ -345,6 +325,28 @@
     }
 }
 
+/// Records what is known of an attempt besides its result.
+fn record_attempt(context: &Context, routed: &RoutedRequest, attempt: &Attempt, trace: &mut Trace) {
+    if let Some(written) = &attempt.written {
+        record_write(context, routed, written);
+        trace.notes.push(written.to_string());
+    }
+    if let Some(vm) = &attempt.relay {
+        trace.notes.push(format!("via {vm}"));
+    }
+    // An answer needs no explanation.
+    let unusable = !matches!(attempt.result, AttemptResult::Answered(_));
+    if let Some(earlier) = attempt.earlier.filter(|_| unusable) {
+        trace.notes.push(format!("responses={earlier}"));
+    }
+    if !attempt.notice.is_empty() {
+        trace
+            .notes
+            .push(format!("the target says: {}", attempt.notice));
+        count_notice(context, routed, attempt.notice);
+    }
+}
+
 /// Records how long a request was held after its target had been chosen, and counts it if it was withdrawn then.
 fn record_write(context: &Context, routed: &RoutedRequest, written: &Written) {
     let service = ("service", routed.service.as_str());
