Review: a body that breaks off is filled up with the next answer

Cause: a response's head is searched for a second message, its body is not: the bytes of a second answer count for those that are missing.

--- a/review/standin-2/clients.rs
+++ b/review/standin-2/clients.rs
@@ -11,7 +11,11 @@
     time::{Duration, Instant},
 };
 
-use crate::{http::Connection, record::Record};
+use crate::{
+    http::{Connection, Message},
+    record::Record,
+    server::body_of,
+};
 
 /// For how many seconds the same keys are busy.
 const HOT_S: u64 = 4;
@@ -38,6 +42,8 @@
     pub closed: bool,
     /// Whether the whole request was written.
     pub written: bool,
+    /// Whether it is a signed success with another body than the server's, and that body.
+    pub wrong: Option<String>,
 }
 
 #[derive(Clone, Default)]
@@ -108,7 +114,13 @@
             None => format!("client gets no answer for {id}, closed={closed}, after {} ms", (ended - sent).as_millis()),
         };
         record.line(&line);
-        let outcome = Outcome { vm, sent, ended, status, closed, written };
+        let signed = |it: &&Message| it.status() == 200 && it.header("x-response-signature").is_some();
+        let body = read.as_ref().ok().filter(signed).map(|it| String::from_utf8_lossy(&it.body).into_owned());
+        let wrong = body.filter(|it| *it != body_of(&id));
+        if let Some(body) = &wrong {
+            record.line(&format!("client gets a wrong body for {id}: {body:?}"));
+        }
+        let outcome = Outcome { vm, sent, ended, status, closed, written, wrong };
         self.outcomes.lock().expect("outcomes").insert(id, outcome);
     }
 }
--- a/review/standin-2/holders.rs
+++ b/review/standin-2/holders.rs
@@ -16,7 +16,7 @@
     wait_ready,
 };
 
-const KIND: Kind = Kind { service: "huvo11a", sharded: true, work: Duration::from_millis(25), idle_s: 1 };
+const KIND: Kind = Kind { service: "huvo11a", sharded: true, work: Duration::from_millis(25), idle_s: 1, spoilt: 0 };
 /// How long both servers may hold a key at the same time.
 const ALLOWED: Duration = Duration::from_millis(500);
 /// How long ago a server has closed a connection at most when its paths are cut.
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -171,6 +171,23 @@
         self.stream.write_all(&bytes)
     }
 
+    /// Writes an answer without its last bytes, as many as are `missing`.
+    pub fn answer_part(
+        &mut self,
+        status: u16,
+        headers: &[(&str, String)],
+        body: &[u8],
+        missing: usize,
+    ) -> io::Result<()> {
+        let mut bytes = format!("HTTP/1.1 {status} -\r\n").into_bytes();
+        for (name, value) in headers {
+            bytes.extend(format!("{name}: {value}\r\n").bytes());
+        }
+        bytes.extend(format!("Content-Length: {}\r\n\r\n", body.len()).bytes());
+        bytes.extend(&body[..body.len().saturating_sub(missing)]);
+        self.stream.write_all(&bytes)
+    }
+
     pub fn answer(&mut self, status: u16, headers: &[(&str, String)], body: &[u8]) -> io::Result<()> {
         self.write(&format!("HTTP/1.1 {status} -"), headers, body)
     }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -9,6 +9,7 @@
 mod json;
 mod record;
 mod reloads;
+mod second_answers;
 mod server;
 mod store;
 mod vm;
@@ -80,6 +81,7 @@
     let verdict = match case.as_str() {
         "holders" => holders::play(&store, &temporary.0, &record, trouble),
         "reloads" => reloads::play(&store, &temporary.0, &record, trouble),
+        "second_answers" => second_answers::play(&store, &temporary.0, &record, trouble),
         other => Verdict::NotRun(format!("no case {other}")),
     };
     let code = match verdict {
--- a/review/standin-2/reloads.rs
+++ b/review/standin-2/reloads.rs
@@ -17,7 +17,7 @@
     wait_ready,
 };
 
-const KIND: Kind = Kind { service: "wuno96b", sharded: false, work: Duration::from_millis(100), idle_s: 10 };
+const KIND: Kind = Kind { service: "wuno96b", sharded: false, work: Duration::from_millis(100), idle_s: 10, spoilt: 0 };
 const VMS: usize = 10;
 /// How many of the VMs get the signals of a change.
 const SHARE: usize = 7;
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -11,6 +11,7 @@
 };
 
 use crate::{
+    clients::Random,
     http::{Connection, End, Message, reset_on_close},
     json::Json,
     record::Record,
@@ -32,6 +33,16 @@
     pub work: Duration,
     /// The timeout of idle connections, in whole seconds, which its answers tell.
     pub idle_s: u64,
+    /// Of how many answers in a thousand the last bytes stay away, and a second answer comes.
+    pub spoilt: u64,
+}
+
+/// How long after an answer that breaks off the second one comes.
+const SECOND_ANSWER: Duration = Duration::from_millis(30);
+
+/// Returns the body of the answer to a request.
+pub fn body_of(id: &str) -> String {
+    id.repeat(25)
 }
 
 /// A run of a request: its id, when it began, and whether its answer was written.
@@ -52,15 +63,17 @@
     cut: Arc<AtomicBool>,
     /// When it last closed an idle connection on which it had answered a grant or a release.
     pub closed_idle: Arc<Mutex<Option<Instant>>>,
+    random: Arc<Mutex<Random>>,
     record: Record,
 }
 
 impl Server {
     pub fn start(id: &str, kind: Kind, store: &Store, record: &Record) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
         let server = Self {
             id: id.to_owned(),
-            address: listener.local_addr().expect("an address"),
+            address,
             kind,
             held: Arc::new(Mutex::new(vec![(0, Instant::now()); KEYS])),
             running: Arc::default(),
@@ -68,6 +81,7 @@
             runs: Arc::default(),
             cut: Arc::default(),
             closed_idle: Arc::default(),
+            random: Arc::new(Mutex::new(Random(0x9e37_79b9_7f4a_7c15 ^ u64::from(address.port()) << 16))),
             record: record.clone(),
         };
         record.line(&format!("server {id} of {} starts at {}", kind.service, server.address));
@@ -215,7 +229,10 @@
                 },
             },
         };
-        let body = id.clone().unwrap_or_default();
+        let body = body_of(id.as_deref().unwrap_or_default());
+        if status == 200 && id.is_some() && self.is_spoilt() {
+            return self.answer_twice(connection, &headers, &body);
+        }
         let written = !self.is_cut() && connection.answer(status, &headers, body.as_bytes()).is_ok();
         if let Some(id) = id.filter(|_| written && status == 200) {
             let mut runs = self.runs.lock().expect("runs");
@@ -226,6 +243,20 @@
         written
     }
 
+    /// Decides whether an answer is spoilt.
+    fn is_spoilt(&self) -> bool {
+        self.random.lock().expect("random").below(1000) < self.kind.spoilt
+    }
+
+    /// Breaks an answer off shortly before its end, and sends a second, whole one on the same connection.
+    fn answer_twice(&self, connection: &mut Connection, headers: &[(&str, String)], body: &str) -> bool {
+        let missing = 1 + self.random.lock().expect("random").below(40) as usize;
+        self.record.line(&format!("server {} breaks off {} bytes before the end, and answers again", self.id, missing));
+        let broken = connection.answer_part(200, headers, body.as_bytes(), missing);
+        thread::sleep(SECOND_ANSWER);
+        broken.is_ok() && connection.answer(200, headers, body.as_bytes()).is_ok()
+    }
+
     /// Runs a request; an error is the status with which it isn't run.
     fn run(&self, connection: &Connection, id: &str, request: &Message) -> Result<u16, u16> {
         let key = request.header("x-shard-key").and_then(|it| it.parse::<usize>().ok());
