Tests of callers that don't behave, and of responses that are none; they fail

Crowd and bounds stand before any change of the product: 260 MB for the process with what waits in its sockets (site files, DEPLOY.md), 3,900 descriptors, and an ordinary look-up and an order that are served beside and after the crowd. A refusal that promises "not run" is checked against what the target has read.

Wrong before it landed: two of the tests gave all requests of a connection one id, so that one that ran looked like the others' refusals.

--- a/program/tests/harness/mod.rs
+++ b/program/tests/harness/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses only part of it")]
 
+pub mod crowd;
 pub mod played_vm;
 pub mod raw_target;
 
--- a/program/tests/harness/raw_target.rs
+++ b/program/tests/harness/raw_target.rs
@@ -13,7 +13,7 @@
 use super::{Harness, start_vm};
 
 /// One service with keys and one without; requests for keys may run once, the others any number of times.
-const CONFIG: &str = r#"{"version":"r1","limits":{"max-header-bytes":16384,"max-body-bytes":4000000,
+pub const CONFIG: &str = r#"{"version":"r1","limits":{"max-header-bytes":16384,"max-body-bytes":4000000,
     "header-timeout":"3000ms","idle-timeout":"15000ms"},
     "listeners":[{"host":"a.example","rules":[
         {"name":"order","kind":"non_idempotent","goal":"500ms","priority":1,"match":{"prefix":"/key/"},
