--- a/engine/src/process/mod.rs
+++ b/engine/src/process/mod.rs
@@ -92,6 +92,7 @@
     adapter: Adapter,
     reload: Reload,
 ) -> Result<(), Error> {
+    let _kept = signals::keep();
     let report = Report::new(clock.clone());
     report.start_log(settings.log_level).map_err(Error::Log)?;
     let started = settings.clone();
--- a/engine/src/process/signals.rs
+++ b/engine/src/process/signals.rs
@@ -1,9 +1,16 @@
 //! Stop signals and reloading of the settings.
 
-use std::time::Duration;
+use std::{
+    io,
+    task::{Context, Waker},
+    time::Duration,
+};
 
 use bramleypier_util::clock::Clock;
-use futures_util::future::{self, Either};
+use futures_util::{
+    FutureExt,
+    future::{self, Either, LocalBoxFuture},
+};
 
 use super::Reload;
 use crate::{report::Report, settings::Settings};
@@ -17,6 +24,26 @@
 /// The signal that requests a reload of the settings.
 const SIGHUP: i32 = 1;
 
+/// Keeps the default action of signals, which ends the process, from coming back between two listeners.
+pub(super) struct Kept {
+    _listeners: [LocalBoxFuture<'static, io::Result<()>>; 2],
+}
+
+/// Takes over the signals that may come at any moment, also one shortly after the other.
+pub(super) fn keep() -> Kept {
+    Kept {
+        _listeners: [SIGHUP, SIGTERM].map(listen),
+    }
+}
+
+/// Returns a listener that is in place until it is dropped.
+fn listen(signal: i32) -> LocalBoxFuture<'static, io::Result<()>> {
+    let mut listener = compio::signal::unix::signal(signal).boxed_local();
+    // The first poll puts it in place; whether a signal has come already doesn't matter here.
+    let _ = listener.poll_unpin(&mut Context::from_waker(Waker::noop()));
+    listener
+}
+
 /// Waits until the process is asked to stop.
 pub(super) async fn stop_signal() {
     let term = Box::pin(compio::signal::unix::signal(SIGTERM));
