A response to a grant or release that breaks off is no response

Seen in tests: its head counted, and what it said of the target's leaving, also if the rest never came. Cause: the body was read only so that the connection could be used again; how that ended was ignored. Mend: the outcome is the head's only if the body has come whole, in the call's time; else it counts as no response, and the call is made again. Evidence: malformed_responses::a_response_to_a_grant_that_breaks_off_counts and a_response_to_a_release_that_breaks_off_counts failed before: nothing was logged as failed.

--- a/engine/src/owner/calls.rs
+++ b/engine/src/owner/calls.rs
@@ -212,6 +212,13 @@
     *request.method_mut() = call.method;
     *request.uri_mut() = http::Uri::from_static(call.path);
     *request.headers_mut() = call.headers;
+    let log_failure = |outcome: CallOutcome, cause: &str| {
+        context.report.line(&format!(
+            "event={name}-failed service={service} target={} from={} to={} fence={} ending={outcome:?} {cause}",
+            command.owner.id, command.from, command.to, command.fence
+        ));
+        outcome
+    };
     let started = context.clock.now();
     let exchange = Exchange {
         guard: guard(context, command, kind),
@@ -223,23 +230,23 @@
     let outcome = match sent.await {
         Ok(response) => {
             let (head, response_body) = response.into_parts();
-            let outcome = context.targets.call_result(head.status, &head.headers);
-            record_leaving(context, &command.owner.id, &head);
-            // The body is read to its end so that the connection can be reused; the outcome is in the head.
+            // The outcome is in the head, but a response that breaks off may not be the target's.
             let elapsed = context.clock.now().saturating_sub(started);
             let reading = body::read(response_body, MAX_RESPONSE_BYTES);
             let left = timeout.saturating_sub(elapsed);
-            let _ = context.clock.timeout(left, reading).await;
-            outcome
+            match context.clock.timeout(left, reading).await {
+                Ok(Ok(_)) => {
+                    record_leaving(context, &command.owner.id, &head);
+                    context.targets.call_result(head.status, &head.headers)
+                }
+                Ok(Err(cause)) => log_failure(CallOutcome::Silent, &cause.to_string()),
+                Err(_) => log_failure(CallOutcome::Silent, "the response didn't end in time"),
+            }
         }
         Err(error) => {
             let closed = context.client.last_closed(command.owner.address);
             let outcome = classify(&error, closed, context.clock.now());
-            context.report.line(&format!(
-                "event={name}-failed service={service} target={} from={} to={} fence={} ending={outcome:?} {error}",
-                command.owner.id, command.from, command.to, command.fence
-            ));
-            outcome
+            log_failure(outcome, &error.to_string())
         }
     };
     let took = context.clock.now().saturating_sub(started);
