--- a/engine/src/body.rs
+++ b/engine/src/body.rs
@@ -11,58 +11,72 @@
 use bramleypier_util::{
     body::{Body, Cause},
     clock::Clock,
+    memory::Held,
 };
 use futures_util::future;
-use hyper::body::{Body as HttpBody, Bytes, Frame, Incoming, SizeHint};
+use hyper::body::{Body as HttpBody, Bytes, Frame, SizeHint};
 
 use crate::{
     placement::{dispatch::CompletionKind, task::Permit},
     report::Report,
 };
 
+/// What a body that is forwarded frame by frame counts for, in bytes: the buffers of both its connections.
+pub const STREAM_BYTES: usize = 256 * 1024;
+
 /// The id of a caller's request.
 pub type RequestId = String;
 
 /// The result of reading a body up to a limit.
-pub enum ReadBody {
+pub enum ReadBody<B> {
     /// The whole body.
     Whole(Bytes),
-    /// The body exceeds the limit: the chunks read so far, and the rest.
-    Partial(Vec<Bytes>, Incoming),
+    /// The body exceeds the limit: the bytes read so far, and the rest.
+    Partial(Bytes, B),
+    /// There is no memory for more: the bytes read so far, and the rest.
+    NoMemory(Bytes, B),
 }
 
-/// Reads a body up to a limit, in bytes.
+/// Reads a body up to a limit, in bytes, and counts it as held before it is copied.
+///
+/// `held` may hold something else already. Chunks are copied together: each of them would keep the whole buffer alive that
+/// it came in.
 ///
 /// # Errors
 ///
 /// The body was truncated.
-pub async fn read_up_to(mut body: Incoming, limit: usize) -> Result<ReadBody, hyper::Error> {
-    let mut chunks: Vec<Bytes> = Vec::new();
-    let mut size = 0;
+pub async fn read_up_to<B>(mut body: B, limit: usize, held: &Held) -> Result<ReadBody<B>, Cause>
+where
+    B: HttpBody<Data = Bytes> + Unpin,
+    B::Error: Into<Cause>,
+{
+    let held_before = held.bytes();
+    let mut bytes: Vec<u8> = Vec::new();
     loop {
         let frame = future::poll_fn(|context| Pin::new(&mut body).poll_frame(context)).await;
         let Some(frame) = frame else {
-            return Ok(ReadBody::Whole(join(chunks)));
+            return Ok(ReadBody::Whole(bytes.into()));
         };
         // Trailers apply to one connection only and are not forwarded.
-        let Ok(chunk) = frame?.into_data() else {
+        let Ok(chunk) = frame.map_err(Into::into)?.into_data() else {
             continue;
         };
-        size += chunk.len();
-        chunks.push(chunk);
+        let size = bytes.len() + chunk.len();
+        if size > bytes.capacity() {
+            let capacity = size.max((2 * bytes.capacity()).min(limit + chunk.len()));
+            if held.resize(held_before + capacity).is_err() {
+                bytes.extend_from_slice(&chunk);
+                return Ok(ReadBody::NoMemory(bytes.into(), body));
+            }
+            bytes.reserve_exact(capacity - bytes.len());
+        }
+        bytes.extend_from_slice(&chunk);
         if size > limit {
-            return Ok(ReadBody::Partial(chunks, body));
+            return Ok(ReadBody::Partial(bytes.into(), body));
         }
     }
 }
 
-fn join(mut chunks: Vec<Bytes>) -> Bytes {
-    if chunks.len() == 1 {
-        return chunks.remove(0);
-    }
-    Bytes::from(chunks.concat())
-}
-
 /// The request that a streamed body answers.
 pub struct Answered {
     /// Its id.
@@ -90,10 +104,10 @@
     }
 }
 
-/// A body that yields the chunks already read, then streams the rest; it may hold a target's permit until it ends.
-pub struct Streamed {
-    chunks: std::collections::VecDeque<Bytes>,
-    rest: Incoming,
+/// A body that yields the bytes already read, then streams the rest; it may hold a target's permit until it ends.
+pub struct Streamed<B> {
+    read: Bytes,
+    rest: B,
     /// The size of the whole body in bytes, if known.
     size: Option<u64>,
     permit: Option<(Permit, Duration)>,
@@ -103,13 +117,16 @@
     limit: Option<(u64, Rc<Cell<bool>>)>,
 }
 
-impl Streamed {
-    /// Creates a body of the chunks already read and the rest.
-    pub fn new(chunks: Vec<Bytes>, rest: Incoming) -> Self {
-        let read: u64 = chunks.iter().map(|it| it.len() as u64).sum();
-        let size = rest.size_hint().exact().map(|it| it + read);
+impl<B> Streamed<B>
+where
+    B: HttpBody<Data = Bytes> + Unpin,
+    B::Error: Into<Cause>,
+{
+    /// Creates a body of the bytes already read and the rest.
+    pub fn new(read: Bytes, rest: B) -> Self {
+        let size = rest.size_hint().exact().map(|it| it + read.len() as u64);
         Self {
-            chunks: chunks.into(),
+            read,
             rest,
             size,
             permit: None,
@@ -120,7 +137,7 @@
 
     /// Fails the body and sets `exceeded` once it is longer than `limit` bytes.
     pub fn with_limit(mut self, limit: u64, exceeded: Rc<Cell<bool>>) -> Self {
-        let read: u64 = self.chunks.iter().map(|it| it.len() as u64).sum();
+        let read = self.read.len() as u64;
         self.limit = Some((limit.saturating_sub(read), exceeded));
         self
     }
@@ -148,7 +165,9 @@
         self.answered = Some(answered);
         self
     }
+}
 
+impl<B> Streamed<B> {
     fn finish_permit(&mut self, ok: bool) {
         if ok {
             self.answered = None;
@@ -164,7 +183,11 @@
     }
 }
 
-impl HttpBody for Streamed {
+impl<B> HttpBody for Streamed<B>
+where
+    B: HttpBody<Data = Bytes> + Unpin,
+    B::Error: Into<Cause>,
+{
     type Data = Bytes;
     type Error = Cause;
 
@@ -172,8 +195,9 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Cause>>> {
-        if let Some(chunk) = self.chunks.pop_front() {
-            return Poll::Ready(Some(Ok(Frame::data(chunk))));
+        if !self.read.is_empty() {
+            let read = std::mem::take(&mut self.read);
+            return Poll::Ready(Some(Ok(Frame::data(read))));
         }
         let polled = Pin::new(&mut self.rest).poll_frame(context);
         match &polled {
@@ -195,7 +219,7 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.chunks.is_empty() && self.rest.is_end_stream()
+        self.read.is_empty() && self.rest.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
@@ -204,7 +228,7 @@
     }
 }
 
-impl Drop for Streamed {
+impl<B> Drop for Streamed<B> {
     fn drop(&mut self) {
         if let Some(answered) = self.answered.take() {
             answered.log_break();
@@ -213,6 +237,10 @@
 }
 
 /// Wraps a streamed body for a message.
-pub fn stream(body: Streamed) -> Body {
+pub fn stream<B>(body: Streamed<B>) -> Body
+where
+    B: HttpBody<Data = Bytes> + Unpin + 'static,
+    B::Error: Into<Cause>,
+{
     Body::stream(body)
 }
--- a/engine/src/caller/attempt.rs
+++ b/engine/src/caller/attempt.rs
@@ -7,6 +7,7 @@
     client::{self, Client, ConnectionUse, Exchange, SendGuard},
     clock::Clock,
     headers,
+    memory::Memory,
     server::ResponseEnd,
 };
 use futures_util::future::{self, Either};
@@ -17,7 +18,7 @@
     send_watch::{SendWatch, Written},
 };
 use crate::{
-    body,
+    body::{self, STREAM_BYTES},
     catalogue::TargetId,
     fleet::{SharedFleet, Vm, VmId},
     placement::{dispatch::CompletionKind, task::Permit},
@@ -110,6 +111,8 @@
     pub shared_fleet: SharedFleet,
     /// Tells when attempts are given up because the process ends.
     pub serving: ServingState,
+    /// The memory for what is held for callers.
+    pub memory: Memory,
     /// The requests under which targets have ended.
     pub quarantine: Quarantine,
     /// The clock.
@@ -352,7 +355,8 @@
             self.record_leaving(&permit.target.id);
         }
         let elapsed = self.clock.now().saturating_sub(started);
-        let reading = body::read_up_to(rest, MAX_BUFFERED_RESPONSE_BYTES);
+        let holder = self.memory.hold();
+        let reading = body::read_up_to(rest, MAX_BUFFERED_RESPONSE_BYTES, &holder);
         let timeout = remaining.saturating_sub(elapsed);
         let read = match self.clock.timeout(timeout, reading).await {
             Ok(Ok(read)) => read,
@@ -389,9 +393,11 @@
                     self.quarantine.record_completion(outgoing.fingerprint);
                 }
                 permit.finish(kind, reply.load);
-                Body::from(bytes)
+                Body::from(bytes).with_held(holder)
             }
-            body::ReadBody::Partial(chunks, rest) => {
+            // Without memory to keep it whole it is passed on as it comes.
+            body::ReadBody::Partial(bytes, rest) | body::ReadBody::NoMemory(bytes, rest) => {
+                holder.force(holder.bytes().max(STREAM_BYTES));
                 // The rest comes from the target while the caller takes it, and must not do so past the request's deadline.
                 let end = started + remaining;
                 head.extensions.insert(ResponseEnd(end));
@@ -401,8 +407,8 @@
                     clock: self.clock.clone(),
                     report: self.report.clone(),
                 };
-                let streamed = body::Streamed::new(chunks, rest).with_permit(permit, took);
-                body::stream(streamed.with_request(answered))
+                let streamed = body::Streamed::new(bytes, rest).with_permit(permit, took);
+                body::stream(streamed.with_request(answered)).with_held(holder)
             }
         };
         AttemptResult::Answered(Response::from_parts(head, body))
--- a/engine/src/caller/attempts.rs
+++ b/engine/src/caller/attempts.rs
@@ -1,9 +1,10 @@
 //! Decides on the attempts of a request: which targets it is sent to, what each result means, and
 //! when to stop.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{cell::Cell, pin::pin, rc::Rc, time::Duration};
 
-use bramleypier_util::body::Body;
+use bramleypier_util::{body::Body, memory::Held};
+use futures_util::future::{self, Either};
 use hyper::{Response, body::Body as _};
 
 use super::{
@@ -11,14 +12,17 @@
     context::{Context, RoutedRequest},
     failure::Failure,
     local_response::{LocalResponse, RETRY_AFTER, Trace},
-    payload::Payload,
+    payload::{self, Payload},
     send_watch::Written,
     timeouts,
 };
 use crate::{
     catalogue::{Kind, TargetId},
     owner::record::Fence,
-    placement::dispatch::{Charge, DispatchRequest, MIN_RETRY_AFTER},
+    placement::{
+        dispatch::{Charge, DispatchRequest, MIN_RETRY_AFTER},
+        task::{Permit, Refused},
+    },
     quarantine::Fingerprint,
     target::{Notice, Refusal},
 };
@@ -155,7 +159,11 @@
     }
     let charge = history.charge();
     let request = dispatch_request(context, routed, history, charge);
-    let permit = match context.dispatcher.acquire(request).await {
+    let Some(acquired) = acquire(context, payload.held(), request).await else {
+        count_refusal(context, routed, "memory");
+        return history.give_up(payload::no_memory("its memory is needed"));
+    };
+    let permit = match acquired {
         Ok(permit) => {
             time_idle_wait(context, routed, permit.basis.idle_wait);
             permit
@@ -235,6 +243,22 @@
     evaluate(routed, payload, history, trace, target, result)
 }
 
+/// Waits for a target, while `held` gives way to those who come later; `None` if its memory is needed.
+async fn acquire(
+    context: &Context,
+    held: &Held,
+    request: DispatchRequest,
+) -> Option<Result<Permit, Refused>> {
+    held.set_waiting(true);
+    let acquiring = pin!(context.dispatcher.acquire(request));
+    let acquired = match future::select(acquiring, pin!(held.until_asked())).await {
+        Either::Left((acquired, _)) => Some(acquired),
+        Either::Right(_) => None,
+    };
+    held.set_waiting(false);
+    acquired
+}
+
 /// Returns the dispatcher's request for the next attempt.
 fn dispatch_request(
     context: &Context,
--- a/engine/src/caller/context.rs
+++ b/engine/src/caller/context.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use bramleypier_util::clock::Clock;
+use bramleypier_util::{clock::Clock, memory::Memory};
 
 use super::{
     CallerProtocol, RequestInfo, attempt::Sender, response_sizes::ResponseSizes,
@@ -29,6 +29,8 @@
     pub timeouts: RouteTimeouts,
     /// The mean sizes of responses, by route.
     pub response_sizes: ResponseSizes,
+    /// The memory for what is held for callers.
+    pub memory: Memory,
     /// Counts requests by key.
     pub tally: Tally,
     /// The clock.
--- a/engine/src/caller/forward.rs
+++ b/engine/src/caller/forward.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use bramleypier_util::body::Body;
+use bramleypier_util::{body::Body, headers, memory::Held};
 use futures_channel::oneshot;
 use hyper::{
     Request, Response, Uri,
@@ -58,6 +58,10 @@
         let trace = Trace::default();
         finish(&context, &info, None, received_at, &trace, Err(local))
     };
+    let held = context.memory.hold();
+    if held.resize(headers::size(request.headers())).is_err() {
+        return refuse(payload::no_memory("no memory for its head"));
+    }
     let first = context.startup.config(shared_fleet, clock, info.remaining);
     if first.await.is_none() {
         let cause = "no configuration is known yet";
@@ -75,13 +79,13 @@
     let limit = config.limits.body_bytes;
     drop(config);
     if routed.route.kind.is_idempotent() {
-        let (result, trace) = run(&context, &routed, request, limit).await;
+        let (result, trace) = run(&context, &routed, request, limit, held).await;
         return finish(&context, &info, Some(&routed), received_at, &trace, result);
     }
     // A request that can't be retried runs in a task of its own, which continues when its caller disconnects.
     let (sender, receiver) = oneshot::channel();
     let (task_context, task_request) = (context.clone(), routed.clone());
-    let read = payload::read(&context, &routed, request.into_parts(), limit).await;
+    let read = payload::read(&context, &routed, request.into_parts(), limit, held).await;
     let (outgoing, payload) = match read {
         Ok(ready) => ready,
         Err(local) => {
@@ -203,8 +207,9 @@
     routed: &RoutedRequest,
     request: Request<Option<Incoming>>,
     limit: u64,
+    held: Held,
 ) -> (Result<Response<Body>, LocalResponse>, Trace) {
-    match payload::read(context, routed, request.into_parts(), limit).await {
+    match payload::read(context, routed, request.into_parts(), limit, held).await {
         Ok((outgoing, payload)) => {
             attempts::run(
                 context,
@@ -279,6 +284,7 @@
     if local.failure == Failure::TooLarge
         || local.failure == Failure::TooSlow
         || local.failure == Failure::Malformed
+        || local.closes
     {
         // Unread bytes of this request could be taken for the next one on the connection.
         headers.insert(
--- a/engine/src/caller/local_response.rs
+++ b/engine/src/caller/local_response.rs
@@ -14,6 +14,8 @@
     pub(super) failure: Failure,
     pub(super) cause: String,
     pub(super) retry_after: Option<Duration>,
+    /// Whether its connection is closed whatever the failure.
+    pub(super) closes: bool,
 }
 
 impl LocalResponse {
@@ -25,6 +27,7 @@
             failure,
             cause: cause.into(),
             retry_after: None,
+            closes: false,
         }
     }
 
--- a/engine/src/caller/payload.rs
+++ b/engine/src/caller/payload.rs
@@ -1,9 +1,10 @@
 //! Reads a request's body: small bodies are kept whole, so that the request can be retried; larger
 //! ones are streamed within the operator's limit.
 
-use std::{cell::Cell, rc::Rc, slice};
+use std::{cell::Cell, pin::pin, rc::Rc};
 
-use bramleypier_util::{body::Body, headers};
+use bramleypier_util::{body::Body, headers, memory::Held, server::RequestRead};
+use futures_util::future::{self, Either};
 use hyper::{
     body::{Body as _, Bytes, Incoming, SizeHint},
     header,
@@ -13,7 +14,7 @@
     attempt::OutgoingRequest,
     context::{Context, RoutedRequest},
     failure::Failure,
-    local_response::LocalResponse,
+    local_response::{LocalResponse, RETRY_AFTER},
 };
 use crate::{
     body::{self, ReadBody, Streamed},
@@ -23,9 +24,16 @@
 /// The largest request body that is read whole; only such a request can be sent more than once.
 const MAX_BUFFERED_REQUEST_BYTES: usize = 256 * 1024;
 
-/// A request's body, for one attempt or for several.
+/// A request's body, for one attempt or for several, and what is held for it.
 #[derive(Debug)]
-pub(super) enum Payload {
+pub(super) struct Payload {
+    content: Content,
+    /// What is held for the whole request.
+    held: Held,
+}
+
+#[derive(Debug)]
+enum Content {
     /// The whole body; it can be sent in each attempt.
     Whole(Bytes),
     /// A streamed body, which can be sent once. The flag says whether it has exceeded the limit.
@@ -35,41 +43,48 @@
 impl Payload {
     /// Returns the body for an attempt; `None` if a streamed body has been sent already.
     pub(super) fn take(&mut self) -> Option<Body> {
-        match self {
-            Self::Whole(bytes) => Some(Body::from(bytes.clone())),
-            Self::Streamed(body, _) => body.take(),
+        match &mut self.content {
+            Content::Whole(bytes) => Some(Body::from(bytes.clone())),
+            Content::Streamed(body, _) => body.take(),
         }
     }
 
     /// Returns whether the body can be sent in another attempt.
     pub(super) fn is_left(&self) -> bool {
-        matches!(self, Self::Whole(_) | Self::Streamed(Some(_), _))
+        matches!(
+            self.content,
+            Content::Whole(_) | Content::Streamed(Some(_), _)
+        )
     }
 
     /// Returns whether a streamed body was stopped because it exceeded the limit.
     pub(super) fn is_too_large(&self) -> bool {
-        matches!(self, Self::Streamed(_, exceeded) if exceeded.get())
+        matches!(&self.content, Content::Streamed(_, exceeded) if exceeded.get())
+    }
+
+    /// Returns what is held for the request.
+    pub(super) fn held(&self) -> &Held {
+        &self.held
     }
 }
 
-/// Returns the fingerprint of a request, of whose body these chunks are known.
-fn fingerprint(
-    routed: &RoutedRequest,
-    outgoing: &OutgoingRequest,
-    chunks: &[Bytes],
-) -> Fingerprint {
+/// Returns the fingerprint of a request, of whose body these bytes are known.
+fn fingerprint(routed: &RoutedRequest, outgoing: &OutgoingRequest, bytes: &Bytes) -> Fingerprint {
     let host = outgoing.headers.get(header::HOST);
     let host = host.and_then(|it| it.to_str().ok()).unwrap_or_default();
-    let body = chunks.iter().map(Bytes::as_ref);
+    let body = std::iter::once(bytes.as_ref());
     Fingerprint::new(&outgoing.method, host, &outgoing.uri, routed.info.key, body)
 }
 
 /// Reads the request's body, if it has one, up to [`MAX_BUFFERED_REQUEST_BYTES`], and prepares the request for sending.
+///
+/// `holder` holds the head. A body that can't be held besides, or that holds back others and is the oldest, is refused.
 pub(super) async fn read(
     context: &Context,
     routed: &RoutedRequest,
     (mut head, incoming): (http::request::Parts, Option<Incoming>),
     limit: u64,
+    holder: Held,
 ) -> Result<(OutgoingRequest, Payload), LocalResponse> {
     let size = incoming
         .as_ref()
@@ -86,6 +101,7 @@
     let uri = path
         .parse()
         .map_err(|_| LocalResponse::new(Failure::Malformed, "the path can't be read"))?;
+    let read_mark = head.extensions.get::<RequestRead>().cloned();
     let mut outgoing = OutgoingRequest {
         id: routed.info.id.clone(),
         method: head.method,
@@ -95,43 +111,68 @@
     };
     let remaining = routed.deadline.saturating_sub(context.clock.now());
     let buffered = MAX_BUFFERED_REQUEST_BYTES.min(usize::try_from(limit).unwrap_or(usize::MAX));
-    let reading = async {
-        match incoming {
-            Some(incoming) => body::read_up_to(incoming, buffered).await,
-            None => Ok(ReadBody::Whole(Bytes::new())),
-        }
+    let reading = read_body(incoming, buffered, &holder);
+    let Ok(result) = context.clock.timeout(remaining, reading).await else {
+        return Err(LocalResponse::new(
+            Failure::TooSlow,
+            "the body did not arrive in time",
+        ));
     };
-    let result = context.clock.timeout(remaining, reading).await;
-    let payload = match result {
-        Ok(Ok(ReadBody::Whole(bytes))) => {
-            outgoing.fingerprint = fingerprint(routed, &outgoing, slice::from_ref(&bytes));
-            Payload::Whole(bytes)
+    let kept = match result? {
+        ReadBody::Whole(bytes) => {
+            outgoing.fingerprint = fingerprint(routed, &outgoing, &bytes);
+            Content::Whole(bytes)
         }
-        Ok(Ok(ReadBody::Partial(chunks, rest))) => {
-            outgoing.fingerprint = fingerprint(routed, &outgoing, &chunks);
-            let read: usize = chunks.iter().map(Bytes::len).sum();
-            if read as u64 > limit {
+        ReadBody::Partial(bytes, rest) => {
+            outgoing.fingerprint = fingerprint(routed, &outgoing, &bytes);
+            if bytes.len() as u64 > limit {
                 return Err(LocalResponse::new(
                     Failure::TooLarge,
-                    format!("body>{read} limit={limit}"),
+                    format!("body>{} limit={limit}", bytes.len()),
                 ));
             }
             let exceeded = Rc::new(Cell::new(false));
-            let streamed = Streamed::new(chunks, rest).with_limit(limit, exceeded.clone());
-            Payload::Streamed(Some(body::stream(streamed)), exceeded)
-        }
-        Ok(Err(error)) => {
-            return Err(LocalResponse::new(
-                Failure::Malformed,
-                format!("the body broke off: {error}"),
-            ));
-        }
-        Err(_) => {
-            return Err(LocalResponse::new(
-                Failure::TooSlow,
-                "the body did not arrive in time",
-            ));
+            let streamed = Streamed::new(bytes, rest).with_limit(limit, exceeded.clone());
+            Content::Streamed(Some(body::stream(streamed)), exceeded)
         }
+        ReadBody::NoMemory(..) => return Err(no_memory("no memory for its body")),
+    };
+    // From here on it waits for targets, not for its caller.
+    if let Some(mark) = read_mark {
+        mark.set();
+    }
+    Ok((
+        outgoing,
+        Payload {
+            content: kept,
+            held: holder,
+        },
+    ))
+}
+
+/// Reads a body, if there is one, unless its memory is needed for others meanwhile.
+async fn read_body(
+    incoming: Option<Incoming>,
+    limit: usize,
+    held: &Held,
+) -> Result<ReadBody<Incoming>, LocalResponse> {
+    let Some(incoming) = incoming else {
+        return Ok(ReadBody::Whole(Bytes::new()));
     };
-    Ok((outgoing, payload))
+    held.set_waiting(true);
+    let reading = pin!(body::read_up_to(incoming, limit, held));
+    match future::select(reading, pin!(held.until_asked())).await {
+        Either::Left((read, _)) => read.map_err(|cause| {
+            LocalResponse::new(Failure::Malformed, format!("the body broke off: {cause}"))
+        }),
+        Either::Right(_) => Err(no_memory("its memory is needed")),
+    }
+}
+
+/// Refuses a request that can't be held in memory, and closes its connection, since the rest of it stays unread.
+pub(super) fn no_memory(cause: &str) -> LocalResponse {
+    LocalResponse {
+        closes: true,
+        ..LocalResponse::not_run(cause, RETRY_AFTER)
+    }
 }
--- a/engine/src/caller/serve.rs
+++ b/engine/src/caller/serve.rs
@@ -5,7 +5,7 @@
 use bramleypier_util::{
     body::Body,
     pipeline::{Event, Handler, Pipelining, RequestTarget},
-    server::{self, ConnectionLimits, Control},
+    server::{self, ConnectionLimits, Control, ServerLimits},
 };
 use compio::net::TcpListener;
 use futures_util::{FutureExt as _, future::LocalBoxFuture};
@@ -64,17 +64,32 @@
                 report.add("pipeline.wait_bytes", bytes as u64, &[]);
             }
             Event::Stopped(cause) => report.count("pipeline.stopped", &[("cause", cause.name())]),
+            Event::Displaced(silent) => {
+                report.count("connections.closed", &[("reason", "displaced")]);
+                let millis = silent.as_millis();
+                report.line(&format!("event=connection-displaced silent_ms={millis}"));
+            }
+            Event::TurnedAway => {
+                report.count("connections.closed", &[("reason", "turned-away")]);
+                report.line("event=connection-turned-away");
+            }
+            Event::GivenUp => {
+                report.count("connections.closed", &[("reason", "memory")]);
+                report.line("event=response-given-up cause=\"its memory is needed\"");
+            }
         }
     }
 }
 
-/// Serves callers until the control stops it; `open_requests` is the most of a connection that are open at once.
+/// Serves callers until the control stops it, within the limits of the server; `open_requests` is the most of a connection that
+/// are open at once.
 pub async fn callers(
     listener: TcpListener,
     control: Control,
     context: Context,
     state: ServingState,
     open_requests: usize,
+    capacity: ServerLimits,
 ) {
     let (shared_fleet, clock) = (context.shared_fleet.clone(), context.clock.clone());
     let limits = move || {
@@ -91,7 +106,8 @@
         response_bytes: RESPONSE_BYTES,
     };
     let handler = CallerHandler { context, state };
-    server::serve_pipelined(listener, control, clock, limits, (pipelining, handler)).await;
+    let (limits, handler) = ((capacity, limits), (pipelining, handler));
+    server::serve_pipelined(listener, control, clock, limits, handler).await;
 }
 
 fn connection_limits(limits: CallerLimits) -> ConnectionLimits {
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub(crate) mod body;
 pub mod caller;
+pub mod capacity;
 pub mod catalogue;
 pub mod fleet;
 pub mod follow;
--- a/engine/src/process/mod.rs
+++ b/engine/src/process/mod.rs
@@ -7,7 +7,7 @@
 
 use std::{cell::Cell, io, net::SocketAddr, rc::Rc};
 
-use bramleypier_util::{client::Client, clock::Clock, server::Control};
+use bramleypier_util::{client::Client, clock::Clock, memory::Memory, server::Control};
 use futures_channel::mpsc;
 use futures_util::StreamExt;
 use quick_error::quick_error;
@@ -130,6 +130,8 @@
     target_client: Client,
     /// Connections to VMs that relay requests.
     relay_client: Client,
+    /// The memory for what is held for callers and other VMs.
+    memory: Memory,
     /// The number of requests that this VM relays for others.
     relayed: Rc<Cell<usize>>,
 }
@@ -169,8 +171,10 @@
         let target_client = target_client(&clock, &adapter, &reach);
         let relay_client = Client::new(clock.clone(), MAX_RELAY_CONNECTIONS);
         let quarantine = Quarantine::new(shared_fleet.clone(), clock.clone(), report.clone());
+        let memory = Memory::new(settings.capacity.held_bytes());
         Self {
             settings,
+            memory,
             clock,
             adapter,
             report,
--- a/engine/src/process/serving.rs
+++ b/engine/src/process/serving.rs
@@ -2,7 +2,7 @@
 
 use bramleypier_util::{
     body::Body,
-    server::{self, Control},
+    server::{self, Control, ServerLimits},
 };
 use hyper::Response;
 
@@ -12,6 +12,7 @@
         attempt::Sender, context, response_sizes::ResponseSizes, serve, startup::StartupWait,
         timeouts::RouteTimeouts,
     },
+    capacity::SOCKET_BYTES,
     peer::sync,
     placement::task,
     reach::relay::Relay,
@@ -37,6 +38,7 @@
                 targets: self.adapter.targets.clone(),
                 shared_fleet: self.shared_fleet.clone(),
                 serving: self.serving.clone(),
+                memory: self.memory.clone(),
                 quarantine: self.quarantine.clone(),
                 clock: self.clock.clone(),
                 report: self.report.clone(),
@@ -44,6 +46,7 @@
             startup: StartupWait::new(&self.clock),
             timeouts: RouteTimeouts::default(),
             response_sizes: ResponseSizes::default(),
+            memory: self.memory.clone(),
             tally: self.tally.clone(),
             clock: self.clock.clone(),
             report: self.report.clone(),
@@ -55,6 +58,11 @@
             context,
             serving.clone(),
             self.settings.open_requests,
+            ServerLimits {
+                connections: self.settings.capacity.connections(),
+                memory: self.memory.clone(),
+                socket_bytes: Some(SOCKET_BYTES),
+            },
         ));
         // These listeners stay open until the process ends: a draining VM still answers readiness checks.
         let unstopped = Control::default();
@@ -69,6 +77,7 @@
             client: self.target_client.clone(),
             shared_fleet: self.shared_fleet.clone(),
             serving: self.serving.clone(),
+            memory: self.memory.clone(),
             in_flight: self.relayed.clone(),
             report: self.report.clone(),
         };
--- a/engine/src/reach/relay.rs
+++ b/engine/src/reach/relay.rs
@@ -10,17 +10,18 @@
     body::{self as util_body, Body},
     client::{self, Client, Exchange, SendGuard},
     headers,
+    memory::{Held, Memory},
     server::ResponseEnd,
 };
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode,
-    body::Incoming,
+    body::{Bytes, Incoming},
     header::{self, HeaderName, HeaderValue},
 };
 
 use super::Reach;
 use crate::{
-    body,
+    body::{self, STREAM_BYTES},
     catalogue::TargetId,
     fleet::{SharedFleet, Vm},
     report::Report,
@@ -170,6 +171,8 @@
     pub shared_fleet: SharedFleet,
     /// Whether this process is about to stop.
     pub serving: ServingState,
+    /// The memory for what is held for other VMs and their callers.
+    pub memory: Memory,
     /// The number of requests that are being relayed.
     pub in_flight: Rc<Cell<usize>>,
     /// Counts what is relayed.
@@ -240,13 +243,16 @@
         let Some((address, timeout)) = self.destination(request.headers()) else {
             return self.finish(RelayResult::Unsent, Response::new(Body::empty()));
         };
+        let Some(holder) = self.hold() else {
+            return self.finish(RelayResult::Declined, Response::new(Body::empty()));
+        };
         let end = self.reach.now() + timeout;
         match self.client.send(address, outgoing(request), timeout).await {
             Ok(response) => {
                 let (mut head, rest) = response.into_parts();
                 head.extensions.insert(ResponseEnd(end));
                 headers::strip(&mut head.headers);
-                let body = body::stream(body::Streamed::new(Vec::new(), rest));
+                let body = body::stream(body::Streamed::new(Bytes::new(), rest)).with_held(holder);
                 self.finish(RelayResult::Answered, Response::from_parts(head, body))
             }
             // The sender finds neither the request's id nor a signature in it, as in the response that came.
@@ -267,6 +273,12 @@
         }
     }
 
+    /// Holds the buffers that a relayed request takes; `None` if there is no memory for them.
+    fn hold(&self) -> Option<Held> {
+        let holder = self.memory.hold();
+        holder.resize(STREAM_BYTES).ok().map(|()| holder)
+    }
+
     /// Returns the address of the target that a request names, and the timeout; `None` if the target isn't known, or leaves.
     fn destination(&self, headers: &HeaderMap) -> Option<(SocketAddr, Duration)> {
         let id = headers.get(TARGET)?.to_str().ok()?;
@@ -293,6 +305,6 @@
     head.headers.remove(TIMEOUT_MS);
     head.headers.remove(header::CONTENT_LENGTH);
     headers::strip(&mut head.headers);
-    let body = body::stream(body::Streamed::new(Vec::new(), rest));
+    let body = body::stream(body::Streamed::new(Bytes::new(), rest));
     Request::from_parts(head, body)
 }
--- a/engine/src/settings.rs
+++ b/engine/src/settings.rs
@@ -5,6 +5,7 @@
 use log::LevelFilter;
 
 use crate::{
+    capacity::Capacity,
     catalogue::DomainId,
     fleet::{KnowledgeLimits, VmId},
     owner::ownership,
@@ -40,6 +41,8 @@
     pub retry_budget: RetryAllowance,
     /// The amount by which the requests of all VMs together may exceed a cold target's rate.
     pub burst_allowance: BurstAllowance,
+    /// What the process may take of its VM.
+    pub capacity: Capacity,
     /// The VM's capacity as the manager, in thousandths of a core.
     pub capacity_millicores: u32,
     /// The platform's limits for leases and grants.
--- a/src/entry/orders.rs
+++ b/src/entry/orders.rs
@@ -484,13 +484,13 @@
         .unwrap_or_default()
         .to_owned();
     let status = head.status.as_u16();
-    let Body::Whole(whole) = body else {
+    if !body.is_whole() {
         let mut answer = Answer::new(status, &media, &[], STORED_ANSWER_BYTES);
         answer.body = None;
         return (Response::from_parts(head, body), answer);
-    };
+    }
     // The body is in memory, so collecting it can't fail.
-    let bytes = whole.collect().await.map(Collected::to_bytes);
+    let bytes = body.collect().await.map(Collected::to_bytes);
     let bytes = bytes.unwrap_or_default();
     let answer = Answer::new(status, &media, &bytes, STORED_ANSWER_BYTES);
     (Response::from_parts(head, Body::from(bytes)), answer)
--- a/util/src/body.rs
+++ b/util/src/body.rs
@@ -7,13 +7,21 @@
 };
 
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Body as HttpBody, Bytes, Frame, Incoming, SizeHint};
+use hyper::body::{Body as HttpBody, Bytes, Frame, SizeHint};
+
+use crate::memory::Held;
 
 /// Why a body could not be read or sent completely.
 pub type Cause = Box<dyn error::Error + Send + Sync>;
 
 /// A body that hyper can send.
-pub enum Body {
+pub struct Body {
+    content: Content,
+    /// What its sender holds for it until it has been sent.
+    held: Option<Held>,
+}
+
+enum Content {
     /// The whole body in memory.
     Whole(Full<Bytes>),
     /// A stream that is forwarded frame by frame.
@@ -22,9 +30,9 @@
 
 impl fmt::Debug for Body {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Whole(_) => f.write_str("Body::Whole"),
-            Self::Stream(_) => f.write_str("Body::Stream"),
+        match self.content {
+            Content::Whole(_) => f.write_str("Body::Whole"),
+            Content::Stream(_) => f.write_str("Body::Stream"),
         }
     }
 }
@@ -40,7 +48,29 @@
     where
         B: HttpBody<Data = Bytes, Error = Cause> + 'static,
     {
-        Self::Stream(Box::pin(body))
+        Self {
+            content: Content::Stream(Box::pin(body)),
+            held: None,
+        }
+    }
+
+    /// Adds what is held in memory for the body; a server frees it once the body is sent.
+    #[must_use]
+    pub fn with_held(self, held: Held) -> Self {
+        Self {
+            held: Some(held),
+            ..self
+        }
+    }
+
+    /// Takes what is held in memory for the body.
+    pub(crate) fn take_held(&mut self) -> Option<Held> {
+        self.held.take()
+    }
+
+    /// Returns whether the whole body is in memory.
+    pub fn is_whole(&self) -> bool {
+        matches!(self.content, Content::Whole(_))
     }
 }
 
@@ -49,7 +79,10 @@
     T: Into<Bytes>,
 {
     fn from(bytes: T) -> Self {
-        Self::Whole(Full::new(bytes.into()))
+        Self {
+            content: Content::Whole(Full::new(bytes.into())),
+            held: None,
+        }
     }
 }
 
@@ -61,23 +94,23 @@
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Cause>>> {
-        match self.get_mut() {
-            Self::Whole(body) => Pin::new(body).poll_frame(context).map_err(Into::into),
-            Self::Stream(body) => body.as_mut().poll_frame(context),
+        match &mut self.get_mut().content {
+            Content::Whole(body) => Pin::new(body).poll_frame(context).map_err(Into::into),
+            Content::Stream(body) => body.as_mut().poll_frame(context),
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        match self {
-            Self::Whole(body) => body.is_end_stream(),
-            Self::Stream(body) => body.is_end_stream(),
+        match &self.content {
+            Content::Whole(body) => body.is_end_stream(),
+            Content::Stream(body) => body.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self {
-            Self::Whole(body) => body.size_hint(),
-            Self::Stream(body) => body.size_hint(),
+        match &self.content {
+            Content::Whole(body) => body.size_hint(),
+            Content::Stream(body) => body.size_hint(),
         }
     }
 }
@@ -87,7 +120,11 @@
 /// # Errors
 ///
 /// The body is longer than the limit, or it was truncated.
-pub async fn read(body: Incoming, limit: usize) -> Result<Bytes, Cause> {
+pub async fn read<B>(body: B, limit: usize) -> Result<Bytes, Cause>
+where
+    B: HttpBody<Data = Bytes>,
+    B::Error: Into<Cause>,
+{
     let whole = Limited::new(body, limit).collect().await?;
     Ok(whole.to_bytes())
 }
--- a/util/src/client/write.rs
+++ b/util/src/client/write.rs
@@ -86,11 +86,11 @@
 }
 
 impl StreamObserver for StreamState {
-    fn on_read(&mut self, bytes: usize) -> io::Result<()> {
-        if bytes == 0 {
+    fn on_read(&mut self, bytes: &[u8]) -> io::Result<()> {
+        if bytes.is_empty() {
             self.ended.set(true);
         }
-        let read = self.head_bytes.get().map(|it| it + bytes);
+        let read = self.head_bytes.get().map(|it| it + bytes.len());
         self.head_bytes.set(read);
         if read.is_some_and(|it| it > MAX_HEAD_BYTES) {
             return Err(io::ErrorKind::InvalidData.into());
--- a/util/src/headers.rs
+++ b/util/src/headers.rs
@@ -17,6 +17,29 @@
     HeaderName::from_static("keep-alive"),
 ];
 
+/// How much an entry of a map takes besides its name and value, in bytes.
+const ENTRY_BYTES: usize = 128;
+
+/// Returns how much memory headers take, in bytes, roughly.
+///
+/// # Example
+///
+/// ```
+/// use bramleypier_util::headers;
+/// use hyper::{HeaderMap, header::{self, HeaderValue}};
+///
+/// let mut map = HeaderMap::new();
+/// assert_eq!(headers::size(&map), 0);
+/// map.insert(header::HOST, HeaderValue::from_static("a.example"));
+/// assert!(headers::size(&map) > 100);
+/// ```
+pub fn size(map: &HeaderMap) -> usize {
+    let entries = map.iter();
+    entries
+        .map(|(name, value)| ENTRY_BYTES + name.as_str().len() + value.len())
+        .sum()
+}
+
 /// Removes hop-by-hop headers, including those that the message's `connection` header names.
 ///
 /// The length of a message whose body comes in chunks is removed as well: the chunks tell it, whatever the header says.
--- a/util/src/lib.rs
+++ b/util/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod fields;
 pub mod headers;
 pub mod ini;
+pub mod memory;
 pub mod pipeline;
 pub mod server;
 pub mod socket;
--- a/util/src/pipeline/connection.rs
+++ b/util/src/pipeline/connection.rs
@@ -22,13 +22,15 @@
     Event, Handler, Pipelining, RequestTarget, StopCause,
     feed::{BodySize, Feed},
     head::{self, Found},
+    holding::Holding,
     space::{Full, Reserved, ServerSpace, Space},
 };
 use crate::{
     body::{Body, Cause},
     clock::Clock,
     headers,
-    server::{MAX_HEADERS, ResponseEnd},
+    memory::{self, Memory},
+    server::{MAX_HEADERS, RequestRead, ResponseEnd},
 };
 
 /// The smallest bound of the read buffer: about sixty requests.
@@ -86,6 +88,10 @@
     /// Whether no request behind the one that hyper has handed over last is answered.
     closing: bool,
     space: Space,
+    /// The memory for `feed` and for the response that is being sent.
+    holding: Holding,
+    /// Set once the body of the request that hyper has handed over last has been read.
+    read: RequestRead,
     /// When the response that hyper is sending must have been taken completely; see [`ResponseEnd`].
     response_end: Option<Duration>,
     /// The task of the connection.
@@ -118,7 +124,7 @@
         handler: H,
         pipelining: Pipelining,
         head_bytes: usize,
-        space: &ServerSpace,
+        (space, memory): (&ServerSpace, &Memory),
         clock: Clock,
     ) -> Self {
         let state = State {
@@ -134,6 +140,8 @@
             draining: false,
             closing: false,
             space: space.connect(),
+            holding: Holding::new(memory),
+            read: RequestRead::default(),
             response_end: None,
             waker: None,
             reading: false,
@@ -145,8 +153,10 @@
     }
 
     /// Takes the response of a request that hyper hands over: the one that was started early, or a new one.
-    pub(crate) fn answer(&self, request: Request<Incoming>) -> Answer<H::Answer> {
+    pub(crate) fn answer(&self, mut request: Request<Incoming>) -> Answer<H::Answer> {
         let mut state = self.state.borrow_mut();
+        state.read = RequestRead::default();
+        request.extensions_mut().insert(state.read.clone());
         match state.take_started(&request) {
             Some(answer) => Answer::Early(answer),
             None => Answer::New(state.handler.handle(request)),
@@ -177,6 +187,9 @@
         let mut state = self.state.borrow_mut();
         state.finish(response.headers_mut());
         state.response_end = response.extensions().get().map(|it: &ResponseEnd| it.0);
+        state
+            .holding
+            .begin_response(response.body_mut().take_held());
         drop(state);
         Ok(response.map(|body| TrackedBody {
             body,
@@ -195,6 +208,8 @@
             return None;
         }
         let bytes = state.feed.allow_held(limit);
+        let size = state.feed.held().len();
+        state.holding.shrink(size);
         state.started_bytes = state.started_bytes.saturating_sub(bytes.len());
         state.seen_bytes = 0;
         Some(bytes)
@@ -211,8 +226,16 @@
     }
 
     /// Holds new bytes.
-    pub(super) fn hold(&self, bytes: &[u8]) {
-        self.state.borrow_mut().feed.push(bytes);
+    ///
+    /// # Errors
+    ///
+    /// There is no memory for them.
+    pub(super) fn hold(&self, bytes: &[u8]) -> Result<(), memory::Full> {
+        let mut state = self.state.borrow_mut();
+        let size = state.feed.held().len() + bytes.len();
+        state.holding.grow(size)?;
+        state.feed.push(bytes);
+        Ok(())
     }
 
     /// Starts held requests early; `reading` says whether the task is woken by further bytes.
@@ -235,7 +258,34 @@
     /// Returns whether a request is open and hyper doesn't read, so that it would miss that the peer leaves.
     pub(crate) fn is_blind(&self) -> bool {
         let state = self.state.borrow();
-        state.feed.is_unknown() || state.feed.is_held() && state.room() == 0
+        let is_full = state.holding.is_starved() || state.room() == 0;
+        state.feed.is_unknown() || state.feed.is_held() && is_full
+    }
+
+    /// Returns whether the connection waits for its peer: for a request, or for the rest of one.
+    pub(crate) fn waits_for_peer(&self) -> bool {
+        let state = self.state.borrow();
+        !state.holding.has_response()
+            && (!state.feed.is_open() || state.feed.is_body() && !state.read.is_set())
+    }
+
+    /// Returns whether what is held for the response that is being sent has to be given up; if not, `waker` is woken once
+    /// it has.
+    pub(crate) fn must_give_up(&self, waker: &Waker) -> bool {
+        self.state.borrow().holding.must_give_up(waker)
+    }
+
+    /// Reports something to the handler.
+    pub(crate) fn report(&self, event: Event) {
+        self.state.borrow().handler.on_event(event);
+    }
+
+    /// Records that all that hyper has written is with the operating system.
+    pub(super) fn on_flushed(&self) {
+        let mut state = self.state.borrow_mut();
+        if !state.feed.is_open() {
+            state.holding.end_response();
+        }
     }
 
     /// Returns when the response that is being sent must have been taken completely, if it must.
@@ -418,7 +468,10 @@
     F: Future<Output = Response<Body>>,
 {
     let response = answer.await;
-    if let (Body::Whole(_), Some(size)) = (response.body(), response.body().size_hint().exact()) {
+    if let (true, Some(size)) = (
+        response.body().is_whole(),
+        response.body().size_hint().exact(),
+    ) {
         reserved.shrink(usize::try_from(size).unwrap_or(usize::MAX));
     }
     Ready {
--- a/util/src/pipeline/feed.rs
+++ b/util/src/pipeline/feed.rs
@@ -206,6 +206,24 @@
         self.mode == Mode::Held
     }
 
+    /// Returns whether a request is handed over and not answered.
+    ///
+    /// # Example
+    ///
+    /// See [`Feed::is_unknown`].
+    pub fn is_open(&self) -> bool {
+        self.open
+    }
+
+    /// Returns whether hyper may take a body, or the rest of one.
+    ///
+    /// # Example
+    ///
+    /// See [`Feed::is_unknown`].
+    pub fn is_body(&self) -> bool {
+        matches!(self.mode, Mode::Body(..) | Mode::Through)
+    }
+
     /// Returns whether a request is open on a connection on which hyper may hold bytes of further requests.
     ///
     /// # Example
@@ -215,7 +233,7 @@
     ///
     /// let mut feed = Feed::default();
     /// feed.on_request(BodySize::Unknown);
-    /// assert!(feed.is_unknown());
+    /// assert!(feed.is_unknown() && feed.is_open() && feed.is_body());
     /// ```
     pub fn is_unknown(&self) -> bool {
         self.open && self.mode == Mode::Through
--- a/util/src/pipeline/mod.rs
+++ b/util/src/pipeline/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod connection;
 pub mod feed;
 mod head;
+mod holding;
 pub mod space;
 pub(crate) mod stream;
 
@@ -130,6 +131,12 @@
     },
     /// No further request is started early for now.
     Stopped(StopCause),
+    /// A connection is closed for a new one; its peer has been silent for this long.
+    Displaced(Duration),
+    /// A new connection is closed at once, since all others are at work.
+    TurnedAway,
+    /// A connection is reset, since memory is short and its peer doesn't take the response.
+    GivenUp,
 }
 
 /// Handles the requests of a server's connections.
--- a/util/src/pipeline/stream.rs
+++ b/util/src/pipeline/stream.rs
@@ -39,7 +39,10 @@
                 Poll::Ready([]) => return Poll::Ready(Ok(())),
                 Poll::Ready(bytes) => {
                     let count = bytes.len().min(room);
-                    self.connection.hold(&bytes[..count]);
+                    if self.connection.hold(&bytes[..count]).is_err() {
+                        self.connection.read_ahead(context.waker(), false);
+                        return Poll::Pending;
+                    }
                     self.stream.consume(count);
                 }
                 Poll::Pending => {
@@ -66,18 +69,16 @@
         let Some(held) = this.connection.next_bytes(limit, context.waker()) else {
             return this.poll_left(context);
         };
-        let count = if held.is_empty() {
-            let bytes = ready!(this.stream.poll_fill(context))?;
-            let count = this.connection.allow(&bytes[..bytes.len().min(limit)]);
-            buffer.put_slice(&bytes[..count]);
-            this.stream.consume(count);
-            count
-        } else {
-            buffer.put_slice(&held);
-            held.len()
-        };
-        this.stream.observer().on_read(count)?;
-        Poll::Ready(Ok(()))
+        if held.is_empty() {
+            let taken = this.stream.poll_take(context, |bytes| {
+                let count = this.connection.allow(&bytes[..bytes.len().min(limit)]);
+                buffer.put_slice(&bytes[..count]);
+                count
+            });
+            return taken.map_ok(drop);
+        }
+        buffer.put_slice(&held);
+        Poll::Ready(this.stream.observer().on_read(&held))
     }
 }
 
@@ -95,7 +96,9 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        ready!(Pin::new(&mut self.stream).poll_flush(context))?;
+        self.connection.on_flushed();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/util/src/server.rs
+++ b/util/src/server/mod.rs
@@ -1,9 +1,14 @@
 //! An HTTP/1.1 server with one task per connection, which closes connections that are idle or too slow.
 
+mod control;
+pub mod places;
+mod shared_timer;
+
 use std::{
-    cell::{Cell, RefCell},
-    io,
-    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     task::{Poll, ready},
     time::Duration,
 };
@@ -12,20 +17,26 @@
 use futures_channel::oneshot;
 use futures_util::{
     FutureExt,
-    future::{self, Either, LocalBoxFuture, Shared},
+    future::{self, Either, LocalBoxFuture},
 };
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service};
 
+pub use self::control::Control;
+use self::{
+    control::OpenConnection,
+    places::{Place, Places, Step},
+    shared_timer::SharedTimer,
+};
 use crate::{
     body::Body,
     clock::Clock,
+    memory::Memory,
     pipeline::{
-        FunctionHandler, Handler, Pipelining, connection::Connection, space::ServerSpace,
+        Event, FunctionHandler, Handler, Pipelining, connection::Connection, space::ServerSpace,
         stream::HoldingStream,
     },
     socket,
-    stream::{Stream, StreamObserver},
-    timer::ConnectionTimer,
+    stream::Stream,
 };
 
 /// The default head timeout and idle timeout.
@@ -65,84 +76,52 @@
     }
 }
 
-/// When a response must have ended, by the server's clock: an extension of responses.
-///
-/// If its body isn't complete by then, its connection is reset, and the body dropped; also while the peer reads nothing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ResponseEnd(pub Duration);
-
-/// Stops a server and counts its open connections; shared by the server and its connections.
+/// The most that a server and its connections take.
 #[derive(Clone, Debug)]
-pub struct Control {
-    /// Dropped to stop the server, which completes `stopped`.
-    running: Rc<RefCell<Option<oneshot::Sender<()>>>>,
-    /// Completes once the server must stop.
-    stopped: Shared<oneshot::Receiver<()>>,
-    /// Dropped to close all connections, which completes `aborted`.
-    connected: Rc<RefCell<Option<oneshot::Sender<()>>>>,
-    /// Completes once connections must close without a response.
-    aborted: Shared<oneshot::Receiver<()>>,
-    open: Rc<Cell<usize>>,
-    unread: Rc<Cell<usize>>,
+pub struct ServerLimits {
+    /// The maximum number of connections.
+    pub connections: usize,
+    /// The memory for what is held for callers, which is shared with others that hold something for them.
+    pub memory: Memory,
+    /// The size of a connection's buffers in the operating system, for reading and for writing, in bytes; `None` leaves it
+    /// to the system.
+    pub socket_bytes: Option<usize>,
 }
 
-impl Default for Control {
+impl Default for ServerLimits {
+    /// Returns no limits.
     fn default() -> Self {
-        let (running, stopped) = oneshot::channel();
-        let (connected, aborted) = oneshot::channel();
         Self {
-            running: Rc::new(RefCell::new(Some(running))),
-            stopped: stopped.shared(),
-            connected: Rc::new(RefCell::new(Some(connected))),
-            aborted: aborted.shared(),
-            open: Rc::default(),
-            unread: Rc::default(),
+            connections: usize::MAX,
+            memory: Memory::new(usize::MAX),
+            socket_bytes: None,
         }
     }
 }
 
-impl Control {
-    /// Makes the server accept no more connections and close each one after its current request.
-    pub fn stop(&self) {
-        self.running.borrow_mut().take();
-    }
-
-    /// Makes the server accept no more connections and close each one at once, as the end of its process does.
-    pub fn abort(&self) {
-        self.stop();
-        self.connected.borrow_mut().take();
-    }
-
-    /// Returns how many connections had something unread, or weren't accepted yet, when the server stopped.
-    pub fn unread(&self) -> usize {
-        self.unread.get()
-    }
-
-    fn count_unread(&self) {
-        self.unread.set(self.unread.get() + 1);
-    }
-
-    /// Returns how many connections are open.
-    pub fn open(&self) -> usize {
-        self.open.get()
+/// Tells that the body of a request has been read, or is being forwarded: an extension of requests.
+///
+/// Until then its connection counts as one that waits for its peer, and may be closed for another one.
+#[derive(Clone, Debug, Default)]
+pub struct RequestRead(Arc<AtomicBool>);
+
+impl RequestRead {
+    /// Records it.
+    pub fn set(&self) {
+        self.0.store(true, Ordering::Relaxed);
     }
-}
 
-/// Counts one open connection until it is dropped.
-struct OpenConnection(Control);
-
-impl OpenConnection {
-    fn new(control: Control) -> Self {
-        control.open.set(control.open.get() + 1);
-        Self(control)
+    /// Returns whether it has been recorded.
+    pub fn is_set(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
     }
 }
 
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
-    }
-}
+/// When a response must have ended, by the server's clock: an extension of responses.
+///
+/// If its body isn't complete by then, its connection is reset, and the body dropped; also while the peer reads nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ResponseEnd(pub Duration);
 
 /// Accepts connections until `control` stops the server, and handles each request with `handler`.
 pub async fn serve<H, F>(listener: TcpListener, control: Control, handler: H)
@@ -176,17 +155,19 @@
         handler: FunctionHandler(handler),
         pipelining: Pipelining::OFF,
         space: ServerSpace::default(),
+        capacity: ServerLimits::default(),
         clock,
     };
     server.serve(listener, control, limits).await;
 }
 
-/// Accepts connections like [`serve_with`], and starts idempotent requests before those ahead of them are answered.
+/// Accepts connections like [`serve_with`], within the limits of the server, and starts idempotent requests before those
+/// ahead of them are answered.
 pub async fn serve_pipelined<B, H>(
     listener: TcpListener,
     control: Control,
     clock: Clock,
-    limits: B,
+    (capacity, limits): (ServerLimits, B),
     (pipelining, handler): (Pipelining, H),
 ) where
     B: Fn() -> ConnectionLimits,
@@ -196,6 +177,7 @@
         handler,
         pipelining,
         space: ServerSpace::default(),
+        capacity,
         clock,
     };
     server.serve(listener, control, limits).await;
@@ -206,6 +188,7 @@
     handler: H,
     pipelining: Pipelining,
     space: ServerSpace,
+    capacity: ServerLimits,
     clock: Clock,
 }
 
@@ -217,6 +200,10 @@
     where
         B: Fn() -> ConnectionLimits,
     {
+        if let Some(bytes) = self.capacity.socket_bytes {
+            socket::set_buffers(&listener, bytes);
+        }
+        let places = Places::new(self.capacity.connections);
         loop {
             let accept = Box::pin(listener.accept());
             let accepted = match future::select(control.stopped.clone(), accept).await {
@@ -233,23 +220,52 @@
                 compio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             };
-            let open = OpenConnection::new(control.clone());
-            let timer = SharedTimer::new(self.clock.clone(), limits());
-            let connection = Connection::new(
+            let limits = limits();
+            let requests = Connection::new(
                 self.handler.clone(),
                 self.pipelining,
-                timer.buffer_bytes(),
-                &self.space,
+                limits.head_bytes.max(MIN_BUFFER_BYTES),
+                (&self.space, &self.capacity.memory),
                 self.clock.clone(),
             );
-            let aborted = control.aborted.clone();
+            let Some((place, closing)) = self.take_place(&places, &requests).await else {
+                // Without a byte read, the peer knows that its request has not run.
+                continue;
+            };
+            let open = OpenConnection::new(control.clone());
+            let timer = SharedTimer::new(self.clock.clone(), limits, place.last_bytes());
+            let ended = future::select(control.aborted.clone(), closing);
             compio::runtime::spawn(async move {
-                let serving = Box::pin(serve_connection(stream, open, timer, connection));
-                future::select(serving, aborted).await;
+                let serving = Box::pin(serve_connection(stream, open, timer, requests));
+                future::select(serving, ended).await;
+                drop(place);
             })
             .detach();
         }
     }
+
+    /// Takes a place for a connection, if need be that of one that waits for its peer; `None` if all are at work.
+    async fn take_place(
+        &self,
+        places: &Places,
+        requests: &Connection<H>,
+    ) -> Option<(Place, oneshot::Receiver<()>)> {
+        loop {
+            let waiting = requests.clone();
+            match places.take(self.clock.now(), move || waiting.waits_for_peer()) {
+                Step::Taken(place, closing) => return Some((place, closing)),
+                Step::Closing(last_bytes) => {
+                    let silent = self.clock.now().saturating_sub(last_bytes);
+                    self.handler.on_event(Event::Displaced(silent));
+                    places.until_free().await;
+                }
+                Step::Full => {
+                    self.handler.on_event(Event::TurnedAway);
+                    return None;
+                }
+            }
+        }
+    }
 }
 
 /// Serves one connection until it is closed.
@@ -283,7 +299,8 @@
     let mut connection = Box::pin(connection);
     // The connection is polled before these, so that received bytes count first.
     let overdue = Box::pin(until_overdue(&socket, &requests, &timer.clock));
-    let mut left = future::select(Box::pin(until_left(&socket, &requests)), overdue);
+    let gone = future::select(Box::pin(until_left(&socket, &requests)), overdue);
+    let mut left = future::select(gone, Box::pin(until_memory_is_needed(&socket, &requests)));
     let closed = {
         let timed_out = Box::pin(timer.expired());
         let ended = future::select(connection.as_mut(), &mut left);
@@ -382,6 +399,23 @@
     socket::reset_on_close(socket);
 }
 
+/// Completes when the response that is being sent has to give up its memory, and makes its connection end with a reset.
+async fn until_memory_is_needed<H>(socket: &TcpStream, requests: &Connection<H>)
+where
+    H: Handler,
+{
+    future::poll_fn(|context| {
+        if requests.must_give_up(context.waker()) {
+            Poll::Ready(())
+        } else {
+            Poll::Pending
+        }
+    })
+    .await;
+    requests.report(Event::GivenUp);
+    socket::reset_on_close(socket);
+}
+
 /// Lets a stopping connection read what has arrived: the runtime may have been busy since; returns whether it has ended.
 ///
 /// A request that is read is answered before the connection closes, and one that isn't would end without an answer.
@@ -403,83 +437,3 @@
     }
     false
 }
-
-/// A connection's timer, shared by its task, its stream and its service.
-#[derive(Clone, Debug)]
-struct SharedTimer {
-    clock: Clock,
-    limits: ConnectionLimits,
-    timer: Rc<RefCell<ConnectionTimer>>,
-}
-
-impl SharedTimer {
-    fn new(clock: Clock, limits: ConnectionLimits) -> Self {
-        let timer = ConnectionTimer::new(limits, clock.now());
-        Self {
-            clock,
-            limits,
-            timer: Rc::new(RefCell::new(timer)),
-        }
-    }
-
-    /// Returns the size of hyper's read buffer, which limits a head.
-    fn buffer_bytes(&self) -> usize {
-        self.limits.head_bytes.max(MIN_BUFFER_BYTES)
-    }
-
-    fn on_request(&self) {
-        self.timer.borrow_mut().on_request();
-    }
-
-    fn on_response(&self) {
-        self.timer.borrow_mut().on_response(self.clock.now());
-    }
-
-    /// Records received or sent bytes with `record`; they matter only to an idle connection.
-    fn on_bytes(&self, record: fn(&mut ConnectionTimer, Duration)) {
-        let mut timer = self.timer.borrow_mut();
-        if timer.is_idle() {
-            record(&mut timer, self.clock.now());
-        }
-    }
-
-    /// Waits until the connection's deadline has passed.
-    ///
-    /// This is polled after each step of the connection, so a new sleep is started only if the deadline
-    /// has become earlier than the end of the current sleep.
-    async fn expired(&self) {
-        let mut current: Option<(Duration, LocalBoxFuture<'_, ()>)> = None;
-        future::poll_fn(|context| {
-            loop {
-                let Some(deadline) = self.timer.borrow().deadline() else {
-                    return Poll::Pending;
-                };
-                if current.as_ref().is_none_or(|(end, _)| *end > deadline) {
-                    let left = deadline.saturating_sub(self.clock.now());
-                    if left.is_zero() {
-                        return Poll::Ready(());
-                    }
-                    current = Some((deadline, self.clock.sleep(left).boxed_local()));
-                }
-                if let Some((_, sleep)) = &mut current {
-                    ready!(sleep.as_mut().poll(context));
-                }
-                current = None;
-            }
-        })
-        .await;
-    }
-}
-
-impl StreamObserver for SharedTimer {
-    fn on_read(&mut self, bytes: usize) -> io::Result<()> {
-        if bytes > 0 {
-            self.on_bytes(ConnectionTimer::on_read);
-        }
-        Ok(())
-    }
-
-    fn on_write(&mut self, _bytes: usize) {
-        self.on_bytes(ConnectionTimer::on_write);
-    }
-}
--- a/util/src/socket.rs
+++ b/util/src/socket.rs
@@ -37,6 +37,15 @@
     let _ = sockopt::set_tcp_user_timeout(stream, ack_timeout_ms);
 }
 
+/// Sets the size of the buffers of a socket, or of the connections that a listening one accepts, in bytes.
+pub fn set_buffers<S>(socket: &S, bytes: usize)
+where
+    S: AsFd,
+{
+    let _ = sockopt::set_socket_recv_buffer_size(socket, bytes);
+    let _ = sockopt::set_socket_send_buffer_size(socket, bytes);
+}
+
 /// Makes a close reset the connection, so that bytes still in transit are never delivered.
 pub fn reset_on_close(stream: &TcpStream) {
     let _ = sockopt::set_socket_linger(stream, Some(Duration::ZERO));
--- a/util/src/stream.rs
+++ b/util/src/stream.rs
@@ -10,15 +10,19 @@
 use futures_util::{AsyncBufRead as _, AsyncWrite as _};
 use hyper::rt::{Read, ReadBufCursor, Write};
 
+/// The size of the buffer for reading, and of that for writing while little is written.
+const BUFFER_BYTES: usize = 8 * 1024;
+/// The most bytes that are copied for writing at a time.
+const MAX_WRITE_BYTES: usize = 128 * 1024;
+
 /// Observes the bytes that are read from and written to a [`Stream`].
 pub trait StreamObserver: Unpin {
-    /// Called after `bytes` bytes were read; 0 means that the peer closed the stream with a FIN, not
-    /// with a reset.
+    /// Called after these bytes were read; none means that the peer closed the stream.
     ///
     /// # Errors
     ///
     /// Nothing may be read any more; the connection fails with this error.
-    fn on_read(&mut self, bytes: usize) -> io::Result<()>;
+    fn on_read(&mut self, bytes: &[u8]) -> io::Result<()>;
 
     /// Called before bytes are written.
     ///
@@ -50,7 +54,11 @@
     /// Wraps a connected stream.
     pub fn new(stream: TcpStream, observer: W) -> Self {
         Self {
-            inner: Box::pin(AsyncStream::new(stream)),
+            inner: Box::pin(AsyncStream::with_limits(
+                BUFFER_BYTES,
+                MAX_WRITE_BYTES,
+                stream,
+            )),
             observer,
         }
     }
@@ -64,6 +72,28 @@
         self.inner.as_mut().poll_fill_buf(context)
     }
 
+    /// Waits for received bytes, lets `take` take some of them, and returns how many it has taken; none have arrived if the
+    /// peer closed the stream.
+    ///
+    /// # Errors
+    ///
+    /// The connection has failed, or the observer doesn't allow to read on.
+    pub(crate) fn poll_take<F>(
+        &mut self,
+        context: &mut Context<'_>,
+        take: F,
+    ) -> Poll<io::Result<usize>>
+    where
+        F: FnOnce(&[u8]) -> usize,
+    {
+        let Self { inner, observer } = self;
+        let bytes = ready!(inner.as_mut().poll_fill_buf(context))?;
+        let count = take(bytes);
+        let observed = observer.on_read(&bytes[..count]);
+        inner.as_mut().consume(count);
+        Poll::Ready(observed.map(|()| count))
+    }
+
     /// Drops received bytes.
     pub(crate) fn consume(&mut self, count: usize) {
         self.inner.as_mut().consume(count);
@@ -91,12 +121,12 @@
         context: &mut Context<'_>,
         mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let Self { inner, observer } = &mut *self;
-        let bytes = ready!(inner.as_mut().poll_fill_buf(context))?;
-        let count = bytes.len().min(buffer.remaining());
-        buffer.put_slice(&bytes[..count]);
-        inner.as_mut().consume(count);
-        Poll::Ready(observer.on_read(count))
+        self.poll_take(context, |bytes| {
+            let count = bytes.len().min(buffer.remaining());
+            buffer.put_slice(&bytes[..count]);
+            count
+        })
+        .map_ok(drop)
     }
 }
 
--- a/util/tests/pipeline_fixture/mod.rs
+++ b/util/tests/pipeline_fixture/mod.rs
@@ -13,7 +13,7 @@
     body::Body,
     clock::Clock,
     pipeline::{Event, Handler, Pipelining, RequestTarget},
-    server::{self, ConnectionLimits, Control},
+    server::{self, ConnectionLimits, Control, ServerLimits},
 };
 use compio::{net::TcpListener, runtime::Runtime};
 use futures_channel::oneshot;
@@ -202,7 +202,7 @@
             listener,
             control.clone(),
             Clock::real(),
-            limits,
+            (ServerLimits::default(), limits),
             (pipelining, handler),
         );
         compio::runtime::spawn(serving).detach();
