--- a/engine/src/caller/attempt.rs
+++ b/engine/src/caller/attempt.rs
@@ -420,6 +420,7 @@
     match error {
         client::Error::Foreign(_) => Some("foreign"),
         client::Error::Joined(_) => Some("joined"),
+        client::Error::Malformed(_) => Some("malformed"),
         _ => None,
     }
 }
--- a/engine/src/reach/relay.rs
+++ b/engine/src/reach/relay.rs
@@ -256,7 +256,9 @@
                 self.finish(RelayResult::Answered, Response::from_parts(head, body))
             }
             // The sender finds neither the request's id nor a signature in it, as in the response that came.
-            Err(client::Error::Foreign(_) | client::Error::Joined(_)) => {
+            Err(
+                client::Error::Foreign(_) | client::Error::Joined(_) | client::Error::Malformed(_),
+            ) => {
                 let response = Response::new(Body::empty());
                 self.finish(RelayResult::Answered, response)
             }
--- a/util/src/client/error.rs
+++ b/util/src/client/error.rs
@@ -40,6 +40,10 @@
         Joined(peer: SocketAddr) {
             display("answer from {peer}: its head begins with another message")
         }
+        /// The status of the response isn't that of a final response, so what it says of this request isn't known.
+        Malformed(peer: SocketAddr) {
+            display("answer from {peer}: its status is none of the protocol")
+        }
         /// The head of the response has arrived, but not the whole body, or it is too long.
         Truncated(peer: SocketAddr, cause: body::Cause) {
             display("answer from {peer}: {cause}")
@@ -65,7 +69,11 @@
     pub fn unsent(&self) -> bool {
         match self {
             Self::Connect(..) | Self::Busy(_) | Self::Unsent(..) | Self::Withdrawn(_) => true,
-            Self::Broken(..) | Self::Foreign(_) | Self::Joined(_) | Self::Truncated(..) => false,
+            Self::Broken(..)
+            | Self::Foreign(_)
+            | Self::Joined(_)
+            | Self::Malformed(_)
+            | Self::Truncated(..) => false,
             Self::Timeout(_, sent) => !sent,
         }
     }
--- a/util/src/client/mod.rs
+++ b/util/src/client/mod.rs
@@ -13,6 +13,7 @@
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
+    ops::RangeInclusive,
     rc::Rc,
     time::Duration,
 };
@@ -38,6 +39,8 @@
 
 /// The shortest timeout after which a connection without a response counts as failed.
 const MIN_FAILURE_TIMEOUT: Duration = Duration::from_millis(250);
+/// The statuses of final responses.
+const STATUSES: RangeInclusive<u16> = 200..=599;
 
 /// The limits of a response that is read as a whole.
 #[derive(Clone, Copy, Debug)]
@@ -263,7 +266,13 @@
         match result {
             Ok(_) if progress.first.get() => observer.on_response(peer),
             Ok(_)
-            | Err(Error::Busy(_) | Error::Withdrawn(_) | Error::Foreign(_) | Error::Joined(_)) => {}
+            | Err(
+                Error::Busy(_)
+                | Error::Withdrawn(_)
+                | Error::Foreign(_)
+                | Error::Joined(_)
+                | Error::Malformed(_),
+            ) => {}
             Err(Error::Timeout(..)) if timeout < MIN_FAILURE_TIMEOUT => {}
             Err(_) => observer.on_failure(peer),
         }
@@ -301,6 +310,9 @@
                 let earlier = ConnectionUse(connection.responses);
                 response.extensions_mut().insert(earlier);
                 connection.responses += 1;
+                if !STATUSES.contains(&response.status().as_u16()) {
+                    return Err(Error::Malformed(peer));
+                }
                 if self.id_header.is_some() && joined::is_joined(&response) {
                     return Err(Error::Joined(peer));
                 }
