--- a/engine/src/caller/attempt.rs
+++ b/engine/src/caller/attempt.rs
@@ -4,14 +4,14 @@
 
 use bramleypier_util::{
     body::Body,
-    client::{self, Client, ConnectionUse, Exchange, SendGuard},
+    client::{self, Client, ConnectionUse, Exchange, ResponseBody, SendGuard},
     clock::Clock,
     headers,
     memory::Memory,
     server::ResponseEnd,
 };
 use futures_util::future::{self, Either};
-use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 
 use super::{
     attempts::CallerPresence,
@@ -297,7 +297,7 @@
     async fn read(
         &self,
         outgoing: &OutgoingRequest,
-        response: Response<Incoming>,
+        response: Response<ResponseBody>,
         permit: Permit,
         started: Duration,
         remaining: Duration,
@@ -325,7 +325,7 @@
     async fn read_reply(
         &self,
         outgoing: &OutgoingRequest,
-        response: Response<Incoming>,
+        response: Response<ResponseBody>,
         reply: Reply,
         permit: Permit,
         started: Duration,
--- a/engine/src/reach/relay.rs
+++ b/engine/src/reach/relay.rs
@@ -8,7 +8,7 @@
 
 use bramleypier_util::{
     body::{self as util_body, Body},
-    client::{self, Client, Exchange, SendGuard},
+    client::{self, Client, Exchange, ResponseBody, SendGuard},
     headers,
     memory::{Held, Memory},
     server::ResponseEnd,
@@ -123,7 +123,7 @@
     mut request: Request<Body>,
     timeout: Duration,
     guard: Rc<dyn SendGuard>,
-) -> Result<Response<Incoming>, Error> {
+) -> Result<Response<ResponseBody>, Error> {
     let Ok(id) = HeaderValue::from_str(target) else {
         return Err(Error::Declined("the target's id is no header".to_owned()));
     };
--- a/program/tests/harness/mod.rs
+++ b/program/tests/harness/mod.rs
@@ -16,11 +16,11 @@
 pub use bramleypier_platform_standin::{store::config, vm::Program};
 use bramleypier_util::{
     body::{self, Body},
-    client::Client,
+    client::{Client, ResponseBody},
     clock::Clock,
 };
 use compio::runtime::Runtime;
-use hyper::{Request, Response, StatusCode, body::Incoming, header::HeaderValue};
+use hyper::{Request, Response, StatusCode, header::HeaderValue};
 
 /// How long tests wait for an expected state.
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(15);
@@ -198,7 +198,7 @@
     /// Sends a request once, and tries again as long as nothing was sent.
     ///
     /// Connecting may time out on a loaded machine.
-    async fn send_once<F>(&self, address: SocketAddr, build: F) -> Response<Incoming>
+    async fn send_once<F>(&self, address: SocketAddr, build: F) -> Response<ResponseBody>
     where
         F: Fn() -> Request<Body>,
     {
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -233,7 +233,7 @@
     job: &Job,
     started: Attempt<Started>,
     permit: Permit,
-    response: Response<Incoming>,
+    response: Response<client::ResponseBody>,
     cancel: &mut CancelGuard,
 ) -> AttemptResult {
     match answer::read(response.status(), response.headers()) {
@@ -256,7 +256,7 @@
     job: &Job,
     started: Attempt<Started>,
     permit: Permit,
-    response: Response<Incoming>,
+    response: Response<client::ResponseBody>,
     cancel: &mut CancelGuard,
 ) -> AttemptResult {
     let (mut head, body) = response.into_parts();
@@ -295,7 +295,11 @@
     }
 }
 
-async fn read_whole(context: &Context, job: &Job, body: Incoming) -> Result<Bytes, &'static str> {
+async fn read_whole(
+    context: &Context,
+    job: &Job,
+    body: client::ResponseBody,
+) -> Result<Bytes, &'static str> {
     let left = job
         .deadline
         .remaining(context.clock.now())
--- a/src/entry/response_body.rs
+++ b/src/entry/response_body.rs
@@ -8,21 +8,26 @@
 };
 
 use futures_util::future;
-use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
+use hyper::body::{Body, Bytes, Frame, SizeHint};
 
 use super::{
     Context, Job,
     forward::CancelGuard,
     ticket::{self, Permit, Report},
 };
-use crate::{id::ServiceId, metrics, util::body::Cause, vm::recorder::Recorder};
+use crate::{
+    id::ServiceId,
+    metrics,
+    util::{body::Cause, client},
+    vm::recorder::Recorder,
+};
 
 /// Streams a body frame by frame, and holds the target's slot until the body ends.
 ///
 /// If the body is truncated, the deadline passes, or the lease to send expires, it ends in an error.
 /// hyper then closes the caller's connection, so that a truncated response never looks complete.
 pub struct ResponseBody {
-    body: Incoming,
+    body: client::ResponseBody,
     permit: Option<Permit>,
     cancel: CancelGuard,
     recorder: Recorder,
@@ -35,7 +40,7 @@
     pub fn new(
         context: &Context,
         job: &Job,
-        body: Incoming,
+        body: client::ResponseBody,
         permit: Permit,
         cancel: CancelGuard,
     ) -> Self {
@@ -106,7 +111,7 @@
             }
             Poll::Ready(Some(Err(cause))) => {
                 this.end(Report::Lost);
-                Poll::Ready(Some(Err(cause.into())))
+                Poll::Ready(Some(Err(cause)))
             }
             Poll::Pending if this.timer.as_mut().poll(context).is_ready() => {
                 this.end(Report::Lost);
--- a/src/target.rs
+++ b/src/target.rs
@@ -6,7 +6,7 @@
 
 use bramleypier_util::headers;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
-use hyper::{Request, Response, body::Incoming};
+use hyper::{Request, Response};
 use percent_encoding as percent;
 use quick_error::quick_error;
 use serde::{Serialize, de::DeserializeOwned};
@@ -194,7 +194,7 @@
         peer: SocketAddr,
         work: &TargetRequest,
         body: Body,
-    ) -> Result<Response<Incoming>, client::Error> {
+    ) -> Result<Response<client::ResponseBody>, client::Error> {
         let mut request = Request::new(body);
         *request.method_mut() = work.method.clone();
         // The caller's path was parsed as a URI before, so parsing it again can't fail.
--- a/tools/soak/src/callers.rs
+++ b/tools/soak/src/callers.rs
@@ -17,7 +17,7 @@
     client::{self, Client},
     clock::Clock,
 };
-use hyper::{Request, Response, body::Incoming, header::HeaderValue};
+use hyper::{Request, Response, header::HeaderValue};
 use indexmap::IndexMap;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -274,7 +274,7 @@
     id: &str,
     kind: RequestKind,
     length: usize,
-    response: Response<Incoming>,
+    response: Response<client::ResponseBody>,
 ) -> Outcome {
     let (head, body) = response.into_parts();
     let Ok(bytes) = body::read(body, 1 << 20).await else {
--- a/util/src/client/joined.rs
+++ b/util/src/client/joined.rs
@@ -23,6 +23,15 @@
     text.windows(STATUS_END).any(is_first_line)
 }
 
+/// Returns whether a text is the beginning of a response, as far as it goes.
+pub(super) fn begins_message(text: &[u8]) -> bool {
+    let version = &VERSION[..VERSION.len().min(text.len())];
+    if text.len() >= STATUS_END {
+        return is_first_line(&text[..STATUS_END]);
+    }
+    text.starts_with(version)
+}
+
 fn is_first_line(text: &[u8]) -> bool {
     let Some([minor, b' ', status @ ..]) = text.strip_prefix(VERSION) else {
         return false;
--- a/util/src/client/mod.rs
+++ b/util/src/client/mod.rs
@@ -8,6 +8,8 @@
 mod joined;
 mod latest;
 mod pool;
+mod received;
+mod response_body;
 mod write;
 
 use std::{
@@ -20,15 +22,16 @@
 
 use hyper::{
     HeaderMap, Request, Response,
-    body::{Body as _, Bytes, Incoming},
+    body::{Body as _, Bytes},
     header::{self, HeaderName, HeaderValue},
 };
 use indexmap::IndexMap;
 
-pub use self::{error::Error, latest::Series};
+pub use self::{error::Error, latest::Series, response_body::ResponseBody};
 use self::{
     latest::Latest,
     pool::Connection,
+    response_body::{BodyWatch, RequestBody},
     write::{NextWrite, Progress},
 };
 use crate::{
@@ -194,7 +197,7 @@
         peer: SocketAddr,
         request: Request<Body>,
         timeout: Duration,
-    ) -> Result<Response<Incoming>, Error> {
+    ) -> Result<Response<ResponseBody>, Error> {
         let exchange = Exchange::default();
         self.send_with(peer, request, timeout, exchange).await
     }
@@ -210,7 +213,7 @@
         request: Request<Body>,
         timeout: Duration,
         exchange: Exchange,
-    ) -> Result<Response<Incoming>, Error> {
+    ) -> Result<Response<ResponseBody>, Error> {
         let Exchange { guard, series } = exchange;
         let progress = Progress::default();
         let write = NextWrite {
@@ -285,23 +288,26 @@
         mut request: Request<Body>,
         write: NextWrite,
         series: Option<Series>,
-    ) -> Result<Response<Incoming>, Error> {
+    ) -> Result<Response<ResponseBody>, Error> {
         announce_chunks(&mut request);
         let id = self.named_request(request.headers());
         let is_usable = |it: &Connection| !it.latest.resembles(id.as_ref(), series.as_ref());
         let mut connection = self.connection(peer, is_usable).await?;
-        let written_before = connection.written.get();
+        let written_before = connection.stream.written.get();
         let progress = write.progress.clone();
         progress.connected.set(true);
         progress.first.set(connection.responses == 0);
-        *connection.next_write.borrow_mut() = Some(write);
+        *connection.stream.next_write.borrow_mut() = Some(write);
         if connection.last_used.get().is_some() {
             connection.last_used.set(Some(self.clock.now()));
         }
-        connection.head_bytes.set(Some(0));
+        connection.stream.head_bytes.set(Some(0));
+        connection.stream.received.borrow_mut().on_request();
+        let request = request.map(|it| RequestBody::new(it, &connection.stream));
+        let watch = BodyWatch::new(&connection.stream);
         let result = connection.sender.try_send_request(request).await;
-        connection.head_bytes.set(None);
-        let unsent = connection.written.get() == written_before;
+        connection.stream.head_bytes.set(None);
+        let unsent = connection.stream.written.get() == written_before;
         match result {
             Ok(mut response) => {
                 let last_used =
@@ -324,7 +330,8 @@
                     connection.latest = named.map_or(Latest::Unnamed(series), Latest::Named);
                 }
                 self.return_to_pool(peer, connection);
-                Ok(response)
+                let chunked = response.headers().contains_key(header::TRANSFER_ENCODING);
+                Ok(response.map(|it| ResponseBody::new(it, watch, chunked)))
             }
             Err(error) => {
                 let cause = error.into_error();
--- a/util/src/client/pool.rs
+++ b/util/src/client/pool.rs
@@ -16,9 +16,10 @@
 use super::{
     Client, Error,
     latest::Latest,
-    write::{NextWrite, StreamState},
+    response_body::RequestBody,
+    write::{Observer, StreamState},
 };
-use crate::{body::Body, socket, stream::Stream};
+use crate::{socket, stream::Stream};
 
 /// The timeout for opening a connection.
 ///
@@ -33,15 +34,11 @@
 
 /// The client's end of a pooled connection.
 pub(super) struct Connection {
-    pub(super) sender: SendRequest<Body>,
+    pub(super) sender: SendRequest<RequestBody>,
     /// How many responses have arrived on it.
     pub(super) responses: u64,
-    /// How many bytes were written to the socket.
-    pub(super) written: Rc<Cell<u64>>,
-    /// The request that is to be written next.
-    pub(super) next_write: Rc<RefCell<Option<NextWrite>>>,
-    /// How many bytes were read since the request, while its response has not begun.
-    pub(super) head_bytes: Rc<Cell<Option<usize>>>,
+    /// What is known of its stream.
+    pub(super) stream: StreamState,
     /// When it was last used; none before the first response, and after one that announced the close.
     pub(super) last_used: Rc<Cell<Option<Duration>>>,
     /// The response that may come once more.
@@ -130,12 +127,16 @@
         socket::reset_on_close(&stream);
         let last_used = Rc::new(Cell::new(None));
         let state = StreamState::default();
-        let (sender, task) = http1::handshake(Stream::new(stream, state.clone()))
+        let observer = Observer {
+            state: state.clone(),
+            socket: stream.clone(),
+        };
+        let (sender, task) = http1::handshake(Stream::new(stream, observer))
             .await
             .map_err(|cause| Error::Unsent(peer, cause, 0))?;
         self.opened.set(self.opened.get() + 1);
         let (closing, closed) = oneshot::channel::<()>();
-        let (client, used, ended) = (self.clone(), last_used.clone(), state.ended);
+        let (client, used, ended) = (self.clone(), last_used.clone(), state.ended.clone());
         compio::runtime::spawn(async move {
             // A failure is also returned to the request's sender.
             let _ = task.await;
@@ -149,9 +150,7 @@
         Ok(Connection {
             sender,
             responses: 0,
-            written: state.written,
-            next_write: state.next_write,
-            head_bytes: state.head_bytes,
+            stream: state,
             last_used,
             latest: Latest::Nothing,
             closed,
--- a/util/src/client/write.rs
+++ b/util/src/client/write.rs
@@ -8,8 +8,10 @@
     time::Duration,
 };
 
-use super::{Error, SendGuard};
-use crate::{clock::Clock, stream::StreamObserver};
+use compio::net::TcpStream;
+
+use super::{Error, SendGuard, received::Received};
+use crate::{clock::Clock, socket, stream::StreamObserver};
 
 /// The maximum size of a response's head, with the interim responses before it.
 ///
@@ -41,6 +43,15 @@
     }
 }
 
+/// How much of a request has been written.
+#[derive(Debug, Default)]
+pub(super) struct RequestWrite {
+    /// Whether hyper has taken all of its body.
+    pub(super) taken: Cell<bool>,
+    /// Whether all of it is with the operating system.
+    pub(super) flushed: Cell<bool>,
+}
+
 /// A request that was given to a connection and has not been written yet.
 pub(super) struct NextWrite {
     /// When its timeout ends.
@@ -83,27 +94,57 @@
     pub(super) head_bytes: Rc<Cell<Option<usize>>>,
     /// Whether the peer has closed the stream with a FIN.
     pub(super) ended: Rc<Cell<bool>>,
+    /// Whether reading or writing has failed.
+    pub(super) failed: Rc<Cell<bool>>,
+    /// How much of the latest request has been written.
+    pub(super) request: Rc<RefCell<Rc<RequestWrite>>>,
+    /// What has been received since the request.
+    pub(super) received: Rc<RefCell<Received>>,
+}
+
+/// Observes a connection's stream, whose socket it shares.
+#[derive(Debug)]
+pub(super) struct Observer {
+    pub(super) state: StreamState,
+    pub(super) socket: TcpStream,
 }
 
-impl StreamObserver for StreamState {
+impl StreamObserver for Observer {
     fn on_read(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let state = &self.state;
         if bytes.is_empty() {
-            self.ended.set(true);
+            // A write may have reported the reset, which a read then takes for an orderly close.
+            if state.failed.get() || socket::has_failed(&self.socket) {
+                state.failed.set(true);
+                return Err(io::ErrorKind::ConnectionReset.into());
+            }
+            state.ended.set(true);
         }
-        let read = self.head_bytes.get().map(|it| it + bytes.len());
-        self.head_bytes.set(read);
+        let read = state.head_bytes.get().map(|it| it + bytes.len());
+        state.head_bytes.set(read);
         if read.is_some_and(|it| it > MAX_HEAD_BYTES) {
             return Err(io::ErrorKind::InvalidData.into());
         }
+        state.received.borrow_mut().on_read(bytes);
         Ok(())
     }
 
+    fn on_flush(&mut self) {
+        let request = self.state.request.borrow();
+        request.flushed.set(request.taken.get());
+    }
+
+    fn on_failure(&mut self) {
+        self.state.failed.set(true);
+    }
+
     fn before_write(&mut self) -> io::Result<()> {
-        let next = self.next_write.take();
+        let next = self.state.next_write.take();
         next.map_or(Ok(()), |it| it.begin())
     }
 
     fn on_write(&mut self, bytes: usize) {
-        self.written.set(self.written.get() + bytes as u64);
+        let written = &self.state.written;
+        written.set(written.get() + bytes as u64);
     }
 }
--- a/util/src/pipeline/feed.rs
+++ b/util/src/pipeline/feed.rs
@@ -4,7 +4,7 @@
 ///
 /// It ends at the first empty line after a line with text, as hyper's parser has it; lines may end without a CR.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-enum HeadScan {
+pub(crate) enum HeadScan {
     /// Only empty lines so far, which the parser skips.
     #[default]
     Start,
@@ -18,7 +18,7 @@
 
 impl HeadScan {
     /// Returns the number of bytes up to the end of the head, or `None` if it isn't among these.
-    fn find_end(&mut self, bytes: &[u8]) -> Option<usize> {
+    pub(crate) fn find_end(&mut self, bytes: &[u8]) -> Option<usize> {
         let mut at = 0;
         while let Some(byte) = bytes.get(at) {
             *self = match (*self, byte) {
--- a/util/src/socket.rs
+++ b/util/src/socket.rs
@@ -68,6 +68,15 @@
     has_event(socket, PollFlags::RDHUP)
 }
 
+/// Returns whether a connection has been reset, also if an earlier read or write has reported that already.
+pub fn has_failed<S>(socket: &S) -> bool
+where
+    S: AsFd,
+{
+    // A failed connection has them whether or not they are asked for; one that its peer has closed in order hasn't.
+    has_event(socket, PollFlags::empty())
+}
+
 /// Returns whether a socket has one of these events, or has failed.
 fn has_event<S>(socket: &S, events: PollFlags) -> bool
 where
--- a/util/src/stream.rs
+++ b/util/src/stream.rs
@@ -24,6 +24,12 @@
     /// Nothing may be read any more; the connection fails with this error.
     fn on_read(&mut self, bytes: &[u8]) -> io::Result<()>;
 
+    /// Called after all that was written has been given to the operating system.
+    fn on_flush(&mut self) {}
+
+    /// Called after reading or writing has failed.
+    fn on_failure(&mut self) {}
+
     /// Called before bytes are written.
     ///
     /// # Errors
@@ -87,7 +93,8 @@
         F: FnOnce(&[u8]) -> usize,
     {
         let Self { inner, observer } = self;
-        let bytes = ready!(inner.as_mut().poll_fill_buf(context))?;
+        let filled = ready!(inner.as_mut().poll_fill_buf(context));
+        let bytes = filled.inspect_err(|_| observer.on_failure())?;
         let count = take(bytes);
         let observed = observer.on_read(&bytes[..count]);
         inner.as_mut().consume(count);
@@ -105,8 +112,19 @@
     }
 
     fn report_write(&mut self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if let Poll::Ready(Ok(bytes)) = &result {
-            self.observer.on_write(*bytes);
+        match &result {
+            Poll::Ready(Ok(bytes)) => self.observer.on_write(*bytes),
+            Poll::Ready(Err(_)) => self.observer.on_failure(),
+            Poll::Pending => {}
+        }
+        result
+    }
+
+    fn report_flush(&mut self, result: Poll<io::Result<()>>) -> Poll<io::Result<()>> {
+        match &result {
+            Poll::Ready(Ok(())) => self.observer.on_flush(),
+            Poll::Ready(Err(_)) => self.observer.on_failure(),
+            Poll::Pending => {}
         }
         result
     }
@@ -145,7 +163,8 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.inner.as_mut().poll_flush(context)
+        let flushed = self.inner.as_mut().poll_flush(context);
+        self.report_flush(flushed)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
