--- a/util/src/client/mod.rs
+++ b/util/src/client/mod.rs
@@ -298,8 +298,8 @@
         progress.connected.set(true);
         progress.first.set(connection.responses == 0);
         *connection.stream.next_write.borrow_mut() = Some(write);
-        if connection.last_used.get().is_some() {
-            connection.last_used.set(Some(self.clock.now()));
+        if connection.recent_until.get().is_some() {
+            connection.on_use(self.clock.now());
         }
         connection.stream.head_bytes.set(Some(0));
         connection.stream.received.borrow_mut().on_request();
@@ -310,9 +310,12 @@
         let unsent = connection.stream.written.get() == written_before;
         match result {
             Ok(mut response) => {
-                let last_used =
-                    (!headers::closes_connection(response.headers())).then(|| self.clock.now());
-                connection.last_used.set(last_used);
+                connection.idle_timeout = headers::idle_timeout(response.headers());
+                if headers::closes_connection(response.headers()) {
+                    connection.recent_until.set(None);
+                } else {
+                    connection.on_use(self.clock.now());
+                }
                 let earlier = ConnectionUse(connection.responses);
                 response.extensions_mut().insert(earlier);
                 connection.responses += 1;
--- a/util/src/client/pool.rs
+++ b/util/src/client/pool.rs
@@ -39,8 +39,11 @@
     pub(super) responses: u64,
     /// What is known of its stream.
     pub(super) stream: StreamState,
-    /// When it was last used; none before the first response, and after one that announced the close.
-    pub(super) last_used: Rc<Cell<Option<Duration>>>,
+    /// Until when a close indicates that the peer's process has ended; none before the first response, and after one that
+    /// announced the close.
+    pub(super) recent_until: Rc<Cell<Option<Duration>>>,
+    /// After which idle time the peer closes it, if it has said so.
+    pub(super) idle_timeout: Option<Duration>,
     /// The response that may come once more.
     pub(super) latest: Latest,
     /// Completes once the connection is closed and isn't counted any more.
@@ -48,6 +51,16 @@
 }
 
 impl Connection {
+    /// Records that it is used now.
+    ///
+    /// A close that comes later than half of the peer's idle timeout may be that timeout's.
+    pub(super) fn on_use(&self, now: Duration) {
+        let recent = self
+            .idle_timeout
+            .map_or(RECENT_USE, |it| RECENT_USE.min(it / 2));
+        self.recent_until.set(Some(now + recent));
+    }
+
     /// Closes the connection.
     async fn close(self) {
         let Self { sender, closed, .. } = self;
@@ -125,7 +138,7 @@
             .map_err(|cause| Error::Connect(peer, cause))?;
         socket::set_options(&stream, socket::SERVER_ACK_TIMEOUT);
         socket::reset_on_close(&stream);
-        let last_used = Rc::new(Cell::new(None));
+        let recent_until = Rc::new(Cell::new(None));
         let state = StreamState::default();
         let observer = Observer {
             state: state.clone(),
@@ -136,12 +149,13 @@
             .map_err(|cause| Error::Unsent(peer, cause, 0))?;
         self.opened.set(self.opened.get() + 1);
         let (closing, closed) = oneshot::channel::<()>();
-        let (client, used, ended) = (self.clone(), last_used.clone(), state.ended.clone());
+        let (client, recent, closing_state) = (self.clone(), recent_until.clone(), state.clone());
         compio::runtime::spawn(async move {
             // A failure is also returned to the request's sender.
             let _ = task.await;
-            if ended.get() {
-                client.record_close(peer, used.get());
+            // A target that breaks off a response may go on working.
+            if closing_state.ended.get() && !closing_state.received.borrow().is_in_body() {
+                client.record_close(peer, recent.get());
             }
             drop(permit);
             drop(closing);
@@ -151,16 +165,17 @@
             sender,
             responses: 0,
             stream: state,
-            last_used,
+            recent_until,
+            idle_timeout: None,
             latest: Latest::Nothing,
             closed,
         })
     }
 
     /// Records that the peer closed a connection, if it had been used recently.
-    fn record_close(&self, peer: SocketAddr, last_used: Option<Duration>) {
+    fn record_close(&self, peer: SocketAddr, recent_until: Option<Duration>) {
         let now = self.clock.now();
-        if last_used.is_some_and(|used| now.saturating_sub(used) <= RECENT_USE) {
+        if recent_until.is_some_and(|until| now <= until) {
             self.closed.borrow_mut().insert(peer, now);
         }
     }
--- a/util/tests/client.rs
+++ b/util/tests/client.rs
@@ -339,3 +339,36 @@
         }
     });
 }
+
+/// A response whose peer closes connections that are idle for a second.
+const SHORT_IDLE_RESPONSE: &str =
+    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: timeout=1\r\n\r\n";
+
+/// Guards against a peer that counts as ended though it only closes connections that no request uses.
+#[test]
+fn the_close_of_an_idle_connection_counts_as_the_end_of_its_peer() {
+    Runtime::new().unwrap().block_on(async {
+        for (idle_ms, counts) in [(0, true), (300, true), (700, false), (1000, false)] {
+            let idle = Duration::from_millis(idle_ms);
+            let reported = reports_close(SHORT_IDLE_RESPONSE, End::Closes, idle).await;
+            assert_eq!(reported, counts, "idle for {idle_ms} ms");
+        }
+    });
+}
+
+/// Guards against a peer that counts as ended though it only breaks off a response.
+#[test]
+fn the_close_after_a_part_of_a_response_counts_as_the_end_of_its_peer() {
+    Runtime::new().unwrap().block_on(async {
+        let (address, end_signal, thread) = start_peer(HALF_RESPONSE, End::Closes);
+        let clock = Clock::real();
+        let client = Client::new(clock.clone(), 4);
+        let request = Request::new(Body::from(Vec::new()));
+        let sent = client.send(address, request, Duration::from_secs(1)).await;
+        end_signal.send(()).unwrap();
+        assert!(body::read(sent.unwrap().into_body(), 10).await.is_err());
+        clock.sleep(DETECTION_TIMEOUT).await;
+        assert_eq!(client.last_closed(address), None);
+        thread.join().unwrap();
+    });
+}
