--- a/program/tests/harness/raw_target.rs
+++ b/program/tests/harness/raw_target.rs
@@ -210,6 +210,11 @@
         let (store, store_address) = Store::start().await;
         store.put("servers/i-raw", &target.entry(service));
         store.put("op/config", CONFIG.as_bytes());
+        Self::with_store(store, store_address).await
+    }
+
+    /// Starts a VM beside a store that holds all it needs, and waits until it is ready.
+    pub async fn with_store(store: Store, store_address: SocketAddr) -> Self {
         let harness = Self {
             program: start_vm("vm-1", store_address, None),
             store,
--- a/program/tests/malformed_responses.rs
+++ b/program/tests/malformed_responses.rs
@@ -11,7 +11,6 @@
 
 use bramleypier_platform_standin::store::Store;
 use bramleypier_soak::proxy::{Cut, Partition, Proxy};
-use bramleypier_util::{client::Client, clock::Clock};
 use compio::runtime::Runtime;
 use harness::{
     Harness, Program, TEST_TIMEOUT,
@@ -139,14 +138,7 @@
             store.put(&format!("servers/i-raw-{number}"), &shown.entry(service));
         }
         store.put("op/config", raw_target::CONFIG.as_bytes());
-        let harness = Harness {
-            program: start_vm("vm-1", store_address, None),
-            store,
-            store_address,
-            servers: Vec::new(),
-            client: Client::new(Clock::real(), 8),
-        };
-        harness.until_ready().await;
+        let harness = Harness::with_store(store, store_address).await;
         let relay = start_vm("vm-2", store_address, Some(&harness.program));
         harness.until_ready_at(&relay).await;
         partition.set(harness.program.child.id(), Some(Cut::Reset));
--- a/util/src/pipeline/connection.rs
+++ b/util/src/pipeline/connection.rs
@@ -1,20 +1,13 @@
 //! The open requests of one connection.
 
 use std::{
-    cell::RefCell,
-    collections::VecDeque,
-    io,
-    ops::ControlFlow,
-    pin::Pin,
-    rc::Rc,
-    task::{Context, Poll, Waker},
-    time::Duration,
+    cell::RefCell, collections::VecDeque, io, ops::ControlFlow, rc::Rc, task::Waker, time::Duration,
 };
 
 use compio::runtime::JoinHandle;
 use hyper::{
     HeaderMap, Method, Request, Response, Version,
-    body::{Body as HttpBody, Bytes, Frame, Incoming, SizeHint},
+    body::{Body as _, Incoming},
     header::{self, HeaderValue},
 };
 
@@ -24,9 +17,10 @@
     head::{self, Found},
     holding::Holding,
     space::{Full, Reserved, ServerSpace, Space},
+    tracked_body::TrackedBody,
 };
 use crate::{
-    body::{Body, Cause},
+    body::Body,
     clock::Clock,
     headers,
     memory::{self, Memory},
@@ -191,10 +185,7 @@
             .holding
             .begin_response(response.body_mut().take_held());
         drop(state);
-        Ok(response.map(|body| TrackedBody {
-            body,
-            connection: self.clone(),
-        }))
+        Ok(response.map(|body| TrackedBody::new(body, self.clone())))
     }
 
     /// Returns the held bytes that hyper may take now; empty if it may only take new ones, `None` if it may take none.
@@ -294,7 +285,7 @@
     }
 
     /// Records that a response has been handed to hyper completely.
-    fn on_answered(&self) {
+    pub(super) fn on_answered(&self) {
         let mut state = self.state.borrow_mut();
         state.feed.on_answered();
         state.response_end = None;
@@ -488,44 +479,3 @@
         && started.headers() == request.headers()
         && request.body().is_end_stream()
 }
-
-/// A response's body, which tells its connection when hyper has taken all of it.
-pub(crate) struct TrackedBody<H>
-where
-    H: Handler,
-{
-    body: Body,
-    connection: Connection<H>,
-}
-
-impl<H> Drop for TrackedBody<H>
-where
-    H: Handler,
-{
-    fn drop(&mut self) {
-        self.connection.on_answered();
-    }
-}
-
-impl<H> HttpBody for TrackedBody<H>
-where
-    H: Handler,
-{
-    type Data = Bytes;
-    type Error = Cause;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Cause>>> {
-        Pin::new(&mut self.body).poll_frame(context)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
--- a/util/src/pipeline/mod.rs
+++ b/util/src/pipeline/mod.rs
@@ -12,6 +12,7 @@
 mod holding;
 pub mod space;
 pub(crate) mod stream;
+mod tracked_body;
 
 use std::{fmt, time::Duration};
 
