--- a/util/src/client/pool.rs
+++ b/util/src/client/pool.rs
@@ -143,6 +143,8 @@
         let observer = Observer {
             state: state.clone(),
             socket: stream.clone(),
+            clock: self.clock.clone(),
+            end_wait: None,
         };
         let (sender, task) = http1::handshake(Stream::new(stream, observer))
             .await
--- a/util/src/client/received.rs
+++ b/util/src/client/received.rs
@@ -18,8 +18,10 @@
     Head,
     /// A body of a stated length, of which this many bytes are missing.
     Sized(u64),
-    /// Something whose end the head doesn't tell.
-    Other,
+    /// A body in chunks, which tell its end.
+    Chunked,
+    /// A body that only the end of the connection ends.
+    Unframed,
 }
 
 /// The bytes that were received since the latest request.
@@ -49,7 +51,7 @@
             bytes = match self.stage {
                 Stage::Head => self.read_head(bytes),
                 Stage::Sized(left) => self.read_body(left, bytes),
-                Stage::Other => return,
+                Stage::Chunked | Stage::Unframed => return,
             };
         }
     }
@@ -63,6 +65,11 @@
         (0..self.tail.len()).any(|start| joined::begins_message(&text[start..]))
     }
 
+    /// Returns whether a body is being received that only the end of the connection ends.
+    pub(super) fn is_unframed(&self) -> bool {
+        self.stage == Stage::Unframed
+    }
+
     /// Returns whether a part of a body of a stated length is missing.
     pub(super) fn is_in_body(&self) -> bool {
         matches!(self.stage, Stage::Sized(1..))
@@ -105,15 +112,21 @@
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut parsed = httparse::Response::new(&mut headers);
     if parsed.parse(head).is_err() {
-        return Stage::Other;
+        return Stage::Unframed;
     }
     if parsed.code.is_some_and(|code| (100..200).contains(&code)) {
         return Stage::Head;
     }
-    let length = parsed
-        .headers
-        .iter()
-        .find(|it| it.name.eq_ignore_ascii_case("content-length"));
-    let length = length.and_then(|it| str::from_utf8(it.value).ok()?.trim().parse().ok());
-    length.map_or(Stage::Other, Stage::Sized)
+    let value = |name: &str| {
+        let mut headers = parsed.headers.iter();
+        headers
+            .find(|it| it.name.eq_ignore_ascii_case(name))
+            .map(|it| it.value)
+    };
+    if value("transfer-encoding").is_some() {
+        return Stage::Chunked;
+    }
+    let length =
+        value("content-length").and_then(|it| str::from_utf8(it).ok()?.trim().parse().ok());
+    length.map_or(Stage::Unframed, Stage::Sized)
 }
--- a/util/src/client/response_body.rs
+++ b/util/src/client/response_body.rs
@@ -115,6 +115,7 @@
     /// Wraps the body of the next request on a connection.
     pub(super) fn new(body: Body, stream: &StreamState) -> Self {
         let write = Rc::new(RequestWrite::default());
+        write.has_body.set(!body.is_end_stream());
         write.taken.set(body.is_end_stream());
         *stream.request.borrow_mut() = write.clone();
         Self { body, write }
--- a/util/src/client/write.rs
+++ b/util/src/client/write.rs
@@ -5,10 +5,12 @@
     io,
     net::SocketAddr,
     rc::Rc,
+    task::{Context, Poll},
     time::Duration,
 };
 
 use compio::net::TcpStream;
+use futures_util::{FutureExt, future::LocalBoxFuture};
 
 use super::{Error, SendGuard, received::Received};
 use crate::{clock::Clock, socket, stream::StreamObserver};
@@ -17,6 +19,8 @@
 ///
 /// hyper reads any number of interim responses without a pause, so nothing else would end them.
 const MAX_HEAD_BYTES: usize = 128 * 1024;
+/// How long after the end of a peer's side a reset is waited for.
+const RESET_WAIT: Duration = Duration::from_millis(100);
 
 /// How far an exchange has got.
 #[derive(Clone, Debug, Default)]
@@ -46,6 +50,8 @@
 /// How much of a request has been written.
 #[derive(Debug, Default)]
 pub(super) struct RequestWrite {
+    /// Whether it has a body.
+    pub(super) has_body: Cell<bool>,
     /// Whether hyper has taken all of its body.
     pub(super) taken: Cell<bool>,
     /// Whether all of it is with the operating system.
@@ -103,10 +109,20 @@
 }
 
 /// Observes a connection's stream, whose socket it shares.
-#[derive(Debug)]
 pub(super) struct Observer {
     pub(super) state: StreamState,
     pub(super) socket: TcpStream,
+    pub(super) clock: Clock,
+    /// Waits for a reset after the end of the peer's side.
+    pub(super) end_wait: Option<LocalBoxFuture<'static, ()>>,
+}
+
+impl std::fmt::Debug for Observer {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Observer")
+            .field("state", &self.state)
+            .finish_non_exhaustive()
+    }
 }
 
 impl StreamObserver for Observer {
@@ -129,6 +145,19 @@
         Ok(())
     }
 
+    /// A peer that ends its side without having read the whole request resets the connection shortly after.
+    fn poll_end(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let is_certain = !self.state.received.borrow().is_unframed();
+        if is_certain || !self.state.request.borrow().has_body.get() {
+            return Poll::Ready(());
+        }
+        let wait = self.end_wait.get_or_insert_with(|| {
+            let clock = self.clock.clone();
+            async move { clock.sleep(RESET_WAIT).await }.boxed_local()
+        });
+        wait.poll_unpin(context)
+    }
+
     fn on_flush(&mut self) {
         let request = self.state.request.borrow();
         request.flushed.set(request.taken.get());
--- a/util/src/stream.rs
+++ b/util/src/stream.rs
@@ -24,6 +24,11 @@
     /// Nothing may be read any more; the connection fails with this error.
     fn on_read(&mut self, bytes: &[u8]) -> io::Result<()>;
 
+    /// Called before the end of the stream is read, until it completes.
+    fn poll_end(&mut self, _context: &mut Context<'_>) -> Poll<()> {
+        Poll::Ready(())
+    }
+
     /// Called after all that was written has been given to the operating system.
     fn on_flush(&mut self) {}
 
@@ -95,6 +100,9 @@
         let Self { inner, observer } = self;
         let filled = ready!(inner.as_mut().poll_fill_buf(context));
         let bytes = filled.inspect_err(|_| observer.on_failure())?;
+        if bytes.is_empty() {
+            ready!(observer.poll_end(context));
+        }
         let count = take(bytes);
         let observed = observer.on_read(&bytes[..count]);
         inner.as_mut().consume(count);
