Soak's proxy passes a reset on when it has nothing to write

A server that reset its connection after the proxy had passed everything on looked like one that had ended its side in order. Stricter: what the process under test sees is now what a path without the proxy shows.

--- a/tools/soak/src/proxy.rs
+++ b/tools/soak/src/proxy.rs
@@ -17,6 +17,7 @@
 };
 
 use bramleypier_platform_standin::sockets;
+use bramleypier_util::socket;
 use indexmap::IndexMap;
 use rustix::net::sockopt;
 
@@ -341,7 +342,14 @@
         let count = match from.read(&mut chunk) {
             Ok(0) => break,
             Ok(count) => count,
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                // A server may reset a connection on which everything has been passed on.
+                if direction == Direction::ToServer && socket::has_failed(&to) {
+                    reset(&from);
+                    return Ok(());
+                }
+                continue;
+            }
             Err(error) => {
                 reset(&to);
                 return Err(error);
